--- /dev/null
+++ b/control-plane/src/control_part.rs
@@ -0,0 +1,670 @@
+use crate::prelude::*;
+
+/// A control node without its I/O. Invariants:
+/// - A reply that speaks for the disk leaves only once all that was stored
+///   before it is synced.
+/// - While the disk is blank or has failed nothing is promised, kept or
+///   renewed here.
+/// - What an earlier life (disk) of a slot said counts for nothing once a
+///   later one was met.
+pub struct ControlPart {
+    slot: u8,
+    seeds: Vec<SocketAddr>,
+    replica: Replica,
+    refiller: Option<Refiller>,
+    failed: bool,
+    serial: u64,
+    synced: u64,
+    unsynced: VecDeque<(u64, SocketAddr, Message)>,
+    log_bytes: usize,
+    image_bytes: usize,
+    keepers: BTreeMap<u8, Keeper>,
+    /// Highest promise met for each slice, and when to raise it at the soonest.
+    outrun: BTreeMap<u8, (u64, Duration, u32)>,
+    mates: BTreeMap<u8, MateAt>,
+    retired: HashSet<u64>,
+    sessions: Sessions,
+    waits: Vec<Wait>,
+    fronts: BTreeMap<u64, Front>,
+    finals: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
+    swept: Duration,
+    warned: Option<Duration>,
+    out: Vec<Output>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct MateAt {
+    life: u64,
+    full: bool,
+    heard: Duration,
+}
+
+/// An answer that waits for its keeper to get so far.
+struct Wait {
+    slice: u8,
+    asker: SocketAddr,
+    id: u64,
+    commit: u64,
+    settle: u64,
+    round: u64,
+    told: Outcome,
+}
+
+/// A call from an operator, on its way to the owner.
+struct Front {
+    slice: u8,
+    change: Change,
+    until: Duration,
+    next: Duration,
+    tries: u32,
+}
+
+const FRONT: Duration = Duration::from_secs(12);
+/// A warned owner waits this long for others to take its slices.
+const HAND_OVER: Duration = Duration::from_secs(3);
+const FRONT_AGAIN: Duration = Duration::from_millis(400);
+/// A fresh image is written when the log since the last one is this long.
+const LOG_BYTES: usize = 4 * 1024 * 1024;
+
+impl ControlPart {
+    /// `replica` as read from disk, or a blank one with a new life.
+    pub fn new(slot: u8, seeds: Vec<SocketAddr>, replica: Replica, blank: bool) -> ControlPart {
+        let mut part = ControlPart {
+            slot,
+            seeds,
+            refiller: (!replica.full).then(|| Refiller::new(slot)),
+            replica,
+            failed: false,
+            serial: 0,
+            synced: 0,
+            unsynced: VecDeque::new(),
+            log_bytes: 0,
+            image_bytes: 0,
+            keepers: BTreeMap::new(),
+            outrun: BTreeMap::new(),
+            mates: BTreeMap::new(),
+            retired: HashSet::new(),
+            sessions: Sessions::default(),
+            waits: Vec::new(),
+            fronts: BTreeMap::new(),
+            finals: BTreeMap::new(),
+            swept: Duration::ZERO,
+            warned: None,
+            out: Vec::new(),
+        };
+        if blank {
+            part.store(&Record::Life { life: part.replica.life });
+            part.note(Event::DiskBlank, format!("slot {slot}"));
+        }
+        part
+    }
+
+    pub fn me(&self) -> Mate {
+        Mate::new(self.address(self.slot), self.replica.life)
+    }
+
+    fn address(&self, slot: u8) -> SocketAddr {
+        self.seeds[usize::from(slot)]
+    }
+
+    fn note(&mut self, event: Event, text: String) {
+        self.out.push(Output::Note { event, text });
+    }
+
+    fn tell(&mut self, to: SocketAddr, message: impl Into<Message>) {
+        self.out.push(Output::Tell { to, message: message.into() });
+    }
+
+    /// Tells once everything stored so far is synced.
+    fn tell_synced(&mut self, to: SocketAddr, message: impl Into<Message>) {
+        if self.synced >= self.serial {
+            self.tell(to, message);
+        } else {
+            self.unsynced.push_back((self.serial, to, message.into()));
+        }
+    }
+
+    fn store(&mut self, record: &Record) {
+        let bytes = bincode::serialize(record).expect("records serialize");
+        self.serial += 1;
+        self.log_bytes += bytes.len();
+        self.out.push(Output::Store { serial: self.serial, record: bytes });
+        self.replica.apply(record);
+        if self.log_bytes > LOG_BYTES.max(2 * self.image_bytes) {
+            let image = bincode::serialize(&Record::Image(Box::new(self.replica.clone()))).expect("records serialize");
+            self.image_bytes = image.len();
+            self.log_bytes = 0;
+            self.serial += 1;
+            self.out.push(Output::StoreImage { serial: self.serial, record: image });
+        }
+    }
+
+    fn able(&self) -> bool {
+        self.replica.full && !self.failed
+    }
+
+    /// The slot that shall own a slice: by weight over the live, full slots.
+    fn chosen(&self, now: Duration, slice: u8) -> Option<u8> {
+        let name = format!("slice/{slice}");
+        let live = |slot: &u8| match self.mates.get(slot) {
+            _ if *slot == self.slot => self.able() && self.warned.is_none(),
+            Some(mate) => mate.full && now < mate.heard + lease::CONTROL_MATE,
+            None => false,
+        };
+        (0..3).filter(live).max_by_key(|slot| Mate::new(self.address(*slot), 0).weight(&name))
+    }
+
+    fn pulse(&mut self, now: Duration) {
+        for mate in self.sessions.pulse(now) {
+            self.note(Event::SessionLapsed, mate.to_string());
+        }
+        let seen = self.sessions.known(now).then(|| self.sessions.mine());
+        let beat = Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seen };
+        for slot in 0..3 {
+            if slot != self.slot {
+                self.tell(self.address(slot), beat.clone());
+            }
+        }
+        if let Some(refiller) = &self.refiller {
+            for (slot, message) in refiller.pulse() {
+                self.tell(self.address(slot), message);
+            }
+        }
+        if self.able() {
+            self.take_slices(now);
+        }
+        if now >= self.swept + Duration::from_secs(1) {
+            self.swept = now;
+            self.sweep(now);
+        }
+        self.plan_duties(now);
+        self.push_fronts(now);
+    }
+
+    fn take_slices(&mut self, now: Duration) {
+        let others = (0..3u8).filter(|slot| *slot != self.slot);
+        let met = others.filter(|slot| self.mates.get(slot).is_some_and(|mate| mate.full && now < mate.heard + lease::CONTROL_MATE));
+        if met.count() == 0 {
+            return;
+        }
+        for slice in 0..SLICES {
+            if self.chosen(now, slice) != Some(self.slot) {
+                if self.keepers.get(&slice).is_some_and(|keeper| keeper.active_since.is_none()) {
+                    self.keepers.remove(&slice);
+                }
+                continue;
+            }
+            let (met, soonest, _) = self.outrun.get(&slice).copied().unwrap_or_default();
+            if self.keepers.contains_key(&slice) || now < soonest {
+                continue;
+            }
+            let highest = met.max(self.replica.held(slice).promised);
+            let epoch = (highest / 3 + 1) * 3 + u64::from(self.slot);
+            self.keepers.insert(slice, Keeper::new(slice, epoch));
+        }
+    }
+
+    /// Operations: those whose edge is gone become unknown; final ones are
+    /// dropped when they have stood their time under this owner.
+    fn sweep(&mut self, now: Duration) {
+        let mut notes = Vec::new();
+        for (slice, keeper) in self.keepers.iter_mut().filter(|(slice, keeper)| **slice >= NEWS && keeper.ready()) {
+            let finals = self.finals.entry(*slice).or_default();
+            let mut lost = Vec::new();
+            let mut old = Vec::new();
+            for (key, row) in &keeper.rows {
+                let Value::Operation(operation) = &row.value else { continue };
+                if operation.state == OperationState::Running {
+                    if self.sessions.gone(now, operation.by) {
+                        lost.push((key.clone(), operation.clone()));
+                    }
+                    continue;
+                }
+                let since = finals.entry(key.clone()).or_insert((row.version, now));
+                if since.0 != row.version {
+                    *since = (row.version, now);
+                }
+                if now >= since.1 + lease::OPERATION {
+                    old.push(key.clone());
+                }
+            }
+            for (key, operation) in lost {
+                notes.push(format!("{key} by {}", operation.by));
+                keeper.put(key, Value::Operation(Operation { state: OperationState::Unknown, ..operation }));
+            }
+            for key in old {
+                finals.remove(&key);
+                keeper.drop_row(&key);
+            }
+        }
+        for text in notes {
+            self.note(Event::OperationAbandoned, text);
+        }
+    }
+
+    fn plan_duties(&mut self, now: Duration) {
+        let Some(keeper) = self.keepers.get(&DUTIES) else { return };
+        // A new owner waits until sessions have had time to show.
+        let calm = keeper.active_since.is_some_and(|since| now >= since + lease::EDGE_PULSE * 2) && self.sessions.known(now);
+        if !keeper.ready() || !calm {
+            return;
+        }
+        let mut names: Vec<String> = (0..CACHE_SLICES).map(cache_duty).collect();
+        if let Some((_, text)) = self.replica.configuration()
+            && let Ok(document) = Configuration::read(&text)
+        {
+            names.extend(document.groups.iter().map(|group| gate_duty(&group.service)));
+        }
+        let live = self.sessions.live(now);
+        let gone = |mate: Mate| self.sessions.gone(now, mate);
+        let plan = DutyPlan { rows: &keeper.rows, settled: keeper.settled(), live: &live, gone: &gone };
+        let out = plan.next(&names);
+        let keeper = self.keepers.get_mut(&DUTIES).expect("just seen");
+        for (key, duty) in &out {
+            keeper.put(key.clone(), Value::Duty(duty.clone()));
+        }
+        for (key, duty) in out {
+            match duty.holder {
+                Some(mate) => self.note(Event::DutyGranted, format!("{key} epoch {} to {mate}", duty.epoch)),
+                None => self.note(Event::DutyRevoked, format!("{key} epoch {}", duty.epoch)),
+            }
+        }
+    }
+
+    fn push_fronts(&mut self, now: Duration) {
+        let over: Vec<u64> = self.fronts.iter().filter(|(_, front)| now >= front.until).map(|(id, _)| *id).collect();
+        for id in over {
+            self.fronts.remove(&id);
+            self.out.push(Output::OperatorAnswer { id, answer: OperatorAnswer::Outcome(Outcome::Lost) });
+        }
+        let me = self.address(self.slot);
+        let due: Vec<u64> = self.fronts.iter().filter(|(_, front)| now >= front.next).map(|(id, _)| *id).collect();
+        for id in due {
+            let front = &self.fronts[&id];
+            let (slice, ask) = (front.slice, front.change.clone());
+            let Some(slot) = self.chosen(now, slice) else { continue };
+            let front = self.fronts.get_mut(&id).expect("just seen");
+            front.next = now + FRONT_AGAIN;
+            front.tries += 1;
+            self.tell(self.address(slot), Ask { asker: me, id, slice, ask });
+        }
+    }
+
+    fn heard(&mut self, now: Duration, from: Mate, message: Message) {
+        if self.retired.contains(&from.life) {
+            return;
+        }
+        let slot = self.seeds.iter().position(|seed| *seed == from.address).map(|at| at as u8);
+        if let Some(slot) = slot.filter(|slot| *slot != self.slot) {
+            self.meet(slot, from.life);
+        }
+        match (slot, message) {
+            (Some(slot), Message::Beat(beat)) if slot != self.slot => {
+                self.mates.insert(slot, MateAt { life: from.life, full: beat.full, heard: now });
+                if let Some(seen) = beat.seen {
+                    self.sessions.told(now, slot, seen);
+                }
+            }
+            (Some(_), Message::Refill(refill)) => {
+                let held = self.replica.copy_out();
+                self.tell_synced(from.address, Refilled { slot: self.slot, round: refill.round, held });
+            }
+            (Some(_), Message::Refilled(refilled)) => {
+                if let Some(held) = self.refiller.as_mut().and_then(|refiller| refiller.heard(refilled)) {
+                    self.refiller = None;
+                    self.store(&Record::Refilled { held });
+                    self.note(Event::DiskRefilled, format!("slot {}", self.slot));
+                }
+            }
+            (Some(_), Message::Raise(raise)) if self.able() => self.heed_raise(from, raise),
+            (Some(_), Message::Keep(keep)) if self.able() => self.heed_keep(now, from, keep),
+            (Some(slot), Message::Raised(raised)) => {
+                if let Some(keeper) = self.keepers.get_mut(&raised.slice).filter(|keeper| keeper.epoch == raised.epoch) {
+                    let before = keeper.active_since;
+                    keeper.raised(now, slot, raised.image);
+                    if before != keeper.active_since {
+                        let text = format!("slice {} epoch {} version {}", keeper.slice, keeper.epoch, keeper.version);
+                        self.finals.remove(&raised.slice);
+                        self.note(Event::SliceTaken, text);
+                    }
+                }
+            }
+            (Some(slot), Message::Kept(kept)) => {
+                if let Some(keeper) = self.keepers.get_mut(&kept.slice).filter(|keeper| keeper.epoch == kept.epoch) {
+                    keeper.kept(slot, &kept);
+                }
+            }
+            (Some(slot), Message::Lacks(lacks)) => {
+                if let Some(keeper) = self.keepers.get_mut(&lacks.slice).filter(|keeper| keeper.epoch == lacks.epoch) {
+                    keeper.lacks(slot);
+                }
+            }
+            (Some(_), Message::Outrun(outrun)) => self.heed_outrun(now, outrun),
+            (_, Message::Renew(renew)) if self.able() => self.renew(now, from, renew),
+            (_, Message::Leave(_)) => {
+                if self.sessions.leave(from) {
+                    self.note(Event::SessionLeft, from.to_string());
+                }
+            }
+            (_, Message::Ask(ask)) => self.heed_ask(now, from, ask),
+            (_, Message::Told(told)) => self.heed_told(told),
+            _ => {}
+        }
+    }
+
+    /// A slot was heard with this life; an earlier one is retired.
+    fn meet(&mut self, slot: u8, life: u64) {
+        let known = self.mates.entry(slot).or_insert(MateAt { life, full: false, heard: Duration::ZERO });
+        if known.life != life {
+            self.retired.insert(known.life);
+            *known = MateAt { life, full: false, heard: Duration::ZERO };
+            for keeper in self.keepers.values_mut() {
+                keeper.forget(slot);
+            }
+        }
+    }
+
+    fn heed_raise(&mut self, from: Mate, raise: Raise) {
+        let Raise { slice, epoch } = raise;
+        let promised = self.replica.held(slice).promised;
+        if epoch < promised {
+            return self.tell_synced(from.address, Outrun { slice, epoch, promised });
+        }
+        if epoch > promised {
+            self.store(&Record::Promise { slice, epoch });
+        }
+        let image = self.replica.held(slice).image.clone();
+        self.tell_synced(from.address, Raised { slice, epoch, image });
+    }
+
+    fn heed_keep(&mut self, now: Duration, from: Mate, keep: Keep) {
+        let Keep { slice, epoch, round, to, .. } = keep;
+        let held = self.replica.held(slice);
+        if epoch < held.promised {
+            let promised = held.promised;
+            return self.tell_synced(from.address, Outrun { slice, epoch, promised });
+        }
+        if !held.fits(&keep) {
+            return self.tell(from.address, Lacks { slice, epoch, round });
+        }
+        let published = held.image.published;
+        let same = held.image.epoch == epoch && held.image.version >= to && held.promised == epoch;
+        if keep.whole || !same || keep.published > published {
+            self.store(&Record::Kept { keep });
+        }
+        let held = self.replica.held(slice);
+        let clear = if slice < NEWS { self.sessions.clear(now, slice, held.image.published) } else { None };
+        let newer = held.image.published > published;
+        self.tell_synced(from.address, Kept { slice, epoch, round, to, clear });
+        if newer && slice < NEWS {
+            for edge in self.sessions.addresses() {
+                self.tell(edge, Nudge {});
+            }
+        }
+    }
+
+    fn heed_outrun(&mut self, now: Duration, outrun: Outrun) {
+        if !self.keepers.get(&outrun.slice).is_some_and(|keeper| keeper.epoch == outrun.epoch) {
+            return;
+        }
+        self.keepers.remove(&outrun.slice);
+        self.waits.retain(|wait| wait.slice != outrun.slice);
+        // Two that both think themselves chosen do not chase each other:
+        // each waits longer after each loss, and unlike long.
+        let spell = self.outrun.get(&outrun.slice).map_or(0, |known| (known.2 + 1).min(5));
+        let pause = Duration::from_millis((150 + 70 * u64::from(self.slot)) << spell);
+        self.outrun.insert(outrun.slice, (outrun.promised, now + pause, spell));
+        self.note(Event::SliceLost, format!("slice {} epoch {} to {}", outrun.slice, outrun.epoch, outrun.promised));
+    }
+
+    fn renew(&mut self, now: Duration, from: Mate, renew: Renew) {
+        let news = self.replica.news(&renew.vector);
+        let Renew { sent, vector, zone, draining, usage } = renew;
+        if self.sessions.renew(now, Seen { mate: from, zone, draining, vector, usage }) {
+            self.note(Event::SessionOpened, from.to_string());
+        }
+        self.tell(from.address, Renewed { sent, news });
+    }
+
+    fn heed_ask(&mut self, now: Duration, from: Mate, ask: Ask) {
+        let owner = self.keepers.get(&ask.slice).is_some_and(|keeper| keeper.ready());
+        if owner && self.able() {
+            self.waits.retain(|wait| (wait.asker, wait.id) != (ask.asker, ask.id));
+            let wait = self.change(ask);
+            self.waits.push(wait);
+        } else if from.address == ask.asker
+            && let Some(slot) = self.chosen(now, ask.slice).filter(|slot| *slot != self.slot)
+        {
+            self.tell(self.address(slot), ask);
+        }
+    }
+
+    /// Makes a change as the slice's owner; the answer waits for the disks.
+    fn change(&mut self, ask: Ask) -> Wait {
+        let Ask { asker, id, slice, ask } = ask;
+        let keeper = self.keepers.get_mut(&slice).expect("owner");
+        let mut wait = Wait { slice, asker, id, commit: 0, settle: 0, round: 0, told: Outcome::Lost };
+        match ask {
+            Change::GetConfiguration => {
+                wait.round = keeper.next_round();
+                if let Some(Row { version, value: Value::Configuration { text, .. } }) = keeper.rows.get("configuration") {
+                    wait.commit = *version;
+                    wait.told = Outcome::Configuration { version: *version, text: text.clone() };
+                } else {
+                    wait.told = Outcome::Configuration { version: 0, text: "".into() };
+                }
+                keeper.start_round();
+            }
+            Change::List => {
+                wait.round = keeper.next_round();
+                wait.commit = keeper.version;
+                let rows = keeper.rows.iter().map(|(key, row)| (key.clone(), row.clone())).collect();
+                wait.told = Outcome::Rows { version: keeper.version, rows };
+                keeper.start_round();
+            }
+            Change::PutConfiguration { text, expect, change } => match keeper.rows.get("configuration") {
+                Some(Row { version, value: Value::Configuration { change: known, .. } }) if *known == change => {
+                    wait.settle = *version;
+                    wait.told = Outcome::Settled { version: *version };
+                }
+                row => {
+                    let current = row.map_or(0, |row| row.version);
+                    if expect.is_some_and(|version| version != current) {
+                        wait.commit = current;
+                        wait.told = Outcome::Raced { version: current };
+                    } else if let Err(found) = Configuration::read(&text) {
+                        wait.told = Outcome::Findings(found);
+                    } else {
+                        let version = keeper.put("configuration".into(), Value::Configuration { text, change });
+                        wait.settle = version;
+                        wait.told = Outcome::Settled { version };
+                        self.note(Event::ConfigurationPut, format!("version {version}"));
+                    }
+                }
+            },
+            Change::AddPurge { purge, change } => {
+                let same = |row: &&Row| matches!(&row.value, Value::Purge { change: known, .. } if *known == change);
+                let known = keeper.rows.values().find(same).map(|row| row.version);
+                let version = known.unwrap_or_else(|| {
+                    let key = format!("purge/{:04}", (keeper.version + 1) % PURGES_KEPT);
+                    keeper.put(key, Value::Purge { purge, change })
+                });
+                wait.settle = version;
+                wait.told = Outcome::Settled { version };
+            }
+            Change::PutOrigins { list, change } => {
+                let known = keeper.rows.get("origins").and_then(|row| match &row.value {
+                    Value::Origins { change: known, .. } if *known == change => Some(row.version),
+                    _ => None,
+                });
+                let version = known.unwrap_or_else(|| keeper.put("origins".into(), Value::Origins { list, change }));
+                wait.settle = version;
+                wait.told = Outcome::Settled { version };
+                self.note(Event::OriginsPut, format!("version {version}"));
+            }
+            Change::Claim(claim) => (wait.commit, wait.told) = ControlPart::claim(keeper, claim),
+            Change::Release(claim) => (wait.commit, wait.told) = ControlPart::finish(keeper, claim, OperationState::Released),
+            Change::Record(claim, reply) => {
+                let state = reply.map_or(OperationState::Unknown, OperationState::Done);
+                (wait.commit, wait.told) = ControlPart::finish(keeper, claim, state);
+            }
+        }
+        wait
+    }
+
+    fn claim(keeper: &mut Keeper, claim: Claim) -> (u64, Outcome) {
+        if let Some(Row { version, value: Value::Operation(known) }) = keeper.rows.get(&claim.operation) {
+            let own = (known.by, known.errand) == (claim.by, claim.errand);
+            match known.state {
+                OperationState::Running if own => return (*version, Outcome::Claimed),
+                // The errand gave up before this claim came through.
+                OperationState::Released if own => return (*version, Outcome::Released),
+                OperationState::Released => {}
+                _ => return (*version, Outcome::Taken { same: known.print == claim.print, state: known.state.clone() }),
+            }
+        }
+        let Claim { operation, print, by, errand } = claim;
+        let value = Value::Operation(Operation { print, by, errand, state: OperationState::Running });
+        (keeper.put(operation, value), Outcome::Claimed)
+    }
+
+    /// Ends a claim. A released one leaves its mark even where no claim was
+    /// met, so that a claim still under way finds it given up.
+    fn finish(keeper: &mut Keeper, claim: Claim, state: OperationState) -> (u64, Outcome) {
+        let told = if state == OperationState::Released { Outcome::Released } else { Outcome::Recorded };
+        if let Some(Row { version, value: Value::Operation(known) }) = keeper.rows.get(&claim.operation) {
+            let own = (known.by, known.errand) == (claim.by, claim.errand);
+            let open = matches!(known.state, OperationState::Running | OperationState::Unknown);
+            if !own && !(known.state == OperationState::Released && told == Outcome::Recorded) {
+                return (*version, if told == Outcome::Released { told } else { Outcome::Lost });
+            }
+            if own && (!open || known.state == state) {
+                return (*version, told);
+            }
+        }
+        let Claim { operation, print, by, errand } = claim;
+        (keeper.put(operation, Value::Operation(Operation { print, by, errand, state })), told)
+    }
+
+    fn heed_told(&mut self, told: Told) {
+        let Some(front) = self.fronts.get(&told.id) else { return };
+        let outcome = match told.told {
+            // An earlier try of ours may be what this one lost against.
+            Outcome::Raced { .. } if front.tries > 1 => Outcome::Lost,
+            outcome => outcome,
+        };
+        self.fronts.remove(&told.id);
+        self.out.push(Output::OperatorAnswer { id: told.id, answer: OperatorAnswer::Outcome(outcome) });
+    }
+
+    fn finish_step(&mut self, now: Duration, pulse: bool) {
+        let mut told = Vec::new();
+        for (slice, keeper) in &mut self.keepers {
+            for (slot, message) in keeper.flush(now, pulse) {
+                told.push((self.seeds[usize::from(slot)], message));
+            }
+            let (committed, settled, round) = (keeper.committed(), keeper.settled(), keeper.confirmed_round());
+            self.waits.retain(|wait| {
+                let done = wait.slice == *slice && wait.commit <= committed && wait.settle <= settled && wait.round <= round;
+                if done {
+                    told.push((wait.asker, Told { id: wait.id, told: wait.told.clone() }.into()));
+                }
+                !done
+            });
+        }
+        for (to, message) in told {
+            self.tell(to, message);
+        }
+    }
+
+    fn operator(&mut self, now: Duration, id: u64, ask: OperatorAsk) {
+        match ask {
+            OperatorAsk::Change { slice, change } => {
+                self.fronts.insert(id, Front { slice, change, until: now + FRONT, next: now, tries: 0 });
+                self.push_fronts(now);
+            }
+            OperatorAsk::State => {
+                let answer = OperatorAnswer::State(self.state(now));
+                self.out.push(Output::OperatorAnswer { id, answer });
+            }
+        }
+    }
+
+    /// What this node knows of the fleet.
+    fn state(&self, now: Duration) -> serde_json::Value {
+        let control: Vec<_> = (0..3u8)
+            .map(|slot| {
+                let mate = self.mates.get(&slot);
+                let live = slot == self.slot || mate.is_some_and(|mate| now < mate.heard + lease::CONTROL_MATE);
+                let full = if slot == self.slot { self.able() } else { live && mate.is_some_and(|mate| mate.full) };
+                serde_json::json!({ "slot": slot, "address": self.address(slot), "live": live, "full": full })
+            })
+            .collect();
+        let edges: Vec<_> = self
+            .sessions
+            .live(now)
+            .into_iter()
+            .map(|seen| {
+                serde_json::json!({
+                    "address": seen.mate.address, "life": format!("{:016x}", seen.mate.life), "zone": seen.zone,
+                    "draining": seen.draining, "vector": seen.vector, "usage": seen.usage,
+                })
+            })
+            .collect();
+        let slices: Vec<_> = self
+            .keepers
+            .values()
+            .filter(|keeper| keeper.ready())
+            .map(|keeper| {
+                serde_json::json!({
+                    "slice": keeper.slice, "epoch": keeper.epoch, "version": keeper.version,
+                    "committed": keeper.committed(), "settled": keeper.settled(), "rows": keeper.rows.len(),
+                })
+            })
+            .collect();
+        serde_json::json!({ "slot": self.slot, "control": control, "edges": edges, "owned_slices": slices })
+    }
+}
+
+impl Part for ControlPart {
+    fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        let mut pulse = false;
+        match input {
+            Input::Pulse => {
+                pulse = true;
+                self.pulse(now);
+                let ready = self.able() && self.warned.is_none() && (0..SLICES).all(|slice| self.chosen(now, slice).is_some());
+                self.out.push(Output::Show(Shown::Fence { until: now + lease::CONTROL, ready }));
+                // After a warning the others take the slices; then, with all
+                // operators answered, nothing is left to do.
+                let over = self.warned.is_some_and(|since| self.keepers.is_empty() || now >= since + HAND_OVER);
+                if over && self.fronts.is_empty() {
+                    self.out.push(Output::Ended);
+                }
+            }
+            Input::Heard { from, message } => self.heard(now, from, message),
+            Input::Stored { serial } => {
+                self.synced = self.synced.max(serial);
+                while self.unsynced.front().is_some_and(|(serial, _, _)| *serial <= self.synced) {
+                    let (_, to, message) = self.unsynced.pop_front().expect("just seen");
+                    self.tell(to, message);
+                }
+            }
+            Input::StoreFailed => {
+                self.failed = true;
+                self.keepers.clear();
+                self.waits.clear();
+                self.note(Event::DiskFailed, format!("slot {}", self.slot));
+            }
+            Input::Operator { id, ask } => self.operator(now, id, ask),
+            Input::Warned => {
+                self.warned.get_or_insert(now);
+            }
+            Input::Errand { .. } | Input::Called { .. } => {}
+        }
+        if self.able() {
+            self.finish_step(now, pulse);
+        }
+        std::mem::take(&mut self.out)
+    }
+}
--- /dev/null
+++ b/control-plane/src/duty_plan.rs
@@ -0,0 +1,128 @@
+use crate::prelude::*;
+
+/// Decides who shall hold each duty. A duty with a holder is first revoked;
+/// only when that has settled (every live edge knows, or has fenced itself)
+/// is it granted again, under a higher epoch.
+pub struct DutyPlan<'a> {
+    pub rows: &'a BTreeMap<String, Row>,
+    pub settled: u64,
+    pub live: &'a [Seen],
+    pub gone: &'a dyn Fn(Mate) -> bool,
+}
+
+/// Duties taken from live holders at a time, so that a join does not empty
+/// the whole ring at once.
+const MOVES: usize = 16;
+
+impl DutyPlan<'_> {
+    /// The rows to write now.
+    pub fn next(&self, duties: &[String]) -> Vec<(String, Duty)> {
+        let mut moves = self.rows.values().filter(|row| matches!(&row.value, Value::Duty(duty) if duty.holder.is_none())).count();
+        let mut out = Vec::new();
+        for name in duties {
+            let want = self.best(name);
+            let known = self.rows.get(name).map(|row| (row.version, &row.value));
+            match known {
+                Some((version, Value::Duty(Duty { holder: None, epoch }))) => {
+                    if want.is_some() && self.settled >= version {
+                        out.push((name.clone(), Duty { holder: want, epoch: epoch + 1 }));
+                    }
+                }
+                Some((_, Value::Duty(Duty { holder: Some(holder), epoch }))) => {
+                    let gone = (self.gone)(*holder);
+                    let leaves = self.live.iter().any(|seen| seen.mate == *holder && seen.draining);
+                    let better = name.starts_with("cache/") && want.is_some_and(|mate| mate != *holder);
+                    let may_move = want.is_some() && moves < MOVES;
+                    if gone || (leaves && want.is_some()) || (better && may_move) {
+                        moves += 1;
+                        out.push((name.clone(), Duty { holder: None, epoch: epoch + 1 }));
+                    }
+                }
+                _ => {
+                    if want.is_some() {
+                        out.push((name.clone(), Duty { holder: want, epoch: 1 }));
+                    }
+                }
+            }
+        }
+        out
+    }
+
+    fn best(&self, name: &str) -> Option<Mate> {
+        let able = self.live.iter().filter(|seen| !seen.draining).map(|seen| seen.mate);
+        able.max_by_key(|mate| (mate.weight(name), mate.life))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn seen(port: u16, draining: bool) -> Seen {
+        let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
+        Seen { mate, zone: "z".into(), draining, vector: vec![], usage: Usage::default() }
+    }
+
+    fn apply(rows: &mut BTreeMap<String, Row>, out: Vec<(String, Duty)>, version: u64) -> usize {
+        let count = out.len();
+        for (key, duty) in out {
+            rows.insert(key, Row { version, value: Value::Duty(duty) });
+        }
+        count
+    }
+
+    fn names() -> Vec<String> {
+        (0..CACHE_SLICES).map(cache_duty).collect()
+    }
+
+    #[test]
+    fn a_duty_is_granted_again_only_after_its_revocation_settled() {
+        let mut rows = BTreeMap::new();
+        let (one, two) = ([seen(1, false)], [seen(2, false)]);
+        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let out = DutyPlan { rows: &rows, settled: 0, live: &one, gone: none }.next(&names());
+        apply(&mut rows, out, 1);
+        let all: &dyn Fn(Mate) -> bool = &|mate| mate.address.port() == 1;
+        let out = DutyPlan { rows: &rows, settled: 1, live: &two, gone: all }.next(&names());
+        assert!(out.iter().all(|(_, duty)| duty.holder.is_none() && duty.epoch == 2));
+        assert_eq!(apply(&mut rows, out, 2), 64);
+        assert!(DutyPlan { rows: &rows, settled: 1, live: &two, gone: all }.next(&names()).is_empty());
+        let out = DutyPlan { rows: &rows, settled: 2, live: &two, gone: all }.next(&names());
+        assert!(out.iter().all(|(_, duty)| duty.holder == Some(two[0].mate) && duty.epoch == 3));
+        assert_eq!(out.len(), 64);
+    }
+
+    #[test]
+    fn a_join_moves_only_what_the_newcomer_gets_and_not_all_at_once() {
+        let mut rows = BTreeMap::new();
+        let mut live: Vec<Seen> = (1..8).map(|port| seen(port, false)).collect();
+        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let out = DutyPlan { rows: &rows, settled: 0, live: &live, gone: none }.next(&names());
+        apply(&mut rows, out, 1);
+        live.push(seen(8, false));
+        let mut moved = 0;
+        for version in (2..100).step_by(2) {
+            let out = DutyPlan { rows: &rows, settled: version, live: &live, gone: none }.next(&names());
+            assert!(out.len() <= 16);
+            moved += apply(&mut rows, out, version);
+            let out = DutyPlan { rows: &rows, settled: version, live: &live, gone: none }.next(&names());
+            assert!(out.iter().all(|(_, duty)| duty.holder == Some(live[7].mate)));
+            apply(&mut rows, out, version + 1);
+        }
+        assert!((3..=16).contains(&moved), "{moved} of 64 moved to the eighth edge");
+    }
+
+    #[test]
+    fn a_draining_holder_loses_its_gate_and_a_live_one_keeps_it() {
+        let gate = [gate_duty("book")];
+        let held = |mate| BTreeMap::from([(gate[0].clone(), Row { version: 1, value: Value::Duty(Duty { holder: Some(mate), epoch: 4 }) })]);
+        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        for port in 1..9 {
+            let rows = held(seen(port, false).mate);
+            let live: Vec<Seen> = (1..9).map(|port| seen(port, false)).collect();
+            assert!(DutyPlan { rows: &rows, settled: 9, live: &live, gone: none }.next(&gate).is_empty());
+            let live: Vec<Seen> = (1..9).map(|other| seen(other, other == port)).collect();
+            assert_eq!(DutyPlan { rows: &rows, settled: 9, live: &live, gone: none }.next(&gate).len(), 1);
+        }
+    }
+}
--- /dev/null
+++ b/control-plane/src/keeper.rs
@@ -0,0 +1,269 @@
+use crate::prelude::*;
+
+/// The owner of one slice, for one epoch. Invariants:
+/// - Until a majority promised the epoch and took the whole adopted image,
+///   nothing is answered from `rows`.
+/// - `version` rises by one with each row put or dropped.
+/// - A copy's `to` counts only what it synced under this epoch.
+/// - `published` never exceeds what a majority of copies has.
+#[derive(Debug)]
+pub struct Keeper {
+    pub slice: u8,
+    pub epoch: u64,
+    pub rows: BTreeMap<String, Row>,
+    pub version: u64,
+    published: u64,
+    /// Keys dropped at a version; forgotten once all copies dropped them.
+    drops: BTreeMap<u64, String>,
+    /// Copies behind this version need the whole image.
+    floor: u64,
+    round: u64,
+    promises: BTreeMap<u8, SliceImage>,
+    copies: [CopyAt; 3],
+    pub active_since: Option<Duration>,
+}
+
+/// What is known of the copy on one disk.
+#[derive(Debug, Clone, Default)]
+struct CopyAt {
+    to: Option<u64>,
+    shown: u64,
+    round: u64,
+    clear: u64,
+    busy: Option<(u64, Duration)>,
+}
+
+/// An unanswered message is sent again after this.
+const AGAIN: Duration = Duration::from_millis(300);
+/// Dropped keys remembered for copies that lag.
+const DROPS: usize = 4096;
+
+impl Keeper {
+    pub fn new(slice: u8, epoch: u64) -> Keeper {
+        Keeper {
+            slice,
+            epoch,
+            rows: BTreeMap::new(),
+            version: 0,
+            published: 0,
+            drops: BTreeMap::new(),
+            floor: 0,
+            round: 0,
+            promises: BTreeMap::new(),
+            copies: Default::default(),
+            active_since: None,
+        }
+    }
+
+    /// A slot promised the epoch and told what it holds.
+    pub fn raised(&mut self, now: Duration, slot: u8, image: SliceImage) {
+        if self.active_since.is_some() {
+            return;
+        }
+        self.promises.insert(slot, image);
+        if self.promises.len() >= 2 {
+            // The image with the highest (epoch, version) of a majority holds
+            // all that was ever acknowledged.
+            let best = self.promises.values().max_by_key(|image| (image.epoch, image.version)).expect("two").clone();
+            self.published = self.promises.values().map(|image| image.published).max().unwrap_or(0);
+            self.version = best.version;
+            self.floor = best.version;
+            self.rows = best.rows;
+            self.active_since = Some(now);
+        }
+    }
+
+    /// Whether answers may be given: a majority has the adopted image.
+    pub fn ready(&self) -> bool {
+        self.copies.iter().filter(|copy| copy.to.is_some()).count() >= 2
+    }
+
+    pub fn put(&mut self, key: String, value: Value) -> u64 {
+        self.version += 1;
+        self.rows.insert(key, Row { version: self.version, value });
+        self.version
+    }
+
+    pub fn drop_row(&mut self, key: &str) {
+        if self.rows.remove(key).is_some() {
+            self.version += 1;
+            self.drops.insert(self.version, key.to_string());
+        }
+        while self.drops.len() > DROPS {
+            self.floor = self.drops.pop_first().expect("not empty").0;
+        }
+    }
+
+    fn majority(&self, of: fn(&CopyAt) -> u64) -> u64 {
+        let mut list: Vec<u64> = self.copies.iter().map(of).collect();
+        list.sort_unstable();
+        list[1]
+    }
+
+    /// On a majority of the disks up to here.
+    pub fn committed(&self) -> u64 {
+        if self.ready() { self.majority(|copy| copy.to.unwrap_or(0)) } else { 0 }
+    }
+
+    /// Known to every live edge up to here: at a majority, every session had
+    /// confirmed it when that node answered, and later ones get it first.
+    pub fn settled(&self) -> u64 {
+        self.majority(|copy| copy.clear)
+    }
+
+    /// A read begun now is confirmed once this round is.
+    pub fn next_round(&self) -> u64 {
+        self.round + 1
+    }
+
+    pub fn confirmed_round(&self) -> u64 {
+        self.majority(|copy| copy.round)
+    }
+
+    pub fn kept(&mut self, slot: u8, kept: &Kept) {
+        let copy = &mut self.copies[usize::from(slot)];
+        if copy.busy.is_some_and(|(round, _)| round == kept.round) {
+            copy.busy = None;
+        }
+        copy.to = Some(copy.to.unwrap_or(0).max(kept.to));
+        copy.round = copy.round.max(kept.round);
+        copy.clear = copy.clear.max(kept.clear.unwrap_or(0));
+        let committed = self.committed();
+        self.published = self.published.max(committed);
+    }
+
+    /// The copy has not what we thought: it gets everything.
+    pub fn lacks(&mut self, slot: u8) {
+        self.forget(slot);
+    }
+
+    /// Nothing this slot said counts any more: its disk is another.
+    pub fn forget(&mut self, slot: u8) {
+        self.promises.remove(&slot);
+        self.copies[usize::from(slot)] = CopyAt::default();
+    }
+
+    /// Messages due now. On a pulse every copy gets a round; otherwise only
+    /// those that lack something, one message at a time: what gathers while
+    /// one is under way goes together in the next.
+    pub fn flush(&mut self, now: Duration, pulse: bool) -> Vec<(u8, Message)> {
+        if self.active_since.is_none() {
+            let (slice, epoch) = (self.slice, self.epoch);
+            let unsaid = (0..3).filter(|slot| pulse && !self.promises.contains_key(slot));
+            return unsaid.map(|slot| (slot, Raise { slice, epoch }.into())).collect();
+        }
+        if pulse {
+            self.round += 1;
+        }
+        let published = self.published;
+        let mut out = Vec::new();
+        for slot in 0..3u8 {
+            let copy = &self.copies[usize::from(slot)];
+            let lacking = copy.to.is_none_or(|to| to < self.version) || copy.shown < published || copy.round < self.round;
+            let busy = copy.busy.is_some_and(|(_, sent)| now < sent + AGAIN);
+            if busy || !(pulse || lacking) {
+                continue;
+            }
+            let whole = copy.to.is_none_or(|to| to < self.floor);
+            let from = if whole { 0 } else { copy.to.unwrap_or(0) };
+            let newer = self.rows.iter().filter(|(_, row)| whole || row.version > from);
+            let keep = Keep {
+                slice: self.slice,
+                epoch: self.epoch,
+                round: self.round,
+                whole,
+                from,
+                to: self.version,
+                rows: newer.map(|(key, row)| (key.clone(), row.clone())).collect(),
+                drops: if whole { vec![] } else { self.drops.range(from + 1..).map(|(_, key)| key.clone()).filter(|key| !self.rows.contains_key(key)).collect() },
+                published,
+            };
+            let copy = &mut self.copies[usize::from(slot)];
+            copy.busy = Some((self.round, now));
+            copy.shown = published;
+            out.push((slot, keep.into()));
+        }
+        out
+    }
+
+    /// Whether a read or change waits for a round to be confirmed.
+    pub fn start_round(&mut self) {
+        self.round += 1;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    const ZERO: Duration = Duration::ZERO;
+
+    fn active() -> Keeper {
+        let mut keeper = Keeper::new(PURGES, 3);
+        keeper.raised(ZERO, 0, SliceImage::default());
+        keeper.raised(ZERO, 1, SliceImage::default());
+        keeper
+    }
+
+    fn value(change: u64) -> Value {
+        Value::Purge { purge: Purge { entry: None, url: None, prefix: Some("/".into()) }, change }
+    }
+
+    fn kept(round: u64, to: u64, clear: u64) -> Kept {
+        Kept { slice: PURGES, epoch: 3, round, to, clear: Some(clear) }
+    }
+
+    #[test]
+    fn the_image_with_the_highest_epoch_then_version_is_adopted() {
+        let image = |epoch, version| {
+            let rows = [("k".to_string(), Row { version, value: value(epoch) })].into();
+            SliceImage { epoch, version, published: 0, rows }
+        };
+        let mut keeper = Keeper::new(PURGES, 9);
+        keeper.raised(ZERO, 2, image(5, 4));
+        assert!(keeper.active_since.is_none(), "one promise is no majority");
+        keeper.raised(ZERO, 0, image(6, 2));
+        assert_eq!(keeper.rows["k"].value, value(6));
+        assert!(!keeper.ready(), "the image is not rewritten yet");
+    }
+
+    #[test]
+    fn committed_needs_two_disks_and_settled_two_clear_nodes() {
+        let mut keeper = active();
+        let version = keeper.put("k".into(), value(1));
+        keeper.flush(ZERO, true);
+        keeper.kept(0, &kept(1, 1, 0));
+        assert_eq!(keeper.committed(), 0);
+        keeper.kept(2, &kept(1, 1, 0));
+        assert_eq!((keeper.committed(), keeper.settled()), (version, 0));
+        keeper.kept(0, &kept(2, 1, 1));
+        assert_eq!(keeper.settled(), 0);
+        keeper.kept(2, &kept(2, 1, 1));
+        assert_eq!(keeper.settled(), version);
+    }
+
+    #[test]
+    fn a_replaced_disk_no_longer_counts() {
+        let mut keeper = active();
+        keeper.put("k".into(), value(1));
+        keeper.flush(ZERO, true);
+        keeper.kept(0, &kept(1, 1, 1));
+        keeper.forget(0);
+        keeper.kept(1, &kept(1, 1, 1));
+        assert_eq!((keeper.committed(), keeper.settled()), (0, 0));
+    }
+
+    #[test]
+    fn what_gathers_while_a_message_is_under_way_goes_in_one() {
+        let mut keeper = active();
+        assert_eq!(keeper.flush(ZERO, true).len(), 3);
+        for change in 0..20 {
+            keeper.put(format!("k{change}"), value(change));
+            assert!(keeper.flush(ZERO, false).is_empty());
+        }
+        keeper.kept(0, &kept(1, 0, 0));
+        let out = keeper.flush(ZERO, false);
+        let [(0, Message::Keep(keep))] = out.as_slice() else { panic!("{out:?}") };
+        assert_eq!((keep.rows.len(), keep.from, keep.to), (20, 0, 20));
+    }
+}
--- /dev/null
+++ b/control-plane/src/lib.rs
@@ -0,0 +1,10 @@
+//! The control plane: owners of slices, sessions with the edges, duties.
+mod control_part;
+mod duty_plan;
+mod keeper;
+pub mod prelude;
+mod refiller;
+mod replica;
+mod sessions;
+pub use control_part::ControlPart;
+pub use replica::{Record, Replica};
--- /dev/null
+++ b/control-plane/src/prelude.rs
@@ -0,0 +1,7 @@
+pub use crate::control_part::ControlPart;
+pub use crate::duty_plan::DutyPlan;
+pub use crate::keeper::Keeper;
+pub use crate::refiller::Refiller;
+pub use crate::replica::{Record, Replica};
+pub use crate::sessions::Sessions;
+pub use kernel::prelude::*;
--- /dev/null
+++ b/control-plane/src/replica.rs
@@ -0,0 +1,181 @@
+use crate::prelude::*;
+
+/// What one disk holds. All changes go through `apply`, on the path and when
+/// the log is read back. Invariants, per slice:
+/// - `promised` never goes down, and nothing under a lower epoch is taken.
+/// - `image` is complete up to `image.version` under `image.epoch`.
+/// - `shown` holds, for the news slices, the newest published row of each key;
+///   `image.rows` may be ahead of it by what is not acknowledged yet.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Replica {
+    /// The disk's own number, drawn when it was blank.
+    pub life: u64,
+    /// Whether the disk counts: it was refilled since it was blank.
+    pub full: bool,
+    pub slices: Vec<Held>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    pub promised: u64,
+    pub image: SliceImage,
+    pub shown: BTreeMap<String, Row>,
+}
+
+/// One entry of the log on disk.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    Life { life: u64 },
+    Refilled { held: Vec<HeldSlice> },
+    Promise { slice: u8, epoch: u64 },
+    Kept { keep: Keep },
+    Image(Box<Replica>),
+}
+
+impl Replica {
+    pub fn blank(life: u64) -> Replica {
+        Replica { life, full: false, slices: vec![Held::default(); SLICES.into()] }
+    }
+
+    /// Reads a log back. None if it holds no disk number: the disk is blank.
+    pub fn replay(records: &[Vec<u8>]) -> Result<Option<Replica>> {
+        let mut replica = Replica::blank(0);
+        for record in records {
+            replica.apply(&bincode::deserialize(record).context("record does not read")?);
+        }
+        Ok((replica.life != 0).then_some(replica))
+    }
+
+    pub fn held(&self, slice: u8) -> &Held {
+        &self.slices[usize::from(slice)]
+    }
+
+    pub fn apply(&mut self, record: &Record) {
+        match record {
+            Record::Life { life } => self.life = *life,
+            Record::Promise { slice, epoch } => self.slices[usize::from(*slice)].promised = *epoch,
+            Record::Kept { keep } => self.slices[usize::from(keep.slice)].keep(keep),
+            Record::Image(image) => *self = (**image).clone(),
+            Record::Refilled { held } => {
+                self.full = true;
+                for one in held {
+                    let slice = &mut self.slices[usize::from(one.slice)];
+                    slice.promised = slice.promised.max(one.promised);
+                    slice.image = one.image.clone();
+                    slice.show();
+                }
+            }
+        }
+    }
+
+    pub fn copy_out(&self) -> Vec<HeldSlice> {
+        let one = |(at, held): (usize, &Held)| HeldSlice { slice: at as u8, promised: held.promised, image: held.image.clone() };
+        self.slices.iter().enumerate().map(one).collect()
+    }
+
+    /// What an edge with this vector lacks.
+    pub fn news(&self, vector: &[u64]) -> Vec<News> {
+        (0..NEWS)
+            .filter_map(|slice| {
+                let held = self.held(slice);
+                let known = vector.get(usize::from(slice)).copied().unwrap_or(0);
+                let rows = held.shown.iter().filter(|(_, row)| row.version > known);
+                (held.image.published > known).then(|| News {
+                    slice,
+                    version: held.image.published,
+                    rows: rows.map(|(key, row)| (key.clone(), row.clone())).collect(),
+                })
+            })
+            .collect()
+    }
+
+    /// The configuration as far as this replica may show it.
+    pub fn configuration(&self) -> Option<(u64, Arc<str>)> {
+        self.held(CONFIGURATION).shown.values().find_map(|row| match &row.value {
+            Value::Configuration { text, .. } => Some((row.version, text.clone())),
+            _ => None,
+        })
+    }
+}
+
+impl Held {
+    /// Whether `keep` can be taken as it is; the epoch was checked before.
+    pub fn fits(&self, keep: &Keep) -> bool {
+        keep.whole || (self.image.epoch == keep.epoch && self.image.version >= keep.from)
+    }
+
+    fn keep(&mut self, keep: &Keep) {
+        self.promised = self.promised.max(keep.epoch);
+        if keep.whole {
+            self.image.rows.clear();
+            self.image.version = 0;
+        }
+        self.image.epoch = keep.epoch;
+        // What is published was acknowledged before the rows of this message
+        // were added: show it before they go over it.
+        self.publish(keep.published);
+        for (key, row) in &keep.rows {
+            if self.image.rows.get(key).is_none_or(|known| known.version < row.version) {
+                self.image.rows.insert(key.clone(), row.clone());
+            }
+        }
+        for key in &keep.drops {
+            self.image.rows.remove(key);
+        }
+        self.image.version = self.image.version.max(keep.to);
+        self.publish(keep.published);
+    }
+
+    fn publish(&mut self, published: u64) {
+        if published > self.image.published && published <= self.image.version {
+            self.image.published = published;
+            self.show();
+        }
+    }
+
+    fn show(&mut self) {
+        for (key, row) in &self.image.rows {
+            let newer = self.shown.get(key).is_none_or(|known| known.version < row.version);
+            if newer && row.version <= self.image.published {
+                self.shown.insert(key.clone(), row.clone());
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn keep(from: u64, to: u64, published: u64) -> Keep {
+        let purge = Purge { entry: Some(format!("e{to}")), url: None, prefix: None };
+        let row = Row { version: to, value: Value::Purge { purge, change: to } };
+        let rows = vec![("k".to_string(), row)];
+        Keep { slice: PURGES, epoch: 3, round: 1, whole: from == 0, from, to, rows, drops: vec![], published }
+    }
+
+    #[test]
+    fn a_row_is_shown_only_once_published_and_a_newer_one_does_not_hide_it() {
+        let mut replica = Replica::blank(1);
+        replica.apply(&Record::Kept { keep: keep(0, 1, 0) });
+        assert!(replica.news(&[0; 4]).is_empty());
+        // Publishing 1 and adding 2 over it come in one message.
+        replica.apply(&Record::Kept { keep: keep(1, 2, 1) });
+        let news = replica.news(&[0; 4]);
+        assert_eq!((news[0].version, news[0].rows[0].1.version), (1, 1));
+        assert!(replica.news(&[0, 1, 0, 0]).is_empty());
+    }
+
+    #[test]
+    fn the_log_reads_back_to_the_same_state_and_without_a_number_it_is_blank() {
+        let mut replica = Replica::blank(0);
+        let records = [Record::Life { life: 9 }, Record::Promise { slice: PURGES, epoch: 3 }, Record::Kept { keep: keep(0, 1, 0) }];
+        let bytes: Vec<Vec<u8>> = records.iter().map(|record| bincode::serialize(record).unwrap()).collect();
+        records.iter().for_each(|record| replica.apply(record));
+        assert_eq!(Replica::replay(&bytes).unwrap(), Some(replica.clone()));
+        let image = bincode::serialize(&Record::Image(Box::new(replica.clone()))).unwrap();
+        assert_eq!(Replica::replay(&[image]).unwrap(), Some(replica));
+        assert_eq!(Replica::replay(&[]).unwrap(), None);
+        assert!(Replica::replay(&[vec![250, 1, 2]]).is_err());
+    }
+}
--- /dev/null
+++ b/control-plane/src/sessions.rs
@@ -0,0 +1,125 @@
+use crate::prelude::*;
+
+/// The sessions standing at this control node, and those the others told of.
+/// Invariant: a session is counted for `lease::CONTROL` after the last renewal
+/// was heard; the edge relied on it for less, counted from sending.
+#[derive(Debug, Default)]
+pub struct Sessions {
+    mine: BTreeMap<Mate, (Duration, Seen)>,
+    told: BTreeMap<u8, (Duration, Vec<Seen>)>,
+    began: Option<Duration>,
+}
+
+impl Sessions {
+    /// True if this renewal opened the session.
+    pub fn renew(&mut self, now: Duration, seen: Seen) -> bool {
+        self.mine.insert(seen.mate, (now, seen)).is_none()
+    }
+
+    pub fn leave(&mut self, mate: Mate) -> bool {
+        self.mine.remove(&mate).is_some()
+    }
+
+    /// Drops what lapsed and returns it.
+    pub fn pulse(&mut self, now: Duration) -> Vec<Mate> {
+        self.began.get_or_insert(now);
+        let lapsed: Vec<Mate> =
+            self.mine.iter().filter(|(_, (heard, _))| now >= *heard + lease::CONTROL).map(|(mate, _)| *mate).collect();
+        for mate in &lapsed {
+            self.mine.remove(mate);
+        }
+        lapsed
+    }
+
+    pub fn told(&mut self, now: Duration, slot: u8, seen: Vec<Seen>) {
+        self.told.insert(slot, (now, seen));
+    }
+
+    /// After a start, sessions renewed before it may still stand: not known
+    /// until they would have lapsed or been renewed.
+    pub fn known(&self, now: Duration) -> bool {
+        self.began.is_some_and(|began| now >= began + lease::CONTROL)
+    }
+
+    /// The version of a slice that every session standing here has confirmed.
+    pub fn clear(&self, now: Duration, slice: u8, published: u64) -> Option<u64> {
+        let confirmed = self.mine.values().filter_map(|(_, seen)| seen.vector.get(usize::from(slice)).copied());
+        self.known(now).then(|| confirmed.min().unwrap_or(published).min(published))
+    }
+
+    pub fn mine(&self) -> Vec<Seen> {
+        self.mine.values().map(|(_, seen)| seen.clone()).collect()
+    }
+
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.mine.keys().map(|mate| mate.address).collect()
+    }
+
+    /// Tables of sessions not older than `lease::CONTROL_MATE`, ours included.
+    fn tables(&self, now: Duration) -> Vec<Vec<&Seen>> {
+        let mut tables = Vec::new();
+        if self.known(now) {
+            tables.push(self.mine.values().map(|(_, seen)| seen).collect());
+        }
+        for (heard, seen) in self.told.values() {
+            if now < *heard + lease::CONTROL_MATE {
+                tables.push(seen.iter().collect());
+            }
+        }
+        tables
+    }
+
+    /// Every edge with a session in a majority of the tables; none if there
+    /// is no majority to judge by.
+    pub fn live(&self, now: Duration) -> Vec<Seen> {
+        let mut count: BTreeMap<Mate, (usize, &Seen)> = BTreeMap::new();
+        for seen in self.tables(now).into_iter().flatten() {
+            let known = count.entry(seen.mate).or_insert((0, seen));
+            known.0 += 1;
+        }
+        count.into_values().filter(|(tables, _)| *tables >= 2).map(|(_, seen)| seen.clone()).collect()
+    }
+
+    /// True only if a majority says that no session of this mate stands.
+    pub fn gone(&self, now: Duration, mate: Mate) -> bool {
+        let tables = self.tables(now);
+        tables.len() >= 2 && tables.iter().flatten().all(|seen| seen.mate != mate)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn seen(port: u16, version: u64) -> Seen {
+        let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
+        Seen { mate, zone: "z".into(), draining: false, vector: vec![version; 4], usage: Usage::default() }
+    }
+
+    #[test]
+    fn clear_waits_for_the_slowest_session_until_it_confirms_or_lapses() {
+        let at = Duration::from_millis;
+        let mut table = Sessions::default();
+        table.pulse(at(0));
+        table.renew(at(1000), seen(1, 5));
+        table.renew(at(1000), seen(2, 7));
+        assert_eq!(table.clear(at(1200), PURGES, 7), None, "just started: earlier sessions may stand");
+        assert_eq!(table.clear(at(1300), PURGES, 7), Some(5));
+        table.renew(at(1400), seen(2, 7));
+        assert_eq!(table.pulse(at(2299)).len(), 0);
+        assert_eq!(table.pulse(at(2300)), [seen(1, 5).mate]);
+        assert_eq!(table.clear(at(2300), PURGES, 7), Some(7));
+    }
+
+    #[test]
+    fn an_edge_is_gone_only_by_a_majority_of_tables() {
+        let at = Duration::from_millis;
+        let mut table = Sessions::default();
+        table.pulse(at(0));
+        assert!(!table.gone(at(5000), seen(1, 1).mate), "one table is no majority");
+        table.told(at(5000), 1, vec![seen(1, 1)]);
+        assert!(!table.gone(at(5000), seen(1, 1).mate));
+        table.told(at(5100), 1, vec![]);
+        assert!(table.gone(at(5100), seen(1, 1).mate));
+    }
+}
--- /dev/null
+++ b/kernel/src/configuration.rs
@@ -0,0 +1,292 @@
+use crate::prelude::*;
+
+pub const CONFIGURATION_BYTES: usize = 4 * 1024 * 1024;
+pub const ENTRIES: u64 = 10_000;
+pub const GROUPS: u64 = 64;
+
+/// The operators' document, whole. Unknown fields are findings; nothing of a
+/// document with a finding takes effect.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Validate)]
+pub struct Configuration {
+    #[validate(length(max = "GROUPS"), nested)]
+    pub groups: Vec<Group>,
+    #[validate(length(max = "ENTRIES"), nested)]
+    pub entries: Vec<Entry>,
+}
+
+/// The origins of one service and how they may be called. A service has one
+/// group, so budgets and rates of a service have one gate.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Validate)]
+pub struct Group {
+    #[validate(length(min = 1, max = 64))]
+    pub service: String,
+    /// Calls a second to one origin.
+    #[validate(range(min = 0.5, max = 10000.0))]
+    pub rate: f64,
+    /// Calls at a time to one origin.
+    #[validate(range(min = 1, max = 1000))]
+    pub concurrency: u32,
+    /// ed25519 public key, base64.
+    pub key: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Shared copies on the ring.
+    Cached,
+    /// Carries an operation key; runs at most once.
+    Keyed,
+    /// May run more than once.
+    Repeatable,
+    /// Runs at most once, without a key; only GET and HEAD are tried again.
+    Plain,
+}
+
+/// Errands that match go to `group` with `rank`; a higher rank is worth more.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Validate)]
+pub struct Entry {
+    #[validate(length(min = 1, max = 64))]
+    pub name: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(length(min = 1, max = 255))]
+    pub host: Option<String>,
+    #[validate(length(min = 1, max = 1024))]
+    pub path: String,
+    #[serde(default = "Entry::usual_methods")]
+    #[validate(length(min = 1, max = 8))]
+    pub methods: Vec<String>,
+    #[validate(length(min = 1, max = 64))]
+    pub group: String,
+    #[validate(range(min = 0, max = 1000))]
+    pub rank: u32,
+    pub kind: Kind,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(range(min = 1, max = 86400))]
+    pub cache_ttl_s: Option<u32>,
+    #[serde(default = "Entry::usual_deadline")]
+    #[validate(range(min = 50, max = 30000))]
+    pub deadline_ms: u64,
+}
+
+impl Entry {
+    fn usual_methods() -> Vec<String> {
+        vec!["GET".into()]
+    }
+
+    fn usual_deadline() -> u64 {
+        5000
+    }
+
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+
+    /// Keep time; the major expiry is counted from it and the minor is half.
+    pub fn keep(&self) -> Duration {
+        Duration::from_secs(self.cache_ttl_s.unwrap_or(10).into())
+    }
+}
+
+const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"];
+
+impl Configuration {
+    /// Reads and checks a document: all findings come together.
+    pub fn read(text: &str) -> Result<Configuration, Vec<Finding>> {
+        if text.len() > CONFIGURATION_BYTES {
+            let text = format!("document has {} bytes; at most {CONFIGURATION_BYTES}", text.len());
+            return Err(vec![Finding::new("", text)]);
+        }
+        let whole: serde_json::Value = serde_json::from_str(text)
+            .map_err(|error| vec![Finding::new("", format!("not JSON: {error}"))])?;
+        let mut found = Vec::new();
+        let Some(top) = whole.as_object() else {
+            return Err(vec![Finding::new("", "must be an object")]);
+        };
+        for name in top.keys().filter(|name| !["groups", "entries"].contains(&name.as_str())) {
+            found.push(Finding::new(pointer(&[name]), "unknown field"));
+        }
+        let groups: Vec<Option<Group>> = read_list(&whole, "groups", &mut found);
+        let entries: Vec<Option<Entry>> = read_list(&whole, "entries", &mut found);
+        check_groups(&groups, &mut found);
+        check_entries(&entries, &groups, &mut found);
+        if !found.is_empty() {
+            found.sort_by(|a, b| a.place.cmp(&b.place));
+            return Err(found);
+        }
+        let document = Configuration {
+            groups: groups.into_iter().flatten().collect(),
+            entries: entries.into_iter().flatten().collect(),
+        };
+        let found = findings_of(document.validate());
+        if found.is_empty() { Ok(document) } else { Err(found) }
+    }
+}
+
+fn check_groups(groups: &[Option<Group>], found: &mut Vec<Finding>) {
+    let mut seen = HashSet::new();
+    for (at, group) in groups.iter().enumerate() {
+        let Some(group) = group else { continue };
+        let place = |field: &str| pointer(&["groups", &at.to_string(), field]);
+        if !seen.insert(&group.service) {
+            found.push(Finding::new(place("service"), "service has a group already"));
+        }
+        let key = BASE64.decode(&group.key).unwrap_or_default();
+        if key.len() != 32 {
+            found.push(Finding::new(place("key"), "must be 32 bytes in base64"));
+        }
+    }
+}
+
+fn check_entries(entries: &[Option<Entry>], groups: &[Option<Group>], found: &mut Vec<Finding>) {
+    let known: HashSet<&str> = groups.iter().flatten().map(|group| group.service.as_str()).collect();
+    let mut names = HashSet::new();
+    let mut matches = HashSet::new();
+    for (at, entry) in entries.iter().enumerate() {
+        let Some(entry) = entry else { continue };
+        let place = |field: &str| pointer(&["entries", &at.to_string(), field]);
+        let mut say = |field: &str, text: &str| found.push(Finding::new(place(field), text));
+        if !names.insert(&entry.name) {
+            say("name", "name is taken");
+        }
+        if !known.contains(entry.group.as_str()) {
+            say("group", "no such group");
+        }
+        if !entry.path.starts_with('/') {
+            say("path", "must start with /");
+        }
+        for method in &entry.methods {
+            if !METHODS.contains(&method.as_str()) {
+                say("methods", &format!("method {method} is not served"));
+            }
+            if !matches.insert((&entry.host, &entry.path, method)) {
+                say("path", &format!("another entry has this host, path and method {method}"));
+            }
+        }
+        if entry.kind == Kind::Cached && entry.methods != ["GET"] {
+            say("methods", "a cached entry serves GET only");
+        }
+        if (entry.kind == Kind::Cached) != entry.cache_ttl_s.is_some() {
+            say("cache_ttl_s", "goes with kind cached, and only with it");
+        }
+    }
+}
+
+/// Reads each item by itself, so that one bad item does not hide another.
+fn read_list<T: for<'a> Deserialize<'a> + Serialize + Validate>(
+    whole: &serde_json::Value,
+    name: &str,
+    found: &mut Vec<Finding>,
+) -> Vec<Option<T>> {
+    let Some(list) = whole.get(name).and_then(|list| list.as_array()) else {
+        found.push(Finding::new(pointer(&[name]), "must be a list"));
+        return Vec::new();
+    };
+    let mut read = Vec::new();
+    for (at, item) in list.iter().enumerate() {
+        let place = pointer(&[name, &at.to_string()]);
+        match serde_json::from_value::<T>(item.clone()) {
+            Err(error) => {
+                found.push(Finding::new(place, error.to_string()));
+                read.push(None);
+            }
+            Ok(good) => {
+                for finding in findings_of(good.validate()) {
+                    found.push(Finding::new(format!("{place}{}", finding.place), finding.text));
+                }
+                unknown_fields(item, &good, &place, found);
+                read.push(Some(good));
+            }
+        }
+    }
+    read
+}
+
+/// A field that does not survive reading is one we do not know.
+fn unknown_fields<T: Serialize>(item: &serde_json::Value, good: &T, place: &str, found: &mut Vec<Finding>) {
+    let known = serde_json::to_value(good).unwrap_or_default();
+    let optional = ["host", "cache_ttl_s"];
+    for name in item.as_object().into_iter().flat_map(|fields| fields.keys()) {
+        if known.get(name).is_none() && !optional.contains(&name.as_str()) {
+            found.push(Finding::new(format!("{place}{}", pointer(&[name])), "unknown field"));
+        }
+    }
+}
+
+fn pointer(parts: &[&str]) -> String {
+    parts.iter().map(|part| format!("/{}", part.replace('~', "~0").replace('/', "~1"))).collect()
+}
+
+/// The validator's tree of errors as a flat list with pointers.
+pub fn findings_of(checked: Result<(), validator::ValidationErrors>) -> Vec<Finding> {
+    fn walk(errors: &validator::ValidationErrors, place: &str, found: &mut Vec<Finding>) {
+        for (field, kind) in errors.errors() {
+            let place = format!("{place}{}", pointer(&[field]));
+            match kind {
+                validator::ValidationErrorsKind::Struct(inner) => walk(inner, &place, found),
+                validator::ValidationErrorsKind::List(list) => {
+                    for (at, inner) in list {
+                        walk(inner, &format!("{place}/{at}"), found);
+                    }
+                }
+                validator::ValidationErrorsKind::Field(list) => {
+                    for error in list {
+                        let bounds: Vec<String> = ["min", "max"]
+                            .iter()
+                            .filter_map(|name| error.params.get(*name).map(|bound| format!("{name} {bound}")))
+                            .collect();
+                        found.push(Finding::new(&place, format!("{} out of bounds ({})", error.code, bounds.join(", "))));
+                    }
+                }
+            }
+        }
+    }
+    let mut found = Vec::new();
+    if let Err(errors) = checked {
+        walk(&errors, "", &mut found);
+        found.sort_by(|a, b| a.place.cmp(&b.place));
+    }
+    found
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn all_findings_come_together_with_their_pointers() {
+        let text = r#"{"groups":[{"service":"book","rate":0,"concurrency":2,"key":"xx"},
+            {"service":"book","rate":5,"concurrency":0,"key":"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=","colour":1}],
+            "entries":[{"name":"a","path":"x","group":"none","rank":1,"kind":"cached"},
+            {"name":"a","path":"/k","rank":"high"}],"more":1}"#;
+        let found = Configuration::read(text).unwrap_err();
+        let shown: Vec<String> = found.iter().map(|finding| finding.to_string()).collect();
+        expect_test::expect![[r#"
+            /entries/0/cache_ttl_s: goes with kind cached, and only with it
+            /entries/0/group: no such group
+            /entries/0/path: must start with /
+            /entries/1: invalid type: string "high", expected u32
+            /groups/0/key: must be 32 bytes in base64
+            /groups/0/rate: range out of bounds (min 0.5, max 10000.0)
+            /groups/1/colour: unknown field
+            /groups/1/concurrency: range out of bounds (min 1, max 1000)
+            /groups/1/service: service has a group already
+            /more: unknown field"#]]
+        .assert_eq(&shown.join("\n"));
+    }
+
+    #[test]
+    fn thousands_of_entries_are_read_and_one_too_many_is_a_finding() {
+        let text = |count: usize| {
+            let entries: Vec<String> = (0..count)
+                .map(|at| format!(r#"{{"name":"e{at}","path":"/p/{at}","group":"s","rank":1,"kind":"plain"}}"#))
+                .collect();
+            let key = BASE64.encode([7u8; 32]);
+            format!(r#"{{"groups":[{{"service":"s","rate":5,"concurrency":2,"key":"{key}"}}],"entries":[{}]}}"#, entries.join(","))
+        };
+        assert_eq!(Configuration::read(&text(5000)).unwrap().entries.len(), 5000);
+        let found = Configuration::read(&text(ENTRIES as usize + 1)).unwrap_err();
+        assert_eq!(found.len(), 1);
+        assert_eq!(found[0].place, "/entries");
+    }
+}
--- /dev/null
+++ b/kernel/src/event.rs
@@ -0,0 +1,71 @@
+/// Declares the numbered events of the log; docs/events.md lists them all and
+/// a test holds the two against each other.
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident;)*) => {
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum Event { $($name = $number),* }
+        impl Event {
+            pub const ALL: &[Event] = &[$(Event::$name),*];
+            pub fn level(self) -> log::Level {
+                match self { $(Event::$name => log::Level::$level),* }
+            }
+        }
+    };
+}
+
+events! {
+    Started = 100, Info;
+    Warned = 101, Info;
+    Ended = 102, Info;
+    LinkBroken = 110, Debug;
+    FrameRefused = 111, Warn;
+    SliceTaken = 200, Info;
+    SliceLost = 201, Warn;
+    DiskBlank = 210, Warn;
+    DiskRefilled = 211, Info;
+    DiskFailed = 212, Error;
+    LogTailCut = 213, Warn;
+    LogCorrupt = 214, Error;
+    SessionOpened = 220, Info;
+    SessionLapsed = 221, Warn;
+    SessionLeft = 222, Info;
+    DutyRevoked = 230, Info;
+    DutyGranted = 231, Info;
+    ConfigurationPut = 240, Info;
+    OriginsPut = 241, Info;
+    OperationAbandoned = 250, Warn;
+    Live = 300, Info;
+    Fenced = 301, Warn;
+    ConfigurationTaken = 302, Info;
+    DutyTaken = 310, Info;
+    DutyDropped = 311, Info;
+    PutDropped = 320, Info;
+    OriginProven = 330, Info;
+    OriginAside = 331, Warn;
+    AnswerRefused = 340, Warn;
+}
+
+/// Writes one event to the log.
+pub fn note(event: Event, text: &str) {
+    log::log!(event.level(), "E{:03} {:?} {text}", event as u32, event);
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn the_catalogue_lists_exactly_the_events_of_the_code() {
+        let page = std::fs::read_to_string("../docs/events.md").unwrap();
+        let listed: Vec<String> = page
+            .lines()
+            .filter_map(|line| line.strip_prefix("| E"))
+            .map(|rest| rest.split('|').take(3).map(str::trim).collect::<Vec<_>>().join(" "))
+            .collect();
+        let known: Vec<String> = Event::ALL
+            .iter()
+            .map(|event| format!("{:03} {event:?} {}", *event as u32, event.level().to_string().to_lowercase()))
+            .collect();
+        assert_eq!(listed, known);
+    }
+}
--- /dev/null
+++ b/kernel/src/finding.rs
@@ -0,0 +1,21 @@
+use crate::prelude::*;
+
+/// One thing wrong with a document, with its place as a JSON pointer (or the
+/// flag's name). Findings are collected and reported together.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    pub place: String,
+    pub text: String,
+}
+
+impl Finding {
+    pub fn new(place: impl Into<String>, text: impl Into<String>) -> Finding {
+        Finding { place: place.into(), text: text.into() }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.text)
+    }
+}
--- /dev/null
+++ b/kernel/src/lib.rs
@@ -0,0 +1,16 @@
+//! What every otterslip process is built on: startup, messages, frames, links,
+//! pulses, events and the host that drives a part.
+pub mod configuration;
+pub mod event;
+pub mod finding;
+pub mod frame;
+pub mod host;
+pub mod lease;
+pub mod link;
+pub mod mate;
+pub mod message;
+pub mod part;
+pub mod plug_in;
+pub mod prelude;
+pub mod row;
+pub mod startup;
--- /dev/null
+++ b/kernel/src/mate.rs
@@ -0,0 +1,31 @@
+use crate::prelude::*;
+
+/// Another process of the fleet. `address` is where it listens for mates and
+/// is its name; `life` tells one run (edge) or one disk (control) at that
+/// address from the next, so nothing said by an earlier life is laid to a later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Mate {
+    pub address: SocketAddr,
+    pub life: u64,
+}
+
+impl Mate {
+    pub fn new(address: SocketAddr, life: u64) -> Mate {
+        Mate { address, life }
+    }
+
+    /// Rendezvous weight of this mate for a named duty: the live mate with the
+    /// highest weight is wanted, so one mate coming or going moves only its own.
+    pub fn weight(&self, duty: &str) -> u64 {
+        let mut hash = Sha256::new();
+        hash.update(duty.as_bytes());
+        hash.update(self.address.to_string().as_bytes());
+        u64::from_be_bytes(hash.finalize()[..8].try_into().expect("eight bytes"))
+    }
+}
+
+impl fmt::Display for Mate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{:08x}", self.address, self.life as u32)
+    }
+}
--- /dev/null
+++ b/kernel/src/message.rs
@@ -0,0 +1,214 @@
+use crate::prelude::*;
+
+/// Declares every message between our processes with its derives, and the
+/// enum that carries them. The order is part of the wire format.
+macro_rules! messages {
+    ($($(#[$note:meta])* $name:ident { $($field:ident: $kind:ty),* $(,)? })*) => {
+        $($(#[$note])*
+        #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+        pub struct $name { $(pub $field: $kind),* }
+        impl From<$name> for Message {
+            fn from(message: $name) -> Message { Message::$name(message) }
+        })*
+        #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+        pub enum Message { $($name($name)),* }
+        impl Message {
+            pub fn name(&self) -> &'static str {
+                match self { $(Message::$name(_) => stringify!($name)),* }
+            }
+        }
+    };
+}
+
+messages! {
+    // Between control nodes.
+    /// I am here, with this disk (`full` once it counts, and until I end) and
+    /// these sessions, once they are known.
+    Beat { slot: u8, full: bool, seen: Option<Vec<Seen>> }
+    /// A blank disk asks for all another holds. The first round only makes
+    /// both others forget the earlier disk's acknowledgements; what the
+    /// second brings counts.
+    Refill { slot: u8, round: u8 }
+    Refilled { slot: u8, round: u8, held: Vec<HeldSlice> }
+    /// Take a slice: promise to heed no lower epoch.
+    Raise { slice: u8, epoch: u64 }
+    Raised { slice: u8, epoch: u64, image: SliceImage }
+    /// Rows after `from` up to `to`; with `whole`, all there is. An empty one
+    /// is a round: it collects the sessions and confirms the owner.
+    Keep { slice: u8, epoch: u64, round: u64, whole: bool, from: u64, to: u64, rows: Vec<(String, Row)>, drops: Vec<String>, published: u64 }
+    /// Kept and synced up to `to`. `clear`: every session standing here has
+    /// confirmed this version; none while the sessions are not known yet.
+    Kept { slice: u8, epoch: u64, round: u64, to: u64, clear: Option<u64> }
+    /// Rows before `from` are missing here.
+    Lacks { slice: u8, epoch: u64, round: u64 }
+    /// A higher epoch was promised.
+    Outrun { slice: u8, epoch: u64, promised: u64 }
+    /// A change on its way to the slice's owner; answered to `asker`.
+    Ask { asker: SocketAddr, id: u64, slice: u8, ask: Change }
+    Told { id: u64, told: Outcome }
+
+    // Between edges and control nodes.
+    Renew { sent: Duration, vector: Vec<u64>, zone: String, draining: bool, usage: Usage }
+    Renewed { sent: Duration, news: Vec<News> }
+    /// There is news: renew now.
+    Nudge { }
+    /// The edge has fenced itself for good.
+    Leave { }
+
+    // Between edges: the cache.
+    Get { id: u64, key: CacheKey, entry: String, url: String, wait: Duration, spare: bool }
+    Copy { id: u64, copy: CopyOut }
+    /// Refill it: you are the refresher, under this token.
+    Miss { id: u64, token: Token }
+    /// Not the owner, or no refresher came through in time.
+    NoCopy { id: u64 }
+    Put { key: CacheKey, token: Token, entry: String, url: String, reply: Reply, keep: Duration }
+    /// The refresher gave up.
+    Fail { key: CacheKey, token: Token }
+
+    // Between edges: the gate.
+    Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration }
+    Permit { id: u64, service: String, epoch: u64, serial: u64, origin: Origin, sent: Duration, held: Duration }
+    /// Turned away; come back after this.
+    Away { id: u64, reason: AwayReason, back: Duration }
+    CallDone { service: String, epoch: u64, serial: u64, result: CallResult, took: Duration }
+}
+
+/// What one disk holds of a slice.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HeldSlice {
+    pub slice: u8,
+    pub promised: u64,
+    pub image: SliceImage,
+}
+
+/// A slice at one replica. Within an epoch an image is complete up to
+/// `version`, so of two images the one with the higher (epoch, version) holds
+/// all that the other's majority ever acknowledged.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct SliceImage {
+    pub epoch: u64,
+    pub version: u64,
+    /// Acknowledged up to here: may be shown to edges.
+    pub published: u64,
+    pub rows: BTreeMap<String, Row>,
+}
+
+/// A session standing at a control node.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    pub mate: Mate,
+    pub zone: String,
+    pub draining: bool,
+    pub vector: Vec<u64>,
+    pub usage: Usage,
+}
+
+/// What an edge has served, by outcome, since its start.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Usage {
+    pub errands: u64,
+    pub answered: u64,
+    pub refused: u64,
+    pub copies: u64,
+    pub calls: u64,
+    pub extra: u64,
+    pub pending: u64,
+}
+
+/// Rows of one slice after what the edge's vector says, up to `version`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    pub slice: u8,
+    pub version: u64,
+    pub rows: Vec<(String, Row)>,
+}
+
+/// What may be asked of a slice's owner. `change` makes a repeat harmless.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    PutConfiguration { text: Arc<str>, expect: Option<u64>, change: u64 },
+    GetConfiguration,
+    AddPurge { purge: Purge, change: u64 },
+    PutOrigins { list: Arc<Vec<Origin>>, change: u64 },
+    /// All rows of a news slice, confirmed at a majority.
+    List,
+    Claim(Claim),
+    /// Nothing was sent under the claim and nothing will be.
+    Release(Claim),
+    /// What came of it; none if that is not known.
+    Record(Claim, Option<Arc<Reply>>),
+}
+
+/// An errand's hold on an operation key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Claim {
+    pub operation: String,
+    pub print: CacheKey,
+    pub by: Mate,
+    pub errand: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// In force everywhere, under this version.
+    Settled { version: u64 },
+    /// Another change came first; this version is in force.
+    Raced { version: u64 },
+    Configuration { version: u64, text: Arc<str> },
+    Rows { version: u64, rows: Vec<(String, Row)> },
+    Findings(Vec<Finding>),
+    Claimed,
+    /// The key is taken; `same` if by a request like this one.
+    Taken { same: bool, state: OperationState },
+    Released,
+    Recorded,
+    /// No owner could be asked in time: it may or may not have happened.
+    Lost,
+}
+
+/// Ties a put to what the owner knew when it said MISS.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Token {
+    pub serial: u64,
+    /// Epoch of the cache duty: a put to a later owner is dropped.
+    pub epoch: u64,
+    /// Purges the owner knew: a later one that reaches the key drops the put.
+    pub purged: u64,
+}
+
+/// A copy as the owner hands it out.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CopyOut {
+    pub reply: Reply,
+    /// Purges this copy is known to be clear of.
+    pub purged: u64,
+    /// Since the start of its fetch.
+    pub age: Duration,
+    /// Until its keep time ends.
+    pub left: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AwayReason {
+    /// More is asked than the origins may be called.
+    Busy,
+    /// The budget for extra tries is spent.
+    Budget,
+    /// No origin can be called now.
+    NoOrigin,
+    /// Not the holder of this gate.
+    NotHere,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallResult {
+    /// Whole answer, signature verified.
+    Good,
+    /// Answered, but not acceptable, or no answer.
+    Bad,
+    /// Nothing was sent: the session was refused.
+    Refused,
+    /// The permit was not used.
+    Unused,
+}
--- /dev/null
+++ b/kernel/src/part.rs
@@ -0,0 +1,167 @@
+use crate::prelude::*;
+
+/// A state machine without I/O. It is told the time (a span since some start,
+/// monotonic) with each input and says what shall be done.
+pub trait Part: Send {
+    fn step(&mut self, now: Duration, input: Input) -> Vec<Output>;
+}
+
+#[derive(Debug, Clone)]
+pub enum Input {
+    Pulse,
+    Heard { from: Mate, message: Message },
+    /// All that was stored up to this serial is synced.
+    Stored { serial: u64 },
+    /// The disk refuses writes.
+    StoreFailed,
+    Errand { id: u64, errand: Errand },
+    Called { id: u64, result: CallBack },
+    Operator { id: u64, ask: OperatorAsk },
+    /// Stop soon: hand over, answer what was read, leave.
+    Warned,
+}
+
+#[derive(Debug, Clone)]
+pub enum Output {
+    Tell { to: SocketAddr, message: Message },
+    /// Append to the log; `Stored` follows once synced.
+    Store { serial: u64, record: Vec<u8> },
+    /// Everything up to now, in place of all earlier records.
+    StoreImage { serial: u64, record: Vec<u8> },
+    Answer { id: u64, answer: Answer },
+    Call { id: u64, call: Call },
+    OperatorAnswer { id: u64, answer: OperatorAnswer },
+    Note { event: Event, text: String },
+    /// What threads beside the part may read.
+    Show(Shown),
+    /// Nothing is left to do after a warning.
+    Ended,
+}
+
+#[derive(Debug, Clone)]
+pub enum Shown {
+    Fence { until: Duration, ready: bool },
+    Configuration { version: u64, document: Arc<Configuration> },
+}
+
+/// A caller's request, read in full.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Errand {
+    pub method: String,
+    pub host: String,
+    /// Path and query.
+    pub url: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Arc<Vec<u8>>,
+    pub caller: String,
+    pub image: Arc<Configuration>,
+    /// Index of the matched entry in `image`.
+    pub entry: usize,
+}
+
+impl Errand {
+    pub fn entry(&self) -> &Entry {
+        &self.image.entries[self.entry]
+    }
+
+    pub fn group(&self) -> &Group {
+        let name = &self.entry().group;
+        self.image.groups.iter().find(|group| group.service == *name).expect("checked on reading")
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.headers, name)
+    }
+
+    /// Credentials make an answer somebody's own: it is not shared.
+    pub fn personal(&self) -> bool {
+        self.header("authorization").is_some() || self.header("cookie").is_some()
+    }
+}
+
+pub fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+}
+
+#[derive(Debug, Clone)]
+pub struct Call {
+    pub origin: Origin,
+    pub method: String,
+    pub url: String,
+    pub host: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Arc<Vec<u8>>,
+    pub operation: Option<String>,
+    pub key: String,
+    pub limit: Duration,
+}
+
+/// What came of a call, after the signature was checked.
+#[derive(Debug, Clone)]
+pub enum CallBack {
+    Good(Reply),
+    /// Nothing was sent.
+    Refused,
+    /// Sent, but no acceptable answer came; why.
+    Bad(String),
+}
+
+/// What an errand ends with.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    Reply { reply: Reply, age: Option<Duration> },
+    Refusal(Refusal),
+}
+
+/// The one shape of errors towards callers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    #[serde(skip)]
+    pub status: u16,
+    pub code: String,
+    pub outcome: RunState,
+    pub text: String,
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub retry_after_s: Option<u32>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunState {
+    /// Nothing was sent and nothing can be.
+    NotRun,
+    Unknown,
+}
+
+impl Refusal {
+    pub fn new(status: u16, code: &str, outcome: RunState, text: &str) -> Refusal {
+        let retry_after_s = matches!(status, 409 | 429 | 503).then_some(1);
+        Refusal { status, code: code.into(), outcome, text: text.into(), retry_after_s }
+    }
+
+    pub fn not_run(status: u16, code: &str, text: &str) -> Refusal {
+        Refusal::new(status, code, RunState::NotRun, text)
+    }
+
+    pub fn unknown(status: u16, code: &str, text: &str) -> Refusal {
+        Refusal::new(status, code, RunState::Unknown, text)
+    }
+
+    /// Whole seconds, rounded up: no one comes back too early.
+    pub fn back(mut self, after: Duration) -> Refusal {
+        self.retry_after_s = Some(after.as_secs_f64().ceil().max(1.0) as u32);
+        self
+    }
+}
+
+#[derive(Debug, Clone)]
+pub enum OperatorAsk {
+    Change { slice: u8, change: Change },
+    State,
+}
+
+#[derive(Debug, Clone)]
+pub enum OperatorAnswer {
+    Outcome(Outcome),
+    State(serde_json::Value),
+}
--- /dev/null
+++ b/kernel/src/plug_in.rs
@@ -0,0 +1,56 @@
+use crate::prelude::*;
+
+/// A face of a process that registers itself: it serves HTTP calls under its
+/// paths. Collected at link time; the kernel knows none by name.
+pub struct PlugIn {
+    pub name: &'static str,
+    /// Which program it belongs to.
+    pub program: &'static str,
+    /// Lower is asked first; any may answer.
+    pub order: u32,
+    pub serve: fn(&Port, &rouille::Request) -> Option<rouille::Response>,
+}
+
+inventory::collect!(PlugIn);
+
+impl PlugIn {
+    pub fn of(program: &str) -> Vec<&'static PlugIn> {
+        let mut list: Vec<&PlugIn> = inventory::iter::<PlugIn>().filter(|one| one.program == program).collect();
+        list.sort_by_key(|one| one.order);
+        list
+    }
+}
+
+/// One JSON answer.
+pub fn json(status: u16, body: &impl Serialize) -> rouille::Response {
+    let text = serde_json::to_string(body).unwrap_or_default();
+    let mut answer = rouille::Response::from_data("application/json", text);
+    answer.status_code = status;
+    answer
+}
+
+/// The one error shape as an HTTP answer.
+pub fn refuse(refusal: &Refusal) -> rouille::Response {
+    let answer = json(refusal.status, refusal);
+    match refusal.retry_after_s {
+        Some(span) => answer.with_additional_header("Retry-After", span.to_string()),
+        None => answer,
+    }
+}
+
+/// Reads a body whole, or refuses it when over `limit`.
+pub fn read_body(request: &rouille::Request, limit: usize) -> Result<Vec<u8>, Refusal> {
+    let mut body = Vec::new();
+    let Some(stream) = request.data() else { return Ok(body) };
+    let announced = request.header("Content-Length").and_then(|text| text.parse::<usize>().ok());
+    if announced.is_some_and(|size| size > limit) || stream.take(limit as u64 + 1).read_to_end(&mut body).is_err() {
+        return Err(Refusal::not_run(413, "body_unreadable", "the body is too large or was cut off"));
+    }
+    if body.len() > limit {
+        return Err(Refusal::not_run(413, "body_unreadable", "the body is too large"));
+    }
+    if announced.is_some_and(|size| size != body.len()) {
+        return Err(Refusal::not_run(400, "body_short", "the body ended before its announced length"));
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/kernel/src/row.rs
@@ -0,0 +1,139 @@
+use crate::prelude::*;
+
+/// The control state is cut into slices; a slice has one owner at a time.
+/// The first `NEWS` slices are carried to the edges as news, one version each;
+/// the others hold operations (the ledger).
+pub const CONFIGURATION: u8 = 0;
+pub const PURGES: u8 = 1;
+pub const ORIGINS: u8 = 2;
+pub const DUTIES: u8 = 3;
+pub const NEWS: u8 = 4;
+pub const LEDGERS: u8 = 16;
+pub const SLICES: u8 = NEWS + LEDGERS;
+/// Cached content is cut into this many slices on the ring.
+pub const CACHE_SLICES: u16 = 64;
+/// This many purges are kept as rows, one over the other; an edge further
+/// behind than that drops its whole cache.
+pub const PURGES_KEPT: u64 = 1024;
+
+/// The slice that holds an operation key of a service.
+pub fn ledger_slice(operation: &str) -> u8 {
+    NEWS + Sha256::digest(operation.as_bytes())[0] % LEDGERS
+}
+
+/// The cache slice of a hashed cache key.
+pub fn cache_slice(key: &CacheKey) -> u16 {
+    u16::from_be_bytes([key[0], key[1]]) % CACHE_SLICES
+}
+
+pub type CacheKey = [u8; 32];
+
+pub fn cache_duty(slice: u16) -> String {
+    format!("cache/{slice:02}")
+}
+
+pub fn gate_duty(service: &str) -> String {
+    format!("gate/{service}")
+}
+
+/// A value under a key. `version` counts within the slice and never goes down.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub version: u64,
+    pub value: Value,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Value {
+    /// The document as it was put, byte for byte, and the change that put it.
+    Configuration { text: Arc<str>, change: u64 },
+    Purge { purge: Purge, change: u64 },
+    /// The platform's list of origins, whole.
+    Origins { list: Arc<Vec<Origin>>, change: u64 },
+    Duty(Duty),
+    Operation(Operation),
+}
+
+/// Who holds a duty. A duty goes from one holder to the next only through a
+/// settled row without a holder; `epoch` rises with every row.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Duty {
+    pub holder: Option<Mate>,
+    pub epoch: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Operation {
+    /// Hash over caller, entry, method, target and body.
+    pub print: CacheKey,
+    /// The edge and its errand that hold the claim.
+    pub by: Mate,
+    pub errand: u64,
+    pub state: OperationState,
+}
+
+/// Running goes to one of the others. Released may be claimed again: nothing
+/// was sent under it. Unknown may still become Released or Done, but only by
+/// the claim that was held. Done stays.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum OperationState {
+    Running,
+    Released,
+    Unknown,
+    Done(Arc<Reply>),
+}
+
+/// Whole, verified origin answer as it goes to a caller.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Arc<Vec<u8>>,
+}
+
+/// What a purge reaches. `entry` alone: all copies of the entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Purge {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(length(min = 1, max = 64))]
+    pub entry: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(length(min = 1, max = 2048))]
+    pub url: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(length(min = 1, max = 2048))]
+    pub prefix: Option<String>,
+}
+
+impl Purge {
+    pub fn reaches(&self, entry: &str, url: &str) -> bool {
+        self.entry.as_deref().is_none_or(|name| name == entry)
+            && self.url.as_deref().is_none_or(|one| one == url)
+            && self.prefix.as_deref().is_none_or(|start| url.starts_with(start))
+    }
+
+    pub fn findings(&self) -> Vec<Finding> {
+        let mut found = findings_of(self.validate());
+        if self.entry.is_none() && self.url.is_none() && self.prefix.is_none() {
+            found.push(Finding::new("", "one of entry, url or prefix must be given"));
+        }
+        if self.url.is_some() && self.prefix.is_some() {
+            found.push(Finding::new("/prefix", "url and prefix exclude each other"));
+        }
+        found
+    }
+}
+
+/// One origin as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Origin {
+    pub address: SocketAddr,
+    #[validate(length(min = 1, max = 64))]
+    pub service: String,
+    #[validate(length(min = 1, max = 64))]
+    pub instance: String,
+    #[serde(default)]
+    pub leaving: bool,
+}
--- /dev/null
+++ b/kernel/src/startup.rs
@@ -0,0 +1,167 @@
+use crate::prelude::*;
+
+/// A process's place. From a JSON file (`--startup`) and flags; a flag goes
+/// first. Everything wrong is reported at once.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Startup {
+    /// Where mates reach us.
+    pub mesh: Option<SocketAddr>,
+    /// Where callers, operators and the platform reach us.
+    pub http: Option<SocketAddr>,
+    pub zone: String,
+    /// The three control nodes, in the order of their slots.
+    pub seeds: Vec<SocketAddr>,
+    /// Control nodes only: which of the three slots this is.
+    pub slot: Option<u8>,
+    /// Control nodes only.
+    pub data: Option<PathBuf>,
+    /// How long a warned process goes on before it ends regardless.
+    pub grace_ms: Option<u64>,
+    pub cache_bytes: Option<u64>,
+    pub log: Option<String>,
+}
+
+impl Startup {
+    /// Reads flags and file for `program`; prints help, version or findings
+    /// and exits where that is all there is to do.
+    pub fn gather(program: &str, about: &str, disk: bool) -> Startup {
+        let mut flags = pico_args::Arguments::from_env();
+        if flags.contains(["-h", "--help"]) {
+            println!("{}", Startup::help(program, about, disk));
+            std::process::exit(0);
+        }
+        if flags.contains(["-V", "--version"]) {
+            println!("{program} {}", env!("CARGO_PKG_VERSION"));
+            std::process::exit(0);
+        }
+        match Startup::read(flags, disk) {
+            Ok(startup) => startup,
+            Err(found) => {
+                for finding in &found {
+                    eprintln!("{program}: {finding}");
+                }
+                eprintln!("{program}: {} finding(s); see {program} --help", found.len());
+                std::process::exit(2);
+            }
+        }
+    }
+
+    fn help(program: &str, about: &str, disk: bool) -> String {
+        let mut text = format!(
+            "{program}: {about}\n\nUsage: {program} [--startup FILE] [flags]\n\n\
+             --startup FILE   JSON with the fields named below; flags go first\n\
+             --mesh IP:PORT   where other nodes reach this one\n\
+             --http IP:PORT   where HTTP callers reach this one\n\
+             --zone NAME      zone of this machine\n\
+             --seeds A,B,C    mesh addresses of the three control nodes, by slot\n"
+        );
+        if disk {
+            text += "--slot N         which of the three slots this is (0, 1 or 2)\n--data DIR       the data folder\n";
+        } else {
+            text += "--cache-bytes N  memory for copies (default 268435456)\n";
+        }
+        text + "--grace-ms N     longest time from SIGTERM to the end (default 20000)\n\
+                --log LEVEL      error, warn, info or debug (default info)\n\
+                --help, --version"
+    }
+
+    fn read(mut flags: pico_args::Arguments, disk: bool) -> Result<Startup, Vec<Finding>> {
+        let mut found = Vec::new();
+        let mut startup = Startup::default();
+        match flags.opt_value_from_str::<_, PathBuf>("--startup") {
+            Ok(None) => {}
+            Ok(Some(path)) => match std::fs::read_to_string(&path).map_err(|error| error.to_string()).and_then(|text| {
+                serde_json::from_str(&text).map_err(|error| error.to_string())
+            }) {
+                Ok(read) => startup = read,
+                Err(error) => found.push(Finding::new(path.display().to_string(), error)),
+            },
+            Err(error) => found.push(Finding::new("--startup", error.to_string())),
+        }
+        let mut take = |name: &'static str, put: &mut dyn FnMut(&str) -> Result<()>| {
+            match flags.opt_value_from_str::<_, String>(name) {
+                Ok(None) => {}
+                Ok(Some(text)) => {
+                    if let Err(error) = put(&text) {
+                        found.push(Finding::new(name, format!("{text}: {error}")));
+                    }
+                }
+                Err(error) => found.push(Finding::new(name, error.to_string())),
+            }
+        };
+        take("--mesh", &mut |text| Ok(startup.mesh = Some(text.parse()?)));
+        take("--http", &mut |text| Ok(startup.http = Some(text.parse()?)));
+        take("--zone", &mut |text| Ok(startup.zone = text.into()));
+        take("--seeds", &mut |text| {
+            startup.seeds = text.split(',').map(|one| one.parse()).collect::<Result<_, _>>()?;
+            Ok(())
+        });
+        take("--slot", &mut |text| Ok(startup.slot = Some(text.parse()?)));
+        take("--data", &mut |text| Ok(startup.data = Some(text.into())));
+        take("--grace-ms", &mut |text| Ok(startup.grace_ms = Some(text.parse()?)));
+        take("--cache-bytes", &mut |text| Ok(startup.cache_bytes = Some(text.parse()?)));
+        take("--log", &mut |text| Ok(startup.log = Some(text.into())));
+        for rest in flags.finish() {
+            found.push(Finding::new(rest.to_string_lossy(), "unknown flag"));
+        }
+        found.extend(startup.findings(disk));
+        if found.is_empty() { Ok(startup) } else { Err(found) }
+    }
+
+    fn findings(&self, disk: bool) -> Vec<Finding> {
+        let mut found = Vec::new();
+        let mut need = |bad: bool, place: &str, text: &str| {
+            if bad {
+                found.push(Finding::new(place, text));
+            }
+        };
+        need(self.mesh.is_none(), "mesh", "is needed");
+        need(self.http.is_none(), "http", "is needed");
+        need(self.zone.is_empty(), "zone", "is needed");
+        let unlike: BTreeSet<_> = self.seeds.iter().collect();
+        need(self.seeds.len() != 3 || unlike.len() != 3, "seeds", "must be three unlike addresses");
+        let level = self.log.as_deref().unwrap_or("info");
+        need(level.parse::<log::LevelFilter>().is_err(), "log", "no such level");
+        if disk {
+            need(self.data.is_none(), "data", "is needed");
+            need(self.slot.is_none_or(|slot| slot > 2), "slot", "must be 0, 1 or 2");
+            let mine = self.slot.and_then(|slot| self.seeds.get(usize::from(slot)));
+            need(mine.is_some() && mine != self.mesh.as_ref(), "mesh", "must be the seed address of the slot");
+        }
+        found
+    }
+
+    pub fn grace(&self) -> Duration {
+        Duration::from_millis(self.grace_ms.unwrap_or(20_000))
+    }
+
+    /// Logs to standard error, one event a line.
+    pub fn log(&self) -> Result<()> {
+        let level = self.log.as_deref().unwrap_or("info").parse::<log::LevelFilter>()?;
+        let began = Instant::now();
+        fern::Dispatch::new()
+            .format(move |out, text, record| {
+                out.finish(format_args!("{:9.3} {:5} {text}", began.elapsed().as_secs_f64(), record.level()))
+            })
+            .level(log::LevelFilter::Warn)
+            .level_for("kernel", level)
+            .chain(std::io::stderr())
+            .apply()?;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn every_finding_is_reported_at_once() {
+        let words = ["--mesh", "nowhere", "--seeds", "127.0.0.1:1,127.0.0.1:1,127.0.0.1:2", "--slot", "7", "--odd"];
+        let flags = pico_args::Arguments::from_vec(words.iter().map(|word| word.into()).collect());
+        let found = Startup::read(flags, true).unwrap_err();
+        let places: Vec<&str> = found.iter().map(|finding| finding.place.as_str()).collect();
+        assert_eq!(places, ["--mesh", "--odd", "mesh", "http", "zone", "seeds", "data", "slot"]);
+    }
+}
--- /dev/null
+++ b/segment-log/src/prelude.rs
@@ -0,0 +1,4 @@
+pub use crate::segment_log::{Loaded, SegmentLog};
+pub use kernel::host::Store;
+pub use kernel::prelude::*;
+pub use std::fs::{self, File, OpenOptions};
