--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -62,6 +62,8 @@
 const FRONT: Duration = Duration::from_secs(12);
 /// A warned owner waits this long for others to take its slices.
 const HAND_OVER: Duration = Duration::from_secs(3);
+/// Without a loss for this long, an owner's pauses start short again.
+const OUTRUN_CALM: Duration = Duration::from_secs(10);
 const FRONT_AGAIN: Duration = Duration::from_millis(400);
 /// A fresh image is written when the log since the last one is this long.
 const LOG_BYTES: usize = 4 * 1024 * 1024;
@@ -411,7 +413,8 @@
         self.waits.retain(|wait| wait.slice != outrun.slice);
         // Two that both think themselves chosen do not chase each other:
         // each waits longer after each loss, and unlike long.
-        let spell = self.outrun.get(&outrun.slice).map_or(0, |known| (known.2 + 1).min(5));
+        let recent = |known: &&(u64, Duration, u32)| now < known.1 + OUTRUN_CALM;
+        let spell = self.outrun.get(&outrun.slice).filter(recent).map_or(0, |known| (known.2 + 1).min(5));
         let pause = Duration::from_millis((150 + 70 * u64::from(self.slot)) << spell);
         self.outrun.insert(outrun.slice, (outrun.promised, now + pause, spell));
         self.note(Event::SliceLost, format!("slice {} epoch {} to {}", outrun.slice, outrun.epoch, outrun.promised));
@@ -423,7 +426,7 @@
         if self.sessions.renew(now, Seen { mate: from, zone, draining, vector, usage }) {
             self.note(Event::SessionOpened, from.to_string());
         }
-        self.tell(from.address, Renewed { sent, news });
+        self.tell(from.address, Renewed { life: from.life, sent, news });
     }
 
     fn heed_ask(&mut self, now: Duration, from: Mate, ask: Ask) {
--- a/control-plane/src/lib.rs
+++ b/control-plane/src/lib.rs
@@ -2,6 +2,7 @@
 mod control_part;
 mod duty_plan;
 mod keeper;
+mod operator_face;
 pub mod prelude;
 mod refiller;
 mod replica;
--- /dev/null
+++ b/control-plane/src/operator_face.rs
@@ -0,0 +1,160 @@
+use crate::prelude::*;
+
+inventory::submit!(PlugIn { name: "operators", program: "control-node", order: 100, serve });
+
+/// Longer than a front tries.
+const PATIENCE: Duration = Duration::from_secs(15);
+const ORIGINS_LISTED: usize = 1000;
+
+fn serve(port: &Port, request: &rouille::Request) -> Option<rouille::Response> {
+    let path = request.raw_url().strip_prefix("/.otterslip/v1/")?;
+    Some(match (request.method(), path) {
+        ("GET", "configuration") => get_configuration(port),
+        ("PUT", "configuration") => answer_of(put_configuration(port, request)),
+        ("POST", "configuration/check") => answer_of(check_configuration(request)),
+        ("POST", "purges") => answer_of(add_purge(port, request)),
+        ("GET", "origins") => list(port, ORIGINS, &show_origins),
+        ("PUT", "origins") => answer_of(put_origins(port, request)),
+        ("GET", "duties") => list(port, DUTIES, &show_duties),
+        ("GET", "state") => match port.ask(PATIENCE, &|id| Input::Operator { id, ask: OperatorAsk::State }) {
+            Some(Output::OperatorAnswer { answer: OperatorAnswer::State(state), .. }) => json(200, &state),
+            _ => refuse(&lost()),
+        },
+        _ => return None,
+    })
+}
+
+fn answer_of(done: Result<rouille::Response, rouille::Response>) -> rouille::Response {
+    done.unwrap_or_else(|refused| refused)
+}
+
+fn lost() -> Refusal {
+    Refusal::unknown(503, "outcome_unknown", "no answer came from the owner in time; read back before trying again")
+}
+
+fn text_of(request: &rouille::Request) -> Result<String, rouille::Response> {
+    let bytes = read_body(request, CONFIGURATION_BYTES).map_err(|refusal| refuse(&refusal))?;
+    String::from_utf8(bytes).map_err(|_| invalid(&[Finding::new("", "not UTF-8")]))
+}
+
+fn invalid(found: &[Finding]) -> rouille::Response {
+    let body = serde_json::json!({ "code": "invalid", "outcome": "not_run", "text": "nothing took effect", "findings": found });
+    json(422, &body)
+}
+
+fn ask(port: &Port, slice: u8, change: &Change) -> Outcome {
+    match port.ask(PATIENCE, &|id| Input::Operator { id, ask: OperatorAsk::Change { slice, change: change.clone() } }) {
+        Some(Output::OperatorAnswer { answer: OperatorAnswer::Outcome(outcome), .. }) => outcome,
+        _ => Outcome::Lost,
+    }
+}
+
+fn acknowledged(outcome: Outcome) -> rouille::Response {
+    match outcome {
+        Outcome::Settled { version } => {
+            json(200, &serde_json::json!({ "version": version })).with_additional_header("ETag", format!("\"{version}\""))
+        }
+        Outcome::Raced { version } => {
+            let text = "another change came first";
+            json(409, &serde_json::json!({ "code": "raced", "outcome": "not_run", "text": text, "version": version }))
+        }
+        Outcome::Findings(found) => invalid(&found),
+        _ => refuse(&lost()),
+    }
+}
+
+fn get_configuration(port: &Port) -> rouille::Response {
+    match ask(port, CONFIGURATION, &Change::GetConfiguration) {
+        Outcome::Configuration { version: 0, .. } => refuse(&Refusal::not_run(404, "no_configuration", "none was put yet")),
+        Outcome::Configuration { version, text } => {
+            rouille::Response::from_data("application/json", text.as_bytes()).with_additional_header("ETag", format!("\"{version}\""))
+        }
+        _ => refuse(&lost()),
+    }
+}
+
+fn check_configuration(request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
+    Configuration::read(&text_of(request)?).map_err(|found| invalid(&found))?;
+    Ok(json(200, &serde_json::json!({ "valid": true })))
+}
+
+fn put_configuration(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
+    let text = text_of(request)?;
+    Configuration::read(&text).map_err(|found| invalid(&found))?;
+    let expect = match request.header("If-Match") {
+        None => None,
+        Some(tag) => Some(tag.trim_matches('"').parse().map_err(|_| {
+            refuse(&Refusal::not_run(400, "if_match_malformed", "If-Match must be a version as given in ETag"))
+        })?),
+    };
+    Ok(acknowledged(ask(port, CONFIGURATION, &Change::PutConfiguration { text: text.into(), expect, change: change_id()? })))
+}
+
+fn add_purge(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
+    let purge: Purge = serde_json::from_str(&text_of(request)?).map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
+    let found = purge.findings();
+    if !found.is_empty() {
+        return Err(invalid(&found));
+    }
+    Ok(acknowledged(ask(port, PURGES, &Change::AddPurge { purge, change: change_id()? })))
+}
+
+fn put_origins(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
+    let items: Vec<serde_json::Value> =
+        serde_json::from_str(&text_of(request)?).map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
+    let mut found = Vec::new();
+    let mut origins: Vec<Origin> = Vec::new();
+    let mut seen = HashSet::new();
+    if items.len() > ORIGINS_LISTED {
+        found.push(Finding::new("", format!("more than {ORIGINS_LISTED} origins")));
+    }
+    for (at, item) in items.into_iter().enumerate() {
+        match serde_json::from_value::<Origin>(item) {
+            Err(error) => found.push(Finding::new(format!("/{at}"), error.to_string())),
+            Ok(origin) => {
+                found.extend(findings_of(origin.validate()).into_iter().map(|finding| Finding::new(format!("/{at}{}", finding.place), finding.text)));
+                if !seen.insert(origin.address) {
+                    found.push(Finding::new(format!("/{at}/address"), "address is listed already"));
+                }
+                origins.push(origin);
+            }
+        }
+    }
+    if !found.is_empty() {
+        return Err(invalid(&found));
+    }
+    Ok(acknowledged(ask(port, ORIGINS, &Change::PutOrigins { list: Arc::new(origins), change: change_id()? })))
+}
+
+fn change_id() -> Result<u64, rouille::Response> {
+    new_life().map_err(|error| refuse(&Refusal::not_run(500, "no_randomness", &error.to_string())))
+}
+
+fn list(port: &Port, slice: u8, show: &dyn Fn(u64, Vec<(String, Row)>) -> serde_json::Value) -> rouille::Response {
+    match ask(port, slice, &Change::List) {
+        Outcome::Rows { version, rows } => json(200, &show(version, rows)),
+        _ => refuse(&lost()),
+    }
+}
+
+fn show_origins(version: u64, rows: Vec<(String, Row)>) -> serde_json::Value {
+    let origins = rows.into_iter().find_map(|(_, row)| match row.value {
+        Value::Origins { list, .. } => Some(list),
+        _ => None,
+    });
+    serde_json::json!({ "version": version, "origins": origins.unwrap_or_default() })
+}
+
+fn show_duties(version: u64, rows: Vec<(String, Row)>) -> serde_json::Value {
+    let duties: Vec<_> = rows
+        .into_iter()
+        .filter_map(|(duty, row)| match row.value {
+            Value::Duty(known) => {
+                let holder = known.holder.map(|mate| mate.address.to_string());
+                Some(serde_json::json!({ "duty": duty, "epoch": known.epoch, "holder": holder }))
+            }
+            _ => None,
+        })
+        .collect();
+    serde_json::json!({ "version": version, "duties": duties })
+}
--- /dev/null
+++ b/data-plane/src/edge_part.rs
@@ -0,0 +1,804 @@
+use crate::job::{keepable, shareable};
+use crate::prelude::*;
+
+/// An edge node without its I/O. Invariants:
+/// - `vector` holds, for each news slice, the version that was applied whole;
+///   it never goes down in a life.
+/// - Duties are exercised only while live and only under the epoch the news
+///   granted to this very life.
+/// - A call leaves only while live, under a permit younger than
+///   `lease::PERMIT`, to an origin that is listed and not leaving.
+pub struct EdgePart {
+    me: Mate,
+    zone: String,
+    seeds: Vec<SocketAddr>,
+    vector: Vec<u64>,
+    leases: Leases,
+    next_renew: Duration,
+    live: bool,
+    table: Option<Arc<EntryTable>>,
+    origins: Arc<Vec<Origin>>,
+    duties: HashMap<String, Duty>,
+    book: PurgeBook,
+    cache: CacheOwner,
+    /// Cache slices held here, with the epoch they were granted under.
+    slices: BTreeMap<u16, u64>,
+    gates: BTreeMap<String, Gate>,
+    jobs: HashMap<u64, Job>,
+    /// Endings of claims that the ledger has not confirmed yet.
+    loose: HashMap<u64, Loose>,
+    probes: HashMap<u64, Origin>,
+    next_probe: u64,
+    usage: Usage,
+    warned: Option<Duration>,
+    left: bool,
+    out: Vec<Output>,
+}
+
+struct Loose {
+    slice: u8,
+    change: Change,
+    again: Duration,
+    round: usize,
+}
+
+const AGAIN: Duration = Duration::from_millis(200);
+/// Calls for one errand, the first included.
+const CALLS: u32 = 3;
+/// An errand whose deadline passed gets this much more to tell the ledger.
+const LATE: Duration = Duration::from_secs(1);
+/// A warned edge waits this long for its duties to be taken.
+const HAND_OVER: Duration = Duration::from_secs(5);
+const PROBE: &str = "/.well-known/otterslip-identity";
+const PROBE_LIMIT: Duration = Duration::from_millis(1000);
+/// Ids of probes; those of errands come from the host and are below.
+const PROBE_IDS: u64 = 1 << 63;
+
+impl EdgePart {
+    pub fn new(me: Mate, zone: &str, seeds: Vec<SocketAddr>, cache_bytes: u64) -> EdgePart {
+        EdgePart {
+            me,
+            zone: zone.into(),
+            seeds,
+            vector: vec![0; NEWS.into()],
+            leases: Leases::default(),
+            next_renew: Duration::ZERO,
+            live: false,
+            table: None,
+            origins: Arc::default(),
+            duties: HashMap::new(),
+            book: PurgeBook::default(),
+            cache: CacheOwner::new(cache_bytes),
+            slices: BTreeMap::new(),
+            gates: BTreeMap::new(),
+            jobs: HashMap::new(),
+            loose: HashMap::new(),
+            probes: HashMap::new(),
+            next_probe: PROBE_IDS,
+            usage: Usage::default(),
+            warned: None,
+            left: false,
+            out: Vec::new(),
+        }
+    }
+
+    fn note(&mut self, event: Event, text: String) {
+        self.out.push(Output::Note { event, text });
+    }
+
+    fn tell(&mut self, to: SocketAddr, message: impl Into<Message>) {
+        self.out.push(Output::Tell { to, message: message.into() });
+    }
+
+    // Sessions and news.
+
+    fn renew(&mut self, now: Duration) {
+        if self.left {
+            return;
+        }
+        self.next_renew = now + lease::EDGE_PULSE;
+        let usage = Usage { copies: self.cache.given, pending: self.jobs.len() as u64, ..self.usage.clone() };
+        let renew =
+            Renew { sent: now, vector: self.vector.clone(), zone: self.zone.clone(), draining: self.warned.is_some(), usage };
+        for seed in self.seeds.clone() {
+            self.tell(seed, renew.clone());
+        }
+    }
+
+    fn renewed(&mut self, now: Duration, from: Mate, renewed: Renewed) {
+        if renewed.life != self.me.life || !self.seeds.contains(&from.address) || self.left {
+            return;
+        }
+        let newer = !renewed.news.is_empty();
+        for news in renewed.news {
+            if news.version > self.vector[usize::from(news.slice)] {
+                self.learn(now, news);
+            }
+        }
+        self.leases.renewed(from.address, renewed.sent);
+        self.check_live(now);
+        if newer {
+            // Confirm at once: others wait for it.
+            self.renew(now);
+        }
+    }
+
+    fn learn(&mut self, now: Duration, news: News) {
+        let known = self.vector[usize::from(news.slice)];
+        let rows: Vec<(String, Row)> = news.rows.into_iter().filter(|(_, row)| row.version > known).collect();
+        match news.slice {
+            PURGES => {
+                let (fresh, missed) = self.book.learn(news.version, &rows);
+                if missed {
+                    self.cache.clear();
+                }
+                fresh.iter().for_each(|purge| self.cache.purge(purge));
+            }
+            _ => rows.into_iter().for_each(|(key, row)| self.learn_row(key, row)),
+        }
+        self.vector[usize::from(news.slice)] = news.version;
+        self.sync_duties(now);
+    }
+
+    fn learn_row(&mut self, key: String, row: Row) {
+        match row.value {
+            Value::Configuration { text, .. } => {
+                // It was checked before it was acknowledged.
+                if let Ok(document) = Configuration::read(&text) {
+                    let table = Arc::new(EntryTable::new(row.version, document));
+                    self.table = Some(table.clone());
+                    self.note(Event::ConfigurationTaken, format!("version {}", row.version));
+                    self.out.push(Output::Show(Shown::Configuration(table)));
+                }
+            }
+            Value::Origins { list, .. } => self.origins = list,
+            Value::Duty(duty) => {
+                self.duties.insert(key, duty);
+            }
+            Value::Purge { .. } | Value::Operation(_) => {}
+        }
+    }
+
+    /// The epoch under which a duty is granted to this life.
+    fn granted(&self, duty: &str) -> Option<u64> {
+        self.duties.get(duty).filter(|duty| duty.holder == Some(self.me)).map(|duty| duty.epoch)
+    }
+
+    fn sync_duties(&mut self, now: Duration) {
+        let mut slices = BTreeMap::new();
+        for slice in 0..CACHE_SLICES {
+            if let Some(epoch) = self.granted(&cache_duty(slice)) {
+                slices.insert(slice, epoch);
+            }
+        }
+        if slices != self.slices {
+            self.cache.keep_slices(&|slice| self.slices.contains_key(&slice) && slices.get(&slice) == self.slices.get(&slice));
+            let (before, after) = (self.slices.len(), slices.len());
+            self.slices = slices;
+            self.note(Event::DutyTaken, format!("{after} cache slices, before {before}"));
+        }
+        let Some(table) = self.table.clone() else { return };
+        let wanted: Vec<(&Group, u64)> =
+            table.document.groups.iter().filter_map(|group| Some((group, self.granted(&gate_duty(&group.service))?))).collect();
+        let held: Vec<(String, u64)> = self.gates.values().map(|gate| (gate.service.clone(), gate.epoch)).collect();
+        for (service, epoch) in held {
+            if !wanted.iter().any(|(group, granted)| group.service == service && *granted == epoch) {
+                self.gates.remove(&service);
+                self.note(Event::DutyDropped, gate_duty(&service));
+            }
+        }
+        for (group, epoch) in wanted {
+            if !self.gates.contains_key(&group.service) {
+                self.gates.insert(group.service.clone(), Gate::new(now, &group.service, epoch));
+                self.note(Event::DutyTaken, format!("{} epoch {epoch}", gate_duty(&group.service)));
+            }
+            let gate = self.gates.get_mut(&group.service).expect("just put");
+            gate.update(now, group, &self.origins);
+        }
+        self.tell_underway(now, &table);
+    }
+
+    /// New gate holders hear of our calls under way by earlier permits.
+    fn tell_underway(&mut self, now: Duration, table: &EntryTable) {
+        for group in &table.document.groups {
+            let Some(Duty { holder: Some(holder), epoch }) = self.duties.get(&gate_duty(&group.service)) else { continue };
+            let calls: Vec<_> = self
+                .jobs
+                .values()
+                .filter_map(|job| match &job.stage {
+                    Stage::Calling { permit, .. } if permit.service == group.service && permit.epoch < *epoch => {
+                        Some((permit.epoch, permit.serial, permit.origin.address, job.left(now)))
+                    }
+                    _ => None,
+                })
+                .collect();
+            if !calls.is_empty() {
+                let to = holder.address;
+                self.tell(to, Underway { service: group.service.clone(), calls });
+            }
+        }
+    }
+
+    fn check_live(&mut self, now: Duration) {
+        let until = self.leases.until();
+        let live = now < until && !self.left;
+        if live != self.live {
+            self.live = live;
+            self.note(if live { Event::Live } else { Event::Fenced }, format!("vector {:?}", self.vector));
+        }
+        let ready = self.warned.is_none() && self.table.is_some();
+        self.out.push(Output::Show(Shown::Fence { until: if self.left { Duration::ZERO } else { until }, ready }));
+    }
+
+    fn is_live(&self, now: Duration) -> bool {
+        !self.left && now < self.leases.until()
+    }
+
+    // Errands.
+
+    fn begin(&mut self, now: Duration, id: u64, errand: Errand) {
+        self.usage.errands += 1;
+        let mut job = Job::new(now, errand);
+        if !self.is_live(now) {
+            let keyed = job.errand.entry().kind == Kind::Keyed;
+            let outcome = if keyed { RunState::Unknown } else { RunState::NotRun };
+            let refusal = Refusal::new(503, "fenced", outcome, "this node is cut off from a majority; another may serve");
+            return self.answer(now, id, &job, Answer::Refusal(refusal));
+        }
+        match job.errand.entry().kind {
+            Kind::Cached if !job.errand.personal() => {
+                job.key = Some(Job::cache_key(&job.errand));
+                job.stage = Stage::Getting { since: now, spare: false };
+            }
+            Kind::Keyed => {
+                job.claim = Some(Job::claim_of(&job.errand, self.me, id));
+                job.stage = Stage::Claiming;
+            }
+            _ => {}
+        }
+        self.jobs.insert(id, job);
+        self.say(now, id);
+    }
+
+    /// Says the message of a job's stage, for the first time or again.
+    fn say(&mut self, now: Duration, id: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.again = now + AGAIN;
+        job.round += 1;
+        let (round, left) = (job.round, job.deadline.saturating_sub(now));
+        match &job.stage {
+            Stage::Claiming => {
+                let claim = job.claim.clone().expect("keyed");
+                self.ask(id, round, Change::Claim(claim));
+            }
+            Stage::Recording { reply, .. } => {
+                let change = Change::Record(job.claim.clone().expect("keyed"), reply.clone());
+                self.ask(id, round, change);
+            }
+            Stage::Releasing { .. } => {
+                let change = Change::Release(job.claim.clone().expect("keyed"));
+                self.ask(id, round, change);
+            }
+            Stage::Getting { spare, .. } => {
+                let key = job.key.expect("cached");
+                let entry = job.errand.entry();
+                let get = Get { id, key, entry: entry.name.clone(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
+                let holder = self.duties.get(&cache_duty(cache_slice(&key))).and_then(|duty| duty.holder);
+                if let Some(holder) = holder {
+                    self.tell(holder.address, get);
+                }
+            }
+            Stage::Knocking { extra } => {
+                let entry = job.errand.entry();
+                let service = entry.group.clone();
+                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra: *extra, call: left };
+                let holder = self.duties.get(&gate_duty(&entry.group)).and_then(|duty| duty.holder);
+                if let Some(holder) = holder {
+                    self.tell(holder.address, knock);
+                }
+            }
+            Stage::Calling { .. } => {}
+        }
+    }
+
+    /// Asks the ledger, through the control node that answered last, then
+    /// through the others in turn.
+    fn ask(&mut self, id: u64, round: usize, change: Change) {
+        let slice = match &change {
+            Change::Claim(claim) | Change::Release(claim) | Change::Record(claim, _) => ledger_slice(&claim.operation),
+            _ => return,
+        };
+        let first = self.leases.best().and_then(|best| self.seeds.iter().position(|seed| *seed == best)).unwrap_or(0);
+        let seed = self.seeds[(first + round.saturating_sub(1)) % self.seeds.len()];
+        self.tell(seed, Ask { asker: self.me.address, id, slice, ask: change });
+    }
+
+    fn set_stage(&mut self, now: Duration, id: u64, stage: Stage) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stage = stage;
+            job.round = 0;
+            self.say(now, id);
+        }
+    }
+
+    fn answer(&mut self, now: Duration, id: u64, job: &Job, answer: Answer) {
+        let copy = matches!(answer, Answer::Reply { age: Some(_), .. }) && job.claim.is_none();
+        let answer = if copy && !self.is_live(now) {
+            Answer::Refusal(job.refuse(503, "fenced", "this node is cut off from a majority; another may serve"))
+        } else {
+            answer
+        };
+        match &answer {
+            Answer::Reply { .. } => self.usage.answered += 1,
+            Answer::Refusal(_) => self.usage.refused += 1,
+        }
+        self.out.push(Output::Answer { id, answer });
+    }
+
+    fn end(&mut self, now: Duration, id: u64, answer: Answer) {
+        if let Some(job) = self.jobs.remove(&id) {
+            self.answer(now, id, &job, answer);
+        }
+    }
+
+    /// The errand is given up. What was claimed is released or recorded
+    /// first; a refresher looks for a spare copy first.
+    fn give_up(&mut self, now: Duration, id: u64, refusal: Refusal) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if let Some((owner, token)) = job.token.take() {
+            let key = job.key.expect("cached");
+            job.refusal = Some(refusal);
+            self.tell(owner, Fail { key, token, private: false });
+            return self.set_stage(now, id, Stage::Getting { since: now, spare: true });
+        }
+        if job.claim.is_none() {
+            return self.end(now, id, Answer::Refusal(refusal));
+        }
+        let stage = if job.sent {
+            Stage::Recording { reply: None, answer: Answer::Refusal(refusal) }
+        } else {
+            Stage::Releasing { refusal }
+        };
+        self.set_stage(now, id, stage);
+    }
+
+    fn told(&mut self, now: Duration, told: Told) {
+        let Told { id, told } = told;
+        if matches!(told, Outcome::Released | Outcome::Recorded | Outcome::Lost) {
+            self.loose.remove(&id);
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        match (&job.stage, told) {
+            (Stage::Claiming, Outcome::Claimed) => self.set_stage(now, id, Stage::Knocking { extra: false }),
+            (Stage::Claiming, Outcome::Taken { same: false, .. }) => {
+                let refusal = Refusal::not_run(422, "operation_key_reused", "this operation key came with another request or caller");
+                self.end(now, id, Answer::Refusal(refusal));
+            }
+            (Stage::Claiming, Outcome::Taken { state: OperationState::Done(reply), .. }) => {
+                self.end(now, id, Answer::Reply { reply: (*reply).clone(), age: None });
+            }
+            (Stage::Claiming, Outcome::Taken { state: OperationState::Unknown, .. }) => {
+                let mut refusal = Refusal::unknown(409, "outcome_unknown", "this operation was sent and its outcome is not known; it is not run again");
+                refusal.retry_after_s = None;
+                self.end(now, id, Answer::Refusal(refusal));
+            }
+            // Runs elsewhere: asked again in a moment, until the deadline.
+            (Stage::Claiming, Outcome::Taken { .. }) => {}
+            (Stage::Recording { answer, .. }, Outcome::Recorded) => {
+                let answer = answer.clone();
+                self.end(now, id, answer);
+            }
+            (Stage::Recording { .. }, Outcome::Lost) => {
+                let refusal = Refusal::unknown(502, "outcome_unknown", "the outcome could not be recorded");
+                self.end(now, id, Answer::Refusal(refusal));
+            }
+            (Stage::Releasing { refusal }, Outcome::Released) => {
+                let refusal = refusal.clone();
+                self.end(now, id, Answer::Refusal(refusal));
+            }
+            _ => {}
+        }
+    }
+
+    /// The job this cache message is for, if it still waits for it.
+    fn getting(&self, id: u64, key: CacheKey) -> Option<(Duration, bool)> {
+        match self.jobs.get(&id) {
+            Some(Job { stage: Stage::Getting { since, spare }, key: Some(mine), .. }) if *mine == key => Some((*since, *spare)),
+            _ => None,
+        }
+    }
+
+    fn copy(&mut self, now: Duration, copy: Copy) {
+        let Copy { id, key, copy } = copy;
+        let Some((since, spare)) = self.getting(id, key) else { return };
+        let job = &self.jobs[&id];
+        let way = (now - since).saturating_sub(copy.held);
+        if way >= copy.left || !self.book.clear(copy.purged, &job.errand.entry().name, &job.errand.url) {
+            return self.set_stage(now, id, Stage::Getting { since: now, spare });
+        }
+        self.end(now, id, Answer::Reply { reply: copy.reply, age: Some(copy.age + way) });
+    }
+
+    fn miss(&mut self, now: Duration, from: Mate, miss: Miss) {
+        let Miss { id, key, token } = miss;
+        if self.getting(id, key).is_none() {
+            return self.tell(from.address, Fail { key, token, private: false });
+        }
+        self.jobs.get_mut(&id).expect("just seen").token = Some((from.address, token));
+        self.set_stage(now, id, Stage::Knocking { extra: false });
+    }
+
+    fn no_copy(&mut self, now: Duration, no_copy: NoCopy) {
+        let Some((_, spare)) = self.getting(no_copy.id, no_copy.key) else { return };
+        if spare {
+            self.end_spare(now, no_copy.id);
+        } else {
+            self.set_stage(now, no_copy.id, Stage::Knocking { extra: false });
+        }
+    }
+
+    fn end_spare(&mut self, now: Duration, id: u64) {
+        let refusal = self.jobs.get_mut(&id).and_then(|job| job.refusal.take());
+        let refusal = refusal.unwrap_or_else(|| Refusal::not_run(503, "no_copy", "no copy came in time"));
+        self.end(now, id, Answer::Refusal(refusal));
+    }
+
+    fn permit(&mut self, now: Duration, from: Mate, permit: Permit) {
+        let fresh = now.saturating_sub(permit.sent).saturating_sub(permit.held) < lease::PERMIT;
+        let live = self.is_live(now);
+        let listed = self.origins.iter().any(|origin| *origin == permit.origin && !origin.leaving);
+        let job = self.jobs.get_mut(&permit.id);
+        let wants = job.as_ref().is_some_and(|job| {
+            matches!(job.stage, Stage::Knocking { .. }) && job.errand.entry().group == permit.service && now < job.deadline
+        });
+        if !(fresh && live && listed && wants) {
+            let (service, epoch, serial) = (permit.service, permit.epoch, permit.serial);
+            self.tell(from.address, CallDone { service, epoch, serial, result: CallResult::Unused, took: Duration::ZERO });
+            if wants {
+                self.say(now, permit.id);
+            }
+            return;
+        }
+        let job = job.expect("it wants");
+        let call = job.call(now, permit.id, permit.origin.clone());
+        job.calls += 1;
+        job.sent = true;
+        self.usage.calls += 1;
+        self.usage.extra += u64::from(matches!(job.stage, Stage::Knocking { extra: true }));
+        let id = permit.id;
+        job.stage = Stage::Calling { permit, since: now };
+        self.out.push(Output::Call { id, call });
+    }
+
+    fn away(&mut self, now: Duration, away: Away) {
+        let Some(job) = self.jobs.get(&away.id) else { return };
+        if !matches!(job.stage, Stage::Knocking { .. }) || away.reason == AwayReason::NotHere {
+            return;
+        }
+        let refusal = match away.reason {
+            AwayReason::Busy => job.refuse(429, "over_capacity", "more is asked of the service than it may be called"),
+            AwayReason::Budget => job.refuse(503, "no_more_tries", "the call failed and the budget for further tries is spent"),
+            _ => job.refuse(503, "no_origin", "no origin of the service can be called now"),
+        };
+        self.give_up(now, away.id, refusal.back(away.back));
+    }
+
+    fn called(&mut self, now: Duration, id: u64, result: CallBack) {
+        if id >= PROBE_IDS {
+            return self.probed(now, id, result);
+        }
+        let Some(Job { stage: Stage::Calling { permit, since }, .. }) = self.jobs.get(&id) else { return };
+        let (permit, took) = (permit.clone(), now - *since);
+        let holder = self.duties.get(&gate_duty(&permit.service)).and_then(|duty| duty.holder);
+        if let Some(holder) = holder {
+            let result = match &result {
+                CallBack::Good(_) => CallResult::Good,
+                CallBack::Refused => CallResult::Refused,
+                CallBack::Bad(_) => CallResult::Bad,
+            };
+            self.tell(holder.address, CallDone { service: permit.service, epoch: permit.epoch, serial: permit.serial, result, took });
+        }
+        match result {
+            CallBack::Good(reply) => self.good(now, id, reply),
+            CallBack::Refused => {
+                let job = self.jobs.get_mut(&id).expect("just seen");
+                // Nothing was sent this time; an earlier call may have been.
+                job.sent = job.calls > 1;
+                self.try_again(now, id, true, 503, "no_origin", "the origin refused the connection");
+            }
+            CallBack::Bad(why) => {
+                self.note(Event::AnswerRefused, format!("{}: {why}", permit.origin.address));
+                let again = self.jobs[&id].repeatable();
+                self.try_again(now, id, again, 502, "bad_origin_answer", "no acceptable answer came from the origin");
+            }
+        }
+    }
+
+    fn try_again(&mut self, now: Duration, id: u64, may: bool, status: u16, code: &str, text: &str) {
+        let job = &self.jobs[&id];
+        let refusal = job.refuse(status, code, text);
+        if may && job.calls < CALLS && now < job.deadline {
+            self.set_stage(now, id, Stage::Knocking { extra: true });
+        } else {
+            self.give_up(now, id, refusal);
+        }
+    }
+
+    fn good(&mut self, now: Duration, id: u64, reply: Reply) {
+        let job = self.jobs.get_mut(&id).expect("just seen");
+        if job.claim.is_some() {
+            let answer = Answer::Reply { reply: reply.clone(), age: None };
+            return self.set_stage(now, id, Stage::Recording { reply: Some(Arc::new(reply)), answer });
+        }
+        let mut age = None;
+        if let Some((owner, token)) = job.token.take() {
+            age = Some(now - job.began);
+            let key = job.key.expect("cached");
+            let shared = shareable(&reply);
+            let purged = !self.book.clear(token.purged, &job.errand.entry().name, &job.errand.url);
+            if shared && keepable(reply.status) {
+                self.tell(owner, Put { key, token, reply: reply.clone() });
+            } else {
+                self.tell(owner, Fail { key, token, private: !shared });
+            }
+            if purged {
+                // Begun before a purge that reaches it: fetched anew.
+                return self.set_stage(now, id, Stage::Getting { since: now, spare: false });
+            }
+        }
+        self.end(now, id, Answer::Reply { reply, age });
+    }
+
+    fn overdue(&mut self, now: Duration, id: u64) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let late = now >= job.deadline + LATE;
+        match &job.stage {
+            Stage::Claiming => {
+                let running = job.round > 1;
+                let claim = job.claim.clone().expect("keyed");
+                let refusal = if running {
+                    Refusal::unknown(409, "in_progress", "this operation is being run, or its ledger cannot be reached; ask again")
+                } else {
+                    Refusal::unknown(503, "no_ledger", "the ledger could not be reached")
+                };
+                self.release_later(now, id, claim);
+                self.end(now, id, Answer::Refusal(refusal));
+            }
+            Stage::Getting { spare: true, .. } => self.end_spare(now, id),
+            Stage::Getting { .. } => {
+                let refusal = job.refuse(503, "no_copy", "no copy came in time");
+                self.end(now, id, Answer::Refusal(refusal));
+            }
+            Stage::Knocking { .. } => {
+                let refusal = job.refuse(429, "over_capacity", "the service could not be called in time");
+                let spare = job.token.is_some();
+                self.give_up(now, id, refusal);
+                if spare {
+                    // No time is left to look for a copy.
+                    self.end_spare(now, id);
+                }
+            }
+            Stage::Calling { .. } if late => self.called(now, id, CallBack::Bad("no answer in time".into())),
+            Stage::Recording { reply, .. } if late => {
+                let change = Change::Record(job.claim.clone().expect("keyed"), reply.clone());
+                let slice = ledger_slice(&job.claim.as_ref().expect("keyed").operation);
+                self.loose.insert(id, Loose { slice, change, again: now, round: 0 });
+                let refusal = Refusal::unknown(503, "outcome_unrecorded", "the outcome could not be recorded in time");
+                self.end(now, id, Answer::Refusal(refusal));
+            }
+            Stage::Releasing { .. } if late => {
+                let claim = job.claim.clone().expect("keyed");
+                self.release_later(now, id, claim);
+                let refusal = Refusal::unknown(503, "no_ledger", "the ledger could not be reached");
+                self.end(now, id, Answer::Refusal(refusal));
+            }
+            _ => {}
+        }
+    }
+
+    fn release_later(&mut self, now: Duration, id: u64, claim: Claim) {
+        let slice = ledger_slice(&claim.operation);
+        self.loose.insert(id, Loose { slice, change: Change::Release(claim), again: now, round: 0 });
+    }
+
+    // Duties held here.
+
+    fn heed_duty(&mut self, now: Duration, from: Mate, message: Message) {
+        if !self.is_live(now) {
+            return;
+        }
+        let purged = self.book.applied;
+        match message {
+            Message::Get(get) => {
+                if let Some(epoch) = self.slices.get(&cache_slice(&get.key)) {
+                    self.cache.get(now, from.address, get, *epoch, purged);
+                }
+            }
+            Message::Put(put) => {
+                if let Some(epoch) = self.slices.get(&cache_slice(&put.key)) {
+                    let text = format!("token {} epoch {}", put.token.serial, put.token.epoch);
+                    if !self.cache.put(now, put, *epoch, &self.book) {
+                        self.note(Event::PutDropped, text);
+                    }
+                }
+            }
+            Message::Fail(Fail { key, token, private }) => {
+                if let Some(epoch) = self.slices.get(&cache_slice(&key)) {
+                    self.cache.give_up(now, key, token, *epoch, purged, private);
+                }
+            }
+            Message::Knock(knock) => match self.gates.get_mut(&knock.service) {
+                Some(gate) => gate.knock(now, from.address, knock),
+                None => self.tell(from.address, Away { id: knock.id, reason: AwayReason::NotHere, back: AGAIN }),
+            },
+            Message::CallDone(done) => {
+                if let Some(gate) = self.gates.get_mut(&done.service) {
+                    gate.done(now, done);
+                }
+            }
+            Message::Underway(told) => {
+                if let Some(gate) = self.gates.get_mut(&told.service) {
+                    gate.underway(now, told);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn run_gates(&mut self, now: Duration) {
+        let Some(table) = self.table.clone() else { return };
+        let mut calls = Vec::new();
+        for gate in self.gates.values_mut() {
+            gate.pump(now);
+            let Some(group) = table.document.groups.iter().find(|group| group.service == gate.service) else { continue };
+            for origin in gate.probes(now) {
+                calls.push((origin, group.key.clone()));
+            }
+        }
+        for (origin, key) in calls {
+            self.next_probe += 1;
+            let id = self.next_probe;
+            self.probes.insert(id, origin.clone());
+            let call = Call {
+                origin,
+                method: "GET".into(),
+                url: PROBE.into(),
+                host: String::new(),
+                headers: vec![],
+                body: Arc::default(),
+                operation: None,
+                errand: id,
+                key,
+                limit: PROBE_LIMIT,
+            };
+            self.out.push(Output::Call { id, call });
+        }
+    }
+
+    fn probed(&mut self, now: Duration, id: u64, result: CallBack) {
+        let Some(origin) = self.probes.remove(&id) else { return };
+        let (good, why) = match result {
+            CallBack::Good(reply) => (reply.status == 200, format!("status {}", reply.status)),
+            CallBack::Refused => (false, "refused".into()),
+            CallBack::Bad(why) => (false, why),
+        };
+        let changed = self.gates.get_mut(&origin.service).is_some_and(|gate| gate.probed(now, &origin, good));
+        if changed {
+            let text = format!("{} {} {}: {why}", origin.address, origin.service, origin.instance);
+            self.note(if good { Event::OriginProven } else { Event::OriginAside }, text);
+        }
+    }
+
+    fn pulse(&mut self, now: Duration) {
+        if now >= self.next_renew {
+            self.renew(now);
+        }
+        self.check_live(now);
+        if self.is_live(now) {
+            let epochs = &self.slices;
+            self.cache.pulse(now, &|slice| epochs.get(&slice).copied().unwrap_or(0), self.book.applied);
+            self.run_gates(now);
+        }
+        let mut overdue = Vec::new();
+        let mut again = Vec::new();
+        for (id, job) in &self.jobs {
+            if now >= job.deadline {
+                overdue.push(*id);
+            } else if now >= job.again {
+                again.push(*id);
+            }
+        }
+        // In the order they came, whatever the table's own order is.
+        overdue.sort_unstable();
+        again.sort_unstable();
+        again.into_iter().for_each(|id| self.fall_back_or_say(now, id));
+        overdue.into_iter().for_each(|id| self.overdue(now, id));
+        let due: Vec<u64> = self.loose.iter().filter(|(_, loose)| now >= loose.again).map(|(id, _)| *id).collect();
+        for id in due {
+            let loose = self.loose.get_mut(&id).expect("just listed");
+            loose.again = now + AGAIN;
+            loose.round += 1;
+            let (round, change) = (loose.round, loose.change.clone());
+            debug_assert!(loose.slice >= NEWS);
+            self.ask(id, round, change);
+        }
+        self.check_ended(now);
+    }
+
+    /// An owner that says nothing for half the time is done without, as in
+    /// the paper: who cannot get the copy goes to the origin.
+    fn fall_back_or_say(&mut self, now: Duration, id: u64) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let half = job.began + (job.deadline - job.began) / 2;
+        match job.stage {
+            Stage::Getting { spare: false, .. } if now >= half => self.set_stage(now, id, Stage::Knocking { extra: false }),
+            Stage::Recording { .. } | Stage::Releasing { .. } | Stage::Claiming => self.say(now, id),
+            _ if self.is_live(now) => self.say(now, id),
+            _ => {}
+        }
+    }
+
+    /// After a warning: duties are taken by others, what was read is
+    /// answered, then the session is left.
+    fn check_ended(&mut self, now: Duration) {
+        let Some(since) = self.warned else { return };
+        let idle = self.slices.is_empty() && self.gates.is_empty();
+        if !self.left && self.jobs.is_empty() && self.loose.is_empty() && (idle || now >= since + HAND_OVER) {
+            self.left = true;
+            self.leases.drop_all();
+            for seed in self.seeds.clone() {
+                self.tell(seed, Leave {});
+            }
+            self.check_live(now);
+            self.out.push(Output::Ended);
+        }
+    }
+
+    fn heard(&mut self, now: Duration, from: Mate, message: Message) {
+        match message {
+            Message::Renewed(renewed) => self.renewed(now, from, renewed),
+            Message::Nudge(_) => self.renew(now),
+            Message::Told(told) => self.told(now, told),
+            Message::Copy(copy) => self.copy(now, copy),
+            Message::Miss(miss) => self.miss(now, from, miss),
+            Message::NoCopy(no_copy) => self.no_copy(now, no_copy),
+            Message::Permit(permit) => self.permit(now, from, permit),
+            Message::Away(away) => self.away(now, away),
+            other => self.heed_duty(now, from, other),
+        }
+    }
+
+    /// What the duties held here have to say goes out.
+    fn flush_duties(&mut self) {
+        let mut told = self.cache.take_out();
+        for gate in self.gates.values_mut() {
+            told.extend(gate.take_out());
+        }
+        for (to, message) in told {
+            self.tell(to, message);
+        }
+    }
+}
+
+impl Part for EdgePart {
+    fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        match input {
+            Input::Pulse => self.pulse(now),
+            Input::Heard { from, message } => self.heard(now, from, message),
+            Input::Errand { id, errand } => self.begin(now, id, errand),
+            Input::Called { id, result } => self.called(now, id, result),
+            Input::Warned => {
+                self.warned.get_or_insert(now);
+                self.check_live(now);
+                self.renew(now);
+            }
+            Input::Operator { id, .. } => {
+                let answer = OperatorAnswer::Outcome(Outcome::Lost);
+                self.out.push(Output::OperatorAnswer { id, answer });
+            }
+            Input::Stored { .. } | Input::StoreFailed => {}
+        }
+        self.flush_duties();
+        std::mem::take(&mut self.out)
+    }
+}
--- /dev/null
+++ b/data-plane/src/filter.rs
@@ -0,0 +1,165 @@
+use crate::prelude::*;
+
+/// A request on its way in, before it is an errand.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub method: String,
+    pub host: String,
+    pub url: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Result<Arc<Vec<u8>>, Refusal>,
+    pub live: bool,
+    pub image: Option<Arc<EntryTable>>,
+    /// Set by the filter that matches.
+    pub entry: Option<usize>,
+}
+
+impl Arrival {
+    fn kind(&self) -> Option<Kind> {
+        Some(self.image.as_ref()?.document.entries[self.entry?].kind)
+    }
+
+    fn header(&self, name: &str) -> Option<&str> {
+        header(&self.headers, name)
+    }
+}
+
+pub type Filtered = Option<Refusal>;
+
+/// One link of the chain; any may answer, and then the rest is not asked.
+pub trait Filter: Sync {
+    fn pass(&self, arrival: &mut Arrival) -> Filtered;
+}
+
+/// A filter that registers itself, with its place in the chain.
+pub struct FilterPlugIn {
+    pub order: u32,
+    pub filter: &'static dyn Filter,
+}
+
+inventory::collect!(FilterPlugIn);
+
+/// Sends an arrival through all filters, in order.
+pub fn chain(arrival: &mut Arrival) -> Filtered {
+    let mut list: Vec<&FilterPlugIn> = inventory::iter::<FilterPlugIn>().collect();
+    list.sort_by_key(|one| one.order);
+    list.iter().find_map(|one| one.filter.pass(arrival))
+}
+
+pub const URL_BYTES: usize = 2048;
+pub const HEADER_BYTES: usize = 16 * 1024;
+pub const OPERATION_KEY_BYTES: usize = 128;
+
+struct Bounds;
+inventory::submit!(FilterPlugIn { order: 10, filter: &Bounds });
+
+impl Filter for Bounds {
+    fn pass(&self, arrival: &mut Arrival) -> Filtered {
+        let bytes: usize = arrival.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+        if arrival.url.len() > URL_BYTES {
+            return Some(Refusal::not_run(414, "url_too_long", "the URL is longer than 2048 bytes"));
+        }
+        if !arrival.url.starts_with('/') || !arrival.url.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Some(Refusal::not_run(400, "url_malformed", "the target must be a path of printable ASCII"));
+        }
+        (bytes > HEADER_BYTES).then(|| Refusal::not_run(431, "headers_too_large", "headers are over 16 KiB"))
+    }
+}
+
+/// Without a configuration nothing can be told apart yet.
+struct Known;
+inventory::submit!(FilterPlugIn { order: 20, filter: &Known });
+
+impl Filter for Known {
+    fn pass(&self, arrival: &mut Arrival) -> Filtered {
+        let none = arrival.image.is_none();
+        none.then(|| Refusal::unknown(503, "not_ready", "this node has no configuration yet"))
+    }
+}
+
+struct Match;
+inventory::submit!(FilterPlugIn { order: 30, filter: &Match });
+
+impl Filter for Match {
+    fn pass(&self, arrival: &mut Arrival) -> Filtered {
+        let image = arrival.image.as_ref()?;
+        arrival.entry = image.find(&arrival.host, &arrival.url, &arrival.method);
+        arrival.entry.is_none().then(|| Refusal::not_run(404, "no_entry", "no entry matches host, path and method"))
+    }
+}
+
+struct OperationKey;
+inventory::submit!(FilterPlugIn { order: 40, filter: &OperationKey });
+
+impl Filter for OperationKey {
+    fn pass(&self, arrival: &mut Arrival) -> Filtered {
+        if arrival.kind() != Some(Kind::Keyed) {
+            return None;
+        }
+        match arrival.header("operation-key") {
+            None => Some(Refusal::not_run(400, "operation_key_missing", "this entry needs an Operation-Key header")),
+            Some(key) if key.is_empty() || key.len() > OPERATION_KEY_BYTES || !key.bytes().all(|byte| byte.is_ascii_graphic()) => {
+                Some(Refusal::not_run(400, "operation_key_malformed", "an operation key is 1 to 128 printable ASCII characters"))
+            }
+            Some(_) => None,
+        }
+    }
+}
+
+struct Body;
+inventory::submit!(FilterPlugIn { order: 50, filter: &Body });
+
+impl Filter for Body {
+    fn pass(&self, arrival: &mut Arrival) -> Filtered {
+        arrival.body.as_ref().err().cloned()
+    }
+}
+
+/// Last, since only a well-formed keyed request can have run before: of it a
+/// fenced node cannot say "not run".
+struct Fence;
+inventory::submit!(FilterPlugIn { order: 60, filter: &Fence });
+
+impl Filter for Fence {
+    fn pass(&self, arrival: &mut Arrival) -> Filtered {
+        let outcome = if arrival.kind() == Some(Kind::Keyed) { RunState::Unknown } else { RunState::NotRun };
+        (!arrival.live).then(|| Refusal::new(503, "fenced", outcome, "this node is cut off from a majority; another may serve"))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn arrival(method: &str, url: &str, headers: &[(&str, &str)], live: bool) -> Arrival {
+        let key = BASE64.encode([1; 32]);
+        let text = format!(
+            r#"{{"groups":[{{"service":"s","rate":9,"concurrency":9,"key":"{key}"}}],"entries":[
+            {{"name":"p","path":"/p","group":"s","rank":1,"kind":"plain"}},
+            {{"name":"k","path":"/k","methods":["POST"],"group":"s","rank":1,"kind":"keyed"}}]}}"#
+        );
+        let image = Arc::new(EntryTable::new(1, Configuration::read(&text).unwrap()));
+        let headers = headers.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect();
+        Arrival { method: method.into(), host: "h".into(), url: url.into(), headers, body: Ok(Arc::default()), live, image: Some(image), entry: None }
+    }
+
+    #[test]
+    fn each_filter_answers_for_itself_and_a_good_request_passes_all() {
+        let long = "x".repeat(129);
+        let told = |mut arrival: Arrival| chain(&mut arrival).map(|refusal| (refusal.status, refusal.code, refusal.outcome));
+        let not_run = |status, code: &str| Some((status, code.to_string(), RunState::NotRun));
+        assert_eq!(told(arrival("GET", "/p/1", &[], true)), None);
+        assert_eq!(told(arrival("POST", "/k", &[("Operation-Key", "a-1")], true)), None);
+        assert_eq!(told(arrival("GET", &format!("/{}", "x".repeat(2048)), &[], true)), not_run(414, "url_too_long"));
+        assert_eq!(told(arrival("GET", "p", &[], true)), not_run(400, "url_malformed"));
+        assert_eq!(told(arrival("GET", "/p", &[("a", &"x".repeat(16400))], true)), not_run(431, "headers_too_large"));
+        assert_eq!(told(arrival("GET", "/none", &[], true)), not_run(404, "no_entry"));
+        assert_eq!(told(arrival("POST", "/k", &[], true)), not_run(400, "operation_key_missing"));
+        assert_eq!(told(arrival("POST", "/k", &[("operation-key", &long)], true)), not_run(400, "operation_key_malformed"));
+        assert_eq!(told(arrival("GET", "/p", &[], false)), not_run(503, "fenced"));
+        let keyed = told(arrival("POST", "/k", &[("operation-key", "a")], false));
+        assert_eq!(keyed, Some((503, "fenced".into(), RunState::Unknown)));
+        let body = Err(Refusal::not_run(413, "body_unreadable", ""));
+        assert_eq!(told(Arrival { body, ..arrival("GET", "/p", &[], true) }), not_run(413, "body_unreadable"));
+    }
+}
--- /dev/null
+++ b/data-plane/src/gate.rs
@@ -0,0 +1,501 @@
+use crate::prelude::*;
+
+/// The gate of one origin group: hands out short-lived permits by rank.
+/// Invariants:
+/// - Tokens of an origin grow by its rate and never exceed `burst`; a new
+///   holder starts with none, so what it gives adds to what the holder before
+///   gave no more than one burst.
+/// - A permit names an origin only while that origin's proof (a verified
+///   answer of the listed service and instance) is younger than `PROOF`.
+/// - Within ten seconds, extra tries stay within a fifth of first tries plus
+///   `ALLOWANCE`; the allowance is earned only by ten seconds of holding.
+pub struct Gate {
+    pub service: String,
+    pub epoch: u64,
+    rate: f64,
+    concurrency: u32,
+    origins: BTreeMap<SocketAddr, OriginAt>,
+    waits: Vec<Wait>,
+    calls: HashMap<(u64, u64), Under>,
+    firsts: VecDeque<Duration>,
+    extras: VecDeque<Duration>,
+    arrivals: VecDeque<(Duration, u32)>,
+    began: Duration,
+    serial: u64,
+    /// Smoothed time a call takes.
+    took: f64,
+    out: Vec<(SocketAddr, Message)>,
+}
+
+struct OriginAt {
+    origin: Origin,
+    tokens: f64,
+    filled: Duration,
+    proof: Option<Duration>,
+    probing: Option<Duration>,
+    /// Failed in a row, and left alone until.
+    fails: u32,
+    aside: Duration,
+}
+
+struct Wait {
+    from: SocketAddr,
+    id: u64,
+    rank: u32,
+    serial: u64,
+    since: Duration,
+    sent: Duration,
+    until: Duration,
+    extra: bool,
+    call: Duration,
+}
+
+struct Under {
+    origin: SocketAddr,
+    until: Duration,
+    extra: bool,
+}
+
+const ALLOWANCE: usize = 3;
+const WINDOW: Duration = Duration::from_secs(10);
+/// Arrivals are counted over this span to foresee who will not get through.
+const FORESEE: Duration = Duration::from_secs(2);
+/// A new holder first hears of calls under way.
+const CALM: Duration = Duration::from_millis(300);
+/// A call whose end nobody told is counted for this much longer than its limit.
+const UNTOLD: Duration = Duration::from_secs(1);
+const ASIDE: Duration = Duration::from_millis(500);
+
+impl Gate {
+    pub fn new(now: Duration, service: &str, epoch: u64) -> Gate {
+        Gate {
+            service: service.into(),
+            epoch,
+            rate: 1.0,
+            concurrency: 1,
+            origins: BTreeMap::new(),
+            waits: Vec::new(),
+            calls: HashMap::new(),
+            firsts: VecDeque::new(),
+            extras: VecDeque::new(),
+            arrivals: VecDeque::new(),
+            began: now,
+            serial: 0,
+            took: 0.02,
+            out: Vec::new(),
+        }
+    }
+
+    pub fn take_out(&mut self) -> Vec<(SocketAddr, Message)> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// The group and the origins as now in force; leaving ones are not given.
+    pub fn update(&mut self, now: Duration, group: &Group, origins: &[Origin]) {
+        (self.rate, self.concurrency) = (group.rate, group.concurrency);
+        let wanted: Vec<&Origin> = origins.iter().filter(|origin| origin.service == self.service && !origin.leaving).collect();
+        self.origins.retain(|_, known| wanted.contains(&&known.origin));
+        for origin in wanted {
+            self.origins.entry(origin.address).or_insert_with(|| OriginAt {
+                origin: origin.clone(),
+                tokens: 0.0,
+                filled: now,
+                proof: None,
+                probing: None,
+                fails: 0,
+                aside: Duration::ZERO,
+            });
+        }
+    }
+
+    /// Large enough that calls are not paced apart, small enough that any five
+    /// seconds stay within 110 % of the rate with permits up to `PERMIT` late.
+    fn burst(&self) -> f64 {
+        (self.rate * 0.1).max(1.0)
+    }
+
+    fn under(&self, address: SocketAddr) -> usize {
+        self.calls.values().filter(|call| call.origin == address).count()
+    }
+
+    /// Calls a second all usable origins can take.
+    fn capacity(&self, now: Duration) -> f64 {
+        let usable = self.origins.values().filter(|at| at.aside <= now).count() as f64;
+        usable * self.rate.min(f64::from(self.concurrency) / self.took)
+    }
+
+    pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: Knock) {
+        let Knock { id, rank, wait, sent, extra, call, .. } = knock;
+        if let Some(known) = self.waits.iter_mut().find(|known| (known.from, known.id) == (from, id)) {
+            known.sent = sent;
+            known.since = now;
+            return;
+        }
+        self.arrivals.push_back((now, rank));
+        self.serial += 1;
+        self.waits.push(Wait { from, id, rank, serial: self.serial, since: now, sent, until: now + wait, extra, call });
+        self.pump(now);
+    }
+
+    /// Gives what can be given and turns away at once who cannot get through.
+    pub fn pump(&mut self, now: Duration) {
+        self.forget_old(now);
+        if now < self.began + CALM {
+            return;
+        }
+        self.waits.sort_by_key(|wait| (std::cmp::Reverse(wait.rank), wait.serial));
+        let mut rest = Vec::new();
+        for wait in std::mem::take(&mut self.waits) {
+            if let Some((reason, back)) = self.turned_away(now, &wait, rest.len()) {
+                self.out.push((wait.from, Away { id: wait.id, reason, back }.into()));
+            } else if let Some(address) = self.pick(now) {
+                self.grant(now, address, &wait);
+            } else {
+                rest.push(wait);
+            }
+        }
+        self.waits = rest;
+    }
+
+    fn forget_old(&mut self, now: Duration) {
+        for list in [&mut self.firsts, &mut self.extras] {
+            while list.front().is_some_and(|at| now >= *at + WINDOW) {
+                list.pop_front();
+            }
+        }
+        while self.arrivals.front().is_some_and(|(at, _)| now >= *at + FORESEE) {
+            self.arrivals.pop_front();
+        }
+        self.calls.retain(|_, call| now < call.until);
+        let (rate, burst) = (self.rate, self.burst());
+        for at in self.origins.values_mut() {
+            at.tokens = (at.tokens + (now - at.filled).as_secs_f64() * rate).min(burst);
+            at.filled = now;
+        }
+    }
+
+    fn turned_away(&self, now: Duration, wait: &Wait, ahead: usize) -> Option<(AwayReason, Duration)> {
+        if wait.extra {
+            let earned = if now >= self.began + WINDOW { ALLOWANCE } else { 0 };
+            if self.extras.len() + 1 > self.firsts.len() / 5 + earned {
+                return Some((AwayReason::Budget, Duration::from_secs(1)));
+            }
+        }
+        let tried = |at: &OriginAt| at.fails > 0 && at.aside > now;
+        if self.origins.values().all(tried) && (!self.origins.is_empty() || now >= self.began + PATIENCE) {
+            let soonest = self.origins.values().map(|at| at.aside.saturating_sub(now)).min();
+            return Some((AwayReason::NoOrigin, soonest.unwrap_or(ASIDE)));
+        }
+        // What is left for this rank once the higher ones have theirs.
+        let higher = self.arrivals.iter().filter(|(_, rank)| *rank > wait.rank).count() as f64 / FORESEE.as_secs_f64();
+        let left = (self.capacity(now) - higher).max(0.01);
+        let due = Duration::try_from_secs_f64(ahead as f64 / left).unwrap_or(Duration::MAX);
+        let late = ahead > 0 && now.saturating_add(due) >= wait.until;
+        (late || now >= wait.until).then(|| (AwayReason::Busy, due.clamp(Duration::from_secs(1), Duration::from_secs(30))))
+    }
+
+    /// The proven origin with the fewest calls under way that may be called.
+    fn pick(&self, now: Duration) -> Option<SocketAddr> {
+        let usable = self.origins.values().filter(|at| {
+            at.tokens >= 1.0
+                && at.aside <= now
+                && at.proof.is_some_and(|proof| now < proof + lease::PROOF)
+                && self.under(at.origin.address) < self.concurrency as usize
+        });
+        let best = usable.min_by(|a, b| {
+            let load = |at: &OriginAt| self.under(at.origin.address);
+            load(a).cmp(&load(b)).then(b.tokens.total_cmp(&a.tokens))
+        });
+        best.map(|at| at.origin.address)
+    }
+
+    fn grant(&mut self, now: Duration, address: SocketAddr, wait: &Wait) {
+        let at = self.origins.get_mut(&address).expect("picked");
+        at.tokens -= 1.0;
+        self.serial += 1;
+        self.calls.insert((self.epoch, self.serial), Under { origin: address, until: now + wait.call + UNTOLD, extra: wait.extra });
+        if wait.extra { &mut self.extras } else { &mut self.firsts }.push_back(now);
+        let permit = Permit {
+            id: wait.id,
+            service: self.service.clone(),
+            epoch: self.epoch,
+            serial: self.serial,
+            origin: at.origin.clone(),
+            sent: wait.sent,
+            held: now - wait.since,
+        };
+        self.out.push((wait.from, permit.into()));
+    }
+
+    /// Calls under way by permits of an earlier holder.
+    pub fn underway(&mut self, now: Duration, told: Underway) {
+        for (epoch, serial, origin, left) in told.calls {
+            if epoch < self.epoch {
+                self.calls.insert((epoch, serial), Under { origin, until: now + left + UNTOLD, extra: false });
+            }
+        }
+    }
+
+    pub fn done(&mut self, now: Duration, done: CallDone) {
+        let Some(call) = self.calls.remove(&(done.epoch, done.serial)) else { return };
+        match done.result {
+            CallResult::Good => {
+                self.took = self.took * 0.9 + done.took.as_secs_f64().max(0.001) * 0.1;
+                self.proven(now - done.took.min(now), call.origin);
+            }
+            CallResult::Bad | CallResult::Refused => self.failed(now, call.origin),
+            CallResult::Unused => {
+                // Not called: the token goes back, within the burst.
+                if let Some(at) = self.origins.get_mut(&call.origin) {
+                    at.tokens += 1.0;
+                }
+                if call.extra { &mut self.extras } else { &mut self.firsts }.pop_back();
+            }
+        }
+        self.pump(now);
+    }
+
+    /// The origin showed who it is, in a call that began at `since`.
+    pub fn proven(&mut self, since: Duration, address: SocketAddr) {
+        if let Some(at) = self.origins.get_mut(&address) {
+            at.proof = at.proof.max(Some(since));
+            at.fails = 0;
+            at.aside = Duration::ZERO;
+        }
+    }
+
+    /// Set aside, longer each time, and to be proven anew.
+    pub fn failed(&mut self, now: Duration, address: SocketAddr) {
+        if let Some(at) = self.origins.get_mut(&address) {
+            at.proof = None;
+            at.fails += 1;
+            at.aside = now + ASIDE * (1 << (at.fails - 1).min(3));
+        }
+    }
+
+    /// Origins to probe now. A probe is a call and costs a token; it goes
+    /// before errands, since without proof there are none.
+    pub fn probes(&mut self, now: Duration) -> Vec<Origin> {
+        self.forget_old(now);
+        let mut out = Vec::new();
+        for at in self.origins.values_mut() {
+            let fresh = at.proof.is_some_and(|proof| now < proof + lease::PROOF_RENEW);
+            let busy = at.probing.is_some_and(|since| now < since + lease::PROOF);
+            if !fresh && !busy && at.aside <= now && at.tokens >= 1.0 {
+                at.tokens -= 1.0;
+                at.probing = Some(now);
+                out.push(at.origin.clone());
+            }
+        }
+        out
+    }
+
+    /// A probe of `origin` ended. True if its standing changed.
+    pub fn probed(&mut self, now: Duration, origin: &Origin, good: bool) -> bool {
+        let Some(at) = self.origins.get_mut(&origin.address).filter(|at| at.origin == *origin) else { return false };
+        let before = at.proof.is_some();
+        let since = at.probing.take().unwrap_or(now);
+        if good { self.proven(since, origin.address) } else { self.failed(now, origin.address) }
+        self.pump(now);
+        before != good
+    }
+
+    pub fn pending(&self) -> usize {
+        self.waits.len()
+    }
+}
+
+/// How long a group without any origin is given for one to be listed.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn at(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    fn origin(port: u16) -> Origin {
+        Origin { address: SocketAddr::from(([127, 0, 0, 1], port)), service: "s".into(), instance: format!("i{port}"), leaving: false }
+    }
+
+    fn group(rate: f64, concurrency: u32) -> Group {
+        Group { service: "s".into(), rate, concurrency, key: String::new() }
+    }
+
+    fn knock(id: u64, rank: u32, wait: u64, extra: bool) -> Knock {
+        Knock { service: "s".into(), id, rank, wait: at(wait), sent: at(0), extra, call: at(2000) }
+    }
+
+    struct Run {
+        gate: Gate,
+        now: u64,
+        given: Vec<(u64, u64)>,
+        away: Vec<(u64, u64, AwayReason)>,
+        calls: Vec<u64>,
+    }
+
+    impl Run {
+        fn new(began: u64, epoch: u64, rate: f64, concurrency: u32) -> Run {
+            let mut gate = Gate::new(at(began), "s", epoch);
+            gate.update(at(began), &group(rate, concurrency), &[origin(1)]);
+            Run { gate, now: began, given: vec![], away: vec![], calls: vec![] }
+        }
+
+        /// One step of 10 ms; every permit is used at once and ends after `took`.
+        fn step(&mut self, took: u64, ends: &mut Vec<(u64, CallDone)>) {
+            self.now += 10;
+            for probe in self.gate.probes(at(self.now)) {
+                self.calls.push(self.now);
+                self.gate.probed(at(self.now), &probe, true);
+            }
+            let (due, later) = std::mem::take(ends).into_iter().partition(|(when, _)| *when <= self.now);
+            *ends = later;
+            for (_, done) in due as Vec<(u64, CallDone)> {
+                self.gate.done(at(self.now), done);
+            }
+            self.gate.pump(at(self.now));
+            for (_, message) in self.gate.take_out() {
+                match message {
+                    Message::Permit(permit) => {
+                        self.given.push((self.now, permit.id));
+                        self.calls.push(self.now);
+                        let done = CallDone { service: "s".into(), epoch: permit.epoch, serial: permit.serial, result: CallResult::Good, took: at(took) };
+                        ends.push((self.now + took, done));
+                    }
+                    Message::Away(away) => self.away.push((self.now, away.id, away.reason)),
+                    other => panic!("{other:?}"),
+                }
+            }
+        }
+    }
+
+    fn most_in(calls: &[u64], span: u64) -> usize {
+        calls.iter().map(|from| calls.iter().filter(|call| **call >= *from && **call < from + span).count()).max().unwrap_or(0)
+    }
+
+    #[test]
+    fn any_five_seconds_stay_within_the_rate_also_over_a_change_of_holder() {
+        let mut ends = vec![];
+        let mut first = Run::new(0, 1, 20.0, 50);
+        for id in 0..2000 {
+            first.gate.knock(at(first.now), origin(9).address, knock(id, 1, 60_000, false));
+            first.step(5, &mut ends);
+        }
+        let mut next = Run::new(first.now + 100, 3, 20.0, 50);
+        for id in 0..2000 {
+            next.gate.knock(at(next.now), origin(9).address, knock(id, 1, 60_000, false));
+            next.step(5, &mut ends);
+        }
+        let calls = [first.calls, next.calls].concat();
+        let most = most_in(&calls, 5000);
+        assert!((95..=104).contains(&most), "{most} calls in 5 s at 20/s, probes included");
+    }
+
+    #[test]
+    fn a_higher_rank_keeps_its_share_and_the_lower_is_told_at_once() {
+        let mut ends = vec![];
+        let mut run = Run::new(0, 1, 20.0, 50);
+        // 33 a second are asked where 20 may be called, half of high rank.
+        for id in 0..6000u64 {
+            if id % 3 == 0 {
+                run.gate.knock(at(run.now), origin(9).address, knock(id, if id % 6 == 0 { 9 } else { 1 }, 2000, false));
+            }
+            run.step(5, &mut ends);
+        }
+        let share = |high: bool| {
+            let mine = |id: &u64| (id % 6 == 0) == high && *id > 500;
+            let asked = (0..6000u64).filter(|id| id % 3 == 0 && mine(id)).count();
+            run.given.iter().filter(|(_, id)| mine(id)).count() as f64 / asked as f64
+        };
+        assert!(share(true) > 0.97, "high {}", share(true));
+        assert!(share(false) < 0.3 && share(false) > 0.1, "low {}", share(false));
+        // Those turned away in the steady state hear it well before their deadline.
+        let waited = run.away.iter().filter(|(_, id, _)| *id > 1000).map(|(when, id, _)| when - id * 10);
+        assert!(waited.clone().count() > 50);
+        assert!(waited.max().unwrap() < 1500);
+    }
+
+    #[test]
+    fn slow_origins_are_bounded_by_concurrency_and_rank_still_goes_first() {
+        let mut ends = vec![];
+        let mut run = Run::new(0, 1, 1000.0, 2);
+        for id in 0..3000u64 {
+            run.gate.knock(at(run.now), origin(9).address, knock(id, if id % 50 == 0 { 9 } else { 1 }, 2000, false));
+            run.step(400, &mut ends);
+            assert!(run.gate.calls.len() <= 2);
+        }
+        let high = run.given.iter().filter(|(_, id)| id % 50 == 0).count();
+        assert!(high >= 55, "{high} of 60 of the high rank, with two calls of 400 ms at a time");
+    }
+
+    #[test]
+    fn extra_tries_stay_within_a_fifth_and_the_allowance_is_earned_first() {
+        let mut run = Run::new(0, 1, 1000.0, 500);
+        let mut ends = vec![];
+        for id in 0..1000u64 {
+            run.gate.knock(at(run.now), origin(9).address, knock(id, 1, 2000, id % 2 == 0));
+            run.step(5, &mut ends);
+            let gate = &run.gate;
+            let earned = if run.now >= 10_000 { 3 } else { 0 };
+            assert!(gate.extras.len() <= gate.firsts.len() / 5 + earned);
+        }
+        assert!(run.away.iter().any(|(_, _, reason)| *reason == AwayReason::Budget));
+        assert!(run.gate.extras.len() > 50);
+    }
+
+    #[test]
+    fn an_origin_is_called_only_once_it_has_shown_who_it_is_and_not_while_aside() {
+        let mut gate = Gate::new(at(0), "s", 1);
+        gate.update(at(0), &group(100.0, 9), &[origin(1), origin(2)]);
+        gate.knock(at(400), origin(9).address, knock(1, 1, 5000, false));
+        assert!(gate.take_out().is_empty(), "nothing is proven");
+        let probes = gate.probes(at(500));
+        assert_eq!(probes.len(), 2);
+        gate.probed(at(510), &probes[0], false);
+        assert!(gate.take_out().is_empty());
+        gate.probed(at(520), &probes[1], true);
+        let out = gate.take_out();
+        let [(_, Message::Permit(permit))] = out.as_slice() else { panic!("{out:?}") };
+        assert_eq!(permit.origin, probes[1]);
+        // The proof ages; without a newer one no more permits.
+        gate.knock(at(2600), origin(9).address, knock(2, 1, 5000, false));
+        assert!(gate.take_out().is_empty());
+        // Listed under another instance it must be proven again.
+        let other = Origin { instance: "new".into(), ..origin(2) };
+        gate.update(at(2600), &group(100.0, 9), std::slice::from_ref(&other));
+        assert!(!gate.probed(at(2700), &probes[1], true), "the old instance's probe counts for nothing");
+        assert!(gate.take_out().is_empty());
+    }
+
+    #[test]
+    fn all_origins_failing_is_told_at_once_and_a_leaving_one_gets_no_permit() {
+        let mut gate = Gate::new(at(0), "s", 1);
+        gate.update(at(0), &group(100.0, 9), &[origin(1)]);
+        let probe = gate.probes(at(400)).remove(0);
+        gate.probed(at(400), &probe, false);
+        gate.knock(at(410), origin(9).address, knock(1, 1, 5000, false));
+        assert!(matches!(gate.take_out().as_slice(), [(_, Message::Away(Away { reason: AwayReason::NoOrigin, .. }))]));
+        let probe = gate.probes(at(1000)).remove(0);
+        gate.probed(at(1000), &probe, true);
+        gate.update(at(1001), &group(100.0, 9), &[Origin { leaving: true, ..origin(1) }]);
+        gate.knock(at(1002), origin(9).address, knock(2, 1, 5000, false));
+        assert!(!gate.take_out().iter().any(|(_, message)| matches!(message, Message::Permit(_))));
+    }
+
+    #[test]
+    fn a_new_holder_counts_calls_that_began_under_the_one_before() {
+        let mut run = Run::new(0, 5, 1000.0, 2);
+        run.gate.underway(at(10), Underway { service: "s".into(), calls: vec![(3, 1, origin(1).address, at(900)), (3, 2, origin(1).address, at(900))] });
+        let mut ends = vec![];
+        run.gate.knock(at(10), origin(9).address, knock(1, 1, 5000, false));
+        for _ in 0..60 {
+            run.step(5, &mut ends);
+        }
+        assert!(run.given.is_empty());
+        run.gate.done(at(run.now), CallDone { service: "s".into(), epoch: 3, serial: 2, result: CallResult::Good, took: at(600) });
+        run.step(5, &mut ends);
+        assert_eq!(run.given.len(), 1);
+    }
+}
--- /dev/null
+++ b/data-plane/src/job.rs
@@ -0,0 +1,133 @@
+use crate::prelude::*;
+
+/// An errand being run. Invariants:
+/// - `errand.image` is the one configuration this errand ever sees.
+/// - `sent` is set before a call may reach an origin; a keyed errand is never
+///   called again after it, and "not run" is never said after it.
+/// - A keyed errand calls only while its claim is held.
+pub struct Job {
+    pub errand: Errand,
+    pub began: Duration,
+    pub deadline: Duration,
+    pub stage: Stage,
+    /// When the message of this stage is said again.
+    pub again: Duration,
+    pub round: usize,
+    pub calls: u32,
+    pub sent: bool,
+    pub claim: Option<Claim>,
+    pub key: Option<CacheKey>,
+    pub token: Option<(SocketAddr, Token)>,
+    /// What it ends with if a spare copy is not to be had either.
+    pub refusal: Option<Refusal>,
+}
+
+#[derive(Debug, Clone)]
+pub enum Stage {
+    Claiming,
+    Getting { since: Duration, spare: bool },
+    Knocking { extra: bool },
+    Calling { permit: Permit, since: Duration },
+    /// The outcome goes to the ledger, then the answer to the caller.
+    Recording { reply: Option<Arc<Reply>>, answer: Answer },
+    Releasing { refusal: Refusal },
+}
+
+impl Job {
+    pub fn new(now: Duration, errand: Errand) -> Job {
+        Job {
+            began: now,
+            deadline: now + errand.entry().deadline(),
+            stage: Stage::Knocking { extra: false },
+            again: now,
+            round: 0,
+            calls: 0,
+            sent: false,
+            claim: None,
+            key: None,
+            token: None,
+            refusal: None,
+            errand,
+        }
+    }
+
+    pub fn left(&self, now: Duration) -> Duration {
+        self.deadline.saturating_sub(now)
+    }
+
+    /// May be called again after it was sent.
+    pub fn repeatable(&self) -> bool {
+        match self.errand.entry().kind {
+            Kind::Cached | Kind::Repeatable => true,
+            Kind::Plain => ["GET", "HEAD"].contains(&self.errand.method.as_str()),
+            Kind::Keyed => false,
+        }
+    }
+
+    pub fn outcome(&self) -> RunState {
+        if self.sent { RunState::Unknown } else { RunState::NotRun }
+    }
+
+    pub fn refuse(&self, status: u16, code: &str, text: &str) -> Refusal {
+        Refusal::new(status, code, self.outcome(), text)
+    }
+
+    /// Entry, service and URL: what tells requests apart.
+    pub fn cache_key(errand: &Errand) -> CacheKey {
+        let mut hash = Sha256::new();
+        for part in [&errand.entry().name, &errand.entry().group, &errand.url] {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part.as_bytes());
+        }
+        hash.finalize().into()
+    }
+
+    pub fn claim_of(errand: &Errand, by: Mate, id: u64) -> Claim {
+        let mut hash = Sha256::new();
+        for part in [errand.caller.as_bytes(), errand.entry().name.as_bytes(), errand.method.as_bytes(), errand.url.as_bytes(), &errand.body] {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        let operation = format!("{}/{}", errand.entry().group, errand.operation_key().unwrap_or_default());
+        Claim { operation, print: hash.finalize().into(), by, errand: id }
+    }
+
+    /// What goes to the origin. A shared copy is fetched without anything of
+    /// the caller's own, so it is the same whoever asked.
+    pub fn call(&self, now: Duration, id: u64, origin: Origin) -> Call {
+        const OURS: [&str; 12] = [
+            "connection", "host", "content-length", "transfer-encoding", "te", "upgrade", "keep-alive", "expect", "operation-key",
+            "proxy-connection", "trailer", "accept-encoding",
+        ];
+        let errand = &self.errand;
+        let goes = |name: &str| !OURS.contains(&name) && !name.starts_with("otterslip-") && name != "x-forwarded-host";
+        let headers = errand.headers.iter().filter(|(name, _)| goes(&name.to_ascii_lowercase()) && self.token.is_none());
+        Call {
+            origin,
+            method: errand.method.clone(),
+            url: errand.url.clone(),
+            host: errand.host.clone(),
+            headers: headers.cloned().collect(),
+            body: errand.body.clone(),
+            operation: self.claim.as_ref().and(errand.operation_key().map(Into::into)),
+            errand: id,
+            key: errand.group().key.clone(),
+            limit: self.left(now),
+        }
+    }
+}
+
+/// Whether an answer may be handed to others.
+pub fn shareable(reply: &Reply) -> bool {
+    let control = reply.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("cache-control"));
+    let own = |(_, value): &(String, String)| {
+        let value = value.to_ascii_lowercase();
+        ["private", "no-store", "no-cache"].iter().any(|word| value.contains(word))
+    };
+    !control.clone().any(own) && header(&reply.headers, "set-cookie").is_none()
+}
+
+/// Whether a status is worth keeping: errors of the moment are not.
+pub fn keepable(status: u16) -> bool {
+    [200, 203, 204, 301, 308, 404, 410].contains(&status)
+}
--- a/data-plane/src/lib.rs
+++ b/data-plane/src/lib.rs
@@ -1,1 +1,16 @@
-//! 
+//! The data plane: filters, cache owners, gates, calls to origins.
+mod caller_face;
+mod cache_owner;
+mod edge_part;
+mod filter;
+mod gate;
+mod job;
+mod leases;
+mod origin_call;
+pub mod prelude;
+mod purge_book;
+mod seal;
+pub use caller_face::errand_of;
+pub use edge_part::EdgePart;
+pub use origin_call::call_origin;
+pub use seal::Seal;
--- /dev/null
+++ b/data-plane/src/prelude.rs
@@ -0,0 +1,11 @@
+pub use crate::cache_owner::CacheOwner;
+pub use crate::edge_part::EdgePart;
+pub use crate::filter::{Arrival, Filter, FilterPlugIn, Filtered, chain};
+pub use crate::gate::Gate;
+pub use crate::job::{Job, Stage};
+pub use crate::leases::Leases;
+pub use crate::origin_call::call_origin;
+pub use crate::purge_book::PurgeBook;
+pub use crate::seal::Seal;
+pub use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+pub use kernel::prelude::*;
--- /dev/null
+++ b/data-plane/src/purge_book.rs
@@ -0,0 +1,70 @@
+use crate::prelude::*;
+
+/// The purges an edge knows. Invariant: `applied` is the version of the last
+/// one; those above `floor` are listed, older ones are not kept, so a copy
+/// known clear only up to below `floor` counts as purged.
+#[derive(Debug, Default)]
+pub struct PurgeBook {
+    pub applied: u64,
+    floor: u64,
+    list: BTreeMap<u64, Purge>,
+}
+
+impl PurgeBook {
+    /// Takes news; returns what is new, and whether some were missed so that
+    /// every copy must go.
+    pub fn learn(&mut self, version: u64, rows: &[(String, Row)]) -> (Vec<Purge>, bool) {
+        let before = self.applied;
+        let mut fresh = Vec::new();
+        for (_, row) in rows.iter().filter(|(_, row)| row.version > before) {
+            if let Value::Purge { purge, .. } = &row.value {
+                self.list.insert(row.version, purge.clone());
+                fresh.push(purge.clone());
+            }
+        }
+        self.applied = version.max(before);
+        let missed = version.saturating_sub(before) > PURGES_KEPT;
+        if missed {
+            self.floor = version - PURGES_KEPT;
+        }
+        while self.list.len() as u64 > PURGES_KEPT {
+            self.floor = self.floor.max(self.list.pop_first().expect("not empty").0);
+        }
+        (fresh, missed)
+    }
+
+    /// Whether a copy known clear up to `purged` is still clear.
+    pub fn clear(&self, purged: u64, entry: &str, url: &str) -> bool {
+        purged >= self.floor && !self.list.range(purged + 1..).any(|(_, purge)| purge.reaches(entry, url))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn row(version: u64, prefix: &str) -> (String, Row) {
+        let purge = Purge { entry: None, url: None, prefix: Some(prefix.into()) };
+        (format!("{version}"), Row { version, value: Value::Purge { purge, change: version } })
+    }
+
+    #[test]
+    fn a_copy_is_clear_of_purges_known_when_its_fetch_began_and_of_no_later_one() {
+        let mut book = PurgeBook::default();
+        book.learn(2, &[row(1, "/a"), row(2, "/b")]);
+        assert!(!book.clear(0, "e", "/a/1"));
+        assert!(book.clear(1, "e", "/a/1"));
+        assert!(!book.clear(1, "e", "/b/1"));
+        assert!(book.clear(2, "e", "/b/1"));
+    }
+
+    #[test]
+    fn an_edge_that_missed_more_purges_than_are_kept_drops_everything_older() {
+        let mut book = PurgeBook::default();
+        assert!(!book.learn(1, &[row(1, "/a")]).1);
+        let (_, missed) = book.learn(PURGES_KEPT + 5, &[row(PURGES_KEPT + 5, "/z")]);
+        assert!(missed);
+        assert!(!book.clear(4, "e", "/other"));
+        assert!(book.clear(5, "e", "/other"));
+    }
+}
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -7,7 +7,7 @@
     began: Instant,
     serial: AtomicU64,
     waits: Mutex<HashMap<u64, Sender<Output>>>,
-    pub configuration: ArcSwap<Option<(u64, Arc<Configuration>)>>,
+    pub image: ArcSwap<Option<Arc<EntryTable>>>,
     fence: AtomicU64,
     ready: AtomicBool,
     pub ending: AtomicBool,
@@ -81,20 +81,22 @@
         let port = Arc::new(Port {
             give: give.clone(),
             began: Instant::now(),
-            serial: AtomicU64::new(1),
+            // Not where an earlier run began: its late answers fit no call of ours.
+            serial: AtomicU64::new(new_life()? >> 1),
             waits: Mutex::default(),
-            configuration: ArcSwap::from_pointee(None),
+            image: ArcSwap::from_pointee(None),
             fence: AtomicU64::new(0),
             ready: AtomicBool::new(false),
             ending: AtomicBool::new(false),
         });
         let http = self.serve(&port)?;
         let store = self.store.take().map(|store| Host::keep(store, give.clone()));
-        Host::watch_signal(&give, &port, self.startup.grace())?;
+        Host::watch_signal(&give, self.startup.grace())?;
         let pulse = self.pulse;
         note(Event::Started, &format!("{} {} mesh {mesh} http {:?}", self.program, self.me, self.startup.http));
         let mut next = port.now();
-        loop {
+        // After the end, calls that were already read are still answered.
+        while !http.is_finished() {
             let now = port.now();
             let input = if now >= next {
                 next = now + pulse;
@@ -118,9 +120,12 @@
                     Output::StoreImage { serial, record } => self.put(&store, Stored::Image(serial, record)),
                     Output::Answer { id, .. } | Output::OperatorAnswer { id, .. } => port.answer(id, output),
                     Output::Call { id, call } => {
-                        let (give, caller) = (give.clone(), self.caller.context("no caller")?);
+                        let (give, caller, port) = (give.clone(), self.caller.context("no caller")?, port.clone());
                         thread::spawn(move || {
-                            let _ = give.send(Input::Called { id, result: caller(&call) });
+                            // The process may have stood still since the part
+                            // decided: what it knew holds only while the lease does.
+                            let result = if port.live() { caller(&call) } else { CallBack::Refused };
+                            let _ = give.send(Input::Called { id, result });
                         });
                     }
                     Output::Note { event, text } => note(event, &text),
@@ -128,18 +133,15 @@
                         port.ready.store(ready, Ordering::Release);
                         port.fence.store(until.as_nanos() as u64, Ordering::Release);
                     }
-                    Output::Show(Shown::Configuration { version, document }) => {
-                        port.configuration.store(Arc::new(Some((version, document))));
-                    }
+                    Output::Show(Shown::Configuration(table)) => port.image.store(Arc::new(Some(table))),
                     Output::Ended => {
                         port.ending.store(true, Ordering::Release);
-                        let _ = http.join();
-                        note(Event::Ended, "nothing is left to do");
-                        return Ok(());
                     }
                 }
             }
         }
+        note(Event::Ended, "nothing is left to do");
+        Ok(())
     }
 
     fn put(&self, store: &Option<Sender<Stored>>, what: Stored) {
@@ -195,9 +197,9 @@
 
     /// The first warning goes to the part; after the grace time the process
     /// ends regardless.
-    fn watch_signal(give: &Sender<Input>, port: &Arc<Port>, grace: Duration) -> Result<()> {
+    fn watch_signal(give: &Sender<Input>, grace: Duration) -> Result<()> {
         let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
-        let (give, _port) = (give.clone(), port.clone());
+        let give = give.clone();
         thread::spawn(move || {
             if signals.forever().next().is_some() {
                 note(Event::Warned, &format!("ending within {grace:?}"));
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -1,6 +1,7 @@
 //! What every otterslip process is built on: startup, messages, frames, links,
 //! pulses, events and the host that drives a part.
 pub mod configuration;
+pub mod entry_table;
 pub mod event;
 pub mod finding;
 pub mod frame;
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -49,28 +49,32 @@
 
     // Between edges and control nodes.
     Renew { sent: Duration, vector: Vec<u64>, zone: String, draining: bool, usage: Usage }
-    Renewed { sent: Duration, news: Vec<News> }
+    /// To the life that sent the renewal, with its own time of sending.
+    Renewed { life: u64, sent: Duration, news: Vec<News> }
     /// There is news: renew now.
     Nudge { }
     /// The edge has fenced itself for good.
     Leave { }
 
     // Between edges: the cache.
-    Get { id: u64, key: CacheKey, entry: String, url: String, wait: Duration, spare: bool }
-    Copy { id: u64, copy: CopyOut }
+    /// `spare`: the asker's own refill failed; it wants any copy in time.
+    Get { id: u64, key: CacheKey, entry: String, url: String, keep: Duration, wait: Duration, spare: bool }
+    Copy { id: u64, key: CacheKey, copy: CopyOut }
     /// Refill it: you are the refresher, under this token.
-    Miss { id: u64, token: Token }
-    /// Not the owner, or no refresher came through in time.
-    NoCopy { id: u64 }
-    Put { key: CacheKey, token: Token, entry: String, url: String, reply: Reply, keep: Duration }
-    /// The refresher gave up.
-    Fail { key: CacheKey, token: Token }
+    Miss { id: u64, key: CacheKey, token: Token }
+    /// Not to be had here: fetch it yourself, for yourself.
+    NoCopy { id: u64, key: CacheKey }
+    Put { key: CacheKey, token: Token, reply: Reply }
+    /// The refresher gave up, or (`private`) the answer may not be shared.
+    Fail { key: CacheKey, token: Token, private: bool }
 
     // Between edges: the gate.
     Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration }
     Permit { id: u64, service: String, epoch: u64, serial: u64, origin: Origin, sent: Duration, held: Duration }
     /// Turned away; come back after this.
     Away { id: u64, reason: AwayReason, back: Duration }
+    /// Told to a new holder: calls still under way by earlier permits.
+    Underway { service: String, calls: Vec<(u64, u64, SocketAddr, Duration)> }
     CallDone { service: String, epoch: u64, serial: u64, result: CallResult, took: Duration }
 }
 
@@ -185,8 +189,11 @@
     pub purged: u64,
     /// Since the start of its fetch.
     pub age: Duration,
-    /// Until its keep time ends.
+    /// Until its major expiry.
     pub left: Duration,
+    /// How long the owner held the asking back: the rest of the time until
+    /// the copy arrives was spent on the way and counts against `left`.
+    pub held: Duration,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone)]
 pub enum Shown {
     Fence { until: Duration, ready: bool },
-    Configuration { version: u64, document: Arc<Configuration> },
+    Configuration(Arc<EntryTable>),
 }
 
 /// A caller's request, read in full.
@@ -54,19 +54,24 @@
     pub headers: Vec<(String, String)>,
     pub body: Arc<Vec<u8>>,
     pub caller: String,
-    pub image: Arc<Configuration>,
-    /// Index of the matched entry in `image`.
+    /// The image this errand keeps for its life.
+    pub image: Arc<EntryTable>,
+    /// Index of the matched entry in the image.
     pub entry: usize,
 }
 
 impl Errand {
     pub fn entry(&self) -> &Entry {
-        &self.image.entries[self.entry]
+        &self.image.document.entries[self.entry]
     }
 
     pub fn group(&self) -> &Group {
         let name = &self.entry().group;
-        self.image.groups.iter().find(|group| group.service == *name).expect("checked on reading")
+        self.image.document.groups.iter().find(|group| group.service == *name).expect("checked on reading")
+    }
+
+    pub fn operation_key(&self) -> Option<&str> {
+        self.header("operation-key")
     }
 
     pub fn header(&self, name: &str) -> Option<&str> {
@@ -92,6 +97,8 @@
     pub headers: Vec<(String, String)>,
     pub body: Arc<Vec<u8>>,
     pub operation: Option<String>,
+    /// Binds the answer to this one call.
+    pub errand: u64,
     pub key: String,
     pub limit: Duration,
 }
--- a/kernel/src/plug_in.rs
+++ b/kernel/src/plug_in.rs
@@ -4,7 +4,7 @@
 /// paths. Collected at link time; the kernel knows none by name.
 pub struct PlugIn {
     pub name: &'static str,
-    /// Which program it belongs to.
+    /// Which program it belongs to; empty: to every one.
     pub program: &'static str,
     /// Lower is asked first; any may answer.
     pub order: u32,
@@ -13,9 +13,27 @@
 
 inventory::collect!(PlugIn);
 
+/// The one description of all remote calls.
+pub const SCHEMA: &str = include_str!("../../schema/otterslip.json");
+
+inventory::submit!(PlugIn { name: "health", program: "", order: 1, serve: serve_health });
+
+fn serve_health(port: &Port, request: &rouille::Request) -> Option<rouille::Response> {
+    if request.method() != "GET" {
+        return None;
+    }
+    match request.raw_url() {
+        "/.otterslip/v1/live" => Some(json(200, &serde_json::json!({ "live": true }))),
+        "/.otterslip/v1/ready" if port.ready() => Some(json(200, &serde_json::json!({ "ready": true }))),
+        "/.otterslip/v1/ready" => Some(refuse(&Refusal::not_run(503, "not_ready", "do not send callers here now"))),
+        "/.otterslip/v1/schema" => Some(rouille::Response::from_data("application/json", SCHEMA)),
+        _ => None,
+    }
+}
+
 impl PlugIn {
     pub fn of(program: &str) -> Vec<&'static PlugIn> {
-        let mut list: Vec<&PlugIn> = inventory::iter::<PlugIn>().filter(|one| one.program == program).collect();
+        let mut list: Vec<&PlugIn> = inventory::iter::<PlugIn>().filter(|one| one.program.is_empty() || one.program == program).collect();
         list.sort_by_key(|one| one.order);
         list
     }
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -17,10 +17,11 @@
 pub use validator::Validate;
 
 pub use crate::configuration::*;
+pub use crate::entry_table::EntryTable;
 pub use crate::event::{Event, note};
 pub use crate::finding::Finding;
 pub use crate::frame;
-pub use crate::host::{Host, Port};
+pub use crate::host::{Host, Port, Store, new_life};
 pub use crate::lease;
 pub use crate::link::Links;
 pub use crate::mate::Mate;
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -91,17 +91,18 @@
     pub body: Arc<Vec<u8>>,
 }
 
-/// What a purge reaches. `entry` alone: all copies of the entry.
+/// What a purge reaches. `entry` alone: all copies of the entry. (Travels as
+/// `bincode` too, which allows no field to be left out.)
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
 pub struct Purge {
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     #[validate(length(min = 1, max = 64))]
     pub entry: Option<String>,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     #[validate(length(min = 1, max = 2048))]
     pub url: Option<String>,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     #[validate(length(min = 1, max = 2048))]
     pub prefix: Option<String>,
 }
--- /dev/null
+++ b/programs/src/lib.rs
@@ -0,0 +1,2 @@
+//! Shared by the programs of this package.
+pub mod prelude;
--- a/segment-log/src/prelude.rs
+++ b/segment-log/src/prelude.rs
@@ -1,4 +1,3 @@
 pub use crate::segment_log::{Loaded, SegmentLog};
-pub use kernel::host::Store;
 pub use kernel::prelude::*;
 pub use std::fs::{self, File, OpenOptions};
--- /dev/null
+++ b/stand-ins/src/bin/stand-in-origin.rs
@@ -0,0 +1,25 @@
+use stand_ins::prelude::*;
+
+const HELP: &str = "a stand-in for one origin
+
+--http IP:PORT --service NAME --instance NAME [--delay-ms N] [--content FILE] [--record FILE]
+The key is derived from the service's name. Faults: PUT /.stand-in/fault/NAME";
+
+fn main() -> Result<()> {
+    let mut flags = Flags::gather("stand-in-origin", HELP);
+    let address = flags.take::<SocketAddr>("--http", None);
+    let service = flags.take::<String>("--service", None);
+    let instance = flags.take::<String>("--instance", None);
+    let delay = flags.take("--delay-ms", Some(5));
+    let content = flags.take::<String>("--content", Some(String::new()));
+    let record = flags.take::<String>("--record", Some(String::new()));
+    flags.finish();
+    let (service, instance) = (service.context("service")?, instance.context("instance")?);
+    let mut origin = StandInOrigin::new(address.context("address")?, &service, &instance, Deployment::key_of(&service));
+    origin.delay = Duration::from_millis(delay.unwrap_or(5));
+    origin.content = content.filter(|path| !path.is_empty()).map(Into::into);
+    origin.record = record.filter(|path| !path.is_empty()).map(|path| Recorder::open(Path::new(&path))).transpose()?;
+    let (_, serving) = Arc::new(origin).serve(Arc::default())?;
+    let _ = serving.join();
+    Ok(())
+}
--- /dev/null
+++ b/stand-ins/src/dice.rs
@@ -0,0 +1,20 @@
+/// Repeatable chance, for traffic and schedules.
+pub struct Dice(u64);
+
+impl Dice {
+    pub fn new(seed: u64) -> Dice {
+        Dice(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
+    }
+
+    pub fn roll(&mut self, sides: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) % sides.max(1)
+    }
+
+    /// True in `share` of a hundred.
+    pub fn chance(&mut self, share: u64) -> bool {
+        self.roll(100) < share
+    }
+}
--- /dev/null
+++ b/stand-ins/src/fleet.rs
@@ -0,0 +1,206 @@
+use crate::prelude::*;
+
+/// One process of the fleet, started by the runner.
+pub struct Node {
+    pub name: String,
+    pub words: Vec<String>,
+    pub http: SocketAddr,
+    pub zone: String,
+    child: Option<Child>,
+}
+
+/// Processes on loopback, as a platform would run them. A test tool: the
+/// product itself starts nothing.
+pub struct Fleet {
+    pub folder: PathBuf,
+    pub control: Vec<Node>,
+    pub edges: Vec<Node>,
+    pub origins: Vec<Node>,
+    record: Recorder,
+}
+
+/// An address nothing listens on now.
+pub fn free_address() -> Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+impl Node {
+    fn start(&mut self, folder: &Path) -> Result<()> {
+        let program = std::env::current_exe()?.with_file_name(&self.words[0]);
+        // Tests run from a folder below the one with the programs.
+        let program = if program.exists() { program } else { program.parent().and_then(Path::parent).context("folder")?.join(&self.words[0]) };
+        let log = OpenOptions::new().create(true).append(true).open(folder.join(format!("{}.log", self.name)))?;
+        let child = Command::new(&program).args(&self.words[1..]).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+        self.child = Some(child.with_context(|| program.display().to_string())?);
+        Ok(())
+    }
+
+    pub fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+        }
+    }
+
+    /// Waits for the process to end by itself; true if it did in time.
+    pub fn ended(&mut self, limit: Duration) -> bool {
+        let Some(child) = &mut self.child else { return true };
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if matches!(child.try_wait(), Ok(Some(_))) {
+                self.child = None;
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        http(self.http, "GET", "ready", "").is_ok_and(|(status, _)| status == 200)
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// One call of an operator or the platform.
+pub fn http(to: SocketAddr, method: &str, path: &str, body: &str) -> Result<(u16, serde_json::Value)> {
+    http_if_match(to, method, path, body, None)
+}
+
+pub fn http_if_match(to: SocketAddr, method: &str, path: &str, body: &str, expect: Option<u64>) -> Result<(u16, serde_json::Value)> {
+    let mut request = attohttpc::RequestBuilder::new(attohttpc::Method::from_bytes(method.as_bytes())?, format!("http://{to}/.otterslip/v1/{path}"))
+        .proxy_settings(attohttpc::ProxySettings::builder().build())
+        .timeout(Duration::from_secs(16));
+    if let Some(version) = expect {
+        request = request.header("If-Match", format!("\"{version}\""));
+    }
+    let answer = request.text(body).send()?;
+    Ok((answer.status().as_u16(), serde_json::from_str(&answer.text_utf8()?).unwrap_or_default()))
+}
+
+impl Fleet {
+    /// Lays out all nodes of a deployment on free ports; starts none.
+    pub fn plan(deployment: &Deployment, folder: &Path) -> Result<Fleet> {
+        fs::create_dir_all(folder)?;
+        fs::write(folder.join("content-version"), "1")?;
+        let seeds = (0..3).map(|_| free_address()).collect::<Result<Vec<_>>>()?;
+        let seed_text: Vec<String> = seeds.iter().map(|seed| seed.to_string()).collect();
+        let node = |name: String, program: &str, mesh: SocketAddr, zone: &str, more: &[String]| -> Result<Node> {
+            let http = free_address()?;
+            let mut words = vec![program.to_string()];
+            for (flag, value) in [("--mesh", mesh.to_string()), ("--http", http.to_string()), ("--zone", zone.into()), ("--seeds", seed_text.join(","))] {
+                words.extend([flag.to_string(), value]);
+            }
+            words.extend(more.iter().cloned());
+            Ok(Node { name, words, http, zone: zone.into(), child: None })
+        };
+        let zone = |at: usize| deployment.zones[at % deployment.zones.len()];
+        let mut control = Vec::new();
+        for (slot, seed) in seeds.iter().enumerate() {
+            let data = folder.join(format!("data-{slot}")).display().to_string();
+            let more = ["--slot".into(), slot.to_string(), "--data".into(), data];
+            control.push(node(format!("control-{slot}"), "control-node", *seed, zone(slot), &more)?);
+        }
+        let mut edges = Vec::new();
+        for at in 0..deployment.edges {
+            edges.push(node(format!("edge-{at}"), "edge-node", free_address()?, zone(at), &[])?);
+        }
+        let mut origins = Vec::new();
+        // The last service has a listed origin but no group: never to be called.
+        let spare = crate::deployment::Service { name: "spare", origins: 1, rate: 1.0, concurrency: 1 };
+        for service in deployment.services.iter().chain([&spare]) {
+            for at in 0..service.origins {
+                origins.push(Fleet::origin(folder, service.name, &format!("{}-{at}", service.name), free_address()?));
+            }
+        }
+        let record = Recorder::open(&folder.join("fleet.jsonl"))?;
+        Ok(Fleet { folder: folder.into(), control, edges, origins, record })
+    }
+
+    pub fn origin(folder: &Path, service: &str, instance: &str, http: SocketAddr) -> Node {
+        let path = |name: &str| folder.join(name).display().to_string();
+        let words = [
+            "stand-in-origin",
+            "--http",
+            &http.to_string(),
+            "--service",
+            service,
+            "--instance",
+            instance,
+            "--content",
+            &path("content-version"),
+            "--record",
+            &path("origins.jsonl"),
+        ];
+        Node { name: format!("origin-{instance}"), words: words.map(Into::into).into(), http, zone: service.into(), child: None }
+    }
+
+    pub fn note(&self, what: &str, subject: &str, number: u64, good: bool) {
+        self.record.put(&FleetRecord { at: wall(), what: what.into(), subject: subject.into(), number, good });
+    }
+
+    pub fn start_all(&mut self) -> Result<()> {
+        let folder = self.folder.clone();
+        let all = self.control.iter_mut().chain(&mut self.edges).chain(&mut self.origins);
+        all.into_iter().try_for_each(|node| node.start(&folder))
+    }
+
+    pub fn start(folder: &Path, node: &mut Node) -> Result<()> {
+        node.start(folder)
+    }
+
+    /// The platform's list, with some marked as leaving.
+    pub fn origins_text(&self, leaving: &[String]) -> String {
+        let list: Vec<_> = self
+            .origins
+            .iter()
+            .map(|node| {
+                let instance = node.name.trim_start_matches("origin-");
+                let goes = leaving.iter().any(|one| one == instance);
+                json!({ "address": node.http, "service": node.zone, "instance": instance, "leaving": goes })
+            })
+            .collect();
+        json!(list).to_string()
+    }
+
+    /// An operator's call, by way of any control node that answers.
+    pub fn operate(&self, method: &str, path: &str, body: &str, expect: Option<u64>) -> Result<(u16, serde_json::Value)> {
+        let mut last = anyhow!("no control node");
+        for node in &self.control {
+            match http_if_match(node.http, method, path, body, expect) {
+                Ok(told) => return Ok(told),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    /// Until `done` says so; false if it did not in time.
+    pub fn wait(limit: Duration, done: &mut dyn FnMut() -> bool) -> bool {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if done() {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    pub fn stop_all(&mut self) {
+        for node in self.control.iter_mut().chain(&mut self.edges).chain(&mut self.origins) {
+            node.kill();
+        }
+    }
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -1,1 +1,12 @@
-
+//! Stand-ins for what otterslip meets: origins, callers, a platform that
+//! starts and ends processes; and the checker of the twelve nevers.
+pub mod caller;
+pub mod checker;
+pub mod deployment;
+pub mod dice;
+pub mod fleet;
+pub mod flags;
+pub mod origin;
+pub mod prelude;
+pub mod record;
+pub mod schema_check;
--- /dev/null
+++ b/stand-ins/src/origin.rs
@@ -0,0 +1,136 @@
+use crate::prelude::*;
+
+/// A stand-in for one origin: answers any path with a signed body that echoes
+/// what was asked, and records every call. Its faults are set by
+/// `PUT /.stand-in/fault/NAME`.
+pub struct StandInOrigin {
+    pub address: SocketAddr,
+    pub service: String,
+    pub instance: String,
+    pub key: SigningKey,
+    pub delay: Duration,
+    /// Holds the version of all content, as text.
+    pub content: Option<PathBuf>,
+    pub record: Option<Recorder>,
+    /// "", "slow", "short", "unsigned", "foreign-key", "other-request",
+    /// "lose-answer", "status-500".
+    pub fault: Mutex<String>,
+    pub private: bool,
+    pub calls: AtomicU64,
+    pub runs: Mutex<BTreeMap<String, u32>>,
+}
+
+impl StandInOrigin {
+    pub fn new(address: SocketAddr, service: &str, instance: &str, key: SigningKey) -> StandInOrigin {
+        StandInOrigin {
+            address,
+            service: service.into(),
+            instance: instance.into(),
+            key,
+            delay: Duration::from_millis(5),
+            content: None,
+            record: None,
+            fault: Mutex::default(),
+            private: false,
+            calls: AtomicU64::new(0),
+            runs: Mutex::default(),
+        }
+    }
+
+    /// Listens; the answer is the address and a handle that serves until
+    /// `stop` is set.
+    pub fn serve(self: &Arc<Self>, stop: Arc<AtomicBool>) -> Result<(SocketAddr, thread::JoinHandle<()>)> {
+        let origin = self.clone();
+        let server = rouille::Server::new(self.address, move |request| origin.answer(request))
+            .map_err(|error| anyhow!("cannot listen on {}: {error}", self.address))?;
+        let address = server.server_addr();
+        let serve = move || {
+            while !stop.load(Ordering::Acquire) {
+                server.poll_timeout(Duration::from_millis(20));
+            }
+        };
+        Ok((address, thread::spawn(serve)))
+    }
+
+    fn version(&self) -> u64 {
+        let text = self.content.as_ref().and_then(|path| fs::read_to_string(path).ok());
+        text.and_then(|text| text.trim().parse().ok()).unwrap_or(1)
+    }
+
+    fn answer(&self, request: &rouille::Request) -> rouille::Response {
+        if let Some(fault) = request.raw_url().strip_prefix("/.stand-in/fault/") {
+            *self.fault.lock().expect("no holder panics") = fault.into();
+            return rouille::Response::text("set");
+        }
+        let head = |name: &str| request.header(name).unwrap_or_default().to_string();
+        let (errand, operation) = (head("otterslip-errand"), request.header("operation-key").map(Into::into));
+        let mut body = Vec::new();
+        if let Some(mut data) = request.data() {
+            let _ = data.read_to_end(&mut body);
+        }
+        let probe = request.raw_url().starts_with("/.well-known/");
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        if let Some(record) = &self.record {
+            record.put(&OriginRecord {
+                at: wall(),
+                address: self.address.to_string(),
+                service: self.service.clone(),
+                instance: self.instance.clone(),
+                path: request.raw_url().into(),
+                errand: errand.clone(),
+                operation: operation.clone(),
+                probe,
+            });
+        }
+        if let Some(operation) = operation.clone() {
+            *self.runs.lock().expect("no holder panics").entry(operation).or_default() += 1;
+        }
+        // The version is read when the call comes: that is what was current.
+        let version = self.version();
+        let fault = self.fault.lock().expect("no holder panics").clone();
+        let delay = if fault == "slow" && !probe { self.delay * 60 } else { self.delay };
+        thread::sleep(delay);
+        let text = json!({
+            "service": self.service, "target": request.raw_url(), "method": request.method(), "version": version,
+            "operation": operation, "caller": request.header("authorization"), "sent": String::from_utf8_lossy(&body),
+            "fill": "x".repeat(400),
+        })
+        .to_string();
+        self.sealed(request, &fault, &errand, operation.as_deref().unwrap_or(""), text)
+    }
+
+    fn sealed(&self, request: &rouille::Request, fault: &str, errand: &str, operation: &str, text: String) -> rouille::Response {
+        let target = if fault == "other-request" { "/other" } else { request.raw_url() };
+        let status = if fault == "status-500" { 500 } else { 200 };
+        let seal = Seal {
+            status,
+            method: request.method(),
+            target,
+            service: &self.service,
+            instance: &self.instance,
+            operation,
+            errand,
+            body: text.as_bytes(),
+        };
+        let stranger = SigningKey::from_bytes(&[99; 32]);
+        let mut headers = seal.sign(if fault == "foreign-key" { &stranger } else { &self.key });
+        if fault == "unsigned" {
+            headers.retain(|(name, _)| name != "Signature");
+        }
+        if self.private {
+            headers.push(("Cache-Control".into(), "private".into()));
+        }
+        let text = match fault {
+            "short" => text[..text.len() / 2].to_string(),
+            "lose-answer" => String::new(),
+            _ => text,
+        };
+        let mut answer = rouille::Response::from_data("application/json", text);
+        answer.status_code = status;
+        answer.headers.extend(headers.into_iter().map(|(name, value)| (name.into(), value.into())));
+        if fault == "lose-answer" {
+            answer.headers.retain(|(name, _)| !name.starts_with("Signature"));
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/stand-ins/src/prelude.rs
@@ -0,0 +1,16 @@
+pub use crate::caller::{CallerPlan, Traffic};
+pub use crate::checker::{Checker, Verdict};
+pub use crate::deployment::Deployment;
+pub use crate::dice::Dice;
+pub use crate::flags::Flags;
+pub use crate::fleet::{Fleet, Node};
+pub use crate::origin::StandInOrigin;
+pub use crate::record::*;
+pub use crate::schema_check::SchemaCheck;
+pub use data_plane::Seal;
+pub use ed25519_dalek::SigningKey;
+pub use kernel::prelude::*;
+pub use serde_json::json;
+pub use std::fs::{self, File, OpenOptions};
+pub use std::process::{Child, Command, Stdio};
+pub use std::time::{SystemTime, UNIX_EPOCH};
