simulate-fleet: the real planes in virtual time, judged by the same checker

Cause: failures could only be brought about with processes and real time. The fence is now asked before the entry table: a cut-off node with an old image answered 404 for entries it did not know yet.

--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -9,7 +9,7 @@
 /// - `bytes` is the sum over all copies and stays within `limit`: over it, the
 ///   copies that were asked for longest ago go first.
 pub struct CacheOwner {
-    keys: HashMap<CacheKey, Slot>,
+    keys: BTreeMap<CacheKey, Slot>,
     bytes: u64,
     limit: u64,
     serial: u64,
@@ -69,7 +69,7 @@
 
 impl CacheOwner {
     pub fn new(limit: u64) -> CacheOwner {
-        CacheOwner { keys: HashMap::new(), bytes: 0, limit, serial: 0, given: 0, out: Vec::new() }
+        CacheOwner { keys: BTreeMap::new(), bytes: 0, limit, serial: 0, given: 0, out: Vec::new() }
     }
 
     pub fn take_out(&mut self) -> Vec<(SocketAddr, Message)> {
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -24,9 +24,9 @@
     /// Cache slices held here, with the epoch they were granted under.
     slices: BTreeMap<u16, u64>,
     gates: BTreeMap<String, Gate>,
-    jobs: HashMap<u64, Job>,
+    jobs: BTreeMap<u64, Job>,
     /// Endings of claims that the ledger has not confirmed yet.
-    loose: HashMap<u64, Loose>,
+    loose: BTreeMap<u64, Loose>,
     probes: HashMap<u64, Origin>,
     next_probe: u64,
     usage: Usage,
@@ -71,8 +71,8 @@
             cache: CacheOwner::new(cache_bytes),
             slices: BTreeMap::new(),
             gates: BTreeMap::new(),
-            jobs: HashMap::new(),
-            loose: HashMap::new(),
+            jobs: BTreeMap::new(),
+            loose: BTreeMap::new(),
             probes: HashMap::new(),
             next_probe: PROBE_IDS,
             usage: Usage::default(),
@@ -708,9 +708,6 @@
                 again.push(*id);
             }
         }
-        // In the order they came, whatever the table's own order is.
-        overdue.sort_unstable();
-        again.sort_unstable();
         again.into_iter().for_each(|id| self.fall_back_or_say(now, id));
         overdue.into_iter().for_each(|id| self.overdue(now, id));
         let due: Vec<u64> = self.loose.iter().filter(|(_, loose)| now >= loose.again).map(|(id, _)| *id).collect();
--- a/data-plane/src/filter.rs
+++ b/data-plane/src/filter.rs
@@ -77,6 +77,18 @@
     }
 }
 
+/// A fenced node says nothing that hangs on its image, not even that there is
+/// no such entry. What carries an operation key may have run elsewhere.
+struct Fence;
+inventory::submit!(FilterPlugIn { order: 25, filter: &Fence });
+
+impl Filter for Fence {
+    fn pass(&self, arrival: &mut Arrival) -> Filtered {
+        let outcome = if arrival.header("operation-key").is_some() { RunState::Unknown } else { RunState::NotRun };
+        (!arrival.live).then(|| Refusal::new(503, "fenced", outcome, "this node is cut off from a majority; another may serve"))
+    }
+}
+
 struct Match;
 inventory::submit!(FilterPlugIn { order: 30, filter: &Match });
 
@@ -115,18 +127,6 @@
     }
 }
 
-/// Last, since only a well-formed keyed request can have run before: of it a
-/// fenced node cannot say "not run".
-struct Fence;
-inventory::submit!(FilterPlugIn { order: 60, filter: &Fence });
-
-impl Filter for Fence {
-    fn pass(&self, arrival: &mut Arrival) -> Filtered {
-        let outcome = if arrival.kind() == Some(Kind::Keyed) { RunState::Unknown } else { RunState::NotRun };
-        (!arrival.live).then(|| Refusal::new(503, "fenced", outcome, "this node is cut off from a majority; another may serve"))
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use crate::prelude::*;
@@ -157,6 +157,7 @@
         assert_eq!(told(arrival("POST", "/k", &[], true)), not_run(400, "operation_key_missing"));
         assert_eq!(told(arrival("POST", "/k", &[("operation-key", &long)], true)), not_run(400, "operation_key_malformed"));
         assert_eq!(told(arrival("GET", "/p", &[], false)), not_run(503, "fenced"));
+        assert_eq!(told(arrival("GET", "/none", &[], false)), not_run(503, "fenced"));
         let keyed = told(arrival("POST", "/k", &[("operation-key", "a")], false));
         assert_eq!(keyed, Some((503, "fenced".into(), RunState::Unknown)));
         let body = Err(Refusal::not_run(413, "body_unreadable", ""));
--- /dev/null
+++ b/simulate-fleet/src/lib.rs
@@ -0,0 +1,10 @@
+//! The real planes in virtual time, under faults, judged by the same checker
+//! as a fleet of processes.
+pub mod fault;
+pub mod prelude;
+pub mod schedule;
+pub mod sim_node;
+pub mod sim_origin;
+pub mod world;
+#[cfg(test)]
+mod scenarios;
--- /dev/null
+++ b/simulate-fleet/src/prelude.rs
@@ -0,0 +1,10 @@
+pub use crate::fault::{Fault, Place};
+pub use crate::schedule::Schedule;
+pub use crate::sim_node::{Disk, SimNode};
+pub use crate::sim_origin::{Mood, SimOrigin};
+pub use crate::world::{Report, World, WorldPlan};
+pub use control_plane::{ControlPart, Record, Replica};
+pub use data_plane::prelude::{Arrival, chain};
+pub use data_plane::{EdgePart, errand_of};
+pub use stand_ins::deployment::Mix;
+pub use stand_ins::prelude::*;
--- /dev/null
+++ b/simulate-fleet/src/sim_node.rs
@@ -0,0 +1,103 @@
+use crate::prelude::*;
+
+/// A disk that keeps only what was synced when the power goes.
+#[derive(Debug, Default)]
+pub struct Disk {
+    pub synced: Vec<Vec<u8>>,
+    pub pending: VecDeque<(u64, bool, Vec<u8>)>,
+    pub full: bool,
+    /// When the sync now running is done.
+    pub busy_until: Duration,
+}
+
+impl Disk {
+    pub fn sync(&mut self, serial: u64) {
+        while self.pending.front().is_some_and(|(at, _, _)| *at <= serial) {
+            let (_, image, record) = self.pending.pop_front().expect("just seen");
+            if image {
+                self.synced.clear();
+            }
+            self.synced.push(record);
+        }
+    }
+
+    pub fn lose_power(&mut self) {
+        self.pending.clear();
+        self.busy_until = Duration::ZERO;
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.synced.iter().map(Vec::len).sum()
+    }
+}
+
+/// A process in the simulation: a part and what its host would hold.
+pub struct SimNode {
+    pub place: Place,
+    pub mate: Mate,
+    pub zone: String,
+    pub part: Option<Box<dyn Part>>,
+    /// Counts starts: what an earlier run began does not reach a later one.
+    pub run: u64,
+    pub began: Duration,
+    pub paused: Duration,
+    pub disk: Disk,
+    pub fence: Duration,
+    pub ready: bool,
+    pub image: Option<Arc<EntryTable>>,
+    pub ending: bool,
+}
+
+impl SimNode {
+    pub fn new(place: Place, address: SocketAddr, zone: &str) -> SimNode {
+        SimNode {
+            place,
+            mate: Mate::new(address, 0),
+            zone: zone.into(),
+            part: None,
+            run: 0,
+            began: Duration::ZERO,
+            paused: Duration::ZERO,
+            disk: Disk::default(),
+            fence: Duration::ZERO,
+            ready: false,
+            image: None,
+            ending: false,
+        }
+    }
+
+    /// Its own clock: monotonic, and begun anew with each run.
+    pub fn clock(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.began)
+    }
+
+    pub fn live(&self, now: Duration) -> bool {
+        self.part.is_some() && self.clock(now) < self.fence
+    }
+
+    pub fn start(&mut self, now: Duration, seeds: &[SocketAddr], life: u64) {
+        self.run += 1;
+        self.began = now;
+        self.paused = Duration::ZERO;
+        (self.fence, self.ready, self.image, self.ending) = (Duration::ZERO, false, None, false);
+        self.part = Some(match self.place {
+            Place::Control(slot) => {
+                let known = Replica::replay(&self.disk.synced).expect("synced records read back");
+                let blank = known.is_none();
+                let part = ControlPart::new(slot as u8, seeds.to_vec(), known.unwrap_or_else(|| Replica::blank(life)), blank);
+                self.mate = part.me();
+                Box::new(part)
+            }
+            Place::Edge(_) => {
+                self.mate.life = life;
+                Box::new(EdgePart::new(self.mate, &self.zone, seeds.to_vec(), 64 << 20))
+            }
+        });
+    }
+
+    pub fn kill(&mut self) {
+        self.part = None;
+        self.run += 1;
+        self.disk.lose_power();
+    }
+}
