--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// True while the process runs.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     pub fn ready(&self) -> bool {
         http(self.http, "GET", "ready", "").is_ok_and(|(status, _)| status == 200)
     }
@@ -150,10 +155,16 @@
         self.record.put(&FleetRecord { at: wall(), what: what.into(), subject: subject.into(), number, good });
     }
 
+    /// Control nodes and edges.
+    pub fn start_nodes(&mut self) -> Result<()> {
+        let folder = self.folder.clone();
+        self.control.iter_mut().chain(&mut self.edges).try_for_each(|node| node.start(&folder))
+    }
+
     pub fn start_all(&mut self) -> Result<()> {
         let folder = self.folder.clone();
-        let all = self.control.iter_mut().chain(&mut self.edges).chain(&mut self.origins);
-        all.into_iter().try_for_each(|node| node.start(&folder))
+        self.origins.iter_mut().try_for_each(|node| node.start(&folder))?;
+        self.start_nodes()
     }
 
     pub fn start(folder: &Path, node: &mut Node) -> Result<()> {
