Second calls of an errand are extra tries; scenarios for each failure

Ruled out: change of the gate's holder, unused permits. Now any call after an errand's first is extra; an answer under way when the purge was learned still goes to its caller for a second, which is before the acknowledgement. Also a MISS said twice no longer ends the refresher's own token. The simulator now also looks for duties held by two live nodes, for edges without the configuration at the moment of its acknowledgement, and cuts the power the moment something is acknowledged.

--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -344,7 +344,7 @@
     fn a_late_put_is_dropped_after_a_purge_a_move_or_a_newer_put() {
         let purge = Purge { entry: None, url: Some("/u".into()), prefix: None };
         let mut book = PurgeBook::default();
-        book.learn(1, &[("p".into(), Row { version: 1, value: Value::Purge { purge: purge.clone(), change: 1 } })]);
+        book.learn(Duration::ZERO, 1, &[("p".into(), Row { version: 1, value: Value::Purge { purge: purge.clone(), change: 1 } })]);
         let mut owner = filled(0);
         let token = ask(&mut owner, 5000, 2).1.unwrap();
         owner.purge(&purge);
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -49,6 +49,9 @@
 const LATE: Duration = Duration::from_secs(1);
 /// A warned edge waits this long for its duties to be taken.
 const HAND_OVER: Duration = Duration::from_secs(5);
+/// How long after a purge was learned (so, before it was acknowledged) an
+/// answer that was under way may still go to the caller who waited for it.
+const PURGE_GRACE: Duration = Duration::from_secs(1);
 const PROBE: &str = "/.well-known/otterslip-identity";
 const PROBE_LIMIT: Duration = Duration::from_millis(1000);
 /// Ids of probes; those of errands come from the host and are below.
@@ -128,7 +131,7 @@
         let rows: Vec<(String, Row)> = news.rows.into_iter().filter(|(_, row)| row.version > known).collect();
         match news.slice {
             PURGES => {
-                let (fresh, missed) = self.book.learn(news.version, &rows);
+                let (fresh, missed) = self.book.learn(now, news.version, &rows);
                 if missed {
                     self.cache.clear();
                 }
@@ -138,6 +141,7 @@
         }
         self.vector[usize::from(news.slice)] = news.version;
         self.sync_duties(now);
+        self.show_duties();
     }
 
     fn learn_row(&mut self, key: String, row: Row) {
@@ -198,6 +202,12 @@
         self.tell_underway(now, &table);
     }
 
+    fn show_duties(&mut self) {
+        let gates = self.gates.keys().map(|service| gate_duty(service));
+        let list = self.slices.keys().map(|slice| cache_duty(*slice)).chain(gates).collect();
+        self.out.push(Output::Show(Shown::Duties(list)));
+    }
+
     /// New gate holders hear of our calls under way by earlier permits.
     fn tell_underway(&mut self, now: Duration, table: &EntryTable) {
         for group in &table.document.groups {
@@ -288,10 +298,10 @@
                     self.tell(holder.address, get);
                 }
             }
-            Stage::Knocking { extra } => {
+            Stage::Knocking => {
                 let entry = job.errand.entry();
                 let service = entry.group.clone();
-                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra: *extra, call: left };
+                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra: job.calls > 0, call: left };
                 let holder = self.duties.get(&gate_duty(&entry.group)).and_then(|duty| duty.holder);
                 if let Some(holder) = holder {
                     self.tell(holder.address, knock);
@@ -369,7 +379,7 @@
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
         match (&job.stage, told) {
-            (Stage::Claiming, Outcome::Claimed) => self.set_stage(now, id, Stage::Knocking { extra: false }),
+            (Stage::Claiming, Outcome::Claimed) => self.set_stage(now, id, Stage::Knocking),
             (Stage::Claiming, Outcome::Taken { same: false, .. }) => {
                 let refusal = Refusal::not_run(422, "operation_key_reused", "this operation key came with another request or caller");
                 self.end(now, id, Answer::Refusal(refusal));
@@ -421,11 +431,14 @@
 
     fn miss(&mut self, now: Duration, from: Mate, miss: Miss) {
         let Miss { id, key, token } = miss;
+        if self.jobs.get(&id).is_some_and(|job| job.token == Some((from.address, token))) {
+            return; // Said twice.
+        }
         if self.getting(id, key).is_none() {
             return self.tell(from.address, Fail { key, token, private: false });
         }
         self.jobs.get_mut(&id).expect("just seen").token = Some((from.address, token));
-        self.set_stage(now, id, Stage::Knocking { extra: false });
+        self.set_stage(now, id, Stage::Knocking);
     }
 
     fn no_copy(&mut self, now: Duration, no_copy: NoCopy) {
@@ -433,7 +446,7 @@
         if spare {
             self.end_spare(now, no_copy.id);
         } else {
-            self.set_stage(now, no_copy.id, Stage::Knocking { extra: false });
+            self.set_stage(now, no_copy.id, Stage::Knocking);
         }
     }
 
@@ -449,7 +462,7 @@
         let listed = self.origins.iter().any(|origin| *origin == permit.origin && !origin.leaving);
         let job = self.jobs.get_mut(&permit.id);
         let wants = job.as_ref().is_some_and(|job| {
-            matches!(job.stage, Stage::Knocking { .. }) && job.errand.entry().group == permit.service && now < job.deadline
+            matches!(job.stage, Stage::Knocking) && job.errand.entry().group == permit.service && now < job.deadline
         });
         if !(fresh && live && listed && wants) {
             let (service, epoch, serial) = (permit.service, permit.epoch, permit.serial);
@@ -464,7 +477,7 @@
         job.calls += 1;
         job.sent = true;
         self.usage.calls += 1;
-        self.usage.extra += u64::from(matches!(job.stage, Stage::Knocking { extra: true }));
+        self.usage.extra += u64::from(job.calls > 1);
         let id = permit.id;
         job.stage = Stage::Calling { permit, since: now };
         self.out.push(Output::Call { id, call });
@@ -472,7 +485,7 @@
 
     fn away(&mut self, now: Duration, away: Away) {
         let Some(job) = self.jobs.get(&away.id) else { return };
-        if !matches!(job.stage, Stage::Knocking { .. }) || away.reason == AwayReason::NotHere {
+        if !matches!(job.stage, Stage::Knocking) || away.reason == AwayReason::NotHere {
             return;
         }
         let refusal = match away.reason {
@@ -518,7 +531,7 @@
         let job = &self.jobs[&id];
         let refusal = job.refuse(status, code, text);
         if may && job.calls < CALLS && now < job.deadline {
-            self.set_stage(now, id, Stage::Knocking { extra: true });
+            self.set_stage(now, id, Stage::Knocking);
         } else {
             self.give_up(now, id, refusal);
         }
@@ -535,14 +548,16 @@
             age = Some(now - job.began);
             let key = job.key.expect("cached");
             let shared = shareable(&reply);
-            let purged = !self.book.clear(token.purged, &job.errand.entry().name, &job.errand.url);
+            // Begun before a purge that reaches it: good for its own caller
+            // while that is fresh, then fetched anew.
+            let reached = self.book.reached(token.purged, &job.errand.entry().name, &job.errand.url);
+            let purged = reached.is_some_and(|learned| now >= learned + PURGE_GRACE);
             if shared && keepable(reply.status) {
                 self.tell(owner, Put { key, token, reply: reply.clone() });
             } else {
                 self.tell(owner, Fail { key, token, private: !shared });
             }
             if purged {
-                // Begun before a purge that reaches it: fetched anew.
                 return self.set_stage(now, id, Stage::Getting { since: now, spare: false });
             }
         }
@@ -569,7 +584,7 @@
                 let refusal = job.refuse(503, "no_copy", "no copy came in time");
                 self.end(now, id, Answer::Refusal(refusal));
             }
-            Stage::Knocking { .. } => {
+            Stage::Knocking => {
                 let refusal = job.refuse(429, "over_capacity", "the service could not be called in time");
                 let spare = job.token.is_some();
                 self.give_up(now, id, refusal);
@@ -728,7 +743,7 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let half = job.began + (job.deadline - job.began) / 2;
         match job.stage {
-            Stage::Getting { spare: false, .. } if now >= half => self.set_stage(now, id, Stage::Knocking { extra: false }),
+            Stage::Getting { spare: false, .. } if now >= half => self.set_stage(now, id, Stage::Knocking),
             Stage::Recording { .. } | Stage::Releasing { .. } | Stage::Claiming => self.say(now, id),
             _ if self.is_live(now) => self.say(now, id),
             _ => {}
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -26,7 +26,7 @@
 pub enum Stage {
     Claiming,
     Getting { since: Duration, spare: bool },
-    Knocking { extra: bool },
+    Knocking,
     Calling { permit: Permit, since: Duration },
     /// The outcome goes to the ledger, then the answer to the caller.
     Recording { reply: Option<Arc<Reply>>, answer: Answer },
@@ -38,7 +38,7 @@
         Job {
             began: now,
             deadline: now + errand.entry().deadline(),
-            stage: Stage::Knocking { extra: false },
+            stage: Stage::Knocking,
             again: now,
             round: 0,
             calls: 0,
--- a/data-plane/src/purge_book.rs
+++ b/data-plane/src/purge_book.rs
@@ -7,18 +7,20 @@
 pub struct PurgeBook {
     pub applied: u64,
     floor: u64,
-    list: BTreeMap<u64, Purge>,
+    /// With the time each was learned here: before its acknowledgement, since
+    /// that waits for this edge.
+    list: BTreeMap<u64, (Duration, Purge)>,
 }
 
 impl PurgeBook {
     /// Takes news; returns what is new, and whether some were missed so that
     /// every copy must go.
-    pub fn learn(&mut self, version: u64, rows: &[(String, Row)]) -> (Vec<Purge>, bool) {
+    pub fn learn(&mut self, now: Duration, version: u64, rows: &[(String, Row)]) -> (Vec<Purge>, bool) {
         let before = self.applied;
         let mut fresh = Vec::new();
         for (_, row) in rows.iter().filter(|(_, row)| row.version > before) {
             if let Value::Purge { purge, .. } = &row.value {
-                self.list.insert(row.version, purge.clone());
+                self.list.insert(row.version, (now, purge.clone()));
                 fresh.push(purge.clone());
             }
         }
@@ -35,7 +37,16 @@
 
     /// Whether a copy known clear up to `purged` is still clear.
     pub fn clear(&self, purged: u64, entry: &str, url: &str) -> bool {
-        purged >= self.floor && !self.list.range(purged + 1..).any(|(_, purge)| purge.reaches(entry, url))
+        self.reached(purged, entry, url).is_none()
+    }
+
+    /// When the first purge was learned that reaches such a copy.
+    pub fn reached(&self, purged: u64, entry: &str, url: &str) -> Option<Duration> {
+        if purged < self.floor {
+            return Some(Duration::ZERO);
+        }
+        let mut later = self.list.range(purged + 1..).map(|(_, known)| known);
+        later.find(|(_, purge)| purge.reaches(entry, url)).map(|(learned, _)| *learned)
     }
 }
 
@@ -51,7 +62,7 @@
     #[test]
     fn a_copy_is_clear_of_purges_known_when_its_fetch_began_and_of_no_later_one() {
         let mut book = PurgeBook::default();
-        book.learn(2, &[row(1, "/a"), row(2, "/b")]);
+        book.learn(Duration::ZERO, 2, &[row(1, "/a"), row(2, "/b")]);
         assert!(!book.clear(0, "e", "/a/1"));
         assert!(book.clear(1, "e", "/a/1"));
         assert!(!book.clear(1, "e", "/b/1"));
@@ -61,8 +72,8 @@
     #[test]
     fn an_edge_that_missed_more_purges_than_are_kept_drops_everything_older() {
         let mut book = PurgeBook::default();
-        assert!(!book.learn(1, &[row(1, "/a")]).1);
-        let (_, missed) = book.learn(PURGES_KEPT + 5, &[row(PURGES_KEPT + 5, "/z")]);
+        assert!(!book.learn(Duration::ZERO, 1, &[row(1, "/a")]).1);
+        let (_, missed) = book.learn(Duration::ZERO, PURGES_KEPT + 5, &[row(PURGES_KEPT + 5, "/z")]);
         assert!(missed);
         assert!(!book.clear(4, "e", "/other"));
         assert!(book.clear(5, "e", "/other"));
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -133,6 +133,7 @@
                         port.ready.store(ready, Ordering::Release);
                         port.fence.store(until.as_nanos() as u64, Ordering::Release);
                     }
+                    Output::Show(Shown::Duties(_)) => {}
                     Output::Show(Shown::Configuration(table)) => port.image.store(Arc::new(Some(table))),
                     Output::Ended => {
                         port.ending.store(true, Ordering::Release);
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -42,6 +42,8 @@
 pub enum Shown {
     Fence { until: Duration, ready: bool },
     Configuration(Arc<EntryTable>),
+    /// The duties held now, by name.
+    Duties(Vec<String>),
 }
 
 /// A caller's request, read in full.
--- a/simulate-fleet/src/fault.rs
+++ b/simulate-fleet/src/fault.rs
@@ -42,6 +42,17 @@
     /// Two operators at once, at different control nodes.
     Race,
     ReadBack,
+    /// The power of all nodes goes the moment this next comes true, and is
+    /// back three seconds later.
+    PowerCutOn(Moment),
     /// All machines are back: from now, service must be within 15 s.
     Returned,
 }
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Moment {
+    Configured,
+    Purged,
+    /// A keyed errand was answered with success.
+    Booked,
+}
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -1,4 +1,4 @@
-pub use crate::fault::{Fault, Place};
+pub use crate::fault::{Fault, Moment, Place};
 pub use crate::schedule::Schedule;
 pub use crate::sim_node::{Disk, SimNode};
 pub use crate::sim_origin::{Mood, SimOrigin};
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -26,3 +26,224 @@
     judge(&report, &[1, 3, 4, 5, 6, 7, 11]);
     assert!(served(&report) > 0.999, "{}", served(&report));
 }
+
+const CONTROL: [Place; 3] = [Place::Control(0), Place::Control(1), Place::Control(2)];
+
+/// Share of errands that began within a span (in seconds) and were served.
+fn served_within(report: &Report, from: f64, to: f64) -> f64 {
+    let calls: Vec<_> = report.checker.callers.iter().filter(|call| call.start >= from && call.start < to).collect();
+    calls.iter().filter(|call| call.status == 200).count() as f64 / calls.len().max(1) as f64
+}
+
+#[test]
+fn random_schedules_break_nothing() {
+    let deployment = Deployment::find("small").unwrap();
+    let span = Duration::from_secs(60);
+    let mut exercised = BTreeSet::new();
+    for seed in 1..=60 {
+        let faults = Schedule::random(&deployment, seed, span);
+        let report = World::new(WorldPlan { deployment: deployment.clone(), seed, span, faults }).run();
+        for (at, (never, verdict)) in report.checker.verdicts().into_iter().enumerate() {
+            assert!(!matches!(verdict, Verdict::Broken(_)), "seed {seed}: {never}: {verdict:?}");
+            if verdict != Verdict::NotExercised {
+                exercised.insert(at + 1);
+            }
+        }
+    }
+    assert_eq!(exercised.len(), 12, "{exercised:?}");
+}
+
+#[test]
+fn the_same_seed_repeats_the_same_run() {
+    let deployment = Deployment::find("small").unwrap();
+    let span = Duration::from_secs(40);
+    let run = || {
+        let faults = Schedule::random(&deployment, 5, span);
+        let report = World::new(WorldPlan { deployment: deployment.clone(), seed: 5, span, faults }).run();
+        (report.steps, format!("{:?} {:?}", report.notes, report.checker.callers))
+    };
+    assert!(run() == run());
+}
+
+#[test]
+fn power_fails_everywhere_and_all_that_was_acknowledged_is_there() {
+    let mut faults = vec![(6_000, Fault::Configure), (9_000, Fault::Content), (9_001, Fault::Purge("/".into()))];
+    for place in CONTROL.into_iter().chain((0..4).map(Place::Edge)) {
+        faults.extend([(15_000, Fault::Kill(place)), (18_000, Fault::Start(place))]);
+    }
+    faults.extend([(18_000, Fault::Returned), (20_000, Fault::ReadBack)]);
+    let report = small(3, 50, faults);
+    judge(&report, &[1, 6, 7, 12]);
+    assert!(served_within(&report, 23.0, 40.0) > 0.999, "{}", served_within(&report, 23.0, 40.0));
+}
+
+#[test]
+fn a_control_node_is_replaced_by_an_empty_one_and_then_another_goes() {
+    for slot in 0..3 {
+        let next = Place::Control((slot + 1) % 3);
+        let faults = vec![
+            (6_000, Fault::Configure),
+            (10_000, Fault::Wipe(Place::Control(slot))),
+            (14_000, Fault::Start(Place::Control(slot))),
+            (20_000, Fault::Kill(next)),
+            (22_000, Fault::Configure),
+            (24_000, Fault::ReadBack),
+        ];
+        let report = small(slot as u64 + 1, 40, faults);
+        judge(&report, &[1, 6, 7]);
+        assert!(served(&report) > 0.99, "slot {slot}: {}", served(&report));
+    }
+}
+
+#[test]
+fn each_control_node_may_be_killed_paused_or_isolated_and_service_goes_on() {
+    for place in CONTROL {
+        let faults = vec![
+            (8_000, Fault::Kill(place)),
+            (13_000, Fault::Start(place)),
+            (18_000, Fault::Pause(place, Duration::from_secs(4))),
+            (26_000, Fault::Isolate(place)),
+            (31_000, Fault::Heal),
+            (9_000, Fault::Configure),
+            (19_500, Fault::Configure),
+            (27_500, Fault::Configure),
+            (33_000, Fault::ReadBack),
+        ];
+        let report = small(4, 45, faults);
+        judge(&report, &[1, 6, 7]);
+        assert!(served(&report) > 0.97, "{place:?}: {}", served(&report));
+        let configured = report.checker.fleet.iter().filter(|one| one.what == "configured").count();
+        assert_eq!(configured, 4, "{place:?}");
+    }
+}
+
+#[test]
+fn an_isolated_edge_fences_itself_and_changes_settle_without_it() {
+    let edge = Place::Edge(2);
+    let faults = vec![
+        (8_000, Fault::Isolate(edge)),
+        (8_100, Fault::Configure),
+        (8_200, Fault::Content),
+        (8_201, Fault::Purge("/".into())),
+        (20_000, Fault::Heal),
+    ];
+    let report = small(5, 40, faults);
+    judge(&report, &[4, 6]);
+    let at = |what: &str| report.checker.fleet.iter().rev().find(|one| one.what == what).unwrap().at;
+    assert!(at("configured") < 8.1 + 2.0 && at("purged") < 8.2 + 2.0, "{} {}", at("configured"), at("purged"));
+    assert!(at("configured") > 8.1 + 0.3, "it waited for the edge to lapse");
+}
+
+#[test]
+fn an_edge_paused_with_answers_in_hand_sends_nothing_old() {
+    for seed in 1..6 {
+        let mut faults = Vec::new();
+        for round in 0..5u64 {
+            let at = 8_000 + round * 5_000;
+            faults.push((at, Fault::Pause(Place::Edge(round as usize % 4), Duration::from_millis(3_800))));
+            faults.push((at + 20, Fault::Content));
+            faults.push((at + 21, Fault::Purge("/".into())));
+        }
+        judge(&small(seed, 45, faults), &[4]);
+    }
+}
+
+#[test]
+fn a_rolling_restart_of_every_machine_drops_nothing_that_was_read() {
+    let mut faults = Vec::new();
+    for (at, place) in CONTROL.into_iter().chain((0..4).map(Place::Edge)).enumerate() {
+        faults.push((8_000 + at as u64 * 5_000, Fault::Restart(place)));
+    }
+    let report = small(6, 60, faults);
+    judge(&report, &[11]);
+    assert!(report.checker.callers.iter().all(|call| !call.dropped));
+    assert!(served(&report) > 0.995, "{}", served(&report));
+}
+
+#[test]
+fn origins_fail_in_every_way_and_nothing_runs_twice() {
+    let faults = vec![
+        (8_000, Fault::Origin(2, Mood::Mute)),
+        (13_000, Fault::Origin(2, Mood::Good)),
+        (14_000, Fault::Origin(3, Mood::WrongBytes)),
+        (18_000, Fault::Origin(3, Mood::Good)),
+        (19_000, Fault::Origin(2, Mood::Down)),
+        (23_000, Fault::Origin(2, Mood::Good)),
+        (24_000, Fault::Origin(0, Mood::Slow)),
+        (28_000, Fault::Origin(0, Mood::Good)),
+        (30_000, Fault::Replace(2)),
+        (34_000, Fault::Leave(3)),
+        (38_000, Fault::Origin(3, Mood::Down)),
+    ];
+    let report = small(7, 55, faults);
+    judge(&report, &[1, 3, 8]);
+    assert!(served(&report) > 0.97, "{}", served(&report));
+    let unknown = report.checker.callers.iter().filter(|call| call.outcome == "unknown").count();
+    assert!(unknown > 0, "some answers were lost after sending");
+}
+
+#[test]
+fn an_address_that_went_to_another_service_gets_no_errand() {
+    for seed in 1..8 {
+        let faults = vec![(9_000, Fault::Origin(3, Mood::Down)), (9_400, Fault::Usurp(3)), (9_401, Fault::Origin(3, Mood::Good))];
+        judge(&small(seed, 30, faults), &[3]);
+    }
+}
+
+#[test]
+fn a_full_disk_takes_its_node_out_and_a_restart_with_room_brings_it_back() {
+    let place = Place::Control(1);
+    let faults = vec![
+        (8_000, Fault::DiskFull(place)),
+        (10_000, Fault::Configure),
+        (15_000, Fault::Kill(place)),
+        (16_000, Fault::Start(place)),
+        (22_000, Fault::Kill(Place::Control(0))),
+        (24_000, Fault::Configure),
+        (26_000, Fault::ReadBack),
+    ];
+    let report = small(8, 45, faults);
+    judge(&report, &[1, 6, 7]);
+    assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "configured").count(), 3);
+    assert!(served(&report) > 0.97, "{}", served(&report));
+}
+
+#[test]
+fn with_origins_capped_at_half_the_demand_the_higher_rank_is_served_and_the_lower_told_at_once() {
+    let mut deployment = Deployment::find("small").unwrap();
+    deployment.rate = 120;
+    // Applications get 36 errands a second, of which 18 are of rank 9.
+    deployment.services[1].rate = 11.0;
+    let report = World::new(WorldPlan { deployment, seed: 9, span: Duration::from_secs(40), faults: vec![] }).run();
+    judge(&report, &[10]);
+    let share = |rank: u32| {
+        let calls: Vec<_> = report.checker.callers.iter().filter(|call| call.rank == rank && call.entry != "listing").collect();
+        calls.iter().filter(|call| call.status == 200).count() as f64 / calls.len() as f64
+    };
+    assert!(share(9) > 0.95, "rank 9: {}", share(9));
+    assert!(share(5) < 0.6, "rank 5: {}", share(5));
+    for call in report.checker.callers.iter().filter(|call| call.status == 429) {
+        assert_eq!(call.outcome, "not_run");
+    }
+    let waited = |call: &&CallerRecord| call.status == 429 && call.end - call.start > 3.5;
+    let late = report.checker.callers.iter().filter(waited).count();
+    let away = report.checker.callers.iter().filter(|call| call.status == 429).count();
+    assert!(late * 10 < away, "{late} of {away} heard only near their deadline");
+}
+
+#[test]
+fn power_goes_the_moment_something_is_acknowledged_and_it_is_still_there() {
+    for seed in 1..=30 {
+        let moment = [Moment::Configured, Moment::Purged, Moment::Booked][seed as usize % 3];
+        let faults = vec![
+            (8_000, Fault::PowerCutOn(moment)),
+            (8_010 + seed * 7, Fault::Configure),
+            (8_015 + seed * 7, Fault::Content),
+            (8_016 + seed * 7, Fault::Purge("/".into())),
+            (14_000, Fault::ReadBack),
+            (16_000, Fault::ReadBack),
+        ];
+        let report = small(seed, 40, faults);
+        judge(&report, &[1, 12]);
+    }
+}
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -46,6 +46,7 @@
     pub ready: bool,
     pub image: Option<Arc<EntryTable>>,
     pub ending: bool,
+    pub duties: Vec<String>,
 }
 
 impl SimNode {
@@ -63,6 +64,7 @@
             ready: false,
             image: None,
             ending: false,
+            duties: Vec::new(),
         }
     }
 
@@ -77,6 +79,7 @@
 
     pub fn start(&mut self, now: Duration, seeds: &[SocketAddr], life: u64) {
         self.run += 1;
+        self.duties.clear();
         self.began = now;
         self.paused = Duration::ZERO;
         (self.fence, self.ready, self.image, self.ending) = (Duration::ZERO, false, None, false);
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -36,6 +36,7 @@
     acknowledged: Option<(u64, String)>,
     /// The platform puts one list at a time; a change meanwhile waits.
     origins_due: Option<bool>,
+    trap: Option<Moment>,
     asked: BTreeMap<u64, Asked>,
     errands: BTreeMap<u64, Underway>,
     callers: Vec<CallerRecord>,
@@ -107,6 +108,7 @@
             next_marker: 0,
             acknowledged: None,
             origins_due: None,
+            trap: None,
             asked: BTreeMap::new(),
             errands: BTreeMap::new(),
             callers: Vec::new(),
@@ -273,6 +275,7 @@
                 *self.notes.entry(event).or_default() += 1;
             }
             Output::Show(Shown::Fence { until, ready }) => (self.nodes[node].fence, self.nodes[node].ready) = (until, ready),
+            Output::Show(Shown::Duties(list)) => self.duties_shown(node, list),
             Output::Show(Shown::Configuration(table)) => self.nodes[node].image = Some(table),
             Output::Ended => {
                 if !std::mem::replace(&mut self.nodes[node].ending, true) {
@@ -284,6 +287,28 @@
         }
     }
 
+    /// No duty is ever held by two live nodes.
+    fn duties_shown(&mut self, node: usize, list: Vec<String>) {
+        let others = |duty: &String| (3..self.nodes.len()).find(|other| *other != node && self.nodes[*other].live(self.now) && self.nodes[*other].duties.contains(duty));
+        if self.nodes[node].live(self.now)
+            && let Some((duty, other)) = list.iter().find_map(|duty| Some((duty.clone(), others(duty)?)))
+        {
+            self.record("duty-held-twice", &format!("{duty} by {:?} and {:?}", self.nodes[node].place, self.nodes[other].place), 0, false);
+        }
+        self.nodes[node].duties = list;
+    }
+
+    fn spring(&mut self, moment: Moment) {
+        if self.trap == Some(moment) {
+            self.trap = None;
+            for node in 0..self.nodes.len() {
+                self.kill(node);
+                self.after(Duration::from_secs(3), Happening::Fault(Fault::Start(self.nodes[node].place)));
+            }
+            self.after(Duration::from_secs(3), Happening::Fault(Fault::Returned));
+        }
+    }
+
     fn send(&mut self, node: usize, to: SocketAddr, message: Message) {
         let from = self.nodes[node].mate;
         let Some(to) = self.by_address.get(&to).copied() else { return };
@@ -452,9 +477,14 @@
             }
         }
         let good = record.status == 200;
+        let mut sprung = false;
+        if good && task.operation.is_some() && task.tries == 0 {
+            sprung = self.trap == Some(Moment::Booked);
+            self.spring(Moment::Booked);
+        }
         if task.operation.is_some() && self.now + CALLER_PATIENCE < self.plan.span {
             // Some ask again though they were answered; all others until they are.
-            let again = if good { task.tries == 0 && self.dice.chance(15) } else { task.tries < 6 };
+            let again = if good { task.tries == 0 && (sprung || self.dice.chance(15)) } else { task.tries < 6 };
             if again {
                 let wait = if good { Duration::from_millis(100 + self.dice.roll(30_000)) } else { Duration::from_millis(500 + self.dice.roll(1500)) };
                 let zone = Some(self.nodes[node].zone.clone());
@@ -544,6 +574,14 @@
             Asked::Configure { marker, text, race, .. } => match outcome {
                 Outcome::Settled { version } => {
                     self.record("configured", "", marker, true);
+                    // In force everywhere: every live edge has it by now.
+                    for node in 3..self.nodes.len() {
+                        let known = self.nodes[node].image.as_ref().map_or(0, |image| image.version);
+                        if self.nodes[node].live(self.now) {
+                            self.fleet.push(FleetRecord { at: self.seconds(), what: "at-ack".into(), subject: format!("{:?}", self.nodes[node].place), number: marker, good: known >= version });
+                        }
+                    }
+                    self.spring(Moment::Configured);
                     if self.acknowledged.as_ref().is_none_or(|(known, _)| *known < version) {
                         self.acknowledged = Some((version, text));
                     }
@@ -557,7 +595,12 @@
                 }
                 _ => {}
             },
-            Asked::Purge { prefix, version } => self.record("purged", &prefix, version, settled),
+            Asked::Purge { prefix, version } => {
+                self.record("purged", &prefix, version, settled);
+                if settled {
+                    self.spring(Moment::Purged);
+                }
+            }
             Asked::Origins { list } => self.origins_told(&list, settled),
             Asked::ReadBack { expect: (version, text) } => {
                 if let Outcome::Configuration { version: known, text: told } = outcome {
@@ -625,6 +668,7 @@
                     self.record("restarted", &subject, 0, true);
                 }
                 if self.nodes[node].part.is_none() {
+                    self.nodes[node].disk.full = false;
                     self.start(node);
                 }
             }
@@ -690,6 +734,7 @@
                 self.configure(0, expect, false);
                 self.configure(1, expect, true);
             }
+            Fault::PowerCutOn(moment) => self.trap = Some(moment),
             Fault::Returned => self.record("returned", "all", 0, true),
             Fault::ReadBack => {
                 if let Some(expect) = self.acknowledged.clone() {
--- a/stand-ins/src/checker.rs
+++ b/stand-ins/src/checker.rs
@@ -195,6 +195,11 @@
                 cases.case(seen.good, || format!("marker {} missing at {}", seen.number, seen.subject));
             }
         }
+        // Only the simulator sees these: what was in force at the very moment
+        // of the acknowledgement, and duties held by two live nodes.
+        for seen in self.fleet.iter().filter(|one| one.what == "at-ack" || one.what == "duty-held-twice") {
+            cases.case(seen.good, || format!("{} {} {} at {:.3}", seen.what, seen.subject, seen.number, seen.at));
+        }
         cases.verdict()
     }
 
