The gate watches each origin's process: an address handed on gets no errand

Cause (scenario of an address handed to another service within 400 ms): a proof of up to two seconds' age let an errand through to the new process. Weighed: shorter proofs (a probe each half second costs a tenth of the rate), a probe before each errand (twice the calls), an idle connection whose end tells (taken).

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -677,7 +677,7 @@
             Input::Warned => {
                 self.warned.get_or_insert(now);
             }
-            Input::Errand { .. } | Input::Called { .. } => {}
+            Input::Errand { .. } | Input::Called { .. } | Input::Watched { .. } => {}
         }
         if self.able() {
             self.finish_step(now, pulse);
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -662,13 +662,16 @@
     fn run_gates(&mut self, now: Duration) {
         let Some(table) = self.table.clone() else { return };
         let mut calls = Vec::new();
+        let mut watches = Vec::new();
         for gate in self.gates.values_mut() {
             gate.pump(now);
             let Some(group) = table.document.groups.iter().find(|group| group.service == gate.service) else { continue };
+            watches.extend(gate.watches(now));
             for origin in gate.probes(now) {
                 calls.push((origin, group.key.clone()));
             }
         }
+        self.out.extend(watches.into_iter().map(|address| Output::Watch { address }));
         for (origin, key) in calls {
             self.next_probe += 1;
             let id = self.next_probe;
@@ -798,6 +801,11 @@
             Input::Heard { from, message } => self.heard(now, from, message),
             Input::Errand { id, errand } => self.begin(now, id, errand),
             Input::Called { id, result } => self.called(now, id, result),
+            Input::Watched { address, open } => {
+                self.gates.values_mut().for_each(|gate| gate.watched(now, address, open));
+                // At once: a proof is on the path of the first errands.
+                self.run_gates(now);
+            }
             Input::Warned => {
                 self.warned.get_or_insert(now);
                 self.check_live(now);
--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -6,7 +6,9 @@
 ///   holder starts with none, so what it gives adds to what the holder before
 ///   gave no more than one burst.
 /// - A permit names an origin only while that origin's proof (a verified
-///   answer of the listed service and instance) is younger than `PROOF`.
+///   answer of the listed service and instance) is younger than `PROOF` and a
+///   connection opened before the proof still stands: the process that
+///   listens there is the one that showed who it is.
 /// - Within ten seconds, extra tries stay within a fifth of first tries plus
 ///   `ALLOWANCE`; the allowance is earned only by ten seconds of holding.
 pub struct Gate {
@@ -33,11 +35,19 @@
     filled: Duration,
     proof: Option<Duration>,
     probing: Option<Duration>,
+    watch: Watch,
     /// Failed in a row, and left alone until.
     fails: u32,
     aside: Duration,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Watch {
+    None,
+    Asked,
+    Open,
+}
+
 struct Wait {
     from: SocketAddr,
     id: u64,
@@ -102,6 +112,7 @@
                 filled: now,
                 proof: None,
                 probing: None,
+                watch: Watch::None,
                 fails: 0,
                 aside: Duration::ZERO,
             });
@@ -241,7 +252,10 @@
         match done.result {
             CallResult::Good => {
                 self.took = self.took * 0.9 + done.took.as_secs_f64().max(0.001) * 0.1;
-                self.proven(now - done.took.min(now), call.origin);
+                let since = now - done.took.min(now);
+                if self.origins.get(&call.origin).is_some_and(|at| at.proof.is_some()) {
+                    self.proven(since, call.origin);
+                }
             }
             CallResult::Bad | CallResult::Refused => self.failed(now, call.origin),
             CallResult::Unused => {
@@ -255,9 +269,11 @@
         self.pump(now);
     }
 
-    /// The origin showed who it is, in a call that began at `since`.
+    /// The origin showed who it is, in a call that began at `since`. Counts
+    /// only with a connection that stood by then; a first proof is a probe's,
+    /// which is sent only once it does.
     pub fn proven(&mut self, since: Duration, address: SocketAddr) {
-        if let Some(at) = self.origins.get_mut(&address) {
+        if let Some(at) = self.origins.get_mut(&address).filter(|at| at.watch == Watch::Open) {
             at.proof = at.proof.max(Some(since));
             at.fails = 0;
             at.aside = Duration::ZERO;
@@ -273,6 +289,31 @@
         }
     }
 
+    /// Origins to which a connection shall be opened now.
+    pub fn watches(&mut self, now: Duration) -> Vec<SocketAddr> {
+        let due = self.origins.values_mut().filter(|at| at.watch == Watch::None && at.aside <= now);
+        due.map(|at| {
+            at.watch = Watch::Asked;
+            at.origin.address
+        })
+        .collect()
+    }
+
+    /// The connection stands, or has ended and with it the proof.
+    pub fn watched(&mut self, now: Duration, address: SocketAddr, open: bool) {
+        let Some(at) = self.origins.get_mut(&address) else { return };
+        if open {
+            at.watch = Watch::Open;
+            return;
+        }
+        // One that ended while it stood may only have lost patience.
+        if at.watch == Watch::Asked {
+            self.failed(now, address);
+        }
+        let at = self.origins.get_mut(&address).expect("just seen");
+        (at.watch, at.proof) = (Watch::None, None);
+    }
+
     /// Origins to probe now. A probe is a call and costs a token; it goes
     /// before errands, since without proof there are none.
     pub fn probes(&mut self, now: Duration) -> Vec<Origin> {
@@ -281,7 +322,7 @@
         for at in self.origins.values_mut() {
             let fresh = at.proof.is_some_and(|proof| now < proof + lease::PROOF_RENEW);
             let busy = at.probing.is_some_and(|since| now < since + lease::PROOF);
-            if !fresh && !busy && at.aside <= now && at.tokens >= 1.0 {
+            if !fresh && !busy && at.aside <= now && at.tokens >= 1.0 && at.watch == Watch::Open {
                 at.tokens -= 1.0;
                 at.probing = Some(now);
                 out.push(at.origin.clone());
@@ -353,6 +394,7 @@
         fn new(began: u64, epoch: u64, rate: f64, concurrency: u32) -> Run {
             let mut gate = Gate::new(at(began), "s", epoch);
             gate.update(at(began), &group(rate, concurrency), &[origin(1)]);
+            gate.watched(at(began), origin(1).address, true);
             Run { gate, now: began, given: vec![], away: vec![], calls: vec![] }
         }
 
@@ -462,6 +504,10 @@
     fn an_origin_is_called_only_once_it_has_shown_who_it_is_and_not_while_aside() {
         let mut gate = Gate::new(at(0), "s", 1);
         gate.update(at(0), &group(100.0, 9), &[origin(1), origin(2)]);
+        assert_eq!(gate.watches(at(1)).len(), 2);
+        assert!(gate.probes(at(350)).is_empty(), "no connection stands yet");
+        gate.watched(at(2), origin(1).address, true);
+        gate.watched(at(2), origin(2).address, true);
         gate.knock(at(400), origin(9).address, knock(1, 1, 5000, false));
         assert!(gate.take_out().is_empty(), "nothing is proven");
         let probes = gate.probes(at(500));
@@ -472,13 +518,21 @@
         let out = gate.take_out();
         let [(_, Message::Permit(permit))] = out.as_slice() else { panic!("{out:?}") };
         assert_eq!(permit.origin, probes[1]);
+        // The connection ends: the next process there must show itself first.
+        gate.watched(at(600), origin(2).address, false);
+        gate.knock(at(610), origin(9).address, knock(3, 1, 100, false));
+        assert!(gate.take_out().is_empty());
+        gate.watched(at(620), origin(2).address, true);
+        let probe = gate.probes(at(650)).remove(0);
+        gate.probed(at(660), &probe, true);
+        assert!(matches!(gate.take_out().as_slice(), [(_, Message::Permit(_))]));
         // The proof ages; without a newer one no more permits.
-        gate.knock(at(2600), origin(9).address, knock(2, 1, 5000, false));
+        gate.knock(at(2700), origin(9).address, knock(2, 1, 5000, false));
         assert!(gate.take_out().is_empty());
         // Listed under another instance it must be proven again.
         let other = Origin { instance: "new".into(), ..origin(2) };
-        gate.update(at(2600), &group(100.0, 9), std::slice::from_ref(&other));
-        assert!(!gate.probed(at(2700), &probes[1], true), "the old instance's probe counts for nothing");
+        gate.update(at(2700), &group(100.0, 9), std::slice::from_ref(&other));
+        assert!(!gate.probed(at(2800), &probes[1], true), "the old instance's probe counts for nothing");
         assert!(gate.take_out().is_empty());
     }
 
@@ -486,6 +540,7 @@
     fn all_origins_failing_is_told_at_once_and_a_leaving_one_gets_no_permit() {
         let mut gate = Gate::new(at(0), "s", 1);
         gate.update(at(0), &group(100.0, 9), &[origin(1)]);
+        gate.watched(at(0), origin(1).address, true);
         let probe = gate.probes(at(400)).remove(0);
         gate.probed(at(400), &probe, false);
         gate.knock(at(410), origin(9).address, knock(1, 1, 5000, false));
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -67,6 +67,8 @@
     pub caller: Option<Caller>,
 }
 
+const WATCH: Duration = Duration::from_secs(1);
+
 enum Stored {
     Append(u64, Vec<u8>),
     Image(u64, Vec<u8>),
@@ -128,6 +130,10 @@
                             let _ = give.send(Input::Called { id, result });
                         });
                     }
+                    Output::Watch { address } => {
+                        let give = give.clone();
+                        thread::spawn(move || Host::watch(address, &give));
+                    }
                     Output::Note { event, text } => note(event, &text),
                     Output::Show(Shown::Fence { until, ready }) => {
                         port.ready.store(ready, Ordering::Release);
@@ -145,6 +151,16 @@
         Ok(())
     }
 
+    /// Says nothing on the connection; its end is the end of the process that
+    /// took it, or of its patience: either way it must show again who it is.
+    fn watch(address: SocketAddr, give: &Sender<Input>) {
+        if let Ok(mut stream) = TcpStream::connect_timeout(&address, WATCH) {
+            let _ = give.send(Input::Watched { address, open: true });
+            while matches!(stream.read(&mut [0; 64]), Ok(size) if size > 0) {}
+        }
+        let _ = give.send(Input::Watched { address, open: false });
+    }
+
     fn put(&self, store: &Option<Sender<Stored>>, what: Stored) {
         if let Some(store) = store {
             let _ = store.send(what);
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -17,6 +17,9 @@
     Errand { id: u64, errand: Errand },
     Called { id: u64, result: CallBack },
     Operator { id: u64, ask: OperatorAsk },
+    /// An open connection to an origin stands, or has ended: then the process
+    /// that listens there may be another.
+    Watched { address: SocketAddr, open: bool },
     /// Stop soon: hand over, answer what was read, leave.
     Warned,
 }
@@ -31,6 +34,8 @@
     Answer { id: u64, answer: Answer },
     Call { id: u64, call: Call },
     OperatorAnswer { id: u64, answer: OperatorAnswer },
+    /// Open a connection to this origin and tell when it ends.
+    Watch { address: SocketAddr },
     Note { event: Event, text: String },
     /// What threads beside the part may read.
     Show(Shown),
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -37,6 +37,8 @@
     /// The platform puts one list at a time; a change meanwhile waits.
     origins_due: Option<bool>,
     trap: Option<Moment>,
+    /// Connections that stand: node, run, origin.
+    watches: BTreeSet<(usize, u64, usize)>,
     asked: BTreeMap<u64, Asked>,
     errands: BTreeMap<u64, Underway>,
     callers: Vec<CallerRecord>,
@@ -55,6 +57,7 @@
     CallEnds { node: usize, run: u64, id: u64, result: CallBack },
     AnswerLeaves { node: usize, run: u64, id: u64, answer: Answer },
     Arrives { node: usize, run: u64, id: u64 },
+    Watched { node: usize, run: u64, address: SocketAddr, open: bool },
     PutOrigins,
     CallerComes,
     CallerAgain(Task),
@@ -109,6 +112,7 @@
             acknowledged: None,
             origins_due: None,
             trap: None,
+            watches: BTreeSet::new(),
             asked: BTreeMap::new(),
             errands: BTreeMap::new(),
             callers: Vec::new(),
@@ -199,7 +203,8 @@
     fn owner(&self, what: &Happening) -> Option<usize> {
         match what {
             Happening::Pulse { node, run } | Happening::Synced { node, run, .. } | Happening::CallStarts { node, run, .. }
-            | Happening::CallEnds { node, run, .. } | Happening::AnswerLeaves { node, run, .. } | Happening::Arrives { node, run, .. } => {
+            | Happening::CallEnds { node, run, .. } | Happening::AnswerLeaves { node, run, .. } | Happening::Arrives { node, run, .. }
+            | Happening::Watched { node, run, .. } => {
                 (self.nodes[*node].run == *run).then_some(*node)
             }
             Happening::Deliver { to, .. } => Some(*to),
@@ -232,6 +237,7 @@
             Happening::CallEnds { node, id, result, .. } if alive => self.step(node, Input::Called { id, result }),
             Happening::AnswerLeaves { node, id, answer, .. } if alive => self.answer_leaves(node, id, answer),
             Happening::Arrives { node, id, .. } if alive => self.arrives(node, id),
+            Happening::Watched { node, address, open, .. } if alive => self.step(node, Input::Watched { address, open }),
             Happening::PutOrigins => self.put_origins(),
             Happening::CallerComes => self.caller_comes(),
             Happening::CallerAgain(task) => self.caller_calls(task),
@@ -268,6 +274,11 @@
                 self.after(span, Happening::CallStarts { node, run, id, call: Box::new(call) });
             }
             Output::OperatorAnswer { id, answer } => self.operator_told(id, answer),
+            Output::Watch { address } => {
+                let at = self.origins.iter().position(|origin| origin.origin.address == address && origin.mood != Mood::Down);
+                self.watches.extend(at.map(|at| (node, run, at)));
+                self.after(Duration::from_millis(1), Happening::Watched { node, run, address, open: at.is_some() });
+            }
             Output::Note { event, text } => {
                 if self.trace {
                     println!("{:9.4} {:?} E{:03} {event:?} {text}", self.seconds(), self.nodes[node].place, event as u32);
@@ -621,6 +632,16 @@
         self.ask(node, Asked::Configure { marker, text, expect, race }, 0);
     }
 
+    /// The process that listened there ended: its connections end.
+    fn end_watches(&mut self, at: usize) {
+        let address = self.origins[at].origin.address;
+        let (ended, stand) = std::mem::take(&mut self.watches).into_iter().partition(|watch| watch.2 == at);
+        self.watches = stand;
+        for (node, run, _) in ended as BTreeSet<(usize, u64, usize)> {
+            self.after(Duration::from_millis(1), Happening::Watched { node, run, address, open: false });
+        }
+    }
+
     // Faults.
 
     fn at(&self, place: Place) -> usize {
@@ -710,17 +731,24 @@
             }
             Fault::Heal => self.cuts.clear(),
             Fault::Weather { lost, doubled, late } => self.weather = (lost, doubled, late),
-            Fault::Origin(at, mood) => self.origins[at].mood = mood,
+            Fault::Origin(at, mood) => {
+                self.origins[at].mood = mood;
+                if mood == Mood::Down {
+                    self.end_watches(at);
+                }
+            }
             Fault::Leave(at) => {
                 self.origins[at].origin.leaving = true;
                 self.put_origins();
             }
             Fault::Usurp(at) => {
+                self.end_watches(at);
                 self.origins[at].service = "usurper".into();
                 self.origins[at].instance = "usurper-0".into();
             }
             Fault::Replace(at) => {
                 let instance = format!("{}-next", self.origins[at].instance);
+                self.end_watches(at);
                 self.origins[at].instance = instance.clone();
                 self.origins[at].origin.instance = instance;
                 self.put_origins();
