A blank disk learns the table of places; only a newer table strikes a node

Ruled out: the refill, the epochs. Beats now carry the version of the table they go by; whoever goes by an older one is sent the newer, and only that can strike it.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -14,6 +14,8 @@
     address: SocketAddr,
     /// Who holds the slots, as far as published here; the seeds at first.
     places: [Mate; 3],
+    /// Version of that table.
+    seats: u64,
     seeds: Vec<SocketAddr>,
     struck: bool,
     replica: Replica,
@@ -89,12 +91,13 @@
     /// slot is the one its address holds; a blank node elsewhere asks for one.
     pub fn new(address: SocketAddr, seeds: Vec<SocketAddr>, replica: Replica, blank: bool) -> ControlPart {
         let seats: Vec<Mate> = seeds.iter().map(|seed| Mate::new(*seed, 0)).collect();
-        let places = replica.places().unwrap_or([seats[0], seats[1], seats[2]]);
+        let (version, places) = replica.places().unwrap_or((0, [seats[0], seats[1], seats[2]]));
         let slot = places.iter().position(|mate| mate.address == address).map_or(NO_SLOT, |at| at as u8);
         let mut part = ControlPart {
             slot,
             address,
             places,
+            seats: version,
             seeds,
             struck: false,
             refiller: (!replica.full && slot != NO_SLOT).then(|| Refiller::new(slot)),
@@ -168,7 +171,8 @@
 
     /// The table of places is news like any other: heeded once published.
     fn see_places(&mut self) {
-        let Some(places) = self.replica.places().filter(|places| *places != self.places) else { return };
+        let Some((version, places)) = self.replica.places().filter(|(version, _)| *version > self.seats) else { return };
+        self.seats = version;
         let before = std::mem::replace(&mut self.places, places);
         for slot in 0..3u8 {
             let (old, new) = (before[usize::from(slot)], places[usize::from(slot)]);
@@ -182,7 +186,7 @@
             self.keepers.values_mut().for_each(|keeper| keeper.forget(slot));
             self.note(Event::SlotTaken, format!("slot {slot} from {old} to {new}"));
         }
-        if self.slot != NO_SLOT && places[usize::from(self.slot)].address != self.address {
+        if self.slot != NO_SLOT && !self.holds(self.slot) {
             self.strike();
         }
     }
@@ -196,13 +200,33 @@
         }
     }
 
-    /// An empty node got a slot: it is the slot's new disk.
-    fn placed(&mut self, now: Duration, placed: Placed) {
-        if self.slot == NO_SLOT && placed.places[usize::from(placed.slot)] == self.me() {
-            (self.slot, self.places) = (placed.slot, placed.places);
-            self.refiller = Some(Refiller::new(self.slot));
-            self.sessions.begin(now);
+    /// Whether the table names this very disk.
+    fn holds(&self, slot: u8) -> bool {
+        let mate = self.places[usize::from(slot)];
+        mate.address == self.address && (mate.life == 0 || mate.life == self.replica.life)
+    }
+
+    /// Another goes by a newer table.
+    fn heed_seats(&mut self, now: Duration, seats: Seats) {
+        if seats.version <= self.seats {
+            return;
+        }
+        let slot = (0..3).find(|slot| {
+            let mate = seats.places[usize::from(*slot)];
+            mate.address == self.address && (mate.life == 0 || mate.life == self.replica.life)
+        });
+        if self.replica.full {
+            // What it names is taken in with the slice's rows; only to be
+            // struck is heeded from hearsay.
+            if slot.is_none() {
+                self.strike();
+            }
+            return;
         }
+        (self.seats, self.places) = (seats.version, seats.places);
+        self.slot = slot.unwrap_or(NO_SLOT);
+        self.refiller = slot.map(Refiller::new);
+        self.sessions.begin(now);
     }
 
     fn able(&self) -> bool {
@@ -234,7 +258,7 @@
             return;
         }
         let seen = self.sessions.known(now).then(|| self.sessions.mine());
-        let beat = Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seen };
+        let beat = Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, seen };
         for slot in 0..3 {
             if slot != self.slot {
                 self.tell(self.address(slot), beat.clone());
@@ -373,27 +397,21 @@
     }
 
     fn heard(&mut self, now: Duration, from: Mate, message: Message) {
-        if self.retired.contains(&from.life) {
-            if matches!(message, Message::Beat(_)) {
-                self.tell(from.address, Struck { life: from.life });
-            }
-            return;
-        }
         let seat = |mate: &Mate| mate.address == from.address && (mate.life == 0 || mate.life == from.life);
-        let slot = self.places.iter().position(seat).map(|at| at as u8);
-        if let Message::Enlist(_) = message {
-            return self.enlist(from, slot);
-        }
-        if let Message::Placed(placed) = message {
-            return self.placed(now, placed);
+        let retired = self.retired.contains(&from.life);
+        let slot = self.places.iter().position(seat).map(|at| at as u8).filter(|_| !retired);
+        match message {
+            Message::Enlist(_) => return self.enlist(from),
+            Message::Seats(seats) => return self.heed_seats(now, seats),
+            _ if self.slot == NO_SLOT || self.struck => return,
+            Message::Beat(ref beat) if beat.seats < self.seats => {
+                self.tell(from.address, Seats { version: self.seats, places: self.places });
+            }
+            _ => {}
         }
-        if self.slot == NO_SLOT || self.struck {
+        if retired {
             return;
         }
-        if slot.is_none() && matches!(message, Message::Beat(_)) {
-            // It held a slot once, and does not know yet that it lost it.
-            return self.tell(from.address, Struck { life: from.life });
-        }
         if let Some(slot) = slot.filter(|slot| *slot != self.slot) {
             self.meet(slot, from.life);
         }
@@ -439,7 +457,6 @@
                     keeper.lacks(slot);
                 }
             }
-            (Some(_), Message::Struck(struck)) if struck.life == self.replica.life => self.strike(),
             (Some(_), Message::Outrun(outrun)) => self.heed_outrun(now, outrun),
             (_, Message::Renew(renew)) if self.able() => self.renew(now, from, renew),
             (_, Message::Leave(_)) => {
@@ -454,17 +471,16 @@
     }
 
     /// A node without a slot asks for one, or asks again after it got it.
-    fn enlist(&mut self, from: Mate, slot: Option<u8>) {
-        match slot {
-            Some(slot) if self.places[usize::from(slot)].life == from.life => {
-                self.tell(from.address, Placed { slot, places: self.places });
-            }
-            _ => {
-                // To the owner, through our own door; nobody waits for it.
-                let ask = Ask { asker: self.address, id: 0, slice: PLACES, ask: Change::Enlist { mate: from } };
-                self.tell(self.address, ask);
-            }
+    fn enlist(&mut self, from: Mate) {
+        if self.slot == NO_SLOT || self.struck {
+            return;
+        }
+        if self.places.contains(&from) {
+            return self.tell(from.address, Seats { version: self.seats, places: self.places });
         }
+        // To the owner, through our own door; nobody waits for it.
+        let ask = Ask { asker: self.address, id: 0, slice: PLACES, ask: Change::Enlist { mate: from } };
+        self.tell(self.address, ask);
     }
 
     /// The slot not heard of for long enough, if that is exactly one and the
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -90,9 +90,9 @@
     }
 
     /// Who holds the slots, if that ever changed.
-    pub fn places(&self) -> Option<[Mate; 3]> {
+    pub fn places(&self) -> Option<(u64, [Mate; 3])> {
         self.held(PLACES).shown.values().find_map(|row| match &row.value {
-            Value::Places(places) => Some(*places),
+            Value::Places(places) => Some((row.version, *places)),
             _ => None,
         })
     }
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -23,8 +23,9 @@
 messages! {
     // Between control nodes.
     /// I am here, with this disk (`full` once it counts, and until I end) and
-    /// these sessions, once they are known.
-    Beat { slot: u8, full: bool, seen: Option<Vec<Seen>> }
+    /// these sessions, once they are known; `seats` is the version of the table
+    /// of places I go by.
+    Beat { slot: u8, full: bool, seats: u64, seen: Option<Vec<Seen>> }
     /// A blank disk asks for all another holds. The first round only makes
     /// both others forget the earlier disk's acknowledgements; what the
     /// second brings counts.
@@ -49,10 +50,9 @@
 
     /// An empty control node without a slot asks for one that is lost.
     Enlist { }
-    /// You hold this slot now; here is who holds the others.
-    Placed { slot: u8, places: [Mate; 3] }
-    /// Another holds the slot of this life: its disk counts for nothing any more.
-    Struck { life: u64 }
+    /// Who holds the slots, to one who asks for a slot or goes by an older
+    /// table. Who thought to hold one and is not in it, is struck.
+    Seats { version: u64, places: [Mate; 3] }
 
     // Between edges and control nodes.
     Renew { sent: Duration, vector: Vec<u64>, zone: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -302,3 +302,23 @@
         assert!(report.notes.contains_key(&Event::SlotTaken), "seed {seed}");
     }
 }
+
+/// Seed 199 of the random schedules, once: a blank disk went by the seeds,
+/// did not find the slot that had moved, and struck its new holder.
+#[test]
+fn a_blank_disk_learns_where_a_moved_slot_is_and_strikes_nobody() {
+    let faults = vec![
+        (5_000, Fault::Start(Place::Control(3))),
+        (6_000, Fault::Kill(Place::Control(2))),
+        (13_000, Fault::Start(Place::Control(2))),
+        (17_800, Fault::Wipe(Place::Control(1))),
+        (19_400, Fault::Start(Place::Control(1))),
+        (23_000, Fault::Kill(Place::Control(0))),
+        (25_000, Fault::Configure),
+        (28_000, Fault::ReadBack),
+    ];
+    let report = small(9, 45, faults);
+    judge(&report, &[1, 6, 7]);
+    assert_eq!(report.notes.get(&Event::SlotStruck), Some(&1), "the one that lost its slot, and no other");
+    assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "configured").count(), 2);
+}
