A wiped majority is rebuilt from the edges; what the core's loss means is written down

Cause: with two or three blank disks the control plane was founded anew and everything acknowledged was gone, while edges still held it. Now slices hear the edges before they answer, a new realm is named last, and unknown operations are not run for 65 s. Found on the way: the recalled rows carried the old realm's name, so the ledger opened at once and one of some sixty repeated operations ran twice; and the closing, told to and fro by beats, crept upwards by 2 %. After: all three disks and each pair wiped: configuration read back, nothing run twice, copies and repeatable errands served within seconds. Cut-off core: fencing weighed against vouching edges; fencing stays.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -36,6 +36,9 @@
     fronts: BTreeMap<u64, Front>,
     finals: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
     swept: Duration,
+    /// Until then unknown operations are not run: acknowledged ones may be lost.
+    closed: Duration,
+    realm: u64,
     /// What the duties were last planned from.
     planned: Option<Planned>,
     warned: Option<Duration>,
@@ -117,10 +120,13 @@
             fronts: BTreeMap::new(),
             finals: BTreeMap::new(),
             swept: Duration::ZERO,
+            closed: Duration::ZERO,
+            realm: 0,
             planned: None,
             warned: None,
             out: Vec::new(),
         };
+        part.realm = part.replica.realm();
         if blank {
             part.store(&Record::Life { life: part.replica.life });
             part.note(Event::DiskBlank, format!("slot {slot}"));
@@ -258,7 +264,7 @@
             return;
         }
         let seen = self.sessions.known(now).then(|| self.sessions.mine());
-        let beat = Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, seen };
+        let beat = Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, closed: self.closed.saturating_sub(now), seen };
         for slot in 0..3 {
             if slot != self.slot {
                 self.tell(self.address(slot), beat.clone());
@@ -276,6 +282,7 @@
             self.swept = now;
             self.sweep(now);
         }
+        self.recollect(now);
         self.plan_duties(now);
         self.push_fronts(now);
     }
@@ -341,11 +348,61 @@
         }
     }
 
+    fn majority_lost(&mut self, now: Duration) {
+        if now >= self.closed {
+            self.note(Event::MajorityLost, format!("unknown operations are not run for {:?}", lease::CLOSED));
+        }
+        self.closed = now + lease::CLOSED;
+    }
+
+    /// Slices that were founded, or lost a majority of their disks, first
+    /// take back from the edges what those were shown.
+    fn recollect(&mut self, now: Duration) {
+        if self.realm != self.replica.realm() {
+            self.realm = self.replica.realm();
+            if Realm::again(self.realm) {
+                self.majority_lost(now);
+            }
+        }
+        let mut told = Vec::new();
+        let mut notes = Vec::new();
+        let earlier = self.sessions.all().iter().map(|seen| seen.realm).max().unwrap_or(0);
+        let realm = Realm::after(earlier.max(self.replica.realm()), self.replica.life);
+        for (slice, keeper) in self.keepers.iter_mut().filter(|(_, keeper)| keeper.ready() && keeper.wary.is_some()) {
+            if *slice < NEWS {
+                let known = |seen: &&&Seen| seen.vector.get(usize::from(*slice)).is_some_and(|known| *known > keeper.version);
+                told.extend(self.sessions.all().iter().filter(known).map(|seen| (seen.mate.address, *slice)));
+            }
+            // The ledger opens once the realm tells whether anything was lost.
+            let may = *slice < NEWS || self.realm != 0;
+            if may && keeper.wary.is_some_and(|until| now >= until) {
+                keeper.wary = None;
+                keeper.put("founded".into(), Value::Founded { realm });
+                if *slice == CONFIGURATION {
+                    notes.push(format!("realm {realm:016x}"));
+                }
+            }
+        }
+        for (edge, slice) in told {
+            self.tell(edge, Recall { slice });
+        }
+        for text in notes {
+            self.note(Event::RealmFounded, text);
+        }
+    }
+
+    fn recalled(&mut self, recalled: Recalled) {
+        let Recalled { slice, version, rows } = recalled;
+        let Some(keeper) = self.keepers.get_mut(&slice).filter(|keeper| keeper.wary.is_some() && keeper.version < version) else { return };
+        let newer = keeper.recall(version, rows);
+        self.note(Event::RowsRecalled, format!("slice {slice}: {newer} rows up to version {version}"));
+    }
+
     fn plan_duties(&mut self, now: Duration) {
         let Some(keeper) = self.keepers.get(&DUTIES) else { return };
         // A new owner waits until sessions have had time to show.
         let calm = keeper.active_since.is_some_and(|since| now >= since + lease::EDGE_PULSE * 2) && self.sessions.known(now);
-        if !keeper.ready() || !calm {
+        if !keeper.ready() || !calm || keeper.wary.is_some() {
             return;
         }
         let configuration = self.replica.configuration();
@@ -418,19 +475,27 @@
         match (slot, message) {
             (Some(slot), Message::Beat(beat)) if slot != self.slot => {
                 self.mates.insert(slot, MateAt { life: from.life, full: beat.full, heard: now });
+                // The way a beat took must not add to it, to and fro.
+                if now + beat.closed > self.closed + Duration::from_secs(1) {
+                    self.closed = now + beat.closed;
+                }
                 if let Some(seen) = beat.seen {
                     self.sessions.told(now, slot, seen);
                 }
             }
             (Some(_), Message::Refill(refill)) => {
                 let held = self.replica.copy_out();
-                self.tell_synced(from.address, Refilled { slot: self.slot, round: refill.round, held });
+                self.tell_synced(from.address, Refilled { slot: self.slot, round: refill.round, full: self.replica.full, held });
             }
             (Some(_), Message::Refilled(refilled)) => {
-                if let Some(held) = self.refiller.as_mut().and_then(|refiller| refiller.heard(refilled)) {
+                if let Some(merged) = self.refiller.as_mut().and_then(|refiller| refiller.heard(refilled)) {
                     self.refiller = None;
                     self.sessions.begin(now);
-                    self.store(&Record::Refilled { held });
+                    if merged.lost {
+                        self.majority_lost(now);
+                    }
+                    self.store(&Record::Refilled { held: merged.held });
+                    self.realm = self.replica.realm();
                     self.note(Event::DiskRefilled, format!("slot {}", self.slot));
                 }
             }
@@ -441,6 +506,11 @@
                     let before = keeper.active_since;
                     keeper.raised(now, slot, raised.image);
                     if before != keeper.active_since {
+                        if keeper.version == 0 || now < self.closed {
+                            // The realm is named last, when all have listened.
+                            let rounds = if keeper.slice == CONFIGURATION { 2 } else { 1 };
+                            keeper.wary = Some(now + lease::RECOLLECT * rounds);
+                        }
                         let text = format!("slice {} epoch {} version {}", keeper.slice, keeper.epoch, keeper.version);
                         self.finals.remove(&raised.slice);
                         self.note(Event::SliceTaken, text);
@@ -464,6 +534,7 @@
                     self.note(Event::SessionLeft, from.to_string());
                 }
             }
+            (_, Message::Recalled(recalled)) => self.recalled(recalled),
             (_, Message::Ask(ask)) => self.heed_ask(now, from, ask),
             (_, Message::Told(told)) => self.heed_told(told),
             _ => {}
@@ -559,16 +630,25 @@
     }
 
     fn renew(&mut self, now: Duration, from: Mate, renew: Renew) {
-        let news = self.replica.news(&renew.vector);
-        let Renew { sent, vector, zone, draining, usage, found } = renew;
-        if self.sessions.renew(now, Seen { mate: from, zone, draining, vector, usage, found }) {
+        let mine = self.replica.realm();
+        // An edge of another realm takes everything anew.
+        let news = if renew.realm == mine || mine == 0 { self.replica.news(&renew.vector) } else { self.replica.news(&[]) };
+        let recall = now < self.closed;
+        let founded = renew.realm == 0 || mine != 0;
+        let Renew { sent, realm, vector, zone, draining, usage, found } = renew;
+        if self.sessions.renew(now, Seen { mate: from, zone, draining, realm, vector, usage, found }) {
             self.note(Event::SessionOpened, from.to_string());
         }
-        self.tell(from.address, Renewed { life: from.life, sent, news });
+        // An edge of an earlier realm is heard, but not live by us, until there
+        // is a new one for it to enter.
+        if !founded {
+            return;
+        }
+        self.tell(from.address, Renewed { life: from.life, sent, realm: mine, recall, news });
     }
 
     fn heed_ask(&mut self, now: Duration, from: Mate, ask: Ask) {
-        let owner = self.keepers.get(&ask.slice).is_some_and(|keeper| keeper.ready());
+        let owner = self.keepers.get(&ask.slice).is_some_and(|keeper| keeper.ready() && keeper.wary.is_none());
         if owner && self.able() {
             self.waits.retain(|wait| (wait.asker, wait.id) != (ask.asker, ask.id));
             let wait = self.change(now, ask);
@@ -585,6 +665,7 @@
         let Ask { asker, id, slice, ask } = ask;
         let lost = self.lost_slot(now, &self.keepers[&slice]);
         let mut places = self.places;
+        let closed = now < self.closed;
         let keeper = self.keepers.get_mut(&slice).expect("owner");
         let mut wait = Wait { slice, asker, id, commit: 0, settle: 0, round: 0, told: Outcome::Lost };
         match ask {
@@ -654,6 +735,7 @@
                     wait.commit = keeper.put("places".into(), Value::Places(places));
                 }
             }
+            Change::Claim(claim) if closed && !keeper.rows.contains_key(&claim.operation) => wait.told = Outcome::Closed,
             Change::Claim(claim) => (wait.commit, wait.told) = ControlPart::claim(keeper, claim),
             Change::Release(claim) => (wait.commit, wait.told) = ControlPart::finish(keeper, claim, OperationState::Released),
             Change::Record(claim, reply) => {
--- a/control-plane/src/keeper.rs
+++ b/control-plane/src/keeper.rs
@@ -21,6 +21,8 @@
     promises: BTreeMap<u8, SliceImage>,
     copies: [CopyAt; 3],
     pub active_since: Option<Duration>,
+    /// Until then nothing is answered: edges may know more.
+    pub wary: Option<Duration>,
 }
 
 /// What is known of the copy on one disk.
@@ -52,6 +54,7 @@
             promises: BTreeMap::new(),
             copies: Default::default(),
             active_since: None,
+            wary: None,
         }
     }
 
@@ -78,6 +81,24 @@
         self.copies.iter().filter(|copy| copy.to.is_some()).count() >= 2
     }
 
+    /// Rows an edge was shown and we do not have; ours are older.
+    pub fn recall(&mut self, version: u64, rows: Vec<(String, Row)>) -> usize {
+        let mut newer = 0;
+        for (key, row) in rows {
+            // The realm of the lost state is not this one's.
+            let realm = matches!(row.value, Value::Founded { .. });
+            if !realm && self.rows.get(&key).is_none_or(|known| known.version < row.version) {
+                self.rows.insert(key, row);
+                newer += 1;
+            }
+        }
+        self.version = self.version.max(version);
+        // Their versions may lie below what copies have: they get it whole.
+        self.floor = self.version;
+        self.copies.iter_mut().for_each(|copy| copy.to = None);
+        newer
+    }
+
     pub fn put(&mut self, key: String, value: Value) -> u64 {
         self.version += 1;
         self.rows.insert(key, Row { version: self.version, value });
--- a/control-plane/src/refiller.rs
+++ b/control-plane/src/refiller.rs
@@ -8,7 +8,14 @@
 pub struct Refiller {
     slot: u8,
     round: u8,
-    got: BTreeMap<u8, Vec<HeldSlice>>,
+    got: BTreeMap<u8, (bool, Vec<HeldSlice>)>,
+}
+
+/// All slices merged, and whether a majority of disks was lost: another was
+/// blank too, and yet there was something.
+pub struct Merged {
+    pub held: Vec<HeldSlice>,
+    pub lost: bool,
 }
 
 impl Refiller {
@@ -22,11 +29,11 @@
     }
 
     /// All slices merged, once the second round is whole.
-    pub fn heard(&mut self, refilled: Refilled) -> Option<Vec<HeldSlice>> {
+    pub fn heard(&mut self, refilled: Refilled) -> Option<Merged> {
         if refilled.round != self.round || refilled.slot == self.slot {
             return None;
         }
-        self.got.insert(refilled.slot, refilled.held);
+        self.got.insert(refilled.slot, (refilled.full, refilled.held));
         if self.got.len() < 2 {
             return None;
         }
@@ -35,7 +42,8 @@
             self.got.clear();
             return None;
         }
-        let mut lists = std::mem::take(&mut self.got).into_values();
+        let both_full = self.got.values().all(|(full, _)| *full);
+        let mut lists = std::mem::take(&mut self.got).into_values().map(|(_, held)| held);
         let mut merged = lists.next().expect("two");
         for (mine, other) in merged.iter_mut().zip(lists.next().expect("two")) {
             let published = mine.image.published.max(other.image.published);
@@ -45,7 +53,8 @@
             }
             mine.image.published = published;
         }
-        Some(merged)
+        let lost = !both_full && merged.iter().any(|one| one.image.version > 0);
+        Some(Merged { held: merged, lost })
     }
 }
 
@@ -59,12 +68,14 @@
             vec![HeldSlice { slice: 0, promised, image: SliceImage { epoch, version, published: version, rows: BTreeMap::new() } }]
         };
         let mut refiller = Refiller::new(1);
-        assert!(refiller.heard(Refilled { slot: 0, round: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 0, round: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 2, round: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 2, round: 0, held: held(1, 1, 90) }).is_none(), "late first round");
-        assert!(refiller.heard(Refilled { slot: 0, round: 1, held: held(9, 3, 5) }).is_none());
-        let merged = refiller.heard(Refilled { slot: 2, round: 1, held: held(7, 4, 2) }).unwrap();
+        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, held: held(1, 1, 90) }).is_none(), "late first round");
+        assert!(refiller.heard(Refilled { slot: 0, round: 1, full: true, held: held(9, 3, 5) }).is_none());
+        let merged = refiller.heard(Refilled { slot: 2, round: 1, full: true, held: held(7, 4, 2) }).unwrap();
+        assert!(!merged.lost);
+        let merged = merged.held;
         assert_eq!((merged[0].promised, merged[0].image.epoch, merged[0].image.version), (9, 4, 2));
     }
 }
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -89,6 +89,14 @@
             .collect()
     }
 
+    /// The realm, as far as this replica may show it; 0 before the founding.
+    pub fn realm(&self) -> u64 {
+        match self.held(CONFIGURATION).shown.get("founded") {
+            Some(Row { value: Value::Founded { realm }, .. }) => *realm,
+            _ => 0,
+        }
+    }
+
     /// Who holds the slots, if that ever changed.
     pub fn places(&self) -> Option<(u64, [Mate; 3])> {
         self.held(PLACES).shown.values().find_map(|row| match &row.value {
--- a/control-plane/src/sessions.rs
+++ b/control-plane/src/sessions.rs
@@ -83,6 +83,11 @@
         self.tables(now).into_iter().map(|table| table.into_iter().map(|seen| (seen.mate, seen.draining)).collect()).collect()
     }
 
+    /// Every session known, here or told.
+    pub fn all(&self) -> Vec<&Seen> {
+        self.mine.values().map(|(_, seen)| seen).chain(self.told.values().flat_map(|(_, seen)| seen)).collect()
+    }
+
     /// Every edge with a session in a majority of the tables; none if there
     /// is no majority to judge by.
     pub fn live(&self, now: Duration) -> Vec<Seen> {
@@ -107,7 +112,7 @@
 
     fn seen(port: u16, version: u64) -> Seen {
         let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
-        Seen { mate, zone: "z".into(), draining: false, vector: vec![version; 4], usage: Usage::default(), found: vec![] }
+        Seen { mate, zone: "z".into(), draining: false, realm: 0, vector: vec![version; 4], usage: Usage::default(), found: vec![] }
     }
 
     #[test]
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -12,7 +12,14 @@
     me: Mate,
     zone: String,
     seeds: Vec<SocketAddr>,
+    /// The realm the news is of; 0 before the first.
+    realm: u64,
     vector: Vec<u64>,
+    /// Every row shown to us, to tell it back if the control plane lost it.
+    known: Vec<BTreeMap<String, Row>>,
+    /// Own operations that ended lately, for the same reason.
+    ended: VecDeque<(Duration, Claim, Option<Arc<Reply>>)>,
+    recalling: bool,
     leases: Leases,
     next_renew: Duration,
     live: bool,
@@ -47,6 +54,8 @@
 const LATE: Duration = Duration::from_secs(1);
 /// A warned edge waits this long for its duties to be taken.
 const HAND_OVER: Duration = Duration::from_secs(5);
+/// Own ended operations remembered at most.
+const ENDED: usize = 10_000;
 /// How long after a purge was learned (so, before it was acknowledged) an
 /// answer that was under way may still go to the caller who waited for it.
 const PURGE_GRACE: Duration = Duration::from_secs(1);
@@ -61,7 +70,11 @@
             me,
             zone: zone.into(),
             seeds,
+            realm: 0,
             vector: vec![0; NEWS.into()],
+            known: vec![BTreeMap::new(); NEWS.into()],
+            ended: VecDeque::new(),
+            recalling: false,
             leases: Leases::default(),
             next_renew: Duration::ZERO,
             live: false,
@@ -101,7 +114,7 @@
         let usage = Usage { copies: self.cache.given, pending: self.jobs.len() as u64, ..self.usage.clone() };
         let found = self.gates.values().flat_map(|gate| gate.found(now)).collect();
         let renew =
-            Renew { sent: now, vector: self.vector.clone(), zone: self.zone.clone(), draining: self.warned.is_some(), usage, found };
+            Renew { sent: now, realm: self.realm, vector: self.vector.clone(), zone: self.zone.clone(), draining: self.warned.is_some(), usage, found };
         for seed in self.seeds.clone() {
             self.tell(seed, renew.clone());
         }
@@ -111,6 +124,16 @@
         if renewed.life != self.me.life || !self.seeds.contains(&from.address) || self.left {
             return;
         }
+        if Realm::older(renewed.realm, self.realm) && renewed.realm != 0 {
+            return; // It has not heard of the new realm yet.
+        }
+        let before = std::mem::replace(&mut self.recalling, renewed.recall);
+        let recall = renewed.recall && !before;
+        if renewed.realm != 0 && renewed.realm != self.realm {
+            self.enter(now, renewed.realm);
+        } else if recall {
+            self.tell_ended();
+        }
         let newer = !renewed.news.is_empty();
         for news in renewed.news {
             if news.version > self.vector[usize::from(news.slice)] {
@@ -127,9 +150,43 @@
         }
     }
 
+    /// A new realm: what is known of the old one goes, but for what is told
+    /// back; all news is taken anew. Duties of the old one are void.
+    fn enter(&mut self, now: Duration, realm: u64) {
+        let before = std::mem::replace(&mut self.realm, realm);
+        if before == 0 {
+            return;
+        }
+        self.vector = vec![0; NEWS.into()];
+        self.known = vec![BTreeMap::new(); NEWS.into()];
+        self.duties.clear();
+        self.cache.clear();
+        self.book = PurgeBook::default();
+        self.sync_duties(now);
+        self.show_duties();
+        self.tell_ended();
+    }
+
+    fn tell_ended(&mut self) {
+        for (_, claim, reply) in &self.ended {
+            self.next_probe += 1;
+            let slice = ledger_slice(&claim.operation);
+            let change = Change::Record(claim.clone(), reply.clone());
+            self.loose.insert(self.next_probe, Loose { slice, change, again: Duration::ZERO, round: 0 });
+        }
+    }
+
+    fn recall(&mut self, from: Mate, slice: u8) {
+        if let Some(rows) = self.known.get(usize::from(slice)) {
+            let rows = rows.iter().map(|(key, row)| (key.clone(), row.clone())).collect();
+            self.tell(from.address, Recalled { slice, version: self.vector[usize::from(slice)], rows });
+        }
+    }
+
     fn learn(&mut self, now: Duration, news: News) {
         let known = self.vector[usize::from(news.slice)];
         let rows: Vec<(String, Row)> = news.rows.into_iter().filter(|(_, row)| row.version > known).collect();
+        self.known[usize::from(news.slice)].extend(rows.iter().cloned());
         match news.slice {
             PURGES => {
                 let (fresh, missed) = self.book.learn(now, news.version, &rows);
@@ -165,7 +222,7 @@
                 self.seeds = places.iter().map(|mate| mate.address).collect();
                 self.leases.keep(&self.seeds);
             }
-            Value::Purge { .. } | Value::Operation(_) => {}
+            Value::Purge { .. } | Value::Operation(_) | Value::Founded { .. } => {}
         }
     }
 
@@ -329,7 +386,17 @@
         self.tell(seed, Ask { asker: self.me.address, id, slice, ask: change });
     }
 
+    fn remember(&mut self, now: Duration, claim: &Claim, reply: &Option<Arc<Reply>>) {
+        while self.ended.front().is_some_and(|(at, _, _)| now >= *at + lease::OPERATION) || self.ended.len() >= ENDED {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((now, claim.clone(), reply.clone()));
+    }
+
     fn set_stage(&mut self, now: Duration, id: u64, stage: Stage) {
+        if let (Stage::Recording { reply, .. }, Some(claim)) = (&stage, self.jobs.get(&id).and_then(|job| job.claim.clone())) {
+            self.remember(now, &claim, reply);
+        }
         if let Some(job) = self.jobs.get_mut(&id) {
             job.stage = stage;
             job.round = 0;
@@ -398,6 +465,10 @@
                 refusal.retry_after_s = None;
                 self.end(now, id, Answer::Refusal(refusal));
             }
+            (Stage::Claiming, Outcome::Closed) => {
+                let refusal = Refusal::unknown(503, "ledger_recovering", "acknowledged operations may be lost; none that is not known is run for a minute");
+                self.end(now, id, Answer::Refusal(refusal.back(Duration::from_secs(5))));
+            }
             // Runs elsewhere: asked again in a moment, until the deadline.
             (Stage::Claiming, Outcome::Taken { .. }) => {}
             (Stage::Recording { answer, .. }, Outcome::Recorded) => {
@@ -779,6 +850,7 @@
         match message {
             Message::Renewed(renewed) => self.renewed(now, from, renewed),
             Message::Nudge(_) => self.renew(now),
+            Message::Recall(recall) => self.recall(from, recall.slice),
             Message::Told(told) => self.told(now, told),
             Message::Copy(copy) => self.copy(now, copy),
             Message::Miss(miss) => self.miss(now, from, miss),
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -28,6 +28,9 @@
     LogCorrupt = 214, Error;
     SlotTaken = 215, Info;
     SlotStruck = 216, Error;
+    RealmFounded = 217, Info;
+    MajorityLost = 218, Error;
+    RowsRecalled = 219, Warn;
     SessionOpened = 220, Info;
     SessionLapsed = 221, Warn;
     SessionLeft = 222, Info;
--- a/kernel/src/lease.rs
+++ b/kernel/src/lease.rs
@@ -37,3 +37,9 @@
 pub const PROOF: Duration = Duration::from_secs(2);
 /// A proof older than this is renewed by a probe.
 pub const PROOF_RENEW: Duration = Duration::from_secs(1);
+/// A slice that was founded, or lost a majority of its disks, hears the edges
+/// for this long before it answers: each renews five times in it.
+pub const RECOLLECT: Duration = Duration::from_millis(1200);
+/// After a loss of a majority, unknown operations are not run for as long as a
+/// repeat of a lost one may come ("within about a minute").
+pub const CLOSED: Duration = Duration::from_secs(65);
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -24,13 +24,13 @@
     // Between control nodes.
     /// I am here, with this disk (`full` once it counts, and until I end) and
     /// these sessions, once they are known; `seats` is the version of the table
-    /// of places I go by.
-    Beat { slot: u8, full: bool, seats: u64, seen: Option<Vec<Seen>> }
+    /// of places I go by; for `closed` no unknown operation may be claimed.
+    Beat { slot: u8, full: bool, seats: u64, closed: Duration, seen: Option<Vec<Seen>> }
     /// A blank disk asks for all another holds. The first round only makes
     /// both others forget the earlier disk's acknowledgements; what the
     /// second brings counts.
     Refill { slot: u8, round: u8 }
-    Refilled { slot: u8, round: u8, held: Vec<HeldSlice> }
+    Refilled { slot: u8, round: u8, full: bool, held: Vec<HeldSlice> }
     /// Take a slice: promise to heed no lower epoch.
     Raise { slice: u8, epoch: u64 }
     Raised { slice: u8, epoch: u64, image: SliceImage }
@@ -55,9 +55,13 @@
     Seats { version: u64, places: [Mate; 3] }
 
     // Between edges and control nodes.
-    Renew { sent: Duration, vector: Vec<u64>, zone: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
+    Renew { sent: Duration, realm: u64, vector: Vec<u64>, zone: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
     /// To the life that sent the renewal, with its own time of sending.
-    Renewed { life: u64, sent: Duration, news: Vec<News> }
+    /// `recall`: acknowledged operations may be lost; tell those you know.
+    Renewed { life: u64, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
+    /// Tell all rows you know of this slice: more than its owner does.
+    Recall { slice: u8 }
+    Recalled { slice: u8, version: u64, rows: Vec<(String, Row)> }
     /// There is news: renew now.
     Nudge { }
     /// The edge has fenced itself for good.
@@ -85,6 +89,27 @@
     CallDone { service: String, epoch: u64, serial: u64, result: CallResult, took: Duration }
 }
 
+/// A realm is the state since the control plane was last founded on blank
+/// disks, or went on after a majority of them was lost. The upper half counts,
+/// the lower tells two of one count apart. An edge that meets a newer realm
+/// tells what it knows and then takes everything anew.
+pub struct Realm;
+
+impl Realm {
+    pub fn after(known: u64, life: u64) -> u64 {
+        ((known >> 32) + 1) << 32 | u64::from(life as u32)
+    }
+
+    /// Not the first: something was lost before it.
+    pub fn again(realm: u64) -> bool {
+        realm >> 32 > 1
+    }
+
+    pub fn older(one: u64, other: u64) -> bool {
+        one >> 32 < other >> 32
+    }
+}
+
 /// What one disk holds of a slice.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HeldSlice {
@@ -111,6 +136,7 @@
     pub mate: Mate,
     pub zone: String,
     pub draining: bool,
+    pub realm: u64,
     pub vector: Vec<u64>,
     pub usage: Usage,
     pub found: Vec<OriginFound>,
@@ -201,6 +227,8 @@
     Recorded,
     /// No owner could be asked in time: it may or may not have happened.
     Lost,
+    /// What was acknowledged may be lost: unknown keys are not run for now.
+    Closed,
 }
 
 /// Ties a put to what the owner knew when it said MISS.
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -55,6 +55,9 @@
     /// Who holds the three slots of the control plane; life 0: whoever listens
     /// there.
     Places([Mate; 3]),
+    /// Marks the founding of the slice; in the configuration's, names the realm
+    /// (see `message::Realm`).
+    Founded { realm: u64 },
     Operation(Operation),
 }
 
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -322,3 +322,74 @@
     assert_eq!(report.notes.get(&Event::SlotStruck), Some(&1), "the one that lost its slot, and no other");
     assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "configured").count(), 2);
 }
+
+fn wiped(slots: &[usize], seed: u64, span: u64) -> Report {
+    let mut faults = vec![(6_000, Fault::Configure), (8_000, Fault::Content), (8_001, Fault::Purge("/".into())), (9_000, Fault::Leave(3))];
+    for slot in slots {
+        faults.extend([(15_000, Fault::Wipe(Place::Control(*slot))), (17_000, Fault::Start(Place::Control(*slot)))]);
+    }
+    faults.extend([(17_000, Fault::Returned), (25_000, Fault::ReadBack), (27_000, Fault::Configure), (30_000, Fault::ReadBack)]);
+    small(seed, span, faults)
+}
+
+#[test]
+fn a_wiped_majority_is_rebuilt_from_the_edges_and_nothing_runs_twice() {
+    for slots in [&[0, 1, 2][..], &[0, 1], &[1, 2], &[0, 2]] {
+        let report = wiped(slots, 3 + slots[0] as u64, 100);
+        judge(&report, &[1, 6, 7, 8, 12]);
+        assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "configured").count(), 3, "{slots:?}");
+        assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "read-back" && one.good).count(), 2, "{slots:?}");
+        let kind = |entry: &str, from: f64, to: f64| {
+            let calls: Vec<_> = report.checker.callers.iter().filter(|call| call.entry == entry && call.start >= from && call.start < to).collect();
+            calls.iter().filter(|call| call.status == 200).count() as f64 / calls.len() as f64
+        };
+        // Within 15 s of the machines' return all but new operations is
+        // served; new ones after a minute, and meanwhile "unknown", not run.
+        assert!(kind("listing", 25.0, 85.0) > 0.99, "{slots:?}: {}", kind("listing", 25.0, 85.0));
+        assert!(kind("reservation", 86.0, 94.0) > 0.9, "{slots:?}: {}", kind("reservation", 86.0, 94.0));
+        let meanwhile = report.checker.callers.iter().filter(|call| call.code == "ledger_recovering").count();
+        assert!(meanwhile > 20, "{slots:?}");
+    }
+}
+
+/// When errands are served again after a moment: the first success after it.
+fn first_served(report: &Report, entry: &str, after: f64) -> f64 {
+    let ends = report.checker.callers.iter().filter(|call| call.entry == entry && call.status == 200 && call.start > after).map(|call| call.end);
+    ends.min_by(f64::total_cmp).unwrap_or(f64::INFINITY) - after
+}
+
+#[test]
+fn the_core_cut_off_fences_and_comes_back() {
+    let mut faults: Vec<(u64, Fault)> = CONTROL.into_iter().map(|place| (10_000, Fault::Isolate(place))).collect();
+    faults.extend([(20_000, Fault::Heal), (20_000, Fault::Returned), (20_500, Fault::Configure), (23_000, Fault::ReadBack)]);
+    let report = small(2, 40, faults);
+    judge(&report, &[1, 7, 12]);
+    assert_eq!(served_within(&report, 11.1, 19.9), 0.0, "fenced");
+    let back = ["listing", "availability", "reservation"].map(|entry| first_served(&report, entry, 20.0));
+    println!("core cut off for 10 s; served again after {back:?} s");
+    assert!(back.iter().all(|span| *span < 3.0), "{back:?}");
+}
+
+#[test]
+fn half_of_the_edges_die_at_once() {
+    let mut faults: Vec<(u64, Fault)> = [0, 2].into_iter().map(|at| (10_000, Fault::Kill(Place::Edge(at)))).collect();
+    faults.extend([(10_100, Fault::Configure), (10_200, Fault::Content), (10_201, Fault::Purge("/".into())), (14_000, Fault::ReadBack)]);
+    let report = small(2, 30, faults);
+    judge(&report, &[1, 4, 6, 7]);
+    let settled = report.checker.fleet.iter().rev().find(|one| one.what == "configured").unwrap().at - 10.1;
+    let share = served_within(&report, 13.0, 20.0);
+    println!("half of the edges died; a change settled after {settled:.2} s, {share:.3} served from 3 s after");
+    assert!(settled < 2.0 && share > 0.99, "{settled} {share}");
+}
+
+#[test]
+fn a_zone_is_lost_with_its_control_node() {
+    // Zone a: control 0, edges 0 and 3.
+    let zone = [Place::Control(0), Place::Edge(0), Place::Edge(3)];
+    let mut faults: Vec<(u64, Fault)> = zone.into_iter().map(|place| (10_000, Fault::Isolate(place))).collect();
+    faults.extend([(11_000, Fault::Configure), (12_000, Fault::Content), (12_001, Fault::Purge("/".into())), (25_000, Fault::Heal)]);
+    let report = small(3, 45, faults);
+    judge(&report, &[1, 4, 6]);
+    assert!(served_within(&report, 14.0, 25.0) > 0.99, "{}", served_within(&report, 14.0, 25.0));
+    assert!(served_within(&report, 27.0, 38.0) > 0.99);
+}
