Moved cache slices take their copies along

Cause: a planned move began cold. The new holder asks the last one, which set its copies aside; the way they took counts against them, purges the new holder knows are applied.

--- a/control-plane/src/duty_plan.rs
+++ b/control-plane/src/duty_plan.rs
@@ -23,24 +23,25 @@
             let want = self.best(name);
             let known = self.rows.get(name).map(|row| (row.version, &row.value));
             match known {
-                Some((version, Value::Duty(Duty { holder: None, epoch }))) => {
+                Some((version, Value::Duty(Duty { holder: None, last, epoch }))) => {
                     if want.is_some() && self.settled >= version {
-                        out.push((name.clone(), Duty { holder: want, epoch: epoch + 1 }));
+                        out.push((name.clone(), Duty { holder: want, last: *last, epoch: epoch + 1 }));
                     }
                 }
-                Some((_, Value::Duty(Duty { holder: Some(holder), epoch }))) => {
+                Some((_, Value::Duty(Duty { holder: Some(holder), epoch, .. }))) => {
                     let gone = (self.gone)(*holder);
                     let leaves = self.live.iter().any(|seen| seen.mate == *holder && seen.draining);
                     let better = name.starts_with("cache/") && want.is_some_and(|mate| mate != *holder);
                     let may_move = want.is_some() && moves < MOVES;
                     if gone || (leaves && want.is_some()) || (better && may_move) {
                         moves += 1;
-                        out.push((name.clone(), Duty { holder: None, epoch: epoch + 1 }));
+                        let last = (!gone).then_some(*holder);
+                        out.push((name.clone(), Duty { holder: None, last, epoch: epoch + 1 }));
                     }
                 }
                 _ => {
                     if want.is_some() {
-                        out.push((name.clone(), Duty { holder: want, epoch: 1 }));
+                        out.push((name.clone(), Duty { holder: want, last: None, epoch: 1 }));
                     }
                 }
             }
@@ -115,7 +116,7 @@
     #[test]
     fn a_draining_holder_loses_its_gate_and_a_live_one_keeps_it() {
         let gate = [gate_duty("book")];
-        let held = |mate| BTreeMap::from([(gate[0].clone(), Row { version: 1, value: Value::Duty(Duty { holder: Some(mate), epoch: 4 }) })]);
+        let held = |mate| BTreeMap::from([(gate[0].clone(), Row { version: 1, value: Value::Duty(Duty { holder: Some(mate), last: None, epoch: 4 }) })]);
         let none: &dyn Fn(Mate) -> bool = &|_| false;
         for port in 1..9 {
             let rows = held(seen(port, false).mate);
--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -14,6 +14,9 @@
     limit: u64,
     serial: u64,
     pub given: u64,
+    /// Copies of slices that were taken from us, not served any more, for the
+    /// next holder to ask for; each as it was then, purges included.
+    aside: BTreeMap<u16, (Duration, Vec<(CacheKey, Slot)>)>,
     out: Vec<(SocketAddr, Message)>,
 }
 
@@ -52,10 +55,18 @@
 const STALL: Duration = Duration::from_secs(2);
 /// A put under a token older than this is dropped.
 const TOKEN: Duration = Duration::from_secs(60);
+/// What was set aside is kept this long, and handed on in at most this size.
+const ASIDE: Duration = Duration::from_secs(3);
+const HANDED_BYTES: u64 = 16 * 1024 * 1024;
 /// Counted for each copy beside its body and headers.
 const COPY_BYTES: u64 = 512;
 
 impl Slot {
+    fn new(now: Duration, entry: String, url: String, keep: Duration) -> Slot {
+        let (tokens, waits) = (Vec::new(), Vec::new());
+        Slot { entry, url, keep, held: None, refresher: None, tokens, waits, private: Duration::ZERO, used: now }
+    }
+
     fn delta(&self) -> Duration {
         self.keep / 2
     }
@@ -69,7 +80,7 @@
 
 impl CacheOwner {
     pub fn new(limit: u64) -> CacheOwner {
-        CacheOwner { keys: BTreeMap::new(), bytes: 0, limit, serial: 0, given: 0, out: Vec::new() }
+        CacheOwner { keys: BTreeMap::new(), bytes: 0, limit, serial: 0, given: 0, aside: BTreeMap::new(), out: Vec::new() }
     }
 
     pub fn take_out(&mut self) -> Vec<(SocketAddr, Message)> {
@@ -78,17 +89,7 @@
 
     pub fn get(&mut self, now: Duration, from: SocketAddr, get: Get, epoch: u64, purged: u64) {
         let Get { id, key, entry, url, keep, wait, spare } = get;
-        let slot = self.keys.entry(key).or_insert_with(|| Slot {
-            entry,
-            url,
-            keep,
-            held: None,
-            refresher: None,
-            tokens: Vec::new(),
-            waits: Vec::new(),
-            private: Duration::ZERO,
-            used: now,
-        });
+        let slot = self.keys.entry(key).or_insert_with(|| Slot::new(now, entry, url, keep));
         slot.keep = keep;
         slot.used = now;
         if now < slot.private {
@@ -195,6 +196,7 @@
 
     /// Refreshers that stalled are replaced; what is over goes.
     pub fn pulse(&mut self, now: Duration, epoch: &dyn Fn(u16) -> u64, purged: u64) {
+        self.aside.retain(|_, (since, _)| now < *since + ASIDE);
         let mut stalled = Vec::new();
         let bytes = &mut self.bytes;
         self.keys.retain(|key, slot| {
@@ -222,20 +224,81 @@
         }
     }
 
-    /// Keeps only slices that are held under an unchanged epoch.
-    pub fn keep_slices(&mut self, keep: &dyn Fn(u16) -> bool) {
-        let bytes = &mut self.bytes;
-        self.keys.retain(|key, slot| {
-            let stays = keep(cache_slice(key));
-            if !stays {
-                *bytes -= slot.bytes();
+    /// Keeps only slices that are held under an unchanged epoch; copies of the
+    /// others are set aside.
+    pub fn keep_slices(&mut self, now: Duration, purged: u64, keep: &dyn Fn(u16) -> bool) {
+        let lost: Vec<CacheKey> = self.keys.keys().filter(|key| !keep(cache_slice(key))).copied().collect();
+        for key in lost {
+            let mut slot = self.keys.remove(&key).expect("just listed");
+            self.bytes -= slot.bytes();
+            if let Some(held) = &mut slot.held {
+                held.purged = purged;
+                self.aside.entry(cache_slice(&key)).or_insert((now, Vec::new())).1.push((key, slot));
             }
-            stays
+        }
+    }
+
+    /// True while a next holder may still ask for what was set aside.
+    pub fn has_aside(&self) -> bool {
+        !self.aside.is_empty()
+    }
+
+    /// What was set aside of a slice, latest asked for first.
+    pub fn hand(&mut self, now: Duration, slice: u16) -> Vec<Carried> {
+        let Some((_, mut list)) = self.aside.remove(&slice) else { return Vec::new() };
+        list.sort_by_key(|(_, slot)| std::cmp::Reverse(slot.used));
+        let mut bytes = 0;
+        let fits = |(_, slot): &&(CacheKey, Slot)| {
+            bytes += slot.bytes();
+            bytes <= HANDED_BYTES && slot.held.as_ref().is_some_and(|held| now < held.major)
+        };
+        let carried = list.iter().take_while(fits).filter_map(|(key, slot)| {
+            let held = slot.held.as_ref()?;
+            Some(Carried {
+                key: *key,
+                entry: slot.entry.clone(),
+                url: slot.url.clone(),
+                keep: slot.keep,
+                reply: held.reply.clone(),
+                purged: held.purged,
+                age: now - held.began,
+                minor: held.minor.saturating_sub(now),
+                major: held.major - now,
+            })
         });
+        carried.collect()
+    }
+
+    /// Copies from the last holder, `way` after it was asked for them: they
+    /// count as that much older. What came here anew goes first.
+    pub fn take_over(&mut self, now: Duration, way: Duration, copies: Vec<Carried>, book: &PurgeBook) -> usize {
+        let mut taken = 0;
+        for copy in copies {
+            let held = self.keys.get(&copy.key).is_some_and(|slot| slot.held.is_some());
+            if held || copy.major <= way || !book.clear(copy.purged, &copy.entry, &copy.url) {
+                continue;
+            }
+            taken += 1;
+            let Carried { key, entry, url, keep, reply, age, minor, major, .. } = copy;
+            let slot = self.keys.entry(key).or_insert_with(|| Slot::new(now, entry, url, keep));
+            let began = now.saturating_sub(age + way);
+            // Older than any fetch begun here, whose put may still come.
+            let serial = 0;
+            let held = Held { reply, serial, purged: book.applied, began, minor: now + minor.saturating_sub(way), major: now + major - way };
+            for wait in slot.waits.drain(..) {
+                self.given += 1;
+                self.out.push((wait.from, CacheOwner::copy(now, wait.id, key, &held, book.applied, now - wait.since)));
+            }
+            slot.held = Some(held);
+            self.bytes += slot.bytes();
+        }
+        self.evict();
+        taken
     }
 
     pub fn clear(&mut self) {
-        self.keep_slices(&|_| false);
+        self.keep_slices(Duration::ZERO, 0, &|_| false);
+        self.aside.clear();
     }
 
     fn evict(&mut self) {
@@ -389,4 +452,32 @@
         owner.clear();
         assert_eq!(owner.bytes, 0);
     }
+
+    #[test]
+    fn a_moved_slice_takes_its_copies_along_with_expiries_and_purges() {
+        let mut owner = filled(0);
+        owner.keep_slices(at(2000), 3, &|_| false);
+        assert_eq!(owner.bytes, 0);
+        let copies = owner.hand(at(2100), cache_slice(&KEY));
+        assert_eq!((copies.len(), copies[0].age, copies[0].minor, copies[0].major, copies[0].purged), (1, at(2100), at(2900), at(7900), 3));
+        // Its clock is its own; the way there counts against the copy.
+        let mut next = CacheOwner::new(1 << 20);
+        assert_eq!(next.take_over(at(50_000), at(100), copies.clone(), &PurgeBook::default()), 1);
+        assert_eq!(ask(&mut next, 52_799, 1).0, "copy a");
+        assert_eq!(ask(&mut next, 52_800, 2).0, "miss");
+        assert_eq!(ask(&mut next, 57_799, 3).0, "copy a");
+        next.pulse(at(57_800), &|_| 7, 0);
+        assert!(next.keys[&KEY].held.is_none());
+        // A purge that the last holder did not know yet.
+        let purge = Purge { entry: None, url: Some("/u".into()), prefix: None };
+        let mut book = PurgeBook::default();
+        book.learn(Duration::ZERO, 4, &[("p".into(), Row { version: 4, value: Value::Purge { purge, change: 1 } })]);
+        let mut next = CacheOwner::new(1 << 20);
+        assert_eq!(next.take_over(at(50_000), at(100), copies, &book), 0);
+        // Set aside too long, it is gone.
+        let mut owner = filled(0);
+        owner.keep_slices(at(2000), 3, &|_| false);
+        owner.pulse(at(5000), &|_| 7, 0);
+        assert!(owner.hand(at(5000), cache_slice(&KEY)).is_empty() && !owner.has_aside());
+    }
 }
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -30,6 +30,8 @@
     cache: CacheOwner,
     /// Cache slices held here, with the epoch they were granted under.
     slices: BTreeMap<u16, u64>,
+    /// Slices just taken whose copies the last holder may have: asked so often.
+    wants: BTreeMap<u16, (SocketAddr, u32)>,
     gates: BTreeMap<String, Gate>,
     jobs: BTreeMap<u64, Job>,
     /// Endings of claims that the ledger has not confirmed yet.
@@ -59,6 +61,8 @@
 /// How long after a purge was learned (so, before it was acknowledged) an
 /// answer that was under way may still go to the caller who waited for it.
 const PURGE_GRACE: Duration = Duration::from_secs(1);
+/// A last holder is asked so often for its copies, a pulse apart.
+const WANTS: u32 = 4;
 const PROBE: &str = "/.well-known/otterslip-identity";
 const PROBE_LIMIT: Duration = Duration::from_millis(1000);
 /// Ids of probes; those of errands come from the host and are below.
@@ -84,6 +88,7 @@
             book: PurgeBook::default(),
             cache: CacheOwner::new(cache_bytes),
             slices: BTreeMap::new(),
+            wants: BTreeMap::new(),
             gates: BTreeMap::new(),
             jobs: BTreeMap::new(),
             loose: BTreeMap::new(),
@@ -239,9 +244,17 @@
             }
         }
         if slices != self.slices {
-            self.cache.keep_slices(&|slice| self.slices.contains_key(&slice) && slices.get(&slice) == self.slices.get(&slice));
+            self.cache.keep_slices(now, self.book.applied, &|slice| self.slices.contains_key(&slice) && slices.get(&slice) == self.slices.get(&slice));
             let (before, after) = (self.slices.len(), slices.len());
+            self.wants.retain(|slice, _| slices.contains_key(slice));
+            for slice in slices.iter().filter(|(slice, epoch)| self.slices.get(slice) != Some(epoch)).map(|(slice, _)| *slice) {
+                let last = self.duties.get(&cache_duty(slice)).and_then(|duty| duty.last);
+                if let Some(last) = last.filter(|last| last.address != self.me.address) {
+                    self.wants.insert(slice, (last.address, 0));
+                }
+            }
             self.slices = slices;
+            self.ask_wants(now);
             self.note(Event::DutyTaken, format!("{after} cache slices, before {before}"));
         }
         let Some(table) = self.table.clone() else { return };
@@ -271,10 +284,36 @@
         self.out.push(Output::Show(Shown::Duties(list)));
     }
 
+    /// Asks last holders for copies, a few times.
+    fn ask_wants(&mut self, now: Duration) {
+        self.wants.retain(|_, (_, asked)| *asked < WANTS);
+        let due: Vec<(u16, SocketAddr)> = self.wants.iter().map(|(slice, (last, _))| (*slice, *last)).collect();
+        for (slice, last) in due {
+            self.wants.get_mut(&slice).expect("just listed").1 += 1;
+            let epoch = self.slices.get(&slice).copied().unwrap_or(0);
+            self.tell(last, Want { slice, epoch, sent: now });
+        }
+    }
+
+    fn want(&mut self, now: Duration, from: Mate, want: Want) {
+        let Want { slice, epoch, sent } = want;
+        let copies = self.cache.hand(now, slice);
+        if !copies.is_empty() {
+            self.tell(from.address, Handed { slice, epoch, sent, copies });
+        }
+    }
+
+    fn handed(&mut self, now: Duration, handed: Handed) {
+        let Handed { slice, epoch, sent, copies } = handed;
+        if self.slices.get(&slice) == Some(&epoch) && self.wants.remove(&slice).is_some() && sent <= now {
+            self.cache.take_over(now, now - sent, copies, &self.book);
+        }
+    }
+
     /// New gate holders hear of our calls under way by earlier permits.
     fn tell_underway(&mut self, now: Duration, table: &EntryTable) {
         for group in &table.document.groups {
-            let Some(Duty { holder: Some(holder), epoch }) = self.duties.get(&gate_duty(&group.service)) else { continue };
+            let Some(Duty { holder: Some(holder), epoch, .. }) = self.duties.get(&gate_duty(&group.service)) else { continue };
             let calls: Vec<_> = self
                 .jobs
                 .values()
@@ -789,6 +828,7 @@
             self.renew(now);
         }
         self.check_live(now);
+        self.ask_wants(now);
         if self.is_live(now) {
             let epochs = &self.slices;
             self.cache.pulse(now, &|slice| epochs.get(&slice).copied().unwrap_or(0), self.book.applied);
@@ -834,7 +874,7 @@
     /// answered, then the session is left.
     fn check_ended(&mut self, now: Duration) {
         let Some(since) = self.warned else { return };
-        let idle = self.slices.is_empty() && self.gates.is_empty();
+        let idle = self.slices.is_empty() && self.gates.is_empty() && !self.cache.has_aside();
         if !self.left && self.jobs.is_empty() && self.loose.is_empty() && (idle || now >= since + HAND_OVER) {
             self.left = true;
             self.leases.drop_all();
@@ -850,6 +890,8 @@
         match message {
             Message::Renewed(renewed) => self.renewed(now, from, renewed),
             Message::Nudge(_) => self.renew(now),
+            Message::Want(want) => self.want(now, from, want),
+            Message::Handed(handed) => self.handed(now, handed),
             Message::Recall(recall) => self.recall(from, recall.slice),
             Message::Told(told) => self.told(now, told),
             Message::Copy(copy) => self.copy(now, copy),
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -79,6 +79,10 @@
     /// The refresher gave up, or (`private`) the answer may not be shared.
     Fail { key: CacheKey, token: Token, private: bool }
 
+    /// The new holder of a cache slice asks the last one for its copies.
+    Want { slice: u16, epoch: u64, sent: Duration }
+    Handed { slice: u16, epoch: u64, sent: Duration, copies: Vec<Carried> }
+
     // Between edges: the gate.
     Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration }
     Permit { id: u64, service: String, epoch: u64, serial: u64, origin: Origin, sent: Duration, held: Duration }
@@ -256,6 +260,20 @@
     pub held: Duration,
 }
 
+/// A copy on its way to a new owner, with its expiries as spans from now.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Carried {
+    pub key: CacheKey,
+    pub entry: String,
+    pub url: String,
+    pub keep: Duration,
+    pub reply: Reply,
+    pub purged: u64,
+    pub age: Duration,
+    pub minor: Duration,
+    pub major: Duration,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AwayReason {
     /// More is asked than the origins may be called.
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -66,6 +66,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Duty {
     pub holder: Option<Mate>,
+    /// Who held it before: a new holder asks it for what it left.
+    pub last: Option<Mate>,
     pub epoch: u64,
 }
 
--- a/simulate-fleet/src/bin/simulate-fleet.rs
+++ b/simulate-fleet/src/bin/simulate-fleet.rs
@@ -53,7 +53,7 @@
     let mut held = [0; 12];
     for seed in first..first + seeds {
         let list = if faults == "random" { Schedule::random(&deployment, seed, span) } else { vec![] };
-        let plan = WorldPlan { deployment: deployment.clone(), seed, span, faults: list };
+        let plan = WorldPlan { deployment: deployment.clone(), seed, span, faults: list, mute: "" };
         let began = Instant::now();
         let mut world = World::new(plan);
         world.trace = trace;
--- a/simulate-fleet/src/figures.rs
+++ b/simulate-fleet/src/figures.rs
@@ -72,7 +72,7 @@
                 _ => None,
             })
             .collect();
-        let report = World::new(WorldPlan { deployment: deployment.clone(), seed: 1, span: Duration::from_secs(55), faults }).run();
+        let report = World::new(WorldPlan { deployment: deployment.clone(), seed: 1, span: Duration::from_secs(55), faults, mute: "" }).run();
         let mut table = BTreeMap::new();
         for what in ["configured", "purged"] {
             let told = report.checker.fleet.iter().filter(|one| one.what == what).map(|one| one.at);
@@ -95,7 +95,7 @@
         let asked = deployment.rate as f64 * 0.35;
         deployment.services[1].rate = asked * part / deployment.services[1].origins as f64;
         let cached: BTreeSet<String> = deployment.mix.iter().filter(|mix| mix.ttl > 0).map(|mix| mix.entry.clone()).collect();
-        let report = World::new(WorldPlan { deployment, seed: 1, span: Duration::from_secs(60), faults: vec![] }).run();
+        let report = World::new(WorldPlan { deployment, seed: 1, span: Duration::from_secs(60), faults: vec![], mute: "" }).run();
         let mut shares: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
         for call in report.checker.callers.iter().filter(|call| !cached.contains(&call.entry)) {
             let share = shares.entry(call.rank).or_default();
@@ -119,6 +119,17 @@
         (counts.iter().copied().min().unwrap_or(0), counts.iter().copied().max().unwrap_or(0), moved)
     }
 
+    /// Origin calls for content while every edge is drained and restarted in
+    /// turn, with copies handed over and without.
+    pub fn rolling(deployment: &Deployment, mute: &'static str) -> usize {
+        let faults = (0..deployment.edges.min(15)).map(|at| (Duration::from_millis(8_000 + at as u64 * 2_500), Fault::Restart(Place::Edge(at)))).collect();
+        let plan = WorldPlan { deployment: deployment.clone(), seed: 1, span: Duration::from_secs(55), faults, mute };
+        let report = World::new(plan).run();
+        let content = deployment.services[0].name;
+        let calls = report.checker.origins.iter().filter(|call| call.service == content && !call.probe && call.at > 8.0 && call.at < 46.0);
+        calls.count()
+    }
+
     pub fn print() {
         for (rate, fetch) in [(100, 200), (20, 200), (100, 1000)] {
             let crowd = Figures::crowd(rate, Duration::from_millis(fetch));
@@ -129,6 +140,11 @@
             println!("{name}: acknowledgement in control pulses [least, middle, most]: {:?}", Figures::settle(&deployment, false));
             println!("{name}: the same, an edge cut off just before: {:?}", Figures::settle(&deployment, true));
         }
+        for name in ["small", "mombasa", "trasa"] {
+            let deployment = Deployment::find(name).expect("known");
+            let (with, without) = (Figures::rolling(&deployment, ""), Figures::rolling(&deployment, "Want"));
+            println!("{name}: content calls while all edges restart in turn: {with} with copies handed over, {without} without");
+        }
         for part in [1.2, 0.8, 0.5, 0.3] {
             println!("applications may take {part} of what is asked: served by rank {:?}", Figures::capped(part));
         }
@@ -150,6 +166,13 @@
         assert!(crowd.single_expiry > 10 * crowd.two_phase, "{crowd:?}");
     }
 
+    #[test]
+    fn handing_copies_over_spares_the_origins() {
+        let deployment = Deployment::find("small").unwrap();
+        let (with, without) = (Figures::rolling(&deployment, ""), Figures::rolling(&deployment, "Want"));
+        assert!(with < without, "{with} with, {without} without");
+    }
+
     #[test]
     fn acknowledgements_come_within_the_bound_of_the_lease_arithmetic() {
         let deployment = Deployment::find("small").unwrap();
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -3,7 +3,7 @@
 fn small(seed: u64, span: u64, faults: Vec<(u64, Fault)>) -> Report {
     let faults = faults.into_iter().map(|(at, fault)| (Duration::from_millis(at), fault)).collect();
     let deployment = Deployment::find("small").unwrap();
-    let mut world = World::new(WorldPlan { deployment, seed, span: Duration::from_secs(span), faults });
+    let mut world = World::new(WorldPlan { deployment, seed, span: Duration::from_secs(span), faults, mute: "" });
     world.trace = std::env::var("TRACE").is_ok();
     world.run()
 }
@@ -44,7 +44,7 @@
     let mut exercised = BTreeSet::new();
     for seed in 1..=60 {
         let faults = Schedule::random(&deployment, seed, span);
-        let report = World::new(WorldPlan { deployment: deployment.clone(), seed, span, faults }).run();
+        let report = World::new(WorldPlan { deployment: deployment.clone(), seed, span, faults, mute: "" }).run();
         for (at, (never, verdict)) in report.checker.verdicts().into_iter().enumerate() {
             assert!(!matches!(verdict, Verdict::Broken(_)), "seed {seed}: {never}: {verdict:?}");
             if verdict != Verdict::NotExercised {
@@ -61,7 +61,7 @@
     let span = Duration::from_secs(40);
     let run = || {
         let faults = Schedule::random(&deployment, 5, span);
-        let report = World::new(WorldPlan { deployment: deployment.clone(), seed: 5, span, faults }).run();
+        let report = World::new(WorldPlan { deployment: deployment.clone(), seed: 5, span, faults, mute: "" }).run();
         (report.steps, format!("{:?} {:?}", report.notes, report.checker.callers))
     };
     assert!(run() == run());
@@ -218,7 +218,7 @@
     deployment.rate = 120;
     // Applications get 36 errands a second, of which 18 are of rank 9.
     deployment.services[1].rate = 11.0;
-    let report = World::new(WorldPlan { deployment, seed: 9, span: Duration::from_secs(40), faults: vec![] }).run();
+    let report = World::new(WorldPlan { deployment, seed: 9, span: Duration::from_secs(40), faults: vec![], mute: "" }).run();
     judge(&report, &[10]);
     let share = |rank: u32| {
         let calls: Vec<_> = report.checker.callers.iter().filter(|call| call.rank == rank && call.entry != "listing").collect();
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -7,6 +7,8 @@
     pub seed: u64,
     pub span: Duration,
     pub faults: Vec<(Duration, Fault)>,
+    /// Messages of this name are all lost: what would be without them?
+    pub mute: &'static str,
 }
 
 /// What came of it.
@@ -333,7 +335,7 @@
             return self.after(Duration::ZERO, Happening::Deliver { to, from, message });
         }
         let (lost, doubled, late) = self.weather;
-        if self.cuts.contains(&(node, to)) || self.dice.chance(lost) {
+        if message.name() == self.plan.mute || self.cuts.contains(&(node, to)) || self.dice.chance(lost) {
             return;
         }
         let copies = if self.dice.chance(doubled) { 2 } else { 1 };
