--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -38,6 +38,8 @@
     swept: Duration,
     /// Until then unknown operations are not run: acknowledged ones may be lost.
     closed: Duration,
+    /// Version of the configuration last shown to the history.
+    shown: u64,
     realm: u64,
     /// What the duties were last planned from.
     planned: Option<Planned>,
@@ -121,6 +123,7 @@
             finals: BTreeMap::new(),
             swept: Duration::ZERO,
             closed: Duration::ZERO,
+            shown: 0,
             realm: 0,
             planned: None,
             warned: None,
@@ -282,6 +285,10 @@
             self.swept = now;
             self.sweep(now);
         }
+        if let Some((version, text)) = self.replica.configuration().filter(|(version, _)| *version != self.shown) {
+            self.shown = version;
+            self.out.push(Output::Show(Shown::Acknowledged { version, text }));
+        }
         self.recollect(now);
         self.plan_duties(now);
         self.push_fronts(now);
--- a/control-plane/src/lib.rs
+++ b/control-plane/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane: owners of slices, sessions with the edges, duties.
 mod control_part;
 mod duty_plan;
+mod history;
 mod keeper;
 mod operator_face;
 pub mod prelude;
@@ -8,4 +9,5 @@
 mod replica;
 mod sessions;
 pub use control_part::ControlPart;
+pub use history::History;
 pub use replica::{Record, Replica};
--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -20,10 +20,24 @@
             Some(Output::OperatorAnswer { answer: OperatorAnswer::State(state), .. }) => json(200, &state),
             _ => refuse(&lost()),
         },
+        ("GET", _) if path == "history" || path.starts_with("history/") => history(port, path),
         _ => return None,
     })
 }
 
+/// The configurations this node has kept: all, one, or one against another.
+fn history(port: &Port, path: &str) -> rouille::Response {
+    let numbers: Option<Vec<u64>> = path.split('/').skip(1).map(|word| word.parse().ok()).collect();
+    let store = port.data.as_ref().context("no data folder").and_then(|data| History::open(data));
+    let told = store.and_then(|store| match numbers.as_deref() {
+        Some([]) => Ok(json(200, &serde_json::json!({ "versions": store.versions()? }))),
+        Some([version]) => Ok(rouille::Response::from_data("application/json", store.text(*version)?)),
+        Some([old, new]) => Ok(rouille::Response::from_data("text/plain; charset=utf-8", store.compare(*old, *new)?)),
+        _ => bail!("no such path"),
+    });
+    told.unwrap_or_else(|error| refuse(&Refusal::not_run(404, "not_in_history", &format!("{error:#}"))))
+}
+
 fn answer_of(done: Result<rouille::Response, rouille::Response>) -> rouille::Response {
     done.unwrap_or_else(|refused| refused)
 }
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -38,6 +38,7 @@
     DutyGranted = 231, Info;
     ConfigurationPut = 240, Info;
     OriginsPut = 241, Info;
+    HistoryFailed = 242, Warn;
     OperationAbandoned = 250, Warn;
     Live = 300, Info;
     Fenced = 301, Warn;
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -11,6 +11,8 @@
     fence: AtomicU64,
     ready: AtomicBool,
     pub ending: AtomicBool,
+    /// The data folder, on nodes that have one.
+    pub data: Option<PathBuf>,
 }
 
 impl Port {
@@ -65,6 +67,8 @@
     pub pulse: Duration,
     pub store: Option<Box<dyn Store>>,
     pub caller: Option<Caller>,
+    /// Where acknowledged configurations go; never waited for.
+    pub history: Option<Sender<(u64, Arc<str>)>>,
 }
 
 const WATCH: Duration = Duration::from_secs(1);
@@ -90,6 +94,7 @@
             fence: AtomicU64::new(0),
             ready: AtomicBool::new(false),
             ending: AtomicBool::new(false),
+            data: self.startup.data.clone(),
         });
         let http = self.serve(&port)?;
         let store = self.store.take().map(|store| Host::keep(store, give.clone()));
@@ -140,6 +145,11 @@
                         port.fence.store(until.as_nanos() as u64, Ordering::Release);
                     }
                     Output::Show(Shown::Duties(_)) => {}
+                    Output::Show(Shown::Acknowledged { version, text }) => {
+                        if let Some(history) = &self.history {
+                            let _ = history.try_send((version, text));
+                        }
+                    }
                     Output::Show(Shown::Configuration(table)) => port.image.store(Arc::new(Some(table))),
                     Output::Ended => {
                         port.ending.store(true, Ordering::Release);
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -47,6 +47,8 @@
 pub enum Shown {
     Fence { until: Duration, ready: bool },
     Configuration(Arc<EntryTable>),
+    /// A configuration in force, for those who keep a history.
+    Acknowledged { version: u64, text: Arc<str> },
     /// The duties held now, by name.
     Duties(Vec<String>),
 }
--- a/programs/src/bin/control-node.rs
+++ b/programs/src/bin/control-node.rs
@@ -13,6 +13,7 @@
     };
     let mesh = startup.mesh.context("mesh address")?;
     let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank);
+    let history = Some(History::keep(startup.data.clone().context("data folder")?));
     let host = Host {
         me: part.me(),
         program: "control-node",
@@ -20,6 +21,7 @@
         pulse: lease::CONTROL_PULSE,
         store: Some(Box::new(log)),
         caller: None,
+        history,
     };
     host.run(Box::new(part))
 }
--- a/programs/src/bin/operate.rs
+++ b/programs/src/bin/operate.rs
@@ -9,6 +9,10 @@
   get                             the configuration in force, as it was put
   purge [--entry NAME] [--url URL | --prefix START]
   origins [FILE]                  the list of origins, or put it from a file
+  history                         versions kept by the nodes named
+  show VERSION                    an earlier configuration
+  compare OLD NEW                 what changed between two
+  put-back VERSION --if-match V   put an earlier one again, as a new version
   duties                          who holds which duty
   state                           nodes, sessions, usage, slices
   schema                          the schema of all remote calls
@@ -33,7 +37,7 @@
         return;
     }
     std::process::exit(match gather(flags) {
-        Ok(ask) => run(&ask),
+        Ok(ask) => run(ask),
         Err(found) => {
             for finding in &found {
                 eprintln!("operate: {finding}");
@@ -48,14 +52,16 @@
 struct Ask {
     to: Vec<SocketAddr>,
     method: &'static str,
-    path: &'static str,
+    path: String,
     body: Vec<u8>,
     if_match: Option<u64>,
+    /// Taken from the history first, then put.
+    put_back: Option<u64>,
 }
 
 fn gather(mut flags: pico_args::Arguments) -> Result<Ask, Vec<Finding>> {
     let mut found = Vec::new();
-    let mut ask = Ask { to: vec![], method: "GET", path: "", body: vec![], if_match: None };
+    let mut ask = Ask { to: vec![], method: "GET", path: String::new(), body: vec![], if_match: None, put_back: None };
     match flags.opt_value_from_str::<_, String>("--to") {
         Ok(Some(list)) => {
             for one in list.split(',') {
@@ -68,10 +74,11 @@
         Ok(None) => found.push(Finding::new("--to", "is needed")),
         Err(error) => found.push(Finding::new("--to", error.to_string())),
     }
-    ask.if_match = flags.opt_value_from_str("--if-match").unwrap_or_else(|error| {
-        found.push(Finding::new("--if-match", error.to_string()));
-        None
-    });
+    match flags.opt_value_from_str::<_, String>("--if-match").ok().flatten().map(|text| text.parse().map_err(|_| text)) {
+        Some(Ok(version)) => ask.if_match = Some(version),
+        Some(Err(text)) => found.push(Finding::new("--if-match", format!("{text} is no version"))),
+        None => {}
+    }
     let mut purge = serde_json::Map::new();
     for name in ["entry", "url", "prefix"] {
         let flag: &'static str = match name {
@@ -86,7 +93,8 @@
         }
     }
     let words: Vec<String> = flags.finish().into_iter().map(|word| word.to_string_lossy().into_owned()).collect();
-    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (odd, words): (Vec<&str>, Vec<&str>) = words.iter().map(String::as_str).partition(|word| word.starts_with('-'));
+    found.extend(odd.into_iter().map(|flag| Finding::new(flag, "unknown flag, or its value is missing")));
     let mut file = |path: &str| {
         std::fs::read(path).unwrap_or_else(|error| {
             found.push(Finding::new(path, error.to_string()));
@@ -94,22 +102,29 @@
         })
     };
     match words.as_slice() {
-        ["check", path] => (ask.method, ask.path, ask.body) = ("POST", "configuration/check", file(path)),
-        ["put", path] => (ask.method, ask.path, ask.body) = ("PUT", "configuration", file(path)),
-        ["get"] => ask.path = "configuration",
+        ["check", path] => (ask.method, ask.path, ask.body) = ("POST", "configuration/check".into(), file(path)),
+        ["put", path] => (ask.method, ask.path, ask.body) = ("PUT", "configuration".into(), file(path)),
+        ["get"] => ask.path = "configuration".into(),
         ["purge"] => {
-            (ask.method, ask.path) = ("POST", "purges");
+            (ask.method, ask.path) = ("POST", "purges".into());
             ask.body = serde_json::to_vec(&purge).unwrap_or_default();
         }
-        ["origins"] => ask.path = "origins",
-        ["origins", path] => (ask.method, ask.path, ask.body) = ("PUT", "origins", file(path)),
-        ["duties"] => ask.path = "duties",
-        ["state"] => ask.path = "state",
-        ["schema"] => ask.path = "schema",
+        ["origins"] => ask.path = "origins".into(),
+        ["origins", path] => (ask.method, ask.path, ask.body) = ("PUT", "origins".into(), file(path)),
+        [name @ ("duties" | "state" | "schema" | "history")] => ask.path = name.to_string(),
+        ["show", version] => ask.path = format!("history/{version}"),
+        ["compare", old, new] => ask.path = format!("history/{old}/{new}"),
+        ["put-back", version] => {
+            (ask.method, ask.path) = ("PUT", "configuration".into());
+            ask.put_back = version.parse().ok();
+            if ask.put_back.is_none() {
+                found.push(Finding::new("put-back", format!("{version} is no version")));
+            }
+        }
         [] => found.push(Finding::new("COMMAND", "is needed")),
         other => found.push(Finding::new(other.join(" "), "no such command")),
     }
-    if ask.if_match.is_some() && (ask.method, ask.path) != ("PUT", "configuration") {
+    if ask.if_match.is_some() && (ask.method, ask.path.as_str()) != ("PUT", "configuration") {
         found.push(Finding::new("--if-match", "goes with put"));
     }
     if !purge.is_empty() && ask.path != "purges" {
@@ -118,10 +133,26 @@
     if found.is_empty() { Ok(ask) } else { Err(found) }
 }
 
-fn run(ask: &Ask) -> i32 {
+fn run(mut ask: Ask) -> i32 {
+    if ask.path == "history" {
+        return history(&ask);
+    }
+    if let Some(version) = ask.put_back {
+        let kept = Ask { method: "GET", path: format!("history/{version}"), body: vec![], if_match: None, put_back: None, to: ask.to.clone() };
+        match ask.to.iter().filter_map(|to| call(*to, &kept).ok()).find(|told| told.status == 200) {
+            Some(told) => ask.body = told.text.into_bytes(),
+            None => {
+                eprintln!("operate: version {version} is in no history of the nodes named");
+                return 1;
+            }
+        }
+    }
+    let ask = &ask;
     let mut last = String::new();
     for to in &ask.to {
         match call(*to, ask) {
+            // Another node may have kept what this one has not.
+            Ok(told) if told.status == 404 && ask.path.starts_with("history/") && Some(to) != ask.to.last() => continue,
             Ok(told) => return show(ask, &told),
             Err(error) => {
                 // A connection that never came about asked nothing.
@@ -138,6 +169,19 @@
     1
 }
 
+/// All versions that any of the nodes kept.
+fn history(ask: &Ask) -> i32 {
+    let mut versions = BTreeSet::new();
+    let mut answered = false;
+    for told in ask.to.iter().filter_map(|to| call(*to, ask).ok()).filter(|told| told.status == 200) {
+        answered = true;
+        let body: serde_json::Value = serde_json::from_str(&told.text).unwrap_or_default();
+        versions.extend(body["versions"].as_array().into_iter().flatten().filter_map(|version| version.as_u64()));
+    }
+    versions.iter().for_each(|version| println!("{version}"));
+    i32::from(!answered)
+}
+
 fn call(to: SocketAddr, ask: &Ask) -> attohttpc::Result<Told> {
     let method = attohttpc::Method::from_bytes(ask.method.as_bytes()).expect("ours");
     let mut request = attohttpc::RequestBuilder::new(method, format!("http://{to}/.otterslip/v1/{}", ask.path))
--- a/programs/tests/whole_path.rs
+++ b/programs/tests/whole_path.rs
@@ -130,6 +130,7 @@
     bad_requests_are_refused_cleanly(&path);
     bad_origins_are_never_passed_on(&path);
     operators_changes_are_whole(&path);
+    the_command_line_and_the_history(&path);
     a_control_node_and_an_edge_go(&mut path);
 }
 
@@ -261,6 +262,44 @@
     }
 }
 
+/// What `operate` prints, says on the side, and ends with.
+fn operate(path: &Path, words: &[&str]) -> (String, String, i32) {
+    let to: Vec<String> = path.fleet.control.iter().map(|node| node.http.to_string()).collect();
+    let done = Command::new(env!("CARGO_BIN_EXE_operate")).arg("--to").arg(to.join(",")).args(words).output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (text(done.stdout), text(done.stderr), done.status.code().unwrap())
+}
+
+fn the_command_line_and_the_history(path: &Path) {
+    let before = operate(path, &["get"]).0;
+    let versions = |path: &Path| -> Vec<u64> { operate(path, &["history"]).0.lines().map(|line| line.parse().unwrap()).collect() };
+    // Kept a moment after the acknowledgement, which does not wait for it.
+    assert!(Fleet::wait(LONG, &mut || versions(path).len() >= 2));
+    let (first, now) = (versions(path)[0], *versions(path).last().unwrap());
+    assert_eq!(operate(path, &["show", &now.to_string()]).0.trim_end(), before.trim_end());
+    let (told, _, _) = operate(path, &["compare", &first.to_string(), &now.to_string()]);
+    assert!(told.contains("+") && told.contains("marker"), "{told}");
+    let (_, said, code) = operate(path, &["put-back", &first.to_string(), "--if-match", "1"]);
+    assert_eq!(code, 1, "raced: {said}");
+    assert_eq!(operate(path, &["put-back", &first.to_string(), "--if-match", &now.to_string()]).2, 0);
+    assert_eq!(operate(path, &["get"]).0.trim_end(), operate(path, &["show", &first.to_string()]).0.trim_end());
+    // A broken store blocks nothing.
+    for slot in 0..3 {
+        let store = path.fleet.folder.join(format!("data-{slot}/history"));
+        fs::remove_dir_all(&store).unwrap();
+        fs::write(&store, "broken").unwrap();
+    }
+    let text = path.fleet.folder.join("again.json");
+    fs::write(&text, &before).unwrap();
+    assert_eq!(operate(path, &["put", &text.display().to_string()]).2, 0);
+    assert_eq!(operate(path, &["history"]).2, 1);
+    assert_eq!(operate(path, &["show", "1"]).2, 1);
+    // All that is wrong with the options comes at once.
+    let (_, said, code) = operate(path, &["--if-match", "x", "put", "/nowhere/at/all", "--odd"]);
+    assert_eq!((code, said.lines().count()), (2, 4), "{said}");
+    assert_eq!(operate(path, &["check", "/nowhere/at/all"]).2, 2);
+}
+
 fn a_control_node_and_an_edge_go(path: &mut Path) {
     path.fleet.control[0].kill();
     let deployment = Deployment::find("small").unwrap();
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -294,6 +294,7 @@
                 *self.notes.entry(event).or_default() += 1;
             }
             Output::Show(Shown::Fence { until, ready }) => (self.nodes[node].fence, self.nodes[node].ready) = (until, ready),
+            Output::Show(Shown::Acknowledged { .. }) => {}
             Output::Show(Shown::Duties(list)) => self.duties_shown(node, list),
             Output::Show(Shown::Configuration(table)) => self.nodes[node].image = Some(table),
             Output::Ended => {
