Pending errands of a service are bounded at each edge; scripted edge tests, storms, duels

Cause: each pending errand holds a thread, so one slow service could take them all. Over 256 of a service the lowest rank goes first and is told at once. Tests: the edge with scripted mates (leases, strangers, release before not-run, lapsed permits, outcome before answer); 1500 purges in 3 s with one edge cut off; two control nodes that cannot hear each other; log bounds.

--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -56,6 +56,8 @@
 const LATE: Duration = Duration::from_secs(1);
 /// A warned edge waits this long for its duties to be taken.
 const HAND_OVER: Duration = Duration::from_secs(5);
+/// Errands of one service pending at one edge at most.
+const PENDING: usize = 256;
 /// Own ended operations remembered at most.
 const ENDED: usize = 10_000;
 /// How long after a purge was learned (so, before it was acknowledged) an
@@ -357,6 +359,9 @@
             let refusal = Refusal::new(503, "fenced", outcome, "this node is cut off from a majority; another may serve");
             return self.answer(now, id, &job, Answer::Refusal(refusal));
         }
+        if let Some(refusal) = self.crowded(now, &job) {
+            return self.answer(now, id, &job, Answer::Refusal(refusal));
+        }
         match job.errand.entry().kind {
             Kind::Cached if !job.errand.personal() => {
                 job.key = Some(Job::cache_key(&job.errand));
@@ -372,6 +377,27 @@
         self.say(now, id);
     }
 
+    /// Each pending errand holds a thread of the HTTP side: a slow service must
+    /// not take them all. Over its bound, the lowest rank goes first: this
+    /// errand, or one that waits for a permit and is told so at once.
+    fn crowded(&mut self, now: Duration, job: &Job) -> Option<Refusal> {
+        let service = &job.errand.entry().group;
+        let mates = self.jobs.iter().filter(|(_, known)| known.errand.entry().group == *service);
+        if mates.clone().count() < PENDING {
+            return None;
+        }
+        let waiting = mates.filter(|(_, known)| matches!(known.stage, Stage::Knocking | Stage::Getting { spare: false, .. }));
+        let lowest = waiting.min_by_key(|(id, known)| (known.errand.entry().rank, std::cmp::Reverse(**id))).map(|(id, known)| (*id, known.errand.entry().rank));
+        if let Some((id, _)) = lowest.filter(|(_, rank)| *rank < job.errand.entry().rank) {
+            let refusal = self.jobs[&id].refuse(429, "over_capacity", "too many errands of this service are pending here");
+            self.give_up(now, id, refusal);
+            return None;
+        }
+        // Of an operation that was not looked up nothing can be said.
+        let outcome = if job.errand.entry().kind == Kind::Keyed { RunState::Unknown } else { RunState::NotRun };
+        Some(Refusal::new(429, "over_capacity", outcome, "too many errands of this service are pending here"))
+    }
+
     /// Says the message of a job's stage, for the first time or again.
     fn say(&mut self, now: Duration, id: u64) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -942,3 +968,142 @@
         std::mem::take(&mut self.out)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn at(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    fn address(port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    fn table() -> Arc<EntryTable> {
+        let key = BASE64.encode([1; 32]);
+        let group = |name: &str| format!(r#"{{"service":"{name}","rate":9,"concurrency":9,"key":"{key}"}}"#);
+        let text = format!(
+            r#"{{"groups":[{},{}],"entries":[
+            {{"name":"low","path":"/low","group":"slow","rank":1,"kind":"plain"}},
+            {{"name":"high","path":"/high","group":"slow","rank":9,"kind":"plain"}},
+            {{"name":"k","path":"/k","methods":["POST"],"group":"slow","rank":9,"kind":"keyed"}},
+            {{"name":"quick","path":"/quick","group":"quick","rank":1,"kind":"plain"}}]}}"#,
+            group("slow"),
+            group("quick")
+        );
+        Arc::new(EntryTable::new(1, Configuration::read(&text).unwrap()))
+    }
+
+    /// An edge with two renewals at `now`, whose mates are played by the test.
+    fn live(now: u64) -> EdgePart {
+        let me = Mate::new(address(9), 5);
+        let mut edge = EdgePart::new(me, "z", vec![address(1), address(2), address(3)], 1 << 20);
+        edge.step(at(now), Input::Pulse);
+        for seed in [1, 2] {
+            let renewed = Renewed { life: 5, sent: at(now), realm: 0, recall: false, news: vec![] };
+            edge.step(at(now), Input::Heard { from: Mate::new(address(seed), 1), message: renewed.into() });
+        }
+        edge
+    }
+
+    fn errand(url: &str, method: &str) -> Errand {
+        let image = table();
+        let entry = image.find("h", url, method).unwrap();
+        let headers = vec![("operation-key".to_string(), "key".to_string())];
+        Errand { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), caller: String::new(), image, entry }
+    }
+
+    fn answers(out: Vec<Output>) -> Vec<(u64, u16, String, RunState)> {
+        let one = |output| match output {
+            Output::Answer { id, answer: Answer::Refusal(refusal) } => Some((id, refusal.status, refusal.code, refusal.outcome)),
+            _ => None,
+        };
+        out.into_iter().filter_map(one).collect()
+    }
+
+    #[test]
+    fn a_slow_service_is_bounded_lowest_rank_first_and_takes_nothing_from_others() {
+        let mut edge = live(1000);
+        for id in 0..256 {
+            assert!(answers(edge.step(at(1100), Input::Errand { id, errand: errand("/low", "GET") })).is_empty());
+        }
+        let told = answers(edge.step(at(1100), Input::Errand { id: 300, errand: errand("/low", "GET") }));
+        assert_eq!(told, [(300, 429, "over_capacity".to_string(), RunState::NotRun)]);
+        let told = answers(edge.step(at(1100), Input::Errand { id: 301, errand: errand("/high", "GET") }));
+        assert_eq!(told, [(255, 429, "over_capacity".to_string(), RunState::NotRun)], "the last of the lowest makes room");
+        assert!(answers(edge.step(at(1100), Input::Errand { id: 302, errand: errand("/quick", "GET") })).is_empty());
+    }
+
+    #[test]
+    fn without_two_renewals_nothing_is_begun_and_of_a_keyed_errand_nothing_is_said() {
+        let mut edge = live(1000);
+        let told = |edge: &mut EdgePart, now, id, url: &str, method: &str| answers(edge.step(at(now), Input::Errand { id, errand: errand(url, method) }));
+        assert!(told(&mut edge, 1999, 1, "/quick", "GET").is_empty());
+        assert_eq!(told(&mut edge, 2000, 2, "/quick", "GET"), [(2, 503, "fenced".to_string(), RunState::NotRun)]);
+        assert_eq!(told(&mut edge, 2000, 3, "/k", "POST"), [(3, 503, "fenced".to_string(), RunState::Unknown)]);
+    }
+
+    #[test]
+    fn a_renewal_of_an_earlier_life_or_a_stranger_counts_for_nothing() {
+        for (life, seed) in [(4, 3), (5, 7)] {
+            let mut edge = live(1000);
+            let renewed = Renewed { life, sent: at(5000), realm: 0, recall: false, news: vec![] };
+            for _ in 0..2 {
+                edge.step(at(1500), Input::Heard { from: Mate::new(address(seed), 1), message: renewed.clone().into() });
+            }
+            let told = answers(edge.step(at(2500), Input::Errand { id: 1, errand: errand("/quick", "GET") }));
+            assert_eq!(told.len(), 1, "life {life}, seed {seed}");
+        }
+    }
+
+    /// Plays the ledger: what the edge asks, and an answer to it.
+    fn asked(out: &[Output]) -> Vec<Change> {
+        let one = |output: &Output| match output {
+            Output::Tell { message: Message::Ask(ask), .. } => Some(ask.ask.clone()),
+            _ => None,
+        };
+        out.iter().filter_map(one).collect()
+    }
+
+    fn told(edge: &mut EdgePart, now: u64, id: u64, told: Outcome) -> Vec<Output> {
+        edge.step(at(now), Input::Heard { from: Mate::new(address(1), 1), message: Told { id, told }.into() })
+    }
+
+    #[test]
+    fn not_run_is_said_of_a_keyed_errand_only_once_its_release_is_recorded() {
+        let mut edge = live(1000);
+        let out = edge.step(at(1000), Input::Errand { id: 1, errand: errand("/k", "POST") });
+        assert!(matches!(asked(&out).as_slice(), [Change::Claim(_)]));
+        told(&mut edge, 1010, 1, Outcome::Claimed);
+        let away = Away { id: 1, reason: AwayReason::Busy, back: at(2000) };
+        let out = edge.step(at(1020), Input::Heard { from: Mate::new(address(8), 1), message: away.into() });
+        assert!(matches!(asked(&out).as_slice(), [Change::Release(_)]));
+        assert!(answers(out).is_empty());
+        let out = told(&mut edge, 1030, 1, Outcome::Released);
+        assert_eq!(answers(out), [(1, 429, "over_capacity".to_string(), RunState::NotRun)]);
+    }
+
+    #[test]
+    fn what_was_sent_and_not_answered_is_unknown_and_recorded_before_it_is_said() {
+        let mut edge = live(1000);
+        let origin = Origin { address: address(50), service: "slow".into(), instance: "i".into(), leaving: false };
+        let row = Row { version: 1, value: Value::Origins { list: Arc::new(vec![origin.clone()]), change: 1 } };
+        let news = vec![News { slice: ORIGINS, version: 1, rows: vec![("origins".into(), row)] }];
+        let renewed = Renewed { life: 5, sent: at(1000), realm: 0, recall: false, news };
+        edge.step(at(1000), Input::Heard { from: Mate::new(address(1), 1), message: renewed.into() });
+        edge.step(at(1000), Input::Errand { id: 1, errand: errand("/k", "POST") });
+        told(&mut edge, 1010, 1, Outcome::Claimed);
+        let permit = |sent| Permit { id: 1, service: "slow".into(), epoch: 1, serial: 1, origin: origin.clone(), sent: at(sent), held: at(0) };
+        let knock = |edge: &mut EdgePart, now, permit: Permit| edge.step(at(now), Input::Heard { from: Mate::new(address(8), 1), message: permit.into() });
+        let called = |out: &[Output]| out.iter().any(|output| matches!(output, Output::Call { .. }));
+        assert!(!called(&knock(&mut edge, 1300, permit(1010))), "a permit that was too long on the way lapses");
+        assert!(called(&knock(&mut edge, 1300, permit(1290))));
+        let out = edge.step(at(1400), Input::Called { id: 1, result: CallBack::Bad("cut off".into()) });
+        assert!(matches!(asked(&out).as_slice(), [Change::Record(_, None)]));
+        assert!(answers(out).is_empty());
+        let out = told(&mut edge, 1410, 1, Outcome::Recorded);
+        assert_eq!(answers(out), [(1, 502, "bad_origin_answer".to_string(), RunState::Unknown)]);
+    }
+}
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -393,3 +393,48 @@
     assert!(served_within(&report, 14.0, 25.0) > 0.99, "{}", served_within(&report, 14.0, 25.0));
     assert!(served_within(&report, 27.0, 38.0) > 0.99);
 }
+
+#[test]
+fn two_that_cannot_hear_each_other_do_not_starve_a_slice() {
+    // Control 0 and 1 both hear 2, and each thinks itself chosen for much.
+    let (one, two) = (Place::Control(0), Place::Control(1));
+    let mut faults = vec![(8_000, Fault::Cut(one, two)), (8_000, Fault::Cut(two, one)), (28_000, Fault::Heal)];
+    faults.extend((0..6).map(|round| (10_000 + round * 3_000, Fault::Configure)));
+    faults.push((30_000, Fault::ReadBack));
+    let report = small(3, 45, faults);
+    judge(&report, &[1, 6, 7]);
+    let done = report.checker.fleet.iter().filter(|one| one.what == "configured").count();
+    assert!(done >= 6, "{done} of 7 changes were acknowledged");
+    assert!(served(&report) > 0.97, "{}", served(&report));
+}
+
+#[test]
+fn a_storm_of_purges_settles_and_one_who_missed_it_serves_nothing_old() {
+    let mut faults = vec![(8_000, Fault::Isolate(Place::Edge(1)))];
+    for round in 0..1500u64 {
+        let at = 9_000 + round * 2;
+        if round % 100 == 0 {
+            faults.push((at, Fault::Content));
+        }
+        faults.push((at + 1, Fault::Purge(format!("/listing/{}", round % 20))));
+    }
+    faults.push((13_000, Fault::Heal));
+    let report = small(4, 35, faults);
+    judge(&report, &[4]);
+    let purged: Vec<&FleetRecord> = report.checker.fleet.iter().filter(|one| one.what == "purged").collect();
+    assert_eq!(purged.iter().filter(|one| one.good).count(), 1500);
+    assert!(report.log_bytes < 12 << 20, "{} bytes of log", report.log_bytes);
+}
+
+#[test]
+fn the_log_on_disk_is_bounded_by_images() {
+    let mut deployment = Deployment::find("small").unwrap();
+    deployment.rate = 200;
+    deployment.mix[2].share = 60;
+    deployment.mix[0].share = 25;
+    deployment.services[1].rate = 150.0;
+    let report = World::new(WorldPlan { deployment, seed: 2, span: Duration::from_secs(120), faults: vec![], mute: "" }).run();
+    judge(&report, &[1]);
+    // Some 13 000 operations with their answers were recorded on each disk.
+    assert!(report.log_bytes < 24 << 20, "{} bytes", report.log_bytes);
+}
