simulate-fleet answers what-if questions: zones, weather, service rates, scripts

Scripts are read whole and all their findings told with their place. Prints moves, the longest gap without a success and calls against rate. A test tool's flag with a bad value is no longer also called unknown.

--- a/simulate-fleet/src/bin/simulate-fleet.rs
+++ b/simulate-fleet/src/bin/simulate-fleet.rs
@@ -8,11 +8,16 @@
 --seconds N     of virtual time (default 60)
 --seed N        the first seed (default 1)
 --seeds N       how many seeds, one after the other (default 1)
+--zones N       spreads the nodes over so many zones
+--service-rate NAME=N   calls a second one origin of a service may get; one
+--lost N --late N --doubled N   of a hundred messages, all the time
 --faults none|random   (default random)
+--script FILE   what happens when, see docs/simulator.md; instead of --faults
 --trace 1       prints what happens
 --figures 1     prints the figures of docs/figures.md, nothing else
 
-Prints served shares, origin calls, nevers broken, and the seed that repeats it.
+Prints served shares by rank, origin calls against their rate, moves of duties,
+longest gap without a success, nevers broken, and the seed that repeats it.
 Exit code 1 if a never is broken.";
 
 fn main() -> Result<()> {
@@ -36,23 +41,54 @@
     if seconds < 20 {
         flags.found("--seconds", "at least 20");
     }
-    flags.finish();
-    if figures {
-        Figures::print();
-        return Ok(());
-    }
-    let mut deployment = deployment.context("deployment")?;
+    let zones = flags.take("--zones", Some(0usize)).unwrap_or(0);
+    let service_rate = flags.take("--service-rate", Some(String::new())).unwrap_or_default();
+    let weather = ["--lost", "--doubled", "--late"].map(|name| flags.take(name, Some(0u64)).unwrap_or(0));
+    let script = flags.take("--script", Some(String::new())).filter(|path| !path.is_empty());
+    let mut deployment = deployment.unwrap_or_else(|| Deployment::find("small").expect("known"));
     if edges > 0 {
         deployment.edges = edges;
     }
     if rate > 0 {
         deployment.rate = rate;
     }
+    if zones > 0 {
+        const NAMES: [&str; 8] = ["zone-1", "zone-2", "zone-3", "zone-4", "zone-5", "zone-6", "zone-7", "zone-8"];
+        deployment.zones = NAMES[..zones.min(8)].to_vec();
+    }
+    if weather.iter().any(|share| *share > 90) {
+        flags.found("--lost, --doubled, --late", "at most 90 of a hundred");
+    }
+    if !service_rate.is_empty() {
+        let parts = service_rate.split_once('=').and_then(|(name, rate)| Some((name, rate.parse::<f64>().ok()?)));
+        match parts.and_then(|(name, rate)| Some((deployment.services.iter_mut().find(|one| one.name == name)?, rate))) {
+            Some((service, rate)) => service.rate = rate,
+            None => flags.found("--service-rate", "must be a service of the deployment, = and a number"),
+        }
+    }
+    let mut scripted = None;
+    if let Some(path) = &script {
+        match fs::read_to_string(path).map_err(|error| vec![Finding::new("", error.to_string())]).and_then(|text| Script::read(&text, &deployment)) {
+            Ok(list) => scripted = Some(list),
+            Err(found) => found.iter().for_each(|finding| flags.found(&format!("{path}{}", finding.place), &finding.text)),
+        }
+    }
+    flags.finish();
+    if figures {
+        Figures::print();
+        return Ok(());
+    }
     let span = Duration::from_secs(seconds);
     let mut broken = 0;
     let mut held = [0; 12];
     for seed in first..first + seeds {
-        let list = if faults == "random" { Schedule::random(&deployment, seed, span) } else { vec![] };
+        let mut list = match &scripted {
+            Some(list) => list.clone(),
+            None if faults == "random" => Schedule::random(&deployment, seed, span),
+            None => vec![],
+        };
+        let [lost, doubled, late] = weather;
+        list.insert(0, (Duration::from_secs(3), Fault::Weather { lost, doubled, late }));
         let plan = WorldPlan { deployment: deployment.clone(), seed, span, faults: list, mute: "" };
         let began = Instant::now();
         let mut world = World::new(plan);
@@ -75,6 +111,8 @@
         .map(|(rank, (good, all))| format!("rank {rank} {:.1} %", 100.0 * good as f64 / all as f64))
         .collect();
     println!("seed {seed}: {} errands, {}, {} origin calls, {} steps in {} ms", checker.callers.len(), shares.join(", "), checker.origins.len(), report.steps, took.as_millis());
+    let moves = report.notes.get(&Event::DutyRevoked).unwrap_or(&0);
+    println!("  duties moved {moves}; longest gap without a success {:.2} s; {}", checker.longest_gap(), checker.calls_against_rate());
     if whole {
         let mut codes: BTreeMap<(u16, String), usize> = BTreeMap::new();
         for call in checker.callers.iter().filter(|call| call.status != 200) {
--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod figures;
 pub mod prelude;
 pub mod schedule;
+pub mod script;
 pub mod sim_node;
 pub mod sim_origin;
 pub mod world;
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -1,6 +1,7 @@
 pub use crate::fault::{Fault, Moment, Place};
 pub use crate::figures::Figures;
 pub use crate::schedule::Schedule;
+pub use crate::script::Script;
 pub use crate::sim_node::{Disk, SimNode};
 pub use crate::sim_origin::{Mood, SimOrigin};
 pub use crate::world::{Report, World, WorldPlan};
--- a/stand-ins/src/checker.rs
+++ b/stand-ins/src/checker.rs
@@ -247,11 +247,7 @@
 
     fn over_rate(&self) -> Verdict {
         let mut cases = Cases::default();
-        let mut times: BTreeMap<(&str, &str), Vec<f64>> = BTreeMap::new();
-        for call in &self.origins {
-            times.entry((&call.service, &call.address)).or_default().push(call.at);
-        }
-        for ((service, address), list) in times {
+        for ((service, address), list) in self.calls_by_origin() {
             let Some(rate) = self.rates.get(service) else { continue };
             let most = most_within(&list, 5.0);
             // Only an origin that is driven near its rate puts it to the test.
@@ -286,6 +282,32 @@
         cases.verdict()
     }
 
+    /// The longest time in which errands ended and none with success.
+    pub fn longest_gap(&self) -> f64 {
+        let mut ends: Vec<f64> = self.callers.iter().filter(|call| call.status == 200).map(|call| call.end).collect();
+        ends.sort_by(f64::total_cmp);
+        ends.windows(2).map(|pair| pair[1] - pair[0]).fold(0.0, f64::max)
+    }
+
+    /// For each service, the most calls to one origin in 5 s, of what it may get.
+    pub fn calls_against_rate(&self) -> String {
+        let mut most: BTreeMap<&str, usize> = BTreeMap::new();
+        for ((service, _), list) in self.calls_by_origin() {
+            let known = most.entry(service).or_default();
+            *known = (*known).max(most_within(&list, 5.0));
+        }
+        let one = |(service, rate): (&String, &f64)| format!("{service}: at most {} calls in 5 s of {}", most.get(service.as_str()).unwrap_or(&0), rate * 5.0);
+        self.rates.iter().map(one).collect::<Vec<_>>().join(", ")
+    }
+
+    fn calls_by_origin(&self) -> BTreeMap<(&str, &str), Vec<f64>> {
+        let mut times: BTreeMap<(&str, &str), Vec<f64>> = BTreeMap::new();
+        for call in &self.origins {
+            times.entry((&call.service, &call.address)).or_default().push(call.at);
+        }
+        times
+    }
+
     /// Share of errands with a success, by rank.
     pub fn shares(&self) -> BTreeMap<u32, (usize, usize)> {
         let mut shares: BTreeMap<u32, (usize, usize)> = BTreeMap::new();
--- a/stand-ins/src/flags.rs
+++ b/stand-ins/src/flags.rs
@@ -25,7 +25,9 @@
     where
         T::Err: fmt::Display,
     {
-        match self.flags.opt_value_from_str::<_, T>(name) {
+        // Read as text first: a value that does not parse is taken all the same.
+        let read = self.flags.opt_value_from_str::<_, String>(name).map_err(|error| error.to_string());
+        match read.and_then(|text| text.map(|text| text.parse().map_err(|error| format!("{text}: {error}"))).transpose()) {
             Ok(Some(value)) => Some(value),
             Ok(None) => {
                 if usual.is_none() {
@@ -34,7 +36,7 @@
                 usual
             }
             Err(error) => {
-                self.found.push(Finding::new(name, error.to_string()));
+                self.found.push(Finding::new(name, error));
                 None
             }
         }
