The fleet runner gives no port out twice

Cause of a fleet run with 37 operations run twice and a rate broken: an edge and an origin of the runner's had been given one port; the origin answered for both, and callers reached it past the product (its records name no errand of ours). Ruled out by the records: repeated claims, retries in the HTTP library, the new connection that watches origins. Before: ports chosen by the system one by one, released in between; after: each only once in a process.

--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -19,9 +19,16 @@
     record: Recorder,
 }
 
-/// An address nothing listens on now.
+/// An address nothing listens on now, and that was not given out before: the
+/// system may choose a port again that nobody has taken yet.
 pub fn free_address() -> Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    loop {
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        if GIVEN.lock().expect("no holder panics").insert(address) {
+            return Ok(address);
+        }
+    }
 }
 
 impl Node {
@@ -215,3 +222,16 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    /// A fleet once gave an origin and an edge one port: the origin answered
+    /// for both, and operations seemed to run twice.
+    #[test]
+    fn no_address_is_given_out_twice() {
+        let list: BTreeSet<SocketAddr> = (0..500).map(|_| crate::fleet::free_address().unwrap()).collect();
+        assert_eq!(list.len(), 500);
+    }
+}
