--- a/programs/tests/whole_path.rs
+++ b/programs/tests/whole_path.rs
@@ -257,6 +257,14 @@
         let answer = attohttpc::get(url).proxy_settings(attohttpc::ProxySettings::builder().build()).send().unwrap();
         assert_eq!(answer.text_utf8().unwrap(), documents[won]);
     }
+    // Thousands of entries at once, in force like a small change.
+    let many: Vec<u64> = (2000..6000).collect();
+    assert_eq!(path.operate("PUT", "configuration", &deployment.document(&many), None).0, 200);
+    for edge in 0..3 {
+        assert_eq!(path.call(edge, "POST", "/marker/5999", &[], "").0, 400);
+    }
+    assert_eq!(path.operate("PUT", "configuration", &documents[won], None).0, 200);
+    assert_eq!(path.call(1, "POST", "/marker/5999", &[], "").0, 404);
     for what in ["duties", "state", "origins", "live", "ready", "schema"] {
         assert_eq!(path.operate("GET", what, "", None).0, 200);
     }
--- a/simulate-fleet/src/figures.rs
+++ b/simulate-fleet/src/figures.rs
@@ -130,6 +130,19 @@
         calls.count()
     }
 
+    /// Copies handed out by edge over a quiet minute: least and most, in parts
+    /// of the mean; `hot` sends nine of ten fetches to one key.
+    pub fn spread(deployment: &Deployment, hot: bool) -> (f64, f64) {
+        let mut deployment = deployment.clone();
+        for mix in deployment.mix.iter_mut().filter(|mix| hot && mix.ttl > 0) {
+            mix.paths = 1;
+        }
+        let report = World::new(WorldPlan { deployment, seed: 1, span: Duration::from_secs(60), faults: vec![], mute: "" }).run();
+        let mean = report.copies.iter().sum::<u64>() as f64 / report.copies.len() as f64;
+        let part = |count: Option<&u64>| count.map_or(0.0, |count| *count as f64 / mean);
+        (part(report.copies.iter().min()), part(report.copies.iter().max()))
+    }
+
     pub fn print() {
         for (rate, fetch) in [(100, 200), (20, 200), (100, 1000)] {
             let crowd = Figures::crowd(rate, Duration::from_millis(fetch));
@@ -148,6 +161,11 @@
         for part in [1.2, 0.8, 0.5, 0.3] {
             println!("applications may take {part} of what is asked: served by rank {:?}", Figures::capped(part));
         }
+        for name in ["mombasa", "trasa"] {
+            let deployment = Deployment::find(name).expect("known");
+            let (spread, hot) = (Figures::spread(&deployment, false), Figures::spread(&deployment, true));
+            println!("{name}: copies handed out by an edge, in parts of the mean: {spread:?}; one key an entry: {hot:?}");
+        }
         for edges in [4, 8, 15, 30] {
             let (least, most, moved) = Figures::ring(edges);
             println!("{edges} edges: {least} to {most} cache slices an edge (mean {:.1}); one more edge moves {moved}", f64::from(CACHE_SLICES) / edges as f64);
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -17,6 +17,8 @@
     pub steps: u64,
     pub notes: BTreeMap<Event, usize>,
     pub log_bytes: usize,
+    /// Copies handed out, by edge.
+    pub copies: Vec<u64>,
 }
 
 /// The fleet, its network, its origins, callers and operators, in virtual
@@ -47,6 +49,7 @@
     calls: Vec<OriginRecord>,
     fleet: Vec<FleetRecord>,
     steps: u64,
+    copies: Vec<u64>,
     notes: BTreeMap<Event, usize>,
     pub trace: bool,
 }
@@ -121,6 +124,7 @@
             calls: Vec::new(),
             fleet: Vec::new(),
             steps: 0,
+            copies: vec![0; plan.deployment.edges],
             notes: BTreeMap::new(),
             trace: false,
             plan,
@@ -204,7 +208,7 @@
         let keeps = self.plan.deployment.mix.iter().filter(|mix| mix.ttl > 0).map(|mix| (mix.entry.clone(), mix.ttl)).collect();
         let log_bytes = self.nodes.iter().map(|node| node.disk.bytes()).max().unwrap_or(0);
         let checker = Checker { callers: self.callers, origins: self.calls, fleet: self.fleet, rates, keeps };
-        Report { checker, steps: self.steps, notes: self.notes, log_bytes }
+        Report { checker, steps: self.steps, notes: self.notes, log_bytes, copies: self.copies }
     }
 
     /// The node and run an event is for; none if that run is over.
@@ -331,6 +335,9 @@
 
     fn send(&mut self, node: usize, to: SocketAddr, message: Message) {
         let from = self.nodes[node].mate;
+        if let (Place::Edge(at), Message::Copy(_)) = (self.nodes[node].place, &message) {
+            self.copies[at] += 1;
+        }
         let Some(to) = self.by_address.get(&to).copied() else { return };
         if to == node {
             return self.after(Duration::ZERO, Happening::Deliver { to, from, message });
--- a/stand-ins/src/bin/run-fleet.rs
+++ b/stand-ins/src/bin/run-fleet.rs
@@ -5,7 +5,10 @@
 --deployment mombasa|trasa|small   (default small)
 --seconds N     of traffic (default 60; the whole script needs 60)
 --folder DIR    for data, logs and records; must not exist
---faults none|script|wipe-power    (default script)
+--faults none|script|power|disks   (default script)
+                script: changes, races, purges, single kills and restarts
+                power: all nodes killed at once and started again
+                disks: nodes frozen, one disk removed, then all three
 --seed N        of the traffic (default 1)
 --keep-up 1     leaves the fleet running until a line is read
 
@@ -23,7 +26,7 @@
     if deployment.is_none() {
         flags.found("--deployment", "no such deployment");
     }
-    if !["none", "script", "wipe-power"].contains(&faults.as_str()) {
+    if !["none", "script", "power", "disks"].contains(&faults.as_str()) {
         flags.found("--faults", "no such faults");
     }
     if folder.as_ref().is_some_and(|folder| folder.exists()) {
@@ -46,7 +49,8 @@
     let watcher = run.watch_markers();
     match faults.as_str() {
         "script" => run.script()?,
-        "wipe-power" => run.power_cut()?,
+        "power" => run.power_cut()?,
+        "disks" => run.disks()?,
         _ => {}
     }
     let _ = callers.wait();
@@ -269,6 +273,58 @@
         self.read_back()
     }
 
+    /// Kills control nodes, removes their disks and starts them again.
+    fn remove_disks(&mut self, slots: &[usize]) -> Result<()> {
+        for slot in slots {
+            self.kill(true, *slot);
+            fs::remove_dir_all(self.fleet.folder.join(format!("data-{slot}")))?;
+        }
+        let folder = self.fleet.folder.clone();
+        for slot in slots {
+            Fleet::start(&folder, &mut self.fleet.control[*slot])?;
+        }
+        let nodes = &self.fleet.control;
+        let before = Instant::now();
+        let ready = Fleet::wait(Duration::from_secs(15), &mut || nodes.iter().all(Node::ready));
+        println!("{:6.1} s  disks of {slots:?} removed; control ready again ({ready}) after {} ms", self.at(), before.elapsed().as_millis());
+        self.fleet.note("returned", "control", 0, true);
+        self.fleet.note("ready-again", "control", 0, ready);
+        Ok(())
+    }
+
+    fn freeze(&mut self, control: bool, at: usize, span: Duration) {
+        let node = if control { &self.fleet.control[at] } else { &self.fleet.edges[at] };
+        println!("{:6.1} s  {} frozen for {span:?}", self.at(), node.name);
+        // Its callers may give up on it meanwhile; that is no planned change.
+        self.fleet.note("killed", &node.http.to_string(), 1, true);
+        node.signal("-STOP");
+        thread::sleep(span);
+        node.signal("-CONT");
+        println!("{:6.1} s  {} goes on", self.at(), node.name);
+    }
+
+    fn disks(&mut self) -> Result<()> {
+        self.until(5);
+        self.remove_disks(&[1])?;
+        self.read_back()?;
+        self.until(10);
+        self.freeze(true, 2, Duration::from_secs(3));
+        self.until(15);
+        self.replace_content(2)?;
+        self.freeze(false, 0, Duration::from_secs(3));
+        self.purge("/", 2)?;
+        self.until(20);
+        self.markers.push(2);
+        self.configure(None)?;
+        self.until(24);
+        self.remove_disks(&[0, 1, 2])?;
+        self.until(32);
+        self.read_back()?;
+        self.markers.push(3);
+        self.configure(None)?;
+        self.read_back()
+    }
+
     fn restart_planned(&mut self, at: usize) -> Result<()> {
         let node = &mut self.fleet.edges[at];
         node.signal("-TERM");
