The history is waited for in the test: it is kept beside the acknowledgement

The history is written by a thread of its own on purpose; the test now polls for the version in force.

--- a/programs/tests/whole_path.rs
+++ b/programs/tests/whole_path.rs
@@ -282,9 +282,9 @@
     let before = operate(path, &["get"]).0;
     let versions = |path: &Path| -> Vec<u64> { operate(path, &["history"]).0.lines().map(|line| line.parse().unwrap()).collect() };
     // Kept a moment after the acknowledgement, which does not wait for it.
-    assert!(Fleet::wait(LONG, &mut || versions(path).len() >= 2));
+    let kept = |version: u64| operate(path, &["show", &version.to_string()]).0.trim_end() == before.trim_end();
+    assert!(Fleet::wait(LONG, &mut || versions(path).len() >= 2 && kept(*versions(path).last().unwrap())));
     let (first, now) = (versions(path)[0], *versions(path).last().unwrap());
-    assert_eq!(operate(path, &["show", &now.to_string()]).0.trim_end(), before.trim_end());
     let (told, _, _) = operate(path, &["compare", &first.to_string(), &now.to_string()]);
     assert!(told.contains("+") && told.contains("marker"), "{told}");
     let (_, said, code) = operate(path, &["put-back", &first.to_string(), "--if-match", "1"]);
