An edge back in the same life is off the list of the gone

Cause (fleet of processes, all disks removed 7 s after an edge was frozen for 3 s): the roll still listed it as gone, so the ledger stayed closed for 65 s although the edge was there and knew all (366 errands refused). The scenario of wiped disks now has such an edge.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -503,7 +503,8 @@
         for mate in &gone {
             self.departed.entry(*mate).or_insert(now);
         }
-        gone.retain(|mate| now < self.departed[mate] + lease::CLOSED);
+        // Who is back in the same life has kept what it knows.
+        gone.retain(|mate| !members.contains(mate) && now < self.departed[mate] + lease::CLOSED);
         let value = Value::Roll { members: members.into_iter().collect(), gone };
         if keeper.rows.get("roll").is_none_or(|row| row.value != value) {
             keeper.put("roll".into(), value);
--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -468,6 +468,9 @@
         assert_eq!(ask(&mut next, 57_799, 3).0, "copy a");
         next.pulse(at(57_800), &|_| 7, 0);
         assert!(next.keys[&KEY].held.is_none());
+        // Too long on the way: over before it came.
+        let mut late = CacheOwner::new(1 << 20);
+        assert_eq!(late.take_over(at(50_000), at(7900), copies.clone(), &PurgeBook::default()), 0);
         // A purge that the last holder did not know yet.
         let purge = Purge { entry: None, url: Some("/u".into()), prefix: None };
         let mut book = PurgeBook::default();
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -1115,6 +1115,8 @@
         let knock = |edge: &mut EdgePart, now, permit: Permit| edge.step(at(now), Input::Heard { from: Mate::new(address(8), 1), message: permit.into() });
         let called = |out: &[Output]| out.iter().any(|output| matches!(output, Output::Call { .. }));
         assert!(!called(&knock(&mut edge, 1300, permit(1010))), "a permit that was too long on the way lapses");
+        let left = Permit { origin: Origin { instance: "gone".into(), ..origin.clone() }, ..permit(1290) };
+        assert!(!called(&knock(&mut edge, 1300, left)), "nor is an origin called that is not listed so (any more)");
         assert!(called(&knock(&mut edge, 1300, permit(1290))));
         let out = edge.step(at(1400), Input::Called { id: 1, result: CallBack::Bad("cut off".into()) });
         assert!(matches!(asked(&out).as_slice(), [Change::Record(_, None)]));
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -328,6 +328,8 @@
     for slot in slots {
         faults.extend([(15_000, Fault::Wipe(Place::Control(*slot))), (17_000, Fault::Start(Place::Control(*slot)))]);
     }
+    // One that was away for a while and came back in the same life knows all.
+    faults.push((10_000, Fault::Pause(Place::Edge(1), Duration::from_millis(2_500))));
     if lost_edge {
         faults.extend([(14_900, Fault::Kill(Place::Edge(0))), (17_000, Fault::Start(Place::Edge(0)))]);
     }
