--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -694,7 +694,7 @@
     }
 
     fn heed_outrun(&mut self, now: Duration, outrun: Outrun) {
-        if !self.keepers.get(&outrun.slice).is_some_and(|keeper| keeper.epoch == outrun.epoch) {
+        if self.keepers.get(&outrun.slice).is_none_or(|keeper| keeper.epoch != outrun.epoch) {
             return;
         }
         self.keepers.remove(&outrun.slice);
@@ -828,50 +828,16 @@
                 }
             }
             Change::Claim(claim) if closed && !keeper.rows.contains_key(&claim.operation) => wait.told = Outcome::Closed,
-            Change::Claim(claim) => (wait.commit, wait.told) = ControlPart::claim(keeper, claim),
-            Change::Release(claim) => (wait.commit, wait.told) = ControlPart::finish(keeper, claim, OperationState::Released),
+            Change::Claim(claim) => (wait.commit, wait.told) = Ledger::claim(keeper, claim),
+            Change::Release(claim) => (wait.commit, wait.told) = Ledger::finish(keeper, claim, OperationState::Released),
             Change::Record(claim, reply) => {
                 let state = reply.map_or(OperationState::Unknown, OperationState::Done);
-                (wait.commit, wait.told) = ControlPart::finish(keeper, claim, state);
+                (wait.commit, wait.told) = Ledger::finish(keeper, claim, state);
             }
         }
         wait
     }
 
-    fn claim(keeper: &mut Keeper, claim: Claim) -> (u64, Outcome) {
-        if let Some(Row { version, value: Value::Operation(known) }) = keeper.rows.get(&claim.operation) {
-            let own = (known.by, known.errand) == (claim.by, claim.errand);
-            match known.state {
-                OperationState::Running if own => return (*version, Outcome::Claimed),
-                // The errand gave up before this claim came through.
-                OperationState::Released if own => return (*version, Outcome::Released),
-                OperationState::Released => {}
-                _ => return (*version, Outcome::Taken { same: known.print == claim.print, state: known.state.clone() }),
-            }
-        }
-        let Claim { operation, print, by, errand } = claim;
-        let value = Value::Operation(Operation { print, by, errand, state: OperationState::Running });
-        (keeper.put(operation, value), Outcome::Claimed)
-    }
-
-    /// Ends a claim. A released one leaves its mark even where no claim was
-    /// met, so that a claim still under way finds it given up.
-    fn finish(keeper: &mut Keeper, claim: Claim, state: OperationState) -> (u64, Outcome) {
-        let told = if state == OperationState::Released { Outcome::Released } else { Outcome::Recorded };
-        if let Some(Row { version, value: Value::Operation(known) }) = keeper.rows.get(&claim.operation) {
-            let own = (known.by, known.errand) == (claim.by, claim.errand);
-            let open = matches!(known.state, OperationState::Running | OperationState::Unknown);
-            if !own && !(known.state == OperationState::Released && told == Outcome::Recorded) {
-                return (*version, if told == Outcome::Released { told } else { Outcome::Lost });
-            }
-            if own && (!open || known.state == state) {
-                return (*version, told);
-            }
-        }
-        let Claim { operation, print, by, errand } = claim;
-        (keeper.put(operation, Value::Operation(Operation { print, by, errand, state })), told)
-    }
-
     fn heed_told(&mut self, told: Told) {
         let Some(front) = self.fronts.get(&told.id) else { return };
         let outcome = match told.told {
--- a/control-plane/src/lib.rs
+++ b/control-plane/src/lib.rs
@@ -3,6 +3,7 @@
 mod duty_plan;
 mod history;
 mod keeper;
+mod ledger;
 mod operator_face;
 pub mod prelude;
 mod refiller;
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -545,7 +545,7 @@
                 let answer = answer.clone();
                 self.end(now, id, answer);
             }
-            (Stage::Recording { .. }, Outcome::Lost) => {
+            (Stage::Recording { .. } | Stage::Releasing { .. }, Outcome::Lost) => {
                 let refusal = Refusal::unknown(502, "outcome_unknown", "the outcome could not be recorded");
                 self.end(now, id, Answer::Refusal(refusal));
             }
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -88,17 +88,38 @@
                 Err(error) => found.push(Finding::new(name, error.to_string())),
             }
         };
-        take("--mesh", &mut |text| Ok(startup.mesh = Some(text.parse()?)));
-        take("--http", &mut |text| Ok(startup.http = Some(text.parse()?)));
-        take("--zone", &mut |text| Ok(startup.zone = text.into()));
+        take("--mesh", &mut |text| {
+            startup.mesh = Some(text.parse()?);
+            Ok(())
+        });
+        take("--http", &mut |text| {
+            startup.http = Some(text.parse()?);
+            Ok(())
+        });
+        take("--zone", &mut |text| {
+            startup.zone = text.into();
+            Ok(())
+        });
         take("--seeds", &mut |text| {
             startup.seeds = text.split(',').map(|one| one.parse()).collect::<Result<_, _>>()?;
             Ok(())
         });
-        take("--data", &mut |text| Ok(startup.data = Some(text.into())));
-        take("--grace-ms", &mut |text| Ok(startup.grace_ms = Some(text.parse()?)));
-        take("--cache-bytes", &mut |text| Ok(startup.cache_bytes = Some(text.parse()?)));
-        take("--log", &mut |text| Ok(startup.log = Some(text.into())));
+        take("--data", &mut |text| {
+            startup.data = Some(text.into());
+            Ok(())
+        });
+        take("--grace-ms", &mut |text| {
+            startup.grace_ms = Some(text.parse()?);
+            Ok(())
+        });
+        take("--cache-bytes", &mut |text| {
+            startup.cache_bytes = Some(text.parse()?);
+            Ok(())
+        });
+        take("--log", &mut |text| {
+            startup.log = Some(text.into());
+            Ok(())
+        });
         for rest in flags.finish() {
             found.push(Finding::new(rest.to_string_lossy(), "unknown flag"));
         }
