--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -614,8 +614,10 @@
         if !(fresh && live && listed && wants) {
             let (service, epoch, serial) = (permit.service, permit.epoch, permit.serial);
             self.tell(from.address, CallDone { service, epoch, serial, result: CallResult::Unused, took: Duration::ZERO });
-            if wants {
-                self.say(now, permit.id);
+            if let Some(job) = self.jobs.get_mut(&permit.id).filter(|_| wants) {
+                // With the next pulse, not at once: a gate that has not heard
+                // of a leaving origin yet would give it again and again.
+                job.again = now;
             }
             return;
         }
--- a/stand-ins/src/bin/run-fleet.rs
+++ b/stand-ins/src/bin/run-fleet.rs
@@ -244,7 +244,10 @@
         self.bring_back(true, 0)?;
         self.until(45);
         self.fault("slow");
-        self.until(51);
+        self.until(50);
+        // Extra tries, unknown outcomes, and refusals before sending.
+        self.fault("unsigned");
+        self.until(52);
         self.fault("");
         self.read_back()?;
         Ok(())
