--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -961,3 +961,97 @@
         std::mem::take(&mut self.out)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    fn address(slot: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], 100 + slot))
+    }
+
+    /// Slot 0 with a full disk that syncs at once; the mates are scripted.
+    struct Script {
+        part: ControlPart,
+    }
+
+    impl Script {
+        fn new() -> Script {
+            let replica = Replica { full: true, ..Replica::blank(1) };
+            let seeds = (0..3).map(address).collect();
+            Script { part: ControlPart::new(address(0), seeds, replica, false) }
+        }
+
+        /// What it says to others; what it says to itself it hears.
+        fn step(&mut self, ms: u64, input: Input) -> Vec<(SocketAddr, Message)> {
+            let now = Duration::from_millis(ms);
+            let mut inputs = VecDeque::from([input]);
+            let mut told = Vec::new();
+            while let Some(input) = inputs.pop_front() {
+                for output in self.part.step(now, input) {
+                    match output {
+                        Output::Tell { to, message } if to == address(0) => inputs.push_back(Input::Heard { from: self.part.me(), message }),
+                        Output::Tell { to, message } => told.push((to, message)),
+                        Output::Store { serial, .. } | Output::StoreImage { serial, .. } => inputs.push_back(Input::Stored { serial }),
+                        _ => {}
+                    }
+                }
+            }
+            told
+        }
+
+        fn hear(&mut self, ms: u64, slot: u16, life: u64, message: impl Into<Message>) -> Vec<(SocketAddr, Message)> {
+            let from = Mate::new(address(slot), life);
+            self.step(ms, Input::Heard { from, message: message.into() })
+        }
+
+        fn beat(&mut self, ms: u64, life: u64) -> Vec<(SocketAddr, Message)> {
+            self.hear(ms, 1, life, Beat { slot: 1, full: true, seats: 0, closed: Duration::ZERO, seen: Some(vec![]) })
+        }
+    }
+
+    #[test]
+    fn acknowledgements_of_a_slots_earlier_disk_count_for_nothing() {
+        let mut script = Script::new();
+        let mut owned = None;
+        for ms in (0..1600).step_by(100) {
+            let mut said: VecDeque<_> = script.beat(ms, 11).into();
+            said.extend(script.step(ms + 1, Input::Pulse));
+            while let Some((to, message)) = said.pop_front() {
+                match message {
+                    Message::Raise(Raise { slice, epoch }) if to == address(1) => {
+                        if [PURGES, ORIGINS].contains(&slice) {
+                            owned = Some((slice, epoch));
+                        }
+                        said.extend(script.hear(ms + 2, 1, 11, Raised { slice, epoch, image: SliceImage::default() }));
+                    }
+                    Message::Keep(Keep { slice, epoch, round, to: version, .. }) if to == address(1) => {
+                        said.extend(script.hear(ms + 3, 1, 11, Kept { slice, epoch, round, to: version, clear: Some(0) }));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let (slice, epoch) = owned.expect("one of the two is ours by weight");
+        let ask = match slice {
+            PURGES => Change::AddPurge { purge: Purge { entry: Some("e".into()), url: None, prefix: None }, change: 5 },
+            _ => Change::PutOrigins { list: Arc::default(), change: 5 },
+        };
+        let told = script.hear(1700, 1, 11, Ask { asker: address(1), id: 7, slice, ask });
+        let version = told.iter().find_map(|(_, message)| match message {
+            Message::Keep(keep) if keep.slice == slice => Some(keep.to),
+            _ => None,
+        });
+        let version = version.expect("it is written at once");
+        // The disk of slot 1 is another now; what the earlier one says comes late.
+        script.beat(1710, 12);
+        let kept = Kept { slice, epoch, round: 100, to: version, clear: Some(version) };
+        let answered = |told: &[(SocketAddr, Message)]| told.iter().any(|(_, message)| matches!(message, Message::Told(Told { id: 7, .. })));
+        assert!(!answered(&script.hear(1720, 1, 11, kept.clone())));
+        assert!(!answered(&script.step(1801, Input::Pulse)));
+        let mut told = script.hear(1810, 1, 12, kept.clone());
+        told.extend(script.step(1901, Input::Pulse));
+        told.extend(script.hear(1910, 1, 12, kept));
+        assert!(answered(&told), "the disk that is there now has it");
+    }
+}
