--- a/kernel/src/finding.rs
+++ b/kernel/src/finding.rs
@@ -14,6 +14,15 @@
     }
 }
 
+/// Tells everything that is wrong and ends the program with code 2.
+pub fn refuse_findings(program: &str, found: &[Finding]) -> ! {
+    for finding in found {
+        eprintln!("{program}: {finding}");
+    }
+    eprintln!("{program}: {} finding(s); see {program} --help", found.len());
+    std::process::exit(2);
+}
+
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}: {}", self.place, self.text)
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -20,29 +20,25 @@
     pub log: Option<String>,
 }
 
+/// Prints help or version where that is asked for, and ends the program.
+pub fn help_or_version(program: &str, flags: &mut pico_args::Arguments, help: &str) {
+    if flags.contains(["-h", "--help"]) {
+        println!("{help}");
+        std::process::exit(0);
+    }
+    if flags.contains(["-V", "--version"]) {
+        println!("{program} {}", env!("CARGO_PKG_VERSION"));
+        std::process::exit(0);
+    }
+}
+
 impl Startup {
     /// Reads flags and file for `program`; prints help, version or findings
     /// and exits where that is all there is to do.
     pub fn gather(program: &str, about: &str, disk: bool) -> Startup {
         let mut flags = pico_args::Arguments::from_env();
-        if flags.contains(["-h", "--help"]) {
-            println!("{}", Startup::help(program, about, disk));
-            std::process::exit(0);
-        }
-        if flags.contains(["-V", "--version"]) {
-            println!("{program} {}", env!("CARGO_PKG_VERSION"));
-            std::process::exit(0);
-        }
-        match Startup::read(flags, disk) {
-            Ok(startup) => startup,
-            Err(found) => {
-                for finding in &found {
-                    eprintln!("{program}: {finding}");
-                }
-                eprintln!("{program}: {} finding(s); see {program} --help", found.len());
-                std::process::exit(2);
-            }
-        }
+        help_or_version(program, &mut flags, &Startup::help(program, about, disk));
+        Startup::read(flags, disk).unwrap_or_else(|found| refuse_findings(program, &found))
     }
 
     fn help(program: &str, about: &str, disk: bool) -> String {
--- a/programs/src/bin/operate.rs
+++ b/programs/src/bin/operate.rs
@@ -28,23 +28,10 @@
 
 fn main() {
     let mut flags = pico_args::Arguments::from_env();
-    if flags.contains(["-h", "--help"]) {
-        println!("{HELP}");
-        return;
-    }
-    if flags.contains(["-V", "--version"]) {
-        println!("operate {}", env!("CARGO_PKG_VERSION"));
-        return;
-    }
+    help_or_version("operate", &mut flags, HELP);
     std::process::exit(match gather(flags) {
         Ok(ask) => run(ask),
-        Err(found) => {
-            for finding in &found {
-                eprintln!("operate: {finding}");
-            }
-            eprintln!("operate: {} finding(s); see operate --help", found.len());
-            2
-        }
+        Err(found) => refuse_findings("operate", &found),
     });
 }
 
--- a/programs/tests/whole_path.rs
+++ b/programs/tests/whole_path.rs
@@ -71,8 +71,7 @@
     /// A caller's errand: status, headers, body.
     fn call(&self, edge: usize, method: &str, path: &str, heads: &[(&str, &str)], body: &str) -> (u16, BTreeMap<String, String>, serde_json::Value) {
         let url = format!("http://{}{path}", self.fleet.edges[edge].http);
-        let method = attohttpc::Method::from_bytes(method.as_bytes()).unwrap();
-        let mut request = attohttpc::RequestBuilder::new(method.clone(), url).proxy_settings(attohttpc::ProxySettings::builder().build()).timeout(LONG);
+        let mut request = direct(method, &url).timeout(LONG);
         for (name, value) in heads {
             request = request.try_header(attohttpc::header::HeaderName::from_bytes(name.as_bytes()).unwrap(), *value).unwrap();
         }
@@ -81,7 +80,7 @@
         let status = answer.status().as_u16();
         let told: serde_json::Value = serde_json::from_str(&answer.text_utf8().unwrap()).unwrap_or_default();
         if status != 200 {
-            self.hold(method.as_str(), path, "", status, &told);
+            self.hold(method, path, "", status, &told);
         }
         (status, heads, told)
     }
@@ -254,7 +253,7 @@
     assert_eq!(path.call(0, "POST", "/marker/999", &[], "").0, 404);
     for node in &path.fleet.control {
         let url = format!("http://{}/.otterslip/v1/configuration", node.http);
-        let answer = attohttpc::get(url).proxy_settings(attohttpc::ProxySettings::builder().build()).send().unwrap();
+        let answer = direct("GET", &url).send().unwrap();
         assert_eq!(answer.text_utf8().unwrap(), documents[won]);
     }
     // Thousands of entries at once, in force like a small change.
--- a/stand-ins/src/bin/run-fleet.rs
+++ b/stand-ins/src/bin/run-fleet.rs
@@ -143,8 +143,7 @@
                     for (marker, invalid) in [(markers.last().copied().unwrap_or(1), false), (999, true)] {
                         // A keyed entry without a key answers 400; none answers 404.
                         let url = format!("http://{edge}/marker/{marker}");
-                        let request = attohttpc::post(url).proxy_settings(attohttpc::ProxySettings::builder().build());
-                        let Ok(answer) = request.timeout(Duration::from_millis(500)).send() else { continue };
+                        let Ok(answer) = direct("POST", &url).timeout(Duration::from_millis(500)).send() else { continue };
                         let status = answer.status().as_u16();
                         let found = status == 400;
                         if invalid && found {
@@ -382,7 +381,7 @@
         let service = self.deployment.services[1].name;
         for node in self.fleet.origins.iter().filter(|node| node.zone == service) {
             let url = format!("http://{}/.stand-in/fault/{name}", node.http);
-            let _ = attohttpc::put(url).proxy_settings(attohttpc::ProxySettings::builder().build()).timeout(Duration::from_secs(2)).send();
+            let _ = direct("PUT", &url).timeout(Duration::from_secs(2)).send();
         }
         println!("{:6.1} s  origins of {service}: fault \"{name}\"", self.at());
     }
--- a/stand-ins/src/caller.rs
+++ b/stand-ins/src/caller.rs
@@ -75,8 +75,7 @@
         while !self.stop.load(Ordering::Acquire) {
             let asked = self.plan.edges.iter().filter(|(edge, _)| {
                 let url = format!("http://{edge}/.otterslip/v1/ready");
-                let request = attohttpc::get(url).proxy_settings(attohttpc::ProxySettings::builder().build());
-                request.timeout(Duration::from_millis(300)).send().is_ok_and(|answer| answer.is_success())
+                direct("GET", &url).timeout(Duration::from_millis(300)).send().is_ok_and(|answer| answer.is_success())
             });
             let ready: Vec<_> = asked.cloned().collect();
             *self.ready.lock().expect("no holder panics") = ready;
@@ -134,9 +133,7 @@
         operation: operation.map(Into::into),
         ..CallerRecord::default()
     };
-    let method = attohttpc::Method::from_bytes(mix.method.as_bytes()).unwrap_or_default();
-    let mut request = attohttpc::RequestBuilder::new(method, format!("http://{edge}{path}"))
-        .proxy_settings(attohttpc::ProxySettings::builder().build())
+    let mut request = direct(&mix.method, &format!("http://{edge}{path}"))
         .connect_timeout(Duration::from_secs(2))
         .timeout(Duration::from_secs(12));
     if let (Some(operation), Some(caller)) = (operation, &caller) {
--- a/stand-ins/src/flags.rs
+++ b/stand-ins/src/flags.rs
@@ -1,5 +1,11 @@
 use crate::prelude::*;
 
+/// A call of a test tool: never by way of a proxy named in the environment.
+pub fn direct(method: &str, url: &str) -> attohttpc::RequestBuilder {
+    let method = attohttpc::Method::from_bytes(method.as_bytes()).unwrap_or_default();
+    attohttpc::RequestBuilder::new(method, url).proxy_settings(attohttpc::ProxySettings::builder().build())
+}
+
 /// Flags of a test tool; what is wrong is collected and told at once.
 pub struct Flags {
     program: &'static str,
@@ -10,14 +16,7 @@
 impl Flags {
     pub fn gather(program: &'static str, help: &str) -> Flags {
         let mut flags = pico_args::Arguments::from_env();
-        if flags.contains(["-h", "--help"]) {
-            println!("{program}: {help}");
-            std::process::exit(0);
-        }
-        if flags.contains(["-V", "--version"]) {
-            println!("{program} {}", env!("CARGO_PKG_VERSION"));
-            std::process::exit(0);
-        }
+        help_or_version(program, &mut flags, &format!("{program}: {help}"));
         Flags { program, flags, found: Vec::new() }
     }
 
@@ -52,10 +51,7 @@
             self.found.push(Finding::new(rest.to_string_lossy(), "unknown flag"));
         }
         if !self.found.is_empty() {
-            for finding in &self.found {
-                eprintln!("{}: {finding}", self.program);
-            }
-            std::process::exit(2);
+            refuse_findings(self.program, &self.found);
         }
     }
 }
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -91,9 +91,7 @@
 }
 
 pub fn http_if_match(to: SocketAddr, method: &str, path: &str, body: &str, expect: Option<u64>) -> Result<(u16, serde_json::Value)> {
-    let mut request = attohttpc::RequestBuilder::new(attohttpc::Method::from_bytes(method.as_bytes())?, format!("http://{to}/.otterslip/v1/{path}"))
-        .proxy_settings(attohttpc::ProxySettings::builder().build())
-        .timeout(Duration::from_secs(16));
+    let mut request = direct(method, &format!("http://{to}/.otterslip/v1/{path}")).timeout(Duration::from_secs(16));
     if let Some(version) = expect {
         request = request.header("If-Match", format!("\"{version}\""));
     }
--- a/stand-ins/src/prelude.rs
+++ b/stand-ins/src/prelude.rs
@@ -2,7 +2,7 @@
 pub use crate::checker::{Checker, Verdict};
 pub use crate::deployment::Deployment;
 pub use crate::dice::Dice;
-pub use crate::flags::Flags;
+pub use crate::flags::{Flags, direct};
 pub use crate::fleet::{Fleet, Node};
 pub use crate::origin::StandInOrigin;
 pub use crate::record::*;
