A struck control node answers its operators at once; the simulated ones go on

Cause: what was asked of a node that then lost its slot was never answered; in a process that is 15 s of waiting, in the simulation for ever. Now 'unknown' at once.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -224,6 +224,11 @@
             self.struck = true;
             self.keepers.clear();
             self.waits.clear();
+            // Nobody answers those who asked here any more: at once, not when
+            // they lose patience.
+            for id in std::mem::take(&mut self.fronts).into_keys() {
+                self.out.push(Output::OperatorAnswer { id, answer: OperatorAnswer::Outcome(Outcome::Lost) });
+            }
             self.note(Event::SlotStruck, format!("slot {}", self.slot));
         }
     }
@@ -910,6 +915,9 @@
 
     fn operator(&mut self, now: Duration, id: u64, ask: OperatorAsk) {
         match ask {
+            OperatorAsk::Change { .. } if self.struck || self.slot == NO_SLOT => {
+                self.out.push(Output::OperatorAnswer { id, answer: OperatorAnswer::Outcome(Outcome::Lost) });
+            }
             OperatorAsk::Change { slice, change } => {
                 self.fronts.insert(id, Front { slice, change, until: now + FRONT, next: now, tries: 0 });
                 self.push_fronts(now);
--- a/simulate-fleet/src/world_callers.rs
+++ b/simulate-fleet/src/world_callers.rs
@@ -150,10 +150,14 @@
         [(400, true), (404, false)].into_iter().find(|(status, _)| *status == told).map(|(_, there)| there)
     }
 
+    /// The number of the last record of a kind since all was lost.
+    pub(crate) fn last(&self, what: &str) -> Option<u64> {
+        self.fleet.iter().rev().take_while(|one| one.what != "all-lost").find(|one| one.what == what).map(|one| one.number)
+    }
+
     pub(crate) fn look_at_markers(&mut self) {
         self.after(Duration::from_millis(100), Happening::LookAtMarkers);
-        let last = |what: &str| self.fleet.iter().rev().take_while(|one| one.what != "all-lost").find(|one| one.what == what).map(|one| one.number);
-        let looks = [last("configured").map(|marker| ("marker", marker, true)), last("removed").map(|marker| ("marker-gone", marker, false)), Some(("invalid-marker", 999, false))];
+        let looks = [self.last("configured").map(|marker| ("marker", marker, true)), self.last("removed").map(|marker| ("marker-gone", marker, false)), Some(("invalid-marker", 999, false))];
         for node in self.edges() {
             if self.nodes[node].part.is_none() || self.now < self.nodes[node].paused {
                 continue;
