A struck disk stays struck over a restart; a blank one asks who knows better

Cause: that a slot had gone to another was known to its old holder in memory only. Now the strike is a record of its log; and a blank disk that hears a beat under a newer table asks for that table. Limit: an old holder that never heard of it, with both other disks gone (docs/loss.md).

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -120,7 +120,7 @@
             places,
             seats: version,
             seeds,
-            struck: false,
+            struck: replica.struck,
             refiller: (!replica.full && slot != NO_SLOT).then(|| Refiller::new(slot)),
             replica,
             failed: false,
@@ -222,6 +222,7 @@
     fn strike(&mut self) {
         if !self.struck {
             self.struck = true;
+            self.store(&Record::Struck);
             self.keepers.clear();
             self.waits.clear();
             // Nobody answers those who asked here any more: at once, not when
@@ -285,8 +286,7 @@
         if self.struck {
             return;
         }
-        let seen = self.sessions.known(now).then(|| self.sessions.mine());
-        let beat = Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, closed: self.closed.saturating_sub(now), seen };
+        let beat = self.beat(now);
         for slot in 0..3 {
             if slot != self.slot {
                 self.tell(self.address(slot), beat.clone());
@@ -313,6 +313,11 @@
         self.push_fronts(now);
     }
 
+    fn beat(&self, now: Duration) -> Beat {
+        let seen = self.sessions.known(now).then(|| self.sessions.mine());
+        Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, closed: self.closed.saturating_sub(now), seen }
+    }
+
     fn take_slices(&mut self, now: Duration) {
         let others = (0..3u8).filter(|slot| *slot != self.slot);
         let met = others.filter(|slot| self.mates.get(slot).is_some_and(|mate| mate.full && mate.near(now)));
@@ -564,6 +569,8 @@
             Message::Beat(ref beat) if beat.seats < self.seats => {
                 self.tell(from.address, Seats { version: self.seats, places: self.places });
             }
+            // A blank disk went by the seeds: who knows better tells.
+            Message::Beat(ref beat) if beat.seats > self.seats && !self.replica.full => self.tell(from.address, self.beat(now)),
             _ => {}
         }
         if retired {
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -12,6 +12,8 @@
     pub life: u64,
     /// Whether the disk counts: it was refilled since it was blank.
     pub full: bool,
+    /// Its slot went to another: it counts for nothing, for good.
+    pub struck: bool,
     pub slices: Vec<Held>,
 }
 
@@ -30,11 +32,12 @@
     Promise { slice: u8, epoch: u64 },
     Kept { keep: Keep },
     Image(Box<Replica>),
+    Struck,
 }
 
 impl Replica {
     pub fn blank(life: u64) -> Replica {
-        Replica { life, full: false, slices: vec![Held::default(); SLICES.into()] }
+        Replica { life, full: false, struck: false, slices: vec![Held::default(); SLICES.into()] }
     }
 
     /// Reads a log back. None if it holds no disk number: the disk is blank.
@@ -55,6 +58,7 @@
             Record::Life { life } => self.life = *life,
             Record::Promise { slice, epoch } => self.slices[usize::from(*slice)].promised = *epoch,
             Record::Kept { keep } => self.slices[usize::from(keep.slice)].keep(keep),
+            Record::Struck => self.struck = true,
             Record::Image(image) => *self = (**image).clone(),
             Record::Refilled { held } => {
                 self.full = true;
