A disk shows a version only as it was; what a later row hid is not claimed

Cause: a disk that lagged got the newest row of each key and then published a version in between: rows a later one had gone over were never sent, yet counted as shown. Edges confirmed that version without them. The same could have confirmed a configuration or a purge that an edge never saw. Ruled out: leases (the edge was rightly live) and the duty plan (revoke, settle, grant in order). Now what came after the published version waits by the version that made the image whole, and only whole states are shown.

--- a/control-plane/src/refiller.rs
+++ b/control-plane/src/refiller.rs
@@ -48,6 +48,9 @@
         for (mine, other) in merged.iter_mut().zip(lists.next().expect("two")) {
             let published = mine.image.published.max(other.image.published);
             mine.promised = mine.promised.max(other.promised);
+            if other.image.published > mine.image.published {
+                mine.shown = other.shown;
+            }
             if (other.image.epoch, other.image.version) > (mine.image.epoch, mine.image.version) {
                 mine.image = other.image;
             }
@@ -65,7 +68,7 @@
     #[test]
     fn only_the_second_round_of_both_others_counts_and_the_newer_image_wins() {
         let held = |promised, epoch, version| {
-            vec![HeldSlice { slice: 0, promised, image: SliceImage { epoch, version, published: version, rows: BTreeMap::new() } }]
+            vec![HeldSlice { slice: 0, promised, image: SliceImage { epoch, version, published: version, rows: BTreeMap::new() }, shown: BTreeMap::new() }]
         };
         let mut refiller = Refiller::new(1);
         assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, held: held(1, 1, 90) }).is_none());
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -4,8 +4,11 @@
 /// the log is read back. Invariants, per slice:
 /// - `promised` never goes down, and nothing under a lower epoch is taken.
 /// - `image` is complete up to `image.version` under `image.epoch`.
-/// - `shown` holds, for the news slices, the newest published row of each key;
-///   `image.rows` may be ahead of it by what is not acknowledged yet.
+/// - `shown` is, for the news slices, the whole slice as it was at
+///   `image.published`. Rows that came after it wait in `tail`, by the version
+///   up to which each message made the image complete: what is published in
+///   between is not shown, since a later row may hide an earlier one of its key
+///   that was never sent.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Replica {
     /// The disk's own number, drawn when it was blank.
@@ -22,6 +25,7 @@
     pub promised: u64,
     pub image: SliceImage,
     pub shown: BTreeMap<String, Row>,
+    pub tail: VecDeque<(u64, Vec<(String, Row)>)>,
 }
 
 /// One entry of the log on disk.
@@ -66,14 +70,19 @@
                     let slice = &mut self.slices[usize::from(one.slice)];
                     slice.promised = slice.promised.max(one.promised);
                     slice.image = one.image.clone();
-                    slice.show();
+                    slice.shown = one.shown.clone();
+                    slice.tail.clear();
+                    if one.slice < NEWS {
+                        let rows = one.image.rows.iter().map(|(key, row)| (key.clone(), row.clone())).collect();
+                        slice.tail.push_back((one.image.version, rows));
+                    }
                 }
             }
         }
     }
 
     pub fn copy_out(&self) -> Vec<HeldSlice> {
-        let one = |(at, held): (usize, &Held)| HeldSlice { slice: at as u8, promised: held.promised, image: held.image.clone() };
+        let one = |(at, held): (usize, &Held)| HeldSlice { slice: at as u8, promised: held.promised, image: held.image.clone(), shown: held.shown.clone() };
         self.slices.iter().enumerate().map(one).collect()
     }
 
@@ -142,11 +151,9 @@
         if keep.whole {
             self.image.rows.clear();
             self.image.version = 0;
+            self.tail.clear();
         }
         self.image.epoch = keep.epoch;
-        // What is published was acknowledged before the rows of this message
-        // were added: show it before they go over it.
-        self.publish(keep.published);
         for (key, row) in &keep.rows {
             if self.image.rows.get(key).is_none_or(|known| known.version < row.version) {
                 self.image.rows.insert(key.clone(), row.clone());
@@ -155,23 +162,25 @@
         for key in &keep.drops {
             self.image.rows.remove(key);
         }
+        if keep.slice < NEWS && (keep.whole || keep.to > self.image.version) {
+            self.tail.push_back((keep.to, keep.rows.clone()));
+        }
         self.image.version = self.image.version.max(keep.to);
-        self.publish(keep.published);
-    }
-
-    fn publish(&mut self, published: u64) {
-        if published > self.image.published && published <= self.image.version {
-            self.image.published = published;
-            self.show();
+        if keep.slice < NEWS {
+            self.publish(keep.published);
+        } else {
+            self.image.published = self.image.published.max(keep.published.min(self.image.version));
         }
     }
 
-    fn show(&mut self) {
-        for (key, row) in &self.image.rows {
-            let newer = self.shown.get(key).is_none_or(|known| known.version < row.version);
-            if newer && row.version <= self.image.published {
-                self.shown.insert(key.clone(), row.clone());
+    fn publish(&mut self, published: u64) {
+        while let Some((version, rows)) = self.tail.pop_front_if(|(version, _)| *version <= published) {
+            for (key, row) in rows {
+                if self.shown.get(&key).is_none_or(|known| known.version < row.version) {
+                    self.shown.insert(key, row);
+                }
             }
+            self.image.published = self.image.published.max(version);
         }
     }
 }
@@ -199,6 +208,20 @@
         assert!(replica.news(&[0, 1, 0, 0]).is_empty());
     }
 
+    /// Once, a row that a lagging disk never got was claimed to be shown by it:
+    /// the edge missed that its duty had been revoked, and two held it.
+    #[test]
+    fn what_a_later_row_hides_is_not_claimed_to_be_shown() {
+        let mut replica = Replica::blank(1);
+        replica.apply(&Record::Kept { keep: keep(0, 1, 1) });
+        // Rows 2 and 3 were published; row 4 of the same key went over them.
+        replica.apply(&Record::Kept { keep: keep(1, 4, 3) });
+        assert!(replica.news(&[0, 1]).is_empty(), "3 is not known here");
+        replica.apply(&Record::Kept { keep: Keep { rows: vec![], ..keep(4, 4, 4) } });
+        let news = replica.news(&[0, 1]);
+        assert_eq!((news[0].version, news[0].rows[0].1.version), (4, 4));
+    }
+
     #[test]
     fn the_log_reads_back_to_the_same_state_and_without_a_number_it_is_blank() {
         let mut replica = Replica::blank(0);
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -126,6 +126,8 @@
     pub slice: u8,
     pub promised: u64,
     pub image: SliceImage,
+    /// A news slice's rows as they were at `image.published`.
+    pub shown: BTreeMap<String, Row>,
 }
 
 /// A slice at one replica. Within an epoch an image is complete up to
