A loss is known before a slice is taken; a new realm fences until two have told

The first refilled saw a blank mate and knew; the second saw it full already and did not, took the configuration's slice and served the older version: the closing was also dropped again with each pulse, since the old realm's ledger was open. The realm that may have lost something is now said with every beat, refill and promise, so whoever takes a slice by a majority hears of it first. They are dropped on entering.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -315,7 +315,7 @@
 
     fn beat(&self, now: Duration) -> Beat {
         let seen = self.sessions.known(now).then(|| self.sessions.mine());
-        Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, closed: self.closed.saturating_sub(now), seen }
+        Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, closed: self.closed.saturating_sub(now), lost: self.lost(), seen }
     }
 
     fn take_slices(&mut self, now: Duration) {
@@ -386,6 +386,20 @@
         self.closed = now + lease::CLOSED;
     }
 
+    /// The realm whose acknowledged rows may be lost, as far as known here.
+    fn lost(&self) -> u64 {
+        self.refound.unwrap_or(0)
+    }
+
+    /// Another knows that a majority of disks was lost: said with every
+    /// promise, so that no slice is taken in ignorance of it.
+    fn heed_loss(&mut self, now: Duration, realm: u64) {
+        if realm != 0 && realm == self.realm && self.refound.is_none() {
+            self.majority_lost(now);
+            self.refound = Some(realm);
+        }
+    }
+
     /// Slices that were founded, or lost a majority of their disks, first
     /// take back from the edges what those were shown.
     fn recollect(&mut self, now: Duration) {
@@ -401,7 +415,7 @@
                 self.before = owner.and_then(Keeper::roll).or(self.before.take());
             }
         }
-        if self.realm != 0 && self.replica.opened() == self.realm {
+        if self.realm != 0 && self.replica.opened() == self.realm && self.refound.is_none() {
             self.closed = Duration::ZERO;
             self.before = None;
         }
@@ -583,17 +597,18 @@
             (Some(slot), Message::Beat(beat)) if slot != self.slot => {
                 self.mates.insert(slot, MateAt { life: from.life, full: beat.full, heard: now });
                 // The way a beat took must not add to it, to and fro.
-                let open = self.realm != 0 && self.replica.opened() == self.realm;
+                let open = self.realm != 0 && self.replica.opened() == self.realm && self.refound.is_none();
                 if !open && now + beat.closed > self.closed + Duration::from_secs(1) {
                     self.closed = now + beat.closed;
                 }
+                self.heed_loss(now, beat.lost);
                 if let Some(seen) = beat.seen {
                     self.sessions.told(now, slot, seen);
                 }
             }
             (Some(_), Message::Refill(refill)) => {
                 let held = self.replica.copy_out();
-                self.tell_synced(from.address, Refilled { slot: self.slot, round: refill.round, full: self.replica.full, held });
+                self.tell_synced(from.address, Refilled { slot: self.slot, round: refill.round, full: self.replica.full, lost: self.lost(), held });
             }
             (Some(_), Message::Refilled(refilled)) => {
                 if let Some(merged) = self.refiller.as_mut().and_then(|refiller| refiller.heard(refilled)) {
@@ -616,6 +631,7 @@
             (Some(_), Message::Raise(raise)) if self.able() => self.heed_raise(from, raise),
             (Some(_), Message::Keep(keep)) if self.able() => self.heed_keep(now, from, keep),
             (Some(slot), Message::Raised(raised)) => {
+                self.heed_loss(now, raised.lost);
                 if let Some(keeper) = self.keepers.get_mut(&raised.slice).filter(|keeper| keeper.epoch == raised.epoch) {
                     let before = keeper.active_since;
                     keeper.raised(now, slot, raised.image);
@@ -700,7 +716,7 @@
             self.store(&Record::Promise { slice, epoch });
         }
         let image = self.replica.held(slice).image.clone();
-        self.tell_synced(from.address, Raised { slice, epoch, image });
+        self.tell_synced(from.address, Raised { slice, epoch, lost: self.lost(), image });
     }
 
     fn heed_keep(&mut self, now: Duration, from: Mate, keep: Keep) {
@@ -1061,7 +1077,7 @@
         }
 
         fn beat(&mut self, ms: u64, life: u64) -> Vec<(SocketAddr, Message)> {
-            self.hear(ms, 1, life, Beat { slot: 1, full: true, seats: 0, closed: Duration::ZERO, seen: Some(vec![]) })
+            self.hear(ms, 1, life, Beat { slot: 1, full: true, seats: 0, closed: Duration::ZERO, lost: 0, seen: Some(vec![]) })
         }
     }
 
@@ -1078,7 +1094,7 @@
                         if [PURGES, ORIGINS].contains(&slice) {
                             owned = Some((slice, epoch));
                         }
-                        said.extend(script.hear(ms + 2, 1, 11, Raised { slice, epoch, image: SliceImage::default() }));
+                        said.extend(script.hear(ms + 2, 1, 11, Raised { slice, epoch, lost: 0, image: SliceImage::default() }));
                     }
                     Message::Keep(Keep { slice, epoch, round, to: version, .. }) if to == address(1) => {
                         said.extend(script.hear(ms + 3, 1, 11, Kept { slice, epoch, round, to: version, clear: Some(0) }));
--- a/control-plane/src/refiller.rs
+++ b/control-plane/src/refiller.rs
@@ -12,7 +12,7 @@
 }
 
 /// All slices merged, and whether a majority of disks was lost: another was
-/// blank too, and yet there was something.
+/// blank too, or just refilled from what was left, and yet there was something.
 pub struct Merged {
     pub held: Vec<HeldSlice>,
     pub lost: bool,
@@ -33,7 +33,7 @@
         if refilled.round != self.round || refilled.slot == self.slot {
             return None;
         }
-        self.got.insert(refilled.slot, (refilled.full, refilled.held));
+        self.got.insert(refilled.slot, (refilled.full && refilled.lost == 0, refilled.held));
         if self.got.len() < 2 {
             return None;
         }
@@ -71,12 +71,12 @@
             vec![HeldSlice { slice: 0, promised, image: SliceImage { epoch, version, published: version, rows: BTreeMap::new() }, shown: BTreeMap::new() }]
         };
         let mut refiller = Refiller::new(1);
-        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, held: held(1, 1, 90) }).is_none(), "late first round");
-        assert!(refiller.heard(Refilled { slot: 0, round: 1, full: true, held: held(9, 3, 5) }).is_none());
-        let merged = refiller.heard(Refilled { slot: 2, round: 1, full: true, held: held(7, 4, 2) }).unwrap();
+        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, lost: 0, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, lost: 0, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, lost: 0, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, lost: 0, held: held(1, 1, 90) }).is_none(), "late first round");
+        assert!(refiller.heard(Refilled { slot: 0, round: 1, full: true, lost: 0, held: held(9, 3, 5) }).is_none());
+        let merged = refiller.heard(Refilled { slot: 2, round: 1, full: true, lost: 0, held: held(7, 4, 2) }).unwrap();
         assert!(!merged.lost);
         let merged = merged.held;
         assert_eq!((merged[0].promised, merged[0].image.epoch, merged[0].image.version), (9, 4, 2));
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -170,6 +170,9 @@
         if before == 0 {
             return;
         }
+        // What is taken anew may be older at one control node than what was
+        // known here: as at a start, two must have told theirs.
+        self.leases.drop_all();
         self.vector = vec![0; NEWS.into()];
         self.known = vec![BTreeMap::new(); NEWS.into()];
         self.duties.clear();
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -24,16 +24,17 @@
     // Between control nodes.
     /// I am here, with this disk (`full` once it counts, and until I end) and
     /// these sessions, once they are known; `seats` is the version of the table
-    /// of places I go by; for `closed` no unknown operation may be claimed.
-    Beat { slot: u8, full: bool, seats: u64, closed: Duration, seen: Option<Vec<Seen>> }
+    /// of places I go by; for `closed` no unknown operation may be claimed;
+    /// what was acknowledged in the realm `lost` may be lost (0: none was).
+    Beat { slot: u8, full: bool, seats: u64, closed: Duration, lost: u64, seen: Option<Vec<Seen>> }
     /// A blank disk asks for all another holds. The first round only makes
     /// both others forget the earlier disk's acknowledgements; what the
     /// second brings counts.
     Refill { slot: u8, round: u8 }
-    Refilled { slot: u8, round: u8, full: bool, held: Vec<HeldSlice> }
+    Refilled { slot: u8, round: u8, full: bool, lost: u64, held: Vec<HeldSlice> }
     /// Take a slice: promise to heed no lower epoch.
     Raise { slice: u8, epoch: u64 }
-    Raised { slice: u8, epoch: u64, image: SliceImage }
+    Raised { slice: u8, epoch: u64, lost: u64, image: SliceImage }
     /// Rows after `from` up to `to`; with `whole`, all there is. An empty one
     /// is a round: it collects the sessions and confirms the owner.
     Keep { slice: u8, epoch: u64, round: u64, whole: bool, from: u64, to: u64, rows: Vec<(String, Row)>, drops: Vec<String>, published: u64 }
