--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -388,7 +388,8 @@
 
     /// The realm whose acknowledged rows may be lost, as far as known here.
     fn lost(&self) -> u64 {
-        self.refound.unwrap_or(0)
+        let known = Some(self.replica.lost).filter(|realm| *realm == self.replica.realm());
+        self.refound.or(known).unwrap_or(0)
     }
 
     /// Another knows that a majority of disks was lost: said with every
@@ -406,8 +407,8 @@
         if self.realm != self.replica.realm() {
             self.realm = self.replica.realm();
             self.entered = now;
-            self.refound = None;
-            if self.replica.opened() != self.realm {
+            self.refound = Some(self.replica.lost).filter(|realm| *realm == self.realm);
+            if self.replica.opened() != self.realm || self.refound.is_some() {
                 // A first founding looks like the loss of everything.
                 self.majority_lost(now);
                 // An owner that lost nothing itself knows the roll as it was.
@@ -614,7 +615,7 @@
                 if let Some(merged) = self.refiller.as_mut().and_then(|refiller| refiller.heard(refilled)) {
                     self.refiller = None;
                     self.sessions.begin(now);
-                    self.store(&Record::Refilled { held: merged.held });
+                    self.store(&Record::Refilled { held: merged.held, lost: merged.lost });
                     self.realm = self.replica.realm();
                     if merged.lost {
                         self.refound = Some(self.realm);
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -17,6 +17,9 @@
     pub full: bool,
     /// Its slot went to another: it counts for nothing, for good.
     pub struck: bool,
+    /// The realm that may have lost something when this disk was refilled: of
+    /// any two disks one knows, until the next realm has its name.
+    pub lost: u64,
     pub slices: Vec<Held>,
 }
 
@@ -32,7 +35,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Record {
     Life { life: u64 },
-    Refilled { held: Vec<HeldSlice> },
+    /// `lost`: from what was left after a majority of disks went.
+    Refilled { held: Vec<HeldSlice>, lost: bool },
     Promise { slice: u8, epoch: u64 },
     Kept { keep: Keep },
     Image(Box<Replica>),
@@ -41,7 +45,7 @@
 
 impl Replica {
     pub fn blank(life: u64) -> Replica {
-        Replica { life, full: false, struck: false, slices: vec![Held::default(); SLICES.into()] }
+        Replica { life, full: false, struck: false, lost: 0, slices: vec![Held::default(); SLICES.into()] }
     }
 
     /// Reads a log back. None if it holds no disk number: the disk is blank.
@@ -64,7 +68,7 @@
             Record::Kept { keep } => self.slices[usize::from(keep.slice)].keep(keep),
             Record::Struck => self.struck = true,
             Record::Image(image) => *self = (**image).clone(),
-            Record::Refilled { held } => {
+            Record::Refilled { held, lost } => {
                 self.full = true;
                 for one in held {
                     let slice = &mut self.slices[usize::from(one.slice)];
@@ -77,6 +81,7 @@
                         slice.tail.push_back((one.image.version, rows));
                     }
                 }
+                self.lost = if *lost { self.realm() } else { 0 };
             }
         }
     }
