The gate keeps places for higher ranks, any 5 s within 110 %, tries to a fifth + 3

Cause: permits went by rank only at the moment a place was free. When applications turn slow, the lower ranks fill the places and hold them for as long as a call takes. Now a call of a lower rank must leave the places that the higher ones, as they came of late, will need before it ends; a call's length is the origin's own, from those that ended and those under way. With nothing left over, not even the first of a rank waits: it is told at once. Rates were kept by a bucket that let 6 of 5.5 calls through at 1/s; the calls of the last 5.2 s are counted now. Extra tries count 10.2 s, first ones 9.8 s, so the budget holds at the origins whatever a permit's way took.

--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -9,8 +9,14 @@
 ///   answer of the listed service and instance) is younger than `PROOF` and a
 ///   connection opened before the proof still stands: the process that
 ///   listens there is the one that showed who it is.
+/// - Within any five seconds an origin gets no more than 110 % of its rate,
+///   however late within `PERMIT` a permit is used: `window` holds what it got.
 /// - Within ten seconds, extra tries stay within a fifth of first tries plus
-///   `ALLOWANCE`; the allowance is earned only by ten seconds of holding.
+///   `ALLOWANCE`; the allowance is earned only by ten seconds of holding. Extra
+///   tries are counted a `PERMIT` longer and first ones a `PERMIT` shorter, so
+///   that it holds at the origins, too.
+/// - A lower rank takes no place that the higher ones will need while its call
+///   runs: calls are not taken back.
 pub struct Gate {
     pub service: String,
     pub epoch: u64,
@@ -24,8 +30,6 @@
     arrivals: VecDeque<(Duration, u32)>,
     began: Duration,
     serial: u64,
-    /// Smoothed time a call takes.
-    took: f64,
     out: Vec<(SocketAddr, Message)>,
 }
 
@@ -33,6 +37,10 @@
     origin: Origin,
     tokens: f64,
     filled: Duration,
+    /// Calls and probes given of late.
+    window: VecDeque<Duration>,
+    /// Smoothed time a call takes.
+    took: f64,
     proof: Option<Duration>,
     probing: Option<Duration>,
     watch: Watch,
@@ -62,12 +70,17 @@
 
 struct Under {
     origin: SocketAddr,
+    rank: u32,
+    since: Duration,
     until: Duration,
     extra: bool,
 }
 
 const ALLOWANCE: usize = 3;
 const WINDOW: Duration = Duration::from_secs(10);
+/// The span over which an origin's rate is judged, and how much of it may come.
+const RATE_SPAN: f64 = 5.0;
+const RATE_SLACK: f64 = 1.1;
 /// Arrivals are counted over this span to foresee who will not get through.
 const FORESEE: Duration = Duration::from_secs(2);
 /// A new holder first hears of calls under way.
@@ -91,7 +104,6 @@
             arrivals: VecDeque::new(),
             began: now,
             serial: 0,
-            took: 0.02,
             out: Vec::new(),
         }
     }
@@ -110,6 +122,8 @@
                 origin: origin.clone(),
                 tokens: 0.0,
                 filled: now,
+                window: VecDeque::new(),
+                took: 0.02,
                 proof: None,
                 probing: None,
                 watch: Watch::None,
@@ -129,10 +143,48 @@
         self.calls.values().filter(|call| call.origin == address).count()
     }
 
+    fn usable(&self, now: Duration) -> impl Iterator<Item = &OriginAt> {
+        self.origins.values().filter(move |at| at.aside <= now)
+    }
+
+    /// What a call takes at this origin now: as the last ones did, or as those
+    /// under way already show.
+    fn takes(&self, now: Duration, at: &OriginAt) -> f64 {
+        let ages: Vec<f64> = self.calls.values().filter(|call| call.origin == at.origin.address).map(|call| (now - call.since.min(now)).as_secs_f64()).collect();
+        at.took.max(ages.iter().sum::<f64>() / ages.len().max(1) as f64)
+    }
+
     /// Calls a second all usable origins can take.
     fn capacity(&self, now: Duration) -> f64 {
-        let usable = self.origins.values().filter(|at| at.aside <= now).count() as f64;
-        usable * self.rate.min(f64::from(self.concurrency) / self.took)
+        self.usable(now).map(|at| self.rate.min(f64::from(self.concurrency) / self.takes(now, at))).sum()
+    }
+
+    /// Arrivals a second above a rank, as they were of late.
+    fn higher(&self, rank: u32) -> f64 {
+        self.arrivals.iter().filter(|(_, known)| *known > rank).count() as f64 / FORESEE.as_secs_f64()
+    }
+
+    /// Whether a call of this rank leaves the places that higher ranks will
+    /// need before it ends.
+    fn leaves_room(&self, now: Duration, rank: u32) -> bool {
+        let higher = self.higher(rank);
+        if higher == 0.0 {
+            return true;
+        }
+        let places = self.usable(now).count() as f64 * f64::from(self.concurrency);
+        let speed: f64 = self.usable(now).map(|at| f64::from(self.concurrency) / self.takes(now, at)).sum();
+        let takes = places / speed.max(0.001);
+        // A place held by a higher call serves the next one for what is left
+        // of that time after it ends.
+        let again = |call: &Under| ((now - call.since.min(now)).as_secs_f64() / takes).min(1.0);
+        let reused: f64 = self.calls.values().filter(|call| call.rank > rank).map(again).sum();
+        let needed = (higher * takes).min(places) - reused;
+        places - self.calls.len() as f64 - 1.0 >= needed.floor().max(0.0)
+    }
+
+    /// Whether one more call now keeps an origin within its rate over any span.
+    fn within_rate(&self, at: &OriginAt) -> bool {
+        at.tokens >= 1.0 && at.window.len() < (self.rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize
     }
 
     pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: Knock) {
@@ -157,10 +209,11 @@
         self.waits.sort_by_key(|wait| (std::cmp::Reverse(wait.rank), wait.serial));
         let mut rest = Vec::new();
         for wait in std::mem::take(&mut self.waits) {
-            if let Some((reason, back)) = self.turned_away(now, &wait, rest.len()) {
-                self.out.push((wait.from, Away { id: wait.id, reason, back }.into()));
-            } else if let Some(address) = self.pick(now) {
+            let picked = if self.may_try(now, &wait) { self.pick(now, wait.rank) } else { None };
+            if let Some(address) = picked {
                 self.grant(now, address, &wait);
+            } else if let Some((reason, back)) = self.turned_away(now, &wait, rest.len()) {
+                self.out.push((wait.from, Away { id: wait.id, reason, back }.into()));
             } else {
                 rest.push(wait);
             }
@@ -169,8 +222,8 @@
     }
 
     fn forget_old(&mut self, now: Duration) {
-        for list in [&mut self.firsts, &mut self.extras] {
-            while list.front().is_some_and(|at| now >= *at + WINDOW) {
+        for (list, span) in [(&mut self.firsts, WINDOW - lease::PERMIT), (&mut self.extras, WINDOW + lease::PERMIT)] {
+            while list.front().is_some_and(|at| now >= *at + span) {
                 list.pop_front();
             }
         }
@@ -182,15 +235,21 @@
         for at in self.origins.values_mut() {
             at.tokens = (at.tokens + (now - at.filled).as_secs_f64() * rate).min(burst);
             at.filled = now;
+            while at.window.front().is_some_and(|given| now >= *given + Duration::from_secs_f64(RATE_SPAN) + lease::PERMIT) {
+                at.window.pop_front();
+            }
         }
     }
 
+    /// Whether the budget for extra tries has room for this one.
+    fn may_try(&self, now: Duration, wait: &Wait) -> bool {
+        let earned = if now >= self.began + WINDOW { ALLOWANCE } else { 0 };
+        now < wait.until && (!wait.extra || self.extras.len() < self.firsts.len() / 5 + earned)
+    }
+
     fn turned_away(&self, now: Duration, wait: &Wait, ahead: usize) -> Option<(AwayReason, Duration)> {
-        if wait.extra {
-            let earned = if now >= self.began + WINDOW { ALLOWANCE } else { 0 };
-            if self.extras.len() + 1 > self.firsts.len() / 5 + earned {
-                return Some((AwayReason::Budget, Duration::from_secs(1)));
-            }
+        if now < wait.until && !self.may_try(now, wait) {
+            return Some((AwayReason::Budget, Duration::from_secs(1)));
         }
         let tried = |at: &OriginAt| at.fails > 0 && at.aside > now;
         if self.origins.values().all(tried) && (!self.origins.is_empty() || now >= self.began + PATIENCE) {
@@ -198,18 +257,22 @@
             return Some((AwayReason::NoOrigin, soonest.unwrap_or(ASIDE)));
         }
         // What is left for this rank once the higher ones have theirs.
-        let higher = self.arrivals.iter().filter(|(_, rank)| *rank > wait.rank).count() as f64 / FORESEE.as_secs_f64();
-        let left = (self.capacity(now) - higher).max(0.01);
-        let due = Duration::try_from_secs_f64(ahead as f64 / left).unwrap_or(Duration::MAX);
-        let late = ahead > 0 && now.saturating_add(due) >= wait.until;
+        let (capacity, higher) = (self.capacity(now), self.higher(wait.rank));
+        let left = (capacity - higher).max(0.01);
+        // With nothing left over, not even the first of its rank gets through.
+        let first = if higher > 0.0 && left < capacity / 20.0 { 1.0 } else { 0.0 };
+        let due = Duration::try_from_secs_f64((ahead as f64 + first) / left).unwrap_or(Duration::MAX);
+        let late = !due.is_zero() && now.saturating_add(due) >= wait.until;
         (late || now >= wait.until).then(|| (AwayReason::Busy, due.clamp(Duration::from_secs(1), Duration::from_secs(30))))
     }
 
     /// The proven origin with the fewest calls under way that may be called.
-    fn pick(&self, now: Duration) -> Option<SocketAddr> {
-        let usable = self.origins.values().filter(|at| {
-            at.tokens >= 1.0
-                && at.aside <= now
+    fn pick(&self, now: Duration, rank: u32) -> Option<SocketAddr> {
+        if !self.leaves_room(now, rank) {
+            return None;
+        }
+        let usable = self.usable(now).filter(|at| {
+            self.within_rate(at)
                 && at.proof.is_some_and(|proof| now < proof + lease::PROOF)
                 && self.under(at.origin.address) < self.concurrency as usize
         });
@@ -223,8 +286,9 @@
     fn grant(&mut self, now: Duration, address: SocketAddr, wait: &Wait) {
         let at = self.origins.get_mut(&address).expect("picked");
         at.tokens -= 1.0;
+        at.window.push_back(now);
         self.serial += 1;
-        self.calls.insert((self.epoch, self.serial), Under { origin: address, until: now + wait.call + UNTOLD, extra: wait.extra });
+        self.calls.insert((self.epoch, self.serial), Under { origin: address, rank: wait.rank, since: now, until: now + wait.call + UNTOLD, extra: wait.extra });
         if wait.extra { &mut self.extras } else { &mut self.firsts }.push_back(now);
         let permit = Permit {
             id: wait.id,
@@ -242,7 +306,7 @@
     pub fn underway(&mut self, now: Duration, told: Underway) {
         for (epoch, serial, origin, left) in told.calls {
             if epoch < self.epoch {
-                self.calls.insert((epoch, serial), Under { origin, until: now + left + UNTOLD, extra: false });
+                self.calls.insert((epoch, serial), Under { origin, rank: 0, since: now, until: now + left + UNTOLD, extra: false });
             }
         }
     }
@@ -251,7 +315,9 @@
         let Some(call) = self.calls.remove(&(done.epoch, done.serial)) else { return };
         match done.result {
             CallResult::Good => {
-                self.took = self.took * 0.9 + done.took.as_secs_f64().max(0.001) * 0.1;
+                if let Some(at) = self.origins.get_mut(&call.origin) {
+                    at.took = at.took * 0.9 + done.took.as_secs_f64().max(0.001) * 0.1;
+                }
                 let since = now - done.took.min(now);
                 if self.origins.get(&call.origin).is_some_and(|at| at.proof.is_some()) {
                     self.proven(since, call.origin);
@@ -262,6 +328,7 @@
                 // Not called: the token goes back, within the burst.
                 if let Some(at) = self.origins.get_mut(&call.origin) {
                     at.tokens += 1.0;
+                    at.window.pop_back();
                 }
                 if call.extra { &mut self.extras } else { &mut self.firsts }.pop_back();
             }
@@ -318,12 +385,15 @@
     /// before errands, since without proof there are none.
     pub fn probes(&mut self, now: Duration) -> Vec<Origin> {
         self.forget_old(now);
+        let rate = self.rate;
         let mut out = Vec::new();
         for at in self.origins.values_mut() {
+            let room = at.window.len() < (rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize;
             let fresh = at.proof.is_some_and(|proof| now < proof + lease::PROOF_RENEW);
             let busy = at.probing.is_some_and(|since| now < since + lease::PROOF);
-            if !fresh && !busy && at.aside <= now && at.tokens >= 1.0 && at.watch == Watch::Open {
+            if !fresh && !busy && at.aside <= now && at.tokens >= 1.0 && room && at.watch == Watch::Open {
                 at.tokens -= 1.0;
+                at.window.push_back(now);
                 at.probing = Some(now);
                 out.push(at.origin.clone());
             }
@@ -485,6 +555,43 @@
         assert!(high >= 55, "{high} of 60 of the high rank, with two calls of 400 ms at a time");
     }
 
+    /// The origins are suddenly so slow that a call holds its place for
+    /// seconds: those the lower rank took before the higher came are gone for
+    /// that long, so it may not take them all.
+    #[test]
+    fn slow_origins_are_not_filled_by_the_lower_rank_while_the_higher_keeps_coming() {
+        let mut ends = vec![];
+        let mut run = Run::new(0, 1, 1000.0, 8);
+        for id in 0..4000u64 {
+            // 3 a second of the high rank, 30 of the low one.
+            let high = id % 33 == 0;
+            if high || id % 3 == 1 {
+                run.gate.knock(at(run.now), origin(9).address, knock(id, if high { 9 } else { 1 }, 1500, false));
+            }
+            run.step(if id < 500 { 10 } else { 2000 }, &mut ends);
+        }
+        let asked = (0..3800u64).filter(|id| id % 33 == 0).count();
+        let given: Vec<u64> = run.given.iter().filter(|(_, id)| id % 33 == 0).map(|(when, id)| when - id * 10).collect();
+        assert!(given.len() >= asked * 95 / 100, "{} of {asked} of the high rank", given.len());
+        let late = run.away.iter().filter(|(when, id, _)| *id > 600 && when - id * 10 > 1000).count();
+        assert!(late * 10 <= run.away.len(), "{late} of {} heard late", run.away.len());
+    }
+
+    #[test]
+    fn a_rate_of_one_a_second_is_kept_in_any_five_seconds_too() {
+        for (rate, bound) in [(1.0, 5), (0.2, 1), (7.0, 38)] {
+            let mut ends = vec![];
+            let mut run = Run::new(0, 1, rate, 50);
+            for id in 0..6000 {
+                run.gate.knock(at(run.now), origin(9).address, knock(id, 1, 60_000, false));
+                run.step(5, &mut ends);
+            }
+            // Each may be used up to a `PERMIT` late.
+            assert!(most_in(&run.calls, 5200) <= bound, "{} in 5 s at {rate}/s", most_in(&run.calls, 5200));
+            assert!(run.calls.len() > 10);
+        }
+    }
+
     #[test]
     fn extra_tries_stay_within_a_fifth_and_the_allowance_is_earned_first() {
         let mut run = Run::new(0, 1, 1000.0, 500);
--- a/simulate-fleet/src/figures.rs
+++ b/simulate-fleet/src/figures.rs
@@ -105,6 +105,30 @@
         shares.into_iter().map(|(rank, (good, all))| (rank, good / all)).collect()
     }
 
+    /// Applications 60 times slower than usual for half a minute, with few
+    /// places: served share, mean wait of the served, and how long those turned
+    /// away waited to hear it, in seconds, by rank. `flat`: first come, first
+    /// served, as if all ranks were the same.
+    pub fn slow(flat: bool) -> BTreeMap<u32, (f64, f64, f64)> {
+        let mut deployment = Deployment::find("mombasa").expect("known");
+        deployment.services[1].concurrency = 2;
+        let cached: BTreeSet<String> = deployment.mix.iter().filter(|mix| mix.ttl > 0).map(|mix| mix.entry.clone()).collect();
+        if flat {
+            deployment.entries.iter_mut().for_each(|entry| entry["rank"] = 5.into());
+        }
+        let at = Duration::from_secs;
+        let faults = vec![(at(10), Fault::Service(1, Mood::VerySlow)), (at(40), Fault::Service(1, Mood::Good))];
+        let report = World::new(WorldPlan::new(deployment, 1, at(60), faults)).run();
+        let mut ranks: BTreeMap<u32, (Vec<f64>, Vec<f64>)> = BTreeMap::new();
+        for call in report.checker.callers.iter().filter(|call| !cached.contains(&call.entry) && call.start > 10.0 && call.start < 40.0) {
+            let known = ranks.entry(call.rank).or_default();
+            if call.status == 200 { &mut known.0 } else { &mut known.1 }.push(call.end - call.start);
+        }
+        let mean = |list: &[f64]| list.iter().sum::<f64>() / list.len().max(1) as f64;
+        let one = |(rank, (good, away)): (u32, (Vec<f64>, Vec<f64>))| (rank, (good.len() as f64 / (good.len() + away.len()) as f64, mean(&good), mean(&away)));
+        ranks.into_iter().map(one).collect()
+    }
+
     /// Cache slices by edge: least and most held, and how many move when one
     /// edge more comes.
     pub fn ring(edges: usize) -> (usize, usize, usize) {
@@ -161,6 +185,9 @@
         for part in [1.2, 0.8, 0.5, 0.3] {
             println!("applications may take {part} of what is asked: served by rank {:?}", Figures::capped(part));
         }
+        for flat in [false, true] {
+            println!("applications 60 times slower, first come {flat}: by rank (share, wait of the served, of those turned away) {:.3?}", Figures::slow(flat));
+        }
         for name in ["mombasa", "trasa"] {
             let deployment = Deployment::find(name).expect("known");
             let (spread, hot) = (Figures::spread(&deployment, false), Figures::spread(&deployment, true));
@@ -191,6 +218,16 @@
         assert!(with < without, "{with} with, {without} without");
     }
 
+    #[test]
+    fn no_rank_loses_to_one_below_it_when_applications_are_slow() {
+        let (ranked, flat) = (Figures::slow(false), Figures::slow(true));
+        let shares: Vec<f64> = ranked.values().map(|rank| rank.0).collect();
+        assert!(shares.is_sorted(), "{ranked:?}");
+        assert!(ranked[&9].0 > 0.99 && ranked[&9].0 > flat[&9].0, "{ranked:?} against first come {flat:?}");
+        assert!(ranked[&9].1 < flat[&9].1, "{ranked:?} against first come {flat:?}");
+        assert!(ranked[&5].2 < 1.0, "the lowest is told soon: {ranked:?}");
+    }
+
     #[test]
     fn acknowledgements_come_within_the_bound_of_the_lease_arithmetic() {
         let deployment = Deployment::find("small").unwrap();
