--- a/segment-log/src/segment_log.rs
+++ b/segment-log/src/segment_log.rs
@@ -205,6 +205,80 @@
         fs::remove_dir_all(&path).unwrap();
     }
 
+    /// The power goes at any byte of what was written since the last sync, in
+    /// the middle of a roll or of an image too: all that was synced is read
+    /// back, in order, and nothing that was never written.
+    #[test]
+    fn whatever_part_of_the_unsynced_bytes_is_there_the_synced_records_read_back() {
+        let path = folder("cut");
+        let record = |at: u32| at.to_be_bytes().repeat(40);
+        let mut log = SegmentLog::open(&path).unwrap().log;
+        let mut written = Vec::new();
+        for round in 0..6u32 {
+            if round == 3 {
+                log.image(&record(1000)).unwrap();
+                written = vec![record(1000)];
+            }
+            for at in 0..5 {
+                log.append(&record(round * 5 + at)).unwrap();
+                written.push(record(round * 5 + at));
+            }
+            log.sync().unwrap();
+            let file = path.join(format!("segment-{:08}", log.number));
+            let synced = fs::metadata(&file).unwrap().len();
+            log.append(&record(900 + round)).unwrap();
+            let bytes = fs::read(&file).unwrap();
+            for keep in synced..=bytes.len() as u64 {
+                let copy = folder("cut-copy");
+                fs::create_dir_all(&copy).unwrap();
+                for one in fs::read_dir(&path).unwrap() {
+                    let one = one.unwrap();
+                    fs::copy(one.path(), copy.join(one.file_name())).unwrap();
+                }
+                fs::write(copy.join(file.file_name().unwrap()), &bytes[..keep as usize]).unwrap();
+                // A draft of an image may lie about, torn; so may the next,
+                // empty segment.
+                fs::write(copy.join("draft"), &bytes[..(keep - synced) as usize]).unwrap();
+                let read = SegmentLog::open(&copy).unwrap().records;
+                let whole = if keep == bytes.len() as u64 { written.len() + 1 } else { written.len() };
+                assert_eq!(read.len(), whole, "round {round}, {keep} of {} bytes", bytes.len());
+                assert!(read.starts_with(&written));
+                fs::remove_dir_all(&copy).unwrap();
+            }
+            written.push(record(900 + round));
+        }
+        fs::remove_dir_all(&path).unwrap();
+    }
+
+    /// Bytes that are there but garbled, in the unsynced tail: cut, as a torn
+    /// record is, as long as nothing whole follows.
+    #[test]
+    fn a_garbled_last_record_is_cut() {
+        let path = folder("garbled");
+        filled(&path);
+        let file = path.join("segment-00000001");
+        let good = fs::read(&file).unwrap();
+        for at in 22..good.len() {
+            let mut bad = good.clone();
+            bad[at] ^= 0x55;
+            fs::write(&file, &bad).unwrap();
+            let read = SegmentLog::open(&path).unwrap().records;
+            assert_eq!(read, [b"one".to_vec(), b"two".to_vec()], "byte {at}");
+            fs::write(&file, &good).unwrap();
+        }
+        fs::remove_dir_all(&path).unwrap();
+    }
+
+    #[test]
+    fn a_write_that_is_refused_is_told() {
+        let path = folder("refused");
+        let mut log = SegmentLog::open(&path).unwrap().log;
+        // A device that is always full, in the segment's place.
+        log.file = OpenOptions::new().append(true).open("/dev/full").unwrap();
+        assert!(log.append(b"record").is_err());
+        fs::remove_dir_all(&path).unwrap();
+    }
+
     #[test]
     fn damage_before_the_tail_is_refused() {
         let path = folder("damage");
--- a/stand-ins/src/bin/run-fleet.rs
+++ b/stand-ins/src/bin/run-fleet.rs
@@ -5,10 +5,13 @@
 --deployment mombasa|trasa|small   (default small)
 --seconds N     of traffic (default 60; the whole script needs 60)
 --folder DIR    for data, logs and records; must not exist
---faults none|script|power|disks   (default script)
+--faults none|script|power|disks|turn|core   (default script)
                 script: changes, races, purges, single kills and restarts
                 power: all nodes killed at once and started again
                 disks: nodes frozen, one disk removed, then all three
+                turn: every machine drained and started again, one by one
+                core: the core frozen in part and whole, an address handed to
+                another service, a lost slot taken by an empty node elsewhere
 --seed N        of the traffic (default 1)
 --keep-up 1     leaves the fleet running until a line is read
 
@@ -26,7 +29,7 @@
     if deployment.is_none() {
         flags.found("--deployment", "no such deployment");
     }
-    if !["none", "script", "power", "disks"].contains(&faults.as_str()) {
+    if !["none", "script", "power", "disks", "turn", "core"].contains(&faults.as_str()) {
         flags.found("--faults", "no such faults");
     }
     if folder.as_ref().is_some_and(|folder| folder.exists()) {
@@ -51,6 +54,8 @@
         "script" => run.script()?,
         "power" => run.power_cut()?,
         "disks" => run.disks()?,
+        "turn" => run.turn()?,
+        "core" => run.core()?,
         _ => {}
     }
     let _ = callers.wait();
@@ -108,13 +113,16 @@
 
     /// Puts the document with all markers; notes the acknowledgement.
     fn configure(&mut self, expect: Option<u64>) -> Result<u16> {
+        self.fleet.note("fault", "configure", 0, true);
         let text = self.deployment.document(&self.markers);
         let marker = *self.markers.last().context("marker")?;
         let before = Instant::now();
         let (status, body) = self.fleet.operate("PUT", "configuration", &text, expect)?;
         if status == 200 {
-            self.acknowledged = Some((body["version"].as_u64().unwrap_or(0), text));
+            let version = body["version"].as_u64().unwrap_or(0);
+            self.acknowledged = Some((version, text));
             self.fleet.note("configured", "", marker, true);
+            self.fleet.note("acknowledged", "", version, true);
             println!("{:6.1} s  configuration with marker {marker} in force after {} ms", self.at(), before.elapsed().as_millis());
         }
         Ok(status)
@@ -164,11 +172,13 @@
         let path = self.fleet.folder.join("content-version");
         fs::write(path.with_extension("draft"), version.to_string())?;
         fs::rename(path.with_extension("draft"), path)?;
+        self.fleet.note("fault", "content", 0, true);
         self.fleet.note("content", "", version, true);
         Ok(())
     }
 
     fn purge(&self, prefix: &str, version: u64) -> Result<()> {
+        self.fleet.note("fault", "purge", 0, true);
         let before = Instant::now();
         let (status, body) = self.fleet.operate("POST", "purges", &json!({ "prefix": prefix }).to_string(), None)?;
         self.fleet.note("purged", prefix, version, status == 200);
@@ -190,6 +200,7 @@
         node.kill();
         println!("{:6.1} s  killed {}", self.began.elapsed().as_secs_f64(), node.name);
         self.fleet.note("killed", &subject, 0, true);
+        self.fleet.note("fault", if control { "kill control" } else { "kill edge" }, 0, false);
     }
 
     fn bring_back(&mut self, control: bool, at: usize) -> Result<()> {
@@ -226,13 +237,15 @@
         self.bring_back(false, 1)?;
         self.until(23);
         let leaving = self.fleet.origins.iter().rev().nth(1).context("origin")?.name.trim_start_matches("origin-").to_string();
-        self.put_origins(std::slice::from_ref(&leaving))?;
+        // Learned when the call is read, not when it is answered.
+        self.fleet.note("fault", "origin-leave", 0, true);
         self.fleet.note("leaving", &leaving, 0, true);
+        self.put_origins(std::slice::from_ref(&leaving))?;
         println!("{:6.1} s  origin {leaving} is leaving", self.at());
         self.until(26);
         self.replace_content(3)?;
         self.until(29);
-        self.restart_planned(2)?;
+        self.restart_planned(false, 2)?;
         self.until(36);
         self.kill(true, 0);
         self.until(38);
@@ -249,6 +262,13 @@
         self.fault("unsigned");
         self.until(52);
         self.fault("");
+        // One origin alone: what may be tried again goes to the others.
+        for _ in 0..6 {
+            self.fault_at(0, 1, "unsigned");
+            thread::sleep(Duration::from_millis(600));
+            self.fault_at(0, 1, "");
+            thread::sleep(Duration::from_millis(300));
+        }
         self.read_back()?;
         Ok(())
     }
@@ -299,6 +319,7 @@
         let node = if control { &self.fleet.control[at] } else { &self.fleet.edges[at] };
         println!("{:6.1} s  {} frozen for {span:?}", self.at(), node.name);
         // Its callers may give up on it meanwhile; that is no planned change.
+        self.fleet.note("fault", if control { "freeze control" } else { "freeze edge" }, 0, false);
         self.fleet.note("killed", &node.http.to_string(), 1, true);
         node.signal("-STOP");
         thread::sleep(span);
@@ -328,15 +349,81 @@
         self.read_back()
     }
 
-    fn restart_planned(&mut self, at: usize) -> Result<()> {
-        let node = &mut self.fleet.edges[at];
+    fn restart_planned(&mut self, control: bool, at: usize) -> Result<()> {
+        self.fleet.note("fault", if control { "restart control" } else { "restart edge" }, 0, true);
+        let node = if control { &mut self.fleet.control[at] } else { &mut self.fleet.edges[at] };
         node.signal("-TERM");
         let before = Instant::now();
         let ended = node.ended(Duration::from_secs(20));
         let name = node.name.clone();
         println!("{:6.1} s  {name} drained and ended ({ended}) after {} ms", self.at(), before.elapsed().as_millis());
         self.fleet.note("restarted", &name, 0, ended);
-        self.bring_back(false, at)
+        self.bring_back(control, at)
+    }
+
+    /// Every machine in turn; nothing else happens, so nothing may be dropped.
+    fn turn(&mut self) -> Result<()> {
+        self.until(3);
+        for at in 0..self.fleet.control.len() {
+            self.restart_planned(true, at)?;
+            thread::sleep(Duration::from_millis(1500));
+        }
+        for at in 0..self.fleet.edges.len() {
+            self.restart_planned(false, at)?;
+            thread::sleep(Duration::from_millis(300));
+        }
+        self.markers.push(2);
+        self.configure(None)?;
+        self.read_back()
+    }
+
+    /// Freezes control nodes together, for a span.
+    fn freeze_core(&mut self, slots: &[usize], span: Duration) {
+        println!("{:6.1} s  control nodes {slots:?} frozen for {span:?}", self.at());
+        self.fleet.note("fault", "freeze core", 0, false);
+        for signal in ["-STOP", "-CONT"] {
+            slots.iter().for_each(|slot| self.fleet.control[*slot].signal(signal));
+            if signal == "-STOP" {
+                thread::sleep(span);
+            }
+        }
+        self.fleet.note("fault", "core goes on", 0, false);
+        self.fleet.note("returned", "core", 0, true);
+    }
+
+    fn core(&mut self) -> Result<()> {
+        self.until(5);
+        self.freeze_core(&[0], Duration::from_secs(3));
+        self.until(10);
+        self.freeze_core(&[1, 2], Duration::from_secs(4));
+        self.until(20);
+        self.freeze_core(&[0, 1, 2], Duration::from_secs(4));
+        self.markers.push(2);
+        self.configure(None)?;
+        self.until(30);
+        // The last origin ends; another service's process takes its address.
+        let listed = self.fleet.origins.len() - 2;
+        self.fleet.note("fault", "address handed on", 0, false);
+        self.fleet.origins[listed].kill();
+        let mut other = Fleet::origin(&self.fleet.folder, "other", "other-0", self.fleet.origins[listed].http);
+        Fleet::start(&self.fleet.folder, &mut other)?;
+        println!("{:6.1} s  {} ended, another service listens there", self.at(), self.fleet.origins[listed].name);
+        self.until(34);
+        let mut standby = self.fleet.standby()?;
+        Fleet::start(&self.fleet.folder, &mut standby)?;
+        self.kill(true, 1);
+        let before = Instant::now();
+        let taken = Fleet::wait(Duration::from_secs(15), &mut || standby.ready());
+        println!("{:6.1} s  an empty node elsewhere took the slot ({taken}) after {} ms", self.at(), before.elapsed().as_millis());
+        self.fleet.note("ready-again", "standby", 0, taken);
+        self.kill(true, 0);
+        self.replace_content(2)?;
+        self.purge("/", 2)?;
+        self.markers.push(3);
+        self.configure(None)?;
+        self.read_back()?;
+        self.until(48);
+        Ok(())
     }
 
     /// Two operators change the same version: one must win.
@@ -380,11 +467,18 @@
     /// Sets a fault at all origins of the second service.
     fn fault(&self, name: &str) {
         let service = self.deployment.services[1].name;
-        for node in self.fleet.origins.iter().filter(|node| node.zone == service) {
+        self.fault_at(1, usize::MAX, name);
+        println!("{:6.1} s  origins of {service}: fault \"{name}\"", self.at());
+    }
+
+    /// The same at the first so many of a service.
+    fn fault_at(&self, service: usize, most: usize, name: &str) {
+        let service = self.deployment.services[service].name;
+        self.fleet.note("fault", &format!("origin {}", if name.is_empty() { "good" } else { name }), 0, false);
+        for node in self.fleet.origins.iter().filter(|node| node.zone == service).take(most) {
             let url = format!("http://{}/.stand-in/fault/{name}", node.http);
             let _ = direct("PUT", &url).timeout(Duration::from_secs(2)).send();
         }
-        println!("{:6.1} s  origins of {service}: fault \"{name}\"", self.at());
     }
 
     fn report(&self) -> Result<i32> {
@@ -398,8 +492,8 @@
         }
         println!("other answers: {:?}\n", checker.other_answers());
         let mut code = 0;
-        for (at, (never, verdict)) in checker.verdicts().into_iter().enumerate() {
-            let text = match verdict {
+        for (at, (never, cases)) in checker.cases().into_iter().enumerate() {
+            let text = match cases.verdict() {
                 Verdict::NotExercised => "not exercised".to_string(),
                 Verdict::Held(cases) => format!("held in {cases} cases"),
                 Verdict::Broken(cases) => {
@@ -407,7 +501,8 @@
                     format!("BROKEN in {} cases: {}", cases.len(), cases.iter().take(3).cloned().collect::<Vec<_>>().join("; "))
                 }
             };
-            println!("{:2}. {never}: {text}", at + 1);
+            let worst = cases.worst.map(|(used, text)| format!("; at most {:.0} % of the bound: {text}", used * 100.0));
+            println!("{:2}. {never}: {text}{}", at + 1, worst.unwrap_or_default());
         }
         Ok(code)
     }
--- a/stand-ins/src/caller.rs
+++ b/stand-ins/src/caller.rs
@@ -112,7 +112,8 @@
         let again = if good { u64::from(hash[0]) % 100 < REPEATS && task.tries == 0 } else { task.tries < 4 };
         if again {
             let zone = self.plan.edges.iter().find(|(edge, _)| *edge == task.edge).map(|(_, zone)| zone.as_str());
-            let wait = if good { 100 + u64::from(hash[1]) * 40 } else { 1000 };
+            // What was answered comes again up to 70 s later.
+            let wait = if good { 100 + u64::from(u16::from_be_bytes([hash[1], hash[3]])) * 70_000 / 65_536 } else { 1000 };
             if let Some(edge) = self.pick(u64::from(hash[2]), zone) {
                 let task = Task { edge, tries: task.tries + 1, ..task };
                 self.later.lock().expect("no holder panics").push((Instant::now() + Duration::from_millis(wait), task));
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -156,6 +156,18 @@
         Node { name: format!("origin-{instance}"), words: words.map(Into::into).into(), http, zone: service.into(), child: None }
     }
 
+    /// An empty control node at another place, with the same seeds.
+    pub fn standby(&self) -> Result<Node> {
+        let mut words = self.control[0].words.clone();
+        let http = free_address()?;
+        let data = self.folder.join("data-standby").display().to_string();
+        for (flag, value) in [("--mesh", free_address()?.to_string()), ("--http", http.to_string()), ("--data", data)] {
+            let at = words.iter().position(|word| word == flag).context("flag")?;
+            words[at + 1] = value;
+        }
+        Ok(Node { name: "control-standby".into(), words, http, zone: "standby".into(), child: None })
+    }
+
     pub fn note(&self, what: &str, subject: &str, number: u64, good: bool) {
         self.record.put(&FleetRecord { at: wall(), what: what.into(), subject: subject.into(), number, good });
     }
