The fleet runner takes ports below those of connections

Cause: with three fleets at once an edge found its port taken: chosen free, it had become the source port of some connection before the edge listened.

--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -19,12 +19,15 @@
     record: Recorder,
 }
 
-/// An address nothing listens on now, and that was not given out before: the
-/// system may choose a port again that nobody has taken yet.
+/// An address nothing listens on now, and that was not given out before. From
+/// below the ports that the system gives to connections: between the choice
+/// and the start of the node there, one of those might take it.
 pub fn free_address() -> Result<SocketAddr> {
     static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
     loop {
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let port = 10_000 + (new_life()? % 22_000) as u16;
+        let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) else { continue };
+        let address = listener.local_addr()?;
         if GIVEN.lock().expect("no holder panics").insert(address) {
             return Ok(address);
         }
