The gate asks once a look whether there is room, not for each that waits

Cause: with all the demand of three times today's rates waiting, each knock asked anew for every waiting errand, and summed the capacity for each. They stand by rank: what one could not have, none behind it can.

--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -208,11 +208,17 @@
         }
         self.waits.sort_by_key(|wait| (std::cmp::Reverse(wait.rank), wait.serial));
         let mut rest = Vec::new();
+        // What one rank could not have, none at or below it can: they stand
+        // in order.
+        let mut full = false;
+        let capacity = self.capacity(now);
         for wait in std::mem::take(&mut self.waits) {
-            let picked = if self.may_try(now, &wait) { self.pick(now, wait.rank) } else { None };
+            let may = self.may_try(now, &wait);
+            let picked = if may && !full { self.pick(now, wait.rank) } else { None };
+            full |= may && picked.is_none();
             if let Some(address) = picked {
                 self.grant(now, address, &wait);
-            } else if let Some((reason, back)) = self.turned_away(now, &wait, rest.len()) {
+            } else if let Some((reason, back)) = self.turned_away(now, &wait, rest.len(), capacity) {
                 self.out.push((wait.from, Away { id: wait.id, reason, back }.into()));
             } else {
                 rest.push(wait);
@@ -247,7 +253,7 @@
         now < wait.until && (!wait.extra || self.extras.len() < self.firsts.len() / 5 + earned)
     }
 
-    fn turned_away(&self, now: Duration, wait: &Wait, ahead: usize) -> Option<(AwayReason, Duration)> {
+    fn turned_away(&self, now: Duration, wait: &Wait, ahead: usize, capacity: f64) -> Option<(AwayReason, Duration)> {
         if now < wait.until && !self.may_try(now, wait) {
             return Some((AwayReason::Budget, Duration::from_secs(1)));
         }
@@ -257,7 +263,7 @@
             return Some((AwayReason::NoOrigin, soonest.unwrap_or(ASIDE)));
         }
         // What is left for this rank once the higher ones have theirs.
-        let (capacity, higher) = (self.capacity(now), self.higher(wait.rank));
+        let higher = self.higher(wait.rank);
         let left = (capacity - higher).max(0.01);
         // With nothing left over, not even the first of its rank gets through.
         let first = if higher > 0.0 && left < capacity / 20.0 { 1.0 } else { 0.0 };
