One place for an origin's room, a call's age and an open ledger; cases judged once

The gate wrote the rate bound, its token and its window twice (permits, probes), the control node its test for an open ledger twice, and simulate-fleet judged every run twice, once for the verdicts and once for the table of faults.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -386,6 +386,11 @@
         self.closed = now + lease::CLOSED;
     }
 
+    /// Whether the ledger of this realm is known to be complete.
+    fn open(&self) -> bool {
+        self.realm != 0 && self.replica.opened() == self.realm && self.refound.is_none()
+    }
+
     /// The realm whose acknowledged rows may be lost, as far as known here.
     fn lost(&self) -> u64 {
         let known = Some(self.replica.lost).filter(|realm| *realm == self.replica.realm());
@@ -416,7 +421,7 @@
                 self.before = owner.and_then(Keeper::roll).or(self.before.take());
             }
         }
-        if self.realm != 0 && self.replica.opened() == self.realm && self.refound.is_none() {
+        if self.open() {
             self.closed = Duration::ZERO;
             self.before = None;
         }
@@ -598,8 +603,7 @@
             (Some(slot), Message::Beat(beat)) if slot != self.slot => {
                 self.mates.insert(slot, MateAt { life: from.life, full: beat.full, heard: now });
                 // The way a beat took must not add to it, to and fro.
-                let open = self.realm != 0 && self.replica.opened() == self.realm && self.refound.is_none();
-                if !open && now + beat.closed > self.closed + Duration::from_secs(1) {
+                if !self.open() && now + beat.closed > self.closed + Duration::from_secs(1) {
                     self.closed = now + beat.closed;
                 }
                 self.heed_loss(now, beat.lost);
--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -49,6 +49,19 @@
     aside: Duration,
 }
 
+impl OriginAt {
+    /// Whether one more call or probe now keeps it within its rate over any
+    /// span.
+    fn within(&self, rate: f64) -> bool {
+        self.tokens >= 1.0 && self.window.len() < (rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize
+    }
+
+    fn take(&mut self, now: Duration) {
+        self.tokens -= 1.0;
+        self.window.push_back(now);
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Watch {
     None,
@@ -76,6 +89,13 @@
     extra: bool,
 }
 
+impl Under {
+    /// Seconds since it was given.
+    fn age(&self, now: Duration) -> f64 {
+        now.saturating_sub(self.since).as_secs_f64()
+    }
+}
+
 const ALLOWANCE: usize = 3;
 const WINDOW: Duration = Duration::from_secs(10);
 /// The span over which an origin's rate is judged, and how much of it may come.
@@ -150,7 +170,7 @@
     /// What a call takes at this origin now: as the last ones did, or as those
     /// under way already show.
     fn takes(&self, now: Duration, at: &OriginAt) -> f64 {
-        let ages: Vec<f64> = self.calls.values().filter(|call| call.origin == at.origin.address).map(|call| (now - call.since.min(now)).as_secs_f64()).collect();
+        let ages: Vec<f64> = self.calls.values().filter(|call| call.origin == at.origin.address).map(|call| call.age(now)).collect();
         at.took.max(ages.iter().sum::<f64>() / ages.len().max(1) as f64)
     }
 
@@ -176,17 +196,12 @@
         let takes = places / speed.max(0.001);
         // A place held by a higher call serves the next one for what is left
         // of that time after it ends.
-        let again = |call: &Under| ((now - call.since.min(now)).as_secs_f64() / takes).min(1.0);
+        let again = |call: &Under| (call.age(now) / takes).min(1.0);
         let reused: f64 = self.calls.values().filter(|call| call.rank > rank).map(again).sum();
         let needed = (higher * takes).min(places) - reused;
         places - self.calls.len() as f64 - 1.0 >= needed.floor().max(0.0)
     }
 
-    /// Whether one more call now keeps an origin within its rate over any span.
-    fn within_rate(&self, at: &OriginAt) -> bool {
-        at.tokens >= 1.0 && at.window.len() < (self.rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize
-    }
-
     pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: Knock) {
         let Knock { id, rank, wait, sent, extra, call, .. } = knock;
         if let Some(known) = self.waits.iter_mut().find(|known| (known.from, known.id) == (from, id)) {
@@ -278,7 +293,7 @@
             return None;
         }
         let usable = self.usable(now).filter(|at| {
-            self.within_rate(at)
+            at.within(self.rate)
                 && at.proof.is_some_and(|proof| now < proof + lease::PROOF)
                 && self.under(at.origin.address) < self.concurrency as usize
         });
@@ -291,8 +306,7 @@
 
     fn grant(&mut self, now: Duration, address: SocketAddr, wait: &Wait) {
         let at = self.origins.get_mut(&address).expect("picked");
-        at.tokens -= 1.0;
-        at.window.push_back(now);
+        at.take(now);
         self.serial += 1;
         self.calls.insert((self.epoch, self.serial), Under { origin: address, rank: wait.rank, since: now, until: now + wait.call + UNTOLD, extra: wait.extra });
         if wait.extra { &mut self.extras } else { &mut self.firsts }.push_back(now);
@@ -394,12 +408,10 @@
         let rate = self.rate;
         let mut out = Vec::new();
         for at in self.origins.values_mut() {
-            let room = at.window.len() < (rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize;
             let fresh = at.proof.is_some_and(|proof| now < proof + lease::PROOF_RENEW);
             let busy = at.probing.is_some_and(|since| now < since + lease::PROOF);
-            if !fresh && !busy && at.aside <= now && at.tokens >= 1.0 && room && at.watch == Watch::Open {
-                at.tokens -= 1.0;
-                at.window.push_back(now);
+            if !fresh && !busy && at.aside <= now && at.within(rate) && at.watch == Watch::Open {
+                at.take(now);
                 at.probing = Some(now);
                 out.push(at.origin.clone());
             }
--- a/simulate-fleet/src/bin/simulate-fleet.rs
+++ b/simulate-fleet/src/bin/simulate-fleet.rs
@@ -148,11 +148,12 @@
         println!("other answers: {codes:?}\nevents: {:?}\nlog at most {} bytes", report.notes, report.log_bytes);
     }
     let mut broken = 0;
-    for (kind, row) in checker.coverage() {
+    let nevers = checker.cases();
+    for (kind, row) in checker.coverage(&nevers) {
         let known = sum.fell.entry(kind).or_default();
         known.iter_mut().zip(row).for_each(|(known, more)| *known += more);
     }
-    for (at, (never, cases)) in checker.cases().into_iter().enumerate() {
+    for (at, (never, cases)) in nevers.into_iter().enumerate() {
         if let Some((used, text)) = cases.worst.clone().filter(|(used, _)| sum.worst.get(&at).is_none_or(|(most, _)| used > most)) {
             sum.worst.insert(at, (used, format!("{text} (seed {seed})")));
         }
--- a/stand-ins/src/checker.rs
+++ b/stand-ins/src/checker.rs
@@ -149,9 +149,9 @@
     }
 
     /// How many faults of each kind fell in a span of each never.
-    pub fn coverage(&self) -> BTreeMap<String, [usize; 12]> {
+    pub fn coverage(&self, cases: &[(&'static str, Cases)]) -> BTreeMap<String, [usize; 12]> {
         let mut table: BTreeMap<String, [usize; 12]> = BTreeMap::new();
-        for (never, (_, cases)) in self.cases().into_iter().enumerate() {
+        for (never, (_, cases)) in cases.iter().enumerate() {
             let merged = cases.merged();
             for fault in self.fleet.iter().filter(|one| one.what == "fault") {
                 let row = table.entry(fault.subject.clone()).or_default();
@@ -659,6 +659,6 @@
         let mut one = empty();
         one.callers = vec![errand(1.0, 200, ""), errand(8.0, 200, "")];
         one.fleet = vec![event(8.5, "fault", 0, false), event(12.0, "fault", 0, false)];
-        assert_eq!(one.coverage()["i"], [1, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0]);
+        assert_eq!(one.coverage(&one.cases())["i"], [1, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0]);
     }
 }
