Configuration by named items; origins, groups and purges say more

Cause: operators of larger fleets change single entries, each with its own revision, two at a time at two nodes; the product kept one whole document. Weighed: merging at the face (two faces would race), one row for all items (a row of megabytes). Taken: a row an item, judged by the slice's owner against all that stands, whole call or nothing. Groups gain a rate over all origins, sessions, a probe path and a proof by name; entries a split, attempts and an aim; purges a host and a tag; origins a zone, a capacity and how long they stay slow. Tests of kernel, control-plane and data-plane pass; nothing measured yet.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -867,6 +867,20 @@
                     }
                 }
             },
+            Change::PutItems { items, change: _ } => match Items::change(&keeper.rows, items) {
+                Err(found) => wait.told = Outcome::Findings(found),
+                Ok(fresh) => {
+                    // What is not newer stands already, settled or on its way.
+                    let count = fresh.len();
+                    let mut version = keeper.version;
+                    for (key, item) in fresh {
+                        version = keeper.put(key, Value::Item(item));
+                    }
+                    wait.settle = version;
+                    wait.told = Outcome::Settled { version };
+                    self.note(Event::ConfigurationPut, format!("{count} items, version {version}"));
+                }
+            },
             Change::AddPurge { purge, change } => {
                 let same = |row: &&Row| matches!(&row.value, Value::Purge { change: known, .. } if *known == change);
                 let known = keeper.rows.values().find(same).map(|row| row.version);
@@ -1110,7 +1124,7 @@
         }
         let (slice, epoch) = owned.expect("one of the two is ours by weight");
         let ask = match slice {
-            PURGES => Change::AddPurge { purge: Purge { entry: Some("e".into()), url: None, prefix: None }, change: 5 },
+            PURGES => Change::AddPurge { purge: Purge { entry: Some("e".into()), ..Purge::default() }, change: 5 },
             _ => Change::PutOrigins { list: Arc::default(), change: 5 },
         };
         let told = script.hear(1700, 1, 11, Ask { asker: address(1), id: 7, slice, ask });
--- a/control-plane/src/keeper.rs
+++ b/control-plane/src/keeper.rs
@@ -243,7 +243,7 @@
     }
 
     fn value(change: u64) -> Value {
-        Value::Purge { purge: Purge { entry: None, url: None, prefix: Some("/".into()) }, change }
+        Value::Purge { purge: Purge { prefix: Some("/".into()), ..Purge::default() }, change }
     }
 
     fn kept(round: u64, to: u64, clear: u64) -> Kept {
--- a/control-plane/src/ledger.rs
+++ b/control-plane/src/ledger.rs
@@ -69,7 +69,7 @@
     }
 
     fn done() -> OperationState {
-        OperationState::Done(Arc::new(Reply { status: 200, headers: vec![], body: Arc::default() }))
+        OperationState::Done(Arc::new(Reply { status: 200, ..Reply::default() }))
     }
 
     fn taken(same: bool, state: OperationState) -> Outcome {
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -195,7 +195,7 @@
     use crate::prelude::*;
 
     fn keep(from: u64, to: u64, published: u64) -> Keep {
-        let purge = Purge { entry: Some(format!("e{to}")), url: None, prefix: None };
+        let purge = Purge { entry: Some(format!("e{to}")), ..Purge::default() };
         let row = Row { version: to, value: Value::Purge { purge, change: to } };
         let rows = vec![("k".to_string(), row)];
         Keep { slice: PURGES, epoch: 3, round: 1, whole: from == 0, from, to, rows, drops: vec![], published }
--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -22,6 +22,7 @@
 
 struct Slot {
     entry: String,
+    host: String,
     url: String,
     keep: Duration,
     held: Option<Held>,
@@ -62,9 +63,13 @@
 const COPY_BYTES: u64 = 512;
 
 impl Slot {
-    fn new(now: Duration, entry: String, url: String, keep: Duration) -> Slot {
+    fn new(now: Duration, entry: String, host: String, url: String, keep: Duration) -> Slot {
         let (tokens, waits) = (Vec::new(), Vec::new());
-        Slot { entry, url, keep, held: None, refresher: None, tokens, waits, private: Duration::ZERO, used: now }
+        Slot { entry, host, url, keep, held: None, refresher: None, tokens, waits, private: Duration::ZERO, used: now }
+    }
+
+    fn name<'a>(&'a self, reply: &'a Reply) -> CopyName<'a> {
+        CopyName { entry: &self.entry, host: &self.host, url: &self.url, tags: Some(&reply.tags) }
     }
 
     fn delta(&self) -> Duration {
@@ -95,8 +100,8 @@
     }
 
     pub fn get(&mut self, now: Duration, from: SocketAddr, get: Get, epoch: u64, purged: u64) {
-        let Get { id, key, entry, url, keep, wait, spare } = get;
-        let slot = self.keys.entry(key).or_insert_with(|| Slot::new(now, entry, url, keep));
+        let Get { id, key, entry, host, url, keep, wait, spare } = get;
+        let slot = self.keys.entry(key).or_insert_with(|| Slot::new(now, entry, host, url, keep));
         slot.keep = keep;
         slot.used = now;
         if now < slot.private {
@@ -150,7 +155,7 @@
         let Some(slot) = self.keys.get_mut(&key) else { return false };
         let began = slot.tokens.iter().find(|(serial, _)| *serial == token.serial).map(|(_, began)| *began);
         let newer = slot.held.as_ref().is_none_or(|held| held.serial < token.serial);
-        let good = token.epoch == epoch && newer && book.clear(token.purged, &slot.entry, &slot.url);
+        let good = token.epoch == epoch && newer && book.clear(token.purged, slot.name(&reply));
         let Some(began) = began.filter(|began| good && now < *began + slot.keep) else {
             self.give_up(now, key, token, epoch, book.applied, false);
             return false;
@@ -222,7 +227,7 @@
     /// Drops every copy a purge reaches; the rest is clear of it.
     pub fn purge(&mut self, purge: &Purge) {
         for slot in self.keys.values_mut() {
-            if slot.held.is_some() && purge.reaches(&slot.entry, &slot.url) {
+            if slot.held.as_ref().is_some_and(|held| purge.reaches(slot.name(&held.reply))) {
                 self.bytes -= slot.empty();
             }
         }
@@ -261,6 +266,7 @@
             Some(Carried {
                 key: *key,
                 entry: slot.entry.clone(),
+                host: slot.host.clone(),
                 url: slot.url.clone(),
                 keep: slot.keep,
                 reply: held.reply.clone(),
@@ -279,12 +285,13 @@
         let mut taken = 0;
         for copy in copies {
             let held = self.keys.get(&copy.key).is_some_and(|slot| slot.held.is_some());
-            if held || copy.major <= way || !book.clear(copy.purged, &copy.entry, &copy.url) {
+            let name = CopyName { entry: &copy.entry, host: &copy.host, url: &copy.url, tags: Some(&copy.reply.tags) };
+            if held || copy.major <= way || !book.clear(copy.purged, name) {
                 continue;
             }
             taken += 1;
-            let Carried { key, entry, url, keep, reply, age, minor, major, .. } = copy;
-            let slot = self.keys.entry(key).or_insert_with(|| Slot::new(now, entry, url, keep));
+            let Carried { key, entry, host, url, keep, reply, age, minor, major, .. } = copy;
+            let slot = self.keys.entry(key).or_insert_with(|| Slot::new(now, entry, host, url, keep));
             let began = now.saturating_sub(age + way);
             // Older than any fetch begun here, whose put may still come.
             let serial = 0;
@@ -338,11 +345,11 @@
     }
 
     fn get(id: u64) -> Get {
-        Get { id, key: KEY, entry: "e".into(), url: "/u".into(), keep: at(10_000), wait: at(3000), spare: false }
+        Get { id, key: KEY, entry: "e".into(), host: "h".into(), url: "/u".into(), keep: at(10_000), wait: at(3000), spare: false }
     }
 
     fn reply(text: &str) -> Reply {
-        Reply { status: 200, headers: vec![], body: Arc::new(text.into()) }
+        Reply { status: 200, body: Arc::new(text.into()), ..Reply::default() }
     }
 
     /// What the owner says to one get: "copy TEXT", "miss", "wait".
@@ -408,7 +415,7 @@
 
     #[test]
     fn a_late_put_is_dropped_after_a_purge_a_move_or_a_newer_put() {
-        let purge = Purge { entry: None, url: Some("/u".into()), prefix: None };
+        let purge = Purge { url: Some("/u".into()), ..Purge::default() };
         let mut book = PurgeBook::default();
         book.learn(Duration::ZERO, 1, &[("p".into(), Row { version: 1, value: Value::Purge { purge: purge.clone(), change: 1 } })]);
         let mut owner = filled(0);
@@ -475,7 +482,7 @@
         let mut late = CacheOwner::new(1 << 20);
         assert_eq!(late.take_over(at(50_000), at(7900), copies.clone(), &PurgeBook::default()), 0);
         // A purge that the last holder did not know yet.
-        let purge = Purge { entry: None, url: Some("/u".into()), prefix: None };
+        let purge = Purge { url: Some("/u".into()), ..Purge::default() };
         let mut book = PurgeBook::default();
         book.learn(Duration::ZERO, 4, &[("p".into(), Row { version: 4, value: Value::Purge { purge, change: 1 } })]);
         let mut next = CacheOwner::new(1 << 20);
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -26,6 +26,8 @@
     next_renew: Duration,
     live: bool,
     table: Option<Arc<EntryTable>>,
+    /// The parts of the configuration the table was made of.
+    items: Items,
     origins: Arc<Vec<Origin>>,
     duties: HashMap<String, Duty>,
     book: PurgeBook,
@@ -87,6 +89,7 @@
             next_renew: Duration::ZERO,
             live: false,
             table: None,
+            items: Items::default(),
             origins: Arc::default(),
             duties: HashMap::new(),
             book: PurgeBook::default(),
@@ -175,6 +178,7 @@
         self.leases.drop_all();
         self.vector = vec![0; NEWS.into()];
         self.known = vec![BTreeMap::new(); NEWS.into()];
+        self.items = Items::default();
         self.duties.clear();
         self.cache.clear();
         self.book = PurgeBook::default();
@@ -209,6 +213,13 @@
                 }
                 fresh.iter().for_each(|purge| self.cache.purge(purge));
             }
+            CONFIGURATION => {
+                let parts = rows.iter().any(|(_, row)| matches!(row.value, Value::Configuration { .. } | Value::Item(_)));
+                rows.into_iter().for_each(|(key, row)| self.learn_row(key, row));
+                if parts {
+                    self.take_configuration(news.version);
+                }
+            }
             _ => rows.into_iter().for_each(|(key, row)| self.learn_row(key, row)),
         }
         self.vector[usize::from(news.slice)] = news.version;
@@ -218,16 +229,22 @@
         }
     }
 
+    /// The parts as they stand now, made one table. What was acknowledged fits
+    /// together; news shows whole versions only.
+    fn take_configuration(&mut self, version: u64) {
+        if let Ok((document, bounds)) = self.items.merged() {
+            let table = Arc::new(EntryTable::new(version, document).within(bounds));
+            self.table = Some(table.clone());
+            self.note(Event::ConfigurationTaken, format!("version {version}"));
+            self.out.push(Output::Show(Shown::Configuration(table)));
+        }
+    }
+
     fn learn_row(&mut self, key: String, row: Row) {
         match row.value {
-            Value::Configuration { text, .. } => {
-                // It was checked before it was acknowledged.
-                if let Ok(document) = Configuration::read(&text) {
-                    let table = Arc::new(EntryTable::new(row.version, document));
-                    self.table = Some(table.clone());
-                    self.note(Event::ConfigurationTaken, format!("version {}", row.version));
-                    self.out.push(Output::Show(Shown::Configuration(table)));
-                }
+            // It was checked before it was acknowledged.
+            Value::Configuration { .. } | Value::Item(_) => {
+                let _ = self.items.learn(&key, &row);
             }
             Value::Origins { list, .. } => self.origins = list,
             Value::Duty(duty) => {
@@ -435,7 +452,7 @@
             Stage::Getting { spare, .. } => {
                 let key = job.key.expect("cached");
                 let entry = job.errand.entry();
-                let get = Get { id, key, entry: entry.name.clone(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
+                let get = Get { id, key, entry: entry.name.clone(), host: job.errand.host.clone(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
                 if let Some(holder) = self.holder(&cache_duty(cache_slice(&key))) {
                     self.tell(holder, get);
                 }
@@ -579,7 +596,7 @@
         let Some((since, spare)) = self.getting(id, key) else { return };
         let job = &self.jobs[&id];
         let way = (now - since).saturating_sub(copy.held);
-        if way >= copy.left || !self.book.clear(copy.purged, &job.errand.entry().name, &job.errand.url) {
+        if way >= copy.left || !self.book.clear(copy.purged, job.copy_name(&copy.reply)) {
             return self.set_stage(now, id, Stage::Getting { since: now, spare });
         }
         self.end(now, id, Answer::Reply { reply: copy.reply, age: Some(copy.age + way) });
@@ -707,7 +724,7 @@
             let shared = shareable(&reply);
             // Begun before a purge that reaches it: good for its own caller
             // while that is fresh, then fetched anew.
-            let reached = self.book.reached(token.purged, &job.errand.entry().name, &job.errand.url);
+            let reached = self.book.reached(token.purged, job.copy_name(&reply));
             let purged = reached.is_some_and(|learned| now >= learned + PURGE_GRACE);
             if shared && keepable(reply.status) {
                 self.tell(owner, Put { key, token, reply: reply.clone() });
@@ -1115,7 +1132,7 @@
     #[test]
     fn what_was_sent_and_not_answered_is_unknown_and_recorded_before_it_is_said() {
         let mut edge = live(1000);
-        let origin = Origin { address: address(50), service: "slow".into(), instance: "i".into(), leaving: false };
+        let origin = Origin { address: address(50), service: "slow".into(), instance: "i".into(), leaving: false, zone: String::new(), capacity: 0, cold_ms: 0 };
         let row = Row { version: 1, value: Value::Origins { list: Arc::new(vec![origin.clone()]), change: 1 } };
         let news = vec![News { slice: ORIGINS, version: 1, rows: vec![("origins".into(), row)] }];
         let renewed = Renewed { life: 5, sent: at(1000), realm: 0, recall: false, news };
--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -459,11 +459,11 @@
     }
 
     fn origin(port: u16) -> Origin {
-        Origin { address: SocketAddr::from(([127, 0, 0, 1], port)), service: "s".into(), instance: format!("i{port}"), leaving: false }
+        Origin { address: SocketAddr::from(([127, 0, 0, 1], port)), service: "s".into(), instance: format!("i{port}"), leaving: false, zone: String::new(), capacity: 0, cold_ms: 0 }
     }
 
     fn group(rate: f64, concurrency: u32) -> Group {
-        Group { service: "s".into(), rate, concurrency, key: String::new() }
+        Group { service: "s".into(), rate, concurrency, key: String::new(), proof: Proof::Seal, total_rate: None, sessions: None, probe: None, keeps_keys: false }
     }
 
     fn knock(id: u64, rank: u32, wait: u64, extra: bool) -> Knock {
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -77,7 +77,11 @@
 
     /// Entry, service and URL: what tells requests apart.
     pub fn cache_key(errand: &Errand) -> CacheKey {
-        hash_of(&[errand.entry().name.as_bytes(), errand.entry().group.as_bytes(), errand.url.as_bytes()])
+        hash_of(&[errand.entry().name.as_bytes(), errand.host.as_bytes(), errand.entry().group.as_bytes(), errand.url.as_bytes()])
+    }
+
+    pub fn copy_name<'a>(&'a self, reply: &'a Reply) -> CopyName<'a> {
+        CopyName { entry: &self.errand.entry().name, host: &self.errand.host, url: &self.errand.url, tags: Some(&reply.tags) }
     }
 
     pub fn claim_of(errand: &Errand, by: Mate, id: u64) -> Claim {
--- a/data-plane/src/origin_call.rs
+++ b/data-plane/src/origin_call.rs
@@ -61,6 +61,7 @@
         body: &bytes,
     };
     seal.check(&headers, &call.key)?;
+    let tags = header(&headers, "otterslip-tags").map(|text| text.split(' ').filter(|tag| !tag.is_empty()).map(Into::into).collect()).unwrap_or_default();
     let passed = headers.into_iter().filter(|(name, _)| PASSED.contains(&name.as_str())).collect();
-    Ok(Reply { status: status.as_u16(), headers: passed, body: Arc::new(bytes) })
+    Ok(Reply { status: status.as_u16(), headers: passed, body: Arc::new(bytes), tags })
 }
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -26,8 +26,71 @@
     /// Calls at a time to one origin.
     #[validate(range(min = 1, max = 1000))]
     pub concurrency: u32,
-    /// ed25519 public key, base64.
+    /// ed25519 public key, base64; none if origins are `Named`.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub key: String,
+    #[serde(default, skip_serializing_if = "Proof::usual")]
+    pub proof: Proof,
+    /// Calls a second to all its origins together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(range(min = 0.1, max = 1000000.0))]
+    pub total_rate: Option<f64>,
+    /// Sessions that one origin takes from all edges together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(range(min = 1, max = 100000))]
+    pub sessions: Option<u32>,
+    /// Path that tells an origin's condition.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(length(min = 1, max = 1024))]
+    pub probe: Option<String>,
+    /// The service itself runs a key once, however often it is called.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub keeps_keys: bool,
+}
+
+/// How an origin's answer is known to be its own.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Proof {
+    /// It signs each answer with the group's key.
+    #[default]
+    Seal,
+    /// Each call names the instance it is meant for; another one refuses it,
+    /// and the answer names the errand.
+    Named,
+}
+
+impl Proof {
+    fn usual(&self) -> bool {
+        *self == Proof::Seal
+    }
+}
+
+/// A part of an entry's errands that goes to another group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    #[validate(length(min = 1, max = 64))]
+    pub group: String,
+    /// Parts of the whole sum of weights.
+    #[validate(range(min = 0.0, max = 1000000.0))]
+    pub weight: f64,
+}
+
+/// What callers may send and how long they may take.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    #[validate(range(min = 256, max = 1048576))]
+    pub head_bytes: u64,
+    #[validate(range(min = 0, max = 1073741824))]
+    pub body_bytes: u64,
+    /// From the first byte of a head to its last.
+    #[validate(range(min = 10, max = 600000))]
+    pub head_ms: u64,
+    /// Between two requests on one session.
+    #[validate(range(min = 10, max = 3600000))]
+    pub idle_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,8 +116,9 @@
     pub host: Option<String>,
     #[validate(length(min = 1, max = 1024))]
     pub path: String,
+    /// In items, none means all; the document lists them.
     #[serde(default = "Entry::usual_methods")]
-    #[validate(length(min = 1, max = 8))]
+    #[validate(length(max = 8))]
     pub methods: Vec<String>,
     #[validate(length(min = 1, max = 64))]
     pub group: String,
@@ -62,11 +126,23 @@
     pub rank: u32,
     pub kind: Kind,
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    #[validate(range(min = 1, max = 86400))]
-    pub cache_ttl_s: Option<u32>,
+    #[validate(range(min = 0.1, max = 86400.0))]
+    pub cache_ttl_s: Option<f64>,
     #[serde(default = "Entry::usual_deadline")]
     #[validate(range(min = 50, max = 30000))]
     pub deadline_ms: u64,
+    /// Where errands go instead of all to `group`, by weight.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[validate(nested)]
+    pub split: Vec<Share>,
+    /// Origins that one errand may be sent to, at most.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(range(min = 1, max = 100))]
+    pub attempts: Option<u32>,
+    /// An answer in this time is worth most.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[validate(range(min = 1, max = 600000))]
+    pub aim_ms: Option<u64>,
 }
 
 impl Entry {
@@ -78,13 +154,18 @@
         5000
     }
 
+    /// Whether an errand of this method is the entry's.
+    pub fn takes(&self, method: &str) -> bool {
+        self.methods.is_empty() || self.methods.iter().any(|known| known == method)
+    }
+
     pub fn deadline(&self) -> Duration {
         Duration::from_millis(self.deadline_ms)
     }
 
     /// Keep time; the major expiry is counted from it and the minor is half.
     pub fn keep(&self) -> Duration {
-        Duration::from_secs(self.cache_ttl_s.unwrap_or(10).into())
+        Duration::from_secs_f64(self.cache_ttl_s.unwrap_or(10.0))
     }
 }
 
@@ -95,6 +176,22 @@
         self.groups.iter().find(|group| group.service == service)
     }
 
+    /// What is wrong between the parts of a document whose parts were read
+    /// one by one; places name the entry or group.
+    pub fn findings(&self) -> Vec<Finding> {
+        let mut found = Vec::new();
+        let groups: Vec<Option<&Group>> = self.groups.iter().map(Some).collect();
+        check_groups(&groups, &mut found);
+        check_entries(&self.entries.iter().map(Some).collect::<Vec<_>>(), &groups, &mut found);
+        if self.entries.len() as u64 > ENTRIES {
+            found.push(Finding::new("/entries", format!("more than {ENTRIES}")));
+        }
+        if self.groups.len() as u64 > GROUPS {
+            found.push(Finding::new("/groups", format!("more than {GROUPS}")));
+        }
+        found
+    }
+
     /// Reads and checks a document: all findings come together.
     pub fn read(text: &str) -> Result<Configuration, Vec<Finding>> {
         if text.len() > CONFIGURATION_BYTES {
@@ -112,8 +209,13 @@
         }
         let groups: Vec<Option<Group>> = read_list(&whole, "groups", &mut found);
         let entries: Vec<Option<Entry>> = read_list(&whole, "entries", &mut found);
-        check_groups(&groups, &mut found);
-        check_entries(&entries, &groups, &mut found);
+        check_groups(&groups.iter().map(Option::as_ref).collect::<Vec<_>>(), &mut found);
+        check_entries(&entries.iter().map(Option::as_ref).collect::<Vec<_>>(), &groups.iter().map(Option::as_ref).collect::<Vec<_>>(), &mut found);
+        for (at, entry) in entries.iter().enumerate().filter_map(|(at, entry)| Some((at, entry.as_ref()?))) {
+            if entry.methods.is_empty() {
+                found.push(Finding::new(pointer(&["entries", &at.to_string(), "methods"]), "length out of bounds (min 1, max 8)"));
+            }
+        }
         if !found.is_empty() {
             found.sort_by(|a, b| a.place.cmp(&b.place));
             return Err(found);
@@ -127,7 +229,7 @@
     }
 }
 
-fn check_groups(groups: &[Option<Group>], found: &mut Vec<Finding>) {
+fn check_groups(groups: &[Option<&Group>], found: &mut Vec<Finding>) {
     let mut seen = HashSet::new();
     for (at, group) in groups.iter().enumerate() {
         let Some(group) = group else { continue };
@@ -136,13 +238,17 @@
             found.push(Finding::new(place("service"), "service has a group already"));
         }
         let key = BASE64.decode(&group.key).unwrap_or_default();
-        if key.len() != 32 {
+        if group.proof == Proof::Named {
+            if !group.key.is_empty() {
+                found.push(Finding::new(place("key"), "goes with proof seal only"));
+            }
+        } else if key.len() != 32 {
             found.push(Finding::new(place("key"), "must be 32 bytes in base64"));
         }
     }
 }
 
-fn check_entries(entries: &[Option<Entry>], groups: &[Option<Group>], found: &mut Vec<Finding>) {
+fn check_entries(entries: &[Option<&Entry>], groups: &[Option<&Group>], found: &mut Vec<Finding>) {
     let known: HashSet<&str> = groups.iter().flatten().map(|group| group.service.as_str()).collect();
     let mut names = HashSet::new();
     let mut matches = HashSet::new();
@@ -156,18 +262,27 @@
         if !known.contains(entry.group.as_str()) {
             say("group", "no such group");
         }
+        if entry.split.iter().any(|share| !known.contains(share.group.as_str())) {
+            say("split", "no such group");
+        }
+        if !entry.split.is_empty() && entry.split.iter().map(|share| share.weight).sum::<f64>() <= 0.0 {
+            say("split", "some weight must be above 0");
+        }
         if !entry.path.starts_with('/') {
             say("path", "must start with /");
         }
+        if entry.methods.is_empty() && !matches.insert((&entry.host, &entry.path, "")) {
+            say("path", "another entry has this host and path");
+        }
         for method in &entry.methods {
             if !METHODS.contains(&method.as_str()) {
                 say("methods", &format!("method {method} is not served"));
             }
-            if !matches.insert((&entry.host, &entry.path, method)) {
+            if !matches.insert((&entry.host, &entry.path, method.as_str())) {
                 say("path", &format!("another entry has this host, path and method {method}"));
             }
         }
-        if entry.kind == Kind::Cached && entry.methods != ["GET"] {
+        if entry.kind == Kind::Cached && !entry.methods.is_empty() && entry.methods != ["GET"] {
             say("methods", "a cached entry serves GET only");
         }
         if (entry.kind == Kind::Cached) != entry.cache_ttl_s.is_some() {
@@ -209,7 +324,7 @@
 /// A field that does not survive reading is one we do not know.
 fn unknown_fields<T: Serialize>(item: &serde_json::Value, good: &T, place: &str, found: &mut Vec<Finding>) {
     let known = serde_json::to_value(good).unwrap_or_default();
-    let optional = ["host", "cache_ttl_s"];
+    let optional = ["host", "cache_ttl_s", "key", "proof", "total_rate", "sessions", "probe", "keeps_keys", "split", "attempts", "aim_ms"];
     for name in item.as_object().into_iter().flat_map(|fields| fields.keys()) {
         if known.get(name).is_none() && !optional.contains(&name.as_str()) {
             found.push(Finding::new(format!("{place}{}", pointer(&[name])), "unknown field"));
--- a/kernel/src/entry_table.rs
+++ b/kernel/src/entry_table.rs
@@ -6,6 +6,8 @@
 pub struct EntryTable {
     pub version: u64,
     pub document: Configuration,
+    /// What callers may send, if operators said so.
+    pub bounds: Option<Arc<Bounds>>,
     by_path: HashMap<String, Vec<usize>>,
 }
 
@@ -15,7 +17,12 @@
         for (at, entry) in document.entries.iter().enumerate() {
             by_path.entry(entry.path.clone()).or_default().push(at);
         }
-        EntryTable { version, document, by_path }
+        EntryTable { version, document, bounds: None, by_path }
+    }
+
+    /// The same, with the callers' bounds.
+    pub fn within(self, bounds: Option<Arc<Bounds>>) -> EntryTable {
+        EntryTable { bounds, ..self }
     }
 
     /// The entry with the longest path that is the errand's path or a whole
@@ -28,7 +35,7 @@
         for cut in cuts.into_iter().rev() {
             let fits = |at: &&usize| {
                 let entry = &self.document.entries[**at];
-                entry.methods.iter().any(|known| known == method)
+                entry.takes(method)
                     && entry.host.as_deref().is_none_or(|known| known.eq_ignore_ascii_case(host))
             };
             let list = self.by_path.get(&path[..cut]).map(Vec::as_slice).unwrap_or_default();
@@ -56,6 +63,9 @@
             kind: Kind::Plain,
             cache_ttl_s: None,
             deadline_ms: 100,
+            split: vec![],
+            attempts: None,
+            aim_ms: None,
         };
         let entries = vec![entry("root", None, "/"), entry("list", None, "/list"), entry("ours", Some("a.example"), "/list"), entry("tiles", None, "/t/")];
         let table = EntryTable::new(1, Configuration { groups: vec![], entries });
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod finding;
 pub mod frame;
 pub mod host;
+pub mod items;
 pub mod lease;
 pub mod link;
 pub mod mate;
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -71,7 +71,7 @@
 
     // Between edges: the cache.
     /// `spare`: the asker's own refill failed; it wants any copy in time.
-    Get { id: u64, key: CacheKey, entry: String, url: String, keep: Duration, wait: Duration, spare: bool }
+    Get { id: u64, key: CacheKey, entry: String, host: String, url: String, keep: Duration, wait: Duration, spare: bool }
     Copy { id: u64, key: CacheKey, copy: CopyOut }
     /// Refill it: you are the refresher, under this token.
     Miss { id: u64, key: CacheKey, token: Token }
@@ -203,6 +203,9 @@
 pub enum Change {
     PutConfiguration { text: Arc<str>, expect: Option<u64>, change: u64 },
     GetConfiguration,
+    /// Sets or removes named parts, whole or not at all; one that is not newer
+    /// than what is known under its name has no effect.
+    PutItems { items: Vec<Item>, change: u64 },
     AddPurge { purge: Purge, change: u64 },
     PutOrigins { list: Arc<Vec<Origin>>, change: u64 },
     /// All rows of a news slice, confirmed at a majority.
@@ -279,6 +282,7 @@
 pub struct Carried {
     pub key: CacheKey,
     pub entry: String,
+    pub host: String,
     pub url: String,
     pub keep: Duration,
     pub reply: Reply,
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -22,6 +22,7 @@
 pub use crate::finding::{Finding, refuse_findings};
 pub use crate::frame;
 pub use crate::host::{Host, Port, Store, new_life};
+pub use crate::items::Items;
 pub use crate::lease;
 pub use crate::link::Links;
 pub use crate::mate::Mate;
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -48,6 +48,8 @@
 pub enum Value {
     /// The document as it was put, byte for byte, and the change that put it.
     Configuration { text: Arc<str>, change: u64 },
+    /// A named part of the configuration, beside the document.
+    Item(Item),
     Purge { purge: Purge, change: u64 },
     /// The platform's list of origins, whole.
     Origins { list: Arc<Vec<Origin>>, change: u64 },
@@ -71,6 +73,27 @@
     Operation(Operation),
 }
 
+/// A named part of the configuration, with a version of its own that its
+/// operators gave it: per kind and name the highest holds, also of removals.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    pub kind: ItemKind,
+    pub name: String,
+    pub revision: u64,
+    /// A `Group`, an `Entry` or `Bounds` as JSON; none: it is removed.
+    pub text: Option<Arc<str>>,
+    /// What the operators sent, in their own words, for them to read back.
+    pub source: Arc<str>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ItemKind {
+    Group,
+    Entry,
+    Bounds,
+}
+
 /// Who holds a duty. A duty goes from one holder to the next only through a
 /// settled row without a holder; `epoch` rises with every row.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -103,16 +126,18 @@
 }
 
 /// Whole, verified origin answer as it goes to a caller.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
     pub status: u16,
     pub headers: Vec<(String, String)>,
     pub body: Arc<Vec<u8>>,
+    /// What the origin marked it with, for purges.
+    pub tags: Vec<String>,
 }
 
 /// What a purge reaches. `entry` alone: all copies of the entry. (Travels as
 /// `bincode` too, which allows no field to be left out.)
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Validate)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
 pub struct Purge {
     #[serde(default)]
@@ -124,19 +149,38 @@
     #[serde(default)]
     #[validate(length(min = 1, max = 2048))]
     pub prefix: Option<String>,
+    #[serde(default)]
+    #[validate(length(min = 1, max = 255))]
+    pub host: Option<String>,
+    /// Copies whose answer carried this tag.
+    #[serde(default)]
+    #[validate(length(min = 1, max = 255))]
+    pub tag: Option<String>,
+}
+
+/// What a copy is known by when a purge is held against it. `tags` are none
+/// while the answer is not there yet: then every tag reaches it.
+#[derive(Debug, Clone, Copy)]
+pub struct CopyName<'a> {
+    pub entry: &'a str,
+    pub host: &'a str,
+    pub url: &'a str,
+    pub tags: Option<&'a [String]>,
 }
 
 impl Purge {
-    pub fn reaches(&self, entry: &str, url: &str) -> bool {
-        self.entry.as_deref().is_none_or(|name| name == entry)
-            && self.url.as_deref().is_none_or(|one| one == url)
-            && self.prefix.as_deref().is_none_or(|start| url.starts_with(start))
+    pub fn reaches(&self, copy: CopyName) -> bool {
+        self.entry.as_deref().is_none_or(|name| name == copy.entry)
+            && self.host.as_deref().is_none_or(|name| name.eq_ignore_ascii_case(copy.host))
+            && self.url.as_deref().is_none_or(|one| one == copy.url)
+            && self.prefix.as_deref().is_none_or(|start| copy.url.starts_with(start))
+            && self.tag.as_deref().is_none_or(|tag| copy.tags.is_none_or(|tags| tags.iter().any(|known| known == tag)))
     }
 
     pub fn findings(&self) -> Vec<Finding> {
         let mut found = findings_of(self.validate());
-        if self.entry.is_none() && self.url.is_none() && self.prefix.is_none() {
-            found.push(Finding::new("", "one of entry, url or prefix must be given"));
+        if self.entry.is_none() && self.url.is_none() && self.prefix.is_none() && self.host.is_none() && self.tag.is_none() {
+            found.push(Finding::new("", "one of entry, host, url, prefix or tag must be given"));
         }
         if self.url.is_some() && self.prefix.is_some() {
             found.push(Finding::new("/prefix", "url and prefix exclude each other"));
@@ -156,4 +200,12 @@
     pub instance: String,
     #[serde(default)]
     pub leaving: bool,
+    #[serde(default)]
+    pub zone: String,
+    /// Calls it works on at a time; 0: as its group says.
+    #[serde(default)]
+    pub capacity: u32,
+    /// How much longer it stays slow, when it was first listed.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
--- a/simulate-fleet/src/figures.rs
+++ b/simulate-fleet/src/figures.rs
@@ -29,11 +29,11 @@
             let now = Duration::from_micros(id * 1_000_000 / rate);
             while puts.front().is_some_and(|(at, _)| *at <= now) {
                 let (at, token) = puts.pop_front().expect("just seen");
-                let reply = Reply { status: 200, headers: vec![], body: Arc::default() };
+                let reply = Reply { status: 200, ..Reply::default() };
                 owner.put(at, Put { key: [0; 32], token, reply }, 1, &PurgeBook::default());
             }
             let wait = Duration::from_secs(4);
-            owner.get(now, address, Get { id, key: [0; 32], entry: "e".into(), url: "/".into(), keep, wait, spare: false }, 1, 0);
+            owner.get(now, address, Get { id, key: [0; 32], entry: "e".into(), host: "h".into(), url: "/".into(), keep, wait, spare: false }, 1, 0);
             for (_, message) in owner.take_out() {
                 if let Message::Miss(miss) = message {
                     crowd.two_phase += 1;
--- a/simulate-fleet/src/sim_origin.rs
+++ b/simulate-fleet/src/sim_origin.rs
@@ -62,7 +62,7 @@
             return (took, CallBack::Bad("signature does not verify".into()), Some(record));
         }
         let body = format!("{}\n{}\n{}\n{version}", call.method, call.url, call.operation.as_deref().unwrap_or(""));
-        let reply = Reply { status: 200, headers: vec![], body: Arc::new(body.into_bytes()) };
+        let reply = Reply { status: 200, headers: vec![], body: Arc::new(body.into_bytes()), tags: vec![] };
         (took, CallBack::Good(reply), Some(record))
     }
 
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -49,7 +49,7 @@
                 (CONFIGURATION, Change::PutConfiguration { text: text.as_str().into(), expect: *expect, change })
             }
             Asked::Purge { prefix, .. } => {
-                let purge = Purge { entry: None, url: None, prefix: Some(prefix.clone()) };
+                let purge = Purge { prefix: Some(prefix.clone()), ..Purge::default() };
                 (PURGES, Change::AddPurge { purge, change })
             }
             Asked::Origins { list, .. } => (ORIGINS, Change::PutOrigins { list: Arc::new(list.clone()), change }),
