http-line: HTTP/1.1 served and called in one event-loop thread

Cause: serving by a thread a connection costs wake-ups and memory small machines do not have. Weighed: hyper over tokio (a runtime, larger), a loop of our own over mio and httparse (taken). Change: a crate with sans-I/O connections of both sides, a pool, lazy timers and one loop. Result: its unit tests pass; nothing uses it yet.

--- /dev/null
+++ b/http-line/src/body.rs
@@ -0,0 +1,40 @@
+use crate::prelude::*;
+
+/// Bytes shared with whoever else holds them; never copied before the socket.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Body {
+    bytes: Arc<Vec<u8>>,
+    range: Range<usize>,
+}
+
+impl Body {
+    /// A part of the bytes; what lies outside of them is cut off.
+    pub fn part(bytes: Arc<Vec<u8>>, range: Range<usize>) -> Body {
+        let end = range.end.min(bytes.len());
+        Body { range: range.start.min(end)..end, bytes }
+    }
+
+    pub fn len(&self) -> usize {
+        self.range.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.range.is_empty()
+    }
+
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes[self.range.clone()]
+    }
+}
+
+impl From<Arc<Vec<u8>>> for Body {
+    fn from(bytes: Arc<Vec<u8>>) -> Body {
+        Body { range: 0..bytes.len(), bytes }
+    }
+}
+
+impl From<Vec<u8>> for Body {
+    fn from(bytes: Vec<u8>) -> Body {
+        Arc::new(bytes).into()
+    }
+}
--- /dev/null
+++ b/http-line/src/http_line.rs
@@ -0,0 +1,101 @@
+use crate::prelude::*;
+use std::net::TcpListener;
+
+/// The handle; the loop ends with `close`.
+#[derive(Clone)]
+pub struct HttpLine {
+    shared: Arc<Shared>,
+}
+
+pub struct Shared {
+    pub orders: flume::Sender<Order>,
+    pub waker: mio::Waker,
+    /// The loop is awake, or was woken and has not looked yet.
+    pub awake: AtomicBool,
+    pub accepted: AtomicU64,
+    pub connects: AtomicU64,
+    pub reused: AtomicU64,
+    pub calls: AtomicU64,
+    pub open: AtomicU64,
+    pub busy: AtomicUsize,
+}
+
+pub enum Order {
+    Tell(u64, Told),
+    Call(Box<Call>, Instant),
+    DropCall(u64),
+    Limits(Limits),
+    Drain,
+    Close,
+}
+
+impl HttpLine {
+    /// Starts the loop thread. The index of a listener is the face its
+    /// requests come with.
+    pub fn open(listeners: Vec<TcpListener>, limits: Limits, taker: Arc<dyn Taker>) -> Result<HttpLine> {
+        let shared = Line::start(listeners, limits, taker)?;
+        Ok(HttpLine { shared })
+    }
+
+    /// A listener with a long queue, whose address may be taken anew at once.
+    pub fn listen(at: SocketAddr) -> Result<TcpListener> {
+        let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into()).with_context(|| format!("bind {at}"))?;
+        socket.listen(1024)?;
+        Ok(socket.into())
+    }
+
+    /// Answers; nothing happens if the line is gone or answered.
+    pub fn tell(&self, line: u64, told: Told) {
+        self.order(Order::Tell(line, told));
+    }
+
+    pub fn call(&self, call: Call) {
+        self.order(Order::Call(Box::new(call), Instant::now()));
+    }
+
+    /// Ends the call's connection. A `came` may be under way at this moment;
+    /// none follows once the loop has seen this.
+    pub fn drop_call(&self, id: u64) {
+        self.order(Order::DropCall(id));
+    }
+
+    pub fn set_limits(&self, limits: Limits) {
+        self.order(Order::Limits(limits));
+    }
+
+    /// Idle connections are closed, others after what they were asked so far;
+    /// new ones are served one request.
+    pub fn drain(&self) {
+        self.order(Order::Drain);
+    }
+
+    /// Ends the loop and all its connections; nothing is told to the taker.
+    pub fn close(&self) {
+        self.order(Order::Close);
+    }
+
+    /// No request is being read, unanswered or its answer unwritten.
+    pub fn idle(&self) -> bool {
+        self.shared.busy.load(Ordering::SeqCst) == 0
+    }
+
+    pub fn usage(&self) -> Usage {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Usage {
+            accepted: read(&self.shared.accepted),
+            connects: read(&self.shared.connects),
+            reused: read(&self.shared.reused),
+            calls: read(&self.shared.calls),
+            open: read(&self.shared.open),
+        }
+    }
+
+    fn order(&self, order: Order) {
+        let sent = self.shared.orders.send(order);
+        if sent.is_ok() && !self.shared.awake.swap(true, Ordering::SeqCst) {
+            let _ = self.shared.waker.wake();
+        }
+    }
+}
--- /dev/null
+++ b/http-line/src/lib.rs
@@ -0,0 +1,31 @@
+//! HTTP/1.1, served and called, in one event-loop thread.
+#![forbid(unsafe_code)]
+mod asked;
+mod body;
+mod call;
+mod called;
+mod came;
+mod chunk;
+mod framing;
+mod head;
+mod held;
+mod http_line;
+mod limits;
+mod line;
+mod outgoing;
+mod pool;
+pub mod prelude;
+mod served;
+mod taker;
+mod timers;
+mod told;
+mod usage;
+pub use asked::Asked;
+pub use body::Body;
+pub use call::Call;
+pub use came::Came;
+pub use http_line::HttpLine;
+pub use limits::Limits;
+pub use taker::Taker;
+pub use told::Told;
+pub use usage::Usage;
--- /dev/null
+++ b/http-line/src/outgoing.rs
@@ -0,0 +1,107 @@
+use crate::prelude::*;
+
+/// What is still to be written, in order. Invariant: no piece is empty.
+#[derive(Default)]
+pub struct Outgoing {
+    pieces: VecDeque<Body>,
+    at: usize,
+    left: usize,
+}
+
+const SLICES: usize = 16;
+
+impl Outgoing {
+    pub fn push(&mut self, body: Body) {
+        if !body.is_empty() {
+            self.left += body.len();
+            self.pieces.push_back(body);
+        }
+    }
+
+    pub fn left(&self) -> usize {
+        self.left
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.left == 0
+    }
+
+    /// Writes until all is written or the sink would block; the bytes taken,
+    /// and how it ended.
+    pub fn write(&mut self, sink: &mut dyn Write) -> (usize, io::Result<()>) {
+        let mut sum = 0;
+        while self.left > 0 {
+            let mut slices = [IoSlice::new(&[]); SLICES];
+            let mut count = 0;
+            for (slice, piece) in slices.iter_mut().zip(&self.pieces) {
+                let from = if count == 0 { self.at } else { 0 };
+                *slice = IoSlice::new(&piece.bytes()[from..]);
+                count += 1;
+            }
+            let wrote = match count {
+                1 => sink.write(&slices[0]),
+                _ => sink.write_vectored(&slices[..count]),
+            };
+            match wrote {
+                Ok(0) => return (sum, Err(ErrorKind::WriteZero.into())),
+                Ok(size) => {
+                    sum += size;
+                    self.wrote(size);
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return (sum, Err(e)),
+            }
+        }
+        if self.pieces.capacity() > SLICES {
+            self.pieces = VecDeque::new();
+        }
+        (sum, Ok(()))
+    }
+
+    fn wrote(&mut self, size: usize) {
+        self.left -= size;
+        self.at += size;
+        while let Some(first) = self.pieces.front() {
+            if self.at < first.len() {
+                break;
+            }
+            self.at -= first.len();
+            self.pieces.pop_front();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    struct Narrow(Vec<u8>, usize);
+    impl Write for Narrow {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            if self.1 == 0 {
+                return Err(ErrorKind::WouldBlock.into());
+            }
+            let size = bytes.len().min(3).min(self.1);
+            self.1 -= size;
+            self.0.extend(&bytes[..size]);
+            Ok(size)
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn goes_on_where_it_stopped() {
+        let mut out = Outgoing::default();
+        out.push(Body::part(Arc::new(b"..head..".to_vec()), 2..6));
+        out.push(Vec::new().into());
+        out.push(b"body".to_vec().into());
+        let mut sink = Narrow(Vec::new(), 5);
+        let (sum, end) = out.write(&mut sink);
+        assert_eq!((sum, end.unwrap_err().kind(), out.left()), (5, ErrorKind::WouldBlock, 3));
+        sink.1 = 100;
+        assert_eq!(out.write(&mut sink).0, 3);
+        assert!(out.is_empty() && sink.0 == b"headbody");
+    }
+}
--- /dev/null
+++ b/http-line/src/pool.rs
@@ -0,0 +1,62 @@
+use crate::prelude::*;
+
+/// Connections to other addresses. Invariant: `open` counts the idle ones too.
+#[derive(Default)]
+pub struct Pool {
+    places: HashMap<SocketAddr, Place>,
+}
+
+#[derive(Default)]
+struct Place {
+    idle: Vec<usize>,
+    open: usize,
+}
+
+impl Pool {
+    /// The idle connection used last.
+    pub fn take(&mut self, to: SocketAddr) -> Option<usize> {
+        self.places.get_mut(&to)?.idle.pop()
+    }
+
+    pub fn keep(&mut self, to: SocketAddr, token: usize) {
+        self.places.entry(to).or_default().idle.push(token);
+    }
+
+    pub fn open(&self, to: SocketAddr) -> usize {
+        self.places.get(&to).map_or(0, |place| place.open)
+    }
+
+    pub fn opened(&mut self, to: SocketAddr) {
+        self.places.entry(to).or_default().open += 1;
+    }
+
+    pub fn closed(&mut self, to: SocketAddr, token: usize) {
+        if let Some(place) = self.places.get_mut(&to) {
+            place.idle.retain(|idle| *idle != token);
+            place.open -= 1;
+            if place.open == 0 {
+                self.places.remove(&to);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn newest_first_and_counted() {
+        let to = SocketAddr::from(([127, 0, 0, 1], 1));
+        let mut pool = Pool::default();
+        for token in 1..=3 {
+            pool.opened(to);
+            pool.keep(to, token);
+        }
+        pool.closed(to, 2);
+        assert_eq!((pool.take(to), pool.take(to), pool.take(to), pool.open(to)), (Some(3), Some(1), None, 2));
+        pool.closed(to, 1);
+        pool.closed(to, 3);
+        assert!(pool.places.is_empty());
+    }
+}
--- /dev/null
+++ b/http-line/src/taker.rs
@@ -0,0 +1,12 @@
+use crate::prelude::*;
+
+/// Called on the loop thread: must not block.
+pub trait Taker: Send + Sync {
+    /// `line` names the connection and the place on it, and is never used
+    /// twice; `face` is the index of the listener.
+    fn asked(&self, line: u64, face: usize, asked: Asked);
+    fn came(&self, id: u64, came: Came);
+    /// An asked whose connection ended, or will end, before its answer; what
+    /// is told for it from now on is left out.
+    fn gone(&self, line: u64);
+}
