http-line: loopback tests, resets for dropped calls, timers never early

Cause: a dropped call ended as half a close, so the other side kept working for nobody; ticks were rounded from whole milliseconds, so a timer could come up early and the loop spun on it (1 loopback run in 30). Weighed: taking every end of input as gone (half-closers would get no answer); a reset by the caller (taken).

--- a/http-line/src/called.rs
+++ b/http-line/src/called.rs
@@ -210,10 +210,11 @@
 
     /// The connection has ended, `well` if by the other side's closing.
     pub fn ended(&mut self, well: bool, why: &str) -> Option<Ended> {
-        if well && self.answer.as_ref().is_some_and(|(_, reading)| reading.ends_here()) {
-            if let Some(ended) = self.whole(true) {
-                return Some(Ended { keep: None, ..ended });
-            }
+        if well
+            && self.answer.as_ref().is_some_and(|(_, reading)| reading.ends_here())
+            && let Some(ended) = self.whole(true)
+        {
+            return Some(Ended { keep: None, ..ended });
         }
         self.fail(why)
     }
--- a/http-line/src/held.rs
+++ b/http-line/src/held.rs
@@ -31,6 +31,12 @@
         Held { stream, side, unread: false, hup: false, blocked: false, writes: false, armed: None, busy: false }
     }
 
+    /// The socket's end shall be a reset: the other side learns at once that
+    /// nobody waits any more, where a mere end could be half a one.
+    pub fn reset(&self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     pub fn due(&self, limits: &Limits) -> Option<Instant> {
         match &self.side {
             Side::Served { served, .. } => served.due(limits),
--- a/http-line/src/line.rs
+++ b/http-line/src/line.rs
@@ -44,10 +44,7 @@
         let waker = mio::Waker::new(poll.registry(), Token(WAKER))?;
         let mut listeners = Vec::new();
         for (at, face) in faces.into_iter().enumerate() {
-            // What is set here, each accepted connection has from the start.
-            let socket = socket2::SockRef::from(&face);
-            socket.set_tcp_nodelay(true)?;
-            socket.set_tcp_user_timeout(Some(SERVED_SILENCE))?;
+            Line::tune(&face)?;
             face.set_nonblocking(true)?;
             let mut listener = TcpListener::from_std(face);
             poll.registry().register(&mut listener, Token(at), Interest::READABLE)?;
@@ -89,6 +86,13 @@
         Ok(shared)
     }
 
+    /// What is set here, each accepted connection has from the start.
+    fn tune(face: &std::net::TcpListener) -> io::Result<()> {
+        let socket = socket2::SockRef::from(face);
+        socket.set_tcp_nodelay(true)?;
+        socket.set_tcp_user_timeout(Some(SERVED_SILENCE))
+    }
+
     fn run(mut self) {
         let mut events = Events::with_capacity(256);
         loop {
@@ -168,6 +172,9 @@
                     Side::Called(called) => (true, called.late()),
                 };
                 if cut {
+                    if ended.is_some() {
+                        held.reset();
+                    }
                     self.cut(token);
                 } else {
                     self.pump(token);
@@ -204,6 +211,7 @@
                     Order::Call(call, from) => self.begin(*call, from),
                     Order::DropCall(id) => {
                         if let Some(token) = self.calls.remove(&id) {
+                            self.held.get(&token).inspect(|held| held.reset());
                             self.cut(token);
                         }
                     }
@@ -562,3 +570,19 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn accepted_ones_are_tuned_by_their_listener() {
+        let face = HttpLine::listen(([127, 0, 0, 1], 0).into()).unwrap();
+        Line::tune(&face).unwrap();
+        let peer = std::net::TcpStream::connect(face.local_addr().unwrap()).unwrap();
+        let got = face.accept().unwrap().0;
+        let socket = socket2::SockRef::from(&got);
+        assert!(socket.tcp_nodelay().unwrap() && !peer.nodelay().unwrap());
+        assert_eq!(socket.tcp_user_timeout().unwrap(), Some(SERVED_SILENCE));
+    }
+}
--- a/http-line/src/served.rs
+++ b/http-line/src/served.rs
@@ -288,7 +288,8 @@
                 head.extend_from_slice(part);
             }
         }
-        if !sized && !none {
+        let unknown = bare && told.body.is_empty();
+        if !(sized || none || unknown) {
             head.extend_from_slice(format!("Content-Length: {}\r\n", told.body.len()).as_bytes());
         }
         let end: &[u8] = match (close, old) {
@@ -557,6 +558,56 @@
         assert!(Desk::new().served.late());
     }
 
+    /// However the bytes are cut, and whatever is wrong with them, the same is
+    /// handed out and the same refused.
+    #[test]
+    fn cuts_make_no_difference() {
+        let clean = "\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\n\r\n\
+            PUT /c HTTP/1.1\r\nContent-Length: 4\r\n\r\nGET GET /d HTTP/1.1\r\n\r\n";
+        let mut seed = 1u64;
+        let mut draw = |below: usize| {
+            seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            (seed >> 33) as usize % below
+        };
+        let mut whole = 0;
+        for round in 0..3000 {
+            let mut input = clean.as_bytes().to_vec();
+            for _ in 0..round % 3 {
+                let at = draw(input.len());
+                match draw(3) {
+                    0 => input[at] = b"\r\n :;0a\x00\xff"[draw(9)],
+                    1 => drop(input.remove(at)),
+                    _ => input.insert(at, b"\r\n :;0a9"[draw(8)]),
+                }
+            }
+            let mut run = |most: usize| {
+                let mut desk = Desk::new();
+                desk.limits.pipeline = 2;
+                let (mut found, mut wrote, mut at, mut next) = (Vec::new(), String::new(), 0, 0);
+                loop {
+                    desk.served.resume(&desk.limits, desk.now, &mut found);
+                    if at < input.len() && desk.served.wants_read(&desk.limits) {
+                        let size = (draw(most) + 1).min(input.len() - at);
+                        desk.served.feed(&input[at..at + size], &desk.limits, desk.now, &mut found);
+                        at += size;
+                    } else if next < found.len() as u64 {
+                        desk.tell(next, 200, "a", false);
+                        next += 1;
+                    } else {
+                        break;
+                    }
+                    wrote += &desk.wrote();
+                }
+                (Desk::shown(found), wrote)
+            };
+            let once = run(1000);
+            assert_eq!(run(1), once, "{:?}", String::from_utf8_lossy(&input));
+            assert_eq!(run(9), once);
+            whole += (once.0.len() == 4) as usize;
+        }
+        assert!((1000..2900).contains(&whole), "{whole}");
+    }
+
     #[test]
     fn an_answer_cannot_be_split() {
         let mut desk = Desk::new();
--- a/http-line/src/timers.rs
+++ b/http-line/src/timers.rs
@@ -1,6 +1,7 @@
 use crate::prelude::*;
 
-/// Due times in ticks of 20 ms, rounded up. An entry may be out of date: the
+/// Due times in ticks of 20 ms, rounded up: never early, or the loop would
+/// find an entry due and its owner not, over and over. An entry may be out of date: the
 /// owner of a token says when it is really due, and a later time needs no
 /// entry of its own until the earlier one comes up.
 pub struct Timers {
@@ -8,7 +9,7 @@
     heap: BinaryHeap<Reverse<(u64, usize)>>,
 }
 
-const TICK: u128 = 20;
+const TICK: Duration = Duration::from_millis(20);
 
 impl Timers {
     pub fn new(start: Instant) -> Timers {
@@ -16,11 +17,11 @@
     }
 
     pub fn tick(&self, at: Instant) -> u64 {
-        at.saturating_duration_since(self.start).as_millis().div_ceil(TICK) as u64
+        at.saturating_duration_since(self.start).as_nanos().div_ceil(TICK.as_nanos()) as u64
     }
 
     pub fn at(&self, tick: u64) -> Instant {
-        self.start + Duration::from_millis(tick * TICK as u64)
+        self.start + Duration::from_nanos(tick * TICK.as_nanos() as u64)
     }
 
     pub fn push(&mut self, tick: u64, token: usize) {
@@ -47,9 +48,12 @@
     fn earliest_first_and_never_early() {
         let start = Instant::now();
         let mut timers = Timers::new(start);
-        let late = start + Duration::from_millis(41);
-        let tick = timers.tick(late);
-        assert!(timers.at(tick) >= late && timers.at(tick) < late + Duration::from_millis(20));
+        for nanos in [0, 1, 19_999_999, 20_000_000, 20_000_001, 40_300_000] {
+            let due = start + Duration::from_nanos(nanos);
+            let at = timers.at(timers.tick(due));
+            assert!(at >= due && at < due + TICK, "{nanos}");
+        }
+        let tick = timers.tick(start + Duration::from_millis(41));
         timers.push(tick, 1);
         timers.push(timers.tick(start + Duration::from_millis(5)), 2);
         assert_eq!(timers.first(), Some((1, 2)));
