Callers and origins over one HTTP line, in the words of a dialect; a gate by capacity and whole rate

Weighed: patching the old face (its library owns the sockets), a thread a session (memory). Taken: the http-line crate under a Face, a Dialect that only translates; OwnWords holds today's headers and the seal. Proof::Named: origins named with each call need no watch and no probe. The gate keeps one room for all origins of a service, places by listed capacity, the errand's own region first, and origins that failed the errand last. An operation is told by host and key, so a changed entry makes no new one.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -53,6 +53,8 @@
     departed: BTreeMap<Mate, Duration>,
     /// What the duties were last planned from.
     planned: Option<Planned>,
+    /// Whether we were last seen to own the list of origins.
+    lists: bool,
     warned: Option<Duration>,
     out: Vec<Output>,
 }
@@ -146,6 +148,7 @@
             before: None,
             departed: BTreeMap::new(),
             planned: None,
+            lists: false,
             warned: None,
             out: Vec::new(),
         };
@@ -308,11 +311,22 @@
             self.shown = version;
             self.out.push(Output::Show(Shown::Acknowledged { version, text }));
         }
+        self.show_lists();
         self.recollect(now);
         self.plan_duties(now);
         self.push_fronts(now);
     }
 
+    /// Who owns the list of origins is the one to read the platform's.
+    fn show_lists(&mut self) {
+        let lists = self.keepers.get(&ORIGINS).is_some_and(|keeper| keeper.ready() && keeper.wary.is_none());
+        if lists != self.lists {
+            self.lists = lists;
+            let list = if lists { vec![LISTS.to_string()] } else { vec![] };
+            self.out.push(Output::Show(Shown::Duties(list)));
+        }
+    }
+
     fn beat(&self, now: Duration) -> Beat {
         let seen = self.sessions.known(now).then(|| self.sessions.mine());
         Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, closed: self.closed.saturating_sub(now), lost: self.lost(), seen }
--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -29,7 +29,7 @@
 /// The configurations this node has kept: all, one, or one against another.
 fn history(port: &Port, path: &str) -> rouille::Response {
     let numbers: Option<Vec<u64>> = path.split('/').skip(1).map(|word| word.parse().ok()).collect();
-    let store = port.data.as_ref().context("no data folder").and_then(|data| History::open(data));
+    let store = port.startup.data.as_ref().context("no data folder").and_then(|data| History::open(data));
     let told = store.and_then(|store| match numbers.as_deref() {
         Some([]) => Ok(json(200, &serde_json::json!({ "versions": store.versions()? }))),
         Some([version]) => Ok(rouille::Response::from_data("application/json", store.text(*version)?)),
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -1,4 +1,4 @@
-use crate::job::{CALLS, keepable, shareable};
+use crate::job::{keepable, shareable};
 use crate::prelude::*;
 
 /// An edge node without its I/O. Invariants:
@@ -11,6 +11,7 @@
 pub struct EdgePart {
     me: Mate,
     zone: String,
+    region: String,
     seeds: Vec<SocketAddr>,
     /// The realm the news is of; 0 before the first.
     realm: u64,
@@ -74,10 +75,11 @@
 const PROBE_IDS: u64 = 1 << 63;
 
 impl EdgePart {
-    pub fn new(me: Mate, zone: &str, seeds: Vec<SocketAddr>, cache_bytes: u64) -> EdgePart {
+    pub fn new(me: Mate, zone: &str, region: &str, seeds: Vec<SocketAddr>, cache_bytes: u64) -> EdgePart {
         EdgePart {
             me,
             zone: zone.into(),
+            region: region.into(),
             seeds,
             realm: 0,
             vector: vec![0; NEWS.into()],
@@ -395,7 +397,7 @@
             return self.answer(now, id, &job, Answer::Refusal(refusal));
         }
         match job.errand.entry().kind {
-            Kind::Cached if !job.errand.personal() => {
+            Kind::Cached if !job.errand.personal() && job.errand.method == "GET" => {
                 job.key = Some(Job::cache_key(&job.errand));
                 job.stage = Stage::Getting { since: now, spare: false };
             }
@@ -413,8 +415,8 @@
     /// not take them all. Over its bound, the lowest rank goes first: this
     /// errand, or one that waits for a permit and is told so at once.
     fn crowded(&mut self, now: Duration, job: &Job) -> Option<Refusal> {
-        let service = &job.errand.entry().group;
-        let mates = self.jobs.iter().filter(|(_, known)| known.errand.entry().group == *service);
+        let service = &job.errand.service;
+        let mates = self.jobs.iter().filter(|(_, known)| known.errand.service == *service);
         if mates.clone().count() < PENDING {
             return None;
         }
@@ -459,9 +461,10 @@
             }
             Stage::Knocking => {
                 let entry = job.errand.entry();
-                let service = entry.group.clone();
-                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra: job.calls > 0, call: job.call_limit(now) };
-                let gate = gate_duty(&entry.group);
+                let service = job.errand.service.clone();
+                let gate = gate_duty(&service);
+                let (extra, call, region) = (job.calls > 0, job.call_limit(now), self.region.clone());
+                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra, call, region, avoid: job.failed.clone() };
                 if let Some(holder) = self.holder(&gate) {
                     self.tell(holder, knock);
                 }
@@ -635,7 +638,7 @@
         let listed = self.origins.iter().any(|origin| *origin == permit.origin && !origin.leaving);
         let job = self.jobs.get_mut(&permit.id);
         let wants = job.as_ref().is_some_and(|job| {
-            matches!(job.stage, Stage::Knocking) && job.errand.entry().group == permit.service && now < job.deadline
+            matches!(job.stage, Stage::Knocking) && job.errand.service == permit.service && now < job.deadline
         });
         if !(fresh && live && listed && wants) {
             let (service, epoch, serial) = (permit.service, permit.epoch, permit.serial);
@@ -681,21 +684,27 @@
             let result = match &result {
                 CallBack::Good(_) => CallResult::Good,
                 CallBack::Refused => CallResult::Refused,
+                CallBack::NotRun => CallResult::NotRun,
+                CallBack::Stranger => CallResult::Stranger,
                 CallBack::Bad(_) => CallResult::Bad,
             };
             self.tell(holder, CallDone { service: permit.service, epoch: permit.epoch, serial: permit.serial, result, took });
         }
         match result {
             CallBack::Good(reply) => self.good(now, id, reply),
-            CallBack::Refused => {
+            CallBack::Refused | CallBack::NotRun | CallBack::Stranger => {
                 let job = self.jobs.get_mut(&id).expect("just seen");
-                // Nothing was sent this time; an earlier call may have been.
-                job.sent = job.calls > 1;
-                self.try_again(now, id, true, 503, "no_origin", "the origin refused the connection");
+                // It did not run this time; an earlier call may have.
+                job.sent = job.ran;
+                job.failed.push(permit.origin.address);
+                self.try_again(now, id, true, 503, "no_origin", "the origin did not take it");
             }
             CallBack::Bad(why) => {
                 self.note(Event::AnswerRefused, format!("{}: {why}", permit.origin.address));
-                let again = self.jobs[&id].repeatable();
+                let job = self.jobs.get_mut(&id).expect("just seen");
+                job.ran = true;
+                job.failed.push(permit.origin.address);
+                let again = job.repeatable();
                 self.try_again(now, id, again, 502, "bad_origin_answer", "no acceptable answer came from the origin");
             }
         }
@@ -704,7 +713,7 @@
     fn try_again(&mut self, now: Duration, id: u64, may: bool, status: u16, code: &str, text: &str) {
         let job = &self.jobs[&id];
         let refusal = job.refuse(status, code, text);
-        if may && job.calls < CALLS && now < job.deadline {
+        if may && job.calls < job.most_calls() && now < job.deadline {
             self.set_stage(now, id, Stage::Knocking);
         } else {
             self.give_up(now, id, refusal);
@@ -860,7 +869,9 @@
                 operation: None,
                 errand: id,
                 key,
+                proof: Proof::Seal,
                 limit: PROBE_LIMIT,
+                sessions: 1,
             };
             self.out.push(Output::Call { id, call });
         }
@@ -871,6 +882,7 @@
         let (good, why) = match result {
             CallBack::Good(reply) => (reply.status == 200, format!("status {}", reply.status)),
             CallBack::Refused => (false, "refused".into()),
+            CallBack::NotRun | CallBack::Stranger => (false, "another, or not willing".into()),
             CallBack::Bad(why) => (false, why),
         };
         let changed = self.gates.get_mut(&origin.service).is_some_and(|gate| gate.probed(now, &origin, good));
@@ -1029,7 +1041,7 @@
     /// An edge with two renewals at `now`, whose mates are played by the test.
     fn live(now: u64) -> EdgePart {
         let me = Mate::new(address(9), 5);
-        let mut edge = EdgePart::new(me, "z", vec![address(1), address(2), address(3)], 1 << 20);
+        let mut edge = EdgePart::new(me, "z", "", vec![address(1), address(2), address(3)], 1 << 20);
         edge.step(at(now), Input::Pulse);
         for seed in [1, 2] {
             let renewed = Renewed { life: 5, sent: at(now), realm: 0, recall: false, news: vec![] };
@@ -1042,7 +1054,7 @@
         let image = table();
         let entry = image.find("h", url, method).unwrap();
         let headers = vec![("operation-key".to_string(), "key".to_string())];
-        Errand { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), caller: String::new(), image, entry }
+        Errand { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), caller: String::new(), operation: Some("key".into()), patience: None, service: image.document.entries[entry].group.clone(), image, entry }
     }
 
     fn answers(out: Vec<Output>) -> Vec<(u64, u16, String, RunState)> {
@@ -1132,7 +1144,7 @@
     #[test]
     fn what_was_sent_and_not_answered_is_unknown_and_recorded_before_it_is_said() {
         let mut edge = live(1000);
-        let origin = Origin { address: address(50), service: "slow".into(), instance: "i".into(), leaving: false, zone: String::new(), capacity: 0, cold_ms: 0 };
+        let origin = Origin { address: address(50), service: "slow".into(), instance: "i".into(), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 };
         let row = Row { version: 1, value: Value::Origins { list: Arc::new(vec![origin.clone()]), change: 1 } };
         let news = vec![News { slice: ORIGINS, version: 1, rows: vec![("origins".into(), row)] }];
         let renewed = Renewed { life: 5, sent: at(1000), realm: 0, recall: false, news };
--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -22,6 +22,9 @@
     pub epoch: u64,
     rate: f64,
     concurrency: u32,
+    proof: Proof,
+    /// What all origins together may get, if that is bounded.
+    whole: Option<Room>,
     origins: BTreeMap<SocketAddr, OriginAt>,
     waits: Vec<Wait>,
     calls: HashMap<(u64, u64), Under>,
@@ -35,10 +38,7 @@
 
 struct OriginAt {
     origin: Origin,
-    tokens: f64,
-    filled: Duration,
-    /// Calls and probes given of late.
-    window: VecDeque<Duration>,
+    room: Room,
     /// Smoothed time a call takes.
     took: f64,
     proof: Option<Duration>,
@@ -50,16 +50,54 @@
 }
 
 impl OriginAt {
+    /// Calls it may have at a time.
+    fn places(&self, concurrency: u32) -> u32 {
+        if self.origin.capacity == 0 { concurrency } else { concurrency.min(self.origin.capacity) }
+    }
+}
+
+/// Room under one rate: a bucket, empty at first, and what was given of late.
+struct Room {
+    rate: f64,
+    tokens: f64,
+    filled: Duration,
+    window: VecDeque<Duration>,
+}
+
+impl Room {
+    fn new(now: Duration, rate: f64) -> Room {
+        Room { rate, tokens: 0.0, filled: now, window: VecDeque::new() }
+    }
+
+    /// Large enough that calls are not paced apart, small enough that any five
+    /// seconds stay within 110 % of the rate with permits up to `PERMIT` late.
+    fn burst(&self) -> f64 {
+        (self.rate * 0.1).max(1.0)
+    }
+
+    fn refill(&mut self, now: Duration) {
+        self.tokens = (self.tokens + (now - self.filled).as_secs_f64() * self.rate).min(self.burst());
+        self.filled = now;
+        while self.window.front().is_some_and(|given| now >= *given + Duration::from_secs_f64(RATE_SPAN) + lease::PERMIT) {
+            self.window.pop_front();
+        }
+    }
+
     /// Whether one more call or probe now keeps it within its rate over any
     /// span.
-    fn within(&self, rate: f64) -> bool {
-        self.tokens >= 1.0 && self.window.len() < (rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize
+    fn has(&self) -> bool {
+        self.tokens >= 1.0 && self.window.len() < (self.rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize
     }
 
     fn take(&mut self, now: Duration) {
         self.tokens -= 1.0;
         self.window.push_back(now);
     }
+
+    fn give_back(&mut self) {
+        self.tokens += 1.0;
+        self.window.pop_back();
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,6 +117,8 @@
     until: Duration,
     extra: bool,
     call: Duration,
+    region: String,
+    avoid: Vec<SocketAddr>,
 }
 
 struct Under {
@@ -108,6 +148,10 @@
 /// A call whose end nobody told is counted for this much longer than its limit.
 const UNTOLD: Duration = Duration::from_secs(1);
 const ASIDE: Duration = Duration::from_millis(500);
+/// One that turned an errand away is left alone this long.
+const FULL: Duration = Duration::from_millis(100);
+/// One whose address is another's now.
+const GONE: Duration = Duration::from_secs(5);
 
 impl Gate {
     pub fn new(now: Duration, service: &str, epoch: u64) -> Gate {
@@ -116,6 +160,8 @@
             epoch,
             rate: 1.0,
             concurrency: 1,
+            proof: Proof::Seal,
+            whole: None,
             origins: BTreeMap::new(),
             waits: Vec::new(),
             calls: HashMap::new(),
@@ -134,15 +180,18 @@
 
     /// The group and the origins as now in force; leaving ones are not given.
     pub fn update(&mut self, now: Duration, group: &Group, origins: &[Origin]) {
-        (self.rate, self.concurrency) = (group.rate, group.concurrency);
+        (self.rate, self.concurrency, self.proof) = (group.rate, group.concurrency, group.proof);
+        match (&mut self.whole, group.total_rate) {
+            (Some(room), Some(rate)) => room.rate = rate,
+            (whole, rate) => *whole = rate.map(|rate| Room::new(now, rate)),
+        }
+        self.origins.values_mut().for_each(|at| at.room.rate = group.rate);
         let wanted: Vec<&Origin> = origins.iter().filter(|origin| origin.service == self.service && !origin.leaving).collect();
         self.origins.retain(|_, known| wanted.contains(&&known.origin));
         for origin in wanted {
             self.origins.entry(origin.address).or_insert_with(|| OriginAt {
                 origin: origin.clone(),
-                tokens: 0.0,
-                filled: now,
-                window: VecDeque::new(),
+                room: Room::new(now, group.rate),
                 took: 0.02,
                 proof: None,
                 probing: None,
@@ -153,10 +202,9 @@
         }
     }
 
-    /// Large enough that calls are not paced apart, small enough that any five
-    /// seconds stay within 110 % of the rate with permits up to `PERMIT` late.
-    fn burst(&self) -> f64 {
-        (self.rate * 0.1).max(1.0)
+    /// Whether an origin has shown who it is, where it must before it is called.
+    fn shown(&self, now: Duration, at: &OriginAt) -> bool {
+        self.proof == Proof::Named || at.proof.is_some_and(|proof| now < proof + lease::PROOF)
     }
 
     fn under(&self, address: SocketAddr) -> usize {
@@ -176,7 +224,8 @@
 
     /// Calls a second all usable origins can take.
     fn capacity(&self, now: Duration) -> f64 {
-        self.usable(now).map(|at| self.rate.min(f64::from(self.concurrency) / self.takes(now, at))).sum()
+        let sum = self.usable(now).map(|at| self.rate.min(f64::from(at.places(self.concurrency)) / self.takes(now, at))).sum();
+        self.whole.as_ref().map_or(sum, |room| room.rate.min(sum))
     }
 
     /// Arrivals a second above a rank, as they were of late.
@@ -191,8 +240,8 @@
         if higher == 0.0 {
             return true;
         }
-        let places = self.usable(now).count() as f64 * f64::from(self.concurrency);
-        let speed: f64 = self.usable(now).map(|at| f64::from(self.concurrency) / self.takes(now, at)).sum();
+        let places: f64 = self.usable(now).map(|at| f64::from(at.places(self.concurrency))).sum();
+        let speed: f64 = self.usable(now).map(|at| f64::from(at.places(self.concurrency)) / self.takes(now, at)).sum();
         let takes = places / speed.max(0.001);
         // A place held by a higher call serves the next one for what is left
         // of that time after it ends.
@@ -203,7 +252,7 @@
     }
 
     pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: Knock) {
-        let Knock { id, rank, wait, sent, extra, call, .. } = knock;
+        let Knock { id, rank, wait, sent, extra, call, region, avoid, .. } = knock;
         if let Some(known) = self.waits.iter_mut().find(|known| (known.from, known.id) == (from, id)) {
             known.sent = sent;
             known.since = now;
@@ -211,7 +260,7 @@
         }
         self.arrivals.push_back((now, rank));
         self.serial += 1;
-        self.waits.push(Wait { from, id, rank, serial: self.serial, since: now, sent, until: now + wait, extra, call });
+        self.waits.push(Wait { from, id, rank, serial: self.serial, since: now, sent, until: now + wait, extra, call, region, avoid });
         self.pump(now);
     }
 
@@ -229,7 +278,7 @@
         let capacity = self.capacity(now);
         for wait in std::mem::take(&mut self.waits) {
             let may = self.may_try(now, &wait);
-            let picked = if may && !full { self.pick(now, wait.rank) } else { None };
+            let picked = if may && !full { self.pick(now, &wait) } else { None };
             full |= may && picked.is_none();
             if let Some(address) = picked {
                 self.grant(now, address, &wait);
@@ -252,14 +301,7 @@
             self.arrivals.pop_front();
         }
         self.calls.retain(|_, call| now < call.until);
-        let (rate, burst) = (self.rate, self.burst());
-        for at in self.origins.values_mut() {
-            at.tokens = (at.tokens + (now - at.filled).as_secs_f64() * rate).min(burst);
-            at.filled = now;
-            while at.window.front().is_some_and(|given| now >= *given + Duration::from_secs_f64(RATE_SPAN) + lease::PERMIT) {
-                at.window.pop_front();
-            }
-        }
+        self.origins.values_mut().map(|at| &mut at.room).chain(&mut self.whole).for_each(|room| room.refill(now));
     }
 
     /// Whether the budget for extra tries has room for this one.
@@ -287,26 +329,36 @@
         (late || now >= wait.until).then(|| (AwayReason::Busy, due.clamp(Duration::from_secs(1), Duration::from_secs(30))))
     }
 
-    /// The proven origin with the fewest calls under way that may be called.
-    fn pick(&self, now: Duration, rank: u32) -> Option<SocketAddr> {
-        if !self.leaves_room(now, rank) {
+    /// The origin that may be called and will answer first, as far as can be
+    /// told: by the share of its places in use and what calls take there. One
+    /// that failed this errand already is the last choice, one in the errand's
+    /// own region goes before another as long as half of its places are free.
+    fn pick(&self, now: Duration, wait: &Wait) -> Option<SocketAddr> {
+        if !self.leaves_room(now, wait.rank) || self.whole.as_ref().is_some_and(|room| !room.has()) {
             return None;
         }
         let usable = self.usable(now).filter(|at| {
-            at.within(self.rate)
-                && at.proof.is_some_and(|proof| now < proof + lease::PROOF)
-                && self.under(at.origin.address) < self.concurrency as usize
+            at.room.has() && self.shown(now, at) && self.under(at.origin.address) < at.places(self.concurrency) as usize
         });
+        let score = |at: &OriginAt| {
+            let (under, places) = (self.under(at.origin.address) as f64, f64::from(at.places(self.concurrency)));
+            let failed = wait.avoid.contains(&at.origin.address);
+            let far = at.origin.region != wait.region || 2.0 * under >= places && places > 2.0;
+            (failed, far, (under + 1.0) / places * at.took.max(0.001))
+        };
         let best = usable.min_by(|a, b| {
-            let load = |at: &OriginAt| self.under(at.origin.address);
-            load(a).cmp(&load(b)).then(b.tokens.total_cmp(&a.tokens))
+            let (one, other) = (score(a), score(b));
+            (one.0, one.1).cmp(&(other.0, other.1)).then(one.2.total_cmp(&other.2)).then(b.room.tokens.total_cmp(&a.room.tokens))
         });
         best.map(|at| at.origin.address)
     }
 
     fn grant(&mut self, now: Duration, address: SocketAddr, wait: &Wait) {
         let at = self.origins.get_mut(&address).expect("picked");
-        at.take(now);
+        at.room.take(now);
+        if let Some(room) = &mut self.whole {
+            room.take(now);
+        }
         self.serial += 1;
         self.calls.insert((self.epoch, self.serial), Under { origin: address, rank: wait.rank, since: now, until: now + wait.call + UNTOLD, extra: wait.extra });
         if wait.extra { &mut self.extras } else { &mut self.firsts }.push_back(now);
@@ -339,17 +391,23 @@
                     at.took = at.took * 0.9 + done.took.as_secs_f64().max(0.001) * 0.1;
                 }
                 let since = now - done.took.min(now);
+                if let Some(at) = self.origins.get_mut(&call.origin).filter(|_| self.proof == Proof::Named) {
+                    at.fails = 0;
+                }
                 if self.origins.get(&call.origin).is_some_and(|at| at.proof.is_some()) {
                     self.proven(since, call.origin);
                 }
             }
-            CallResult::Bad | CallResult::Refused => self.failed(now, call.origin),
+            CallResult::Bad => self.failed(now, call.origin, ASIDE),
+            CallResult::Refused => self.failed(now, call.origin, ASIDE),
+            // Full, or about to leave: others first for a moment.
+            CallResult::NotRun => self.failed(now, call.origin, FULL),
+            // Its place is another's: only the list can bring it back.
+            CallResult::Stranger => self.failed(now, call.origin, GONE),
             CallResult::Unused => {
                 // Not called: the token goes back, within the burst.
-                if let Some(at) = self.origins.get_mut(&call.origin) {
-                    at.tokens += 1.0;
-                    at.window.pop_back();
-                }
+                let room = self.origins.get_mut(&call.origin).map(|at| &mut at.room);
+                room.into_iter().chain(&mut self.whole).for_each(Room::give_back);
                 if call.extra { &mut self.extras } else { &mut self.firsts }.pop_back();
             }
         }
@@ -368,17 +426,19 @@
     }
 
     /// Set aside, the second time for longer, and to be proven anew.
-    pub fn failed(&mut self, now: Duration, address: SocketAddr) {
+    pub fn failed(&mut self, now: Duration, address: SocketAddr, span: Duration) {
         if let Some(at) = self.origins.get_mut(&address) {
             at.proof = None;
             at.fails += 1;
-            at.aside = now + ASIDE * at.fails.min(2);
+            at.aside = now + span * at.fails.min(2);
         }
     }
 
     /// Origins to which a connection shall be opened now.
     pub fn watches(&mut self, now: Duration) -> Vec<SocketAddr> {
-        let due = self.origins.values_mut().filter(|at| at.watch == Watch::None && at.aside <= now);
+        // Who is named with each call need not be watched.
+        let sealed = self.proof == Proof::Seal;
+        let due = self.origins.values_mut().filter(|at| sealed && at.watch == Watch::None && at.aside <= now);
         due.map(|at| {
             at.watch = Watch::Asked;
             at.origin.address
@@ -395,7 +455,7 @@
         }
         // One that ended while it stood may only have lost patience.
         if at.watch == Watch::Asked {
-            self.failed(now, address);
+            self.failed(now, address, ASIDE);
         }
         let at = self.origins.get_mut(&address).expect("just seen");
         (at.watch, at.proof) = (Watch::None, None);
@@ -405,13 +465,12 @@
     /// before errands, since without proof there are none.
     pub fn probes(&mut self, now: Duration) -> Vec<Origin> {
         self.forget_old(now);
-        let rate = self.rate;
         let mut out = Vec::new();
         for at in self.origins.values_mut() {
             let fresh = at.proof.is_some_and(|proof| now < proof + lease::PROOF_RENEW);
             let busy = at.probing.is_some_and(|since| now < since + lease::PROOF);
-            if !fresh && !busy && at.aside <= now && at.within(rate) && at.watch == Watch::Open {
-                at.take(now);
+            if !fresh && !busy && at.aside <= now && at.room.has() && at.watch == Watch::Open {
+                at.room.take(now);
                 at.probing = Some(now);
                 out.push(at.origin.clone());
             }
@@ -424,7 +483,7 @@
         let Some(at) = self.origins.get_mut(&origin.address).filter(|at| at.origin == *origin) else { return false };
         let before = at.proof.is_some();
         let since = at.probing.take().unwrap_or(now);
-        if good { self.proven(since, origin.address) } else { self.failed(now, origin.address) }
+        if good { self.proven(since, origin.address) } else { self.failed(now, origin.address, ASIDE) }
         self.pump(now);
         before != good
     }
@@ -433,7 +492,7 @@
     pub fn found(&self, now: Duration) -> Vec<OriginFound> {
         let condition = |at: &OriginAt| match at.proof {
             _ if at.aside > now => OriginCondition::Aside,
-            Some(proof) if now < proof + lease::PROOF => OriginCondition::Proven,
+            _ if self.shown(now, at) => OriginCondition::Proven,
             _ => OriginCondition::Unproven,
         };
         let one = |at: &OriginAt| OriginFound {
@@ -459,7 +518,7 @@
     }
 
     fn origin(port: u16) -> Origin {
-        Origin { address: SocketAddr::from(([127, 0, 0, 1], port)), service: "s".into(), instance: format!("i{port}"), leaving: false, zone: String::new(), capacity: 0, cold_ms: 0 }
+        Origin { address: SocketAddr::from(([127, 0, 0, 1], port)), service: "s".into(), instance: format!("i{port}"), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 }
     }
 
     fn group(rate: f64, concurrency: u32) -> Group {
@@ -467,7 +526,7 @@
     }
 
     fn knock(id: u64, rank: u32, wait: u64, extra: bool) -> Knock {
-        Knock { service: "s".into(), id, rank, wait: at(wait), sent: at(0), extra, call: at(2000) }
+        Knock { service: "s".into(), id, rank, wait: at(wait), sent: at(0), extra, call: at(2000), region: String::new(), avoid: vec![] }
     }
 
     struct Run {
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -15,6 +15,10 @@
     pub round: usize,
     pub calls: u32,
     pub sent: bool,
+    /// A call of it may have been run.
+    pub ran: bool,
+    /// Origins that failed it.
+    pub failed: Vec<SocketAddr>,
     pub claim: Option<Claim>,
     pub key: Option<CacheKey>,
     pub token: Option<(SocketAddr, Token)>,
@@ -22,6 +26,8 @@
     pub refusal: Option<Refusal>,
 }
 
+/// Sessions with one origin from here, if its group does not say.
+const SESSIONS: usize = 256;
 /// Calls for one errand, the first included.
 pub const CALLS: u32 = 3;
 
@@ -40,12 +46,14 @@
     pub fn new(now: Duration, errand: Errand) -> Job {
         Job {
             began: now,
-            deadline: now + errand.entry().deadline(),
+            deadline: now + errand.patience.map_or(errand.entry().deadline(), |span| span.min(errand.entry().deadline())),
             stage: Stage::Knocking,
             again: now,
             round: 0,
             calls: 0,
             sent: false,
+            ran: false,
+            failed: Vec::new(),
             claim: None,
             key: None,
             token: None,
@@ -67,6 +75,11 @@
         }
     }
 
+    /// Origins it may be sent to.
+    pub fn most_calls(&self) -> u32 {
+        self.errand.entry().attempts.unwrap_or(CALLS)
+    }
+
     pub fn outcome(&self) -> RunState {
         if self.sent { RunState::Unknown } else { RunState::NotRun }
     }
@@ -77,7 +90,7 @@
 
     /// Entry, service and URL: what tells requests apart.
     pub fn cache_key(errand: &Errand) -> CacheKey {
-        hash_of(&[errand.entry().name.as_bytes(), errand.host.as_bytes(), errand.entry().group.as_bytes(), errand.url.as_bytes()])
+        hash_of(&[errand.entry().name.as_bytes(), errand.host.as_bytes(), errand.service.as_bytes(), errand.url.as_bytes()])
     }
 
     pub fn copy_name<'a>(&'a self, reply: &'a Reply) -> CopyName<'a> {
@@ -85,9 +98,10 @@
     }
 
     pub fn claim_of(errand: &Errand, by: Mate, id: u64) -> Claim {
-        let entry = errand.entry();
-        let print = hash_of(&[errand.caller.as_bytes(), entry.name.as_bytes(), errand.method.as_bytes(), errand.url.as_bytes(), &errand.body]);
-        let operation = format!("{}/{}", entry.group, errand.operation_key().unwrap_or_default());
+        // Neither entry nor service: a changed configuration makes no new
+        // operation of a repeat.
+        let print = hash_of(&[errand.caller.as_bytes(), errand.host.as_bytes(), errand.method.as_bytes(), errand.url.as_bytes(), &errand.body]);
+        let operation = format!("{}/{}", errand.host, errand.operation_key().unwrap_or_default());
         Claim { operation, print, by, errand: id }
     }
 
@@ -95,7 +109,7 @@
     /// half of the time, not all.
     pub fn call_limit(&self, now: Duration) -> Duration {
         let left = self.left(now);
-        if self.repeatable() && self.calls + 1 < CALLS { left / 2 } else { left }
+        if self.repeatable() && self.calls + 1 < self.most_calls() { left / 2 } else { left }
     }
 
     /// What goes to the origin. A shared copy is fetched without anything of
@@ -118,7 +132,9 @@
             operation: self.claim.as_ref().and(errand.operation_key().map(Into::into)),
             errand: id,
             key: errand.group().key.clone(),
+            proof: errand.group().proof,
             limit: self.call_limit(now),
+            sessions: errand.group().sessions.map_or(SESSIONS, |most| most as usize),
         }
     }
 }
--- /dev/null
+++ b/data-plane/src/line_face.rs
@@ -0,0 +1,208 @@
+use crate::prelude::*;
+
+
+/// The face of an edge: callers come in and calls to origins go out over one
+/// HTTP line, in the words of one dialect. Invariant: every errand read is
+/// answered once, unless its session ended before.
+pub struct LineFace {
+    program: &'static str,
+    dialect: Arc<dyn Dialect>,
+    taker: Option<Arc<LineTaker>>,
+}
+
+/// What the line's thread hands on.
+struct LineTaker {
+    port: Arc<Port>,
+    dialect: Arc<dyn Dialect>,
+    plug_ins: Vec<&'static PlugIn>,
+    line: OnceLock<HttpLine>,
+    calls: Mutex<HashMap<u64, Call>>,
+    /// Itself, for answers that come later.
+    me: Weak<LineTaker>,
+    /// The callers' bounds last set.
+    bounds: Mutex<Option<Arc<Bounds>>>,
+}
+
+const LIMITS: Limits = Limits {
+    head_bytes: 32 * 1024,
+    body_bytes: 1024 * 1024,
+    head_time: Duration::from_secs(5),
+    idle_time: Duration::from_secs(60),
+    pipeline: 16,
+    answer_bytes: 16 * 1024 * 1024,
+};
+/// Only the platform calls the second face, to ask whether callers may come.
+const READY_FACE: usize = 1;
+
+impl LineFace {
+    pub fn new(program: &'static str, dialect: Arc<dyn Dialect>) -> LineFace {
+        LineFace { program, dialect, taker: None }
+    }
+
+    fn line(&self) -> Option<&HttpLine> {
+        self.taker.as_ref()?.line.get()
+    }
+}
+
+impl Face for LineFace {
+    fn open(&mut self, port: &Arc<Port>) -> Result<()> {
+        let http = port.startup.http.context("http address")?;
+        let mut listeners = Vec::new();
+        for address in [Some(http), port.startup.ready].into_iter().flatten() {
+            listeners.push(TcpListener::bind(address).with_context(|| format!("cannot listen on {address}"))?);
+        }
+        let taker = Arc::new_cyclic(|me| LineTaker {
+            me: me.clone(),
+            port: port.clone(),
+            dialect: self.dialect.clone(),
+            plug_ins: PlugIn::of(self.program),
+            line: OnceLock::new(),
+            calls: Mutex::default(),
+            bounds: Mutex::default(),
+        });
+        let line = HttpLine::open(listeners, LIMITS, taker.clone())?;
+        let _ = taker.line.set(line);
+        self.taker = Some(taker);
+        Ok(())
+    }
+
+    fn call(&self, id: u64, call: Call) {
+        let (Some(taker), Some(line)) = (&self.taker, self.line()) else { return };
+        // The process may have stood still since the part decided: what it
+        // knew holds only while the lease does.
+        if !taker.port.live() {
+            let _ = taker.port.give.send(Input::Called { id, result: CallBack::Refused });
+            return;
+        }
+        let CallWords { headers, echo } = self.dialect.call(&call);
+        let out = http_line::Call {
+            id,
+            to: call.origin.address,
+            method: call.method.clone(),
+            target: call.url.clone(),
+            headers,
+            body: call.body.clone(),
+            limit: call.limit,
+            echo,
+            sessions: call.sessions,
+        };
+        taker.calls.lock().expect("no holder panics").insert(id, call);
+        line.call(out);
+    }
+
+    fn warn(&self) {
+        if let Some(line) = self.line() {
+            line.drain();
+        }
+    }
+
+    fn done(&self) -> bool {
+        self.line().is_none_or(HttpLine::idle)
+    }
+}
+
+impl LineTaker {
+    fn tell(&self, line: u64, words: TellWords) {
+        let TellWords { status, headers, body } = words;
+        self.line.wait().tell(line, http_line::Told { status, headers, body: body.into(), close: false });
+    }
+
+    /// Operators and the platform, by our own paths.
+    fn plug_in(&self, line: u64, asked: Asked) {
+        let request = rouille::Request::fake_http(asked.method, asked.target, asked.headers, asked.body);
+        let answer = serve_plug_ins(&self.plug_ins, &self.port, &request);
+        let headers = answer.headers.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect();
+        let (mut body, _) = answer.data.into_reader_and_size();
+        let mut bytes = Vec::new();
+        let _ = body.read_to_end(&mut bytes);
+        self.tell(line, TellWords { status: answer.status_code, headers, body: Arc::new(bytes) });
+    }
+
+    fn heed_bounds(&self, image: &Option<Arc<EntryTable>>) {
+        let Some(bounds) = image.as_ref().and_then(|image| image.bounds.clone()) else { return };
+        let mut known = self.bounds.lock().expect("no holder panics");
+        if known.as_ref() != Some(&bounds) {
+            self.line.wait().set_limits(Limits {
+                head_bytes: bounds.head_bytes as usize,
+                body_bytes: bounds.body_bytes as usize,
+                head_time: Duration::from_millis(bounds.head_ms),
+                idle_time: Duration::from_millis(bounds.idle_ms),
+                ..LIMITS
+            });
+            *known = Some(bounds);
+        }
+    }
+
+    fn errand(self: &Arc<Self>, line: u64, asked: Asked) {
+        let image = (**self.port.image.load()).clone();
+        self.heed_bounds(&image);
+        let mut arrival = Arrival {
+            method: asked.method,
+            host: header(&asked.headers, "host").unwrap_or_default().to_string(),
+            url: asked.target,
+            operation: self.dialect.operation(&asked.headers).map(Into::into),
+            patience: self.dialect.patience(&asked.headers),
+            headers: asked.headers,
+            body: Arc::new(asked.body),
+            live: self.port.live(),
+            image,
+            entry: None,
+        };
+        if let Some(refusal) = chain(&mut arrival) {
+            return self.tell(line, self.dialect.tell(&arrival.headers, &Answer::Refusal(refusal)));
+        }
+        let Some(errand) = errand_of(arrival) else { return };
+        let keyed = errand.entry().kind == Kind::Keyed;
+        let headers = errand.headers.clone();
+        let errand = Mutex::new(Some(errand));
+        let taker = self.clone();
+        let then = move |output: Output| {
+            let answer = match output {
+                // The process may have stood still since the part answered: a
+                // copy is only as good as the lease.
+                Output::Answer { answer: Answer::Reply { age: Some(_), .. }, .. } if !keyed && !taker.port.live() => {
+                    Answer::Refusal(Refusal::fenced(RunState::NotRun))
+                }
+                Output::Answer { answer, .. } => answer,
+                _ => return,
+            };
+            taker.tell(line, taker.dialect.tell(&headers, &answer));
+        };
+        let take = |id| Input::Errand { id, errand: errand.lock().expect("no holder panics").take().expect("made once") };
+        self.port.begin(&take, Box::new(then));
+    }
+}
+
+/// The line's own end of the taker: it is called on the line's thread.
+impl Taker for LineTaker {
+    fn asked(&self, line: u64, face: usize, asked: Asked) {
+        if face == READY_FACE {
+            let status = if self.port.ready() { 200 } else { 503 };
+            return self.tell(line, TellWords { status, ..TellWords::default() });
+        }
+        if asked.target.starts_with("/.otterslip/") {
+            return self.plug_in(line, asked);
+        }
+        // The taker is shared by its own answers.
+        if let Some(taker) = self.me.upgrade() {
+            taker.errand(line, asked);
+        }
+    }
+
+    fn came(&self, id: u64, came: Came) {
+        let Some(call) = self.calls.lock().expect("no holder panics").remove(&id) else { return };
+        let result = match came {
+            Came::Reply { status, headers, body } => match self.dialect.judge(&call, status, &headers, &body) {
+                Judged::Own { headers, tags } => CallBack::Good(Reply { status, headers, body: Arc::new(body), tags }),
+                Judged::NotRun => CallBack::NotRun,
+                Judged::Stranger => CallBack::Stranger,
+                Judged::Bad(why) => CallBack::Bad(why),
+            },
+            Came::Unsent(_) => CallBack::Refused,
+            Came::Lost { why, .. } => CallBack::Bad(why),
+        };
+        let _ = self.port.give.send(Input::Called { id, result });
+    }
+
+    fn gone(&self, _: u64) {}
+}
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -159,6 +159,20 @@
         self.methods.is_empty() || self.methods.iter().any(|known| known == method)
     }
 
+    /// The group of one errand: by weight, and alike for one key, so that an
+    /// object has one source and a repeat meets the same service.
+    pub fn aim_at(&self, key: &[u8]) -> &str {
+        let whole: f64 = self.split.iter().map(|share| share.weight).sum();
+        let mut left = f64::from(crc32fast::hash(key)) / f64::from(u32::MAX) * whole;
+        for share in self.split.iter().filter(|share| share.weight > 0.0) {
+            left -= share.weight;
+            if left <= 0.0 {
+                return &share.group;
+            }
+        }
+        &self.group
+    }
+
     pub fn deadline(&self) -> Duration {
         Duration::from_millis(self.deadline_ms)
     }
--- /dev/null
+++ b/kernel/src/face.rs
@@ -0,0 +1,17 @@
+use crate::prelude::*;
+
+/// Where a process meets callers, operators, the platform and origins: it puts
+/// inputs to its part through the port and carries the part's calls out.
+pub trait Face: Send {
+    /// Listens and serves until the port says that the process ends.
+    fn open(&mut self, port: &Arc<Port>) -> Result<()>;
+
+    /// Makes a call; `Input::Called` follows.
+    fn call(&self, id: u64, call: Call);
+
+    /// The process ends soon: no new sessions are begun.
+    fn warn(&self) {}
+
+    /// After the end: all that was read is answered.
+    fn done(&self) -> bool;
+}
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -1,8 +1,10 @@
 //! What every otterslip process is built on: startup, messages, frames, links,
 //! pulses, events and the host that drives a part.
 pub mod configuration;
+pub mod dialect;
 pub mod entry_table;
 pub mod event;
+pub mod face;
 pub mod finding;
 pub mod frame;
 pub mod host;
@@ -11,6 +13,7 @@
 pub mod link;
 pub mod mate;
 pub mod message;
+pub mod operator_server;
 pub mod part;
 pub mod plug_in;
 pub mod prelude;
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -86,7 +86,7 @@
     Handed { slice: u16, epoch: u64, sent: Duration, copies: Vec<Carried> }
 
     // Between edges: the gate.
-    Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration }
+    Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration, region: String, avoid: Vec<SocketAddr> }
     Permit { id: u64, service: String, epoch: u64, serial: u64, origin: Origin, sent: Duration, held: Duration }
     /// Turned away; come back after this.
     Away { id: u64, reason: AwayReason, back: Duration }
@@ -312,6 +312,10 @@
     Bad,
     /// Nothing was sent: the session was refused.
     Refused,
+    /// It says that it did not run it.
+    NotRun,
+    /// Another instance listens there.
+    Stranger,
     /// The permit was not used.
     Unused,
 }
--- /dev/null
+++ b/kernel/src/operator_server.rs
@@ -0,0 +1,38 @@
+use crate::prelude::*;
+
+/// The face of a process that only operators and the platform call: one
+/// thread a request, plug-ins in their order. It makes no calls.
+pub struct OperatorServer {
+    pub program: &'static str,
+    pub server: Option<thread::JoinHandle<()>>,
+}
+
+impl OperatorServer {
+    pub fn new(program: &'static str) -> OperatorServer {
+        OperatorServer { program, server: None }
+    }
+}
+
+impl Face for OperatorServer {
+    fn open(&mut self, port: &Arc<Port>) -> Result<()> {
+        let address = port.startup.http.context("http address")?;
+        let plug_ins = PlugIn::of(self.program);
+        let face = port.clone();
+        let server = rouille::Server::new(address, move |request| serve_plug_ins(&plug_ins, &face, request))
+            .map_err(|error| anyhow!("cannot listen on {address}: {error}"))?;
+        let port = port.clone();
+        self.server = Some(thread::spawn(move || {
+            while !port.ending.load(Ordering::Acquire) {
+                server.poll_timeout(Duration::from_millis(50));
+            }
+            server.join();
+        }));
+        Ok(())
+    }
+
+    fn call(&self, _: u64, _: Call) {}
+
+    fn done(&self) -> bool {
+        self.server.as_ref().is_none_or(|server| server.is_finished())
+    }
+}
--- a/kernel/src/plug_in.rs
+++ b/kernel/src/plug_in.rs
@@ -13,6 +13,16 @@
 
 inventory::collect!(PlugIn);
 
+/// Something that runs beside a program's part for its whole life (it feeds
+/// the port from outside) and registers itself.
+pub struct SourcePlugIn {
+    pub name: &'static str,
+    pub program: &'static str,
+    pub run: fn(&Port),
+}
+
+inventory::collect!(SourcePlugIn);
+
 /// The one description of all remote calls.
 pub const SCHEMA: &str = include_str!("../../schema/otterslip.json");
 
@@ -39,6 +49,14 @@
     }
 }
 
+/// The first plug-in that answers does.
+pub fn serve_plug_ins(plug_ins: &[&PlugIn], port: &Port, request: &rouille::Request) -> rouille::Response {
+    plug_ins
+        .iter()
+        .find_map(|one| (one.serve)(port, request))
+        .unwrap_or_else(|| refuse(&Refusal::not_run(404, "no_such_path", "nothing is served here")))
+}
+
 /// One JSON answer.
 pub fn json(status: u16, body: &impl Serialize) -> rouille::Response {
     let text = serde_json::to_string(body).unwrap_or_default();
@@ -51,7 +69,8 @@
 pub fn refuse(refusal: &Refusal) -> rouille::Response {
     let answer = json(refusal.status, refusal);
     match refusal.retry_after_s {
-        Some(span) => answer.with_additional_header("Retry-After", span.to_string()),
+        // Whole seconds, rounded up: no one comes back too early.
+        Some(span) => answer.with_additional_header("Retry-After", (span.ceil().max(1.0) as u64).to_string()),
         None => answer,
     }
 }
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -33,6 +33,9 @@
     format!("cache/{slice:03}")
 }
 
+/// Of the control node that owns the list of origins.
+pub const LISTS: &str = "slice/origins";
+
 pub fn gate_duty(service: &str) -> String {
     format!("gate/{service}")
 }
@@ -202,6 +205,8 @@
     pub leaving: bool,
     #[serde(default)]
     pub zone: String,
+    #[serde(default)]
+    pub region: String,
     /// Calls it works on at a time; 0: as its group says.
     #[serde(default)]
     pub capacity: u32,
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -10,6 +10,14 @@
     /// Where callers, operators and the platform reach us.
     pub http: Option<SocketAddr>,
     pub zone: String,
+    /// Zones of one region are near each other.
+    pub region: String,
+    /// Where the platform asks whether callers may come, if not at `http`.
+    pub ready: Option<SocketAddr>,
+    /// Memory this process may use; sizes follow from it.
+    pub memory_bytes: Option<u64>,
+    /// Descriptors this process may open.
+    pub descriptors: Option<u64>,
     /// The three control nodes, in the order of their slots.
     pub seeds: Vec<SocketAddr>,
     /// Control nodes only.
--- a/programs/src/bin/control-node.rs
+++ b/programs/src/bin/control-node.rs
@@ -5,40 +5,5 @@
 fn main() -> Result<()> {
     let startup = Startup::gather("control-node", ABOUT, true);
     startup.log()?;
-    let folder = startup.data.clone().context("data folder")?.join("log");
-    let (log, records) = open(&folder)?;
-    let (replica, blank) = match Replica::replay(&records)? {
-        Some(replica) => (replica, false),
-        None => (Replica::blank(new_life()?), true),
-    };
-    let mesh = startup.mesh.context("mesh address")?;
-    let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank);
-    let history = Some(History::keep(startup.data.clone().context("data folder")?));
-    let host = Host {
-        me: part.me(),
-        program: "control-node",
-        startup,
-        pulse: lease::CONTROL_PULSE,
-        store: Some(Box::new(log)),
-        caller: None,
-        history,
-    };
-    host.run(Box::new(part))
-}
-
-/// A log that is corrupt before its tail is set aside: this disk then counts
-/// as blank and is refilled by the others.
-fn open(folder: &Path) -> Result<(SegmentLog, Vec<Vec<u8>>)> {
-    let loaded = match SegmentLog::open(folder) {
-        Ok(loaded) => loaded,
-        Err(error) => {
-            let aside = SegmentLog::set_aside(folder)?;
-            note(Event::LogCorrupt, &format!("{error:#}; set aside as {}", aside.display()));
-            SegmentLog::open(folder)?
-        }
-    };
-    if loaded.cut > 0 {
-        note(Event::LogTailCut, &format!("{} bytes", loaded.cut));
-    }
-    Ok((loaded.log, loaded.records))
+    run_control_node(startup)
 }
--- /dev/null
+++ b/programs/src/edge_node.rs
@@ -0,0 +1,18 @@
+use crate::prelude::*;
+
+/// Copies kept where the startup says nothing of memory.
+const CACHE_BYTES: u64 = 256 * 1024 * 1024;
+/// Shorter than a renewal's: deadlines are looked at this often.
+const PULSE: Duration = Duration::from_millis(50);
+
+/// Runs an edge until it has left; callers and origins are spoken to in
+/// `dialect`'s words.
+pub fn run_edge_node(startup: Startup, dialect: Arc<dyn Dialect>) -> Result<()> {
+    let me = Mate::new(startup.mesh.context("mesh address")?, new_life()?);
+    // A quarter of what the process may use goes to copies.
+    let bytes = startup.cache_bytes.or(startup.memory_bytes.map(|bytes| bytes / 4)).unwrap_or(CACHE_BYTES);
+    let part = EdgePart::new(me, &startup.zone, &startup.region, startup.seeds.clone(), bytes);
+    let face = Box::new(LineFace::new("edge-node", dialect));
+    let host = Host { me, program: "edge-node", startup, pulse: PULSE, store: None, face, history: None };
+    host.run(Box::new(part))
+}
--- a/programs/src/lib.rs
+++ b/programs/src/lib.rs
@@ -1,2 +1,6 @@
-//! Shared by the programs of this package.
+//! Shared by the programs of this package, and by adapters to platforms.
+mod control_node;
+mod edge_node;
 pub mod prelude;
+pub use control_node::run_control_node;
+pub use edge_node::run_edge_node;
--- a/programs/src/prelude.rs
+++ b/programs/src/prelude.rs
@@ -1,4 +1,5 @@
 pub use control_plane::{ControlPart, History, Replica};
-pub use data_plane::{EdgePart, call_origin};
+pub use crate::{run_control_node, run_edge_node};
+pub use data_plane::{EdgePart, LineFace, OwnWords};
 pub use kernel::prelude::*;
 pub use segment_log::SegmentLog;
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -105,7 +105,7 @@
             }
             Place::Edge(_) => {
                 self.mate.life = life;
-                Box::new(EdgePart::new(self.mate, &self.zone, seeds.to_vec(), 64 << 20))
+                Box::new(EdgePart::new(self.mate, &self.zone, "", seeds.to_vec(), 64 << 20))
             }
         });
     }
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -176,7 +176,7 @@
         for service in &deployment.services {
             for at in 0..service.origins {
                 let (name, instance) = (service.name.to_string(), format!("{}-{at}", service.name));
-                let origin = Origin { address: address(3, self.origins.len()), service: name.clone(), instance: instance.clone(), leaving: false, zone: String::new(), capacity: 0, cold_ms: 0 };
+                let origin = Origin { address: address(3, self.origins.len()), service: name.clone(), instance: instance.clone(), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 };
                 self.origins.push(SimOrigin { origin, service: name, instance, mood: Mood::Good });
             }
         }
