Gates follow the services of the configuration's items; copies and operations go by the entry's host

Change: the plan reads the merged items; host counts only as far as the entry names one, and a purge by host reaches copies that serve any.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -51,6 +51,11 @@
     before: Option<(Vec<Mate>, Vec<Mate>, bool)>,
     /// As owner of the duties: when edges on the roll were seen to be gone.
     departed: BTreeMap<Mate, Duration>,
+    /// The configuration's parts as far as shown here, up to this version, and
+    /// the services of it.
+    items: Items,
+    read: u64,
+    services: Vec<String>,
     /// What the duties were last planned from.
     planned: Option<Planned>,
     /// Whether we were last seen to own the list of origins.
@@ -147,6 +152,9 @@
             refound: None,
             before: None,
             departed: BTreeMap::new(),
+            items: Items::default(),
+            read: 0,
+            services: Vec::new(),
             planned: None,
             lists: false,
             warned: None,
@@ -489,18 +497,14 @@
         }
         self.plan_roll(now);
         let Some(keeper) = self.keepers.get(&DUTIES) else { return };
-        let configuration = self.replica.configuration();
-        let version = configuration.as_ref().map_or(0, |(version, _)| *version);
-        let planned = (keeper.epoch, keeper.version, keeper.settled(), version, self.sessions.standing(now));
+        self.read_services();
+        let Some(keeper) = self.keepers.get(&DUTIES) else { return };
+        let planned = (keeper.epoch, keeper.version, keeper.settled(), self.read, self.sessions.standing(now));
         if self.planned.as_ref() == Some(&planned) {
             return;
         }
         let mut names: Vec<String> = (0..CACHE_SLICES).map(cache_duty).collect();
-        if let Some((_, text)) = configuration
-            && let Ok(document) = Configuration::read(&text)
-        {
-            names.extend(document.groups.iter().map(|group| gate_duty(&group.service)));
-        }
+        names.extend(self.services.iter().map(|service| gate_duty(service)));
         let live = self.sessions.live(now);
         let gone = |mate: Mate| self.sessions.gone(now, mate);
         let plan = DutyPlan { rows: &keeper.rows, settled: keeper.settled(), live: &live, gone: &gone };
@@ -518,6 +522,22 @@
         }
     }
 
+    /// The services of the configuration in force, as shown here.
+    fn read_services(&mut self) {
+        let held = self.replica.held(CONFIGURATION);
+        if held.image.published == self.read {
+            return;
+        }
+        self.read = held.image.published;
+        for (key, row) in &held.shown {
+            // What stands was judged before.
+            let _ = self.items.learn(key, row);
+        }
+        if let Ok((document, _)) = self.items.merged() {
+            self.services = document.groups.into_iter().map(|group| group.service).collect();
+        }
+    }
+
     /// Keeps the roll; and opens the ledger once all of the roll before a loss
     /// have told what they knew.
     fn plan_roll(&mut self, now: Duration) {
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -454,7 +454,7 @@
             Stage::Getting { spare, .. } => {
                 let key = job.key.expect("cached");
                 let entry = job.errand.entry();
-                let get = Get { id, key, entry: entry.name.clone(), host: job.errand.host.clone(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
+                let get = Get { id, key, entry: entry.name.clone(), host: job.errand.home().into(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
                 if let Some(holder) = self.holder(&cache_duty(cache_slice(&key))) {
                     self.tell(holder, get);
                 }
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -90,18 +90,18 @@
 
     /// Entry, service and URL: what tells requests apart.
     pub fn cache_key(errand: &Errand) -> CacheKey {
-        hash_of(&[errand.entry().name.as_bytes(), errand.host.as_bytes(), errand.service.as_bytes(), errand.url.as_bytes()])
+        hash_of(&[errand.entry().name.as_bytes(), errand.home().as_bytes(), errand.service.as_bytes(), errand.url.as_bytes()])
     }
 
     pub fn copy_name<'a>(&'a self, reply: &'a Reply) -> CopyName<'a> {
-        CopyName { entry: &self.errand.entry().name, host: &self.errand.host, url: &self.errand.url, tags: Some(&reply.tags) }
+        CopyName { entry: &self.errand.entry().name, host: self.errand.home(), url: &self.errand.url, tags: Some(&reply.tags) }
     }
 
     pub fn claim_of(errand: &Errand, by: Mate, id: u64) -> Claim {
         // Neither entry nor service: a changed configuration makes no new
         // operation of a repeat.
-        let print = hash_of(&[errand.caller.as_bytes(), errand.host.as_bytes(), errand.method.as_bytes(), errand.url.as_bytes(), &errand.body]);
-        let operation = format!("{}/{}", errand.host, errand.operation_key().unwrap_or_default());
+        let print = hash_of(&[errand.caller.as_bytes(), errand.home().as_bytes(), errand.method.as_bytes(), errand.url.as_bytes(), &errand.body]);
+        let operation = format!("{}/{}", errand.home(), errand.operation_key().unwrap_or_default());
         Claim { operation, print, by, errand: id }
     }
 
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -80,6 +80,12 @@
         &self.image.document.entries[self.entry]
     }
 
+    /// The host that the entry is for; empty if it is for any: what is held or
+    /// run once is then the same under every name.
+    pub fn home(&self) -> &str {
+        self.entry().host.as_deref().unwrap_or_default()
+    }
+
     pub fn group(&self) -> &Group {
         self.image.document.group(&self.service).expect("checked on reading")
     }
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -161,8 +161,8 @@
     pub tag: Option<String>,
 }
 
-/// What a copy is known by when a purge is held against it. `tags` are none
-/// while the answer is not there yet: then every tag reaches it.
+/// What a copy is known by when a purge is held against it. `host` is empty for
+/// a copy that serves any host. `tags` are none while the answer is not there yet: then every tag reaches it.
 #[derive(Debug, Clone, Copy)]
 pub struct CopyName<'a> {
     pub entry: &'a str,
@@ -174,7 +174,7 @@
 impl Purge {
     pub fn reaches(&self, copy: CopyName) -> bool {
         self.entry.as_deref().is_none_or(|name| name == copy.entry)
-            && self.host.as_deref().is_none_or(|name| name.eq_ignore_ascii_case(copy.host))
+            && self.host.as_deref().is_none_or(|name| copy.host.is_empty() || name.eq_ignore_ascii_case(copy.host))
             && self.url.as_deref().is_none_or(|one| one == copy.url)
             && self.prefix.as_deref().is_none_or(|start| copy.url.starts_with(start))
             && self.tag.as_deref().is_none_or(|tag| copy.tags.is_none_or(|tags| tags.iter().any(|known| known == tag)))
