--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -496,7 +496,6 @@
             return;
         }
         self.plan_roll(now);
-        let Some(keeper) = self.keepers.get(&DUTIES) else { return };
         self.read_services();
         let Some(keeper) = self.keepers.get(&DUTIES) else { return };
         let planned = (keeper.epoch, keeper.version, keeper.settled(), self.read, self.sessions.standing(now));
--- a/data-plane/src/caller_face.rs
+++ b/data-plane/src/caller_face.rs
@@ -17,6 +17,7 @@
         body: arrival.body,
         operation: arrival.operation,
         patience: arrival.patience,
+        name: arrival.name,
         service,
         image,
         entry,
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -867,6 +867,7 @@
                 headers: vec![],
                 body: Arc::default(),
                 operation: None,
+                name: None,
                 errand: id,
                 key,
                 proof: Proof::Seal,
@@ -1054,7 +1055,7 @@
         let image = table();
         let entry = image.find("h", url, method).unwrap();
         let headers = vec![("operation-key".to_string(), "key".to_string())];
-        Errand { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), caller: String::new(), operation: Some("key".into()), patience: None, service: image.document.entries[entry].group.clone(), image, entry }
+        Errand { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), caller: String::new(), operation: Some("key".into()), patience: None, name: None, service: image.document.entries[entry].group.clone(), image, entry }
     }
 
     fn answers(out: Vec<Output>) -> Vec<(u64, u16, String, RunState)> {
--- a/data-plane/src/filter.rs
+++ b/data-plane/src/filter.rs
@@ -12,6 +12,8 @@
     pub operation: Option<String>,
     /// How long the caller waits, if it said so.
     pub patience: Option<Duration>,
+    /// What the caller calls its errand, if it does.
+    pub name: Option<String>,
     pub live: bool,
     pub image: Option<Arc<EntryTable>>,
     /// Set by the filter that matches.
@@ -137,7 +139,7 @@
         let image = Arc::new(EntryTable::new(1, Configuration::read(&text).unwrap()));
         let headers: Vec<(String, String)> = headers.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect();
         let operation = header(&headers, "operation-key").map(Into::into);
-        Arrival { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), operation, patience: None, live, image: Some(image), entry: None }
+        Arrival { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), operation, patience: None, name: None, live, image: Some(image), entry: None }
     }
 
     #[test]
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -130,6 +130,7 @@
             headers: headers.cloned().collect(),
             body: errand.body.clone(),
             operation: self.claim.as_ref().and(errand.operation_key().map(Into::into)),
+            name: errand.name.clone(),
             errand: id,
             key: errand.group().key.clone(),
             proof: errand.group().proof,
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -142,6 +142,7 @@
             url: asked.target,
             operation: self.dialect.operation(&asked.headers).map(Into::into),
             patience: self.dialect.patience(&asked.headers),
+            name: self.dialect.name(&asked.headers).map(Into::into),
             headers: asked.headers,
             body: Arc::new(asked.body),
             live: self.port.live(),
--- a/data-plane/src/own_words.rs
+++ b/data-plane/src/own_words.rs
@@ -20,6 +20,10 @@
         header(headers, "operation-key")
     }
 
+    fn name<'a>(&self, _: &'a [(String, String)]) -> Option<&'a str> {
+        None
+    }
+
     fn call(&self, call: &Call) -> CallWords {
         let mut headers = vec![
             ("Host".to_string(), call.origin.address.to_string()),
@@ -96,7 +100,7 @@
         let origin = Origin { address, service: "s".into(), instance: "i1".into(), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 };
         let (host, url, key) = ("h".into(), "/u".into(), String::new());
         let (headers, body) = (vec![], Arc::default());
-        Call { origin, method: "GET".into(), url, host, headers, body, operation: None, errand: 9, key, proof, limit: Duration::from_secs(1), sessions: 1 }
+        Call { origin, method: "GET".into(), url, host, headers, body, operation: None, name: None, errand: 9, key, proof, limit: Duration::from_secs(1), sessions: 1 }
     }
 
     #[test]
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -129,7 +129,7 @@
     #[validate(range(min = 0.1, max = 86400.0))]
     pub cache_ttl_s: Option<f64>,
     #[serde(default = "Entry::usual_deadline")]
-    #[validate(range(min = 50, max = 30000))]
+    #[validate(range(min = 1, max = 600000))]
     pub deadline_ms: u64,
     /// Where errands go instead of all to `group`, by weight.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/kernel/src/dialect.rs
+++ b/kernel/src/dialect.rs
@@ -10,6 +10,9 @@
     /// The key under which the caller's operation runs once.
     fn operation<'a>(&self, headers: &'a [(String, String)]) -> Option<&'a str>;
 
+    /// What the caller calls its errand, if it does: it goes on to the origin.
+    fn name<'a>(&self, headers: &'a [(String, String)]) -> Option<&'a str>;
+
     /// The headers of a call in order, `Host` among them, and the header that
     /// its answer must carry, if that is asked of it.
     fn call(&self, call: &Call) -> CallWords;
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -229,10 +229,12 @@
     /// The first warning goes to the part; after the grace time the process
     /// ends regardless.
     fn watch_signal(give: &Sender<Input>, grace: Duration) -> Result<()> {
-        let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
+        let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT, signal_hook::consts::SIGHUP])?;
         let give = give.clone();
         thread::spawn(move || {
-            if signals.forever().next().is_some() {
+            // A hang-up asks to read the startup anew: what hangs on it is
+            // learned from the mates all the time.
+            if signals.forever().any(|signal| signal != signal_hook::consts::SIGHUP) {
                 note(Event::Warned, &format!("ending within {grace:?}"));
                 let _ = give.send(Input::Warned);
                 thread::sleep(grace);
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -71,6 +71,8 @@
     pub operation: Option<String>,
     /// How long the caller waits, if it said so.
     pub patience: Option<Duration>,
+    /// What the caller calls it, for the origin to give back.
+    pub name: Option<String>,
     /// The group it goes to.
     pub service: String,
 }
@@ -117,6 +119,7 @@
     pub headers: Vec<(String, String)>,
     pub body: Arc<Vec<u8>>,
     pub operation: Option<String>,
+    pub name: Option<String>,
     /// Binds the answer to this one call.
     pub errand: u64,
     pub key: String,
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -175,7 +175,7 @@
     pub fn reaches(&self, copy: CopyName) -> bool {
         self.entry.as_deref().is_none_or(|name| name == copy.entry)
             && self.host.as_deref().is_none_or(|name| copy.host.is_empty() || name.eq_ignore_ascii_case(copy.host))
-            && self.url.as_deref().is_none_or(|one| one == copy.url)
+            && self.url.as_deref().is_none_or(|one| one == copy.url || copy.url.split('?').next() == Some(one))
             && self.prefix.as_deref().is_none_or(|start| copy.url.starts_with(start))
             && self.tag.as_deref().is_none_or(|tag| copy.tags.is_none_or(|tags| tags.iter().any(|known| known == tag)))
     }
--- a/simulate-fleet/src/world_callers.rs
+++ b/simulate-fleet/src/world_callers.rs
@@ -87,6 +87,7 @@
             body: Arc::new(operation.unwrap_or("").into()),
             operation: operation.map(Into::into),
             patience: None,
+            name: None,
             live: node.live(self.now),
             image: node.image.clone(),
             entry: None,
