--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -502,9 +502,11 @@
         if self.planned.as_ref() == Some(&planned) {
             return;
         }
-        let mut names: Vec<String> = (0..CACHE_SLICES).map(cache_duty).collect();
-        names.extend(self.services.iter().map(|service| gate_duty(service)));
         let live = self.sessions.live(now);
+        let known = keeper.rows.keys().filter_map(|duty| duty_region(duty));
+        let regions: BTreeSet<&str> = live.iter().map(|seen| seen.region.as_str()).chain(known).collect();
+        let mut names: Vec<String> = regions.iter().flat_map(|region| (0..CACHE_SLICES).map(|slice| cache_duty(region, slice))).collect();
+        names.extend(self.services.iter().map(|service| gate_duty(service)));
         let gone = |mate: Mate| self.sessions.gone(now, mate);
         let plan = DutyPlan { rows: &keeper.rows, settled: keeper.settled(), live: &live, gone: &gone };
         let out = plan.next(&names);
@@ -804,8 +806,8 @@
         let news = if renew.realm == mine || mine == 0 { self.replica.news(&renew.vector) } else { self.replica.news(&[]) };
         let recall = now < self.closed;
         let founded = renew.realm == 0 || mine != 0;
-        let Renew { sent, realm, recalled, vector, zone, draining, usage, found } = renew;
-        if self.sessions.renew(now, Seen { mate: from, zone, draining, realm, recalled, vector, usage, found }) {
+        let Renew { sent, realm, recalled, vector, zone, region, draining, usage, found } = renew;
+        if self.sessions.renew(now, Seen { mate: from, zone, region, draining, realm, recalled, vector, usage, found }) {
             self.note(Event::SessionOpened, from.to_string());
         }
         // An edge of an earlier realm is heard, but not live by us, until there
--- a/control-plane/src/duty_plan.rs
+++ b/control-plane/src/duty_plan.rs
@@ -50,7 +50,8 @@
     }
 
     fn best(&self, name: &str) -> Option<Mate> {
-        let able = self.live.iter().filter(|seen| !seen.draining).map(|seen| seen.mate);
+        let near = |seen: &&Seen| duty_region(name).is_none_or(|region| region == seen.region);
+        let able = self.live.iter().filter(|seen| !seen.draining).filter(near).map(|seen| seen.mate);
         able.max_by_key(|mate| (mate.weight(name), mate.life))
     }
 }
@@ -61,7 +62,7 @@
 
     fn seen(port: u16, draining: bool) -> Seen {
         let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
-        Seen { mate, zone: "z".into(), draining, realm: 0, recalled: true, vector: vec![], usage: Usage::default(), found: vec![] }
+        Seen { mate, zone: "z".into(), region: String::new(), draining, realm: 0, recalled: true, vector: vec![], usage: Usage::default(), found: vec![] }
     }
 
     fn apply(rows: &mut BTreeMap<String, Row>, out: Vec<(String, Duty)>, version: u64) -> usize {
@@ -73,7 +74,7 @@
     }
 
     fn names() -> Vec<String> {
-        (0..CACHE_SLICES).map(cache_duty).collect()
+        (0..CACHE_SLICES).map(|slice| cache_duty("", slice)).collect()
     }
 
     #[test]
@@ -113,6 +114,19 @@
         assert!((16..=48).contains(&moved), "{moved} of 256 moved to the eighth edge");
     }
 
+    #[test]
+    fn a_slice_of_a_region_goes_to_its_own_edges_only() {
+        let near = |port, region: &str| Seen { region: region.into(), ..seen(port, false) };
+        let live = [near(1, "a"), near(2, "a"), near(3, "b")];
+        let names: Vec<String> = (0..CACHE_SLICES).flat_map(|slice| ["a", "b", "c"].map(|region| cache_duty(region, slice))).collect();
+        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none }.next(&names);
+        let held = |region: &str| -> BTreeSet<Option<Mate>> { out.iter().filter(|(name, _)| duty_region(name) == Some(region)).map(|(_, duty)| duty.holder).collect() };
+        assert_eq!(held("a"), [Some(live[0].mate), Some(live[1].mate)].into());
+        assert_eq!(held("b"), [Some(live[2].mate)].into());
+        assert!(held("c").is_empty(), "no edge of that region is there");
+    }
+
     #[test]
     fn a_draining_holder_loses_its_gate_and_a_live_one_keeps_it() {
         let gate = [gate_duty("book")];
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -131,7 +131,7 @@
         let recalled = self.loose.is_empty() && !self.jobs.values().any(old);
         let found = self.gates.values().flat_map(|gate| gate.found(now)).collect();
         let renew =
-            Renew { sent: now, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.zone.clone(), draining: self.warned.is_some(), usage, found };
+            Renew { sent: now, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.zone.clone(), region: self.region.clone(), draining: self.warned.is_some(), usage, found };
         for seed in self.seeds.clone() {
             self.tell(seed, renew.clone());
         }
@@ -274,7 +274,7 @@
     fn sync_duties(&mut self, now: Duration) {
         let mut slices = BTreeMap::new();
         for slice in 0..CACHE_SLICES {
-            if let Some(epoch) = self.granted(&cache_duty(slice)) {
+            if let Some(epoch) = self.granted(&cache_duty(&self.region, slice)) {
                 slices.insert(slice, epoch);
             }
         }
@@ -283,7 +283,7 @@
             let (before, after) = (self.slices.len(), slices.len());
             self.wants.retain(|slice, _| slices.contains_key(slice));
             for slice in slices.iter().filter(|(slice, epoch)| self.slices.get(slice) != Some(epoch)).map(|(slice, _)| *slice) {
-                let last = self.duties.get(&cache_duty(slice)).and_then(|duty| duty.last);
+                let last = self.duties.get(&cache_duty(&self.region, slice)).and_then(|duty| duty.last);
                 if let Some(last) = last.filter(|last| last.address != self.me.address) {
                     self.wants.insert(slice, (last.address, 0));
                 }
@@ -296,7 +296,7 @@
             self.sync_gates(now, &table);
         }
         let gates = self.gates.keys().map(|service| gate_duty(service));
-        let list = self.slices.keys().map(|slice| cache_duty(*slice)).chain(gates).collect();
+        let list = self.slices.keys().map(|slice| cache_duty(&self.region, *slice)).chain(gates).collect();
         self.out.push(Output::Show(Shown::Duties(list)));
     }
 
@@ -455,7 +455,7 @@
                 let key = job.key.expect("cached");
                 let entry = job.errand.entry();
                 let get = Get { id, key, entry: entry.name.clone(), host: job.errand.home().into(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
-                if let Some(holder) = self.holder(&cache_duty(cache_slice(&key))) {
+                if let Some(holder) = self.holder(&cache_duty(&self.region, cache_slice(&key))) {
                     self.tell(holder, get);
                 }
             }
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -57,7 +57,7 @@
 
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
-    Renew { sent: Duration, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
+    Renew { sent: Duration, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, region: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
     /// To the life that sent the renewal, with its own time of sending.
     /// `recall`: acknowledged operations may be lost; tell those you know.
     Renewed { life: u64, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
@@ -148,6 +148,7 @@
 pub struct Seen {
     pub mate: Mate,
     pub zone: String,
+    pub region: String,
     pub draining: bool,
     pub realm: u64,
     pub recalled: bool,
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -29,8 +29,16 @@
 
 pub type CacheKey = [u8; 32];
 
-pub fn cache_duty(slice: u16) -> String {
-    format!("cache/{slice:03}")
+/// The duty of a cache slice among the edges of one region: each region has a
+/// ring of its own, so copies do not cross.
+pub fn cache_duty(region: &str, slice: u16) -> String {
+    if region.is_empty() { format!("cache/{slice:03}") } else { format!("cache/{region}/{slice:03}") }
+}
+
+/// The region whose edges may hold a duty; none: any edge.
+pub fn duty_region(duty: &str) -> Option<&str> {
+    let (region, _) = duty.strip_prefix("cache/")?.rsplit_once('/').unwrap_or_default();
+    Some(region)
 }
 
 /// Of the control node that owns the list of origins.
