--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -12,11 +12,13 @@
 pub struct ControlPart {
     slot: u8,
     address: SocketAddr,
-    /// Who holds the slots, as far as published here; the seeds at first.
-    places: [Mate; 3],
+    /// Who holds the slots, by the newest table heard of; empty before one is.
+    places: Vec<Mate>,
     /// Version of that table.
     seats: u64,
     seeds: Vec<SocketAddr>,
+    /// The seeds are not the table: it is founded or asked for.
+    gather: Option<Gather>,
     struck: bool,
     replica: Replica,
     refiller: Option<Refiller>,
@@ -30,7 +32,8 @@
     /// Highest promise met for each slice, and when to raise it at the soonest.
     outrun: BTreeMap<u8, (u64, Duration, u32)>,
     mates: BTreeMap<u8, MateAt>,
-    retired: HashSet<u64>,
+    /// The replica's, and what was met while the disk was blank.
+    retired: VecDeque<u64>,
     sessions: Sessions,
     waits: Vec<Wait>,
     fronts: BTreeMap<u64, Front>,
@@ -69,6 +72,7 @@
 struct MateAt {
     life: u64,
     full: bool,
+    blank: bool,
     heard: Duration,
 }
 
@@ -110,18 +114,22 @@
 impl ControlPart {
     /// `replica` as read from disk, or a blank one with a new life. The node's
     /// slot is the one its address holds; a blank node elsewhere asks for one.
-    pub fn new(address: SocketAddr, seeds: Vec<SocketAddr>, replica: Replica, blank: bool) -> ControlPart {
-        let seats: Vec<Mate> = seeds.iter().map(|seed| Mate::new(*seed, 0)).collect();
-        let (version, places) = replica.places().unwrap_or((0, [seats[0], seats[1], seats[2]]));
+    /// The table begins with the seeds, unless there is a `gather`.
+    pub fn new(address: SocketAddr, seeds: Vec<SocketAddr>, replica: Replica, blank: bool, gather: Option<Gather>) -> ControlPart {
+        let seats = || if gather.is_some() { vec![] } else { seeds.iter().map(|seed| Mate::new(*seed, 0)).collect() };
+        let (version, places) = replica.table().unwrap_or_else(|| (0, seats()));
         let slot = places.iter().position(|mate| mate.address == address).map_or(NO_SLOT, |at| at as u8);
+        let slots = places.len();
         let mut part = ControlPart {
             slot,
             address,
             places,
             seats: version,
             seeds,
+            gather,
             struck: replica.struck,
-            refiller: (!replica.full && slot != NO_SLOT).then(|| Refiller::new(slot)),
+            refiller: (!replica.full && slot != NO_SLOT).then(|| Refiller::new(slot, slots, version)),
+            retired: replica.retired.clone(),
             replica,
             failed: false,
             serial: 0,
@@ -132,7 +140,6 @@
             keepers: BTreeMap::new(),
             outrun: BTreeMap::new(),
             mates: BTreeMap::new(),
-            retired: HashSet::new(),
             sessions: Sessions::default(),
             waits: Vec::new(),
             fronts: BTreeMap::new(),
@@ -160,6 +167,16 @@
         Mate::new(self.address, self.replica.life)
     }
 
+    fn quorum(&self) -> Quorum {
+        Quorum::new(self.places.len())
+    }
+
+    /// All slots but ours.
+    fn others(&self) -> impl Iterator<Item = u8> + use<> {
+        let mine = self.slot;
+        (0..self.places.len() as u8).filter(move |slot| *slot != mine)
+    }
+
     fn address(&self, slot: u8) -> SocketAddr {
         self.places[usize::from(slot)].address
     }
@@ -199,26 +216,77 @@
 
     /// The table of places is news like any other: heeded once published.
     fn see_places(&mut self) {
-        let Some((version, places)) = self.replica.places().filter(|(version, _)| *version > self.seats) else { return };
+        if let Some((version, places)) = self.replica.places().filter(|(version, _)| *version > self.seats) {
+            self.go_by(version, places);
+        }
+    }
+
+    /// Of a full disk: from now on nobody who goes by an older table gets a
+    /// promise or has anything kept here.
+    fn go_by(&mut self, version: u64, places: Vec<Mate>) {
         self.seats = version;
-        let before = std::mem::replace(&mut self.places, places);
-        for slot in 0..3u8 {
-            let (old, new) = (before[usize::from(slot)], places[usize::from(slot)]);
+        if places == self.places {
+            self.keepers.values_mut().for_each(|keeper| keeper.go_by(version));
+            return;
+        }
+        let before = std::mem::replace(&mut self.places, places.clone());
+        for slot in 0..before.len().max(places.len()) {
+            let (old, new) = (before.get(slot), places.get(slot));
             if old == new {
                 continue;
             }
-            if let Some(mate) = self.mates.remove(&slot) {
-                self.retired.insert(mate.life);
+            let was = old.map_or(String::new(), |old| format!(" from {old}"));
+            let to = new.map_or(String::new(), Mate::to_string);
+            self.note(Event::SlotTaken, format!("slot {slot}{was} to {to}"));
+            let at = slot as u8;
+            self.sessions.forget_slot(at);
+            let Some(mate) = self.mates.remove(&at) else { continue };
+            let stays = old.zip(new).is_some_and(|(old, new)| new.names(&Mate::new(old.address, mate.life)));
+            if !stays {
+                self.retire(mate.life);
             }
-            self.sessions.forget_slot(slot);
-            self.keepers.values_mut().for_each(|keeper| keeper.forget(slot));
-            self.note(Event::SlotTaken, format!("slot {slot} from {old} to {new}"));
         }
-        if self.slot != NO_SLOT && !places[usize::from(self.slot)].names(&self.me()) {
+        // What was promised and counted so far was counted by another table:
+        // slices are taken anew by this one.
+        self.keepers.clear();
+        self.waits.clear();
+        if self.slot != NO_SLOT && !places.get(usize::from(self.slot)).is_some_and(|mate| mate.names(&self.me())) {
             self.strike();
         }
     }
 
+    /// What this disk said counts for nothing any more. Written down: whoever
+    /// hears an acknowledgement of ours hears of this first, over our restarts.
+    fn retire(&mut self, life: u64) {
+        if life == self.replica.life || self.retired.contains(&life) {
+            return;
+        }
+        self.retired.push_back(life);
+        while self.retired.len() > RETIRED {
+            self.retired.pop_front();
+        }
+        if self.replica.full {
+            self.store(&Record::Retired { life });
+        }
+    }
+
+    /// Another retired these.
+    fn heed_retired(&mut self, lives: &[u64]) {
+        for life in lives {
+            self.retire(*life);
+            let slots: Vec<u8> = self.mates.iter().filter(|(_, mate)| mate.life == *life).map(|(slot, _)| *slot).collect();
+            for slot in slots {
+                self.mates.remove(&slot);
+                self.sessions.forget_slot(slot);
+                self.keepers.values_mut().for_each(|keeper| keeper.forget(slot));
+            }
+        }
+    }
+
+    fn retired_lives(&self) -> Vec<u64> {
+        self.retired.iter().copied().collect()
+    }
+
     fn strike(&mut self) {
         if !self.struck {
             self.struck = true;
@@ -236,25 +304,37 @@
 
     /// Another goes by a newer table.
     fn heed_seats(&mut self, now: Duration, seats: Seats) {
-        if seats.version <= self.seats {
-            return;
-        }
-        let slot = seats.places.iter().position(|mate| mate.names(&self.me())).map(|at| at as u8);
-        if self.replica.full {
-            // What it names is taken in with the slice's rows; only to be
-            // struck is heeded from hearsay.
-            if slot.is_none() {
-                self.strike();
+        let Seats { version, places } = seats;
+        if let Some(gather) = &mut self.gather {
+            gather.met_others();
+        }
+        let slot = places.iter().position(|mate| mate.names(&self.me())).map(|at| at as u8);
+        if version <= self.seats {
+            // The founding table, which there is one of, by who was there.
+            let mine = self.gather.as_ref().is_some_and(|gather| gather.founding) && self.places.is_empty() && !self.replica.full;
+            if version == 0 && mine && slot.is_some() {
+                self.store(&Record::Founding { places: places.clone() });
+                self.take_seat(now, 0, places, slot);
             }
             return;
         }
-        (self.seats, self.places) = (seats.version, seats.places);
+        // Kept beside what the slice's rows say: those may be longer in coming.
+        self.store(&Record::Seats { version, places: places.clone() });
+        if self.replica.full && !self.places.is_empty() {
+            return self.go_by(version, places);
+        }
+        self.take_seat(now, version, places, slot);
+    }
+
+    fn take_seat(&mut self, now: Duration, version: u64, places: Vec<Mate>, slot: Option<u8>) {
+        (self.seats, self.places) = (version, places);
         // Who was met by the older table may sit elsewhere by this one: that
         // retires nobody.
         self.mates.clear();
-        self.retired.clear();
+        self.retired = self.replica.retired.clone();
         self.slot = slot.unwrap_or(NO_SLOT);
-        self.refiller = slot.map(Refiller::new);
+        let blank = slot.filter(|_| !self.replica.full);
+        self.refiller = blank.map(|slot| Refiller::new(slot, self.places.len(), version));
         self.sessions.begin(now);
     }
 
@@ -270,27 +350,22 @@
             Some(mate) => mate.full && mate.near(now),
             None => false,
         };
-        (0..3).filter(live).max_by_key(|slot| Mate::new(self.address(*slot), 0).weight(&name))
+        (0..self.places.len() as u8).filter(live).max_by_key(|slot| Mate::new(self.address(*slot), 0).weight(&name))
     }
 
     fn pulse(&mut self, now: Duration) {
         for mate in self.sessions.pulse(now) {
             self.note(Event::SessionLapsed, mate.to_string());
         }
-        if self.slot == NO_SLOT {
-            for seed in self.seeds.clone() {
-                self.tell(seed, Enlist {});
-            }
-            return;
-        }
         if self.struck {
             return;
         }
+        if self.slot == NO_SLOT {
+            return self.ask_for_slot(now);
+        }
         let beat = self.beat(now);
-        for slot in 0..3 {
-            if slot != self.slot {
-                self.tell(self.address(slot), beat.clone());
-            }
+        for slot in self.others() {
+            self.tell(self.address(slot), beat.clone());
         }
         if let Some(refiller) = &self.refiller {
             for (slot, message) in refiller.pulse() {
@@ -309,19 +384,42 @@
             self.out.push(Output::Show(Shown::Acknowledged { version, text }));
         }
         self.recollect(now);
+        self.write_table();
         self.plan_duties(now);
         self.push_fronts(now);
     }
 
+    /// Without a slot: the first seed of a founding makes the table, all others
+    /// ask.
+    fn ask_for_slot(&mut self, now: Duration) {
+        let first = self.seeds.first() == Some(&self.address) && self.places.is_empty() && !self.replica.full;
+        let table = self.gather.as_mut().filter(|_| first).and_then(|gather| gather.table(now, &self.seeds));
+        if let Some(places) = table {
+            self.store(&Record::Founding { places: places.clone() });
+            for mate in &places {
+                if mate.address != self.address {
+                    self.tell_synced(mate.address, Seats { version: 0, places: places.clone() });
+                }
+            }
+            return self.take_seat(now, 0, places, Some(0));
+        }
+        let founding = self.gather.as_ref().is_some_and(|gather| gather.founding) && !self.replica.full;
+        // Seeds may be gone by now: who is in the last known table is asked too.
+        let known = self.places.iter().map(|mate| mate.address);
+        let asked: BTreeSet<SocketAddr> = self.seeds.iter().copied().chain(known).filter(|one| *one != self.address).collect();
+        for one in asked {
+            self.tell(one, Enlist { founding });
+        }
+    }
+
     fn beat(&self, now: Duration) -> Beat {
         let seen = self.sessions.known(now).then(|| self.sessions.mine());
-        Beat { slot: self.slot, full: self.able() && self.warned.is_none(), seats: self.seats, closed: self.closed.saturating_sub(now), lost: self.lost(), seen }
+        Beat { slot: self.slot, full: self.able() && self.warned.is_none(), blank: !self.replica.full, seats: self.seats, closed: self.closed.saturating_sub(now), lost: self.lost(), seen }
     }
 
     fn take_slices(&mut self, now: Duration) {
-        let others = (0..3u8).filter(|slot| *slot != self.slot);
-        let met = others.filter(|slot| self.mates.get(slot).is_some_and(|mate| mate.full && mate.near(now)));
-        if met.count() == 0 {
+        let met = self.others().filter(|slot| self.mates.get(slot).is_some_and(|mate| mate.full && mate.near(now)));
+        if met.count() + 1 < self.quorum().most() {
             return;
         }
         for slice in 0..SLICES {
@@ -336,8 +434,8 @@
                 continue;
             }
             let highest = met.max(self.replica.held(slice).promised);
-            let epoch = (highest / 3 + 1) * 3 + u64::from(self.slot);
-            self.keepers.insert(slice, Keeper::new(slice, epoch));
+            let epoch = (highest / SLOTS_MOST as u64 + 1) * SLOTS_MOST as u64 + u64::from(self.slot);
+            self.keepers.insert(slice, Keeper::new(slice, epoch, self.places.len(), self.seats));
         }
     }
 
@@ -345,6 +443,7 @@
     /// dropped when they have stood their time under this owner.
     fn sweep(&mut self, now: Duration) {
         let mut notes = Vec::new();
+        let quorum = self.quorum();
         for (slice, keeper) in self.keepers.iter_mut().filter(|(slice, keeper)| **slice >= NEWS && keeper.ready()) {
             let finals = self.finals.entry(*slice).or_default();
             let mut lost = Vec::new();
@@ -352,7 +451,7 @@
             for (key, row) in &keeper.rows {
                 let Value::Operation(operation) = &row.value else { continue };
                 if operation.state == OperationState::Running {
-                    if self.sessions.gone(now, operation.by) {
+                    if self.sessions.gone(now, operation.by, quorum) {
                         lost.push((key.clone(), operation.clone()));
                     }
                     continue;
@@ -487,8 +586,9 @@
         {
             names.extend(document.groups.iter().map(|group| gate_duty(&group.service)));
         }
-        let live = self.sessions.live(now);
-        let gone = |mate: Mate| self.sessions.gone(now, mate);
+        let quorum = self.quorum();
+        let live = self.sessions.live(now, quorum);
+        let gone = |mate: Mate| self.sessions.gone(now, mate, quorum);
         let plan = DutyPlan { rows: &keeper.rows, settled: keeper.settled(), live: &live, gone: &gone };
         let out = plan.next(&names);
         self.planned = Some(planned);
@@ -508,6 +608,7 @@
     /// have told what they knew.
     fn plan_roll(&mut self, now: Duration) {
         let mut notes = Vec::new();
+        let quorum = self.quorum();
         let Some(keeper) = self.keepers.get_mut(&DUTIES) else { return };
         let told = |mate: &Mate| self.sessions.all().iter().any(|seen| seen.mate == *mate && seen.realm == self.realm && seen.recalled);
         if let Some((members, gone, true)) = &self.before
@@ -528,9 +629,9 @@
             notes.push("all that could come again has come");
         }
         let (known, mut gone, complete) = keeper.roll().unwrap_or_default();
-        let mut members: BTreeSet<Mate> = self.sessions.live(now).iter().map(|seen| seen.mate).collect();
+        let mut members: BTreeSet<Mate> = self.sessions.live(now, quorum).iter().map(|seen| seen.mate).collect();
         for mate in known {
-            if !members.contains(&mate) && self.sessions.gone(now, mate) {
+            if !members.contains(&mate) && self.sessions.gone(now, mate, quorum) {
                 gone.push(mate);
             } else {
                 members.insert(mate);
@@ -583,14 +684,26 @@
         let retired = self.retired.contains(&from.life);
         let slot = self.places.iter().position(|mate| mate.names(&from)).map(|at| at as u8).filter(|_| !retired);
         match message {
-            Message::Enlist(_) => return self.enlist(from),
+            Message::Enlist(enlist) => return self.enlist(from, enlist.founding),
             Message::Seats(seats) => return self.heed_seats(now, seats),
-            _ if self.slot == NO_SLOT || self.struck => return,
-            Message::Beat(ref beat) if beat.seats < self.seats => {
-                self.tell(from.address, Seats { version: self.seats, places: self.places });
+            _ if self.struck => return,
+            Message::Recalled(ref recalled) if self.slot == NO_SLOT => return self.learn_table(now, recalled),
+            // Who holds the slots is asked of the edges too: after a loss of all
+            // disks nobody else knows.
+            Message::Renew(_) if self.slot == NO_SLOT && self.gather.is_some() => return self.tell(from.address, Recall { slice: PLACES }),
+            Message::Beat(_) if self.slot == NO_SLOT => return self.gather.iter_mut().for_each(Gather::met_others),
+            _ if self.slot == NO_SLOT => return,
+            Message::Beat(Beat { seats, .. }) | Message::Raise(Raise { seats, .. }) | Message::Keep(Keep { seats, .. }) | Message::Refill(Refill { seats, .. })
+                if seats < self.seats =>
+            {
+                self.tell(from.address, self.known_seats());
+                if !matches!(message, Message::Beat(_)) {
+                    // It may be another disk by now, but nothing is done for it.
+                    return;
+                }
             }
-            // A blank disk went by the seeds: who knows better tells.
-            Message::Beat(ref beat) if beat.seats > self.seats && !self.replica.full => self.tell(from.address, self.beat(now)),
+            // One who knows better tells it to who does not.
+            Message::Beat(ref beat) if beat.seats > self.seats => self.tell(from.address, self.beat(now)),
             _ => {}
         }
         if retired {
@@ -601,7 +714,7 @@
         }
         match (slot, message) {
             (Some(slot), Message::Beat(beat)) if slot != self.slot => {
-                self.mates.insert(slot, MateAt { life: from.life, full: beat.full, heard: now });
+                self.mates.insert(slot, MateAt { life: from.life, full: beat.full, blank: beat.blank, heard: now });
                 // The way a beat took must not add to it, to and fro.
                 if !self.open() && now + beat.closed > self.closed + Duration::from_secs(1) {
                     self.closed = now + beat.closed;
@@ -613,13 +726,21 @@
             }
             (Some(_), Message::Refill(refill)) => {
                 let held = self.replica.copy_out();
-                self.tell_synced(from.address, Refilled { slot: self.slot, round: refill.round, full: self.replica.full, lost: self.lost(), held });
+                // A first disk holds all that it ever acknowledged: nothing.
+                let full = self.replica.full || self.replica.founding;
+                let seats = self.replica.places().map_or(0, |(version, _)| version);
+                self.tell_synced(from.address, Refilled { slot: self.slot, round: refill.round, full, lost: self.lost(), seats, held });
             }
             (Some(_), Message::Refilled(refilled)) => {
                 if let Some(merged) = self.refiller.as_mut().and_then(|refiller| refiller.heard(refilled)) {
                     self.refiller = None;
                     self.sessions.begin(now);
                     self.store(&Record::Refilled { held: merged.held, lost: merged.lost });
+                    for life in self.retired_lives() {
+                        if !self.replica.retired.contains(&life) {
+                            self.store(&Record::Retired { life });
+                        }
+                    }
                     self.realm = self.replica.realm();
                     if merged.lost {
                         self.refound = Some(self.realm);
@@ -637,6 +758,7 @@
             (Some(_), Message::Keep(keep)) if self.able() => self.heed_keep(now, from, keep),
             (Some(slot), Message::Raised(raised)) => {
                 self.heed_loss(now, raised.lost);
+                self.heed_retired(&raised.retired);
                 if let Some(keeper) = self.keepers.get_mut(&raised.slice).filter(|keeper| keeper.epoch == raised.epoch) {
                     let before = keeper.active_since;
                     keeper.raised(now, slot, raised.image);
@@ -654,6 +776,7 @@
                 }
             }
             (Some(slot), Message::Kept(kept)) => {
+                self.heed_retired(&kept.retired);
                 if let Some(keeper) = self.keepers.get_mut(&kept.slice).filter(|keeper| keeper.epoch == kept.epoch) {
                     keeper.kept(slot, &kept);
                 }
@@ -679,40 +802,74 @@
     }
 
     /// A node without a slot asks for one, or asks again after it got it.
-    fn enlist(&mut self, from: Mate) {
+    fn enlist(&mut self, from: Mate, founding: bool) {
+        if let Some(gather) = self.gather.as_mut().filter(|_| founding && self.slot == NO_SLOT) {
+            gather.enlist(from.address);
+        }
         if self.slot == NO_SLOT || self.struck {
             return;
         }
-        if self.places.contains(&from) {
-            return self.tell(from.address, Seats { version: self.seats, places: self.places });
+        if self.places.iter().any(|mate| mate.names(&from)) {
+            // The founder's own table is on its disk before it is told.
+            return self.tell_synced(from.address, self.known_seats());
         }
         // To the owner, through our own door; nobody waits for it.
-        let ask = Ask { asker: self.address, id: 0, slice: PLACES, ask: Change::Enlist { mate: from } };
+        let ask = Ask { asker: self.address, id: 0, slice: PLACES, ask: Change::Enlist { mate: from, founding } };
         self.tell(self.address, ask);
     }
 
+    fn known_seats(&self) -> Seats {
+        Seats { version: self.seats, places: self.places.clone() }
+    }
+
+    /// An edge told who holds the slots, which nobody else knows here.
+    fn learn_table(&mut self, now: Duration, recalled: &Recalled) {
+        let table = recalled.rows.iter().find_map(|(_, row)| match &row.value {
+            Value::Places(places) if recalled.slice == PLACES => Some((row.version, places.clone())),
+            _ => None,
+        });
+        if let Some((version, places)) = table.filter(|_| self.gather.is_some()) {
+            self.heed_seats(now, Seats { version, places });
+        }
+    }
+
+    /// The table becomes a row, so that edges learn it: a first one that was
+    /// founded is in no row yet.
+    fn write_table(&mut self) {
+        if self.gather.is_none() {
+            return;
+        }
+        let Some(keeper) = self.keepers.get_mut(&PLACES).filter(|keeper| keeper.ready() && keeper.wary.is_none()) else { return };
+        if !keeper.rows.contains_key("places") {
+            keeper.version = keeper.version.max(self.seats);
+            keeper.put("places".into(), Value::Places(self.places.clone()));
+        }
+    }
+
     /// The slot not heard of for long enough, if that is exactly one.
     fn lost_slot(&self, now: Duration, keeper: &Keeper) -> Option<u8> {
         let since = keeper.active_since?;
         let heard = |slot: &u8| *slot == self.slot || now < self.mates.get(slot).map_or(since, |mate| mate.heard.max(since)) + LOST;
-        let lost: Vec<u8> = (0..3).filter(|slot| !heard(slot)).collect();
+        let lost: Vec<u8> = (0..self.places.len() as u8).filter(|slot| !heard(slot)).collect();
         (lost.len() == 1).then(|| lost[0])
     }
 
     /// A slot was heard with this life; an earlier one is retired.
     fn meet(&mut self, slot: u8, life: u64) {
-        let known = self.mates.entry(slot).or_insert(MateAt { life, full: false, heard: Duration::ZERO });
+        let known = self.mates.entry(slot).or_insert(MateAt { life, full: false, blank: true, heard: Duration::ZERO });
         if known.life != life {
-            self.retired.insert(known.life);
-            *known = MateAt { life, full: false, heard: Duration::ZERO };
+            let earlier = known.life;
+            *known = MateAt { life, full: false, blank: true, heard: Duration::ZERO };
             for keeper in self.keepers.values_mut() {
                 keeper.forget(slot);
             }
+            self.sessions.forget_slot(slot);
+            self.retire(earlier);
         }
     }
 
     fn heed_raise(&mut self, from: Mate, raise: Raise) {
-        let Raise { slice, epoch } = raise;
+        let Raise { slice, epoch, .. } = raise;
         let promised = self.replica.held(slice).promised;
         if epoch < promised {
             return self.tell_synced(from.address, Outrun { slice, epoch, promised });
@@ -721,7 +878,7 @@
             self.store(&Record::Promise { slice, epoch });
         }
         let image = self.replica.held(slice).image.clone();
-        self.tell_synced(from.address, Raised { slice, epoch, lost: self.lost(), image });
+        self.tell_synced(from.address, Raised { slice, epoch, lost: self.lost(), retired: self.retired_lives(), image });
     }
 
     fn heed_keep(&mut self, now: Duration, from: Mate, keep: Keep) {
@@ -742,7 +899,7 @@
         let held = self.replica.held(slice);
         let clear = if slice < NEWS { self.sessions.clear(now, slice, held.image.published) } else { None };
         let newer = held.image.published > published;
-        self.tell_synced(from.address, Kept { slice, epoch, round, to, clear });
+        self.tell_synced(from.address, Kept { slice, epoch, round, to, clear, retired: self.retired_lives() });
         if newer && slice < NEWS {
             for edge in self.sessions.addresses() {
                 self.tell(edge, Nudge {});
@@ -812,15 +969,28 @@
         }
     }
 
-    /// Puts a mate in its own or in a lost slot's place, once the last move
-    /// has settled.
-    fn seat(&mut self, now: Duration, mate: Mate) {
+    /// Puts a mate in its own or in a lost slot's place, or a founding one in a
+    /// new slot, once the last move has settled. A lost or a new slot also
+    /// waits until the last newcomer was refilled: what was acknowledged by the
+    /// table before lies on a majority of this one only then.
+    fn seat(&mut self, now: Duration, mate: Mate, founding: bool) {
         let Some(keeper) = self.keepers.get(&PLACES).filter(|keeper| keeper.settled() >= keeper.version) else { return };
+        if self.places.iter().any(|known| known.names(&mate)) || keeper.rows.get("places").is_some_and(|row| row.version > self.seats) {
+            return;
+        }
         // A new disk at a place that holds a slot asks for that slot.
         let own = self.places.iter().position(|known| known.address == mate.address).map(|at| at as u8);
-        let Some(slot) = own.or_else(|| self.lost_slot(now, keeper)) else { return };
-        let mut places = self.places;
-        places[usize::from(slot)] = mate;
+        let blank = |slot: &u8| self.mates.get(slot).is_some_and(|mate| mate.blank && mate.near(now));
+        let whole = !self.others().any(|slot| blank(&slot));
+        let all = || self.others().all(|slot| self.mates.get(&slot).is_some_and(|mate| mate.full && mate.near(now)));
+        let mut places = self.places.clone();
+        if let Some(slot) = own.or_else(|| self.lost_slot(now, keeper).filter(|_| whole)) {
+            places[usize::from(slot)] = mate;
+        } else if founding && places.len() < SLOTS_MOST && all() {
+            places.push(Mate::new(mate.address, 0));
+        } else {
+            return;
+        }
         let keeper = self.keepers.get_mut(&PLACES).expect("just seen");
         keeper.put("places".into(), Value::Places(places));
     }
@@ -898,7 +1068,7 @@
                 self.note(Event::LedgerOpened, format!("realm {}: operators said so", Realm::name(realm)));
             }
             Change::Refound { after } => self.refound(after),
-            Change::Enlist { mate } => self.seat(now, mate),
+            Change::Enlist { mate, founding } => self.seat(now, mate, founding),
             Change::Claim(claim) if !left.is_zero() && !Ledger::tells(keeper, &claim) => wait.told = Outcome::Closed { left },
             Change::Claim(claim) => (wait.commit, wait.told) = Ledger::claim(keeper, claim),
             Change::Release(claim) => (wait.commit, wait.told) = Ledger::finish(keeper, claim, OperationState::Released),
@@ -959,7 +1129,7 @@
 
     /// What this node knows of the fleet.
     fn state(&self, now: Duration) -> serde_json::Value {
-        let control: Vec<_> = (0..3u8)
+        let control: Vec<_> = (0..self.places.len() as u8)
             .map(|slot| {
                 let mate = self.mates.get(&slot);
                 let live = slot == self.slot || mate.is_some_and(|mate| mate.near(now));
@@ -969,7 +1139,7 @@
             .collect();
         let edges: Vec<_> = self
             .sessions
-            .live(now)
+            .live(now, self.quorum())
             .into_iter()
             .map(|seen| {
                 serde_json::json!({
@@ -978,7 +1148,7 @@
                 })
             })
             .collect();
-        let origins: Vec<_> = self.sessions.live(now).into_iter().flat_map(|seen| seen.found).collect();
+        let origins: Vec<_> = self.sessions.live(now, self.quorum()).into_iter().flat_map(|seen| seen.found).collect();
         let slices: Vec<_> = self
             .keepers
             .values()
@@ -1055,7 +1225,7 @@
         fn new() -> Script {
             let replica = Replica { full: true, ..Replica::blank(1) };
             let seeds = (0..3).map(address).collect();
-            Script { part: ControlPart::new(address(0), seeds, replica, false) }
+            Script { part: ControlPart::new(address(0), seeds, replica, false, None) }
         }
 
         /// What it says to others; what it says to itself it hears.
@@ -1082,7 +1252,7 @@
         }
 
         fn beat(&mut self, ms: u64, life: u64) -> Vec<(SocketAddr, Message)> {
-            self.hear(ms, 1, life, Beat { slot: 1, full: true, seats: 0, closed: Duration::ZERO, lost: 0, seen: Some(vec![]) })
+            self.hear(ms, 1, life, Beat { slot: 1, full: true, blank: false, seats: 0, closed: Duration::ZERO, lost: 0, seen: Some(vec![]) })
         }
     }
 
@@ -1095,14 +1265,14 @@
             said.extend(script.step(ms + 1, Input::Pulse));
             while let Some((to, message)) = said.pop_front() {
                 match message {
-                    Message::Raise(Raise { slice, epoch }) if to == address(1) => {
+                    Message::Raise(Raise { slice, epoch, .. }) if to == address(1) => {
                         if [PURGES, ORIGINS].contains(&slice) {
                             owned = Some((slice, epoch));
                         }
-                        said.extend(script.hear(ms + 2, 1, 11, Raised { slice, epoch, lost: 0, image: SliceImage::default() }));
+                        said.extend(script.hear(ms + 2, 1, 11, Raised { slice, epoch, lost: 0, retired: vec![], image: SliceImage::default() }));
                     }
                     Message::Keep(Keep { slice, epoch, round, to: version, .. }) if to == address(1) => {
-                        said.extend(script.hear(ms + 3, 1, 11, Kept { slice, epoch, round, to: version, clear: Some(0) }));
+                        said.extend(script.hear(ms + 3, 1, 11, Kept { slice, epoch, round, to: version, clear: Some(0), retired: vec![] }));
                     }
                     _ => {}
                 }
@@ -1121,7 +1291,7 @@
         let version = version.expect("it is written at once");
         // The disk of slot 1 is another now; what the earlier one says comes late.
         script.beat(1710, 12);
-        let kept = Kept { slice, epoch, round: 100, to: version, clear: Some(version) };
+        let kept = Kept { slice, epoch, round: 100, to: version, clear: Some(version), retired: vec![] };
         let answered = |told: &[(SocketAddr, Message)]| told.iter().any(|(_, message)| matches!(message, Message::Told(Told { id: 7, .. })));
         assert!(!answered(&script.hear(1720, 1, 11, kept.clone())));
         assert!(!answered(&script.step(1801, Input::Pulse)));
@@ -1130,4 +1300,161 @@
         told.extend(script.hear(1910, 1, 12, kept));
         assert!(answered(&told), "the disk that is there now has it");
     }
+
+    /// Five slots, ours is the first: disks 1 and 2 acknowledge a change, and
+    /// with ours that is a majority. But disk 2 knows that disk 1 is another by
+    /// now, refilled without it, and says so with its acknowledgement.
+    #[test]
+    fn an_acknowledgement_of_a_retired_life_that_another_reports_is_not_counted() {
+        let owned = |retired: Vec<u64>| {
+            let replica = Replica { full: true, ..Replica::blank(1) };
+            let mut script = Script { part: ControlPart::new(address(0), (0..5).map(address).collect(), replica, false, None) };
+            let mut owned = None;
+            for ms in (0..2_500).step_by(100) {
+                let mut said = VecDeque::new();
+                for slot in 1..5 {
+                    let beat = Beat { slot: slot as u8, full: true, blank: false, seats: 0, closed: Duration::ZERO, lost: 0, seen: Some(vec![]) };
+                    said.extend(script.hear(ms, slot, 10 + u64::from(slot), beat));
+                }
+                said.extend(script.step(ms + 1, Input::Pulse));
+                while let Some((to, message)) = said.pop_front() {
+                    let slot = to.port() - 100;
+                    let life = 10 + u64::from(slot);
+                    match message {
+                        Message::Raise(Raise { slice, epoch, .. }) => {
+                            owned = Some((slice, epoch)).filter(|_| [PURGES, ORIGINS].contains(&slice)).or(owned);
+                            said.extend(script.hear(ms + 2, slot, life, Raised { slice, epoch, lost: 0, retired: vec![], image: SliceImage::default() }));
+                        }
+                        Message::Keep(Keep { slice, epoch, round, to: version, .. }) => {
+                            said.extend(script.hear(ms + 3, slot, life, Kept { slice, epoch, round, to: version, clear: Some(0), retired: vec![] }));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            let Some((slice, epoch)) = owned else { return None };
+            let ask = match slice {
+                PURGES => Change::AddPurge { purge: Purge { entry: Some("e".into()), url: None, prefix: None }, change: 5 },
+                _ => Change::PutOrigins { list: Arc::default(), change: 5 },
+            };
+            let told = script.hear(2_600, 1, 11, Ask { asker: address(1), id: 7, slice, ask });
+            let version = told.iter().find_map(|(_, message)| match message {
+                Message::Keep(keep) if keep.slice == slice => Some(keep.to),
+                _ => None,
+            })?;
+            let kept = |retired| Kept { slice, epoch, round: 1_000, to: version, clear: Some(version), retired };
+            let mut told = script.hear(2_610, 1, 11, kept(vec![]));
+            told.extend(script.hear(2_611, 2, 12, kept(retired)));
+            told.extend(script.step(2_701, Input::Pulse));
+            told.extend(script.step(2_801, Input::Pulse));
+            Some(told.iter().any(|(_, message)| matches!(message, Message::Told(Told { id: 7, .. }))))
+        };
+        assert_eq!(owned(vec![]), Some(true), "three of five hold it");
+        assert_eq!(owned(vec![11]), Some(false), "only two of them do");
+    }
+
+    /// A control node whose disk keeps what is synced, alone with its mates.
+    struct Alone {
+        part: ControlPart,
+        disk: Vec<Vec<u8>>,
+        unsynced: Vec<(u64, Vec<u8>)>,
+    }
+
+    impl Alone {
+        fn start(slot: u16, disk: Vec<Vec<u8>>, founding: bool) -> Alone {
+            let known = Replica::replay(&disk).unwrap();
+            let blank = known.is_none();
+            let gather = Gather::new(founding, Duration::from_millis(500));
+            let replica = known.unwrap_or_else(|| Replica::blank(40 + u64::from(slot)));
+            let part = ControlPart::new(address(slot), (0..3).map(address).collect(), replica, blank, Some(gather));
+            Alone { part, disk, unsynced: vec![] }
+        }
+
+        /// What it says; what it stores waits to be synced.
+        fn step(&mut self, ms: u64, input: Input) -> Vec<(SocketAddr, Message)> {
+            let mut told = Vec::new();
+            for output in self.part.step(Duration::from_millis(ms), input) {
+                match output {
+                    Output::Tell { to, message } => told.push((to, message)),
+                    Output::Store { serial, record } => self.unsynced.push((serial, record)),
+                    _ => {}
+                }
+            }
+            told
+        }
+
+        fn sync(&mut self, ms: u64) -> Vec<(SocketAddr, Message)> {
+            let mut told = Vec::new();
+            for (serial, record) in std::mem::take(&mut self.unsynced) {
+                self.disk.push(record);
+                told.extend(self.step(ms, Input::Stored { serial }));
+            }
+            told
+        }
+
+        fn hear(&mut self, ms: u64, from: u16, message: impl Into<Message>) -> Vec<(SocketAddr, Message)> {
+            self.step(ms, Input::Heard { from: Mate::new(address(from), 40 + u64::from(from)), message: message.into() })
+        }
+    }
+
+    fn seats(told: &[(SocketAddr, Message)]) -> Option<Vec<u16>> {
+        told.iter().find_map(|(_, message)| match message {
+            Message::Seats(seats) => Some(seats.places.iter().map(|mate| mate.address.port() - 100).collect()),
+            _ => None,
+        })
+    }
+
+    #[test]
+    fn the_first_seed_tells_a_table_only_once_it_is_on_its_disk_and_never_another() {
+        let mut founder = Alone::start(0, vec![], true);
+        founder.step(0, Input::Pulse);
+        founder.hear(100, 4, Enlist { founding: true });
+        founder.hear(110, 3, Enlist { founding: true });
+        founder.hear(120, 7, Enlist { founding: false });
+        founder.sync(130);
+        assert_eq!(seats(&founder.step(600, Input::Pulse)), None, "not synced yet");
+        // It ends before the sync: nobody was told, and it begins anew.
+        let mut again = Alone::start(0, founder.disk.clone(), true);
+        assert!(again.part.places.is_empty());
+        again.step(0, Input::Pulse);
+        again.hear(100, 5, Enlist { founding: true });
+        again.step(600, Input::Pulse);
+        assert_eq!(seats(&again.hear(601, 5, Enlist { founding: true })), None, "still not synced");
+        assert_eq!(seats(&again.sync(602)), Some(vec![0, 1, 2, 5]));
+        // It ends after it: the table is the one that was told, whoever asks.
+        let mut again = Alone::start(0, again.disk, true);
+        again.hear(10, 3, Enlist { founding: true });
+        again.step(900, Input::Pulse);
+        assert_eq!(seats(&again.hear(901, 1, Enlist { founding: true })), Some(vec![0, 1, 2, 5]));
+    }
+
+    #[test]
+    fn a_founding_table_is_taken_once_and_only_by_who_was_there() {
+        let table = |list: &[u16]| Seats { version: 0, places: list.iter().map(|slot| Mate::new(address(*slot), 0)).collect() };
+        let mut seed = Alone::start(1, vec![], true);
+        seed.step(0, Input::Pulse);
+        assert!((0..50).all(|more| seats(&seed.step(100 * more, Input::Pulse)).is_none()), "only the first seed makes one");
+        seed.hear(5_001, 0, table(&[0, 1, 2, 3]));
+        seed.hear(5_002, 0, table(&[0, 1, 2, 4]));
+        seed.sync(5_003);
+        assert_eq!(seed.part.places.len(), 4);
+        let again = Alone::start(1, seed.disk, false);
+        assert_eq!(again.part.places[3].address, address(3));
+        // A machine that came in place of another never takes or makes one.
+        for slot in [0, 1] {
+            let mut other = Alone::start(slot, vec![], false);
+            other.step(0, Input::Pulse);
+            other.hear(10, 2, table(&[0, 1, 2]));
+            assert!((1..20).all(|more| seats(&other.step(100 * more, Input::Pulse)).is_none()));
+            assert!(other.part.places.is_empty());
+            other.hear(3_000, 2, Seats { version: 3, ..table(&[0, 1, 2]) });
+            assert_eq!((other.part.places.len(), other.part.slot), (3, slot as u8));
+        }
+        // Nor does the first seed, if it hears of somebody who has one.
+        let mut late = Alone::start(0, vec![], true);
+        late.step(0, Input::Pulse);
+        late.hear(100, 2, Beat { slot: 2, full: true, blank: false, seats: 4, closed: Duration::ZERO, lost: 0, seen: None });
+        late.step(900, Input::Pulse);
+        assert!(late.part.places.is_empty());
+    }
 }
--- /dev/null
+++ b/control-plane/src/gather.rs
@@ -0,0 +1,41 @@
+use crate::prelude::*;
+
+/// How a node that is not told who holds the slots comes to know it. Invariant:
+/// only the first seed makes a founding table, only while `founding` (the whole
+/// fleet starts for the first time) and only if nobody is heard who has one; it
+/// is on its disk before anybody is told.
+#[derive(Debug)]
+pub struct Gather {
+    pub founding: bool,
+    span: Duration,
+    since: Option<Duration>,
+    enlisted: BTreeSet<SocketAddr>,
+    /// Somebody goes by a table already.
+    others: bool,
+}
+
+impl Gather {
+    pub fn new(founding: bool, span: Duration) -> Gather {
+        Gather { founding, span, since: None, enlisted: BTreeSet::new(), others: false }
+    }
+
+    /// A founding node asked for a slot.
+    pub fn enlist(&mut self, address: SocketAddr) {
+        self.enlisted.insert(address);
+    }
+
+    pub fn met_others(&mut self) {
+        self.others = true;
+    }
+
+    /// The founding table, once the span is over: the seeds in their order,
+    /// then who asked, by address.
+    pub fn table(&mut self, now: Duration, seeds: &[SocketAddr]) -> Option<Vec<Mate>> {
+        let since = *self.since.get_or_insert(now);
+        if !self.founding || self.others || now < since + self.span {
+            return None;
+        }
+        let more = self.enlisted.iter().filter(|address| !seeds.contains(address));
+        Some(seeds.iter().chain(more).take(SLOTS_MOST).map(|address| Mate::new(*address, 0)).collect())
+    }
+}
--- a/control-plane/src/keeper.rs
+++ b/control-plane/src/keeper.rs
@@ -1,6 +1,8 @@
 use crate::prelude::*;
 
 /// The owner of one slice, for one epoch. Invariants:
+/// - All that is counted here is counted by one table: with another table
+///   comes another keeper, under an epoch that was promised by that.
 /// - Until a majority promised the epoch and took the whole adopted image,
 ///   nothing is answered from `rows`.
 /// - `version` rises by one with each row put or dropped.
@@ -19,7 +21,12 @@
     floor: u64,
     round: u64,
     promises: BTreeMap<u8, SliceImage>,
-    copies: [CopyAt; 3],
+    /// One for each slot of the table it was begun under: another table
+    /// takes another keeper.
+    copies: Vec<CopyAt>,
+    quorum: Quorum,
+    /// Version of that table.
+    seats: u64,
     pub active_since: Option<Duration>,
     /// Until then nothing is answered: edges may know more.
     pub wary: Option<Duration>,
@@ -41,7 +48,7 @@
 const DROPS: usize = 4096;
 
 impl Keeper {
-    pub fn new(slice: u8, epoch: u64) -> Keeper {
+    pub fn new(slice: u8, epoch: u64, slots: usize, seats: u64) -> Keeper {
         Keeper {
             slice,
             epoch,
@@ -52,7 +59,9 @@
             floor: 0,
             round: 0,
             promises: BTreeMap::new(),
-            copies: Default::default(),
+            copies: vec![CopyAt::default(); slots],
+            quorum: Quorum::new(slots),
+            seats,
             active_since: None,
             wary: None,
         }
@@ -64,10 +73,10 @@
             return;
         }
         self.promises.insert(slot, image);
-        if self.promises.len() >= 2 {
+        if self.promises.len() >= self.quorum.most() {
             // The image with the highest (epoch, version) of a majority holds
             // all that was ever acknowledged.
-            let best = self.promises.values().max_by_key(|image| (image.epoch, image.version)).expect("two").clone();
+            let best = self.promises.values().max_by_key(|image| (image.epoch, image.version)).expect("not empty").clone();
             self.published = self.promises.values().map(|image| image.published).max().unwrap_or(0);
             self.version = best.version;
             self.floor = best.version;
@@ -78,7 +87,7 @@
 
     /// Whether answers may be given: a majority has the adopted image.
     pub fn ready(&self) -> bool {
-        self.copies.iter().filter(|copy| copy.to.is_some()).count() >= 2
+        self.copies.iter().filter(|copy| copy.to.is_some()).count() >= self.quorum.most()
     }
 
     /// Rows an edge was shown and we do not have; ours are older.
@@ -118,7 +127,7 @@
     fn majority(&self, of: fn(&CopyAt) -> u64) -> u64 {
         let mut list: Vec<u64> = self.copies.iter().map(of).collect();
         list.sort_unstable();
-        list[1]
+        list[list.len() - self.quorum.most()]
     }
 
     /// On a majority of the disks up to here.
@@ -137,7 +146,7 @@
     }
 
     pub fn kept(&mut self, slot: u8, kept: &Kept) {
-        let copy = &mut self.copies[usize::from(slot)];
+        let Some(copy) = self.copies.get_mut(usize::from(slot)) else { return };
         if copy.busy.is_some_and(|(round, _)| round == kept.round) {
             copy.busy = None;
         }
@@ -151,7 +160,14 @@
     /// Nothing this slot said counts any more: its disk is another.
     pub fn forget(&mut self, slot: u8) {
         self.promises.remove(&slot);
-        self.copies[usize::from(slot)] = CopyAt::default();
+        if let Some(copy) = self.copies.get_mut(usize::from(slot)) {
+            *copy = CopyAt::default();
+        }
+    }
+
+    /// The table changed in its number only.
+    pub fn go_by(&mut self, seats: u64) {
+        self.seats = seats;
     }
 
     /// Messages due now. On a pulse every copy gets a round; otherwise only
@@ -159,16 +175,16 @@
     /// one is under way goes together in the next.
     pub fn flush(&mut self, now: Duration, pulse: bool) -> Vec<(u8, Message)> {
         if self.active_since.is_none() {
-            let (slice, epoch) = (self.slice, self.epoch);
-            let unsaid = (0..3).filter(|slot| pulse && !self.promises.contains_key(slot));
-            return unsaid.map(|slot| (slot, Raise { slice, epoch }.into())).collect();
+            let (slice, epoch, seats) = (self.slice, self.epoch, self.seats);
+            let unsaid = (0..self.quorum.slots as u8).filter(|slot| pulse && !self.promises.contains_key(slot));
+            return unsaid.map(|slot| (slot, Raise { slice, epoch, seats }.into())).collect();
         }
         if pulse {
             self.round += 1;
         }
         let published = self.published;
         let mut out = Vec::new();
-        for slot in 0..3u8 {
+        for slot in 0..self.quorum.slots as u8 {
             let copy = &self.copies[usize::from(slot)];
             let lacking = copy.to.is_none_or(|to| to < self.version) || copy.shown < published || copy.round < self.round;
             let busy = copy.busy.is_some_and(|(_, sent)| now < sent + AGAIN);
@@ -181,6 +197,7 @@
             let keep = Keep {
                 slice: self.slice,
                 epoch: self.epoch,
+                seats: self.seats,
                 round: self.round,
                 whole,
                 from,
@@ -236,7 +253,7 @@
     const ZERO: Duration = Duration::ZERO;
 
     fn active() -> Keeper {
-        let mut keeper = Keeper::new(PURGES, 3);
+        let mut keeper = Keeper::new(PURGES, 3, 3, 0);
         keeper.raised(ZERO, 0, SliceImage::default());
         keeper.raised(ZERO, 1, SliceImage::default());
         keeper
@@ -247,7 +264,7 @@
     }
 
     fn kept(round: u64, to: u64, clear: u64) -> Kept {
-        Kept { slice: PURGES, epoch: 3, round, to, clear: Some(clear) }
+        Kept { slice: PURGES, epoch: 3, round, to, clear: Some(clear), retired: vec![] }
     }
 
     #[test]
@@ -256,7 +273,7 @@
             let rows = [("k".to_string(), Row { version, value: value(epoch) })].into();
             SliceImage { epoch, version, published: 0, rows }
         };
-        let mut keeper = Keeper::new(PURGES, 9);
+        let mut keeper = Keeper::new(PURGES, 9, 3, 0);
         keeper.raised(ZERO, 2, image(5, 4));
         assert!(keeper.active_since.is_none(), "one promise is no majority");
         keeper.raised(ZERO, 0, image(6, 2));
@@ -279,6 +296,25 @@
         assert_eq!(keeper.settled(), version);
     }
 
+    #[test]
+    fn of_four_three_must_hold_it_and_of_eight_five() {
+        for (slots, most) in [(4, 3), (5, 3), (8, 5)] {
+            let mut keeper = Keeper::new(PURGES, 3, slots, 0);
+            for slot in 0..most {
+                assert!(keeper.active_since.is_none(), "{slot} of {slots} promised");
+                keeper.raised(ZERO, slot, SliceImage::default());
+            }
+            assert!(keeper.active_since.is_some());
+            let version = keeper.put("k".into(), value(1));
+            keeper.flush(ZERO, true);
+            for slot in 0..most {
+                assert_eq!((keeper.committed(), keeper.settled(), keeper.confirmed_round()), (0, 0, 0), "{slot} of {slots}");
+                keeper.kept(slots as u8 - 1 - slot, &kept(1, 1, 1));
+            }
+            assert_eq!((keeper.committed(), keeper.settled(), keeper.confirmed_round()), (version, version, 1));
+        }
+    }
+
     #[test]
     fn a_replaced_disk_no_longer_counts() {
         let mut keeper = active();
--- a/control-plane/src/ledger.rs
+++ b/control-plane/src/ledger.rs
@@ -78,7 +78,7 @@
 
     #[test]
     fn a_key_is_held_by_one_errand_and_a_repeat_hears_how_it_stands() {
-        let mut keeper = Keeper::new(NEWS, 3);
+        let mut keeper = Keeper::new(NEWS, 3, 3, 0);
         assert_eq!(Ledger::claim(&mut keeper, claim(1, 0)), (1, Outcome::Claimed));
         assert_eq!(Ledger::claim(&mut keeper, claim(1, 0)), (1, Outcome::Claimed), "said twice");
         assert_eq!(Ledger::claim(&mut keeper, claim(2, 0)).1, taken(true, OperationState::Running));
@@ -91,7 +91,7 @@
 
     #[test]
     fn a_release_frees_the_key_and_is_met_by_a_claim_that_comes_after_it() {
-        let mut keeper = Keeper::new(NEWS, 3);
+        let mut keeper = Keeper::new(NEWS, 3, 3, 0);
         assert_eq!(Ledger::finish(&mut keeper, claim(1, 0), OperationState::Released).1, Outcome::Released);
         assert_eq!(Ledger::claim(&mut keeper, claim(1, 0)).1, Outcome::Released, "the late claim of who gave up");
         assert_eq!(Ledger::claim(&mut keeper, claim(2, 0)).1, Outcome::Claimed);
@@ -101,7 +101,7 @@
 
     #[test]
     fn unknown_is_final_but_for_the_claim_that_was_held() {
-        let mut keeper = Keeper::new(NEWS, 3);
+        let mut keeper = Keeper::new(NEWS, 3, 3, 0);
         Ledger::claim(&mut keeper, claim(1, 0));
         Ledger::finish(&mut keeper, claim(1, 0), OperationState::Unknown);
         assert_eq!(Ledger::claim(&mut keeper, claim(2, 0)).1, taken(true, OperationState::Unknown));
--- a/control-plane/src/lib.rs
+++ b/control-plane/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane: owners of slices, sessions with the edges, duties.
 mod control_part;
 mod duty_plan;
+mod gather;
 mod history;
 mod keeper;
 mod ledger;
@@ -10,5 +11,6 @@
 mod replica;
 mod sessions;
 pub use control_part::ControlPart;
+pub use gather::Gather;
 pub use history::History;
 pub use replica::{Record, Replica};
--- a/control-plane/src/refiller.rs
+++ b/control-plane/src/refiller.rs
@@ -1,31 +1,43 @@
 use crate::prelude::*;
 
-/// Refills a blank disk. Two rounds with both other slots: after the first,
-/// both have forgotten what the earlier disk of this slot acknowledged; so
-/// whatever was acknowledged with its help by then lies on one of the two, and
-/// the second round brings it.
+/// Refills a blank disk, in two rounds with `rest` of the others whose disks
+/// are full and who go by a table that names this one. After the first, those
+/// have forgotten what the earlier disk of this slot acknowledged, and whoever
+/// hears an acknowledgement of theirs forgets it too; so whatever is counted
+/// with the earlier disk's help lies on one of them when it answers the second
+/// round, which brings it.
+///
+/// If all others answered and fewer are full, a majority was lost, and what is
+/// left is taken. Until then it waits: one that is full may be slow.
 #[derive(Debug)]
 pub struct Refiller {
     slot: u8,
+    quorum: Quorum,
+    seats: u64,
     round: u8,
     got: BTreeMap<u8, (bool, Vec<HeldSlice>)>,
 }
 
-/// All slices merged, and whether a majority of disks was lost: another was
-/// blank too, or just refilled from what was left, and yet there was something.
+/// All slices merged, and whether a majority of disks was lost: too many others
+/// were blank too, or just refilled from what was left, and yet there was
+/// something.
 pub struct Merged {
     pub held: Vec<HeldSlice>,
     pub lost: bool,
 }
 
 impl Refiller {
-    pub fn new(slot: u8) -> Refiller {
-        Refiller { slot, round: 0, got: BTreeMap::new() }
+    /// For a slot of a table of so many slots and this version.
+    pub fn new(slot: u8, slots: usize, seats: u64) -> Refiller {
+        Refiller { slot, quorum: Quorum::new(slots), seats, round: 0, got: BTreeMap::new() }
     }
 
+    /// Asks all whose answer may still change something: blank ones may be full
+    /// by now.
     pub fn pulse(&self) -> Vec<(u8, Message)> {
-        let others = (0..3).filter(|slot| *slot != self.slot && !self.got.contains_key(slot));
-        others.map(|slot| (slot, Refill { slot: self.slot, round: self.round }.into())).collect()
+        let whole = |slot: &u8| self.got.get(slot).is_some_and(|(whole, _)| *whole);
+        let others = (0..self.quorum.slots as u8).filter(|slot| *slot != self.slot && !whole(slot));
+        others.map(|slot| (slot, Refill { slot: self.slot, round: self.round, seats: self.seats }.into())).collect()
     }
 
     /// All slices merged, once the second round is whole.
@@ -33,8 +45,13 @@
         if refilled.round != self.round || refilled.slot == self.slot {
             return None;
         }
-        self.got.insert(refilled.slot, (refilled.full && refilled.lost == 0, refilled.held));
-        if self.got.len() < 2 {
+        let whole = refilled.full && refilled.lost == 0;
+        if refilled.full && refilled.seats < self.seats {
+            return None; // Its edges may still go by the earlier table.
+        }
+        self.got.insert(refilled.slot, (whole, refilled.held));
+        let enough = self.got.values().filter(|(whole, _)| *whole).count() >= self.quorum.rest();
+        if !enough && self.got.len() + 1 < self.quorum.slots {
             return None;
         }
         if self.round == 0 {
@@ -42,21 +59,25 @@
             self.got.clear();
             return None;
         }
-        let both_full = self.got.values().all(|(full, _)| *full);
-        let mut lists = std::mem::take(&mut self.got).into_values().map(|(_, held)| held);
-        let mut merged = lists.next().expect("two");
-        for (mine, other) in merged.iter_mut().zip(lists.next().expect("two")) {
-            let published = mine.image.published.max(other.image.published);
-            mine.promised = mine.promised.max(other.promised);
-            if other.image.published > mine.image.published {
-                mine.shown = other.shown;
+        let mut merged: Vec<HeldSlice> = Vec::new();
+        for (_, held) in std::mem::take(&mut self.got).into_values() {
+            if merged.is_empty() {
+                merged = held;
+                continue;
             }
-            if (other.image.epoch, other.image.version) > (mine.image.epoch, mine.image.version) {
-                mine.image = other.image;
+            for (mine, other) in merged.iter_mut().zip(held) {
+                let published = mine.image.published.max(other.image.published);
+                mine.promised = mine.promised.max(other.promised);
+                if other.image.published > mine.image.published {
+                    mine.shown = other.shown;
+                }
+                if (other.image.epoch, other.image.version) > (mine.image.epoch, mine.image.version) {
+                    mine.image = other.image;
+                }
+                mine.image.published = published;
             }
-            mine.image.published = published;
         }
-        let lost = !both_full && merged.iter().any(|one| one.image.version > 0);
+        let lost = !enough && merged.iter().any(|one| one.image.version > 0);
         Some(Merged { held: merged, lost })
     }
 }
@@ -70,15 +91,50 @@
         let held = |promised, epoch, version| {
             vec![HeldSlice { slice: 0, promised, image: SliceImage { epoch, version, published: version, rows: BTreeMap::new() }, shown: BTreeMap::new() }]
         };
-        let mut refiller = Refiller::new(1);
-        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, lost: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, lost: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, lost: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, lost: 0, held: held(1, 1, 90) }).is_none(), "late first round");
-        assert!(refiller.heard(Refilled { slot: 0, round: 1, full: true, lost: 0, held: held(9, 3, 5) }).is_none());
-        let merged = refiller.heard(Refilled { slot: 2, round: 1, full: true, lost: 0, held: held(7, 4, 2) }).unwrap();
+        let mut refiller = Refiller::new(1, 3, 0);
+        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, lost: 0, seats: 0, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, lost: 0, seats: 0, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, lost: 0, seats: 0, held: held(1, 1, 90) }).is_none());
+        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, lost: 0, seats: 0, held: held(1, 1, 90) }).is_none(), "late first round");
+        assert!(refiller.heard(Refilled { slot: 0, round: 1, full: true, lost: 0, seats: 0, held: held(9, 3, 5) }).is_none());
+        let merged = refiller.heard(Refilled { slot: 2, round: 1, full: true, lost: 0, seats: 0, held: held(7, 4, 2) }).unwrap();
         assert!(!merged.lost);
         let merged = merged.held;
         assert_eq!((merged[0].promised, merged[0].image.epoch, merged[0].image.version), (9, 4, 2));
     }
+
+    fn told(slot: u8, round: u8, full: bool, version: u64) -> Refilled {
+        let image = SliceImage { epoch: 1, version, published: version, rows: BTreeMap::new() };
+        let held = vec![HeldSlice { slice: 0, promised: 1, image, shown: BTreeMap::new() }];
+        Refilled { slot, round, full, lost: 0, seats: 5, held }
+    }
+
+    #[test]
+    fn of_four_two_full_ones_suffice_and_one_beside_a_blank_does_not() {
+        let mut refiller = Refiller::new(3, 4, 5);
+        assert!(refiller.heard(told(0, 0, true, 9)).is_none());
+        assert!(refiller.heard(told(1, 0, false, 0)).is_none());
+        assert_eq!(refiller.round, 0, "one is blank: it does not count");
+        assert!(refiller.pulse().iter().any(|(slot, _)| *slot == 1), "and is asked again");
+        assert!(refiller.heard(Refilled { seats: 4, ..told(2, 0, true, 9) }).is_none());
+        assert_eq!(refiller.round, 0, "one goes by an earlier table: it does not count");
+        assert!(refiller.heard(told(2, 0, true, 9)).is_none());
+        assert_eq!(refiller.round, 1);
+        assert!(refiller.heard(told(1, 1, false, 0)).is_none());
+        assert!(refiller.heard(told(2, 1, true, 7)).is_none());
+        let merged = refiller.heard(told(0, 1, true, 9)).unwrap();
+        assert!(!merged.lost && merged.held[0].image.version == 9);
+    }
+
+    #[test]
+    fn when_all_answered_and_too_few_are_full_a_majority_is_known_to_be_lost() {
+        let mut refiller = Refiller::new(4, 5, 0);
+        for round in 0..2 {
+            for slot in 0..3 {
+                assert!(refiller.heard(told(slot, round, slot < 2, 9)).is_none());
+            }
+            let merged = refiller.heard(told(3, round, false, 0));
+            assert_eq!(merged.map(|merged| merged.lost), (round == 1).then_some(true));
+        }
+    }
 }
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -20,6 +20,14 @@
     /// The realm that may have lost something when this disk was refilled: of
     /// any two disks one knows, until the next realm has its name.
     pub lost: u64,
+    /// A table of places heard of from others; the one in the slice of places
+    /// goes first if it is as new.
+    pub seats: Option<(u64, Vec<Mate>)>,
+    /// The first disk of its slot: it was there when the table was founded, and
+    /// nothing was acknowledged before.
+    pub founding: bool,
+    /// Lives of slots that count for nothing any more, the latest last.
+    pub retired: VecDeque<u64>,
     pub slices: Vec<Held>,
 }
 
@@ -31,6 +39,10 @@
     pub tail: VecDeque<(u64, Vec<(String, Row)>)>,
 }
 
+/// Retired lives remembered: disks are lost rarely, and what an earlier one
+/// acknowledged is counted within seconds or never.
+pub const RETIRED: usize = 32;
+
 /// One entry of the log on disk.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Record {
@@ -41,11 +53,15 @@
     Kept { keep: Keep },
     Image(Box<Replica>),
     Struck,
+    Seats { version: u64, places: Vec<Mate> },
+    /// The founding table, as the first seed fixed it.
+    Founding { places: Vec<Mate> },
+    Retired { life: u64 },
 }
 
 impl Replica {
     pub fn blank(life: u64) -> Replica {
-        Replica { life, full: false, struck: false, lost: 0, slices: vec![Held::default(); SLICES.into()] }
+        Replica { life, slices: vec![Held::default(); SLICES.into()], ..Replica::default() }
     }
 
     /// Reads a log back. None if it holds no disk number: the disk is blank.
@@ -67,6 +83,14 @@
             Record::Promise { slice, epoch } => self.slices[usize::from(*slice)].promised = *epoch,
             Record::Kept { keep } => self.slices[usize::from(keep.slice)].keep(keep),
             Record::Struck => self.struck = true,
+            Record::Seats { version, places } => self.seats = Some((*version, places.clone())),
+            Record::Founding { places } => (self.founding, self.seats) = (true, Some((0, places.clone()))),
+            Record::Retired { life } => {
+                self.retired.push_back(*life);
+                while self.retired.len() > RETIRED {
+                    self.retired.pop_front();
+                }
+            }
             Record::Image(image) => *self = (**image).clone(),
             Record::Refilled { held, lost } => {
                 self.full = true;
@@ -128,10 +152,19 @@
         matches!(self.held(DUTIES).shown.get("enrolled"), Some(Row { value: Value::Enrolled { members }, .. }) if members.contains(mate))
     }
 
-    /// Who holds the slots, if that ever changed.
-    pub fn places(&self) -> Option<(u64, [Mate; 3])> {
+    /// Who holds the slots by the newest table known here, if any is.
+    pub fn table(&self) -> Option<(u64, Vec<Mate>)> {
+        let shown = self.places();
+        match &self.seats {
+            Some(heard) if shown.as_ref().is_none_or(|(version, _)| *version < heard.0) => Some(heard.clone()),
+            _ => shown,
+        }
+    }
+
+    /// Who holds the slots as edges are shown it here, if there is such a row.
+    pub fn places(&self) -> Option<(u64, Vec<Mate>)> {
         self.held(PLACES).shown.values().find_map(|row| match &row.value {
-            Value::Places(places) => Some((row.version, *places)),
+            Value::Places(places) => Some((row.version, places.clone())),
             _ => None,
         })
     }
@@ -198,7 +231,7 @@
         let purge = Purge { entry: Some(format!("e{to}")), url: None, prefix: None };
         let row = Row { version: to, value: Value::Purge { purge, change: to } };
         let rows = vec![("k".to_string(), row)];
-        Keep { slice: PURGES, epoch: 3, round: 1, whole: from == 0, from, to, rows, drops: vec![], published }
+        Keep { slice: PURGES, epoch: 3, seats: 0, round: 1, whole: from == 0, from, to, rows, drops: vec![], published }
     }
 
     #[test]
--- a/control-plane/src/sessions.rs
+++ b/control-plane/src/sessions.rs
@@ -88,21 +88,24 @@
         self.mine.values().map(|(_, seen)| seen).chain(self.told.values().flat_map(|(_, seen)| seen)).collect()
     }
 
-    /// Every edge with a session in a majority of the tables; none if there
-    /// is no majority to judge by.
-    pub fn live(&self, now: Duration) -> Vec<Seen> {
+    /// Every edge with a session in `rest` of the tables, as many as it takes
+    /// to be live by its own rule.
+    pub fn live(&self, now: Duration, quorum: Quorum) -> Vec<Seen> {
         let mut count: BTreeMap<Mate, (usize, &Seen)> = BTreeMap::new();
         for seen in self.tables(now).into_iter().flatten() {
             let known = count.entry(seen.mate).or_insert((0, seen));
             known.0 += 1;
         }
-        count.into_values().filter(|(tables, _)| *tables >= 2).map(|(_, seen)| seen.clone()).collect()
+        count.into_values().filter(|(tables, _)| *tables >= quorum.rest()).map(|(_, seen)| seen.clone()).collect()
     }
 
     /// True only if a majority says that no session of this mate stands.
-    pub fn gone(&self, now: Duration, mate: Mate) -> bool {
-        let tables = self.tables(now);
-        tables.len() >= 2 && tables.iter().flatten().all(|seen| seen.mate != mate)
+    /// Invariant: an edge that is live by its own rule when they say so is not
+    /// gone. It relies on `rest` control nodes, each of which counts its session
+    /// for longer than it does; and of `most` one is among those.
+    pub fn gone(&self, now: Duration, mate: Mate, quorum: Quorum) -> bool {
+        let without = |table: &&Vec<&Seen>| table.iter().all(|seen| seen.mate != mate);
+        self.tables(now).iter().filter(without).count() >= quorum.most()
     }
 }
 
@@ -135,10 +138,29 @@
         let at = Duration::from_millis;
         let mut table = Sessions::default();
         table.pulse(at(0));
-        assert!(!table.gone(at(5000), seen(1, 1).mate), "one table is no majority");
+        assert!(!table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)), "one table is no majority");
         table.told(at(5000), 1, vec![seen(1, 1)]);
-        assert!(!table.gone(at(5000), seen(1, 1).mate));
+        assert!(!table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)));
         table.told(at(5100), 1, vec![]);
-        assert!(table.gone(at(5100), seen(1, 1).mate));
+        assert!(table.gone(at(5100), seen(1, 1).mate, Quorum::new(3)));
+    }
+
+    /// Of any tables: an edge in `rest` of them is live and not gone, whatever
+    /// the others say; one in fewer is not live, and gone once `most` lack it.
+    #[test]
+    fn live_edges_are_never_gone_whatever_the_number_of_slots() {
+        let at = Duration::from_millis;
+        for slots in [3usize, 4, 5, 8] {
+            let quorum = Quorum::new(slots);
+            for tables in 0..=slots {
+                let mut table = Sessions::default();
+                for slot in 0..slots {
+                    table.told(at(5000), slot as u8, if slot < tables { vec![seen(1, 1)] } else { vec![] });
+                }
+                let (live, gone) = (!table.live(at(5000), quorum).is_empty(), table.gone(at(5000), seen(1, 1).mate, quorum));
+                assert_eq!((live, gone), (tables >= quorum.rest(), slots - tables >= quorum.most()), "{tables} of {slots}");
+                assert!(!(live && gone));
+            }
+        }
     }
 }
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -11,7 +11,10 @@
 pub struct EdgePart {
     me: Mate,
     zone: String,
+    /// Who is renewed with: those who hold the slots, as far as that is known.
     seeds: Vec<SocketAddr>,
+    /// How many slots there are; 0 before that is known.
+    slots: usize,
     /// The realm the news is of; 0 before the first.
     realm: u64,
     vector: Vec<u64>,
@@ -72,8 +75,10 @@
 const PROBE_IDS: u64 = 1 << 63;
 
 impl EdgePart {
-    pub fn new(me: Mate, zone: &str, seeds: Vec<SocketAddr>, cache_bytes: u64) -> EdgePart {
+    /// The seeds hold the slots, unless it is `asked` who does.
+    pub fn new(me: Mate, zone: &str, seeds: Vec<SocketAddr>, asked: bool, cache_bytes: u64) -> EdgePart {
         EdgePart {
+            slots: if asked { 0 } else { seeds.len() },
             me,
             zone: zone.into(),
             seeds,
@@ -236,6 +241,7 @@
             Value::Places(places) => {
                 // Renewals of who no longer holds a slot count for nothing.
                 self.seeds = places.iter().map(|mate| mate.address).collect();
+                self.slots = places.len();
                 self.leases.keep(&self.seeds);
             }
             Value::Purge { .. } | Value::Operation(_) | Value::Founded { .. } | Value::Roll { .. } | Value::Enrolled { .. } | Value::Opened { .. } => {}
@@ -350,7 +356,7 @@
     }
 
     fn check_live(&mut self, now: Duration) {
-        let until = self.leases.until();
+        let until = self.leases.until(self.slots);
         let live = now < until && !self.left;
         if live != self.live {
             self.live = live;
@@ -361,7 +367,7 @@
     }
 
     fn is_live(&self, now: Duration) -> bool {
-        !self.left && now < self.leases.until()
+        !self.left && now < self.leases.until(self.slots)
     }
 
     // Errands.
@@ -1012,7 +1018,7 @@
     /// An edge with two renewals at `now`, whose mates are played by the test.
     fn live(now: u64) -> EdgePart {
         let me = Mate::new(address(9), 5);
-        let mut edge = EdgePart::new(me, "z", vec![address(1), address(2), address(3)], 1 << 20);
+        let mut edge = EdgePart::new(me, "z", vec![address(1), address(2), address(3)], false, 1 << 20);
         edge.step(at(now), Input::Pulse);
         for seed in [1, 2] {
             let renewed = Renewed { life: 5, sent: at(now), realm: 0, recall: false, news: vec![] };
@@ -1075,7 +1081,7 @@
     fn the_lease_of_who_lost_its_slot_ends_with_the_news_of_it() {
         let mut edge = live(1000);
         let places = [Mate::new(address(4), 8), Mate::new(address(2), 0), Mate::new(address(3), 0)];
-        let row = Row { version: 1, value: Value::Places(places) };
+        let row = Row { version: 1, value: Value::Places(places.to_vec()) };
         let news = vec![News { slice: PLACES, version: 1, rows: vec![("places".into(), row)] }];
         let renewed = |sent, news| Renewed { life: 5, sent: at(sent), realm: 0, recall: false, news };
         edge.step(at(1100), Input::Heard { from: Mate::new(address(2), 1), message: renewed(1100, news).into() });
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod part;
 pub mod plug_in;
 pub mod prelude;
+pub mod quorum;
 pub mod row;
 pub mod startup;
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -26,21 +26,27 @@
     /// these sessions, once they are known; `seats` is the version of the table
     /// of places I go by; for `closed` no unknown operation may be claimed;
     /// what was acknowledged in the realm `lost` may be lost (0: none was).
-    Beat { slot: u8, full: bool, seats: u64, closed: Duration, lost: u64, seen: Option<Vec<Seen>> }
+    /// `blank`: the disk was not refilled yet.
+    Beat { slot: u8, full: bool, blank: bool, seats: u64, closed: Duration, lost: u64, seen: Option<Vec<Seen>> }
     /// A blank disk asks for all another holds. The first round only makes
-    /// both others forget the earlier disk's acknowledgements; what the
-    /// second brings counts.
-    Refill { slot: u8, round: u8 }
-    Refilled { slot: u8, round: u8, full: bool, lost: u64, held: Vec<HeldSlice> }
+    /// the others forget the earlier disk's acknowledgements; what the
+    /// second brings counts. `seats`: the table the sender goes by; who goes
+    /// by a newer one answers with that instead (as to Raise and Keep).
+    Refill { slot: u8, round: u8, seats: u64 }
+    /// `full`: the disk holds all that it ever acknowledged. `seats`: the
+    /// table that edges are shown here.
+    Refilled { slot: u8, round: u8, full: bool, lost: u64, seats: u64, held: Vec<HeldSlice> }
     /// Take a slice: promise to heed no lower epoch.
-    Raise { slice: u8, epoch: u64 }
-    Raised { slice: u8, epoch: u64, lost: u64, image: SliceImage }
+    Raise { slice: u8, epoch: u64, seats: u64 }
+    /// `retired`: lives of slots that count for nothing any more.
+    Raised { slice: u8, epoch: u64, lost: u64, retired: Vec<u64>, image: SliceImage }
     /// Rows after `from` up to `to`; with `whole`, all there is. An empty one
     /// is a round: it collects the sessions and confirms the owner.
-    Keep { slice: u8, epoch: u64, round: u64, whole: bool, from: u64, to: u64, rows: Vec<(String, Row)>, drops: Vec<String>, published: u64 }
+    Keep { slice: u8, epoch: u64, seats: u64, round: u64, whole: bool, from: u64, to: u64, rows: Vec<(String, Row)>, drops: Vec<String>, published: u64 }
     /// Kept and synced up to `to`. `clear`: every session standing here has
     /// confirmed this version; none while the sessions are not known yet.
-    Kept { slice: u8, epoch: u64, round: u64, to: u64, clear: Option<u64> }
+    /// `retired` as in Raised: heeded before anything is counted.
+    Kept { slice: u8, epoch: u64, round: u64, to: u64, clear: Option<u64>, retired: Vec<u64> }
     /// Rows before `from` are missing here.
     Lacks { slice: u8, epoch: u64, round: u64 }
     /// A higher epoch was promised.
@@ -49,11 +55,13 @@
     Ask { asker: SocketAddr, id: u64, slice: u8, ask: Change }
     Told { id: u64, told: Outcome }
 
-    /// An empty control node without a slot asks for one that is lost.
-    Enlist { }
+    /// An empty control node without a slot asks for one that is lost, or
+    /// (`founding`) for one of its own.
+    Enlist { founding: bool }
     /// Who holds the slots, to one who asks for a slot or goes by an older
-    /// table. Who thought to hold one and is not in it, is struck.
-    Seats { version: u64, places: [Mate; 3] }
+    /// table. Who thought to hold one and is not in it, is struck. Version 0 is
+    /// the founding table; there is one, made by the first seed.
+    Seats { version: u64, places: Vec<Mate> }
 
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
@@ -209,8 +217,9 @@
     List,
     /// Says that no operation was run before this realm that may come again.
     OpenLedger { realm: u64 },
-    /// Puts the mate in the place of a lost slot, if there is one.
-    Enlist { mate: Mate },
+    /// Puts the mate in the place of a lost slot, if there is one; a
+    /// `founding` one in a slot of its own.
+    Enlist { mate: Mate, founding: bool },
     /// Acknowledged rows may be lost: name a new realm after this one.
     Refound { after: u64 },
     Claim(Claim),
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -28,5 +28,6 @@
 pub use crate::message::*;
 pub use crate::part::*;
 pub use crate::plug_in::*;
+pub use crate::quorum::Quorum;
 pub use crate::row::*;
 pub use crate::startup::{Startup, help_or_version};
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -11,6 +11,8 @@
 pub const NEWS: u8 = 5;
 pub const LEDGERS: u8 = 16;
 pub const SLICES: u8 = NEWS + LEDGERS;
+/// Slots of the control plane at most; epochs are told apart by it.
+pub const SLOTS_MOST: usize = 16;
 /// Cached content is cut into this many slices on the ring.
 pub const CACHE_SLICES: u16 = 256;
 /// This many purges are kept as rows, one over the other; an edge further
@@ -52,9 +54,9 @@
     /// The platform's list of origins, whole.
     Origins { list: Arc<Vec<Origin>>, change: u64 },
     Duty(Duty),
-    /// Who holds the three slots of the control plane; life 0: whoever listens
-    /// there.
-    Places([Mate; 3]),
+    /// Who holds the slots of the control plane, 1 to `SLOTS_MOST` of them;
+    /// life 0: whoever listens there.
+    Places(Vec<Mate>),
     /// Edges that have a session, and those gone for less than
     /// `lease::CLOSED`: all whose operations may be asked for again. Only if
     /// the ledger was `complete` by then, all of them together know of all.
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -10,8 +10,16 @@
     /// Where callers, operators and the platform reach us.
     pub http: Option<SocketAddr>,
     pub zone: String,
-    /// The three control nodes, in the order of their slots.
+    /// Control nodes to begin with. Without `gather_ms` the three that hold the
+    /// slots, in their order; with it one to three of them, and who holds the
+    /// slots is asked there.
     pub seeds: Vec<SocketAddr>,
+    /// True only when the whole fleet starts for the first time, with empty
+    /// disks. Heeded by control nodes with `gather_ms` only.
+    pub founding: bool,
+    /// How long the first seed collects founding control nodes before it fixes
+    /// the table of slots. Edges: that the seeds are not that table.
+    pub gather_ms: Option<u64>,
     /// Control nodes only.
     pub data: Option<PathBuf>,
     /// How long a warned process goes on before it ends regardless.
@@ -48,10 +56,13 @@
              --mesh IP:PORT   where other nodes reach this one\n\
              --http IP:PORT   where HTTP callers reach this one\n\
              --zone NAME      zone of this machine\n\
-             --seeds A,B,C    mesh addresses of the three control nodes, by slot\n"
+             --seeds A,B,C    mesh addresses of the three control nodes, by slot\n\
+             --gather-ms N    the seeds (one to three) are asked who holds the slots; at a\n                 \
+             founding the first one collects control nodes for so long\n"
         );
         if disk {
-            text += "--data DIR       the data folder\n\nThe node holds the slot whose seed address is its --mesh. One elsewhere, with an\nempty folder, waits for a lost slot and takes it.\n\n";
+            text += "--founding true  the whole fleet starts for the first time, with empty disks\n\
+                     --data DIR       the data folder\n\nThe node holds the slot whose seed address is its --mesh. One elsewhere, with an\nempty folder, waits for a lost slot and takes it.\n\n";
         } else {
             text += "--cache-bytes N  memory for copies (default 268435456)\n";
         }
@@ -100,6 +111,14 @@
             startup.seeds = text.split(',').map(|one| one.parse()).collect::<Result<_, _>>()?;
             Ok(())
         });
+        take("--gather-ms", &mut |text| {
+            startup.gather_ms = Some(text.parse()?);
+            Ok(())
+        });
+        take("--founding", &mut |text| {
+            startup.founding = text.parse()?;
+            Ok(())
+        });
         take("--data", &mut |text| {
             startup.data = Some(text.into());
             Ok(())
@@ -134,7 +153,8 @@
         need(self.http.is_none(), "http", "is needed");
         need(self.zone.is_empty(), "zone", "is needed");
         let unlike: BTreeSet<_> = self.seeds.iter().collect();
-        need(self.seeds.len() != 3 || unlike.len() != 3, "seeds", "must be three unlike addresses");
+        let few = self.gather_ms.is_some() && (1..=3).contains(&self.seeds.len());
+        need(!few && self.seeds.len() != 3 || unlike.len() != self.seeds.len(), "seeds", "must be three unlike addresses (one to three with gather_ms)");
         let level = self.log.as_deref().unwrap_or("info");
         need(level.parse::<log::LevelFilter>().is_err(), "log", "no such level");
         if disk {
@@ -143,6 +163,12 @@
         found
     }
 
+    /// How long founding control nodes are collected; none if the seeds are
+    /// the table of slots.
+    pub fn gather_span(&self) -> Option<Duration> {
+        self.gather_ms.map(Duration::from_millis)
+    }
+
     pub fn grace(&self) -> Duration {
         Duration::from_millis(self.grace_ms.unwrap_or(20_000))
     }
--- a/programs/src/bin/control-node.rs
+++ b/programs/src/bin/control-node.rs
@@ -12,7 +12,7 @@
         None => (Replica::blank(new_life()?), true),
     };
     let mesh = startup.mesh.context("mesh address")?;
-    let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank);
+    let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank, startup.gather_span().map(|span| Gather::new(startup.founding, span)));
     let history = Some(History::keep(startup.data.clone().context("data folder")?));
     let host = Host {
         me: part.me(),
--- a/programs/src/bin/edge-node.rs
+++ b/programs/src/bin/edge-node.rs
@@ -10,7 +10,7 @@
     startup.log()?;
     let me = Mate::new(startup.mesh.context("mesh address")?, new_life()?);
     let bytes = startup.cache_bytes.unwrap_or(CACHE_BYTES);
-    let part = EdgePart::new(me, &startup.zone, startup.seeds.clone(), bytes);
+    let part = EdgePart::new(me, &startup.zone, startup.seeds.clone(), startup.gather_ms.is_some(), bytes);
     let host = Host { me, program: "edge-node", startup, pulse: PULSE, store: None, caller: Some(call_origin), history: None };
     host.run(Box::new(part))
 }
--- a/simulate-fleet/src/bin/simulate-fleet.rs
+++ b/simulate-fleet/src/bin/simulate-fleet.rs
@@ -8,6 +8,7 @@
 --seconds N     of virtual time (default 120: repeats come up to 70 s later)
 --seed N        the first seed (default 1)
 --seeds N       how many seeds, one after the other (default 1)
+--control N     control nodes (default 3; others found their table themselves)
 --zones N       spreads the nodes over so many zones
 --service-rate NAME=N   calls a second one origin of a service may get; one
 --lost N --late N --doubled N   of a hundred messages, all the time
@@ -28,6 +29,10 @@
     let seconds = flags.take("--seconds", Some(120u64)).unwrap_or(60);
     let first = flags.take("--seed", Some(1u64)).unwrap_or(1);
     let seeds = flags.take("--seeds", Some(1u64)).unwrap_or(1);
+    let control = flags.take("--control", Some(3usize)).unwrap_or(3);
+    if !(1..=SLOTS_MOST).contains(&control) {
+        flags.found("--control", "1 to 16");
+    }
     let edges = flags.take("--edges", Some(0usize)).unwrap_or(0);
     let rate = flags.take("--rate", Some(0u64)).unwrap_or(0);
     let faults = flags.take("--faults", Some("random".to_string())).unwrap_or_default();
@@ -72,7 +77,7 @@
     }
     let mut scripted = None;
     if let Some(path) = &script {
-        match fs::read_to_string(path).map_err(|error| vec![Finding::new("", error.to_string())]).and_then(|text| Script::read(&text, &deployment)) {
+        match fs::read_to_string(path).map_err(|error| vec![Finding::new("", error.to_string())]).and_then(|text| Script::read(&text, &deployment, control)) {
             Ok(list) => scripted = Some(list),
             Err(found) => found.iter().for_each(|finding| flags.found(&format!("{path}{}", finding.place), &finding.text)),
         }
@@ -88,14 +93,14 @@
     for seed in first..first + seeds {
         let mut list = match &scripted {
             Some(list) => list.clone(),
-            None if faults == "random" => Schedule::random(&deployment, seed, span),
+            None if faults == "random" => Schedule::random(&deployment, control, seed, span),
             None => vec![],
         };
         let [lost, doubled, late] = weather;
         if (lost, doubled, late) != (0, 0, 0) {
             list.insert(0, (Duration::from_secs(3), Fault::Weather { lost, doubled, late }));
         }
-        let plan = WorldPlan { drift, ..WorldPlan::new(deployment.clone(), seed, span, list) };
+        let plan = WorldPlan { drift, ..WorldPlan::new(deployment.clone(), seed, span, list).of(control) };
         let began = Instant::now();
         let mut world = World::new(plan.clone());
         world.trace = trace;
--- a/simulate-fleet/src/fault.rs
+++ b/simulate-fleet/src/fault.rs
@@ -71,6 +71,9 @@
     Power,
     /// The disk of a slot, replaced by an empty one after three seconds.
     Disk(usize),
+    /// The disks of so many slots from this one on, replaced by empty ones after
+    /// three seconds; and the power of all other nodes.
+    Disks(usize, usize),
     /// The room on the disk of a slot, until it is started again.
     Room(usize),
 }
@@ -111,6 +114,7 @@
             Fault::ReadBack => "read-back",
             Fault::Trap(_, Loss::Power) => "power-on",
             Fault::Trap(_, Loss::Disk(_)) => "disk-lost-on",
+            Fault::Trap(_, Loss::Disks(..)) => "disks-lost-on",
             Fault::Trap(_, Loss::Room(_)) => "disk-full-on",
             Fault::LoseAll => "lose-all",
             Fault::OpenLedger => "open-ledger",
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -47,7 +47,7 @@
     let span = Duration::from_secs(60);
     let mut exercised = BTreeSet::new();
     for seed in 1..=60 {
-        let faults = Schedule::random(&deployment, seed, span);
+        let faults = Schedule::random(&deployment, 3, seed, span);
         let report = World::new(WorldPlan::new(deployment.clone(), seed, span, faults)).run();
         for (at, (never, verdict)) in report.checker.verdicts().into_iter().enumerate() {
             assert!(!matches!(verdict, Verdict::Broken(_)), "seed {seed}: {never}: {}", cut(&verdict));
@@ -64,7 +64,7 @@
     let deployment = Deployment::find("small").unwrap();
     let span = Duration::from_secs(40);
     let run = || {
-        let faults = Schedule::random(&deployment, 5, span);
+        let faults = Schedule::random(&deployment, 3, 5, span);
         let report = World::new(WorldPlan::new(deployment.clone(), 5, span, faults)).run();
         (report.steps, format!("{:?} {:?}", report.notes, report.checker.callers))
     };
@@ -469,7 +469,7 @@
     files.sort();
     assert!(files.len() >= 4);
     for file in files {
-        let script = Script::read(&fs::read_to_string(&file).unwrap(), &deployment).unwrap();
+        let script = Script::read(&fs::read_to_string(&file).unwrap(), &deployment, 3).unwrap();
         for seed in 1..=6 {
             let report = World::new(WorldPlan::new(deployment.clone(), seed, Duration::from_secs(120), script.clone())).run();
             for (never, verdict) in report.checker.verdicts() {
--- a/simulate-fleet/src/schedule.rs
+++ b/simulate-fleet/src/schedule.rs
@@ -10,6 +10,7 @@
 pub struct Schedule {
     dice: Dice,
     list: Vec<(Duration, Fault)>,
+    control: u64,
     edges: u64,
     origins: u64,
     services: u64,
@@ -25,10 +26,12 @@
 const QUIET: u64 = 26_000;
 
 impl Schedule {
-    pub fn random(deployment: &Deployment, seed: u64, span: Duration) -> Vec<(Duration, Fault)> {
+    /// For a fleet of so many control nodes.
+    pub fn random(deployment: &Deployment, control: usize, seed: u64, span: Duration) -> Vec<(Duration, Fault)> {
         let mut schedule = Schedule {
             dice: Dice::new(seed ^ 0x5EED),
             list: Vec::new(),
+            control: control as u64,
             edges: deployment.edges as u64,
             origins: deployment.services.iter().map(|service| service.origins as u64).sum(),
             services: deployment.services.len() as u64,
@@ -40,7 +43,7 @@
         // In some runs an empty node stands by for a lost slot.
         let standby = !planned && schedule.dice.chance(40);
         if standby {
-            schedule.put(5_000, Fault::Start(Place::Control(3)));
+            schedule.put(5_000, Fault::Start(Place::Control(control)));
         }
         if !planned && schedule.dice.chance(12) {
             schedule.lose_disks();
@@ -56,6 +59,11 @@
         list
     }
 
+    /// Disks that may be wiped at once.
+    pub fn borne(control: usize) -> usize {
+        if control < 5 { 1 } else { 2 }
+    }
+
     fn put(&mut self, at: u64, fault: Fault) {
         self.list.push((Duration::from_millis(at.min(self.end)), fault));
     }
@@ -75,7 +83,7 @@
     }
 
     fn control(&mut self) -> Place {
-        Place::Control(self.dice.roll(3) as usize)
+        Place::Control(self.dice.roll(self.control) as usize)
     }
 
     fn place(&mut self) -> Place {
@@ -124,7 +132,7 @@
         let (edge, control, place) = (self.edge(), self.control(), self.place());
         let origin = self.dice.roll(self.origins) as usize;
         let service = self.dice.roll(self.services) as usize;
-        match self.dice.roll(31) {
+        match self.dice.roll(if self.control == 3 { 31 } else { 35 }) {
             0 | 1 => self.both(at, Fault::Kill(place), Fault::Start(place)),
             2 | 3 => {
                 let span = Duration::from_millis(200 + self.dice.roll(4_000));
@@ -162,7 +170,7 @@
                 // Power fails for a group of nodes at once.
                 let later = self.later(at);
                 let share = [30, 60, 100][self.dice.roll(3) as usize];
-                for place in (0..3).map(Place::Control).chain((0..self.edges as usize).map(Place::Edge)) {
+                for place in (0..self.control as usize).map(Place::Control).chain((0..self.edges as usize).map(Place::Edge)) {
                     if self.dice.chance(share) {
                         self.put(at, Fault::Kill(place));
                         self.put(later, Fault::Start(place));
@@ -189,13 +197,13 @@
             }
             20 => {
                 // Each half of the edges keeps one side of the core.
-                let (one, later) = (self.dice.roll(3) as usize, self.later(at));
-                for other in (0..3).filter(|other| *other != one) {
+                let (one, later) = (self.dice.roll(self.control) as usize, self.later(at));
+                for other in (0..self.control as usize).filter(|other| *other != one) {
                     self.put(at, Fault::Cut(Place::Control(one), Place::Control(other)));
                     self.put(at, Fault::Cut(Place::Control(other), Place::Control(one)));
                 }
                 for edge in 0..self.edges as usize {
-                    for slot in 0..3 {
+                    for slot in 0..self.control as usize {
                         if (slot == one) == (edge % 2 == 0) {
                             self.put(at, Fault::Cut(Place::Edge(edge), Place::Control(slot)));
                         }
@@ -212,7 +220,7 @@
             }
             22 | 23 => {
                 let moment = Moment::ALL[self.dice.roll(3) as usize];
-                let slot = self.dice.roll(3) as usize;
+                let slot = self.dice.roll(self.control) as usize;
                 let mut loss = [Loss::Power, Loss::Disk(slot), Loss::Room(slot)][self.dice.roll(3) as usize];
                 if at < self.disks {
                     loss = Loss::Power;
@@ -227,6 +235,19 @@
                     self.put(at + 4_500, Fault::Start(Place::Control(slot)));
                 }
             }
+            // As many disks as may be lost at once, while all lose power.
+            31..=33 if at >= self.disks => {
+                self.disks = at + REFILL;
+                let (moment, slot) = (Moment::ALL[self.dice.roll(3) as usize], self.dice.roll(self.control) as usize);
+                self.put(at, Fault::Trap(moment, Loss::Disks(slot, Schedule::borne(self.control as usize))));
+                self.put(at + 5, if moment == Moment::Purged { Fault::Purge("/".into()) } else { Fault::Configure });
+            }
+            // A slot is gone for longer than it takes an empty node to get it.
+            34 => {
+                self.put(at, Fault::Start(Place::Control(self.control as usize)));
+                self.put(at, Fault::Kill(control));
+                self.put(at + 9_000, Fault::Start(control));
+            }
             24 => self.both(at, Fault::Kill(edge), Fault::Start(edge)),
             _ => self.plan(at),
         }
@@ -237,7 +258,7 @@
     fn lose_disks(&mut self) {
         let at = 8_000 + self.dice.roll((self.end - 8_000) / 2);
         let spared = self.dice.roll(6) as usize;
-        for slot in (0..3).filter(|slot| *slot != spared) {
+        for slot in (0..self.control as usize).filter(|slot| *slot != spared) {
             self.put(at, Fault::Wipe(Place::Control(slot)));
             self.put(at + 2_000, Fault::Start(Place::Control(slot)));
         }
@@ -270,8 +291,8 @@
             })
             .collect();
         full.into_iter().for_each(|place| self.put(at, Fault::Kill(place)));
-        let spare = standby.then_some(Place::Control(3));
-        for place in (0..3).map(Place::Control).chain((0..self.edges as usize).map(Place::Edge)).chain(spare) {
+        let spare = standby.then_some(Place::Control(self.control as usize));
+        for place in (0..self.control as usize).map(Place::Control).chain((0..self.edges as usize).map(Place::Edge)).chain(spare) {
             self.put(at + 100, Fault::Start(place));
         }
         self.put(at + 101, Fault::Returned);
--- a/simulate-fleet/src/script.rs
+++ b/simulate-fleet/src/script.rs
@@ -35,7 +35,8 @@
 }
 
 impl Script {
-    pub fn read(text: &str, deployment: &Deployment) -> Result<Vec<(Duration, Fault)>, Vec<Finding>> {
+    /// For a fleet of so many control nodes.
+    pub fn read(text: &str, deployment: &Deployment, control: usize) -> Result<Vec<(Duration, Fault)>, Vec<Finding>> {
         let items: Vec<serde_json::Value> = serde_json::from_str(text).map_err(|error| vec![Finding::new("", error.to_string())])?;
         let mut found = Vec::new();
         let mut list = Vec::new();
@@ -53,7 +54,7 @@
                 say("at", "must be seconds, not negative");
                 Duration::ZERO
             });
-            let fault = Script::fault(&line, deployment, &mut say);
+            let fault = Script::fault(&line, deployment, control, &mut say);
             if found.len() == before {
                 list.extend(fault.map(|fault| (when, fault)));
             }
@@ -89,9 +90,12 @@
                     Fault::Grow(count) | Fault::Race(count) => set("count", (*count).into()),
                     Fault::Trap(moment, loss) => {
                         set("moment", moment.name().into());
-                        if let Loss::Disk(slot) | Loss::Room(slot) = loss {
+                        if let Loss::Disk(slot) | Loss::Room(slot) | Loss::Disks(slot, _) = loss {
                             set("to", node(&Place::Control(*slot)).into());
                         }
+                        if let Loss::Disks(_, count) = loss {
+                            set("count", (*count).into());
+                        }
                     }
                     _ => {}
                 }
@@ -101,19 +105,19 @@
         format!("[{}]", lines.join(",\n "))
     }
 
-    fn fault(line: &Line, deployment: &Deployment, say: &mut dyn FnMut(&str, &str)) -> Option<Fault> {
+    fn fault(line: &Line, deployment: &Deployment, control: usize, say: &mut dyn FnMut(&str, &str)) -> Option<Fault> {
         let number = |name: &str, start: &str| name.strip_prefix(start).and_then(|rest| rest.parse::<usize>().ok());
         let place = |name: &Option<String>| {
             let name = name.as_deref().unwrap_or("");
-            let control = number(name, "control-").filter(|at| *at < 4).map(Place::Control);
-            control.or(number(name, "edge-").filter(|at| *at < deployment.edges).map(Place::Edge))
+            let node = number(name, "control-").filter(|at| *at <= control).map(Place::Control);
+            node.or(number(name, "edge-").filter(|at| *at < deployment.edges).map(Place::Edge))
         };
         let origins: usize = deployment.services.iter().map(|service| service.origins).sum();
         let (to, other) = (place(&line.to), place(&line.other));
         let origin = line.to.as_deref().and_then(|name| number(name, "origin-")).filter(|at| *at < origins);
         let node = |make: &dyn Fn(Place) -> Fault, say: &mut dyn FnMut(&str, &str)| {
             if to.is_none() {
-                say("to", "must be control-0 to control-3 or an edge of the deployment, as edge-0");
+                say("to", "must be control-0 to control-3 (the last one: the standby) or an edge of the deployment, as edge-0");
             }
             to.map(make)
         };
@@ -163,7 +167,7 @@
                 }
                 Some(Fault::Service(service?, mood?))
             }
-            "power-on" | "disk-lost-on" | "disk-full-on" => {
+            "power-on" | "disk-lost-on" | "disks-lost-on" | "disk-full-on" => {
                 let moment = Moment::ALL.into_iter().find(|moment| Some(moment.name()) == line.moment.as_deref());
                 if moment.is_none() {
                     say("moment", "must be configured, purged or booked");
@@ -179,6 +183,7 @@
                 let loss = match line.what.as_str() {
                     "power-on" => Loss::Power,
                     "disk-lost-on" => Loss::Disk(slot),
+                    "disks-lost-on" => Loss::Disks(slot, line.count.unwrap_or(1)),
                     _ => Loss::Room(slot),
                 };
                 Some(Fault::Trap(moment?, loss))
@@ -209,9 +214,9 @@
     fn what_is_written_reads_back_the_same() {
         let deployment = Deployment::find("small").unwrap();
         for seed in 1..40 {
-            let list = Schedule::random(&deployment, seed, Duration::from_secs(120));
+            let list = Schedule::random(&deployment, 3, seed, Duration::from_secs(120));
             let text = Script::write(&list, &deployment);
-            assert!(Script::read(&text, &deployment).unwrap() == list, "seed {seed}: {text}");
+            assert!(Script::read(&text, &deployment, 3).unwrap() == list, "seed {seed}: {text}");
         }
     }
 
@@ -219,11 +224,11 @@
     fn a_script_is_read_and_all_its_findings_come_at_once() {
         let deployment = Deployment::find("small").unwrap();
         let good = r#"[{"at":8,"do":"kill","to":"edge-1"},{"at":9.5,"do":"cut","to":"control-0","other":"edge-3"},{"at":12,"do":"heal"}]"#;
-        let list = Script::read(good, &deployment).unwrap();
+        let list = Script::read(good, &deployment, 3).unwrap();
         assert_eq!(list[1], (Duration::from_millis(9500), Fault::Cut(Place::Control(0), Place::Edge(3))));
         let bad = r#"[{"at":-1,"do":"kill","to":"edge-9"},{"at":1,"do":"explode"},{"at":1,"do":"pause","to":"edge-0"},
             {"at":1,"do":"heal","why":"x"},{"do":"heal"},{"at":1,"do":"cut","to":"edge-1"},{"at":2,"do":"origin-down","to":"edge-1"}]"#;
-        let found: Vec<String> = Script::read(bad, &deployment).unwrap_err().into_iter().map(|finding| finding.place).collect();
+        let found: Vec<String> = Script::read(bad, &deployment, 3).unwrap_err().into_iter().map(|finding| finding.place).collect();
         assert_eq!(found, ["/0/at", "/0/to", "/1/do", "/2/seconds", "/3", "/4", "/5/other", "/6/to"]);
     }
 }
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -53,6 +53,8 @@
     pub in_force: u64,
     pub ending: bool,
     pub duties: Vec<String>,
+    /// The whole fleet starts for the first time with it.
+    pub founding: bool,
 }
 
 impl SimNode {
@@ -74,6 +76,7 @@
             in_force: 0,
             ending: false,
             duties: Vec::new(),
+            founding: false,
         }
     }
 
@@ -88,7 +91,7 @@
         self.part.is_some() && self.clock(now) < self.fence
     }
 
-    pub fn start(&mut self, now: Duration, seeds: &[SocketAddr], life: u64) {
+    pub fn start(&mut self, now: Duration, seeds: &[SocketAddr], gather: Option<Duration>, life: u64) {
         self.run += 1;
         self.duties.clear();
         self.in_force = 0;
@@ -99,13 +102,14 @@
             Place::Control(_) => {
                 let known = Replica::replay(&self.disk.synced).expect("synced records read back");
                 let blank = known.is_none();
-                let part = ControlPart::new(self.mate.address, seeds.to_vec(), known.unwrap_or_else(|| Replica::blank(life)), blank);
+                let gather = gather.map(|span| Gather::new(self.founding, span));
+                let part = ControlPart::new(self.mate.address, seeds.to_vec(), known.unwrap_or_else(|| Replica::blank(life)), blank, gather);
                 self.mate = part.me();
                 Box::new(part)
             }
             Place::Edge(_) => {
                 self.mate.life = life;
-                Box::new(EdgePart::new(self.mate, &self.zone, seeds.to_vec(), 64 << 20))
+                Box::new(EdgePart::new(self.mate, &self.zone, seeds.to_vec(), gather.is_some(), 64 << 20))
             }
         });
     }
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -11,12 +11,45 @@
     pub mute: &'static str,
     /// Clocks run too fast or too slow by up to so many millionths.
     pub drift: u64,
+    /// Control nodes that hold a slot.
+    pub control: usize,
+    /// The seeds are three of them; the table is founded and asked for.
+    pub gather: bool,
+    /// The last of them starts late, when the table is fixed: it grows.
+    pub late: bool,
+    /// How the first seed ends as it fixes the table; it is back a second later.
+    pub founder: FounderEnd,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FounderEnd {
+    Lives,
+    /// Before the table is on its disk.
+    Unwritten,
+    /// When it is, and nobody was told.
+    Untold,
+    /// When all were told.
+    Told,
 }
 
 impl WorldPlan {
     /// Clocks off by up to a thousandth, a hundred times what is common.
     pub fn new(deployment: Deployment, seed: u64, span: Duration, faults: Vec<(Duration, Fault)>) -> WorldPlan {
-        WorldPlan { deployment, seed, span, faults, mute: "", drift: 1000 }
+        WorldPlan { deployment, seed, span, faults, mute: "", drift: 1000, control: 3, gather: false, late: false, founder: FounderEnd::Lives }
+    }
+}
+
+impl WorldPlan {
+    /// So many control nodes. Other than three are founded by a table that is
+    /// gathered, by some seeds with one that comes late or with a first seed
+    /// that ends right then.
+    pub fn of(self, control: usize) -> WorldPlan {
+        if control == 3 {
+            return self;
+        }
+        let late = self.seed % 3 == 0;
+        let founder = [FounderEnd::Lives, FounderEnd::Unwritten, FounderEnd::Untold, FounderEnd::Told][(self.seed % 7 % 4) as usize];
+        WorldPlan { control, gather: true, late, founder, ..self }
     }
 }
 
@@ -56,6 +89,8 @@
     /// The platform puts one list at a time; a change meanwhile waits.
     pub(crate) origins_due: Option<bool>,
     pub(crate) trap: Option<(Moment, Loss)>,
+    /// The first seed's end at the founding came.
+    pub(crate) founder_ended: bool,
     /// Connections that stand: node, run, origin.
     pub(crate) watches: BTreeSet<(usize, u64, usize)>,
     /// With the node that was asked.
@@ -144,6 +179,7 @@
             acknowledged: None,
             origins_due: None,
             trap: None,
+            founder_ended: false,
             watches: BTreeSet::new(),
             asked: BTreeMap::new(),
             errands: BTreeMap::new(),
@@ -164,14 +200,14 @@
         let address = |kind: u8, at: usize| SocketAddr::from(([10, kind, 0, 1], 1000 + at as u16));
         let deployment = self.plan.deployment.clone();
         let zone = |at: usize| deployment.zones[at % deployment.zones.len()];
-        for slot in 0..3 {
+        for slot in 0..self.plan.control {
             self.nodes.push(SimNode::new(Place::Control(slot), address(1, slot), zone(slot)));
         }
         for at in 0..deployment.edges {
             self.nodes.push(SimNode::new(Place::Edge(at), address(2, at), zone(at)));
         }
         // An empty control node in another place, not started by itself.
-        self.nodes.push(SimNode::new(Place::Control(3), address(1, 3), zone(3)));
+        self.nodes.push(SimNode::new(Place::Control(self.plan.control), address(1, self.plan.control), zone(self.plan.control)));
         self.by_address = self.nodes.iter().enumerate().map(|(at, node)| (node.mate.address, at)).collect();
         for service in &deployment.services {
             for at in 0..service.origins {
@@ -185,7 +221,12 @@
             self.nodes[node].drift = self.dice.roll(2 * drift + 1) as i64 - drift as i64;
         }
         for node in 0..self.nodes.len() - 1 {
-            self.start(node);
+            self.nodes[node].founding = true;
+            if self.plan.late && node + 1 == self.plan.control {
+                self.push(Duration::from_millis(4_500), Happening::Fault(Fault::Start(self.nodes[node].place)));
+            } else {
+                self.start(node);
+            }
         }
         let at = Duration::from_millis;
         self.push(at(1500), Happening::PutOrigins);
@@ -194,8 +235,10 @@
         for (when, fault) in self.plan.faults.clone() {
             self.push(when, Happening::Fault(fault));
         }
-        self.push(at(4000), Happening::CallerComes);
-        self.push(at(4000), Happening::LookAtMarkers);
+        // A founding takes a moment more where the table is gathered.
+        let begin = if self.plan.gather { 6000 } else { 4000 };
+        self.push(at(begin), Happening::CallerComes);
+        self.push(at(begin), Happening::LookAtMarkers);
     }
 
     pub(crate) fn push(&mut self, at: Duration, what: Happening) {
@@ -212,7 +255,7 @@
     }
 
     pub(crate) fn edges(&self) -> std::ops::Range<usize> {
-        3..3 + self.plan.deployment.edges
+        self.plan.control..self.plan.control + self.plan.deployment.edges
     }
 
     pub(crate) fn seconds(&self) -> f64 {
@@ -274,7 +317,13 @@
             Happening::Deliver { to, from, message } if alive => self.step(to, Input::Heard { from, message }),
             Happening::Synced { node, serial, .. } if alive => {
                 self.nodes[node].disk.sync(serial);
+                if self.founder_ends(node, FounderEnd::Untold) {
+                    return self.kill(node);
+                }
                 self.step(node, Input::Stored { serial });
+                if self.founder_ends(node, FounderEnd::Told) {
+                    self.kill(node);
+                }
             }
             Happening::CallStarts { node, run, id, call } if alive => self.call(node, run, id, &call),
             Happening::CallEnds { node, id, result, .. } if alive => self.step(node, Input::Called { id, result }),
@@ -380,6 +429,21 @@
                 self.fault(Fault::Wipe(Place::Control(slot)));
                 self.after(Duration::from_secs(3), Happening::Fault(Fault::Start(Place::Control(slot))));
             }
+            Loss::Disks(slot, count) => {
+                for node in 0..self.nodes.len() {
+                    let wiped = (0..count).any(|more| node == (slot + more) % self.plan.control);
+                    let (place, ran) = (self.nodes[node].place, self.nodes[node].part.is_some());
+                    if wiped {
+                        self.fault(Fault::Wipe(place));
+                    } else {
+                        self.kill(node);
+                    }
+                    if wiped || ran || node + 1 < self.nodes.len() {
+                        self.after(Duration::from_secs(3), Happening::Fault(Fault::Start(place)));
+                    }
+                }
+                self.after(Duration::from_secs(3), Happening::Fault(Fault::Returned));
+            }
             Loss::Room(slot) => self.fault(Fault::DiskFull(Place::Control(slot))),
         }
     }
@@ -412,10 +476,30 @@
         let took = self.micros(500, 6_000);
         let disk = &mut self.nodes[node].disk;
         disk.pending.push_back((serial, image, record));
+        let unwritten = self.plan.founder == FounderEnd::Unwritten && self.founder_ends(node, FounderEnd::Unwritten);
+        let disk = &mut self.nodes[node].disk;
         // One sync serves all that came while the one before was running.
         let done = disk.busy_until.max(self.now) + took;
         disk.busy_until = self.now + took;
         self.push(done, Happening::Synced { node, run, serial });
+        if unwritten {
+            self.after(Duration::ZERO, Happening::Fault(Fault::Kill(Place::Control(0))));
+        }
+    }
+
+    /// Whether the first seed ends now, having just written the table.
+    fn founder_ends(&mut self, node: usize, end: FounderEnd) -> bool {
+        if node != 0 || self.plan.founder != end || self.founder_ended {
+            return false;
+        }
+        let disk = &self.nodes[0].disk;
+        let record = if end == FounderEnd::Unwritten { disk.pending.back().map(|(_, _, record)| record) } else { disk.synced.last() };
+        let table = record.is_some_and(|record| matches!(bincode::deserialize(record), Ok(Record::Founding { .. })));
+        if table {
+            self.founder_ended = true;
+            self.after(Duration::from_secs(1), Happening::Fault(Fault::Start(Place::Control(0))));
+        }
+        table
     }
 
     pub(crate) fn call(&mut self, node: usize, run: u64, id: u64, call: &Call) {
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -1,5 +1,8 @@
 use crate::prelude::*;
 
+/// How long the first seed collects founding control nodes.
+const GATHER: Duration = Duration::from_millis(500);
+
 /// What is done to the fleet.
 impl World {
     /// The process that listened there ended: its connections end.
@@ -14,17 +17,18 @@
 
     pub(crate) fn at(&self, place: Place) -> usize {
         match place {
-            Place::Control(3) => self.nodes.len() - 1,
+            Place::Control(slot) if slot == self.plan.control => self.nodes.len() - 1,
             Place::Control(slot) => slot,
-            Place::Edge(at) => 3 + at,
+            Place::Edge(at) => self.plan.control + at,
         }
     }
 
     pub(crate) fn start(&mut self, node: usize) {
-        let seeds: Vec<SocketAddr> = self.nodes[..3].iter().map(|node| node.mate.address).collect();
+        let seeds: Vec<SocketAddr> = self.nodes[..self.plan.control.min(3)].iter().map(|node| node.mate.address).collect();
         let life = self.dice.roll(u64::MAX >> 12) + 1;
         self.nodes[node].offset = self.micros(0, 1 << 40);
-        self.nodes[node].start(self.now, &seeds, life);
+        let gather = self.plan.gather.then_some(GATHER);
+        self.nodes[node].start(self.now, &seeds, gather, life);
         let run = self.nodes[node].run;
         let span = self.micros(0, 100_000);
         self.after(span, Happening::Pulse { node, run });
@@ -72,6 +76,7 @@
         for node in 0..self.nodes.len() - 1 {
             self.kill(node);
             self.nodes[node].disk = Disk::default();
+            self.nodes[node].founding = true;
             self.after(Duration::from_secs(3), Happening::Fault(Fault::Start(self.nodes[node].place)));
         }
         self.see_all_lost();
@@ -89,6 +94,17 @@
             return;
         }
         self.record("all-lost", "", 0, true);
+        // The fleet is founded anew.
+        let again = if self.plan.gather { self.plan.control } else { 0 };
+        for node in 0..again {
+            let runs = self.nodes[node].part.is_some();
+            self.nodes[node].kill();
+            self.nodes[node].disk = Disk::default();
+            self.nodes[node].founding = true;
+            if runs {
+                self.start(node);
+            }
+        }
         self.acknowledged = None;
         self.markers.clear();
         self.removed.clear();
@@ -138,6 +154,7 @@
                 let node = self.at(place);
                 self.kill(node);
                 self.nodes[node].disk = Disk::default();
+                self.nodes[node].founding = false;
                 self.see_all_lost();
             }
             Fault::DiskFull(place) => {
@@ -198,7 +215,7 @@
             Fault::Race(operators) => {
                 let expect = self.acknowledged.as_ref().map(|(version, _)| *version);
                 let base = self.markers.clone();
-                (0..operators).for_each(|at| self.configure(at % 3, &base, expect, true));
+                (0..operators).for_each(|at| self.configure(at % self.plan.control, &base, expect, true));
             }
             Fault::Trap(moment, loss) => self.trap = Some((moment, loss)),
             Fault::LoseAll => self.lose_all(),
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -9,7 +9,7 @@
         }
         self.origins_due = Some(false);
         let list = self.origins.iter().map(|origin| origin.origin.clone()).collect();
-        let node = self.dice.roll(3) as usize;
+        let node = self.dice.roll(self.plan.control as u64) as usize;
         self.ask(node, Asked::Origins { list, at: 0.0 }, 0);
     }
 
@@ -32,7 +32,7 @@
 
     pub(crate) fn ask(&mut self, node: usize, mut asked: Asked, tries: u32) {
         // An operator's tool takes the next control node if one is down.
-        let Some(node) = (0..3).map(|more| (node + more) % 3).chain([self.nodes.len() - 1]).find(|node| self.nodes[*node].part.is_some() && self.nodes[*node].ready) else {
+        let Some(node) = (0..self.plan.control).map(|more| (node + more) % self.plan.control).chain([self.nodes.len() - 1]).find(|node| self.nodes[*node].part.is_some() && self.nodes[*node].ready) else {
             if tries < 20 {
                 self.after(Duration::from_secs(1), Happening::Ask { node, asked, tries: tries + 1 });
             } else if let Asked::Configure { marker, .. } = asked {
