--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod part;
 pub mod plug_in;
 pub mod prelude;
+pub mod quorum;
 pub mod row;
 pub mod startup;
--- a/programs/src/prelude.rs
+++ b/programs/src/prelude.rs
@@ -1,4 +1,4 @@
-pub use control_plane::{ControlPart, History, Replica};
+pub use control_plane::{ControlPart, Gather, History, Replica};
 pub use crate::{run_control_node, run_edge_node};
 pub use data_plane::{EdgePart, LineFace, OwnWords};
 pub use kernel::prelude::*;
--- a/simulate-fleet/src/figures.rs
+++ b/simulate-fleet/src/figures.rs
@@ -134,7 +134,7 @@
     pub fn ring(edges: usize) -> (usize, usize, usize) {
         let mate = |at: usize| Mate::new(SocketAddr::from(([10, 2, 0, 1], 1000 + at as u16)), 1);
         let best = |count: usize, slice: u16| {
-            let name = cache_duty(slice);
+            let name = cache_duty("", slice);
             (0..count).max_by_key(|at| mate(*at).weight(&name)).expect("some edge")
         };
         let held = |at: usize| (0..CACHE_SLICES).filter(|slice| best(edges, *slice) == at).count();
