--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -59,6 +59,8 @@
     items: Items,
     read: u64,
     services: Vec<String>,
+    /// Marks told when the last duty was known: each holder had begun by then.
+    granted: u64,
     /// What the duties were last planned from.
     planned: Option<Planned>,
     /// The whole fleet started for the first time when we did, on empty disks:
@@ -75,8 +77,8 @@
 /// A slot not heard of for this long may go to an empty node.
 const LOST: Duration = Duration::from_secs(5);
 
-/// Epoch, version, settled, configuration's version, sessions.
-type Planned = (u64, u64, u64, u64, Vec<Vec<(Mate, bool)>>);
+/// Epoch, version, settled, configuration's version, sessions, holders that ended.
+type Planned = (u64, u64, u64, u64, Vec<Vec<(Mate, bool)>>, BTreeSet<Mate>);
 
 #[derive(Debug, Clone, Copy)]
 struct MateAt {
@@ -125,7 +127,7 @@
     /// `replica` as read from disk, or a blank one with a new life. The node's
     /// slot is the one its address holds; a blank node elsewhere asks for one.
     /// The table begins with the seeds, unless there is a `gather`.
-    pub fn new(address: SocketAddr, seeds: Vec<SocketAddr>, replica: Replica, blank: bool, gather: Option<Gather>) -> ControlPart {
+    pub fn new(address: SocketAddr, seeds: Vec<SocketAddr>, replica: Replica, blank: bool, gather: Option<Gather>, run: u64) -> ControlPart {
         let seats = || if gather.is_some() { vec![] } else { seeds.iter().map(|seed| Mate::new(*seed, 0)).collect() };
         let (version, places) = replica.table().unwrap_or_else(|| (0, seats()));
         let slot = places.iter().position(|mate| mate.address == address).map_or(NO_SLOT, |at| at as u8);
@@ -151,7 +153,7 @@
             keepers: BTreeMap::new(),
             outrun: BTreeMap::new(),
             mates: BTreeMap::new(),
-            sessions: Sessions::default(),
+            sessions: Sessions::new(run),
             waits: Vec::new(),
             fronts: BTreeMap::new(),
             finals: BTreeMap::new(),
@@ -166,6 +168,7 @@
             items: Items::default(),
             read: 0,
             services: Vec::new(),
+            granted: 0,
             planned: None,
             fresh,
             lists: false,
@@ -589,33 +592,48 @@
         let Recalled { slice, version, rows } = recalled;
         let Some(keeper) = self.keepers.get_mut(&slice).filter(|keeper| keeper.wary.is_some() && keeper.version < version) else { return };
         let newer = keeper.recall(version, rows);
+        self.granted = self.sessions.marks();
         self.note(Event::RowsRecalled, format!("slice {slice}: {newer} rows up to version {version}"));
     }
 
     fn plan_duties(&mut self, now: Duration) {
         let Some(keeper) = self.keepers.get(&DUTIES) else { return };
         // A new owner waits until sessions have had time to show.
-        let calm = keeper.active_since.is_some_and(|since| now >= since + lease::EDGE_PULSE * 2) && self.sessions.known(now);
+        let calm = keeper.active_since.is_some_and(|since| now >= since + lease::EDGE_PULSE);
         if !keeper.ready() || !calm || keeper.wary.is_some() {
             return;
         }
-        self.plan_roll(now);
+        // After a start, sessions may stand that are not known yet: then only
+        // what holders left who are known to have ended is given out.
+        let known = self.sessions.known(now);
+        if known {
+            self.plan_roll(now);
+        }
         self.read_services();
         let Some(keeper) = self.keepers.get(&DUTIES) else { return };
-        let planned = (keeper.epoch, keeper.version, keeper.settled(), self.read, self.sessions.standing(now));
+        let holders = keeper.rows.values().filter_map(|row| match &row.value {
+            Value::Duty(duty) => duty.holder,
+            _ => None,
+        });
+        let over: BTreeSet<Mate> = holders.filter(|mate| self.sessions.ended(*mate, self.granted)).collect();
+        let planned = (keeper.epoch, keeper.version, keeper.settled(), self.read, self.sessions.standing(now), over);
         if self.planned.as_ref() == Some(&planned) {
             return;
         }
         let quorum = self.quorum();
-        let live = self.sessions.live(now, quorum);
-        let known = keeper.rows.keys().filter_map(|duty| duty_region(duty));
-        let regions: BTreeSet<&str> = live.iter().map(|seen| seen.region.as_str()).chain(known).collect();
+        let live = if known { self.sessions.live(now, quorum) } else { self.sessions.mine() };
+        let spread = keeper.rows.keys().filter_map(|duty| duty_region(duty));
+        let regions: BTreeSet<&str> = live.iter().map(|seen| seen.region.as_str()).chain(spread).collect();
         let mut names: Vec<String> = regions.iter().flat_map(|region| (0..CACHE_SLICES).map(|slice| cache_duty(region, slice))).collect();
         names.extend(self.services.iter().map(|service| gate_duty(service)));
         let gone = |mate: Mate| self.sessions.gone(now, mate, quorum);
-        let plan = DutyPlan { rows: &keeper.rows, settled: keeper.settled(), live: &live, gone: &gone };
+        let ended = |mate: Mate| planned.5.contains(&mate);
+        let plan = DutyPlan { rows: &keeper.rows, settled: keeper.settled(), live: &live, gone: &gone, ended: &ended, early: !known };
         let out = plan.next(&names);
         self.planned = Some(planned);
+        if !out.is_empty() {
+            self.granted = self.sessions.marks();
+        }
         let keeper = self.keepers.get_mut(&DUTIES).expect("just seen");
         for (key, duty) in &out {
             keeper.put(key.clone(), Value::Duty(duty.clone()));
@@ -814,6 +832,7 @@
                             keeper.wary = Some(now + lease::RECOLLECT * rounds);
                         }
                         let text = format!("slice {} epoch {} version {}", keeper.slice, keeper.epoch, keeper.version);
+                        self.granted = self.sessions.marks();
                         self.finals.remove(&raised.slice);
                         self.note(Event::SliceTaken, text);
                     }
@@ -972,8 +991,8 @@
         let news = if renew.realm == mine || mine == 0 { self.replica.news(&renew.vector) } else { self.replica.news(&[]) };
         let recall = now < self.closed;
         let founded = renew.realm == 0 || mine != 0;
-        let Renew { sent, realm, recalled, vector, zone, region, draining, usage, found } = renew;
-        if self.sessions.renew(now, Seen { mate: from, zone, region, draining, realm, recalled, vector, usage, found }) {
+        let Renew { sent, heard, realm, recalled, vector, zone, region, draining, usage, found } = renew;
+        if self.sessions.renew(now, Seen { mate: from, zone, region, draining, realm, recalled, vector, usage, found }, heard) {
             self.note(Event::SessionOpened, from.to_string());
         }
         // An edge of an earlier realm is heard, but not live by us, until there
@@ -981,7 +1000,8 @@
         if !founded {
             return;
         }
-        self.tell(from.address, Renewed { life: from.life, sent, realm: mine, recall, news });
+        let mark = self.sessions.mark();
+        self.tell(from.address, Renewed { life: from.life, mark, sent, realm: mine, recall, news });
     }
 
     fn heed_ask(&mut self, now: Duration, from: Mate, ask: Ask) {
@@ -1283,7 +1303,7 @@
         fn new() -> Script {
             let replica = Replica { full: true, ..Replica::blank(1) };
             let seeds = (0..3).map(address).collect();
-            Script { part: ControlPart::new(address(0), seeds, replica, false, None) }
+            Script { part: ControlPart::new(address(0), seeds, replica, false, None, 1) }
         }
 
         /// What it says to others; what it says to itself it hears.
@@ -1366,7 +1386,7 @@
     fn an_acknowledgement_of_a_retired_life_that_another_reports_is_not_counted() {
         let owned = |retired: Vec<u64>| {
             let replica = Replica { full: true, ..Replica::blank(1) };
-            let mut script = Script { part: ControlPart::new(address(0), (0..5).map(address).collect(), replica, false, None) };
+            let mut script = Script { part: ControlPart::new(address(0), (0..5).map(address).collect(), replica, false, None, 1) };
             let mut owned = None;
             for ms in (0..2_500).step_by(100) {
                 let mut said = VecDeque::new();
@@ -1424,7 +1444,7 @@
             let blank = known.is_none();
             let gather = Gather::new(founding, Duration::from_millis(500));
             let replica = known.unwrap_or_else(|| Replica::blank(40 + u64::from(slot)));
-            let part = ControlPart::new(address(slot), (0..3).map(address).collect(), replica, blank, Some(gather));
+            let part = ControlPart::new(address(slot), (0..3).map(address).collect(), replica, blank, Some(gather), 1);
             Alone { part, disk, unsynced: vec![] }
         }
 
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -19,6 +19,8 @@
     /// The realm the news is of; 0 before the first.
     realm: u64,
     vector: Vec<u64>,
+    /// The last mark of each control node, to be given back.
+    marks: HashMap<SocketAddr, Mark>,
     /// Every row shown to us, to tell it back if the control plane lost it.
     known: Vec<BTreeMap<String, Row>>,
     /// Own operations that ended lately, for the same reason.
@@ -88,6 +90,7 @@
             seeds,
             realm: 0,
             vector: vec![0; NEWS.into()],
+            marks: HashMap::new(),
             known: vec![BTreeMap::new(); NEWS.into()],
             ended: VecDeque::new(),
             recalling: false,
@@ -136,9 +139,10 @@
         let recalled = self.loose.is_empty() && !self.jobs.values().any(old);
         let found = self.gates.values().flat_map(|gate| gate.found(now)).collect();
         let renew =
-            Renew { sent: now, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.zone.clone(), region: self.region.clone(), draining: self.warned.is_some(), usage, found };
+            Renew { sent: now, heard: None, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.zone.clone(), region: self.region.clone(), draining: self.warned.is_some(), usage, found };
         for seed in self.seeds.clone() {
-            self.tell(seed, renew.clone());
+            let heard = self.marks.get(&seed).copied();
+            self.tell(seed, Renew { heard, ..renew.clone() });
         }
     }
 
@@ -149,6 +153,7 @@
         if Realm::older(renewed.realm, self.realm) && renewed.realm != 0 {
             return; // It has not heard of the new realm yet.
         }
+        self.marks.insert(from.address, renewed.mark);
         let before = std::mem::replace(&mut self.recalling, renewed.recall);
         let recall = renewed.recall && !before;
         if renewed.realm != 0 && renewed.realm != self.realm {
@@ -461,8 +466,12 @@
                 let key = job.key.expect("cached");
                 let entry = job.errand.entry();
                 let get = Get { id, key, entry: entry.name.clone(), host: job.errand.home().into(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
-                if let Some(holder) = self.holder(&cache_duty(&self.region, cache_slice(&key))) {
-                    self.tell(holder, get);
+                let spare = *spare;
+                match self.holder(&cache_duty(&self.region, cache_slice(&key))) {
+                    Some(holder) => self.tell(holder, get),
+                    // Nobody hands out copies of it now: fetch it ourselves.
+                    None if !spare => self.set_stage(now, id, Stage::Knocking),
+                    None => {}
                 }
             }
             Stage::Knocking => {
@@ -1051,7 +1060,7 @@
         let mut edge = EdgePart::new(me, "z", "", vec![address(1), address(2), address(3)], false, 1 << 20);
         edge.step(at(now), Input::Pulse);
         for seed in [1, 2] {
-            let renewed = Renewed { life: 5, sent: at(now), realm: 0, recall: false, news: vec![] };
+            let renewed = Renewed { life: 5, mark: Mark::default(), sent: at(now), realm: 0, recall: false, news: vec![] };
             edge.step(at(now), Input::Heard { from: Mate::new(address(seed), 1), message: renewed.into() });
         }
         edge
@@ -1098,7 +1107,7 @@
     fn a_renewal_of_an_earlier_life_or_a_stranger_counts_for_nothing() {
         for (life, seed) in [(4, 3), (5, 7)] {
             let mut edge = live(1000);
-            let renewed = Renewed { life, sent: at(5000), realm: 0, recall: false, news: vec![] };
+            let renewed = Renewed { life, mark: Mark::default(), sent: at(5000), realm: 0, recall: false, news: vec![] };
             for _ in 0..2 {
                 edge.step(at(1500), Input::Heard { from: Mate::new(address(seed), 1), message: renewed.clone().into() });
             }
@@ -1113,7 +1122,7 @@
         let places = [Mate::new(address(4), 8), Mate::new(address(2), 0), Mate::new(address(3), 0)];
         let row = Row { version: 1, value: Value::Places(places.to_vec()) };
         let news = vec![News { slice: PLACES, version: 1, rows: vec![("places".into(), row)] }];
-        let renewed = |sent, news| Renewed { life: 5, sent: at(sent), realm: 0, recall: false, news };
+        let renewed = |sent, news| Renewed { life: 5, mark: Mark::default(), sent: at(sent), realm: 0, recall: false, news };
         edge.step(at(1100), Input::Heard { from: Mate::new(address(2), 1), message: renewed(1100, news).into() });
         let told = answers(edge.step(at(1200), Input::Errand { id: 1, errand: errand("/quick", "GET") }));
         assert_eq!(told.len(), 1, "one renewal of the new three is no majority");
@@ -1154,7 +1163,7 @@
         let origin = Origin { address: address(50), service: "slow".into(), instance: "i".into(), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 };
         let row = Row { version: 1, value: Value::Origins { list: Arc::new(vec![origin.clone()]), change: 1 } };
         let news = vec![News { slice: ORIGINS, version: 1, rows: vec![("origins".into(), row)] }];
-        let renewed = Renewed { life: 5, sent: at(1000), realm: 0, recall: false, news };
+        let renewed = Renewed { life: 5, mark: Mark::default(), sent: at(1000), realm: 0, recall: false, news };
         edge.step(at(1000), Input::Heard { from: Mate::new(address(1), 1), message: renewed.into() });
         edge.step(at(1000), Input::Errand { id: 1, errand: errand("/k", "POST") });
         told(&mut edge, 1010, 1, Outcome::Claimed);
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -65,10 +65,11 @@
 
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
-    Renew { sent: Duration, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, region: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
+    /// `heard`: the last mark of this control node, none before the first.
+    Renew { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, region: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
     /// To the life that sent the renewal, with its own time of sending.
     /// `recall`: acknowledged operations may be lost; tell those you know.
-    Renewed { life: u64, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
+    Renewed { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
     /// Tell all rows you know of this slice: more than its owner does.
     Recall { slice: u8 }
     Recalled { slice: u8, version: u64, rows: Vec<(String, Row)> }
@@ -165,6 +166,14 @@
     pub found: Vec<OriginFound>,
 }
 
+/// What a control node tells with each renewal: its run and a number that
+/// rises within it. Who gives one back was alive after it was told.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Mark {
+    pub run: u64,
+    pub count: u64,
+}
+
 /// How an origin stands with the gate of its group.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OriginFound {
--- a/programs/src/control_node.rs
+++ b/programs/src/control_node.rs
@@ -9,7 +9,7 @@
         None => (Replica::blank(new_life()?), true),
     };
     let mesh = startup.mesh.context("mesh address")?;
-    let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank, startup.gather_span().map(|span| Gather::new(startup.founding, span)));
+    let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank, startup.gather_span().map(|span| Gather::new(startup.founding, span)), new_life()?);
     let history = Some(History::keep(startup.data.clone().context("data folder")?));
     let host = Host {
         me: part.me(),
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -103,7 +103,7 @@
                 let known = Replica::replay(&self.disk.synced).expect("synced records read back");
                 let blank = known.is_none();
                 let gather = gather.map(|span| Gather::new(self.founding, span));
-                let part = ControlPart::new(self.mate.address, seeds.to_vec(), known.unwrap_or_else(|| Replica::blank(life)), blank, gather);
+                let part = ControlPart::new(self.mate.address, seeds.to_vec(), known.unwrap_or_else(|| Replica::blank(life)), blank, gather, life);
                 self.mate = part.me();
                 Box::new(part)
             }
