Own shares while a gate is silent; promises of the errand itself; rings that a startup names

Cause: a gate whose holder died stopped its service for about 1.5 s; refusals of keyed errands that were never sent went out as unknown (502: dear, and not tried again). A refusal says whether this very errand was idle. Failed try: rings by zone instead of by region. Back to rings by region.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -622,9 +622,9 @@
         }
         let quorum = self.quorum();
         let live = if known { self.sessions.live(now, quorum) } else { self.sessions.mine() };
-        let spread = keeper.rows.keys().filter_map(|duty| duty_region(duty));
-        let regions: BTreeSet<&str> = live.iter().map(|seen| seen.region.as_str()).chain(spread).collect();
-        let mut names: Vec<String> = regions.iter().flat_map(|region| (0..CACHE_SLICES).map(|slice| cache_duty(region, slice))).collect();
+        let spread = keeper.rows.keys().filter_map(|duty| duty_ring(duty));
+        let rings: BTreeSet<&str> = live.iter().map(|seen| seen.ring.as_str()).chain(spread).collect();
+        let mut names: Vec<String> = rings.iter().flat_map(|ring| (0..CACHE_SLICES).map(|slice| cache_duty(ring, slice))).collect();
         names.extend(self.services.iter().map(|service| gate_duty(service)));
         let gone = |mate: Mate| self.sessions.gone(now, mate, quorum);
         let ended = |mate: Mate| planned.5.contains(&mate);
@@ -991,8 +991,8 @@
         let news = if renew.realm == mine || mine == 0 { self.replica.news(&renew.vector) } else { self.replica.news(&[]) };
         let recall = now < self.closed;
         let founded = renew.realm == 0 || mine != 0;
-        let Renew { sent, heard, realm, recalled, vector, zone, region, draining, usage, found } = renew;
-        if self.sessions.renew(now, Seen { mate: from, zone, region, draining, realm, recalled, vector, usage, found }, heard) {
+        let Renew { sent, heard, realm, recalled, vector, zone, ring, draining, usage, found } = renew;
+        if self.sessions.renew(now, Seen { mate: from, zone, ring, draining, realm, recalled, vector, usage, found }, heard) {
             self.note(Event::SessionOpened, from.to_string());
         }
         // An edge of an earlier realm is heard, but not live by us, until there
--- a/data-plane/src/filter.rs
+++ b/data-plane/src/filter.rs
@@ -80,7 +80,7 @@
 impl Filter for Known {
     fn pass(&self, arrival: &mut Arrival) -> Filtered {
         let none = arrival.image.is_none();
-        none.then(|| Refusal::unknown(503, "not_ready", "this node has no configuration yet"))
+        none.then(|| Refusal::unknown(503, "not_ready", "this node has no configuration yet").idle())
     }
 }
 
--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -12,7 +12,8 @@
 /// - Within any five seconds an origin gets no more than 110 % of its rate,
 ///   however late within `PERMIT` a permit is used: `window` holds what it got.
 /// - Within ten seconds, extra tries stay within a fifth of first tries plus
-///   `ALLOWANCE`; the allowance is earned only by ten seconds of holding. Extra
+///   the allowance, of which a new holder has a part at once if it is large
+///   and the rest after ten seconds: two changes of holder fit in. Extra
 ///   tries are counted a `PERMIT` longer and first ones a `PERMIT` shorter, so
 ///   that it holds at the origins, too.
 /// - A lower rank takes no place that the higher ones will need while its call
@@ -20,6 +21,7 @@
 pub struct Gate {
     pub service: String,
     pub epoch: u64,
+    allowance: usize,
     rate: f64,
     concurrency: u32,
     proof: Proof,
@@ -56,50 +58,6 @@
     }
 }
 
-/// Room under one rate: a bucket, empty at first, and what was given of late.
-struct Room {
-    rate: f64,
-    tokens: f64,
-    filled: Duration,
-    window: VecDeque<Duration>,
-}
-
-impl Room {
-    fn new(now: Duration, rate: f64) -> Room {
-        Room { rate, tokens: 0.0, filled: now, window: VecDeque::new() }
-    }
-
-    /// Large enough that calls are not paced apart, small enough that any five
-    /// seconds stay within 110 % of the rate with permits up to `PERMIT` late.
-    fn burst(&self) -> f64 {
-        (self.rate * 0.1).max(1.0)
-    }
-
-    fn refill(&mut self, now: Duration) {
-        self.tokens = (self.tokens + (now - self.filled).as_secs_f64() * self.rate).min(self.burst());
-        self.filled = now;
-        while self.window.front().is_some_and(|given| now >= *given + Duration::from_secs_f64(RATE_SPAN) + lease::PERMIT) {
-            self.window.pop_front();
-        }
-    }
-
-    /// Whether one more call or probe now keeps it within its rate over any
-    /// span.
-    fn has(&self) -> bool {
-        self.tokens >= 1.0 && self.window.len() < (self.rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize
-    }
-
-    fn take(&mut self, now: Duration) {
-        self.tokens -= 1.0;
-        self.window.push_back(now);
-    }
-
-    fn give_back(&mut self) {
-        self.tokens += 1.0;
-        self.window.pop_back();
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Watch {
     None,
@@ -117,6 +75,7 @@
     until: Duration,
     extra: bool,
     call: Duration,
+    zone: String,
     region: String,
     avoid: Vec<SocketAddr>,
 }
@@ -136,11 +95,9 @@
     }
 }
 
-const ALLOWANCE: usize = 3;
 const WINDOW: Duration = Duration::from_secs(10);
-/// The span over which an origin's rate is judged, and how much of it may come.
-const RATE_SPAN: f64 = 5.0;
-const RATE_SLACK: f64 = 1.1;
+/// Of a whole rate the gate gives out this part; the edges have `OWN_PART`.
+const GATE_PART: f64 = 0.75;
 /// Arrivals are counted over this span to foresee who will not get through.
 const FORESEE: Duration = Duration::from_secs(2);
 /// A new holder first hears of calls under way.
@@ -154,10 +111,12 @@
 const GONE: Duration = Duration::from_secs(5);
 
 impl Gate {
-    pub fn new(now: Duration, service: &str, epoch: u64) -> Gate {
+    /// `allowance`: extra tries in ten seconds beside a fifth of the first ones.
+    pub fn new(now: Duration, service: &str, epoch: u64, allowance: usize) -> Gate {
         Gate {
             service: service.into(),
             epoch,
+            allowance,
             rate: 1.0,
             concurrency: 1,
             proof: Proof::Seal,
@@ -185,6 +144,10 @@
             (Some(room), Some(rate)) => room.rate = rate,
             (whole, rate) => *whole = rate.map(|rate| Room::new(now, rate)),
         }
+        // What is left of it is for edges that cannot reach the gate.
+        if let Some(room) = self.whole.as_mut().filter(|_| group.proof == Proof::Named) {
+            room.rate *= GATE_PART;
+        }
         self.origins.values_mut().for_each(|at| at.room.rate = group.rate);
         let wanted: Vec<&Origin> = origins.iter().filter(|origin| origin.service == self.service && !origin.leaving).collect();
         self.origins.retain(|_, known| wanted.contains(&&known.origin));
@@ -252,16 +215,20 @@
     }
 
     pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: Knock) {
-        let Knock { id, rank, wait, sent, extra, call, region, avoid, .. } = knock;
+        let Knock { id, rank, wait, sent, extra, call, zone, region, avoid, .. } = knock;
         if let Some(known) = self.waits.iter_mut().find(|known| (known.from, known.id) == (from, id)) {
             known.sent = sent;
             known.since = now;
-            return;
+            return self.out.push((from, InLine { id }.into()));
         }
         self.arrivals.push_back((now, rank));
         self.serial += 1;
-        self.waits.push(Wait { from, id, rank, serial: self.serial, since: now, sent, until: now + wait, extra, call, region, avoid });
+        let mine = (from, id);
+        self.waits.push(Wait { from, id, rank, serial: self.serial, since: now, sent, until: now + wait, extra, call, zone, region, avoid });
         self.pump(now);
+        if self.waits.iter().any(|wait| (wait.from, wait.id) == mine) {
+            self.out.push((from, InLine { id }.into()));
+        }
     }
 
     /// Gives what can be given and turns away at once who cannot get through.
@@ -306,7 +273,9 @@
 
     /// Whether the budget for extra tries has room for this one.
     fn may_try(&self, now: Duration, wait: &Wait) -> bool {
-        let earned = if now >= self.began + WINDOW { ALLOWANCE } else { 0 };
+        // Holders may change twice in that time.
+        let at_once = if self.allowance < 7 { 0 } else { self.allowance * 2 / 7 };
+        let earned = if now >= self.began + WINDOW { self.allowance - 2 * at_once } else { at_once };
         now < wait.until && (!wait.extra || self.extras.len() < self.firsts.len() / 5 + earned)
     }
 
@@ -330,9 +299,10 @@
     }
 
     /// The origin that may be called and will answer first, as far as can be
-    /// told: by the share of its places in use and what calls take there. One
-    /// that failed this errand already is the last choice, one in the errand's
-    /// own region goes before another as long as half of its places are free.
+    /// told: by the share of its places in use, what calls take there and the
+    /// way. One that failed this errand already is the last choice. Where an
+    /// origin has many places the nearer goes first while half of them are free:
+    /// its answers are large.
     fn pick(&self, now: Duration, wait: &Wait) -> Option<SocketAddr> {
         if !self.leaves_room(now, wait.rank) || self.whole.as_ref().is_some_and(|room| !room.has()) {
             return None;
@@ -343,8 +313,9 @@
         let score = |at: &OriginAt| {
             let (under, places) = (self.under(at.origin.address) as f64, f64::from(at.places(self.concurrency)));
             let failed = wait.avoid.contains(&at.origin.address);
-            let far = at.origin.region != wait.region || 2.0 * under >= places && places > 2.0;
-            (failed, far, (under + 1.0) / places * at.took.max(0.001))
+            let way = if at.origin.region != wait.region { 2 } else { u8::from(at.origin.zone != wait.zone) };
+            let far = if places < MANY { 0 } else if 2.0 * under >= places { 3 } else { way };
+            (failed, far, (under + 1.0) / places * at.took.max(0.001) + WAY_S[usize::from(way)])
         };
         let best = usable.min_by(|a, b| {
             let (one, other) = (score(a), score(b));
@@ -506,6 +477,11 @@
     }
 }
 
+/// An origin with so many places serves what is shared.
+const MANY: f64 = 8.0;
+/// What the way adds to a call within a zone, within a region and beyond, in s.
+const WAY_S: [f64; 3] = [0.0, 0.002, 0.04];
+
 /// How long a group without any origin is given for one to be listed.
 const PATIENCE: Duration = Duration::from_secs(1);
 
@@ -526,7 +502,7 @@
     }
 
     fn knock(id: u64, rank: u32, wait: u64, extra: bool) -> Knock {
-        Knock { service: "s".into(), id, rank, wait: at(wait), sent: at(0), extra, call: at(2000), region: String::new(), avoid: vec![] }
+        Knock { service: "s".into(), id, rank, wait: at(wait), sent: at(0), extra, call: at(2000), zone: String::new(), region: String::new(), avoid: vec![] }
     }
 
     struct Run {
@@ -539,7 +515,7 @@
 
     impl Run {
         fn new(began: u64, epoch: u64, rate: f64, concurrency: u32) -> Run {
-            let mut gate = Gate::new(at(began), "s", epoch);
+            let mut gate = Gate::new(at(began), "s", epoch, 3);
             gate.update(at(began), &group(rate, concurrency), &[origin(1)]);
             gate.watched(at(began), origin(1).address, true);
             Run { gate, now: began, given: vec![], away: vec![], calls: vec![] }
@@ -686,7 +662,7 @@
 
     #[test]
     fn an_origin_is_called_only_once_it_has_shown_who_it_is_and_not_while_aside() {
-        let mut gate = Gate::new(at(0), "s", 1);
+        let mut gate = Gate::new(at(0), "s", 1, 3);
         gate.update(at(0), &group(100.0, 9), &[origin(1), origin(2)]);
         assert_eq!(gate.watches(at(1)).len(), 2);
         assert!(gate.probes(at(350)).is_empty(), "no connection stands yet");
@@ -722,7 +698,7 @@
 
     #[test]
     fn all_origins_failing_is_told_at_once_and_a_leaving_one_gets_no_permit() {
-        let mut gate = Gate::new(at(0), "s", 1);
+        let mut gate = Gate::new(at(0), "s", 1, 3);
         gate.update(at(0), &group(100.0, 9), &[origin(1)]);
         gate.watched(at(0), origin(1).address, true);
         let probe = gate.probes(at(400)).remove(0);
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -17,6 +17,8 @@
     pub sent: bool,
     /// A call of it may have been run.
     pub ran: bool,
+    /// When the gate was last heard of, or first asked.
+    pub heard: Duration,
     /// Origins that failed it.
     pub failed: Vec<SocketAddr>,
     pub claim: Option<Claim>,
@@ -53,6 +55,7 @@
             calls: 0,
             sent: false,
             ran: false,
+            heard: now,
             failed: Vec::new(),
             claim: None,
             key: None,
@@ -85,7 +88,7 @@
     }
 
     pub fn refuse(&self, status: u16, code: &str, text: &str) -> Refusal {
-        Refusal::new(status, code, self.outcome(), text)
+        Refusal { idle: !self.sent, ..Refusal::new(status, code, self.outcome(), text) }
     }
 
     /// Entry, service and URL: what tells requests apart.
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -66,7 +66,7 @@
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
     /// `heard`: the last mark of this control node, none before the first.
-    Renew { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, region: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
+    Renew { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, ring: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
     /// To the life that sent the renewal, with its own time of sending.
     /// `recall`: acknowledged operations may be lost; tell those you know.
     Renewed { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
@@ -95,8 +95,10 @@
     Handed { slice: u16, epoch: u64, sent: Duration, copies: Vec<Carried> }
 
     // Between edges: the gate.
-    Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration, region: String, avoid: Vec<SocketAddr> }
+    Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration, zone: String, region: String, avoid: Vec<SocketAddr> }
     Permit { id: u64, service: String, epoch: u64, serial: u64, origin: Origin, sent: Duration, held: Duration }
+    /// Heard, and stands in line.
+    InLine { id: u64 }
     /// Turned away; come back after this.
     Away { id: u64, reason: AwayReason, back: Duration }
     /// Told to a new holder: calls still under way by earlier permits.
@@ -157,7 +159,8 @@
 pub struct Seen {
     pub mate: Mate,
     pub zone: String,
-    pub region: String,
+    /// The ring of cache slices it takes part in.
+    pub ring: String,
     pub draining: bool,
     pub realm: u64,
     pub recalled: bool,
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -157,6 +157,10 @@
     pub status: u16,
     pub code: String,
     pub outcome: RunState,
+    /// Nothing was sent for this very errand and nothing will be, whatever
+    /// became of others with its key.
+    #[serde(skip)]
+    pub idle: bool,
     pub text: String,
     /// Written in whole seconds, rounded up: no one comes back too early.
     #[serde(skip_serializing_if = "Option::is_none", serialize_with = "whole_seconds", default)]
@@ -167,6 +171,9 @@
     out.serialize_some(&span.map(|span| span.ceil().max(1.0) as u64))
 }
 
+/// A node that lost its lease mostly has it back, or another one serves.
+const FENCED: Duration = Duration::from_millis(300);
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunState {
@@ -178,7 +185,7 @@
 impl Refusal {
     pub fn new(status: u16, code: &str, outcome: RunState, text: &str) -> Refusal {
         let retry_after_s = matches!(status, 409 | 429 | 503).then_some(1.0);
-        Refusal { status, code: code.into(), outcome, text: text.into(), retry_after_s }
+        Refusal { status, code: code.into(), outcome, idle: outcome == RunState::NotRun, text: text.into(), retry_after_s }
     }
 
     pub fn not_run(status: u16, code: &str, text: &str) -> Refusal {
@@ -189,9 +196,15 @@
         Refusal::new(status, code, RunState::Unknown, text)
     }
 
+    /// The same, of an errand for which nothing was sent.
+    pub fn idle(self) -> Refusal {
+        Refusal { idle: true, ..self }
+    }
+
     /// From a node without its lease.
     pub fn fenced(outcome: RunState) -> Refusal {
-        Refusal::new(503, "fenced", outcome, "this node is cut off from a majority; another may serve")
+        let refusal = Refusal::new(503, "fenced", outcome, "this node is cut off from a majority; another may serve");
+        refusal.idle().back(FENCED)
     }
 
     /// When to come back; each dialect rounds up, so no one comes too early.
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -31,16 +31,23 @@
 
 pub type CacheKey = [u8; 32];
 
-/// The duty of a cache slice among the edges of one region: each region has a
-/// ring of its own, so copies do not cross.
-pub fn cache_duty(region: &str, slice: u16) -> String {
-    if region.is_empty() { format!("cache/{slice:03}") } else { format!("cache/{region}/{slice:03}") }
+/// The duty of a cache slice of one ring; copies do not cross between rings.
+pub fn cache_duty(ring: &str, slice: u16) -> String {
+    if ring.is_empty() { format!("cache/{slice:03}") } else { format!("cache/{ring}/{slice:03}") }
 }
 
-/// The region whose edges may hold a duty; none: any edge.
-pub fn duty_region(duty: &str) -> Option<&str> {
-    let (region, _) = duty.strip_prefix("cache/")?.rsplit_once('/').unwrap_or_default();
-    Some(region)
+/// The ring whose edges may hold a duty; none: any edge.
+pub fn duty_ring(duty: &str) -> Option<&str> {
+    let (ring, _) = duty.strip_prefix("cache/")?.rsplit_once('/').unwrap_or_default();
+    Some(ring)
+}
+
+/// Where an edge is.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Spot {
+    pub zone: String,
+    pub region: String,
+    pub ring: String,
 }
 
 /// Of the control node that owns the list of origins.
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -12,6 +12,11 @@
     pub zone: String,
     /// Zones of one region are near each other.
     pub region: String,
+    /// Edges: whose copies are shared. None: those of the region.
+    pub ring: Option<String>,
+    /// Extra tries that a service may get in ten seconds beside a fifth of the
+    /// first ones (default 3).
+    pub extra_tries: Option<u32>,
     /// Where the platform asks whether callers may come, if not at `http`.
     pub ready: Option<SocketAddr>,
     /// Memory this process may use; sizes follow from it.
@@ -177,6 +182,11 @@
         self.gather_ms.map(Duration::from_millis)
     }
 
+    pub fn spot(&self) -> Spot {
+        let ring = self.ring.clone().unwrap_or_else(|| self.region.clone());
+        Spot { zone: self.zone.clone(), region: self.region.clone(), ring }
+    }
+
     pub fn grace(&self) -> Duration {
         Duration::from_millis(self.grace_ms.unwrap_or(20_000))
     }
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -109,7 +109,7 @@
             }
             Place::Edge(_) => {
                 self.mate.life = life;
-                Box::new(EdgePart::new(self.mate, &self.zone, "", seeds.to_vec(), gather.is_some(), 64 << 20))
+                Box::new(EdgePart::new(self.mate, Spot { zone: self.zone.clone(), ..Spot::default() }, seeds.to_vec(), gather.is_some(), 64 << 20))
             }
         });
     }
