Four, five and eight control nodes in the simulator; late repeats undo nothing

Change: who is beaten to asks back; a keeper remembers the changes it made; the edge fences first; scenarios for founding, growth, wiped disks and replaced slots with 4, 5 and 8.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -691,7 +691,13 @@
             // Who holds the slots is asked of the edges too: after a loss of all
             // disks nobody else knows.
             Message::Renew(_) if self.slot == NO_SLOT && self.gather.is_some() => return self.tell(from.address, Recall { slice: PLACES }),
-            Message::Beat(_) if self.slot == NO_SLOT => return self.gather.iter_mut().for_each(Gather::met_others),
+            // It thinks we hold a slot: seeds may be gone, it is there.
+            Message::Beat(_) if self.slot == NO_SLOT => {
+                let Some(gather) = &mut self.gather else { return };
+                gather.met_others();
+                let founding = gather.founding && !self.replica.full;
+                return self.tell(from.address, Enlist { founding });
+            }
             _ if self.slot == NO_SLOT => return,
             Message::Beat(Beat { seats, .. }) | Message::Raise(Raise { seats, .. }) | Message::Keep(Keep { seats, .. }) | Message::Refill(Refill { seats, .. })
                 if seats < self.seats =>
@@ -728,7 +734,10 @@
                 let held = self.replica.copy_out();
                 // A first disk holds all that it ever acknowledged: nothing.
                 let full = self.replica.full || self.replica.founding;
-                let seats = self.replica.places().map_or(0, |(version, _)| version);
+                // After a loss of everything no table is shown by anybody, and
+                // no edge is renewed that might go by another.
+                let none = self.replica.held(PLACES).image.version == 0;
+                let seats = if none { self.seats } else { self.replica.places().map_or(0, |(version, _)| version) };
                 self.tell_synced(from.address, Refilled { slot: self.slot, round: refill.round, full, lost: self.lost(), seats, held });
             }
             (Some(_), Message::Refilled(refilled)) => {
@@ -806,13 +815,16 @@
         if let Some(gather) = self.gather.as_mut().filter(|_| founding && self.slot == NO_SLOT) {
             gather.enlist(from.address);
         }
-        if self.slot == NO_SLOT || self.struck {
+        if self.slot == NO_SLOT {
             return;
         }
         if self.places.iter().any(|mate| mate.names(&from)) {
-            // The founder's own table is on its disk before it is told.
+            // Also one that was struck may know. The founder's own table is on its disk before it is told.
             return self.tell_synced(from.address, self.known_seats());
         }
+        if self.struck {
+            return;
+        }
         // To the owner, through our own door; nobody waits for it.
         let ask = Ask { asker: self.address, id: 0, slice: PLACES, ask: Change::Enlist { mate: from, founding } };
         self.tell(self.address, ask);
@@ -998,6 +1010,13 @@
     /// Makes a change as the slice's owner; the answer waits for the disks.
     fn change(&mut self, now: Duration, ask: Ask) -> Wait {
         let Ask { asker, id, slice, ask } = ask;
+        let again = match &ask {
+            Change::PutConfiguration { change, .. } | Change::PutOrigins { change, .. } => self.keepers.get(&slice).and_then(|keeper| keeper.made(*change)),
+            _ => None,
+        };
+        if let Some(version) = again {
+            return Wait { slice, asker, id, commit: 0, settle: version, round: 0, told: Outcome::Settled { version } };
+        }
         let left = self.closed.saturating_sub(now);
         let keeper = self.keepers.get_mut(&slice).expect("owner");
         let mut wait = Wait { slice, asker, id, commit: 0, settle: 0, round: 0, told: Outcome::Lost };
@@ -1031,6 +1050,7 @@
                         wait.told = Outcome::Findings(found);
                     } else {
                         let version = keeper.put("configuration".into(), Value::Configuration { text, change });
+                        keeper.make(change, version);
                         wait.settle = version;
                         wait.told = Outcome::Settled { version };
                         self.note(Event::ConfigurationPut, format!("version {version}"));
@@ -1053,6 +1073,7 @@
                     _ => None,
                 });
                 let version = known.unwrap_or_else(|| keeper.put("origins".into(), Value::Origins { list, change }));
+                keeper.make(change, version);
                 wait.settle = version;
                 wait.told = Outcome::Settled { version };
                 self.note(Event::OriginsPut, format!("version {version}"));
--- a/control-plane/src/keeper.rs
+++ b/control-plane/src/keeper.rs
@@ -27,6 +27,9 @@
     quorum: Quorum,
     /// Version of that table.
     seats: u64,
+    /// Changes made under this epoch, with their versions: one that comes again,
+    /// late, must not undo what came after it.
+    made: VecDeque<(u64, u64)>,
     pub active_since: Option<Duration>,
     /// Until then nothing is answered: edges may know more.
     pub wary: Option<Duration>,
@@ -44,6 +47,8 @@
 
 /// An unanswered message is sent again after this.
 const AGAIN: Duration = Duration::from_millis(300);
+/// Changes remembered as made.
+const MADE: usize = 256;
 /// Dropped keys remembered for copies that lag.
 const DROPS: usize = 4096;
 
@@ -62,6 +67,7 @@
             copies: vec![CopyAt::default(); slots],
             quorum: Quorum::new(slots),
             seats,
+            made: VecDeque::new(),
             active_since: None,
             wary: None,
         }
@@ -165,6 +171,18 @@
         }
     }
 
+    pub fn make(&mut self, change: u64, version: u64) {
+        self.made.push_back((change, version));
+        if self.made.len() > MADE {
+            self.made.pop_front();
+        }
+    }
+
+    /// The version a change was made under, if it was not long ago.
+    pub fn made(&self, change: u64) -> Option<u64> {
+        self.made.iter().find(|(known, _)| *known == change).map(|(_, version)| *version)
+    }
+
     /// The table changed in its number only.
     pub fn go_by(&mut self, seats: u64) {
         self.seats = seats;
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -178,6 +178,8 @@
         // What is taken anew may be older at one control node than what was
         // known here: as at a start, two must have told theirs.
         self.leases.drop_all();
+        // Fenced before anything of the new realm is shown.
+        self.check_live(now);
         self.vector = vec![0; NEWS.into()];
         self.known = vec![BTreeMap::new(); NEWS.into()];
         self.duties.clear();
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -1,5 +1,110 @@
 use crate::prelude::*;
 
+/// A fleet of another number of control nodes, whose table is gathered.
+fn of(control: usize, seed: u64, span: u64, faults: Vec<(u64, Fault)>) -> WorldPlan {
+    let faults = faults.into_iter().map(|(at, fault)| (Duration::from_millis(at), fault)).collect();
+    let deployment = Deployment::find("small").unwrap();
+    WorldPlan { control, gather: true, ..WorldPlan::new(deployment, seed, Duration::from_secs(span), faults) }
+}
+
+fn run(plan: WorldPlan) -> Report {
+    let mut world = World::new(plan);
+    world.trace = std::env::var("TRACE").is_ok();
+    world.run()
+}
+
+fn count(report: &Report, what: &str) -> usize {
+    report.checker.fleet.iter().filter(|one| one.what == what && one.good).count()
+}
+
+/// The founding with the first seed killed at each moment of it; and a node
+/// that comes late gets a slot of its own.
+#[test]
+fn a_table_is_founded_once_and_grows_by_who_came_late() {
+    for control in [4, 5, 8] {
+        for founder in [FounderEnd::Lives, FounderEnd::Unwritten, FounderEnd::Untold, FounderEnd::Told] {
+            for late in [false, true] {
+                let faults = vec![(11_000, Fault::Configure), (12_000, Fault::Content), (12_001, Fault::Purge("/".into())), (14_000, Fault::ReadBack)];
+                let report = run(WorldPlan { founder, late, ..of(control, 2, 30, faults) });
+                let what = format!("{control} {founder:?} late: {late}");
+                judge(&report, &[1, 4, 6, 7]);
+                assert_eq!(report.notes.get(&Event::DiskRefilled), Some(&control), "{what}");
+                assert_eq!(report.notes.get(&Event::SlotTaken).copied().unwrap_or(0), if late { control - 1 } else { 0 }, "{what}: grown at all others");
+                assert_eq!(count(&report, "configured"), 2, "{what}");
+                let share = served_within(&report, 15.0, 30.0);
+                assert!(share > 0.99, "{what}: {share}");
+            }
+        }
+    }
+}
+
+/// As many disks as may be go the moment something is acknowledged, and all
+/// others lose power with them.
+#[test]
+fn disks_are_wiped_the_moment_something_is_acknowledged_while_all_others_lose_power() {
+    for control in [3, 4, 5, 8] {
+        for seed in 1..=9 {
+            let moment = Moment::ALL[seed as usize % 3];
+            let slot = (seed as usize / 3 * 2) % control;
+            let faults = vec![
+                (10_000, Fault::Trap(moment, Loss::Disks(slot, Schedule::borne(control)))),
+                (10_010 + seed * 7, Fault::Configure),
+                (10_015 + seed * 7, Fault::Content),
+                (10_016 + seed * 7, Fault::Purge("/".into())),
+                (17_000, Fault::ReadBack),
+                (19_000, Fault::ReadBack),
+            ];
+            let report = run(WorldPlan { gather: control != 3, ..of(control, seed, 40, faults) });
+            judge(&report, &[1, 12]);
+            assert_eq!(count(&report, "read-back"), 2, "{control} {seed}");
+            assert_eq!(report.notes.get(&Event::DiskBlank), Some(&(control + Schedule::borne(control))), "{control} {seed}");
+            assert_eq!(report.notes.get(&Event::RealmFounded), Some(&1), "{control} {seed}: nothing was lost");
+        }
+    }
+}
+
+#[test]
+fn an_empty_node_elsewhere_takes_a_lost_slot_of_four_five_and_eight() {
+    for control in [4, 5, 8] {
+        for slot in [0, control - 1] {
+            let (lost, spare) = (Place::Control(slot), Place::Control(control));
+            let next = Place::Control((slot + 1) % control);
+            let faults = vec![
+                (8_000, Fault::Start(spare)),
+                (9_000, Fault::Kill(lost)),
+                (17_000, Fault::Configure),
+                (20_000, Fault::Wipe(next)),
+                (21_000, Fault::Start(next)),
+                (24_000, Fault::Start(lost)),
+                (26_000, Fault::Configure),
+                (28_000, Fault::Kill(Place::Edge(1))),
+                (29_000, Fault::Start(Place::Edge(1))),
+                (30_000, Fault::ReadBack),
+            ];
+            let report = run(of(control, slot as u64 + 1, 45, faults));
+            judge(&report, &[1, 6, 7]);
+            assert_eq!(count(&report, "configured"), 3, "{control} {slot}");
+            assert_eq!(report.notes.get(&Event::SlotStruck), Some(&1), "{control} {slot}");
+            assert!(served_within(&report, 30.0, 45.0) > 0.98, "{control} {slot}: {}", served_within(&report, 30.0, 45.0));
+        }
+    }
+}
+
+#[test]
+fn random_schedules_of_four_five_and_eight_break_nothing() {
+    let span = Duration::from_secs(60);
+    for control in [4, 5, 8] {
+        for seed in 1..=12 {
+            let deployment = Deployment::find("small").unwrap();
+            let faults = Schedule::random(&deployment, control, seed, span);
+            let report = World::new(WorldPlan::new(deployment, seed, span, faults).of(control)).run();
+            for (never, verdict) in report.checker.verdicts() {
+                assert!(!matches!(verdict, Verdict::Broken(_)), "{control} seed {seed}: {never}: {}", cut(&verdict));
+            }
+        }
+    }
+}
+
 fn small(seed: u64, span: u64, faults: Vec<(u64, Fault)>) -> Report {
     let faults = faults.into_iter().map(|(at, fault)| (Duration::from_millis(at), fault)).collect();
     let deployment = Deployment::find("small").unwrap();
