A move in flight when a majority goes is taken up again; docs of slots and founding

Change: full disks by an older table keep a refill waiting only while they may be enough; a table that is gone from its slice is written again. Gathered fleets begin their random faults at 9 s, when founded.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -846,13 +846,11 @@
     }
 
     /// The table becomes a row, so that edges learn it: a first one that was
-    /// founded is in no row yet.
+    /// founded is in no row yet, and one may have been lost with a majority.
     fn write_table(&mut self) {
-        if self.gather.is_none() {
-            return;
-        }
         let Some(keeper) = self.keepers.get_mut(&PLACES).filter(|keeper| keeper.ready() && keeper.wary.is_none()) else { return };
-        if !keeper.rows.contains_key("places") {
+        let known = keeper.rows.get("places").map(|row| row.version);
+        if known.is_none() && self.gather.is_some() || known.unwrap_or(0) < self.seats {
             keeper.version = keeper.version.max(self.seats);
             keeper.put("places".into(), Value::Places(self.places.clone()));
         }
--- a/control-plane/src/refiller.rs
+++ b/control-plane/src/refiller.rs
@@ -15,7 +15,16 @@
     quorum: Quorum,
     seats: u64,
     round: u8,
-    got: BTreeMap<u8, (bool, Vec<HeldSlice>)>,
+    got: BTreeMap<u8, Got>,
+}
+
+#[derive(Debug)]
+struct Got {
+    /// Its disk is full, by whichever table.
+    full: bool,
+    /// And it counts: edges are shown the table that names us there.
+    whole: bool,
+    held: Vec<HeldSlice>,
 }
 
 /// All slices merged, and whether a majority of disks was lost: too many others
@@ -35,7 +44,7 @@
     /// Asks all whose answer may still change something: blank ones may be full
     /// by now.
     pub fn pulse(&self) -> Vec<(u8, Message)> {
-        let whole = |slot: &u8| self.got.get(slot).is_some_and(|(whole, _)| *whole);
+        let whole = |slot: &u8| self.got.get(slot).is_some_and(|got| got.whole);
         let others = (0..self.quorum.slots as u8).filter(|slot| *slot != self.slot && !whole(slot));
         others.map(|slot| (slot, Refill { slot: self.slot, round: self.round, seats: self.seats }.into())).collect()
     }
@@ -45,13 +54,13 @@
         if refilled.round != self.round || refilled.slot == self.slot {
             return None;
         }
-        let whole = refilled.full && refilled.lost == 0;
-        if refilled.full && refilled.seats < self.seats {
-            return None; // Its edges may still go by the earlier table.
-        }
-        self.got.insert(refilled.slot, (whole, refilled.held));
-        let enough = self.got.values().filter(|(whole, _)| *whole).count() >= self.quorum.rest();
-        if !enough && self.got.len() + 1 < self.quorum.slots {
+        let full = refilled.full && refilled.lost == 0;
+        // Else its edges may still go by the earlier table.
+        let whole = full && refilled.seats >= self.seats;
+        self.got.insert(refilled.slot, Got { full, whole, held: refilled.held });
+        let enough = self.got.values().filter(|got| got.whole).count() >= self.quorum.rest();
+        let may_be = self.got.values().filter(|got| got.full).count() >= self.quorum.rest();
+        if !enough && (may_be || self.got.len() + 1 < self.quorum.slots) {
             return None;
         }
         if self.round == 0 {
@@ -60,7 +69,7 @@
             return None;
         }
         let mut merged: Vec<HeldSlice> = Vec::new();
-        for (_, held) in std::mem::take(&mut self.got).into_values() {
+        for Got { held, .. } in std::mem::take(&mut self.got).into_values() {
             if merged.is_empty() {
                 merged = held;
                 continue;
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -57,8 +57,8 @@
              --http IP:PORT   where HTTP callers reach this one\n\
              --zone NAME      zone of this machine\n\
              --seeds A,B,C    mesh addresses of the three control nodes, by slot\n\
-             --gather-ms N    the seeds (one to three) are asked who holds the slots; at a\n                 \
-             founding the first one collects control nodes for so long\n"
+             --gather-ms N    one to three seeds, who are asked who holds the slots; the first\n\
+             \x20                one collects founding control nodes for so long\n"
         );
         if disk {
             text += "--founding true  the whole fleet starts for the first time, with empty disks\n\
@@ -154,7 +154,7 @@
         need(self.zone.is_empty(), "zone", "is needed");
         let unlike: BTreeSet<_> = self.seeds.iter().collect();
         let few = self.gather_ms.is_some() && (1..=3).contains(&self.seeds.len());
-        need(!few && self.seeds.len() != 3 || unlike.len() != self.seeds.len(), "seeds", "must be three unlike addresses (one to three with gather_ms)");
+        need(!few && self.seeds.len() != 3 || unlike.len() != self.seeds.len(), "seeds", "must be three unlike addresses (or one to three with gather_ms)");
         let level = self.log.as_deref().unwrap_or("info");
         need(level.parse::<log::LevelFilter>().is_err(), "log", "no such level");
         if disk {
@@ -201,4 +201,16 @@
         let places: Vec<&str> = found.iter().map(|finding| finding.place.as_str()).collect();
         assert_eq!(places, ["--mesh", "--odd", "mesh", "http", "zone", "seeds", "data"]);
     }
+
+    #[test]
+    fn fewer_seeds_than_three_do_only_where_the_table_is_asked_for() {
+        let read = |more: &[&str]| {
+            let words = [&["--mesh", "127.0.0.1:1", "--http", "127.0.0.1:2", "--zone", "a", "--data", "d"], more].concat();
+            Startup::read(pico_args::Arguments::from_vec(words.iter().map(|word| word.into()).collect()), true)
+        };
+        let found = read(&["--seeds", "127.0.0.1:1"]).unwrap_err();
+        assert_eq!(found.len(), 1, "{found:?}");
+        let startup = read(&["--seeds", "127.0.0.1:1", "--gather-ms", "1500", "--founding", "true"]).unwrap();
+        assert!(startup.founding && startup.gather_span() == Some(Duration::from_millis(1500)));
+    }
 }
--- a/simulate-fleet/src/schedule.rs
+++ b/simulate-fleet/src/schedule.rs
@@ -48,7 +48,8 @@
         if !planned && schedule.dice.chance(12) {
             schedule.lose_disks();
         }
-        let mut at = 6_000;
+        // A founding that is gathered takes longer.
+        let mut at = if control == 3 { 6_000 } else { 9_000 };
         while at < schedule.end - 1_000 {
             if planned { schedule.plan(at) } else { schedule.hurt(at) }
             at += 300 + schedule.dice.roll(2_500);
