Who is there is asked at once when the duties' owner changes; between two holders that is said

Cause: after power came back, duties waited for sessions to be known (0.8 s) though each holder had another life at its address by then; the proof needed a mark told after the slice was taken, two pulses away.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -599,7 +599,7 @@
     fn plan_duties(&mut self, now: Duration) {
         let Some(keeper) = self.keepers.get(&DUTIES) else { return };
         // A new owner waits until sessions have had time to show.
-        let calm = keeper.active_since.is_some_and(|since| now >= since + lease::EDGE_PULSE);
+        let calm = keeper.active_since.is_some_and(|since| now >= since + lease::CONTROL_PULSE);
         if !keeper.ready() || !calm || keeper.wary.is_some() {
             return;
         }
@@ -844,6 +844,10 @@
                         self.granted = self.sessions.marks();
                         self.finals.remove(&raised.slice);
                         self.note(Event::SliceTaken, text);
+                        if raised.slice == DUTIES {
+                            // Which of the holders are still there?
+                            self.nudge();
+                        }
                     }
                 }
             }
@@ -974,9 +978,15 @@
         let newer = held.image.published > published;
         self.tell_synced(from.address, Kept { slice, epoch, round, to, clear, retired: self.retired_lives() });
         if newer && slice < NEWS {
-            for edge in self.sessions.addresses() {
-                self.tell(edge, Nudge {});
-            }
+            self.nudge();
+        }
+    }
+
+    /// All sessions renew now, with a mark of this moment.
+    fn nudge(&mut self) {
+        let mark = self.sessions.mark();
+        for edge in self.sessions.addresses() {
+            self.tell(edge, Nudge { mark });
         }
     }
 
@@ -990,7 +1000,7 @@
         // each waits longer after each loss, and unlike long.
         let recent = |known: &&(u64, Duration, u32)| now < known.1 + OUTRUN_CALM;
         let spell = self.outrun.get(&outrun.slice).filter(recent).map_or(0, |known| (known.2 + 1).min(5));
-        let pause = Duration::from_millis((150 + 70 * u64::from(self.slot)) << spell);
+        let pause = Duration::from_millis((40 + 30 * u64::from(self.slot)) << spell);
         self.outrun.insert(outrun.slice, (outrun.promised, now + pause, spell));
         self.note(Event::SliceLost, format!("slice {} epoch {} to {}", outrun.slice, outrun.epoch, outrun.promised));
     }
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -727,9 +727,13 @@
 
     fn away(&mut self, now: Duration, away: Away) {
         let Some(job) = self.jobs.get(&away.id) else { return };
-        if !matches!(job.stage, Stage::Knocking) || away.reason == AwayReason::NotHere {
+        if !matches!(job.stage, Stage::Knocking) {
             return;
         }
+        if away.reason == AwayReason::NotHere {
+            // Between two holders.
+            return self.go_alone(now, away.id);
+        }
         let refusal = match away.reason {
             AwayReason::Busy => job.refuse(429, "over_capacity", "more is asked of the service than it may be called"),
             AwayReason::Budget => job.refuse(503, "no_more_tries", "the call failed and the budget for further tries is spent"),
@@ -874,8 +878,10 @@
         let purged = self.book.applied;
         match message {
             Message::Get(get) => {
-                if let Some(epoch) = self.slices.get(&cache_slice(&get.key)) {
-                    self.cache.get(now, from.address, get, *epoch, purged);
+                match self.slices.get(&cache_slice(&get.key)) {
+                    Some(epoch) => self.cache.get(now, from.address, get, *epoch, purged),
+                    // Between two owners: whoever asks fetches for itself.
+                    None => self.tell(from.address, NoCopy { id: get.id, key: get.key }),
                 }
             }
             Message::Put(put) => {
@@ -1029,7 +1035,10 @@
     fn heard(&mut self, now: Duration, from: Mate, message: Message) {
         match message {
             Message::Renewed(renewed) => self.renewed(now, from, renewed),
-            Message::Nudge(_) => self.renew(now),
+            Message::Nudge(nudge) => {
+                self.marks.insert(from.address, nudge.mark);
+                self.renew(now);
+            }
             Message::Want(want) => self.want(now, from, want),
             Message::Handed(handed) => self.handed(now, handed),
             Message::Recall(recall) => self.recall(from, recall.slice),
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -73,8 +73,8 @@
     /// Tell all rows you know of this slice: more than its owner does.
     Recall { slice: u8 }
     Recalled { slice: u8, version: u64, rows: Vec<(String, Row)> }
-    /// There is news: renew now.
-    Nudge { }
+    /// There is news, or it matters who is there: renew now, with this mark.
+    Nudge { mark: Mark }
     /// The edge has fenced itself for good.
     Leave { }
 
