--- a/simulate-fleet/src/bin/simulate-fleet.rs
+++ b/simulate-fleet/src/bin/simulate-fleet.rs
@@ -18,6 +18,8 @@
 --shrink 1      makes the schedule of a broken seed short and prints it as a script
 --trace 1       prints what happens
 --figures 1     prints the figures of docs/figures.md, nothing else
+--capacity A,B  prints the tables of docs/CAPACITY.md for so many hollow edges
+                (all: 16,64,256,1100) and --control nodes (default 12), nothing else
 
 Prints served shares by rank, origin calls against their rate, moves of duties,
 longest gap without a success, nevers broken, and the seed that repeats it.
@@ -29,7 +31,8 @@
     let seconds = flags.take("--seconds", Some(120u64)).unwrap_or(60);
     let first = flags.take("--seed", Some(1u64)).unwrap_or(1);
     let seeds = flags.take("--seeds", Some(1u64)).unwrap_or(1);
-    let control = flags.take("--control", Some(3usize)).unwrap_or(3);
+    let control = flags.take("--control", Some(0usize)).unwrap_or(0);
+    let (controls, control) = (control > 0, if control == 0 { 3 } else { control });
     if !(1..=SLOTS_MOST).contains(&control) {
         flags.found("--control", "1 to 16");
     }
@@ -39,6 +42,7 @@
     let trace = flags.take("--trace", Some(0u8)).unwrap_or(0) > 0;
     let shrink = flags.take("--shrink", Some(0u8)).unwrap_or(0) > 0;
     let drift = flags.take("--drift", Some(1000u64)).unwrap_or(0);
+    let sizes = flags.take("--capacity", Some(String::new())).unwrap_or_default();
     let figures = flags.take("--figures", Some(0u8)).unwrap_or(0) > 0;
     let deployment = Deployment::find(&name);
     if deployment.is_none() {
@@ -82,7 +86,14 @@
             Err(found) => found.iter().for_each(|finding| flags.found(&format!("{path}{}", finding.place), &finding.text)),
         }
     }
+    let hollow: Vec<usize> = if sizes == "all" { SIZES.to_vec() } else { sizes.split(',').filter_map(|size| size.trim().parse().ok()).collect() };
+    if !sizes.is_empty() && (hollow.is_empty() || hollow.contains(&0)) {
+        flags.found("--capacity", "all, or numbers of edges, as 16,64");
+    }
     flags.finish();
+    if !hollow.is_empty() {
+        return capacity(&hollow, if controls { control } else { CONTROL });
+    }
     if figures {
         Figures::print();
         return Ok(());
@@ -116,6 +127,32 @@
     std::process::exit(i32::from(broken > 0));
 }
 
+#[global_allocator]
+static COUNTED: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
+fn capacity(sizes: &[usize], control: usize) -> Result<()> {
+    let used = || {
+        let stats = COUNTED.stats();
+        Some((stats.bytes_allocated - stats.bytes_deallocated) as u64)
+    };
+    let mut list = Vec::new();
+    for edges in sizes {
+        let began = Instant::now();
+        let sized = Capacity::measure(*edges, control, &used)?;
+        println!("{edges} edges, {control} control nodes: {} live, {} regions, run in {:.1} s", sized.live, sized.regions, began.elapsed().as_secs_f64());
+        for (role, name) in sized.quiet.sent.keys() {
+            let (frames, bytes) = sized.quiet.rate(*role, name);
+            println!("  {role:?} sends {name}: {frames:.0} frames, {bytes:.0} bytes a second");
+        }
+        for ((role, name), (count, took, most)) in &sized.quiet.steps {
+            println!("  {role:?} takes {name}: {count} steps, {:.1} us each, at most {:.1} us", took.as_secs_f64() * 1e6 / *count as f64, most.as_secs_f64() * 1e6);
+        }
+        list.push(sized);
+    }
+    println!("\n{}\n{}", Sized::table(&list, &Sized::counts), Sized::table(&list, &Sized::times));
+    Ok(())
+}
+
 /// Over all seeds: cases held, worst margins, and how many faults of each
 /// kind fell into the cases of each never.
 #[derive(Default)]
--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -1,5 +1,6 @@
 //! The real planes in virtual time, under faults, judged by the same checker
 //! as a fleet of processes.
+pub mod capacity;
 pub mod fault;
 pub mod figures;
 pub mod prelude;
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -1,3 +1,4 @@
+pub use crate::capacity::{CONTROL, Capacity, Role, SIZES, Sized, Tally};
 pub use crate::fault::{Fault, Loss, Moment, Place};
 pub use crate::figures::Figures;
 pub use crate::schedule::Schedule;
