Beats carry differences of sessions; a nudge asks the nudger alone

Cause: a beat carried every session ten times a second (19 kB/s an edge and control node); with 12 control nodes each change cost an edge 3,700 frames, since nudges and known news renewed with all. Weighed: serials alone (a restart keeps the life and begins them anew), a random run number. Change: differences since what the hearer got, taken only if the sum of the whole table agrees, so a late or foreign one changes nothing and is not counted as heard; vectors go as the newest per slice. A nudge names slice and version; only news that was applied is confirmed to all.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -84,6 +84,8 @@
     full: bool,
     blank: bool,
     heard: Duration,
+    /// The state of our table of sessions up to which it has it.
+    got: u64,
 }
 
 impl MateAt {
@@ -379,9 +381,8 @@
         if self.slot == NO_SLOT {
             return self.ask_for_slot(now);
         }
-        let beat = self.beat(now);
         for slot in self.others() {
-            self.tell(self.address(slot), beat.clone());
+            self.tell(self.address(slot), self.beat(now, slot));
         }
         if let Some(refiller) = &self.refiller {
             for (slot, message) in refiller.pulse() {
@@ -439,9 +440,10 @@
         }
     }
 
-    fn beat(&self, now: Duration) -> Beat {
-        let seen = self.sessions.known(now).then(|| self.sessions.mine());
-        Beat { slot: self.slot, full: self.able() && self.warned.is_none(), blank: !self.replica.full, seats: self.seats, closed: self.closed.saturating_sub(now), lost: self.lost(), seen }
+    fn beat(&self, now: Duration, to: u8) -> Beat {
+        let got = self.mates.get(&to).map_or(0, |mate| mate.got);
+        let seen = self.sessions.known(now).then(|| self.sessions.since(got));
+        Beat { slot: self.slot, full: self.able() && self.warned.is_none(), blank: !self.replica.full, seats: self.seats, closed: self.closed.saturating_sub(now), lost: self.lost(), got: self.sessions.got(to), seen }
     }
 
     fn take_slices(&mut self, now: Duration) {
@@ -562,8 +564,7 @@
         let realm = Realm::after(earlier.max(self.replica.realm()), self.replica.life);
         for (slice, keeper) in self.keepers.iter_mut().filter(|(_, keeper)| keeper.ready() && keeper.wary.is_some()) {
             if *slice < NEWS {
-                let known = |seen: &&&Seen| seen.vector.get(usize::from(*slice)).is_some_and(|known| *known > keeper.version);
-                told.extend(self.sessions.all().iter().filter(known).map(|seen| (seen.mate.address, *slice)));
+                told.extend(self.sessions.beyond(*slice, keeper.version).into_iter().map(|edge| (edge, *slice)));
             }
             // The ledger opens once the realm tells whether anything was lost.
             let may = *slice < NEWS || self.realm != 0;
@@ -747,7 +748,7 @@
                 }
             }
             // One who knows better tells it to who does not.
-            Message::Beat(ref beat) if beat.seats > self.seats => self.tell(from.address, self.beat(now)),
+            Message::Beat(ref beat) if beat.seats > self.seats => self.tell(from.address, self.beat(now, slot.unwrap_or(NO_SLOT))),
             _ => {}
         }
         if retired {
@@ -758,7 +759,7 @@
         }
         match (slot, message) {
             (Some(slot), Message::Beat(beat)) if slot != self.slot => {
-                self.mates.insert(slot, MateAt { life: from.life, full: beat.full, blank: beat.blank, heard: now });
+                self.mates.insert(slot, MateAt { life: from.life, full: beat.full, blank: beat.blank, heard: now, got: beat.got });
                 // The way a beat took must not add to it, to and fro.
                 if !self.open() && now + beat.closed > self.closed + Duration::from_secs(1) {
                     self.closed = now + beat.closed;
@@ -900,10 +901,10 @@
 
     /// A slot was heard with this life; an earlier one is retired.
     fn meet(&mut self, slot: u8, life: u64) {
-        let known = self.mates.entry(slot).or_insert(MateAt { life, full: false, blank: true, heard: Duration::ZERO });
+        let known = self.mates.entry(slot).or_insert(MateAt { life, full: false, blank: true, heard: Duration::ZERO, got: 0 });
         if known.life != life {
             let earlier = known.life;
-            *known = MateAt { life, full: false, blank: true, heard: Duration::ZERO };
+            *known = MateAt { life, full: false, blank: true, heard: Duration::ZERO, got: 0 };
             for keeper in self.keepers.values_mut() {
                 keeper.forget(slot);
             }
@@ -942,11 +943,11 @@
         }
         let held = self.replica.held(slice);
         let clear = if slice < NEWS { self.sessions.clear(now, slice, held.image.published) } else { None };
-        let newer = held.image.published > published;
+        let version = held.image.published;
         self.tell_synced(from.address, Kept { slice, epoch, round, to, clear, retired: self.retired_lives() });
-        if newer && slice < NEWS {
-            for edge in self.sessions.addresses() {
-                self.tell(edge, Nudge {});
+        if version > published && slice < NEWS {
+            for edge in self.sessions.lacking(self.replica.realm(), slice, version) {
+                self.tell(edge, Nudge { slice, version });
             }
         }
     }
@@ -1310,7 +1311,7 @@
         }
 
         fn beat(&mut self, ms: u64, life: u64) -> Vec<(SocketAddr, Message)> {
-            self.hear(ms, 1, life, Beat { slot: 1, full: true, blank: false, seats: 0, closed: Duration::ZERO, lost: 0, seen: Some(vec![]) })
+            self.hear(ms, 1, life, Beat { slot: 1, full: true, blank: false, seats: 0, closed: Duration::ZERO, lost: 0, got: 0, seen: Some(SeenSince::default()) })
         }
     }
 
@@ -1371,7 +1372,7 @@
             for ms in (0..2_500).step_by(100) {
                 let mut said = VecDeque::new();
                 for slot in 1..5 {
-                    let beat = Beat { slot: slot as u8, full: true, blank: false, seats: 0, closed: Duration::ZERO, lost: 0, seen: Some(vec![]) };
+                    let beat = Beat { slot: slot as u8, full: true, blank: false, seats: 0, closed: Duration::ZERO, lost: 0, got: 0, seen: Some(SeenSince::default()) };
                     said.extend(script.hear(ms, slot, 10 + u64::from(slot), beat));
                 }
                 said.extend(script.step(ms + 1, Input::Pulse));
@@ -1511,7 +1512,7 @@
         // Nor does the first seed, if it hears of somebody who has one.
         let mut late = Alone::start(0, vec![], true);
         late.step(0, Input::Pulse);
-        late.hear(100, 2, Beat { slot: 2, full: true, blank: false, seats: 4, closed: Duration::ZERO, lost: 0, seen: None });
+        late.hear(100, 2, Beat { slot: 2, full: true, blank: false, seats: 4, closed: Duration::ZERO, lost: 0, got: 0, seen: None });
         late.step(900, Input::Pulse);
         assert!(late.part.places.is_empty());
     }
--- a/control-plane/src/sessions.rs
+++ b/control-plane/src/sessions.rs
@@ -1,15 +1,50 @@
 use crate::prelude::*;
 
 /// The sessions standing at this control node, and those the others told of.
-/// Invariant: a session is counted for `lease::CONTROL` after the last renewal
-/// was heard; the edge relied on it for less, counted from sending.
+/// Invariants:
+/// - A session is counted for `lease::CONTROL` after the last renewal was heard;
+///   the edge relied on it for less, counted from sending.
+/// - A table told by another is, in all that decisions hang on, the one that it
+///   had when it said so: differences are taken only if the sum is its sum. What
+///   does not fit changes nothing, does not count as heard, and is asked for whole.
 #[derive(Debug, Default)]
 pub struct Sessions {
-    mine: BTreeMap<Mate, (Duration, Seen)>,
-    told: BTreeMap<u8, (Duration, Vec<Seen>)>,
+    mine: BTreeMap<Mate, Standing>,
+    /// The state of `mine`, one more with each change, and its sum.
+    at: u64,
+    sum: u64,
+    /// Who went, by the state since which; states up to `forgotten` are told
+    /// whole.
+    went: BTreeMap<u64, Mate>,
+    forgotten: u64,
+    told: BTreeMap<u8, ToldTable>,
     began: Option<Duration>,
 }
 
+#[derive(Debug)]
+struct Standing {
+    heard: Duration,
+    seen: Seen,
+    sum: u64,
+    /// The state since which it is as it is, and when that was.
+    since: u64,
+    changed: Duration,
+}
+
+#[derive(Debug, Default)]
+struct ToldTable {
+    heard: Duration,
+    at: u64,
+    sum: u64,
+    seen: BTreeMap<Mate, Seen>,
+    newest: Vec<(u64, Mate)>,
+}
+
+/// What only operators read is told again this seldom.
+const READ: Duration = Duration::from_secs(5);
+/// So many departures are told as differences.
+const WENT: usize = 4096;
+
 impl Sessions {
     /// Counts as just started: others may hold sessions we do not know of.
     pub fn begin(&mut self, now: Duration) {
@@ -18,26 +53,81 @@
 
     /// True if this renewal opened the session.
     pub fn renew(&mut self, now: Duration, seen: Seen) -> bool {
-        self.mine.insert(seen.mate, (now, seen)).is_none()
+        let known = self.mine.get_mut(&seen.mate);
+        let sum = known.as_ref().filter(|known| (known.seen.draining, known.seen.realm, known.seen.recalled) == (seen.draining, seen.realm, seen.recalled) && (&known.seen.zone, &known.seen.region) == (&seen.zone, &seen.region)).map_or_else(|| seen.sum(), |known| known.sum);
+        let Some(known) = known else {
+            self.at += 1;
+            self.sum ^= sum;
+            self.mine.insert(seen.mate, Standing { heard: now, seen, sum, since: self.at, changed: now });
+            return true;
+        };
+        let read = now >= known.changed + READ && known.seen != seen;
+        if sum != known.sum || read {
+            self.at += 1;
+            self.sum ^= known.sum ^ sum;
+            (known.since, known.changed, known.sum) = (self.at, now, sum);
+        }
+        (known.heard, known.seen) = (now, seen);
+        false
     }
 
     pub fn leave(&mut self, mate: Mate) -> bool {
-        self.mine.remove(&mate).is_some()
+        let Some(gone) = self.mine.remove(&mate) else { return false };
+        self.at += 1;
+        self.sum ^= gone.sum;
+        self.went.insert(self.at, mate);
+        while self.went.len() > WENT {
+            self.forgotten = self.went.pop_first().expect("not empty").0;
+        }
+        true
     }
 
     /// Drops what lapsed and returns it.
     pub fn pulse(&mut self, now: Duration) -> Vec<Mate> {
         self.began.get_or_insert(now);
         let lapsed: Vec<Mate> =
-            self.mine.iter().filter(|(_, (heard, _))| now >= *heard + lease::CONTROL).map(|(mate, _)| *mate).collect();
+            self.mine.iter().filter(|(_, standing)| now >= standing.heard + lease::CONTROL).map(|(mate, _)| *mate).collect();
         for mate in &lapsed {
-            self.mine.remove(mate);
+            self.leave(*mate);
         }
         lapsed
     }
 
-    pub fn told(&mut self, now: Duration, slot: u8, seen: Vec<Seen>) {
-        self.told.insert(slot, (now, seen));
+    /// What a mate lacks that got our table up to this state.
+    pub fn since(&self, got: u64) -> SeenSince {
+        let from = if got <= self.at && got >= self.forgotten { got } else { 0 };
+        let put = self.mine.values().filter(|standing| standing.since > from).map(|standing| standing.seen.clone()).collect();
+        let went = self.went.range(from + 1..).map(|(_, mate)| *mate).filter(|mate| from > 0 && !self.mine.contains_key(mate));
+        let newest = (0..NEWS).filter_map(|slice| self.mine.iter().map(|(mate, one)| (one.seen.vector.get(usize::from(slice)).copied().unwrap_or(0), *mate)).max());
+        SeenSince { from, at: self.at, sum: self.sum, put, gone: went.collect(), newest: newest.collect() }
+    }
+
+    /// The state up to which the table of another was got; 0: none.
+    pub fn got(&self, slot: u8) -> u64 {
+        self.told.get(&slot).map_or(0, |table| table.at)
+    }
+
+    pub fn told(&mut self, now: Duration, slot: u8, since: SeenSince) {
+        let table = self.told.entry(slot).or_default();
+        let mut sum = if since.from == 0 { 0 } else { table.sum };
+        let known = |mate: &Mate| table.seen.get(mate).filter(|_| since.from > 0).map_or(0, Seen::sum);
+        since.put.iter().for_each(|seen| sum ^= known(&seen.mate) ^ seen.sum());
+        since.gone.iter().for_each(|mate| sum ^= known(mate));
+        if sum != since.sum || since.from > table.at {
+            // Late, or of another run: what stands is not what it has.
+            if since.at >= table.at || since.from == 0 {
+                table.at = 0;
+            }
+            return;
+        }
+        if since.from == 0 {
+            table.seen.clear();
+        }
+        since.gone.iter().for_each(|mate| {
+            table.seen.remove(mate);
+        });
+        table.seen.extend(since.put.into_iter().map(|seen| (seen.mate, seen)));
+        (table.heard, table.at, table.sum, table.newest) = (now, since.at, sum, since.newest);
     }
 
     /// After a start, sessions renewed before it may still stand: not known
@@ -48,27 +138,25 @@
 
     /// The version of a slice that every session standing here has confirmed.
     pub fn clear(&self, now: Duration, slice: u8, published: u64) -> Option<u64> {
-        let confirmed = self.mine.values().filter_map(|(_, seen)| seen.vector.get(usize::from(slice)).copied());
+        let confirmed = self.mine.values().filter_map(|standing| standing.seen.vector.get(usize::from(slice)).copied());
         self.known(now).then(|| confirmed.min().unwrap_or(published).min(published))
     }
 
-    pub fn mine(&self) -> Vec<Seen> {
-        self.mine.values().map(|(_, seen)| seen.clone()).collect()
-    }
-
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.mine.keys().map(|mate| mate.address).collect()
+    /// Who has not confirmed this version of a slice, in this realm.
+    pub fn lacking(&self, realm: u64, slice: u8, version: u64) -> Vec<SocketAddr> {
+        let has = |seen: &Seen| seen.realm == realm && seen.vector.get(usize::from(slice)).is_some_and(|known| *known >= version);
+        self.mine.values().filter(|one| !has(&one.seen)).map(|one| one.seen.mate.address).collect()
     }
 
     /// Tables of sessions not older than `lease::CONTROL_MATE`, ours included.
     fn tables(&self, now: Duration) -> Vec<Vec<&Seen>> {
         let mut tables = Vec::new();
         if self.known(now) {
-            tables.push(self.mine.values().map(|(_, seen)| seen).collect());
+            tables.push(self.mine.values().map(|one| &one.seen).collect());
         }
-        for (heard, seen) in self.told.values() {
-            if now < *heard + lease::CONTROL_MATE {
-                tables.push(seen.iter().collect());
+        for table in self.told.values() {
+            if now < table.heard + lease::CONTROL_MATE {
+                tables.push(table.seen.values().collect());
             }
         }
         tables
@@ -85,7 +173,15 @@
 
     /// Every session known, here or told.
     pub fn all(&self) -> Vec<&Seen> {
-        self.mine.values().map(|(_, seen)| seen).chain(self.told.values().flat_map(|(_, seen)| seen)).collect()
+        self.mine.values().map(|one| &one.seen).chain(self.told.values().flat_map(|table| table.seen.values())).collect()
+    }
+
+    /// Who confirmed more of a news slice than this version: here all, of others'
+    /// tables the one that confirmed most.
+    pub fn beyond(&self, slice: u8, version: u64) -> BTreeSet<SocketAddr> {
+        let mine = self.mine.iter().filter_map(|(mate, one)| Some((*one.seen.vector.get(usize::from(slice))?, *mate)));
+        let told = self.told.values().filter_map(|table| table.newest.get(usize::from(slice)).copied());
+        mine.chain(told).filter(|(known, _)| *known > version).map(|(_, mate)| mate.address).collect()
     }
 
     /// Every edge with a session in `rest` of the tables, as many as it takes
@@ -133,15 +229,75 @@
         assert_eq!(table.clear(at(2300), PURGES, 7), Some(7));
     }
 
+    fn whole(put: Vec<Seen>) -> SeenSince {
+        let sum = put.iter().fold(0, |sum, seen| sum ^ seen.sum());
+        SeenSince { at: 1, sum, put, ..SeenSince::default() }
+    }
+
+    /// Whatever is lost, doubled, late, or said by another run: a table counts
+    /// as heard only with what the other has just then.
+    #[test]
+    fn differences_never_make_a_table_that_the_other_did_not_have() {
+        let mut dice = 7u64;
+        let mut roll = |most: u64| {
+            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            (dice >> 33) % most
+        };
+        let core = |table: &Sessions| table.mine.values().map(|one| (one.seen.mate, one.seen.draining)).collect::<BTreeSet<_>>();
+        let (mut one, mut other) = (Sessions::default(), Sessions::default());
+        let (mut late, mut fitted) = (vec![], 0);
+        let mut had: BTreeMap<u64, Vec<BTreeSet<(Mate, bool)>>> = BTreeMap::new();
+        for step in 1..6000u64 {
+            let now = Duration::from_millis(step * 100);
+            let port = 1 + roll(20) as u16;
+            match roll(8) {
+                0 => drop(one.leave(seen(port, 1).mate)),
+                1 if roll(40) == 0 => one = Sessions::default(),
+                _ => drop(one.renew(now, Seen { draining: roll(3) == 0, ..seen(port, step) })),
+            }
+            had.entry(one.sum).or_default().push(core(&one));
+            let beat = one.since(other.got(1));
+            if roll(4) == 0 {
+                late.push(beat.clone());
+            }
+            let late = if !late.is_empty() && roll(4) == 0 { late.swap_remove(roll(late.len() as u64) as usize) } else { beat };
+            other.told(now, 1, late.clone());
+            let table = &other.told[&1];
+            if table.heard == now {
+                fitted += 1;
+                let told: BTreeSet<_> = table.seen.values().map(|seen| (seen.mate, seen.draining)).collect();
+                assert!(had[&late.sum].contains(&told), "step {step}");
+            }
+        }
+        assert!(fitted > 3000, "{fitted} beats fitted");
+    }
+
+    #[test]
+    fn a_beat_tells_what_changed_and_usage_seldom() {
+        let at = Duration::from_millis;
+        let mut table = Sessions::default();
+        (1..=100).for_each(|port| drop(table.renew(at(0), seen(port, 1))));
+        let got = table.since(0).at;
+        assert_eq!((table.since(0).put.len(), table.since(got).put.len()), (100, 0));
+        // What was confirmed rises all the time, and who is newest is said.
+        table.renew(at(200), seen(7, 2));
+        let since = table.since(got);
+        assert_eq!((since.put.len(), since.newest[0]), (0, (2, seen(7, 2).mate)));
+        table.renew(at(5000), Seen { usage: Usage { errands: 4, ..Usage::default() }, ..seen(7, 2) });
+        table.leave(seen(8, 1).mate);
+        let since = table.since(got);
+        assert_eq!((since.put.len(), since.gone), (1, vec![seen(8, 1).mate]));
+    }
+
     #[test]
     fn an_edge_is_gone_only_by_a_majority_of_tables() {
         let at = Duration::from_millis;
         let mut table = Sessions::default();
         table.pulse(at(0));
         assert!(!table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)), "one table is no majority");
-        table.told(at(5000), 1, vec![seen(1, 1)]);
+        table.told(at(5000), 1, whole(vec![seen(1, 1)]));
         assert!(!table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)));
-        table.told(at(5100), 1, vec![]);
+        table.told(at(5100), 1, whole(vec![]));
         assert!(table.gone(at(5100), seen(1, 1).mate, Quorum::new(3)));
     }
 
@@ -155,7 +311,7 @@
             for tables in 0..=slots {
                 let mut table = Sessions::default();
                 for slot in 0..slots {
-                    table.told(at(5000), slot as u8, if slot < tables { vec![seen(1, 1)] } else { vec![] });
+                    table.told(at(5000), slot as u8, whole(if slot < tables { vec![seen(1, 1)] } else { vec![] }));
                 }
                 let (live, gone) = (!table.live(at(5000), quorum).is_empty(), table.gone(at(5000), seen(1, 1).mate, quorum));
                 assert_eq!((live, gone), (tables >= quorum.rest(), slots - tables >= quorum.most()), "{tables} of {slots}");
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -130,6 +130,10 @@
             return;
         }
         self.next_renew = now + lease::EDGE_PULSE;
+        self.renew_with(now, self.seeds.clone());
+    }
+
+    fn renew_with(&mut self, now: Duration, seeds: Vec<SocketAddr>) {
         let usage = Usage { copies: self.cache.given, pending: self.jobs.len() as u64, ..self.usage.clone() };
         // Keyed errands begun in an earlier realm still have their end to tell.
         let old = |job: &Job| job.claim.is_some() && job.began < self.entered;
@@ -137,11 +141,21 @@
         let found = self.gates.values().flat_map(|gate| gate.found(now)).collect();
         let renew =
             Renew { sent: now, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.zone.clone(), region: self.region.clone(), draining: self.warned.is_some(), usage, found };
-        for seed in self.seeds.clone() {
+        for seed in seeds {
             self.tell(seed, renew.clone());
         }
     }
 
+    /// Who nudged shows what we lack: it is asked alone, the others are told
+    /// once it is applied.
+    fn nudged(&mut self, now: Duration, from: Mate, nudge: &Nudge) {
+        let known = self.vector.get(usize::from(nudge.slice)).is_some_and(|known| *known >= nudge.version);
+        if known || self.left {
+            return;
+        }
+        if self.seeds.contains(&from.address) { self.renew_with(now, vec![from.address]) } else { self.renew(now) }
+    }
+
     fn renewed(&mut self, now: Duration, from: Mate, renewed: Renewed) {
         if renewed.life != self.me.life || !self.seeds.contains(&from.address) || self.left {
             return;
@@ -156,9 +170,10 @@
         } else if recall {
             self.tell_ended();
         }
-        let newer = !renewed.news.is_empty();
+        let mut newer = false;
         for news in renewed.news {
             if news.version > self.vector[usize::from(news.slice)] {
+                newer = true;
                 self.learn(now, news);
             }
         }
@@ -964,7 +979,7 @@
     fn heard(&mut self, now: Duration, from: Mate, message: Message) {
         match message {
             Message::Renewed(renewed) => self.renewed(now, from, renewed),
-            Message::Nudge(_) => self.renew(now),
+            Message::Nudge(nudge) => self.nudged(now, from, &nudge),
             Message::Want(want) => self.want(now, from, want),
             Message::Handed(handed) => self.handed(now, handed),
             Message::Recall(recall) => self.recall(from, recall.slice),
@@ -1107,6 +1122,22 @@
         }
     }
 
+    /// With twelve control nodes each change was renewed 144 times an edge.
+    #[test]
+    fn what_is_known_already_is_not_renewed_for_and_a_nudge_asks_the_nudger_alone() {
+        let mut edge = live(1000);
+        let said = |edge: &mut EdgePart, seed, message: Message| -> Vec<SocketAddr> {
+            let out = edge.step(at(1010), Input::Heard { from: Mate::new(address(seed), 1), message });
+            out.iter().filter_map(|one| matches!(one, Output::Tell { message: Message::Renew(_), .. }).then_some(one)).map(|one| if let Output::Tell { to, .. } = one { *to } else { unreachable!() }).collect()
+        };
+        let news = || Renewed { life: 5, sent: at(1010), realm: 0, recall: false, news: vec![News { slice: PURGES, version: 4, rows: vec![] }] };
+        assert_eq!(said(&mut edge, 2, Nudge { slice: PURGES, version: 4 }.into()), [address(2)]);
+        assert_eq!(said(&mut edge, 2, news().into()).len(), 3, "all are told that it is applied");
+        assert!(said(&mut edge, 3, news().into()).is_empty());
+        assert!(said(&mut edge, 3, Nudge { slice: PURGES, version: 4 }.into()).is_empty());
+        assert_eq!(said(&mut edge, 3, Nudge { slice: PURGES, version: 5 }.into()), [address(3)]);
+    }
+
     #[test]
     fn the_lease_of_who_lost_its_slot_ends_with_the_news_of_it() {
         let mut edge = live(1000);
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -23,11 +23,12 @@
 messages! {
     // Between control nodes.
     /// I am here, with this disk (`full` once it counts, and until I end) and
-    /// these sessions, once they are known; `seats` is the version of the table
+    /// these sessions, once they are known, as far as the hearer has not got them
+    /// by its last beat (`got`: the state of its table here); `seats` is the version of the table
     /// of places I go by; for `closed` no unknown operation may be claimed;
     /// what was acknowledged in the realm `lost` may be lost (0: none was).
     /// `blank`: the disk was not refilled yet.
-    Beat { slot: u8, full: bool, blank: bool, seats: u64, closed: Duration, lost: u64, seen: Option<Vec<Seen>> }
+    Beat { slot: u8, full: bool, blank: bool, seats: u64, closed: Duration, lost: u64, got: u64, seen: Option<SeenSince> }
     /// A blank disk asks for all another holds. The first round only makes
     /// the others forget the earlier disk's acknowledgements; what the
     /// second brings counts. `seats`: the table the sender goes by; who goes
@@ -72,8 +73,9 @@
     /// Tell all rows you know of this slice: more than its owner does.
     Recall { slice: u8 }
     Recalled { slice: u8, version: u64, rows: Vec<(String, Row)> }
-    /// There is news: renew now.
-    Nudge { }
+    /// This version of a news slice is shown here, and you have not confirmed
+    /// it: renew now, unless you have it from another by now.
+    Nudge { slice: u8, version: u64 }
     /// The edge has fenced itself for good.
     Leave { }
 
@@ -165,6 +167,31 @@
     pub found: Vec<OriginFound>,
 }
 
+/// How a table of sessions differs from its state `from` (0: from an empty
+/// one), so that it is the one `at`. `sum` is that of the whole table: who comes
+/// to another one has not got it.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct SeenSince {
+    pub from: u64,
+    pub at: u64,
+    pub sum: u64,
+    pub put: Vec<Seen>,
+    pub gone: Vec<Mate>,
+    /// For each news slice the highest version confirmed here right now, and by
+    /// whom: vectors rise with each change and are not told as differences.
+    pub newest: Vec<(u64, Mate)>,
+}
+
+impl Seen {
+    /// Of all that others' decisions hang on: what was served, how origins are
+    /// found and what was confirmed is there for operators to read.
+    pub fn sum(&self) -> u64 {
+        let core = (&self.mate, &self.zone, &self.region, self.draining, self.realm, self.recalled);
+        let bytes = bincode::serialize(&core).expect("sessions serialize");
+        u64::from_be_bytes(Sha256::digest(bytes)[..8].try_into().expect("eight bytes"))
+    }
+}
+
 /// How an origin stands with the gate of its group.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OriginFound {
