--- a/programs/src/bin/control-node.rs
+++ b/programs/src/bin/control-node.rs
@@ -12,7 +12,8 @@
         None => (Replica::blank(new_life()?), true),
     };
     let mesh = startup.mesh.context("mesh address")?;
-    let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank, startup.gather_span().map(|span| Gather::new(startup.founding, span)));
+    let gather = startup.gather_span().map(|span| Gather::new(startup.founding, span));
+    let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank, gather);
     let history = Some(History::keep(startup.data.clone().context("data folder")?));
     let host = Host {
         me: part.me(),
