Items at the product's own interface: PATCH and GET items, operate items

Weighed: one finding's place per merged document (of no use to who sent the call); now each finding names the item of the call or the one that stands. Showing an item's source (it may be in a plug-in's words) or its text: the text, which for items sent here is the source.

--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -16,6 +16,8 @@
         ("POST", "ledger/open") => answer_of(open_ledger(port, request)),
         ("GET", "origins") => list(port, ORIGINS, &show_origins),
         ("PUT", "origins") => answer_of(put_origins(port, request)),
+        ("GET", "items") => get_items(port),
+        ("PATCH", "items") => answer_of(put_items(port, request)),
         ("GET", "duties") => list(port, DUTIES, &show_duties),
         ("GET", "state") => match port.ask(PATIENCE, &|id| Input::Operator { id, ask: OperatorAsk::State }) {
             Some(Output::OperatorAnswer { answer: OperatorAnswer::State(state), .. }) => json(200, &state),
@@ -155,6 +157,76 @@
     Ok(acknowledged(ask(port, ORIGINS, &Change::PutOrigins { list: Arc::new(origins), change: change_id()? })))
 }
 
+/// An item as operators send it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SentItem {
+    kind: ItemKind,
+    name: String,
+    revision: u64,
+    /// Null: it is removed. It must be said.
+    value: Box<RawValue>,
+}
+
+impl SentItem {
+    fn item(self) -> Item {
+        let said: Arc<str> = self.value.get().into();
+        let text = Some(said.clone()).filter(|text| &**text != "null");
+        Item { kind: self.kind, name: self.name, revision: self.revision, text, source: said }
+    }
+}
+
+/// The items of a call, or all that is wrong with each by itself.
+fn items_of(body: &str) -> Result<Vec<Item>, Vec<Finding>> {
+    let sent: Vec<Box<RawValue>> = serde_json::from_str(body).map_err(|error| vec![Finding::new("", error.to_string())])?;
+    let mut found = Vec::new();
+    let mut items = Vec::new();
+    for (at, one) in sent.iter().enumerate() {
+        match serde_json::from_str::<SentItem>(one.get()).map(SentItem::item) {
+            Err(error) => found.push(Finding::new(format!("/{at}"), error.to_string())),
+            Ok(item) => {
+                found.extend(Items::findings(&item).into_iter().map(|one| Finding::new(format!("/{at}{}", one.place), one.text)));
+                items.push(item);
+            }
+        }
+    }
+    if found.is_empty() { Ok(items) } else { Err(found) }
+}
+
+fn put_items(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
+    let items = items_of(&text_of(request)?).map_err(|found| invalid(&found))?;
+    Ok(acknowledged(ask(port, CONFIGURATION, &Change::PutItems { items, change: change_id()? })))
+}
+
+/// Those that stand, each byte for byte; of those sent in other words than
+/// ours, what was read from them.
+fn get_items(port: &Port) -> rouille::Response {
+    #[derive(Serialize)]
+    struct Shown {
+        kind: ItemKind,
+        name: String,
+        revision: u64,
+        value: Box<RawValue>,
+    }
+    #[derive(Serialize)]
+    struct Standing {
+        version: u64,
+        items: Vec<Shown>,
+    }
+    let Outcome::Rows { version, rows } = ask(port, CONFIGURATION, &Change::List) else { return refuse(&lost()) };
+    let shown = |(_, row): (String, Row)| match row.value {
+        Value::Item(Item { kind, name, revision, text: Some(text), .. }) => {
+            Some(RawValue::from_string(text.to_string()).map(|value| Shown { kind, name, revision, value }))
+        }
+        _ => None,
+    };
+    let items: serde_json::Result<Vec<Shown>> = rows.into_iter().filter_map(shown).collect();
+    match items {
+        Ok(items) => json(200, &Standing { version, items }),
+        Err(error) => refuse(&Refusal::not_run(500, "not_shown", &error.to_string())),
+    }
+}
+
 fn change_id() -> Result<u64, rouille::Response> {
     new_life().map_err(|error| refuse(&Refusal::not_run(500, "no_randomness", &error.to_string())))
 }
@@ -187,3 +259,20 @@
         .collect();
     serde_json::json!({ "version": version, "duties": duties })
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn items_are_read_one_by_one_and_a_removal_must_be_said() {
+        let group = r#"{"service":"s","rate":9.50,"concurrency":2,"proof":"named"}"#;
+        let body = format!(r#"[{{"kind":"group","name":"s","revision":1,"value":{group}}},{{"kind":"entry","name":"e","revision":2,"value":null}}]"#);
+        let items = super::items_of(&body).unwrap();
+        assert_eq!((items[0].text.as_deref(), &*items[0].source), (Some(group), group), "as it was sent");
+        assert_eq!((items[1].text.as_deref(), items[1].revision), (None, 2));
+        let body = body.replace("9.50", "0").replace(r#","value":null"#, "").replace(']', r#",{"kind":"odd"}]"#);
+        let places: Vec<String> = super::items_of(&body).unwrap_err().into_iter().map(|one| one.place).collect();
+        assert_eq!(places, ["/0/rate", "/1", "/2"]);
+    }
+}
--- a/control-plane/src/prelude.rs
+++ b/control-plane/src/prelude.rs
@@ -8,3 +8,4 @@
 pub use crate::replica::{RETIRED, Record, Replica};
 pub use crate::sessions::Sessions;
 pub use kernel::prelude::*;
+pub use serde_json::value::RawValue;
--- a/kernel/src/items.rs
+++ b/kernel/src/items.rs
@@ -45,39 +45,70 @@
 
     fn read(item: &Item) -> Result<Part, Vec<Finding>> {
         let Some(text) = &item.text else { return Ok(Part::Removed) };
-        Ok(match item.kind {
+        let part = match item.kind {
             ItemKind::Group => Part::Group(Arc::new(read_part(text)?)),
             ItemKind::Entry => Part::Entry(Arc::new(read_part(text)?)),
             ItemKind::Bounds => Part::Bounds(Arc::new(read_part(text)?)),
-        })
+        };
+        let own = match &part {
+            Part::Group(group) => group.service.as_str(),
+            Part::Entry(entry) => entry.name.as_str(),
+            _ => "",
+        };
+        if own == item.name { Ok(part) } else { Err(vec![Finding::new("", "is set under another name than its own")]) }
+    }
+
+    /// What is wrong with one item by itself; places are within it.
+    pub fn findings(item: &Item) -> Vec<Finding> {
+        Items::read(item).err().unwrap_or_default()
     }
 
     /// All that stands, as one document, with the bounds if any are set; each
-    /// finding's place names the item.
+    /// finding's place begins with the row key of its item.
     pub fn merged(&self) -> Result<(Configuration, Option<Arc<Bounds>>), Vec<Finding>> {
-        let mut groups = Vec::new();
-        let mut entries = Vec::new();
+        self.joined().map_err(|found| found.into_iter().map(|(key, one)| Finding::new(format!("{key}{}", one.place), one.text)).collect())
+    }
+
+    /// The same; each finding with its item's row key (none: of no one item),
+    /// and its place within.
+    fn joined(&self) -> Result<(Configuration, Option<Arc<Bounds>>), Vec<(String, Finding)>> {
+        let mut document = Configuration { groups: Vec::new(), entries: Vec::new() };
+        let (mut group_keys, mut entry_keys) = (Vec::new(), Vec::new());
         let mut bounds = None;
-        for (_, part) in self.parts.values() {
+        for (key, (_, part)) in &self.parts {
             match part {
-                Part::Document(document) => {
-                    groups.extend(document.groups.iter().cloned());
-                    entries.extend(document.entries.iter().cloned());
+                Part::Document(whole) => {
+                    document.groups.extend(whole.groups.iter().cloned());
+                    document.entries.extend(whole.entries.iter().cloned());
                 }
-                Part::Group(group) => groups.push((**group).clone()),
-                Part::Entry(entry) => entries.push((**entry).clone()),
+                Part::Group(group) => document.groups.push((**group).clone()),
+                Part::Entry(entry) => document.entries.push((**entry).clone()),
                 Part::Bounds(known) => bounds = Some(known.clone()),
                 Part::Removed => {}
             }
+            group_keys.resize(document.groups.len(), key);
+            entry_keys.resize(document.entries.len(), key);
         }
-        let document = Configuration { groups, entries };
         let found = document.findings();
-        if found.is_empty() { Ok((document, bounds)) } else { Err(found) }
+        if found.is_empty() {
+            return Ok((document, bounds));
+        }
+        let of_item = |one: Finding| {
+            let words: Vec<&str> = one.place.splitn(4, '/').collect();
+            let at = words.get(2).and_then(|word| word.parse::<usize>().ok());
+            let keys = if words.get(1) == Some(&"groups") { &group_keys } else { &entry_keys };
+            match at.and_then(|at| keys.get(at)) {
+                Some(key) => ((*key).clone(), Finding::new(format!("/{}", words.get(3).unwrap_or(&"")), one.text)),
+                None => (String::new(), one),
+            }
+        };
+        Err(found.into_iter().map(of_item).collect())
     }
 
     /// Judges a call against what stands: the rows to put, which may be none,
-    /// or all findings, and then nothing of the call takes effect. A part that
-    /// is not newer than what is known is judged by itself and left.
+    /// or all findings, and then nothing of the call takes effect; their places
+    /// begin with the item's in the call, or the row key of one that stands. A
+    /// part that is not newer than what is known is judged by itself and left.
     pub fn change(rows: &BTreeMap<String, Row>, items: Vec<Item>) -> Result<Vec<(String, Item)>, Vec<Finding>> {
         let mut known = Items::default();
         for (key, row) in rows {
@@ -85,7 +116,7 @@
             let _ = known.learn(key, row);
         }
         let mut found = Vec::new();
-        let mut fresh: BTreeMap<String, Item> = BTreeMap::new();
+        let mut fresh: BTreeMap<String, (usize, Item)> = BTreeMap::new();
         for (at, item) in items.into_iter().enumerate() {
             let key = Items::key(item.kind, &item.name);
             let part = match Items::read(&item) {
@@ -96,18 +127,19 @@
                 }
             };
             let stands = rows.get(&key).is_some_and(|row| matches!(&row.value, Value::Item(old) if old.revision >= item.revision));
-            let earlier = fresh.get(&key).is_some_and(|old| old.revision >= item.revision);
+            let earlier = fresh.get(&key).is_some_and(|(_, old)| old.revision >= item.revision);
             if !stands && !earlier {
                 known.parts.insert(key.clone(), (0, part));
-                fresh.insert(key, item);
+                fresh.insert(key, (at, item));
             }
         }
         if found.is_empty()
-            && let Err(list) = known.merged()
+            && let Err(list) = known.joined()
         {
-            found = list;
+            let place = |key: &String| fresh.get(key).map_or_else(|| key.clone(), |(at, _)| format!("/{at}"));
+            found = list.into_iter().map(|(key, one)| Finding::new(format!("{}{}", place(&key), one.place), one.text)).collect();
         }
-        if found.is_empty() { Ok(fresh.into_iter().collect()) } else { Err(found) }
+        if found.is_empty() { Ok(fresh.into_iter().map(|(key, (_, item))| (key, item)).collect()) } else { Err(found) }
     }
 }
 
@@ -151,12 +183,16 @@
         let mut rows = BTreeMap::new();
         assert_eq!(put(&mut rows, vec![group("s", 7), entry("a", 7, "/a/", "s")]), Ok(2));
         assert_eq!(put(&mut rows, vec![entry("a", 7, "/other/", "s"), entry("a", 6, "/x/", "s")]), Ok(0), "not newer: no effect");
-        assert!(put(&mut rows, vec![entry("b", 9, "/b/", "s"), entry("c", 9, "/c/", "none")]).unwrap_err().contains("no such group"));
+        let found = put(&mut rows, vec![entry("b", 9, "/b/", "s"), entry("c", 9, "/c/", "none")]).unwrap_err();
+        assert!(found.contains("/1/group") && found.contains("no such group"), "{found}");
+        let other = Item { name: "d".into(), ..entry("c", 9, "/c/", "s") };
+        assert!(put(&mut rows, vec![other]).unwrap_err().contains("another name"));
         assert!(!rows.contains_key("item/entry/b"), "no part of an invalid call");
         assert!(put(&mut rows, vec![entry("b", 9, "/a/", "s")]).is_err(), "two entries at one place");
         assert_eq!(put(&mut rows, vec![item(ItemKind::Entry, "a", 12, None), entry("b", 9, "/a/", "s")]), Ok(2), "it made room in the same call");
         assert_eq!(put(&mut rows, vec![entry("a", 11, "/z/", "s")]), Ok(0), "older than the removal");
-        assert!(put(&mut rows, vec![item(ItemKind::Group, "s", 20, None)]).is_err(), "an entry still goes to it");
+        let found = put(&mut rows, vec![item(ItemKind::Group, "s", 20, None)]).unwrap_err();
+        assert!(found.contains("item/entry/b/group"), "an entry still goes to it: {found}");
         assert_eq!(put(&mut rows, vec![entry("a", 13, "/z/", "s")]), Ok(1));
     }
 }
--- a/programs/src/bin/operate.rs
+++ b/programs/src/bin/operate.rs
@@ -7,6 +7,8 @@
   check FILE                      all findings of a configuration; changes nothing
   put FILE [--if-match VERSION]   put a configuration; returns once it is in force
   get                             the configuration in force, as it was put
+  items get                       the named parts that stand beside it
+  items put FILE                  sets and removes named parts, whole or not at all
   purge [--entry NAME] [--url URL | --prefix START]
   origins [FILE]                  the list of origins, or put it from a file
   history                         versions kept by the nodes named
@@ -94,6 +96,8 @@
         ["check", path] => (ask.method, ask.path, ask.body) = ("POST", "configuration/check".into(), file(path)),
         ["put", path] => (ask.method, ask.path, ask.body) = ("PUT", "configuration".into(), file(path)),
         ["get"] => ask.path = "configuration".into(),
+        ["items", "get"] => ask.path = "items".into(),
+        ["items", "put", path] => (ask.method, ask.path, ask.body) = ("PATCH", "items".into(), file(path)),
         ["open-ledger", realm] => {
             (ask.method, ask.path) = ("POST", "ledger/open".into());
             ask.body = serde_json::json!({ "realm": realm }).to_string().into_bytes();
--- a/programs/tests/whole_path.rs
+++ b/programs/tests/whole_path.rs
@@ -280,11 +280,40 @@
     }
     assert_eq!(path.operate("PUT", "configuration", &documents[won], None).0, 200);
     assert_eq!(path.call(1, "POST", "/marker/5999", &[], "").0, 404);
+    items_are_set_and_removed(path);
     for what in ["duties", "state", "origins", "live", "ready", "schema"] {
         assert_eq!(path.operate("GET", what, "", None).0, 200);
     }
 }
 
+/// Named parts beside the document: in force like it, whole calls only, and
+/// what is older than what is known has no effect.
+fn items_are_set_and_removed(path: &Path) {
+    let entry = |name: &str, revision: u64, group: &str| {
+        json!({ "kind": "entry", "name": name, "revision": revision, "value":
+            { "name": name, "path": format!("/{name}/"), "methods": ["POST"], "group": group, "rank": 3, "kind": "keyed", "aim_ms": 200 } })
+    };
+    let put = |items: serde_json::Value| path.operate("PATCH", "items", &items.to_string(), None);
+    let serves = |name: &str| (0..3).map(|edge| path.call(edge, "POST", &format!("/{name}/1"), &[], "").0).collect::<Vec<_>>();
+    // 400: the entry is known and wants a key.
+    assert_eq!(put(json!([entry("part", 5, "booking")])).0, 200);
+    assert_eq!(serves("part"), [400; 3]);
+    let (status, refused) = put(json!([entry("other", 9, "booking"), entry("part", 9, "nobody"), { "kind": "entry" }, {}]));
+    assert_eq!((status, refused["findings"].as_array().map(Vec::len)), (422, Some(2)), "{refused}");
+    let (status, refused) = put(json!([entry("other", 9, "booking"), entry("part", 9, "nobody")]));
+    assert_eq!((status, &refused["findings"][0]["place"]), (422, &json!("/1/group")));
+    assert_eq!(serves("other"), [404; 3]);
+    let (_, told) = path.operate("GET", "items", "", None);
+    assert_eq!(told["items"], json!([entry("part", 5, "booking")]));
+    let gone = path.fleet.folder.join("gone.json");
+    fs::write(&gone, json!([{ "kind": "entry", "name": "part", "revision": 8, "value": null }]).to_string()).unwrap();
+    assert_eq!(operate(path, &["items", "put", &gone.display().to_string()]).2, 0);
+    assert_eq!(put(json!([entry("part", 7, "booking")])).0, 200, "older than the removal");
+    assert_eq!(serves("part"), [404; 3]);
+    let shown: serde_json::Value = serde_json::from_str(&operate(path, &["items", "get"]).0).unwrap();
+    assert_eq!(shown["items"], json!([]));
+}
+
 /// What `operate` prints, says on the side, and ends with.
 fn operate(path: &Path, words: &[&str]) -> (String, String, i32) {
     let to: Vec<String> = path.fleet.control.iter().map(|node| node.http.to_string()).collect();
