--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -10,8 +10,7 @@
 ///   `lease::PERMIT`, to an origin that is listed and not leaving.
 pub struct EdgePart {
     me: Mate,
-    zone: String,
-    region: String,
+    spot: Spot,
     /// Who is renewed with: those who hold the slots, as far as that is known.
     seeds: Vec<SocketAddr>,
     /// How many slots there are; 0 before that is known.
@@ -19,6 +18,8 @@
     /// The realm the news is of; 0 before the first.
     realm: u64,
     vector: Vec<u64>,
+    /// The last mark of each control node, to be given back.
+    marks: HashMap<SocketAddr, Mark>,
     /// Every row shown to us, to tell it back if the control plane lost it.
     known: Vec<BTreeMap<String, Row>>,
     /// Own operations that ended lately, for the same reason.
@@ -41,6 +42,9 @@
     /// Slices just taken whose copies the last holder may have: asked so often.
     wants: BTreeMap<u16, (SocketAddr, u32)>,
     gates: BTreeMap<String, Gate>,
+    extra_tries: usize,
+    /// What is sent by ourselves while a gate says nothing.
+    shares: BTreeMap<String, OwnShare>,
     jobs: BTreeMap<u64, Job>,
     /// Endings of claims that the ledger has not confirmed yet.
     loose: BTreeMap<u64, Loose>,
@@ -72,6 +76,9 @@
 const PURGE_GRACE: Duration = Duration::from_secs(1);
 /// A last holder is asked so often for its copies, a pulse apart.
 const WANTS: u32 = 4;
+const EXTRA_TRIES: usize = 3;
+/// A gate that says nothing for this long is done without.
+const SILENT: Duration = Duration::from_millis(250);
 const PROBE: &str = "/.well-known/otterslip-identity";
 const PROBE_LIMIT: Duration = Duration::from_millis(1000);
 /// Ids of probes; those of errands come from the host and are below.
@@ -79,15 +86,15 @@
 
 impl EdgePart {
     /// The seeds hold the slots, unless it is `asked` who does.
-    pub fn new(me: Mate, zone: &str, region: &str, seeds: Vec<SocketAddr>, asked: bool, cache_bytes: u64) -> EdgePart {
+    pub fn new(me: Mate, spot: Spot, seeds: Vec<SocketAddr>, asked: bool, cache_bytes: u64) -> EdgePart {
         EdgePart {
             slots: if asked { 0 } else { seeds.len() },
             me,
-            zone: zone.into(),
-            region: region.into(),
+            spot,
             seeds,
             realm: 0,
             vector: vec![0; NEWS.into()],
+            marks: HashMap::new(),
             known: vec![BTreeMap::new(); NEWS.into()],
             ended: VecDeque::new(),
             recalling: false,
@@ -104,6 +111,8 @@
             slices: BTreeMap::new(),
             wants: BTreeMap::new(),
             gates: BTreeMap::new(),
+            extra_tries: EXTRA_TRIES,
+            shares: BTreeMap::new(),
             jobs: BTreeMap::new(),
             loose: BTreeMap::new(),
             probes: HashMap::new(),
@@ -115,6 +124,12 @@
         }
     }
 
+    /// Extra tries a service may get in ten seconds beside a fifth of the
+    /// first ones.
+    pub fn with_extra_tries(self, most: Option<u32>) -> EdgePart {
+        EdgePart { extra_tries: most.map_or(EXTRA_TRIES, |most| most as usize), ..self }
+    }
+
     fn note(&mut self, event: Event, text: String) {
         self.out.push(Output::Note { event, text });
     }
@@ -136,9 +151,10 @@
         let recalled = self.loose.is_empty() && !self.jobs.values().any(old);
         let found = self.gates.values().flat_map(|gate| gate.found(now)).collect();
         let renew =
-            Renew { sent: now, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.zone.clone(), region: self.region.clone(), draining: self.warned.is_some(), usage, found };
+            Renew { sent: now, heard: None, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.spot.zone.clone(), ring: self.spot.ring.clone(), draining: self.warned.is_some(), usage, found };
         for seed in self.seeds.clone() {
-            self.tell(seed, renew.clone());
+            let heard = self.marks.get(&seed).copied();
+            self.tell(seed, Renew { heard, ..renew.clone() });
         }
     }
 
@@ -149,6 +165,7 @@
         if Realm::older(renewed.realm, self.realm) && renewed.realm != 0 {
             return; // It has not heard of the new realm yet.
         }
+        self.marks.insert(from.address, renewed.mark);
         let before = std::mem::replace(&mut self.recalling, renewed.recall);
         let recall = renewed.recall && !before;
         if renewed.realm != 0 && renewed.realm != self.realm {
@@ -183,6 +200,8 @@
         // What is taken anew may be older at one control node than what was
         // known here: as at a start, two must have told theirs.
         self.leases.drop_all();
+        // Fenced before anything of the new realm is shown.
+        self.check_live(now);
         self.vector = vec![0; NEWS.into()];
         self.known = vec![BTreeMap::new(); NEWS.into()];
         self.items = Items::default();
@@ -280,7 +299,7 @@
     fn sync_duties(&mut self, now: Duration) {
         let mut slices = BTreeMap::new();
         for slice in 0..CACHE_SLICES {
-            if let Some(epoch) = self.granted(&cache_duty(&self.region, slice)) {
+            if let Some(epoch) = self.granted(&cache_duty(&self.spot.ring, slice)) {
                 slices.insert(slice, epoch);
             }
         }
@@ -289,7 +308,7 @@
             let (before, after) = (self.slices.len(), slices.len());
             self.wants.retain(|slice, _| slices.contains_key(slice));
             for slice in slices.iter().filter(|(slice, epoch)| self.slices.get(slice) != Some(epoch)).map(|(slice, _)| *slice) {
-                let last = self.duties.get(&cache_duty(&self.region, slice)).and_then(|duty| duty.last);
+                let last = self.duties.get(&cache_duty(&self.spot.ring, slice)).and_then(|duty| duty.last);
                 if let Some(last) = last.filter(|last| last.address != self.me.address) {
                     self.wants.insert(slice, (last.address, 0));
                 }
@@ -302,7 +321,7 @@
             self.sync_gates(now, &table);
         }
         let gates = self.gates.keys().map(|service| gate_duty(service));
-        let list = self.slices.keys().map(|slice| cache_duty(&self.region, *slice)).chain(gates).collect();
+        let list = self.slices.keys().map(|slice| cache_duty(&self.spot.ring, *slice)).chain(gates).collect();
         self.out.push(Output::Show(Shown::Duties(list)));
     }
 
@@ -318,7 +337,7 @@
         }
         for (group, epoch) in wanted {
             if !self.gates.contains_key(&group.service) {
-                self.gates.insert(group.service.clone(), Gate::new(now, &group.service, epoch));
+                self.gates.insert(group.service.clone(), Gate::new(now, &group.service, epoch, self.extra_tries));
                 self.note(Event::DutyTaken, format!("{} epoch {epoch}", gate_duty(&group.service)));
             }
             let gate = self.gates.get_mut(&group.service).expect("just put");
@@ -435,7 +454,7 @@
         }
         // Of an operation that was not looked up nothing can be said.
         let outcome = if job.errand.entry().kind == Kind::Keyed { RunState::Unknown } else { RunState::NotRun };
-        Some(Refusal::new(429, "over_capacity", outcome, "too many errands of this service are pending here"))
+        Some(Refusal::new(429, "over_capacity", outcome, "too many errands of this service are pending here").idle())
     }
 
     /// Says the message of a job's stage, for the first time or again.
@@ -461,18 +480,24 @@
                 let key = job.key.expect("cached");
                 let entry = job.errand.entry();
                 let get = Get { id, key, entry: entry.name.clone(), host: job.errand.home().into(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
-                if let Some(holder) = self.holder(&cache_duty(&self.region, cache_slice(&key))) {
-                    self.tell(holder, get);
+                let spare = *spare;
+                match self.holder(&cache_duty(&self.spot.ring, cache_slice(&key))) {
+                    Some(holder) => self.tell(holder, get),
+                    // Nobody hands out copies of it now: fetch it ourselves.
+                    None if !spare => self.set_stage(now, id, Stage::Knocking),
+                    None => {}
                 }
             }
             Stage::Knocking => {
                 let entry = job.errand.entry();
                 let service = job.errand.service.clone();
                 let gate = gate_duty(&service);
-                let (extra, call, region) = (job.calls > 0, job.call_limit(now), self.region.clone());
-                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra, call, region, avoid: job.failed.clone() };
-                if let Some(holder) = self.holder(&gate) {
-                    self.tell(holder, knock);
+                let (extra, call) = (job.calls > 0, job.call_limit(now));
+                let (zone, region) = (self.spot.zone.clone(), self.spot.region.clone());
+                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra, call, zone, region, avoid: job.failed.clone() };
+                match self.holder(&gate) {
+                    Some(holder) => self.tell(holder, knock),
+                    None => self.go_alone(now, id),
                 }
             }
             Stage::Calling { .. } => {}
@@ -504,6 +529,7 @@
         }
         if let Some(job) = self.jobs.get_mut(&id) {
             job.stage = stage;
+            job.heard = now;
             job.round = 0;
             self.say(now, id);
         }
@@ -566,12 +592,12 @@
                 self.end(now, id, Answer::Reply { reply: (*reply).clone(), age: None });
             }
             (Stage::Claiming, Outcome::Taken { state: OperationState::Unknown, .. }) => {
-                let mut refusal = Refusal::unknown(409, "outcome_unknown", "this operation was sent and its outcome is not known; it is not run again");
+                let mut refusal = Refusal::unknown(409, "outcome_unknown", "this operation was sent and its outcome is not known; it is not run again").idle();
                 refusal.retry_after_s = None;
                 self.end(now, id, Answer::Refusal(refusal));
             }
             (Stage::Claiming, Outcome::Closed { left }) => {
-                let refusal = Refusal::unknown(503, "ledger_recovering", "acknowledged operations may be lost; none that is not known is run for a minute");
+                let refusal = Refusal::unknown(503, "ledger_recovering", "acknowledged operations may be lost; none that is not known is run for a minute").idle();
                 self.end(now, id, Answer::Refusal(refusal.back(left)));
             }
             // Runs elsewhere: asked again in a moment, until the deadline.
@@ -656,7 +682,12 @@
             }
             return;
         }
-        let job = job.expect("it wants");
+        self.go(now, permit);
+    }
+
+    /// The errand's call leaves.
+    fn go(&mut self, now: Duration, permit: Permit) {
+        let Some(job) = self.jobs.get_mut(&permit.id) else { return };
         let call = job.call(now, permit.id, permit.origin.clone());
         job.calls += 1;
         job.sent = true;
@@ -667,6 +698,33 @@
         self.out.push(Output::Call { id, call });
     }
 
+    fn in_line(&mut self, now: Duration, id: u64) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.heard = now;
+        }
+    }
+
+    /// Calls without a permit, within our own share, where the gate is silent.
+    fn go_alone(&mut self, now: Duration, id: u64) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.calls == 0 && now < job.deadline && matches!(job.stage, Stage::Knocking)) else { return };
+        if !self.is_live(now) {
+            return;
+        }
+        let service = job.errand.service.clone();
+        let under = |address: SocketAddr| {
+            let there = |job: &&Job| matches!(&job.stage, Stage::Calling { permit, .. } if permit.origin.address == address);
+            self.jobs.values().filter(there).count()
+        };
+        let edges = match self.known[usize::from(DUTIES)].get("roll") {
+            Some(Row { value: Value::Roll { members, .. }, .. }) => members.len(),
+            _ => return,
+        };
+        let share = self.shares.entry(service.clone()).or_default();
+        let Some(origin) = share.pick(now, job.errand.group(), &self.origins, &self.spot, edges, &under) else { return };
+        let permit = Permit { id, service, epoch: 0, serial: 0, origin, sent: now, held: Duration::ZERO };
+        self.go(now, permit);
+    }
+
     fn away(&mut self, now: Duration, away: Away) {
         let Some(job) = self.jobs.get(&away.id) else { return };
         if !matches!(job.stage, Stage::Knocking) || away.reason == AwayReason::NotHere {
@@ -686,6 +744,9 @@
         }
         let Some(Job { stage: Stage::Calling { permit, since }, .. }) = self.jobs.get(&id) else { return };
         let (permit, took) = (permit.clone(), now - *since);
+        if permit.epoch == 0 && !matches!(result, CallBack::Good(_)) {
+            self.shares.entry(permit.service.clone()).or_default().failed(now, permit.origin.address);
+        }
         if let Some(holder) = self.holder(&gate_duty(&permit.service)) {
             let result = match &result {
                 CallBack::Good(_) => CallResult::Good,
@@ -763,7 +824,7 @@
                 let refusal = if running {
                     Refusal::unknown(409, "in_progress", "this operation is being run, or its ledger cannot be reached; ask again")
                 } else {
-                    Refusal::unknown(503, "no_ledger", "the ledger could not be reached")
+                    Refusal::unknown(503, "no_ledger", "the ledger could not be reached").idle()
                 };
                 self.tell_later(now, id, change);
                 self.end(now, id, Answer::Refusal(refusal));
@@ -938,6 +999,10 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let half = job.began + (job.deadline - job.began) / 2;
         match job.stage {
+            Stage::Knocking if now >= job.heard + SILENT => {
+                self.go_alone(now, id);
+                self.say(now, id);
+            }
             Stage::Getting { spare: false, .. } if now >= half => self.set_stage(now, id, Stage::Knocking),
             Stage::Recording { .. } | Stage::Releasing { .. } | Stage::Claiming => self.say(now, id),
             _ if self.is_live(now) => self.say(now, id),
@@ -974,6 +1039,7 @@
             Message::NoCopy(no_copy) => self.no_copy(now, no_copy),
             Message::Permit(permit) => self.permit(now, from, permit),
             Message::Away(away) => self.away(now, away),
+            Message::InLine(line) => self.in_line(now, line.id),
             other => self.heed_duty(now, from, other),
         }
     }
@@ -1048,10 +1114,10 @@
     /// An edge with two renewals at `now`, whose mates are played by the test.
     fn live(now: u64) -> EdgePart {
         let me = Mate::new(address(9), 5);
-        let mut edge = EdgePart::new(me, "z", "", vec![address(1), address(2), address(3)], false, 1 << 20);
+        let mut edge = EdgePart::new(me, Spot::default(), vec![address(1), address(2), address(3)], false, 1 << 20);
         edge.step(at(now), Input::Pulse);
         for seed in [1, 2] {
-            let renewed = Renewed { life: 5, sent: at(now), realm: 0, recall: false, news: vec![] };
+            let renewed = Renewed { life: 5, mark: Mark::default(), sent: at(now), realm: 0, recall: false, news: vec![] };
             edge.step(at(now), Input::Heard { from: Mate::new(address(seed), 1), message: renewed.into() });
         }
         edge
@@ -1089,16 +1155,16 @@
     fn without_two_renewals_nothing_is_begun_and_of_a_keyed_errand_nothing_is_said() {
         let mut edge = live(1000);
         let told = |edge: &mut EdgePart, now, id, url: &str, method: &str| answers(edge.step(at(now), Input::Errand { id, errand: errand(url, method) }));
-        assert!(told(&mut edge, 1999, 1, "/quick", "GET").is_empty());
-        assert_eq!(told(&mut edge, 2000, 2, "/quick", "GET"), [(2, 503, "fenced".to_string(), RunState::NotRun)]);
-        assert_eq!(told(&mut edge, 2000, 3, "/k", "POST"), [(3, 503, "fenced".to_string(), RunState::Unknown)]);
+        assert!(told(&mut edge, 1599, 1, "/quick", "GET").is_empty());
+        assert_eq!(told(&mut edge, 1600, 2, "/quick", "GET"), [(2, 503, "fenced".to_string(), RunState::NotRun)]);
+        assert_eq!(told(&mut edge, 1600, 3, "/k", "POST"), [(3, 503, "fenced".to_string(), RunState::Unknown)]);
     }
 
     #[test]
     fn a_renewal_of_an_earlier_life_or_a_stranger_counts_for_nothing() {
         for (life, seed) in [(4, 3), (5, 7)] {
             let mut edge = live(1000);
-            let renewed = Renewed { life, sent: at(5000), realm: 0, recall: false, news: vec![] };
+            let renewed = Renewed { life, mark: Mark::default(), sent: at(5000), realm: 0, recall: false, news: vec![] };
             for _ in 0..2 {
                 edge.step(at(1500), Input::Heard { from: Mate::new(address(seed), 1), message: renewed.clone().into() });
             }
@@ -1113,7 +1179,7 @@
         let places = [Mate::new(address(4), 8), Mate::new(address(2), 0), Mate::new(address(3), 0)];
         let row = Row { version: 1, value: Value::Places(places.to_vec()) };
         let news = vec![News { slice: PLACES, version: 1, rows: vec![("places".into(), row)] }];
-        let renewed = |sent, news| Renewed { life: 5, sent: at(sent), realm: 0, recall: false, news };
+        let renewed = |sent, news| Renewed { life: 5, mark: Mark::default(), sent: at(sent), realm: 0, recall: false, news };
         edge.step(at(1100), Input::Heard { from: Mate::new(address(2), 1), message: renewed(1100, news).into() });
         let told = answers(edge.step(at(1200), Input::Errand { id: 1, errand: errand("/quick", "GET") }));
         assert_eq!(told.len(), 1, "one renewal of the new three is no majority");
@@ -1154,7 +1220,7 @@
         let origin = Origin { address: address(50), service: "slow".into(), instance: "i".into(), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 };
         let row = Row { version: 1, value: Value::Origins { list: Arc::new(vec![origin.clone()]), change: 1 } };
         let news = vec![News { slice: ORIGINS, version: 1, rows: vec![("origins".into(), row)] }];
-        let renewed = Renewed { life: 5, sent: at(1000), realm: 0, recall: false, news };
+        let renewed = Renewed { life: 5, mark: Mark::default(), sent: at(1000), realm: 0, recall: false, news };
         edge.step(at(1000), Input::Heard { from: Mate::new(address(1), 1), message: renewed.into() });
         edge.step(at(1000), Input::Errand { id: 1, errand: errand("/k", "POST") });
         told(&mut edge, 1010, 1, Outcome::Claimed);
