--- a/simulate-fleet/src/capacity.rs
+++ b/simulate-fleet/src/capacity.rs
@@ -90,7 +90,7 @@
         let mut nodes = Vec::new();
         for at in 0..control {
             let gather = Some(Gather::new(true, GATHER));
-            let part = ControlPart::new(address(1, at), seeds.clone(), Replica::blank(1 + at as u64), true, gather);
+            let part = ControlPart::new(address(1, at), seeds.clone(), Replica::blank(1 + at as u64), true, gather, 1 + at as u64);
             nodes.push(Hollow { role: Role::Control, mate: part.me(), part: Some(Box::new(part)), until: Duration::ZERO });
         }
         for at in 0..edges {
