--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -510,7 +510,7 @@
                 let gate = gate_duty(&service);
                 let (extra, call) = (job.calls > 0, job.call_limit(now, Duration::ZERO));
                 let (zone, region) = (self.spot.zone.clone(), self.spot.region.clone());
-                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra, call, zone, region, avoid: job.failed.clone() };
+                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra, call, aim: job.aim.saturating_sub(now), zone, region, avoid: job.failed.clone() };
                 match self.holder(&gate) {
                     Some(holder) => self.tell(holder, knock),
                     None => self.go_alone(now, id),
--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -75,6 +75,8 @@
     until: Duration,
     extra: bool,
     call: Duration,
+    /// Served by then, it is worth most.
+    aim: Duration,
     zone: String,
     region: String,
     avoid: Vec<SocketAddr>,
@@ -192,6 +194,12 @@
         at.took.max(ages.iter().sum::<f64>() / ages.len().max(1) as f64)
     }
 
+    /// Seconds a call takes at a usual origin, at most a minute.
+    fn usual(&self, now: Duration) -> f64 {
+        let (count, sum) = self.usable(now).fold((0, 0.0), |(count, sum), at| (count + 1, sum + at.took));
+        (sum / f64::from(count.max(1))).min(60.0)
+    }
+
     /// Calls a second all usable origins can take.
     fn capacity(&self, now: Duration) -> f64 {
         let sum = self.usable(now).map(|at| self.rate.min(f64::from(at.places(self.concurrency)) / self.takes(now, at))).sum();
@@ -204,8 +212,10 @@
     }
 
     /// Whether a call of this rank leaves the places that higher ranks will
-    /// need before it ends.
-    fn leaves_room(&self, now: Duration, rank: u32) -> bool {
+    /// need before it ends. Where calls are short beside the time that errands
+    /// have, a higher one just waits for the next place.
+    fn leaves_room(&self, now: Duration, wait: &Wait) -> bool {
+        let rank = wait.rank;
         let higher = self.higher(rank);
         if higher == 0.0 {
             return true;
@@ -213,6 +223,9 @@
         let places: f64 = self.usable(now).map(|at| f64::from(at.places(self.concurrency))).sum();
         let speed: f64 = self.usable(now).map(|at| f64::from(at.places(self.concurrency)) / self.takes(now, at)).sum();
         let takes = places / speed.max(0.001);
+        if takes * SHORT <= wait.until.saturating_sub(wait.since).as_secs_f64() {
+            return true;
+        }
         // A place held by a higher call serves the next one for what is left
         // of that time after it ends.
         let again = |call: &Under| (call.age(now) / takes).min(1.0);
@@ -222,7 +235,7 @@
     }
 
     pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: Knock) {
-        let Knock { id, rank, wait, sent, extra, call, zone, region, avoid, .. } = knock;
+        let Knock { id, rank, wait, sent, extra, call, aim, zone, region, avoid, .. } = knock;
         if let Some(known) = self.waits.iter_mut().find(|known| (known.from, known.id) == (from, id)) {
             known.sent = sent;
             known.since = now;
@@ -231,7 +244,7 @@
         self.arrivals.push_back((now, rank));
         self.serial += 1;
         let mine = (from, id);
-        self.waits.push(Wait { from, id, rank, serial: self.serial, since: now, sent, until: now + wait, extra, call, zone, region, avoid });
+        self.waits.push(Wait { from, id, rank, serial: self.serial, since: now, sent, until: now + wait, extra, call, aim: now + aim, zone, region, avoid });
         self.pump(now);
         if self.waits.iter().any(|wait| (wait.from, wait.id) == mine) {
             self.out.push((from, InLine { id }.into()));
@@ -244,7 +257,9 @@
         if now < self.began + if self.proof == Proof::Named { SHORT_CALM } else { CALM } {
             return;
         }
-        self.waits.sort_by_key(|wait| (std::cmp::Reverse(wait.rank), wait.serial));
+        // Who can still be served in its aim goes before who is late anyway.
+        let takes = Duration::from_secs_f64(self.usual(now));
+        self.waits.sort_by_key(|wait| (std::cmp::Reverse(wait.rank), now + takes > wait.aim, wait.serial));
         let mut rest = Vec::new();
         // What one rank could not have, none at or below it can: they stand
         // in order.
@@ -311,7 +326,7 @@
     /// origin has many places the nearer goes first while half of them are free:
     /// its answers are large.
     fn pick(&self, now: Duration, wait: &Wait) -> Option<SocketAddr> {
-        if !self.leaves_room(now, wait.rank) || self.whole.as_ref().is_some_and(|room| !room.has()) {
+        if !self.leaves_room(now, wait) || self.whole.as_ref().is_some_and(|room| !room.has()) {
             return None;
         }
         let usable = self.usable(now).filter(|at| {
@@ -491,6 +506,8 @@
     }
 }
 
+/// A call that often fits into an errand's time is short.
+const SHORT: f64 = 4.0;
 /// An origin with so many places serves what is shared.
 const MANY: f64 = 8.0;
 /// What the way adds to a call within a zone, within a region and beyond, in s.
@@ -516,7 +533,7 @@
     }
 
     fn knock(id: u64, rank: u32, wait: u64, extra: bool) -> Knock {
-        Knock { service: "s".into(), id, rank, wait: at(wait), sent: at(0), extra, call: at(2000), zone: String::new(), region: String::new(), avoid: vec![] }
+        Knock { service: "s".into(), id, rank, wait: at(wait), sent: at(0), extra, call: at(2000), aim: at(wait), zone: String::new(), region: String::new(), avoid: vec![] }
     }
 
     struct Run {
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -9,6 +9,8 @@
     pub errand: Errand,
     pub began: Duration,
     pub deadline: Duration,
+    /// Answered by then, it is worth most.
+    pub aim: Duration,
     pub stage: Stage,
     /// When the message of this stage is said again.
     pub again: Duration,
@@ -51,6 +53,7 @@
         Job {
             began: now,
             deadline: now + errand.patience.map_or(errand.entry().deadline(), |span| span.min(errand.entry().deadline())),
+            aim: now + errand.entry().aim_ms.map_or(errand.entry().deadline(), Duration::from_millis),
             stage: Stage::Knocking,
             again: now,
             round: 0,
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -99,7 +99,7 @@
     Handed { slice: u16, epoch: u64, sent: Duration, copies: Vec<Carried> }
 
     // Between edges: the gate.
-    Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration, zone: String, region: String, avoid: Vec<SocketAddr> }
+    Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration, aim: Duration, zone: String, region: String, avoid: Vec<SocketAddr> }
     Permit { id: u64, service: String, epoch: u64, serial: u64, origin: Origin, sent: Duration, held: Duration, takes: Duration }
     /// Heard, and stands in line.
     InLine { id: u64 }
