Duties go by strength

Change: edges say what they can carry (processor, link); slices go by it in a weighted rendezvous, gates by its cube.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -1015,8 +1015,8 @@
         let news = if renew.realm == mine || mine == 0 { self.replica.news(&renew.vector) } else { self.replica.news(&[]) };
         let recall = now < self.closed;
         let founded = renew.realm == 0 || mine != 0;
-        let Renew { sent, heard, realm, recalled, vector, zone, ring, draining, usage, found } = renew;
-        if self.sessions.renew(now, Seen { mate: from, zone, ring, draining, realm, recalled, vector, usage, found }, heard) {
+        let Renew { sent, heard, realm, recalled, vector, zone, ring, strength, draining, usage, found } = renew;
+        if self.sessions.renew(now, Seen { mate: from, zone, ring, strength, draining, realm, recalled, vector, usage, found }, heard) {
             self.note(Event::SessionOpened, from.to_string());
         }
         // An edge of an earlier realm is heard, but not live by us, until there
--- a/control-plane/src/duty_plan.rs
+++ b/control-plane/src/duty_plan.rs
@@ -63,8 +63,11 @@
 
     fn best(&self, name: &str) -> Option<Mate> {
         let near = |seen: &&Seen| duty_ring(name).is_none_or(|ring| ring == seen.ring);
-        let able = self.live.iter().filter(|seen| !seen.draining).filter(near).map(|seen| seen.mate);
-        able.max_by_key(|mate| (mate.weight(name), mate.life))
+        let able = self.live.iter().filter(|seen| !seen.draining).filter(near);
+        // A gate is one node's work: the strong ones have it.
+        let strength = |seen: &Seen| if duty_ring(name).is_some() { seen.strength } else { seen.strength.saturating_pow(3) };
+        let far = |seen: &Seen| seen.mate.distance(name, strength(seen));
+        able.min_by(|one, other| far(one).total_cmp(&far(other)).then(one.mate.life.cmp(&other.mate.life))).map(|seen| seen.mate)
     }
 }
 
@@ -74,7 +77,7 @@
 
     fn seen(port: u16, draining: bool) -> Seen {
         let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
-        Seen { mate, zone: "z".into(), ring: String::new(), draining, realm: 0, recalled: true, vector: vec![], usage: Usage::default(), found: vec![] }
+        Seen { mate, zone: "z".into(), ring: String::new(), strength: 1, draining, realm: 0, recalled: true, vector: vec![], usage: Usage::default(), found: vec![] }
     }
 
     fn apply(rows: &mut BTreeMap<String, Row>, out: Vec<(String, Duty)>, version: u64) -> usize {
@@ -139,6 +142,16 @@
         assert!((16..=48).contains(&moved), "{moved} of 256 moved to the eighth edge");
     }
 
+    #[test]
+    fn duties_go_by_strength() {
+        let strong = |port, strength| Seen { strength, ..seen(port, false) };
+        let live: Vec<Seen> = (1..=4).map(|port| strong(port, 30)).chain((5..=34).map(|port| strong(port, 1))).collect();
+        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, early: false }.next(&names());
+        let strong = out.iter().filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4)).count();
+        assert!((180..=230).contains(&strong), "{strong} of 256: four of five parts");
+    }
+
     #[test]
     fn a_slice_of_a_ring_goes_to_its_own_edges_only() {
         let near = |port, ring: &str| Seen { ring: ring.into(), ..seen(port, false) };
--- a/control-plane/src/sessions.rs
+++ b/control-plane/src/sessions.rs
@@ -267,7 +267,7 @@
 
     fn seen(port: u16, version: u64) -> Seen {
         let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
-        Seen { mate, zone: "z".into(), ring: String::new(), draining: false, realm: 0, recalled: true, vector: vec![version; 4], usage: Usage::default(), found: vec![] }
+        Seen { mate, zone: "z".into(), ring: String::new(), strength: 1, draining: false, realm: 0, recalled: true, vector: vec![version; 4], usage: Usage::default(), found: vec![] }
     }
 
     #[test]
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -155,7 +155,7 @@
         let recalled = self.loose.is_empty() && !self.jobs.values().any(old);
         let found = self.gates.values().flat_map(|gate| gate.found(now)).collect();
         let renew =
-            Renew { sent: now, heard: None, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.spot.zone.clone(), ring: self.spot.ring.clone(), draining: self.warned.is_some(), usage, found };
+            Renew { sent: now, heard: None, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.spot.zone.clone(), ring: self.spot.ring.clone(), strength: self.spot.strength, draining: self.warned.is_some(), usage, found };
         for seed in seeds {
             let heard = self.marks.get(&seed).copied();
             self.tell(seed, Renew { heard, ..renew.clone() });
--- a/data-plane/src/own_share.rs
+++ b/data-plane/src/own_share.rs
@@ -70,7 +70,7 @@
 
     #[test]
     fn all_edges_shares_and_the_gates_part_stay_within_the_whole_rate() {
-        let spot = Spot { zone: "a".into(), region: "r".into(), ring: String::new() };
+        let spot = Spot { zone: "a".into(), region: "r".into(), ring: String::new(), strength: 1 };
         let origins = [origin(1, "a"), origin(2, "b")];
         let mut share = OwnShare::default();
         let mut given = 0;
@@ -84,7 +84,7 @@
 
     #[test]
     fn the_nearest_goes_first_and_what_failed_or_is_full_is_left_alone() {
-        let spot = Spot { zone: "b".into(), region: "r".into(), ring: String::new() };
+        let spot = Spot { zone: "b".into(), region: "r".into(), ring: String::new(), strength: 1 };
         let origins = [origin(1, "a"), origin(2, "b"), Origin { leaving: true, ..origin(3, "b") }];
         let mut share = OwnShare::default();
         let named = group(Proof::Named, None);
--- a/kernel/src/mate.rs
+++ b/kernel/src/mate.rs
@@ -30,6 +30,17 @@
     }
 }
 
+impl Mate {
+    /// The same among mates of unlike strength: each is wanted for its part of
+    /// the sum. The mate with the lowest wins.
+    pub fn distance(&self, duty: &str, strength: u32) -> f64 {
+        let mut hash = std::hash::DefaultHasher::new();
+        std::hash::Hash::hash(&(duty, self.address), &mut hash);
+        let part = (std::hash::Hasher::finish(&hash) >> 11) as f64 / (1u64 << 53) as f64;
+        -part.max(f64::MIN_POSITIVE).ln() / f64::from(strength.max(1))
+    }
+}
+
 impl fmt::Display for Mate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}#{:08x}", self.address, self.life as u32)
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -67,7 +67,7 @@
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
     /// `heard`: the last mark of this control node, none before the first.
-    Renew { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, ring: String, draining: bool, usage: Usage, found: Vec<OriginFound> }
+    Renew { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, ring: String, strength: u32, draining: bool, usage: Usage, found: Vec<OriginFound> }
     /// To the life that sent the renewal, with its own time of sending.
     /// `recall`: acknowledged operations may be lost; tell those you know.
     Renewed { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
@@ -165,6 +165,8 @@
     pub zone: String,
     /// The ring of cache slices it takes part in.
     pub ring: String,
+    /// What it can carry beside others (1: the least).
+    pub strength: u32,
     pub draining: bool,
     pub realm: u64,
     pub recalled: bool,
@@ -199,8 +201,8 @@
 impl Seen {
     /// All that others' decisions hang on: what was served, how origins are
     /// found and what was confirmed is there for operators to read.
-    pub fn core(&self) -> (Mate, &str, &str, bool, u64, bool) {
-        (self.mate, &self.zone, &self.ring, self.draining, self.realm, self.recalled)
+    pub fn core(&self) -> (Mate, &str, &str, u32, bool, u64, bool) {
+        (self.mate, &self.zone, &self.ring, self.strength, self.draining, self.realm, self.recalled)
     }
 
     /// The sum of its core.
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -48,6 +48,8 @@
     pub zone: String,
     pub region: String,
     pub ring: String,
+    /// What this machine can carry beside others; 0 counts as 1.
+    pub strength: u32,
 }
 
 /// Of the control node that owns the list of origins.
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -14,6 +14,9 @@
     pub region: String,
     /// Edges: whose copies are shared. None: those of the region.
     pub ring: Option<String>,
+    /// Edges: what this machine can carry beside others (default 1): duties go
+    /// by it.
+    pub strength: Option<u32>,
     /// Extra tries that a service may get in ten seconds beside a fifth of the
     /// first ones (default 3).
     pub extra_tries: Option<u32>,
@@ -184,7 +187,7 @@
 
     pub fn spot(&self) -> Spot {
         let ring = self.ring.clone().unwrap_or_else(|| self.region.clone());
-        Spot { zone: self.zone.clone(), region: self.region.clone(), ring }
+        Spot { zone: self.zone.clone(), region: self.region.clone(), ring, strength: self.strength.unwrap_or(1) }
     }
 
     pub fn grace(&self) -> Duration {
--- a/simulate-fleet/src/capacity.rs
+++ b/simulate-fleet/src/capacity.rs
@@ -98,7 +98,7 @@
             let zone = at % ZONES;
             let (region, zone) = (format!("region-{:02}", zone % REGIONS), format!("region-{:02}-{}", zone % REGIONS, zone / REGIONS));
             let mate = Mate::new(address(2, at), 1000 + at as u64);
-            let part = EdgePart::new(mate, Spot { zone, ring: region.clone(), region }, seeds.clone(), true, 64 << 20);
+            let part = EdgePart::new(mate, Spot { zone, ring: region.clone(), region, strength: 1 }, seeds.clone(), true, 64 << 20);
             nodes.push(Hollow { role: Role::Edge, mate, part: Some(Box::new(part)), until: Duration::ZERO });
         }
         let by_address = nodes.iter().enumerate().map(|(at, node)| (node.mate.address, at)).collect();
