A list of origins names the version it replaces; a ledger's rounds are seldom

Change: PutOrigins may say which version it replaces (If-Match at our own interface; the reader and the simulated platform always do). Slices that edges are not shown have a round a second instead of ten.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -1157,17 +1157,25 @@
                 wait.settle = version;
                 wait.told = Outcome::Settled { version };
             }
-            Change::PutOrigins { list, change } => {
-                let known = keeper.rows.get("origins").and_then(|row| match &row.value {
-                    Value::Origins { change: known, .. } if *known == change => Some(row.version),
-                    _ => None,
-                });
-                let version = known.unwrap_or_else(|| keeper.put("origins".into(), Value::Origins { list, change }));
-                keeper.make(change, version);
-                wait.settle = version;
-                wait.told = Outcome::Settled { version };
-                self.note(Event::OriginsPut, format!("version {version}"));
-            }
+            Change::PutOrigins { list, expect, change } => match keeper.rows.get("origins") {
+                Some(Row { version, value: Value::Origins { change: known, .. } }) if *known == change => {
+                    wait.settle = *version;
+                    wait.told = Outcome::Settled { version: *version };
+                }
+                row => {
+                    let current = row.map_or(0, |row| row.version);
+                    if expect.is_some_and(|version| version != current) {
+                        wait.commit = current;
+                        wait.told = Outcome::Raced { version: current };
+                    } else {
+                        let version = keeper.put("origins".into(), Value::Origins { list, change });
+                        keeper.make(change, version);
+                        wait.settle = version;
+                        wait.told = Outcome::Settled { version };
+                        self.note(Event::OriginsPut, format!("version {version}"));
+                    }
+                }
+            },
             Change::OpenLedger { realm } if realm != self.realm => {
                 let text = format!("the realm is {} now", Realm::name(self.realm));
                 wait.told = Outcome::Findings(vec![Finding::new("/realm", text)]);
@@ -1392,7 +1400,7 @@
         let (slice, epoch) = owned.expect("one of the two is ours by weight");
         let ask = match slice {
             PURGES => Change::AddPurge { purge: Purge { entry: Some("e".into()), ..Purge::default() }, change: 5 },
-            _ => Change::PutOrigins { list: Arc::default(), change: 5 },
+            _ => Change::PutOrigins { list: Arc::default(), expect: None, change: 5 },
         };
         let told = script.hear(1700, 1, 11, Ask { asker: address(1), id: 7, slice, ask });
         let version = told.iter().find_map(|(_, message)| match message {
@@ -1446,7 +1454,7 @@
             let Some((slice, epoch)) = owned else { return None };
             let ask = match slice {
                 PURGES => Change::AddPurge { purge: Purge { entry: Some("e".into()), ..Purge::default() }, change: 5 },
-                _ => Change::PutOrigins { list: Arc::default(), change: 5 },
+                _ => Change::PutOrigins { list: Arc::default(), expect: None, change: 5 },
             };
             let told = script.hear(2_600, 1, 11, Ask { asker: address(1), id: 7, slice, ask });
             let version = told.iter().find_map(|(_, message)| match message {
--- a/control-plane/src/keeper.rs
+++ b/control-plane/src/keeper.rs
@@ -20,6 +20,8 @@
     /// Copies behind this version need the whole image.
     floor: u64,
     round: u64,
+    /// When the last round of a pulse began.
+    rounded: Duration,
     promises: BTreeMap<u8, SliceImage>,
     /// One for each slot of the table it was begun under: another table
     /// takes another keeper.
@@ -49,6 +51,8 @@
 const AGAIN: Duration = Duration::from_millis(300);
 /// Changes remembered as made.
 const MADE: usize = 256;
+/// Between rounds of a slice that is not news.
+const SELDOM: Duration = Duration::from_secs(1);
 /// Dropped keys remembered for copies that lag.
 const DROPS: usize = 4096;
 
@@ -63,6 +67,7 @@
             drops: BTreeMap::new(),
             floor: 0,
             round: 0,
+            rounded: Duration::ZERO,
             promises: BTreeMap::new(),
             copies: vec![CopyAt::default(); slots],
             quorum: Quorum::new(slots),
@@ -197,14 +202,19 @@
             let unsaid = (0..self.quorum.slots as u8).filter(|slot| pulse && !self.promises.contains_key(slot));
             return unsaid.map(|slot| (slot, Raise { slice, epoch, seats }.into())).collect();
         }
+        // What edges are not shown needs no settling: its rounds are seldom, and
+        // that a row is on a majority goes along with the next.
+        let news = self.slice < NEWS;
+        let pulse = pulse && (news || now >= self.rounded + SELDOM);
         if pulse {
             self.round += 1;
+            self.rounded = now;
         }
         let published = self.published;
         let mut out = Vec::new();
         for slot in 0..self.quorum.slots as u8 {
             let copy = &self.copies[usize::from(slot)];
-            let lacking = copy.to.is_none_or(|to| to < self.version) || copy.shown < published || copy.round < self.round;
+            let lacking = copy.to.is_none_or(|to| to < self.version) || news && copy.shown < published || copy.round < self.round;
             let busy = copy.busy.is_some_and(|(_, sent)| now < sent + AGAIN);
             if busy || !(pulse || lacking) {
                 continue;
@@ -299,6 +309,28 @@
         assert!(!keeper.ready(), "the image is not rewritten yet");
     }
 
+    #[test]
+    fn a_ledger_has_no_rounds_but_for_what_it_lacks_and_once_a_second() {
+        let at = Duration::from_millis;
+        let mut keeper = Keeper { slice: NEWS, ..active() };
+        assert_eq!(keeper.flush(at(1000), true).len(), 3, "the adopted image");
+        for slot in 0..3 {
+            keeper.kept(slot, &Kept { slice: NEWS, ..kept(1, 0, 0) });
+        }
+        assert!((1100..2000).step_by(100).all(|ms| keeper.flush(at(ms), true).is_empty()));
+        assert_eq!(keeper.flush(at(2000), true).len(), 3);
+        for slot in 0..3 {
+            keeper.kept(slot, &Kept { slice: NEWS, ..kept(2, 0, 0) });
+        }
+        keeper.put("k".into(), value(1));
+        assert_eq!(keeper.flush(at(2010), false).len(), 3);
+        for slot in 0..3 {
+            keeper.kept(slot, &Kept { slice: NEWS, ..kept(2, 1, 0) });
+        }
+        assert_eq!(keeper.committed(), 1);
+        assert!(keeper.flush(at(2020), true).is_empty(), "that it is on a majority can wait");
+    }
+
     #[test]
     fn committed_needs_two_disks_and_settled_two_clear_nodes() {
         let mut keeper = active();
--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -98,15 +98,17 @@
 fn put_configuration(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
     let text = text_of(request)?;
     Configuration::read(&text).map_err(|found| invalid(&found))?;
-    let expect = match request.header("If-Match") {
-        None => None,
-        Some(tag) => Some(tag.trim_matches('"').parse().map_err(|_| {
-            refuse(&Refusal::not_run(400, "if_match_malformed", "If-Match must be a version as given in ETag"))
-        })?),
-    };
+    let expect = expected(request)?;
     Ok(acknowledged(ask(port, CONFIGURATION, &Change::PutConfiguration { text: text.into(), expect, change: change_id()? })))
 }
 
+/// The version that a change is made to replace, if it says so.
+fn expected(request: &rouille::Request) -> Result<Option<u64>, rouille::Response> {
+    let read = |tag: &str| tag.trim_matches('"').parse();
+    let malformed = |_| refuse(&Refusal::not_run(400, "if_match_malformed", "If-Match must be a version as given in ETag"));
+    request.header("If-Match").map(read).transpose().map_err(malformed)
+}
+
 fn add_purge(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
     let purge: Purge = serde_json::from_str(&text_of(request)?).map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
     let found = purge.findings();
@@ -154,7 +156,7 @@
     if !found.is_empty() {
         return Err(invalid(&found));
     }
-    Ok(acknowledged(ask(port, ORIGINS, &Change::PutOrigins { list: Arc::new(origins), change: change_id()? })))
+    Ok(acknowledged(ask(port, ORIGINS, &Change::PutOrigins { list: Arc::new(origins), expect: expected(request)?, change: change_id()? })))
 }
 
 /// An item as operators send it.
@@ -262,7 +264,6 @@
 
 #[cfg(test)]
 mod tests {
-    use crate::prelude::*;
 
     #[test]
     fn items_are_read_one_by_one_and_a_removal_must_be_said() {
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -263,7 +263,9 @@
     /// than what is known under its name has no effect.
     PutItems { items: Vec<Item>, change: u64 },
     AddPurge { purge: Purge, change: u64 },
-    PutOrigins { list: Arc<Vec<Origin>>, change: u64 },
+    /// `expect`: the version of the list that it was made to replace. One that
+    /// comes late, over a newer list, then changes nothing.
+    PutOrigins { list: Arc<Vec<Origin>>, expect: Option<u64>, change: u64 },
     /// All rows of a news slice, confirmed at a majority.
     List,
     /// Says that no operation was run before this realm that may come again.
--- a/simulate-fleet/src/capacity.rs
+++ b/simulate-fleet/src/capacity.rs
@@ -237,7 +237,7 @@
         fleet.run_to(Duration::from_secs(5));
         let change = 1;
         fleet.change(1, CONFIGURATION, Change::PutConfiguration { text: Capacity::document(1), expect: None, change })?;
-        fleet.change(2, ORIGINS, Change::PutOrigins { list: Arc::new(Capacity::origins()), change })?;
+        fleet.change(2, ORIGINS, Change::PutOrigins { list: Arc::new(Capacity::origins()), expect: None, change })?;
         fleet.run_to(fleet.now.max(SETTLED) + Duration::from_secs(3));
         let quiet = fleet.count(Duration::from_secs(2));
         let live = fleet.live();
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -88,6 +88,8 @@
     pub(crate) acknowledged: Option<(u64, String)>,
     /// The platform puts one list at a time; a change meanwhile waits.
     pub(crate) origins_due: Option<bool>,
+    /// The version of the list that the platform knows to stand.
+    pub(crate) origins_at: u64,
     pub(crate) trap: Option<(Moment, Loss)>,
     /// The first seed's end at the founding came.
     pub(crate) founder_ended: bool,
@@ -178,6 +180,7 @@
             next_marker: 0,
             acknowledged: None,
             origins_due: None,
+            origins_at: 0,
             trap: None,
             founder_ended: false,
             watches: BTreeSet::new(),
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -52,7 +52,7 @@
                 let purge = Purge { prefix: Some(prefix.clone()), ..Purge::default() };
                 (PURGES, Change::AddPurge { purge, change })
             }
-            Asked::Origins { list, .. } => (ORIGINS, Change::PutOrigins { list: Arc::new(list.clone()), change }),
+            Asked::Origins { list, .. } => (ORIGINS, Change::PutOrigins { list: Arc::new(list.clone()), expect: Some(self.origins_at), change }),
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
@@ -78,6 +78,9 @@
             }
         };
         let settled = matches!(outcome, Outcome::Settled { .. });
+        if let (Asked::Origins { .. }, Outcome::Settled { version } | Outcome::Raced { version }) = (&asked, &outcome) {
+            self.origins_at = *version;
+        }
         match asked {
             Asked::Configure { marker, text, race, without, .. } => {
                 self.changing.remove(&marker);
