--- a/control-plane/src/sessions.rs
+++ b/control-plane/src/sessions.rs
@@ -103,7 +103,7 @@
             self.mine.insert(seen.mate, Standing { heard: now, first: self.count, seen, sum, since: self.at, changed: now });
             return true;
         };
-        let read = now >= known.changed + READ && known.seen != seen;
+        let read = now >= known.changed + READ && (known.seen.usage != seen.usage || known.seen.found != seen.found);
         if sum != known.sum || read {
             self.at += 1;
             self.sum ^= known.sum ^ sum;
@@ -334,13 +334,9 @@
             let now = Duration::from_millis(step * 100);
             let port = 1 + roll(20) as u16;
             match roll(8) {
-                0 => {
-                    one.leave(seen(port, 1).mate);
-                }
+                0 => _ = one.leave(seen(port, 1).mate),
                 1 if roll(40) == 0 => one = Sessions::default(),
-                _ => {
-                    one.renew(now, Seen { draining: roll(3) == 0, ..seen(port, step) }, None);
-                }
+                _ => _ = one.renew(now, Seen { draining: roll(3) == 0, ..seen(port, step) }, None),
             }
             had.entry(one.sum).or_default().push(core(&one));
             let beat = one.since(other.got(1));
