A blank disk asks less often; promises too; gates stand apart from control nodes

Gates went to the machines with disks, since those are strongest, and fell with the core: a control node beside counts as a quarter.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -387,8 +387,8 @@
         for slot in self.others() {
             self.tell(self.address(slot), self.beat(now, slot));
         }
-        if let Some(refiller) = &self.refiller {
-            for (slot, message) in refiller.pulse() {
+        if let Some(refiller) = &mut self.refiller {
+            for (slot, message) in refiller.pulse(now) {
                 self.tell(self.address(slot), message);
             }
         }
@@ -629,7 +629,9 @@
         names.extend(self.services.iter().map(|service| gate_duty(service)));
         let gone = |mate: Mate| self.sessions.gone(now, mate, quorum);
         let ended = |mate: Mate| planned.5.contains(&mate);
-        let plan = DutyPlan { rows: &keeper.rows, settled: keeper.settled(), live: &live, gone: &gone, ended: &ended, early: !known };
+        let places = &self.places;
+        let beside = |seen: &Seen| places.iter().any(|place| place.address.ip() == seen.mate.address.ip());
+        let plan = DutyPlan { rows: &keeper.rows, settled: keeper.settled(), live: &live, gone: &gone, ended: &ended, beside: &beside, early: !known };
         let out = plan.next(&names);
         self.planned = Some(planned);
         if !out.is_empty() {
@@ -794,7 +796,8 @@
                 }
             }
             (Some(_), Message::Refill(refill)) => {
-                let held = self.replica.copy_out();
+                // In the first round nothing that is told counts.
+                let held = if refill.round == 0 { vec![] } else { self.replica.copy_out() };
                 // A first disk holds all that it ever acknowledged: nothing.
                 let full = self.replica.full || self.replica.founding;
                 // After a loss of everything no table is shown by anybody, and
--- a/control-plane/src/duty_plan.rs
+++ b/control-plane/src/duty_plan.rs
@@ -11,6 +11,8 @@
     /// Its process is known to have ended: it cannot come back, so what it held
     /// needs no revoking.
     pub ended: &'a dyn Fn(Mate) -> bool,
+    /// Whether a control node is on the same machine: its loss would take both.
+    pub beside: &'a dyn Fn(&Seen) -> bool,
     /// Not all sessions are known yet: only what the ended left is given out.
     pub early: bool,
 }
@@ -18,6 +20,8 @@
 /// Duties taken from live holders at a time, so that a join does not empty
 /// the whole ring at once.
 const MOVES: usize = 64;
+/// So much stronger must one beside a control node be to have a gate as often.
+const APART: u32 = 4;
 
 impl DutyPlan<'_> {
     /// The rows to write now.
@@ -64,8 +68,13 @@
     fn best(&self, name: &str) -> Option<Mate> {
         let near = |seen: &&Seen| duty_ring(name).is_none_or(|ring| ring == seen.ring);
         let able = self.live.iter().filter(|seen| !seen.draining).filter(near);
-        // A gate is one node's work: the strong ones have it.
-        let strength = |seen: &Seen| if duty_ring(name).is_some() { seen.strength } else { seen.strength.saturating_pow(3) };
+        // A gate is one node's work: the strong ones have it, beside a control
+        // node only where others are much weaker.
+        let strength = |seen: &Seen| match duty_ring(name) {
+            Some(_) => seen.strength,
+            None if (self.beside)(seen) => (seen.strength / APART).max(1).saturating_pow(3),
+            None => seen.strength.saturating_pow(3),
+        };
         let far = |seen: &Seen| seen.mate.distance(name, strength(seen));
         able.min_by(|one, other| far(one).total_cmp(&far(other)).then(one.mate.life.cmp(&other.mate.life))).map(|seen| seen.mate)
     }
@@ -97,14 +106,14 @@
         let mut rows = BTreeMap::new();
         let (one, two) = ([seen(1, false)], [seen(2, false)]);
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &rows, settled: 0, live: &one, gone: none, ended: none, early: false }.next(&names());
+        let out = DutyPlan { rows: &rows, settled: 0, live: &one, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
         apply(&mut rows, out, 1);
         let all: &dyn Fn(Mate) -> bool = &|mate| mate.address.port() == 1;
-        let out = DutyPlan { rows: &rows, settled: 1, live: &two, gone: all, ended: &|_| false, early: false }.next(&names());
+        let out = DutyPlan { rows: &rows, settled: 1, live: &two, gone: all, ended: &|_| false, beside: &|_| false, early: false }.next(&names());
         assert!(out.iter().all(|(_, duty)| duty.holder.is_none() && duty.epoch == 2));
         assert_eq!(apply(&mut rows, out, 2), usize::from(CACHE_SLICES));
-        assert!(DutyPlan { rows: &rows, settled: 1, live: &two, gone: all, ended: &|_| false, early: false }.next(&names()).is_empty());
-        let out = DutyPlan { rows: &rows, settled: 2, live: &two, gone: all, ended: &|_| false, early: false }.next(&names());
+        assert!(DutyPlan { rows: &rows, settled: 1, live: &two, gone: all, ended: &|_| false, beside: &|_| false, early: false }.next(&names()).is_empty());
+        let out = DutyPlan { rows: &rows, settled: 2, live: &two, gone: all, ended: &|_| false, beside: &|_| false, early: false }.next(&names());
         assert!(out.iter().all(|(_, duty)| duty.holder == Some(two[0].mate) && duty.epoch == 3));
         assert_eq!(out.len(), usize::from(CACHE_SLICES));
     }
@@ -113,11 +122,11 @@
     fn what_an_ended_process_held_is_granted_at_once_also_before_all_sessions_are_known() {
         let mut rows = BTreeMap::new();
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &rows, settled: 0, live: &[seen(1, false), seen(2, false)], gone: none, ended: none, early: false }.next(&names());
+        let out = DutyPlan { rows: &rows, settled: 0, live: &[seen(1, false), seen(2, false)], gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
         apply(&mut rows, out, 1);
         let again = Seen { mate: Mate { life: 9, ..seen(1, false).mate }, ..seen(1, false) };
         let over: &dyn Fn(Mate) -> bool = &|mate| mate == seen(1, false).mate;
-        let out = DutyPlan { rows: &rows, settled: 1, live: std::slice::from_ref(&again), gone: none, ended: over, early: true }.next(&names());
+        let out = DutyPlan { rows: &rows, settled: 1, live: std::slice::from_ref(&again), gone: none, ended: over, beside: &|_| false, early: true }.next(&names());
         assert!(!out.is_empty() && out.len() < names().len(), "what the other holds is left to it");
         assert!(out.iter().all(|(_, duty)| duty.holder == Some(again.mate) && duty.epoch == 2));
     }
@@ -127,15 +136,15 @@
         let mut rows = BTreeMap::new();
         let mut live: Vec<Seen> = (1..8).map(|port| seen(port, false)).collect();
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &rows, settled: 0, live: &live, gone: none, ended: none, early: false }.next(&names());
+        let out = DutyPlan { rows: &rows, settled: 0, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
         apply(&mut rows, out, 1);
         live.push(seen(8, false));
         let mut moved = 0;
         for version in (2..100).step_by(2) {
-            let out = DutyPlan { rows: &rows, settled: version, live: &live, gone: none, ended: none, early: false }.next(&names());
+            let out = DutyPlan { rows: &rows, settled: version, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
             assert!(out.len() <= 64);
             moved += apply(&mut rows, out, version);
-            let out = DutyPlan { rows: &rows, settled: version, live: &live, gone: none, ended: none, early: false }.next(&names());
+            let out = DutyPlan { rows: &rows, settled: version, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
             assert!(out.iter().all(|(_, duty)| duty.holder == Some(live[7].mate)));
             apply(&mut rows, out, version + 1);
         }
@@ -147,18 +156,31 @@
         let strong = |port, strength| Seen { strength, ..seen(port, false) };
         let live: Vec<Seen> = (1..=4).map(|port| strong(port, 30)).chain((5..=34).map(|port| strong(port, 1))).collect();
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, early: false }.next(&names());
+        let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
         let strong = out.iter().filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4)).count();
         assert!((180..=230).contains(&strong), "{strong} of 256: four of five parts");
     }
 
+    #[test]
+    fn a_gate_is_apart_from_control_nodes_unless_others_are_much_weaker() {
+        let gates: Vec<String> = (0..200).map(|at| gate_duty(&format!("s{at}"))).collect();
+        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let beside = |seen: &Seen| seen.mate.address.port() <= 4;
+        let held = |other: u32| {
+            let live: Vec<Seen> = (1..=14).map(|port| Seen { strength: if port <= 4 { 35 } else { other }, ..seen(port, false) }).collect();
+            let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, beside: &beside, early: false }.next(&gates);
+            out.iter().filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4)).count()
+        };
+        assert!(held(20) < 20 && held(1) > 180, "{} and {}", held(20), held(1));
+    }
+
     #[test]
     fn a_slice_of_a_ring_goes_to_its_own_edges_only() {
         let near = |port, ring: &str| Seen { ring: ring.into(), ..seen(port, false) };
         let live = [near(1, "a"), near(2, "a"), near(3, "b")];
         let names: Vec<String> = (0..CACHE_SLICES).flat_map(|slice| ["a", "b", "c"].map(|ring| cache_duty(ring, slice))).collect();
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, early: false }.next(&names);
+        let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names);
         let held = |ring: &str| -> BTreeSet<Option<Mate>> { out.iter().filter(|(name, _)| duty_ring(name) == Some(ring)).map(|(_, duty)| duty.holder).collect() };
         assert_eq!(held("a"), [Some(live[0].mate), Some(live[1].mate)].into());
         assert_eq!(held("b"), [Some(live[2].mate)].into());
@@ -173,9 +195,9 @@
         for port in 1..9 {
             let rows = held(seen(port, false).mate);
             let live: Vec<Seen> = (1..9).map(|port| seen(port, false)).collect();
-            assert!(DutyPlan { rows: &rows, settled: 9, live: &live, gone: none, ended: none, early: false }.next(&gate).is_empty());
+            assert!(DutyPlan { rows: &rows, settled: 9, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&gate).is_empty());
             let live: Vec<Seen> = (1..9).map(|other| seen(other, other == port)).collect();
-            assert_eq!(DutyPlan { rows: &rows, settled: 9, live: &live, gone: none, ended: none, early: false }.next(&gate).len(), 1);
+            assert_eq!(DutyPlan { rows: &rows, settled: 9, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&gate).len(), 1);
         }
     }
 }
--- a/control-plane/src/keeper.rs
+++ b/control-plane/src/keeper.rs
@@ -20,6 +20,8 @@
     /// Copies behind this version need the whole image.
     floor: u64,
     round: u64,
+    /// When promises were last asked for.
+    asked: Option<Duration>,
     /// When the last round of a pulse began.
     rounded: Duration,
     promises: BTreeMap<u8, SliceImage>,
@@ -51,6 +53,7 @@
 const AGAIN: Duration = Duration::from_millis(300);
 /// Changes remembered as made.
 const MADE: usize = 256;
+const RAISE_AGAIN: Duration = Duration::from_millis(400);
 /// Between rounds of a slice that is not news.
 const SELDOM: Duration = Duration::from_secs(1);
 /// Dropped keys remembered for copies that lag.
@@ -67,6 +70,7 @@
             drops: BTreeMap::new(),
             floor: 0,
             round: 0,
+            asked: None,
             rounded: Duration::ZERO,
             promises: BTreeMap::new(),
             copies: vec![CopyAt::default(); slots],
@@ -199,7 +203,13 @@
     pub fn flush(&mut self, now: Duration, pulse: bool) -> Vec<(u8, Message)> {
         if self.active_since.is_none() {
             let (slice, epoch, seats) = (self.slice, self.epoch, self.seats);
-            let unsaid = (0..self.quorum.slots as u8).filter(|slot| pulse && !self.promises.contains_key(slot));
+            // The answers bring whole images: asked too often, they stand in
+            // each other's way.
+            let due = pulse && self.asked.is_none_or(|asked| now >= asked + RAISE_AGAIN);
+            if due {
+                self.asked = Some(now);
+            }
+            let unsaid = (0..self.quorum.slots as u8).filter(|slot| due && !self.promises.contains_key(slot));
             return unsaid.map(|slot| (slot, Raise { slice, epoch, seats }.into())).collect();
         }
         // What edges are not shown needs no settling: its rounds are seldom, and
@@ -309,6 +319,13 @@
         assert!(!keeper.ready(), "the image is not rewritten yet");
     }
 
+    #[test]
+    fn promises_are_asked_for_again_only_when_an_image_has_had_time_to_come() {
+        let mut keeper = Keeper::new(PURGES, 3, 3, 0);
+        let said: Vec<usize> = (0..10).map(|pulse| keeper.flush(Duration::from_millis(pulse * 100), true).len()).collect();
+        assert_eq!(said, [3, 0, 0, 0, 3, 0, 0, 0, 3, 0]);
+    }
+
     #[test]
     fn a_ledger_has_no_rounds_but_for_what_it_lacks_and_once_a_second() {
         let at = Duration::from_millis;
--- a/control-plane/src/refiller.rs
+++ b/control-plane/src/refiller.rs
@@ -16,8 +16,13 @@
     seats: u64,
     round: u8,
     got: BTreeMap<u8, Got>,
+    /// In which round each was last asked, and when.
+    asked: BTreeMap<u8, (u8, Duration)>,
 }
 
+/// A whole disk's content takes this long over a slow way.
+const AGAIN: Duration = Duration::from_millis(600);
+
 #[derive(Debug)]
 struct Got {
     /// Its disk is full, by whichever table.
@@ -38,15 +43,18 @@
 impl Refiller {
     /// For a slot of a table of so many slots and this version.
     pub fn new(slot: u8, slots: usize, seats: u64) -> Refiller {
-        Refiller { slot, quorum: Quorum::new(slots), seats, round: 0, got: BTreeMap::new() }
+        Refiller { slot, quorum: Quorum::new(slots), seats, round: 0, got: BTreeMap::new(), asked: BTreeMap::new() }
     }
 
     /// Asks all whose answer may still change something: blank ones may be full
-    /// by now.
-    pub fn pulse(&self) -> Vec<(u8, Message)> {
+    /// by now. Not more often than an answer, which brings all there is, takes
+    /// to come: those asked for in vain would stand before what follows.
+    pub fn pulse(&mut self, now: Duration) -> Vec<(u8, Message)> {
         let whole = |slot: &u8| self.got.get(slot).is_some_and(|got| got.whole);
-        let others = (0..self.quorum.slots as u8).filter(|slot| *slot != self.slot && !whole(slot));
-        others.map(|slot| (slot, Refill { slot: self.slot, round: self.round, seats: self.seats }.into())).collect()
+        let due = |slot: &u8| self.asked.get(slot).is_none_or(|(round, asked)| *round != self.round || now >= *asked + AGAIN);
+        let others: Vec<u8> = (0..self.quorum.slots as u8).filter(|slot| *slot != self.slot && !whole(slot) && due(slot)).collect();
+        self.asked.extend(others.iter().map(|slot| (*slot, (self.round, now))));
+        others.into_iter().map(|slot| (slot, Refill { slot: self.slot, round: self.round, seats: self.seats }.into())).collect()
     }
 
     /// All slices merged, once the second round is whole.
@@ -124,7 +132,7 @@
         assert!(refiller.heard(told(0, 0, true, 9)).is_none());
         assert!(refiller.heard(told(1, 0, false, 0)).is_none());
         assert_eq!(refiller.round, 0, "one is blank: it does not count");
-        assert!(refiller.pulse().iter().any(|(slot, _)| *slot == 1), "and is asked again");
+        assert!(refiller.pulse(Duration::ZERO).iter().any(|(slot, _)| *slot == 1), "and is asked again");
         assert!(refiller.heard(Refilled { seats: 4, ..told(2, 0, true, 9) }).is_none());
         assert_eq!(refiller.round, 0, "one goes by an earlier table: it does not count");
         assert!(refiller.heard(told(2, 0, true, 9)).is_none());
@@ -146,4 +154,11 @@
             assert_eq!(merged.map(|merged| merged.lost), (round == 1).then_some(true));
         }
     }
+
+    #[test]
+    fn who_has_not_answered_is_asked_again_but_not_with_every_pulse() {
+        let mut refiller = Refiller::new(0, 3, 0);
+        let said: Vec<usize> = (0..8).map(|pulse| refiller.pulse(Duration::from_millis(pulse * 100)).len()).collect();
+        assert_eq!(said, [2, 0, 0, 0, 0, 0, 2, 0]);
+    }
 }
