One way to replace a row that is put whole; one word for whether an errand has a try left

PutConfiguration and PutOrigins judged change, expected version and result each by itself; Wait::replace serves both, in the same order. try_again and may_repeat share has_try.

--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -107,6 +107,36 @@
     told: Outcome,
 }
 
+impl Wait {
+    /// Puts a row that is replaced whole, unless this change did so already,
+    /// another version stands than the expected one, or something is found
+    /// wrong with it. The version, if it is put now.
+    fn replace(&mut self, keeper: &mut Keeper, key: &str, value: Value, expect: Option<u64>, change: u64, found: &dyn Fn() -> Option<Vec<Finding>>) -> Option<u64> {
+        let row = keeper.rows.get(key);
+        let current = row.map_or(0, |row| row.version);
+        let made = row.is_some_and(|row| matches!(&row.value, Value::Configuration { change: known, .. } | Value::Origins { change: known, .. } if *known == change));
+        if made {
+            self.settle = current;
+            self.told = Outcome::Settled { version: current };
+            return None;
+        }
+        if expect.is_some_and(|version| version != current) {
+            self.commit = current;
+            self.told = Outcome::Raced { version: current };
+            return None;
+        }
+        if let Some(found) = found() {
+            self.told = Outcome::Findings(found);
+            return None;
+        }
+        let version = keeper.put(key.into(), value);
+        keeper.make(change, version);
+        self.settle = version;
+        self.told = Outcome::Settled { version };
+        Some(version)
+    }
+}
+
 /// A call from an operator, on its way to the owner.
 struct Front {
     slice: u8,
@@ -1115,27 +1145,13 @@
                 let rows = keeper.rows.iter().map(|(key, row)| (key.clone(), row.clone())).collect();
                 wait.told = Outcome::Rows { version: keeper.version, rows };
             }
-            Change::PutConfiguration { text, expect, change } => match keeper.rows.get("configuration") {
-                Some(Row { version, value: Value::Configuration { change: known, .. } }) if *known == change => {
-                    wait.settle = *version;
-                    wait.told = Outcome::Settled { version: *version };
+            Change::PutConfiguration { text, expect, change } => {
+                let found = || Configuration::read(&text).err();
+                let value = Value::Configuration { text: text.clone(), change };
+                if let Some(version) = wait.replace(keeper, "configuration", value, expect, change, &found) {
+                    self.note(Event::ConfigurationPut, format!("version {version}"));
                 }
-                row => {
-                    let current = row.map_or(0, |row| row.version);
-                    if expect.is_some_and(|version| version != current) {
-                        wait.commit = current;
-                        wait.told = Outcome::Raced { version: current };
-                    } else if let Err(found) = Configuration::read(&text) {
-                        wait.told = Outcome::Findings(found);
-                    } else {
-                        let version = keeper.put("configuration".into(), Value::Configuration { text, change });
-                        keeper.make(change, version);
-                        wait.settle = version;
-                        wait.told = Outcome::Settled { version };
-                        self.note(Event::ConfigurationPut, format!("version {version}"));
-                    }
-                }
-            },
+            }
             Change::PutItems { items, change: _ } => match Items::change(&keeper.rows, items) {
                 Err(found) => wait.told = Outcome::Findings(found),
                 Ok(fresh) => {
@@ -1160,25 +1176,12 @@
                 wait.settle = version;
                 wait.told = Outcome::Settled { version };
             }
-            Change::PutOrigins { list, expect, change } => match keeper.rows.get("origins") {
-                Some(Row { version, value: Value::Origins { change: known, .. } }) if *known == change => {
-                    wait.settle = *version;
-                    wait.told = Outcome::Settled { version: *version };
-                }
-                row => {
-                    let current = row.map_or(0, |row| row.version);
-                    if expect.is_some_and(|version| version != current) {
-                        wait.commit = current;
-                        wait.told = Outcome::Raced { version: current };
-                    } else {
-                        let version = keeper.put("origins".into(), Value::Origins { list, change });
-                        keeper.make(change, version);
-                        wait.settle = version;
-                        wait.told = Outcome::Settled { version };
-                        self.note(Event::OriginsPut, format!("version {version}"));
-                    }
+            Change::PutOrigins { list, expect, change } => {
+                let value = Value::Origins { list, change };
+                if let Some(version) = wait.replace(keeper, "origins", value, expect, change, &|| None) {
+                    self.note(Event::OriginsPut, format!("version {version}"));
                 }
-            },
+            }
             Change::OpenLedger { realm } if realm != self.realm => {
                 let text = format!("the realm is {} now", Realm::name(self.realm));
                 wait.told = Outcome::Findings(vec![Finding::new("/realm", text)]);
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -811,13 +811,13 @@
     /// Whether another origin may be asked after one ran it and failed.
     fn may_repeat(&self, now: Duration, id: u64) -> bool {
         let job = &self.jobs[&id];
-        job.repeatable() && job.calls < job.most_calls() && now < job.deadline
+        job.repeatable() && job.has_try(now)
     }
 
     fn try_again(&mut self, now: Duration, id: u64, may: bool, status: u16, code: &str, text: &str) {
         let job = &self.jobs[&id];
         let refusal = job.refuse(status, code, text);
-        if may && job.calls < job.most_calls() && now < job.deadline {
+        if may && job.has_try(now) {
             self.set_stage(now, id, Stage::Knocking);
         } else {
             self.give_up(now, id, refusal);
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -89,6 +89,11 @@
         self.errand.entry().attempts.unwrap_or(CALLS)
     }
 
+    /// Whether one more origin may be asked, and time is left for it.
+    pub fn has_try(&self, now: Duration) -> bool {
+        self.calls < self.most_calls() && now < self.deadline
+    }
+
     pub fn outcome(&self) -> RunState {
         if self.sent { RunState::Unknown } else { RunState::NotRun }
     }
