--- a/control-plane/src/duty_plan.rs
+++ b/control-plane/src/duty_plan.rs
@@ -26,38 +26,88 @@
 impl DutyPlan<'_> {
     /// The rows to write now.
     pub fn next(&self, duties: &[String]) -> Vec<(String, Duty)> {
-        let mut moves = self.rows.values().filter(|row| matches!(&row.value, Value::Duty(duty) if duty.holder.is_none())).count();
+        let mut moves = self
+            .rows
+            .values()
+            .filter(|row| matches!(&row.value, Value::Duty(duty) if duty.holder.is_none()))
+            .count();
         let mut out = Vec::new();
         for name in duties {
             let want = self.best(name);
             let known = self.rows.get(name).map(|row| (row.version, &row.value));
             match known {
-                Some((version, Value::Duty(Duty { holder: None, last, epoch }))) => {
+                Some((
+                    version,
+                    Value::Duty(Duty {
+                        holder: None,
+                        last,
+                        epoch,
+                    }),
+                )) => {
                     if want.is_some() && self.settled >= version && !self.early {
-                        out.push((name.clone(), Duty { holder: want, last: *last, epoch: epoch + 1 }));
+                        out.push((
+                            name.clone(),
+                            Duty {
+                                holder: want,
+                                last: *last,
+                                epoch: epoch + 1,
+                            },
+                        ));
                     }
                 }
-                Some((_, Value::Duty(Duty { holder: Some(holder), epoch, .. }))) => {
+                Some((
+                    _,
+                    Value::Duty(Duty {
+                        holder: Some(holder),
+                        epoch,
+                        ..
+                    }),
+                )) => {
                     if want.is_some() && (self.ended)(*holder) {
-                        out.push((name.clone(), Duty { holder: want, last: None, epoch: epoch + 1 }));
+                        out.push((
+                            name.clone(),
+                            Duty {
+                                holder: want,
+                                last: None,
+                                epoch: epoch + 1,
+                            },
+                        ));
                         continue;
                     }
                     if self.early {
                         continue;
                     }
                     let gone = (self.gone)(*holder);
-                    let leaves = self.live.iter().any(|seen| seen.mate == *holder && seen.draining);
-                    let better = name.starts_with("cache/") && want.is_some_and(|mate| mate != *holder);
+                    let leaves = self
+                        .live
+                        .iter()
+                        .any(|seen| seen.mate == *holder && seen.draining);
+                    let better =
+                        name.starts_with("cache/") && want.is_some_and(|mate| mate != *holder);
                     let may_move = want.is_some() && moves < MOVES;
                     if gone || (leaves && want.is_some()) || (better && may_move) {
                         moves += 1;
                         let last = (!gone).then_some(*holder);
-                        out.push((name.clone(), Duty { holder: None, last, epoch: epoch + 1 }));
+                        out.push((
+                            name.clone(),
+                            Duty {
+                                holder: None,
+                                last,
+                                epoch: epoch + 1,
+                            },
+                        ));
                     }
                 }
                 _ => {
                     if want.is_some() && !self.early {
-                        out.push((name.clone(), Duty { holder: want, last: None, epoch: 1 }));
+                        out.push((
+                            name.clone(),
+                            Duty {
+                                holder: want,
+                                last: None,
+                                epoch: 1,
+                            },
+                        ));
                     }
                 }
             }
@@ -76,7 +126,12 @@
             None => seen.strength.saturating_pow(3),
         };
         let far = |seen: &Seen| seen.mate.distance(name, strength(seen));
-        able.min_by(|one, other| far(one).total_cmp(&far(other)).then(one.mate.life.cmp(&other.mate.life))).map(|seen| seen.mate)
+        able.min_by(|one, other| {
+            far(one)
+                .total_cmp(&far(other))
+                .then(one.mate.life.cmp(&other.mate.life))
+        })
+        .map(|seen| seen.mate)
     }
 }
 
@@ -86,19 +141,38 @@
 
     fn seen(port: u16, draining: bool) -> Seen {
         let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
-        Seen { mate, zone: "z".into(), ring: String::new(), strength: 1, draining, realm: 0, recalled: true, vector: vec![], usage: Usage::default(), found: vec![] }
+        Seen {
+            mate,
+            zone: "z".into(),
+            ring: String::new(),
+            strength: 1,
+            draining,
+            realm: 0,
+            recalled: true,
+            vector: vec![],
+            usage: Usage::default(),
+            found: vec![],
+        }
     }
 
     fn apply(rows: &mut BTreeMap<String, Row>, out: Vec<(String, Duty)>, version: u64) -> usize {
         let count = out.len();
         for (key, duty) in out {
-            rows.insert(key, Row { version, value: Value::Duty(duty) });
+            rows.insert(
+                key,
+                Row {
+                    version,
+                    value: Value::Duty(duty),
+                },
+            );
         }
         count
     }
 
     fn names() -> Vec<String> {
-        (0..CACHE_SLICES).map(|slice| cache_duty("", slice)).collect()
+        (0..CACHE_SLICES)
+            .map(|slice| cache_duty("", slice))
+            .collect()
     }
 
     #[test]
@@ -106,15 +180,60 @@
         let mut rows = BTreeMap::new();
         let (one, two) = ([seen(1, false)], [seen(2, false)]);
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &rows, settled: 0, live: &one, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
+        let out = DutyPlan {
+            rows: &rows,
+            settled: 0,
+            live: &one,
+            gone: none,
+            ended: none,
+            beside: &|_| false,
+            early: false,
+        }
+        .next(&names());
         apply(&mut rows, out, 1);
         let all: &dyn Fn(Mate) -> bool = &|mate| mate.address.port() == 1;
-        let out = DutyPlan { rows: &rows, settled: 1, live: &two, gone: all, ended: &|_| false, beside: &|_| false, early: false }.next(&names());
-        assert!(out.iter().all(|(_, duty)| duty.holder.is_none() && duty.epoch == 2));
+        let out = DutyPlan {
+            rows: &rows,
+            settled: 1,
+            live: &two,
+            gone: all,
+            ended: &|_| false,
+            beside: &|_| false,
+            early: false,
+        }
+        .next(&names());
+        assert!(
+            out.iter()
+                .all(|(_, duty)| duty.holder.is_none() && duty.epoch == 2)
+        );
         assert_eq!(apply(&mut rows, out, 2), usize::from(CACHE_SLICES));
-        assert!(DutyPlan { rows: &rows, settled: 1, live: &two, gone: all, ended: &|_| false, beside: &|_| false, early: false }.next(&names()).is_empty());
-        let out = DutyPlan { rows: &rows, settled: 2, live: &two, gone: all, ended: &|_| false, beside: &|_| false, early: false }.next(&names());
-        assert!(out.iter().all(|(_, duty)| duty.holder == Some(two[0].mate) && duty.epoch == 3));
+        assert!(
+            DutyPlan {
+                rows: &rows,
+                settled: 1,
+                live: &two,
+                gone: all,
+                ended: &|_| false,
+                beside: &|_| false,
+                early: false
+            }
+            .next(&names())
+            .is_empty()
+        );
+        let out = DutyPlan {
+            rows: &rows,
+            settled: 2,
+            live: &two,
+            gone: all,
+            ended: &|_| false,
+            beside: &|_| false,
+            early: false,
+        }
+        .next(&names());
+        assert!(
+            out.iter()
+                .all(|(_, duty)| duty.holder == Some(two[0].mate) && duty.epoch == 3)
+        );
         assert_eq!(out.len(), usize::from(CACHE_SLICES));
     }
 
@@ -122,13 +241,43 @@
     fn what_an_ended_process_held_is_granted_at_once_also_before_all_sessions_are_known() {
         let mut rows = BTreeMap::new();
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &rows, settled: 0, live: &[seen(1, false), seen(2, false)], gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
+        let out = DutyPlan {
+            rows: &rows,
+            settled: 0,
+            live: &[seen(1, false), seen(2, false)],
+            gone: none,
+            ended: none,
+            beside: &|_| false,
+            early: false,
+        }
+        .next(&names());
         apply(&mut rows, out, 1);
-        let again = Seen { mate: Mate { life: 9, ..seen(1, false).mate }, ..seen(1, false) };
+        let again = Seen {
+            mate: Mate {
+                life: 9,
+                ..seen(1, false).mate
+            },
+            ..seen(1, false)
+        };
         let over: &dyn Fn(Mate) -> bool = &|mate| mate == seen(1, false).mate;
-        let out = DutyPlan { rows: &rows, settled: 1, live: std::slice::from_ref(&again), gone: none, ended: over, beside: &|_| false, early: true }.next(&names());
-        assert!(!out.is_empty() && out.len() < names().len(), "what the other holds is left to it");
-        assert!(out.iter().all(|(_, duty)| duty.holder == Some(again.mate) && duty.epoch == 2));
+        let out = DutyPlan {
+            rows: &rows,
+            settled: 1,
+            live: std::slice::from_ref(&again),
+            gone: none,
+            ended: over,
+            beside: &|_| false,
+            early: true,
+        }
+        .next(&names());
+        assert!(
+            !out.is_empty() && out.len() < names().len(),
+            "what the other holds is left to it"
+        );
+        assert!(
+            out.iter()
+                .all(|(_, duty)| duty.holder == Some(again.mate) && duty.epoch == 2)
+        );
     }
 
     #[test]
@@ -136,29 +285,83 @@
         let mut rows = BTreeMap::new();
         let mut live: Vec<Seen> = (1..8).map(|port| seen(port, false)).collect();
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &rows, settled: 0, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
+        let out = DutyPlan {
+            rows: &rows,
+            settled: 0,
+            live: &live,
+            gone: none,
+            ended: none,
+            beside: &|_| false,
+            early: false,
+        }
+        .next(&names());
         apply(&mut rows, out, 1);
         live.push(seen(8, false));
         let mut moved = 0;
         for version in (2..100).step_by(2) {
-            let out = DutyPlan { rows: &rows, settled: version, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
+            let out = DutyPlan {
+                rows: &rows,
+                settled: version,
+                live: &live,
+                gone: none,
+                ended: none,
+                beside: &|_| false,
+                early: false,
+            }
+            .next(&names());
             assert!(out.len() <= 64);
             moved += apply(&mut rows, out, version);
-            let out = DutyPlan { rows: &rows, settled: version, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
-            assert!(out.iter().all(|(_, duty)| duty.holder == Some(live[7].mate)));
+            let out = DutyPlan {
+                rows: &rows,
+                settled: version,
+                live: &live,
+                gone: none,
+                ended: none,
+                beside: &|_| false,
+                early: false,
+            }
+            .next(&names());
+            assert!(
+                out.iter()
+                    .all(|(_, duty)| duty.holder == Some(live[7].mate))
+            );
             apply(&mut rows, out, version + 1);
         }
-        assert!((16..=48).contains(&moved), "{moved} of 256 moved to the eighth edge");
+        assert!(
+            (16..=48).contains(&moved),
+            "{moved} of 256 moved to the eighth edge"
+        );
     }
 
     #[test]
     fn duties_go_by_strength() {
-        let strong = |port, strength| Seen { strength, ..seen(port, false) };
-        let live: Vec<Seen> = (1..=4).map(|port| strong(port, 30)).chain((5..=34).map(|port| strong(port, 1))).collect();
+        let strong = |port, strength| Seen {
+            strength,
+            ..seen(port, false)
+        };
+        let live: Vec<Seen> = (1..=4)
+            .map(|port| strong(port, 30))
+            .chain((5..=34).map(|port| strong(port, 1)))
+            .collect();
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names());
-        let strong = out.iter().filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4)).count();
-        assert!((180..=230).contains(&strong), "{strong} of 256: four of five parts");
+        let out = DutyPlan {
+            rows: &BTreeMap::new(),
+            settled: 0,
+            live: &live,
+            gone: none,
+            ended: none,
+            beside: &|_| false,
+            early: false,
+        }
+        .next(&names());
+        let strong = out
+            .iter()
+            .filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4))
+            .count();
+        assert!(
+            (180..=230).contains(&strong),
+            "{strong} of 256: four of five parts"
+        );
     }
 
     #[test]
@@ -167,21 +370,61 @@
         let none: &dyn Fn(Mate) -> bool = &|_| false;
         let beside = |seen: &Seen| seen.mate.address.port() <= 4;
         let held = |other: u32| {
-            let live: Vec<Seen> = (1..=14).map(|port| Seen { strength: if port <= 4 { 35 } else { other }, ..seen(port, false) }).collect();
-            let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, beside: &beside, early: false }.next(&gates);
-            out.iter().filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4)).count()
+            let live: Vec<Seen> = (1..=14)
+                .map(|port| Seen {
+                    strength: if port <= 4 { 35 } else { other },
+                    ..seen(port, false)
+                })
+                .collect();
+            let out = DutyPlan {
+                rows: &BTreeMap::new(),
+                settled: 0,
+                live: &live,
+                gone: none,
+                ended: none,
+                beside: &beside,
+                early: false,
+            }
+            .next(&gates);
+            out.iter()
+                .filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4))
+                .count()
         };
-        assert!(held(20) < 20 && held(1) > 180, "{} and {}", held(20), held(1));
+        assert!(
+            held(20) < 20 && held(1) > 180,
+            "{} and {}",
+            held(20),
+            held(1)
+        );
     }
 
     #[test]
     fn a_slice_of_a_ring_goes_to_its_own_edges_only() {
-        let near = |port, ring: &str| Seen { ring: ring.into(), ..seen(port, false) };
+        let near = |port, ring: &str| Seen {
+            ring: ring.into(),
+            ..seen(port, false)
+        };
         let live = [near(1, "a"), near(2, "a"), near(3, "b")];
-        let names: Vec<String> = (0..CACHE_SLICES).flat_map(|slice| ["a", "b", "c"].map(|ring| cache_duty(ring, slice))).collect();
+        let names: Vec<String> = (0..CACHE_SLICES)
+            .flat_map(|slice| ["a", "b", "c"].map(|ring| cache_duty(ring, slice)))
+            .collect();
         let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let out = DutyPlan { rows: &BTreeMap::new(), settled: 0, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&names);
-        let held = |ring: &str| -> BTreeSet<Option<Mate>> { out.iter().filter(|(name, _)| duty_ring(name) == Some(ring)).map(|(_, duty)| duty.holder).collect() };
+        let out = DutyPlan {
+            rows: &BTreeMap::new(),
+            settled: 0,
+            live: &live,
+            gone: none,
+            ended: none,
+            beside: &|_| false,
+            early: false,
+        }
+        .next(&names);
+        let held = |ring: &str| -> BTreeSet<Option<Mate>> {
+            out.iter()
+                .filter(|(name, _)| duty_ring(name) == Some(ring))
+                .map(|(_, duty)| duty.holder)
+                .collect()
+        };
         assert_eq!(held("a"), [Some(live[0].mate), Some(live[1].mate)].into());
         assert_eq!(held("b"), [Some(live[2].mate)].into());
         assert!(held("c").is_empty(), "no edge of that ring is there");
@@ -190,14 +433,51 @@
     #[test]
     fn a_draining_holder_loses_its_gate_and_a_live_one_keeps_it() {
         let gate = [gate_duty("book")];
-        let held = |mate| BTreeMap::from([(gate[0].clone(), Row { version: 1, value: Value::Duty(Duty { holder: Some(mate), last: None, epoch: 4 }) })]);
+        let held = |mate| {
+            BTreeMap::from([(
+                gate[0].clone(),
+                Row {
+                    version: 1,
+                    value: Value::Duty(Duty {
+                        holder: Some(mate),
+                        last: None,
+                        epoch: 4,
+                    }),
+                },
+            )])
+        };
         let none: &dyn Fn(Mate) -> bool = &|_| false;
         for port in 1..9 {
             let rows = held(seen(port, false).mate);
             let live: Vec<Seen> = (1..9).map(|port| seen(port, false)).collect();
-            assert!(DutyPlan { rows: &rows, settled: 9, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&gate).is_empty());
+            assert!(
+                DutyPlan {
+                    rows: &rows,
+                    settled: 9,
+                    live: &live,
+                    gone: none,
+                    ended: none,
+                    beside: &|_| false,
+                    early: false
+                }
+                .next(&gate)
+                .is_empty()
+            );
             let live: Vec<Seen> = (1..9).map(|other| seen(other, other == port)).collect();
-            assert_eq!(DutyPlan { rows: &rows, settled: 9, live: &live, gone: none, ended: none, beside: &|_| false, early: false }.next(&gate).len(), 1);
+            assert_eq!(
+                DutyPlan {
+                    rows: &rows,
+                    settled: 9,
+                    live: &live,
+                    gone: none,
+                    ended: none,
+                    beside: &|_| false,
+                    early: false
+                }
+                .next(&gate)
+                .len(),
+                1
+            );
         }
     }
 }
--- a/control-plane/src/gather.rs
+++ b/control-plane/src/gather.rs
@@ -16,7 +16,13 @@
 
 impl Gather {
     pub fn new(founding: bool, span: Duration) -> Gather {
-        Gather { founding, span, since: None, enlisted: BTreeSet::new(), others: false }
+        Gather {
+            founding,
+            span,
+            since: None,
+            enlisted: BTreeSet::new(),
+            others: false,
+        }
     }
 
     /// A founding node asked for a slot.
@@ -35,7 +41,17 @@
         if !self.founding || self.others || now < since + self.span {
             return None;
         }
-        let more = self.enlisted.iter().filter(|address| !seeds.contains(address));
-        Some(seeds.iter().chain(more).take(SLOTS_MOST).map(|address| Mate::new(*address, 0)).collect())
+        let more = self
+            .enlisted
+            .iter()
+            .filter(|address| !seeds.contains(address));
+        Some(
+            seeds
+                .iter()
+                .chain(more)
+                .take(SLOTS_MOST)
+                .map(|address| Mate::new(*address, 0))
+                .collect(),
+        )
     }
 }
--- a/control-plane/src/history.rs
+++ b/control-plane/src/history.rs
@@ -15,7 +15,8 @@
     /// Opens the store below a data folder, or begins it.
     pub fn open(data: &Path) -> Result<History> {
         let path = data.join("history");
-        let store = git2::Repository::open_bare(&path).or_else(|_| git2::Repository::init_bare(&path))?;
+        let store =
+            git2::Repository::open_bare(&path).or_else(|_| git2::Repository::init_bare(&path))?;
         Ok(History { store })
     }
 
@@ -24,8 +25,12 @@
         let (give, take) = flume::bounded::<(u64, Arc<str>)>(PENDING);
         thread::spawn(move || {
             for (version, text) in take.iter() {
-                if let Err(error) = History::open(&data).and_then(|store| store.put(version, &text)) {
-                    note(Event::HistoryFailed, &format!("version {version}: {error:#}"));
+                if let Err(error) = History::open(&data).and_then(|store| store.put(version, &text))
+                {
+                    note(
+                        Event::HistoryFailed,
+                        &format!("version {version}: {error:#}"),
+                    );
                 }
             }
         });
@@ -39,7 +44,10 @@
     /// A version already kept with the same text stays as it is; with another
     /// text (the state was lost and founded anew) the newer is kept.
     pub fn put(&self, version: u64, text: &str) -> Result<()> {
-        if self.text(version).is_ok_and(|known| known == text.as_bytes()) {
+        if self
+            .text(version)
+            .is_ok_and(|known| known == text.as_bytes())
+        {
             return Ok(());
         }
         let blob = self.store.blob(text.as_bytes())?;
@@ -47,21 +55,38 @@
         tree.insert(FILE, blob, 0o100_644)?;
         let tree = self.store.find_tree(tree.write()?)?;
         let who = git2::Signature::now("otterslip", "control-node@otterslip.invalid")?;
-        let last = self.store.refname_to_id("refs/heads/main").and_then(|id| self.store.find_commit(id)).ok();
+        let last = self
+            .store
+            .refname_to_id("refs/heads/main")
+            .and_then(|id| self.store.find_commit(id))
+            .ok();
         let parents: Vec<&git2::Commit> = last.iter().collect();
-        let id = self.store.commit(Some("refs/heads/main"), &who, &who, &format!("version {version}"), &tree, &parents)?;
-        self.store.reference(&History::tag(version), id, true, "acknowledged")?;
+        let id = self.store.commit(
+            Some("refs/heads/main"),
+            &who,
+            &who,
+            &format!("version {version}"),
+            &tree,
+            &parents,
+        )?;
+        self.store
+            .reference(&History::tag(version), id, true, "acknowledged")?;
         Ok(())
     }
 
     fn tree(&self, version: u64) -> Result<git2::Tree<'_>> {
-        let id = self.store.refname_to_id(&History::tag(version)).with_context(|| format!("version {version} was not kept here"))?;
+        let id = self
+            .store
+            .refname_to_id(&History::tag(version))
+            .with_context(|| format!("version {version} was not kept here"))?;
         Ok(self.store.find_commit(id)?.tree()?)
     }
 
     pub fn versions(&self) -> Result<Vec<u64>> {
         let names = self.store.references_glob("refs/tags/*")?;
-        let mut list: Vec<u64> = names.filter_map(|one| one.ok()?.shorthand().ok()?.parse().ok()).collect();
+        let mut list: Vec<u64> = names
+            .filter_map(|one| one.ok()?.shorthand().ok()?.parse().ok())
+            .collect();
         list.sort_unstable();
         Ok(list)
     }
@@ -74,7 +99,9 @@
 
     /// Lines that differ, in the usual form.
     pub fn compare(&self, old: u64, new: u64) -> Result<String> {
-        let diff = self.store.diff_tree_to_tree(Some(&self.tree(old)?), Some(&self.tree(new)?), None)?;
+        let diff =
+            self.store
+                .diff_tree_to_tree(Some(&self.tree(old)?), Some(&self.tree(new)?), None)?;
         let mut text = String::new();
         diff.print(git2::DiffFormat::Patch, |_, _, line| {
             if ['+', '-', ' '].contains(&line.origin()) {
@@ -103,7 +130,10 @@
         assert_eq!(store.versions().unwrap(), [3, 7]);
         assert_eq!(store.text(3).unwrap(), b"one\ntwo\n");
         let told = store.compare(3, 7).unwrap();
-        assert!(told.contains("-two") && told.contains("+three") && !told.contains("-one"), "{told}");
+        assert!(
+            told.contains("-two") && told.contains("+three") && !told.contains("-one"),
+            "{told}"
+        );
         assert!(store.text(4).is_err());
         // Something else lies where the store should be: an error, no more.
         std::fs::remove_dir_all(data.join("history")).unwrap();
--- a/control-plane/src/keeper.rs
+++ b/control-plane/src/keeper.rs
@@ -91,8 +91,18 @@
         if self.promises.len() >= self.quorum.most() {
             // The image with the highest (epoch, version) of a majority holds
             // all that was ever acknowledged.
-            let best = self.promises.values().max_by_key(|image| (image.epoch, image.version)).expect("not empty").clone();
-            self.published = self.promises.values().map(|image| image.published).max().unwrap_or(0);
+            let best = self
+                .promises
+                .values()
+                .max_by_key(|image| (image.epoch, image.version))
+                .expect("not empty")
+                .clone();
+            self.published = self
+                .promises
+                .values()
+                .map(|image| image.published)
+                .max()
+                .unwrap_or(0);
             self.version = best.version;
             self.floor = best.version;
             self.rows = best.rows;
@@ -111,7 +121,12 @@
         for (key, row) in rows {
             // The realm of the lost state is not this one's.
             let realm = matches!(row.value, Value::Founded { .. });
-            if !realm && self.rows.get(&key).is_none_or(|known| known.version < row.version) {
+            if !realm
+                && self
+                    .rows
+                    .get(&key)
+                    .is_none_or(|known| known.version < row.version)
+            {
                 self.rows.insert(key, row);
                 newer += 1;
             }
@@ -125,7 +140,13 @@
 
     pub fn put(&mut self, key: String, value: Value) -> u64 {
         self.version += 1;
-        self.rows.insert(key, Row { version: self.version, value });
+        self.rows.insert(
+            key,
+            Row {
+                version: self.version,
+                value,
+            },
+        );
         self.version
     }
 
@@ -147,7 +168,11 @@
 
     /// On a majority of the disks up to here.
     pub fn committed(&self) -> u64 {
-        if self.ready() { self.majority(|copy| copy.to.unwrap_or(0)) } else { 0 }
+        if self.ready() {
+            self.majority(|copy| copy.to.unwrap_or(0))
+        } else {
+            0
+        }
     }
 
     /// Known to every live edge up to here: at a majority, every session had
@@ -161,7 +186,9 @@
     }
 
     pub fn kept(&mut self, slot: u8, kept: &Kept) {
-        let Some(copy) = self.copies.get_mut(usize::from(slot)) else { return };
+        let Some(copy) = self.copies.get_mut(usize::from(slot)) else {
+            return;
+        };
         if copy.busy.is_some_and(|(round, _)| round == kept.round) {
             copy.busy = None;
         }
@@ -189,7 +216,10 @@
 
     /// The version a change was made under, if it was not long ago.
     pub fn made(&self, change: u64) -> Option<u64> {
-        self.made.iter().find(|(known, _)| *known == change).map(|(_, version)| *version)
+        self.made
+            .iter()
+            .find(|(known, _)| *known == change)
+            .map(|(_, version)| *version)
     }
 
     /// The table changed in its number only.
@@ -209,8 +239,21 @@
             if due {
                 self.asked = Some(now);
             }
-            let unsaid = (0..self.quorum.slots as u8).filter(|slot| due && !self.promises.contains_key(slot));
-            return unsaid.map(|slot| (slot, Raise { slice, epoch, seats }.into())).collect();
+            let unsaid = (0..self.quorum.slots as u8)
+                .filter(|slot| due && !self.promises.contains_key(slot));
+            return unsaid
+                .map(|slot| {
+                    (
+                        slot,
+                        Raise {
+                            slice,
+                            epoch,
+                            seats,
+                        }
+                        .into(),
+                    )
+                })
+                .collect();
         }
         // What edges are not shown needs no settling: its rounds are seldom, and
         // that a row is on a majority goes along with the next.
@@ -224,14 +267,19 @@
         let mut out = Vec::new();
         for slot in 0..self.quorum.slots as u8 {
             let copy = &self.copies[usize::from(slot)];
-            let lacking = copy.to.is_none_or(|to| to < self.version) || news && copy.shown < published || copy.round < self.round;
+            let lacking = copy.to.is_none_or(|to| to < self.version)
+                || news && copy.shown < published
+                || copy.round < self.round;
             let busy = copy.busy.is_some_and(|(_, sent)| now < sent + AGAIN);
             if busy || !(pulse || lacking) {
                 continue;
             }
             let whole = copy.to.is_none_or(|to| to < self.floor);
             let from = if whole { 0 } else { copy.to.unwrap_or(0) };
-            let newer = self.rows.iter().filter(|(_, row)| whole || row.version > from);
+            let newer = self
+                .rows
+                .iter()
+                .filter(|(_, row)| whole || row.version > from);
             let keep = Keep {
                 slice: self.slice,
                 epoch: self.epoch,
@@ -241,7 +289,15 @@
                 from,
                 to: self.version,
                 rows: newer.map(|(key, row)| (key.clone(), row.clone())).collect(),
-                drops: if whole { vec![] } else { self.drops.range(from + 1..).map(|(_, key)| key.clone()).filter(|key| !self.rows.contains_key(key)).collect() },
+                drops: if whole {
+                    vec![]
+                } else {
+                    self.drops
+                        .range(from + 1..)
+                        .map(|(_, key)| key.clone())
+                        .filter(|key| !self.rows.contains_key(key))
+                        .collect()
+                },
                 published,
             };
             let copy = &mut self.copies[usize::from(slot)];
@@ -261,7 +317,10 @@
     /// Edges that may claim operations.
     pub fn enrolled(&self) -> Vec<Mate> {
         match self.rows.get("enrolled") {
-            Some(Row { value: Value::Enrolled { members }, .. }) => members.clone(),
+            Some(Row {
+                value: Value::Enrolled { members },
+                ..
+            }) => members.clone(),
             _ => vec![],
         }
     }
@@ -269,7 +328,10 @@
     /// The realm whose ledger is said to be complete.
     pub fn opened(&self) -> u64 {
         match self.rows.get("opened") {
-            Some(Row { value: Value::Opened { realm }, .. }) => *realm,
+            Some(Row {
+                value: Value::Opened { realm },
+                ..
+            }) => *realm,
             _ => 0,
         }
     }
@@ -278,7 +340,15 @@
     /// keeps the roll.
     pub fn roll(&self) -> Option<(Vec<Mate>, Vec<Mate>, bool)> {
         match self.rows.get("roll") {
-            Some(Row { value: Value::Roll { members, gone, complete }, .. }) => Some((members.clone(), gone.clone(), *complete)),
+            Some(Row {
+                value:
+                    Value::Roll {
+                        members,
+                        gone,
+                        complete,
+                    },
+                ..
+            }) => Some((members.clone(), gone.clone(), *complete)),
             _ => None,
         }
     }
@@ -298,18 +368,43 @@
     }
 
     fn value(change: u64) -> Value {
-        Value::Purge { purge: Purge { prefix: Some("/".into()), ..Purge::default() }, change }
+        Value::Purge {
+            purge: Purge {
+                prefix: Some("/".into()),
+                ..Purge::default()
+            },
+            change,
+        }
     }
 
     fn kept(round: u64, to: u64, clear: u64) -> Kept {
-        Kept { slice: PURGES, epoch: 3, round, to, clear: Some(clear), retired: vec![] }
+        Kept {
+            slice: PURGES,
+            epoch: 3,
+            round,
+            to,
+            clear: Some(clear),
+            retired: vec![],
+        }
     }
 
     #[test]
     fn the_image_with_the_highest_epoch_then_version_is_adopted() {
         let image = |epoch, version| {
-            let rows = [("k".to_string(), Row { version, value: value(epoch) })].into();
-            SliceImage { epoch, version, published: 0, rows }
+            let rows = [(
+                "k".to_string(),
+                Row {
+                    version,
+                    value: value(epoch),
+                },
+            )]
+            .into();
+            SliceImage {
+                epoch,
+                version,
+                published: 0,
+                rows,
+            }
         };
         let mut keeper = Keeper::new(PURGES, 9, 3, 0);
         keeper.raised(ZERO, 2, image(5, 4));
@@ -322,30 +417,60 @@
     #[test]
     fn promises_are_asked_for_again_only_when_an_image_has_had_time_to_come() {
         let mut keeper = Keeper::new(PURGES, 3, 3, 0);
-        let said: Vec<usize> = (0..10).map(|pulse| keeper.flush(Duration::from_millis(pulse * 100), true).len()).collect();
+        let said: Vec<usize> = (0..10)
+            .map(|pulse| keeper.flush(Duration::from_millis(pulse * 100), true).len())
+            .collect();
         assert_eq!(said, [3, 0, 0, 0, 3, 0, 0, 0, 3, 0]);
     }
 
     #[test]
     fn a_ledger_has_no_rounds_but_for_what_it_lacks_and_once_a_second() {
         let at = Duration::from_millis;
-        let mut keeper = Keeper { slice: NEWS, ..active() };
+        let mut keeper = Keeper {
+            slice: NEWS,
+            ..active()
+        };
         assert_eq!(keeper.flush(at(1000), true).len(), 3, "the adopted image");
         for slot in 0..3 {
-            keeper.kept(slot, &Kept { slice: NEWS, ..kept(1, 0, 0) });
+            keeper.kept(
+                slot,
+                &Kept {
+                    slice: NEWS,
+                    ..kept(1, 0, 0)
+                },
+            );
         }
-        assert!((1100..2000).step_by(100).all(|ms| keeper.flush(at(ms), true).is_empty()));
+        assert!(
+            (1100..2000)
+                .step_by(100)
+                .all(|ms| keeper.flush(at(ms), true).is_empty())
+        );
         assert_eq!(keeper.flush(at(2000), true).len(), 3);
         for slot in 0..3 {
-            keeper.kept(slot, &Kept { slice: NEWS, ..kept(2, 0, 0) });
+            keeper.kept(
+                slot,
+                &Kept {
+                    slice: NEWS,
+                    ..kept(2, 0, 0)
+                },
+            );
         }
         keeper.put("k".into(), value(1));
         assert_eq!(keeper.flush(at(2010), false).len(), 3);
         for slot in 0..3 {
-            keeper.kept(slot, &Kept { slice: NEWS, ..kept(2, 1, 0) });
+            keeper.kept(
+                slot,
+                &Kept {
+                    slice: NEWS,
+                    ..kept(2, 1, 0)
+                },
+            );
         }
         assert_eq!(keeper.committed(), 1);
-        assert!(keeper.flush(at(2020), true).is_empty(), "that it is on a majority can wait");
+        assert!(
+            keeper.flush(at(2020), true).is_empty(),
+            "that it is on a majority can wait"
+        );
     }
 
     #[test]
@@ -375,10 +500,25 @@
             let version = keeper.put("k".into(), value(1));
             keeper.flush(ZERO, true);
             for slot in 0..most {
-                assert_eq!((keeper.committed(), keeper.settled(), keeper.confirmed_round()), (0, 0, 0), "{slot} of {slots}");
+                assert_eq!(
+                    (
+                        keeper.committed(),
+                        keeper.settled(),
+                        keeper.confirmed_round()
+                    ),
+                    (0, 0, 0),
+                    "{slot} of {slots}"
+                );
                 keeper.kept(slots as u8 - 1 - slot, &kept(1, 1, 1));
             }
-            assert_eq!((keeper.committed(), keeper.settled(), keeper.confirmed_round()), (version, version, 1));
+            assert_eq!(
+                (
+                    keeper.committed(),
+                    keeper.settled(),
+                    keeper.confirmed_round()
+                ),
+                (version, version, 1)
+            );
         }
     }
 
@@ -403,7 +543,9 @@
         }
         keeper.kept(0, &kept(1, 0, 0));
         let out = keeper.flush(ZERO, false);
-        let [(0, Message::Keep(keep))] = out.as_slice() else { panic!("{out:?}") };
+        let [(0, Message::Keep(keep))] = out.as_slice() else {
+            panic!("{out:?}")
+        };
         assert_eq!((keep.rows.len(), keep.from, keep.to), (20, 0, 20));
     }
 }
--- a/control-plane/src/ledger.rs
+++ b/control-plane/src/ledger.rs
@@ -13,20 +13,38 @@
                 // The errand gave up before this claim came through.
                 OperationState::Released if own => return (version, Outcome::Released),
                 OperationState::Released => {}
-                state => return (version, Outcome::Taken { same: known.print == claim.print, state }),
+                state => {
+                    return (
+                        version,
+                        Outcome::Taken {
+                            same: known.print == claim.print,
+                            state,
+                        },
+                    );
+                }
             }
         }
-        (Ledger::put(keeper, claim, OperationState::Running), Outcome::Claimed)
+        (
+            Ledger::put(keeper, claim, OperationState::Running),
+            Outcome::Claimed,
+        )
     }
 
     /// Ends a claim. A released one leaves its mark even where no claim was
     /// met, so that a claim still under way finds it given up.
     pub fn finish(keeper: &mut Keeper, claim: Claim, state: OperationState) -> (u64, Outcome) {
         let release = state == OperationState::Released;
-        let told = if release { Outcome::Released } else { Outcome::Recorded };
+        let told = if release {
+            Outcome::Released
+        } else {
+            Outcome::Recorded
+        };
         if let Some((version, known)) = Ledger::known(keeper, &claim) {
             let own = (known.by, known.errand) == (claim.by, claim.errand);
-            let open = matches!(known.state, OperationState::Running | OperationState::Unknown);
+            let open = matches!(
+                known.state,
+                OperationState::Running | OperationState::Unknown
+            );
             if known.state == state && own {
                 return (version, told);
             }
@@ -43,19 +61,36 @@
     /// Whether it is known what came of an operation. A released claim tells
     /// only that this one did not run: an earlier one may have.
     pub fn tells(keeper: &Keeper, claim: &Claim) -> bool {
-        Ledger::known(keeper, claim).is_some_and(|(_, known)| known.state != OperationState::Released)
+        Ledger::known(keeper, claim)
+            .is_some_and(|(_, known)| known.state != OperationState::Released)
     }
 
     fn known(keeper: &Keeper, claim: &Claim) -> Option<(u64, Operation)> {
         match keeper.rows.get(&claim.operation) {
-            Some(Row { version, value: Value::Operation(known) }) => Some((*version, known.clone())),
+            Some(Row {
+                version,
+                value: Value::Operation(known),
+            }) => Some((*version, known.clone())),
             _ => None,
         }
     }
 
     fn put(keeper: &mut Keeper, claim: Claim, state: OperationState) -> u64 {
-        let Claim { operation, print, by, errand } = claim;
-        keeper.put(operation, Value::Operation(Operation { print, by, errand, state }))
+        let Claim {
+            operation,
+            print,
+            by,
+            errand,
+        } = claim;
+        keeper.put(
+            operation,
+            Value::Operation(Operation {
+                print,
+                by,
+                errand,
+                state,
+            }),
+        )
     }
 }
 
@@ -65,11 +100,19 @@
 
     fn claim(errand: u64, print: u8) -> Claim {
         let by = Mate::new(SocketAddr::from(([127, 0, 0, 1], 1)), 1);
-        Claim { operation: "s/k".into(), print: [print; 32], by, errand }
+        Claim {
+            operation: "s/k".into(),
+            print: [print; 32],
+            by,
+            errand,
+        }
     }
 
     fn done() -> OperationState {
-        OperationState::Done(Arc::new(Reply { status: 200, ..Reply::default() }))
+        OperationState::Done(Arc::new(Reply {
+            status: 200,
+            ..Reply::default()
+        }))
     }
 
     fn taken(same: bool, state: OperationState) -> Outcome {
@@ -79,24 +122,65 @@
     #[test]
     fn a_key_is_held_by_one_errand_and_a_repeat_hears_how_it_stands() {
         let mut keeper = Keeper::new(NEWS, 3, 3, 0);
-        assert_eq!(Ledger::claim(&mut keeper, claim(1, 0)), (1, Outcome::Claimed));
-        assert_eq!(Ledger::claim(&mut keeper, claim(1, 0)), (1, Outcome::Claimed), "said twice");
-        assert_eq!(Ledger::claim(&mut keeper, claim(2, 0)).1, taken(true, OperationState::Running));
-        assert_eq!(Ledger::claim(&mut keeper, claim(3, 9)).1, taken(false, OperationState::Running));
-        assert_eq!(Ledger::finish(&mut keeper, claim(2, 0), done()).1, Outcome::Lost, "it never held it");
-        assert_eq!(Ledger::finish(&mut keeper, claim(1, 0), done()), (2, Outcome::Recorded));
-        assert_eq!(Ledger::claim(&mut keeper, claim(2, 0)), (2, taken(true, done())));
-        assert_eq!(Ledger::finish(&mut keeper, claim(1, 0), OperationState::Released).1, Outcome::Lost, "it ran");
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(1, 0)),
+            (1, Outcome::Claimed)
+        );
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(1, 0)),
+            (1, Outcome::Claimed),
+            "said twice"
+        );
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(2, 0)).1,
+            taken(true, OperationState::Running)
+        );
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(3, 9)).1,
+            taken(false, OperationState::Running)
+        );
+        assert_eq!(
+            Ledger::finish(&mut keeper, claim(2, 0), done()).1,
+            Outcome::Lost,
+            "it never held it"
+        );
+        assert_eq!(
+            Ledger::finish(&mut keeper, claim(1, 0), done()),
+            (2, Outcome::Recorded)
+        );
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(2, 0)),
+            (2, taken(true, done()))
+        );
+        assert_eq!(
+            Ledger::finish(&mut keeper, claim(1, 0), OperationState::Released).1,
+            Outcome::Lost,
+            "it ran"
+        );
     }
 
     #[test]
     fn a_release_frees_the_key_and_is_met_by_a_claim_that_comes_after_it() {
         let mut keeper = Keeper::new(NEWS, 3, 3, 0);
-        assert_eq!(Ledger::finish(&mut keeper, claim(1, 0), OperationState::Released).1, Outcome::Released);
-        assert_eq!(Ledger::claim(&mut keeper, claim(1, 0)).1, Outcome::Released, "the late claim of who gave up");
+        assert_eq!(
+            Ledger::finish(&mut keeper, claim(1, 0), OperationState::Released).1,
+            Outcome::Released
+        );
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(1, 0)).1,
+            Outcome::Released,
+            "the late claim of who gave up"
+        );
         assert_eq!(Ledger::claim(&mut keeper, claim(2, 0)).1, Outcome::Claimed);
-        assert_eq!(Ledger::finish(&mut keeper, claim(1, 0), OperationState::Released).1, Outcome::Released);
-        assert_eq!(Ledger::claim(&mut keeper, claim(3, 0)).1, taken(true, OperationState::Running), "another's release frees nothing");
+        assert_eq!(
+            Ledger::finish(&mut keeper, claim(1, 0), OperationState::Released).1,
+            Outcome::Released
+        );
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(3, 0)).1,
+            taken(true, OperationState::Running),
+            "another's release frees nothing"
+        );
     }
 
     #[test]
@@ -104,9 +188,22 @@
         let mut keeper = Keeper::new(NEWS, 3, 3, 0);
         Ledger::claim(&mut keeper, claim(1, 0));
         Ledger::finish(&mut keeper, claim(1, 0), OperationState::Unknown);
-        assert_eq!(Ledger::claim(&mut keeper, claim(2, 0)).1, taken(true, OperationState::Unknown));
-        assert_eq!(Ledger::claim(&mut keeper, claim(1, 0)).1, taken(true, OperationState::Unknown), "nor by its own errand");
-        assert_eq!(Ledger::finish(&mut keeper, claim(1, 0), done()).1, Outcome::Recorded);
-        assert_eq!(Ledger::claim(&mut keeper, claim(2, 0)).1, taken(true, done()));
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(2, 0)).1,
+            taken(true, OperationState::Unknown)
+        );
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(1, 0)).1,
+            taken(true, OperationState::Unknown),
+            "nor by its own errand"
+        );
+        assert_eq!(
+            Ledger::finish(&mut keeper, claim(1, 0), done()).1,
+            Outcome::Recorded
+        );
+        assert_eq!(
+            Ledger::claim(&mut keeper, claim(2, 0)).1,
+            taken(true, done())
+        );
     }
 }
--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -1,6 +1,11 @@
 use crate::prelude::*;
 
-inventory::submit!(PlugIn { name: "operators", program: "control-node", order: 100, serve });
+inventory::submit!(PlugIn {
+    name: "operators",
+    program: "control-node",
+    order: 100,
+    serve
+});
 
 /// Longer than a front tries.
 const PATIENCE: Duration = Duration::from_secs(15);
@@ -19,8 +24,14 @@
         ("GET", "items") => get_items(port),
         ("PATCH", "items") => answer_of(put_items(port, request)),
         ("GET", "duties") => list(port, DUTIES, &show_duties),
-        ("GET", "state") => match port.ask(PATIENCE, &|id| Input::Operator { id, ask: OperatorAsk::State }) {
-            Some(Output::OperatorAnswer { answer: OperatorAnswer::State(state), .. }) => json(200, &state),
+        ("GET", "state") => match port.ask(PATIENCE, &|id| Input::Operator {
+            id,
+            ask: OperatorAsk::State,
+        }) {
+            Some(Output::OperatorAnswer {
+                answer: OperatorAnswer::State(state),
+                ..
+            }) => json(200, &state),
             _ => refuse(&lost()),
         },
         ("GET", _) if path == "history" || path.starts_with("history/") => history(port, path),
@@ -30,15 +41,39 @@
 
 /// The configurations this node has kept: all, one, or one against another.
 fn history(port: &Port, path: &str) -> rouille::Response {
-    let numbers: Option<Vec<u64>> = path.split('/').skip(1).map(|word| word.parse().ok()).collect();
-    let store = port.startup.data.as_ref().context("no data folder").and_then(|data| History::open(data));
+    let numbers: Option<Vec<u64>> = path
+        .split('/')
+        .skip(1)
+        .map(|word| word.parse().ok())
+        .collect();
+    let store = port
+        .startup
+        .data
+        .as_ref()
+        .context("no data folder")
+        .and_then(|data| History::open(data));
     let told = store.and_then(|store| match numbers.as_deref() {
-        Some([]) => Ok(json(200, &serde_json::json!({ "versions": store.versions()? }))),
-        Some([version]) => Ok(rouille::Response::from_data("application/json", store.text(*version)?)),
-        Some([old, new]) => Ok(rouille::Response::from_data("text/plain; charset=utf-8", store.compare(*old, *new)?)),
+        Some([]) => Ok(json(
+            200,
+            &serde_json::json!({ "versions": store.versions()? }),
+        )),
+        Some([version]) => Ok(rouille::Response::from_data(
+            "application/json",
+            store.text(*version)?,
+        )),
+        Some([old, new]) => Ok(rouille::Response::from_data(
+            "text/plain; charset=utf-8",
+            store.compare(*old, *new)?,
+        )),
         _ => bail!("no such path"),
     });
-    told.unwrap_or_else(|error| refuse(&Refusal::not_run(404, "not_in_history", &format!("{error:#}"))))
+    told.unwrap_or_else(|error| {
+        refuse(&Refusal::not_run(
+            404,
+            "not_in_history",
+            &format!("{error:#}"),
+        ))
+    })
 }
 
 fn answer_of(done: Result<rouille::Response, rouille::Response>) -> rouille::Response {
@@ -46,7 +81,11 @@
 }
 
 fn lost() -> Refusal {
-    Refusal::unknown(503, "outcome_unknown", "no answer came from the owner in time; read back before trying again")
+    Refusal::unknown(
+        503,
+        "outcome_unknown",
+        "no answer came from the owner in time; read back before trying again",
+    )
 }
 
 fn text_of(request: &rouille::Request) -> Result<String, rouille::Response> {
@@ -60,20 +99,31 @@
 }
 
 fn ask(port: &Port, slice: u8, change: &Change) -> Outcome {
-    match port.ask(PATIENCE, &|id| Input::Operator { id, ask: OperatorAsk::Change { slice, change: change.clone() } }) {
-        Some(Output::OperatorAnswer { answer: OperatorAnswer::Outcome(outcome), .. }) => outcome,
+    match port.ask(PATIENCE, &|id| Input::Operator {
+        id,
+        ask: OperatorAsk::Change {
+            slice,
+            change: change.clone(),
+        },
+    }) {
+        Some(Output::OperatorAnswer {
+            answer: OperatorAnswer::Outcome(outcome),
+            ..
+        }) => outcome,
         _ => Outcome::Lost,
     }
 }
 
 fn acknowledged(outcome: Outcome) -> rouille::Response {
     match outcome {
-        Outcome::Settled { version } => {
-            json(200, &serde_json::json!({ "version": version })).with_additional_header("ETag", format!("\"{version}\""))
-        }
+        Outcome::Settled { version } => json(200, &serde_json::json!({ "version": version }))
+            .with_additional_header("ETag", format!("\"{version}\"")),
         Outcome::Raced { version } => {
             let text = "another change came first";
-            json(409, &serde_json::json!({ "code": "raced", "outcome": "not_run", "text": text, "version": version }))
+            json(
+                409,
+                &serde_json::json!({ "code": "raced", "outcome": "not_run", "text": text, "version": version }),
+            )
         }
         Outcome::Findings(found) => invalid(&found),
         _ => refuse(&lost()),
@@ -82,9 +132,14 @@
 
 fn get_configuration(port: &Port) -> rouille::Response {
     match ask(port, CONFIGURATION, &Change::GetConfiguration) {
-        Outcome::Configuration { version: 0, .. } => refuse(&Refusal::not_run(404, "no_configuration", "none was put yet")),
+        Outcome::Configuration { version: 0, .. } => refuse(&Refusal::not_run(
+            404,
+            "no_configuration",
+            "none was put yet",
+        )),
         Outcome::Configuration { version, text } => {
-            rouille::Response::from_data("application/json", text.as_bytes()).with_additional_header("ETag", format!("\"{version}\""))
+            rouille::Response::from_data("application/json", text.as_bytes())
+                .with_additional_header("ETag", format!("\"{version}\""))
         }
         _ => refuse(&lost()),
     }
@@ -95,27 +150,59 @@
     Ok(json(200, &serde_json::json!({ "valid": true })))
 }
 
-fn put_configuration(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
+fn put_configuration(
+    port: &Port,
+    request: &rouille::Request,
+) -> Result<rouille::Response, rouille::Response> {
     let text = text_of(request)?;
     Configuration::read(&text).map_err(|found| invalid(&found))?;
     let expect = expected(request)?;
-    Ok(acknowledged(ask(port, CONFIGURATION, &Change::PutConfiguration { text: text.into(), expect, change: change_id()? })))
+    Ok(acknowledged(ask(
+        port,
+        CONFIGURATION,
+        &Change::PutConfiguration {
+            text: text.into(),
+            expect,
+            change: change_id()?,
+        },
+    )))
 }
 
 /// The version that a change is made to replace, if it says so.
 fn expected(request: &rouille::Request) -> Result<Option<u64>, rouille::Response> {
     let read = |tag: &str| tag.trim_matches('"').parse();
-    let malformed = |_| refuse(&Refusal::not_run(400, "if_match_malformed", "If-Match must be a version as given in ETag"));
-    request.header("If-Match").map(read).transpose().map_err(malformed)
+    let malformed = |_| {
+        refuse(&Refusal::not_run(
+            400,
+            "if_match_malformed",
+            "If-Match must be a version as given in ETag",
+        ))
+    };
+    request
+        .header("If-Match")
+        .map(read)
+        .transpose()
+        .map_err(malformed)
 }
 
-fn add_purge(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
-    let purge: Purge = serde_json::from_str(&text_of(request)?).map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
+fn add_purge(
+    port: &Port,
+    request: &rouille::Request,
+) -> Result<rouille::Response, rouille::Response> {
+    let purge: Purge = serde_json::from_str(&text_of(request)?)
+        .map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
     let found = purge.findings();
     if !found.is_empty() {
         return Err(invalid(&found));
     }
-    Ok(acknowledged(ask(port, PURGES, &Change::AddPurge { purge, change: change_id()? })))
+    Ok(acknowledged(ask(
+        port,
+        PURGES,
+        &Change::AddPurge {
+            purge,
+            change: change_id()?,
+        },
+    )))
 }
 
 /// What an operator says of a realm: nothing that may come again ran before.
@@ -126,28 +213,54 @@
     realm: String,
 }
 
-fn open_ledger(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
-    let said: OpenLedger = serde_json::from_str(&text_of(request)?).map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
-    let realm = u64::from_str_radix(&said.realm, 16).map_err(|_| invalid(&[Finding::new("/realm", "must be 16 hexadecimal digits, as state shows it")]))?;
-    Ok(acknowledged(ask(port, DUTIES, &Change::OpenLedger { realm })))
+fn open_ledger(
+    port: &Port,
+    request: &rouille::Request,
+) -> Result<rouille::Response, rouille::Response> {
+    let said: OpenLedger = serde_json::from_str(&text_of(request)?)
+        .map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
+    let realm = u64::from_str_radix(&said.realm, 16).map_err(|_| {
+        invalid(&[Finding::new(
+            "/realm",
+            "must be 16 hexadecimal digits, as state shows it",
+        )])
+    })?;
+    Ok(acknowledged(ask(
+        port,
+        DUTIES,
+        &Change::OpenLedger { realm },
+    )))
 }
 
-fn put_origins(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
-    let items: Vec<serde_json::Value> =
-        serde_json::from_str(&text_of(request)?).map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
+fn put_origins(
+    port: &Port,
+    request: &rouille::Request,
+) -> Result<rouille::Response, rouille::Response> {
+    let items: Vec<serde_json::Value> = serde_json::from_str(&text_of(request)?)
+        .map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
     let mut found = Vec::new();
     let mut origins: Vec<Origin> = Vec::new();
     let mut seen = HashSet::new();
     if items.len() > ORIGINS_LISTED {
-        found.push(Finding::new("", format!("more than {ORIGINS_LISTED} origins")));
+        found.push(Finding::new(
+            "",
+            format!("more than {ORIGINS_LISTED} origins"),
+        ));
     }
     for (at, item) in items.into_iter().enumerate() {
         match serde_json::from_value::<Origin>(item) {
             Err(error) => found.push(Finding::new(format!("/{at}"), error.to_string())),
             Ok(origin) => {
-                found.extend(findings_of(origin.validate()).into_iter().map(|finding| Finding::new(format!("/{at}{}", finding.place), finding.text)));
+                found.extend(
+                    findings_of(origin.validate()).into_iter().map(|finding| {
+                        Finding::new(format!("/{at}{}", finding.place), finding.text)
+                    }),
+                );
                 if !seen.insert(origin.address) {
-                    found.push(Finding::new(format!("/{at}/address"), "address is listed already"));
+                    found.push(Finding::new(
+                        format!("/{at}/address"),
+                        "address is listed already",
+                    ));
                 }
                 origins.push(origin);
             }
@@ -156,7 +269,15 @@
     if !found.is_empty() {
         return Err(invalid(&found));
     }
-    Ok(acknowledged(ask(port, ORIGINS, &Change::PutOrigins { list: Arc::new(origins), expect: expected(request)?, change: change_id()? })))
+    Ok(acknowledged(ask(
+        port,
+        ORIGINS,
+        &Change::PutOrigins {
+            list: Arc::new(origins),
+            expect: expected(request)?,
+            change: change_id()?,
+        },
+    )))
 }
 
 /// An item as operators send it.
@@ -174,30 +295,55 @@
     fn item(self) -> Item {
         let said: Arc<str> = self.value.get().into();
         let text = Some(said.clone()).filter(|text| &**text != "null");
-        Item { kind: self.kind, name: self.name, revision: self.revision, text, source: said }
+        Item {
+            kind: self.kind,
+            name: self.name,
+            revision: self.revision,
+            text,
+            source: said,
+        }
     }
 }
 
 /// The items of a call, or all that is wrong with each by itself.
 fn items_of(body: &str) -> Result<Vec<Item>, Vec<Finding>> {
-    let sent: Vec<Box<RawValue>> = serde_json::from_str(body).map_err(|error| vec![Finding::new("", error.to_string())])?;
+    let sent: Vec<Box<RawValue>> =
+        serde_json::from_str(body).map_err(|error| vec![Finding::new("", error.to_string())])?;
     let mut found = Vec::new();
     let mut items = Vec::new();
     for (at, one) in sent.iter().enumerate() {
         match serde_json::from_str::<SentItem>(one.get()).map(SentItem::item) {
             Err(error) => found.push(Finding::new(format!("/{at}"), error.to_string())),
             Ok(item) => {
-                found.extend(Items::findings(&item).into_iter().map(|one| Finding::new(format!("/{at}{}", one.place), one.text)));
+                found.extend(
+                    Items::findings(&item)
+                        .into_iter()
+                        .map(|one| Finding::new(format!("/{at}{}", one.place), one.text)),
+                );
                 items.push(item);
             }
         }
     }
-    if found.is_empty() { Ok(items) } else { Err(found) }
+    if found.is_empty() {
+        Ok(items)
+    } else {
+        Err(found)
+    }
 }
 
-fn put_items(port: &Port, request: &rouille::Request) -> Result<rouille::Response, rouille::Response> {
+fn put_items(
+    port: &Port,
+    request: &rouille::Request,
+) -> Result<rouille::Response, rouille::Response> {
     let items = items_of(&text_of(request)?).map_err(|found| invalid(&found))?;
-    Ok(acknowledged(ask(port, CONFIGURATION, &Change::PutItems { items, change: change_id()? })))
+    Ok(acknowledged(ask(
+        port,
+        CONFIGURATION,
+        &Change::PutItems {
+            items,
+            change: change_id()?,
+        },
+    )))
 }
 
 /// Those that stand, each byte for byte; of those sent in other words than
@@ -215,11 +361,22 @@
         version: u64,
         items: Vec<Shown>,
     }
-    let Outcome::Rows { version, rows } = ask(port, CONFIGURATION, &Change::List) else { return refuse(&lost()) };
+    let Outcome::Rows { version, rows } = ask(port, CONFIGURATION, &Change::List) else {
+        return refuse(&lost());
+    };
     let shown = |(_, row): (String, Row)| match row.value {
-        Value::Item(Item { kind, name, revision, text: Some(text), .. }) => {
-            Some(RawValue::from_string(text.to_string()).map(|value| Shown { kind, name, revision, value }))
-        }
+        Value::Item(Item {
+            kind,
+            name,
+            revision,
+            text: Some(text),
+            ..
+        }) => Some(RawValue::from_string(text.to_string()).map(|value| Shown {
+            kind,
+            name,
+            revision,
+            value,
+        })),
         _ => None,
     };
     let items: serde_json::Result<Vec<Shown>> = rows.into_iter().filter_map(shown).collect();
@@ -233,7 +390,11 @@
     new_life().map_err(|error| refuse(&Refusal::not_run(500, "no_randomness", &error.to_string())))
 }
 
-fn list(port: &Port, slice: u8, show: &dyn Fn(u64, Vec<(String, Row)>) -> serde_json::Value) -> rouille::Response {
+fn list(
+    port: &Port,
+    slice: u8,
+    show: &dyn Fn(u64, Vec<(String, Row)>) -> serde_json::Value,
+) -> rouille::Response {
     match ask(port, slice, &Change::List) {
         Outcome::Rows { version, rows } => json(200, &show(version, rows)),
         _ => refuse(&lost()),
@@ -268,12 +429,25 @@
     #[test]
     fn items_are_read_one_by_one_and_a_removal_must_be_said() {
         let group = r#"{"service":"s","rate":9.50,"concurrency":2,"proof":"named"}"#;
-        let body = format!(r#"[{{"kind":"group","name":"s","revision":1,"value":{group}}},{{"kind":"entry","name":"e","revision":2,"value":null}}]"#);
+        let body = format!(
+            r#"[{{"kind":"group","name":"s","revision":1,"value":{group}}},{{"kind":"entry","name":"e","revision":2,"value":null}}]"#
+        );
         let items = super::items_of(&body).unwrap();
-        assert_eq!((items[0].text.as_deref(), &*items[0].source), (Some(group), group), "as it was sent");
+        assert_eq!(
+            (items[0].text.as_deref(), &*items[0].source),
+            (Some(group), group),
+            "as it was sent"
+        );
         assert_eq!((items[1].text.as_deref(), items[1].revision), (None, 2));
-        let body = body.replace("9.50", "0").replace(r#","value":null"#, "").replace(']', r#",{"kind":"odd"}]"#);
-        let places: Vec<String> = super::items_of(&body).unwrap_err().into_iter().map(|one| one.place).collect();
+        let body = body
+            .replace("9.50", "0")
+            .replace(r#","value":null"#, "")
+            .replace(']', r#",{"kind":"odd"}]"#);
+        let places: Vec<String> = super::items_of(&body)
+            .unwrap_err()
+            .into_iter()
+            .map(|one| one.place)
+            .collect();
         assert_eq!(places, ["/0/rate", "/1", "/2"]);
     }
 }
--- a/control-plane/src/refiller.rs
+++ b/control-plane/src/refiller.rs
@@ -43,7 +43,14 @@
 impl Refiller {
     /// For a slot of a table of so many slots and this version.
     pub fn new(slot: u8, slots: usize, seats: u64) -> Refiller {
-        Refiller { slot, quorum: Quorum::new(slots), seats, round: 0, got: BTreeMap::new(), asked: BTreeMap::new() }
+        Refiller {
+            slot,
+            quorum: Quorum::new(slots),
+            seats,
+            round: 0,
+            got: BTreeMap::new(),
+            asked: BTreeMap::new(),
+        }
     }
 
     /// Asks all whose answer may still change something: blank ones may be full
@@ -51,10 +58,30 @@
     /// to come: those asked for in vain would stand before what follows.
     pub fn pulse(&mut self, now: Duration) -> Vec<(u8, Message)> {
         let whole = |slot: &u8| self.got.get(slot).is_some_and(|got| got.whole);
-        let due = |slot: &u8| self.asked.get(slot).is_none_or(|(round, asked)| *round != self.round || now >= *asked + AGAIN);
-        let others: Vec<u8> = (0..self.quorum.slots as u8).filter(|slot| *slot != self.slot && !whole(slot) && due(slot)).collect();
-        self.asked.extend(others.iter().map(|slot| (*slot, (self.round, now))));
-        others.into_iter().map(|slot| (slot, Refill { slot: self.slot, round: self.round, seats: self.seats }.into())).collect()
+        let due = |slot: &u8| {
+            self.asked
+                .get(slot)
+                .is_none_or(|(round, asked)| *round != self.round || now >= *asked + AGAIN)
+        };
+        let others: Vec<u8> = (0..self.quorum.slots as u8)
+            .filter(|slot| *slot != self.slot && !whole(slot) && due(slot))
+            .collect();
+        self.asked
+            .extend(others.iter().map(|slot| (*slot, (self.round, now))));
+        others
+            .into_iter()
+            .map(|slot| {
+                (
+                    slot,
+                    Refill {
+                        slot: self.slot,
+                        round: self.round,
+                        seats: self.seats,
+                    }
+                    .into(),
+                )
+            })
+            .collect()
     }
 
     /// All slices merged, once the second round is whole.
@@ -65,7 +92,14 @@
         let full = refilled.full && refilled.lost == 0;
         // Else its edges may still go by the earlier table.
         let whole = full && refilled.seats >= self.seats;
-        self.got.insert(refilled.slot, Got { full, whole, held: refilled.held });
+        self.got.insert(
+            refilled.slot,
+            Got {
+                full,
+                whole,
+                held: refilled.held,
+            },
+        );
         let enough = self.got.values().filter(|got| got.whole).count() >= self.quorum.rest();
         let may_be = self.got.values().filter(|got| got.full).count() >= self.quorum.rest();
         if !enough && (may_be || self.got.len() + 1 < self.quorum.slots) {
@@ -88,7 +122,8 @@
                 if other.image.published > mine.image.published {
                     mine.shown = other.shown;
                 }
-                if (other.image.epoch, other.image.version) > (mine.image.epoch, mine.image.version) {
+                if (other.image.epoch, other.image.version) > (mine.image.epoch, mine.image.version)
+                {
                     mine.image = other.image;
                 }
                 mine.image.published = published;
@@ -106,24 +141,123 @@
     #[test]
     fn only_the_second_round_of_both_others_counts_and_the_newer_image_wins() {
         let held = |promised, epoch, version| {
-            vec![HeldSlice { slice: 0, promised, image: SliceImage { epoch, version, published: version, rows: BTreeMap::new() }, shown: BTreeMap::new() }]
+            vec![HeldSlice {
+                slice: 0,
+                promised,
+                image: SliceImage {
+                    epoch,
+                    version,
+                    published: version,
+                    rows: BTreeMap::new(),
+                },
+                shown: BTreeMap::new(),
+            }]
         };
         let mut refiller = Refiller::new(1, 3, 0);
-        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, lost: 0, seats: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 0, round: 0, full: true, lost: 0, seats: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, lost: 0, seats: 0, held: held(1, 1, 90) }).is_none());
-        assert!(refiller.heard(Refilled { slot: 2, round: 0, full: true, lost: 0, seats: 0, held: held(1, 1, 90) }).is_none(), "late first round");
-        assert!(refiller.heard(Refilled { slot: 0, round: 1, full: true, lost: 0, seats: 0, held: held(9, 3, 5) }).is_none());
-        let merged = refiller.heard(Refilled { slot: 2, round: 1, full: true, lost: 0, seats: 0, held: held(7, 4, 2) }).unwrap();
+        assert!(
+            refiller
+                .heard(Refilled {
+                    slot: 0,
+                    round: 0,
+                    full: true,
+                    lost: 0,
+                    seats: 0,
+                    held: held(1, 1, 90)
+                })
+                .is_none()
+        );
+        assert!(
+            refiller
+                .heard(Refilled {
+                    slot: 0,
+                    round: 0,
+                    full: true,
+                    lost: 0,
+                    seats: 0,
+                    held: held(1, 1, 90)
+                })
+                .is_none()
+        );
+        assert!(
+            refiller
+                .heard(Refilled {
+                    slot: 2,
+                    round: 0,
+                    full: true,
+                    lost: 0,
+                    seats: 0,
+                    held: held(1, 1, 90)
+                })
+                .is_none()
+        );
+        assert!(
+            refiller
+                .heard(Refilled {
+                    slot: 2,
+                    round: 0,
+                    full: true,
+                    lost: 0,
+                    seats: 0,
+                    held: held(1, 1, 90)
+                })
+                .is_none(),
+            "late first round"
+        );
+        assert!(
+            refiller
+                .heard(Refilled {
+                    slot: 0,
+                    round: 1,
+                    full: true,
+                    lost: 0,
+                    seats: 0,
+                    held: held(9, 3, 5)
+                })
+                .is_none()
+        );
+        let merged = refiller
+            .heard(Refilled {
+                slot: 2,
+                round: 1,
+                full: true,
+                lost: 0,
+                seats: 0,
+                held: held(7, 4, 2),
+            })
+            .unwrap();
         assert!(!merged.lost);
         let merged = merged.held;
-        assert_eq!((merged[0].promised, merged[0].image.epoch, merged[0].image.version), (9, 4, 2));
+        assert_eq!(
+            (
+                merged[0].promised,
+                merged[0].image.epoch,
+                merged[0].image.version
+            ),
+            (9, 4, 2)
+        );
     }
 
     fn told(slot: u8, round: u8, full: bool, version: u64) -> Refilled {
-        let image = SliceImage { epoch: 1, version, published: version, rows: BTreeMap::new() };
-        let held = vec![HeldSlice { slice: 0, promised: 1, image, shown: BTreeMap::new() }];
-        Refilled { slot, round, full, lost: 0, seats: 5, held }
+        let image = SliceImage {
+            epoch: 1,
+            version,
+            published: version,
+            rows: BTreeMap::new(),
+        };
+        let held = vec![HeldSlice {
+            slice: 0,
+            promised: 1,
+            image,
+            shown: BTreeMap::new(),
+        }];
+        Refilled {
+            slot,
+            round,
+            full,
+            lost: 0,
+            seats: 5,
+            held,
+        }
     }
 
     #[test]
@@ -132,9 +266,25 @@
         assert!(refiller.heard(told(0, 0, true, 9)).is_none());
         assert!(refiller.heard(told(1, 0, false, 0)).is_none());
         assert_eq!(refiller.round, 0, "one is blank: it does not count");
-        assert!(refiller.pulse(Duration::ZERO).iter().any(|(slot, _)| *slot == 1), "and is asked again");
-        assert!(refiller.heard(Refilled { seats: 4, ..told(2, 0, true, 9) }).is_none());
-        assert_eq!(refiller.round, 0, "one goes by an earlier table: it does not count");
+        assert!(
+            refiller
+                .pulse(Duration::ZERO)
+                .iter()
+                .any(|(slot, _)| *slot == 1),
+            "and is asked again"
+        );
+        assert!(
+            refiller
+                .heard(Refilled {
+                    seats: 4,
+                    ..told(2, 0, true, 9)
+                })
+                .is_none()
+        );
+        assert_eq!(
+            refiller.round, 0,
+            "one goes by an earlier table: it does not count"
+        );
         assert!(refiller.heard(told(2, 0, true, 9)).is_none());
         assert_eq!(refiller.round, 1);
         assert!(refiller.heard(told(1, 1, false, 0)).is_none());
@@ -151,14 +301,19 @@
                 assert!(refiller.heard(told(slot, round, slot < 2, 9)).is_none());
             }
             let merged = refiller.heard(told(3, round, false, 0));
-            assert_eq!(merged.map(|merged| merged.lost), (round == 1).then_some(true));
+            assert_eq!(
+                merged.map(|merged| merged.lost),
+                (round == 1).then_some(true)
+            );
         }
     }
 
     #[test]
     fn who_has_not_answered_is_asked_again_but_not_with_every_pulse() {
         let mut refiller = Refiller::new(0, 3, 0);
-        let said: Vec<usize> = (0..8).map(|pulse| refiller.pulse(Duration::from_millis(pulse * 100)).len()).collect();
+        let said: Vec<usize> = (0..8)
+            .map(|pulse| refiller.pulse(Duration::from_millis(pulse * 100)).len())
+            .collect();
         assert_eq!(said, [2, 0, 0, 0, 0, 0, 2, 0]);
     }
 }
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -46,22 +46,43 @@
 /// One entry of the log on disk.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Record {
-    Life { life: u64 },
+    Life {
+        life: u64,
+    },
     /// `lost`: from what was left after a majority of disks went.
-    Refilled { held: Vec<HeldSlice>, lost: bool },
-    Promise { slice: u8, epoch: u64 },
-    Kept { keep: Keep },
+    Refilled {
+        held: Vec<HeldSlice>,
+        lost: bool,
+    },
+    Promise {
+        slice: u8,
+        epoch: u64,
+    },
+    Kept {
+        keep: Keep,
+    },
     Image(Box<Replica>),
     Struck,
-    Seats { version: u64, places: Vec<Mate> },
+    Seats {
+        version: u64,
+        places: Vec<Mate>,
+    },
     /// The founding table, as the first seed fixed it.
-    Founding { places: Vec<Mate> },
-    Retired { life: u64 },
+    Founding {
+        places: Vec<Mate>,
+    },
+    Retired {
+        life: u64,
+    },
 }
 
 impl Replica {
     pub fn blank(life: u64) -> Replica {
-        Replica { life, slices: vec![Held::default(); SLICES.into()], ..Replica::default() }
+        Replica {
+            life,
+            slices: vec![Held::default(); SLICES.into()],
+            ..Replica::default()
+        }
     }
 
     /// Reads a log back. None if it holds no disk number: the disk is blank.
@@ -84,7 +105,9 @@
             Record::Kept { keep } => self.slices[usize::from(keep.slice)].keep(keep),
             Record::Struck => self.struck = true,
             Record::Seats { version, places } => self.seats = Some((*version, places.clone())),
-            Record::Founding { places } => (self.founding, self.seats) = (true, Some((0, places.clone()))),
+            Record::Founding { places } => {
+                (self.founding, self.seats) = (true, Some((0, places.clone())))
+            }
             Record::Retired { life } => {
                 self.retired.push_back(*life);
                 while self.retired.len() > RETIRED {
@@ -101,7 +124,12 @@
                     slice.shown = one.shown.clone();
                     slice.tail.clear();
                     if one.slice < NEWS {
-                        let rows = one.image.rows.iter().map(|(key, row)| (key.clone(), row.clone())).collect();
+                        let rows = one
+                            .image
+                            .rows
+                            .iter()
+                            .map(|(key, row)| (key.clone(), row.clone()))
+                            .collect();
                         slice.tail.push_back((one.image.version, rows));
                     }
                 }
@@ -111,7 +139,12 @@
     }
 
     pub fn copy_out(&self) -> Vec<HeldSlice> {
-        let one = |(at, held): (usize, &Held)| HeldSlice { slice: at as u8, promised: held.promised, image: held.image.clone(), shown: held.shown.clone() };
+        let one = |(at, held): (usize, &Held)| HeldSlice {
+            slice: at as u8,
+            promised: held.promised,
+            image: held.image.clone(),
+            shown: held.shown.clone(),
+        };
         self.slices.iter().enumerate().map(one).collect()
     }
 
@@ -134,7 +167,10 @@
     /// The realm, as far as this replica may show it; 0 before the founding.
     pub fn realm(&self) -> u64 {
         match self.held(CONFIGURATION).shown.get("founded") {
-            Some(Row { value: Value::Founded { realm }, .. }) => *realm,
+            Some(Row {
+                value: Value::Founded { realm },
+                ..
+            }) => *realm,
             _ => 0,
         }
     }
@@ -142,7 +178,10 @@
     /// The realm whose ledger was told to be complete.
     pub fn opened(&self) -> u64 {
         match self.held(DUTIES).shown.get("opened") {
-            Some(Row { value: Value::Opened { realm }, .. }) => *realm,
+            Some(Row {
+                value: Value::Opened { realm },
+                ..
+            }) => *realm,
             _ => 0,
         }
     }
@@ -156,25 +195,33 @@
     pub fn table(&self) -> Option<(u64, Vec<Mate>)> {
         let shown = self.places();
         match &self.seats {
-            Some(heard) if shown.as_ref().is_none_or(|(version, _)| *version < heard.0) => Some(heard.clone()),
+            Some(heard) if shown.as_ref().is_none_or(|(version, _)| *version < heard.0) => {
+                Some(heard.clone())
+            }
             _ => shown,
         }
     }
 
     /// Who holds the slots as edges are shown it here, if there is such a row.
     pub fn places(&self) -> Option<(u64, Vec<Mate>)> {
-        self.held(PLACES).shown.values().find_map(|row| match &row.value {
-            Value::Places(places) => Some((row.version, places.clone())),
-            _ => None,
-        })
+        self.held(PLACES)
+            .shown
+            .values()
+            .find_map(|row| match &row.value {
+                Value::Places(places) => Some((row.version, places.clone())),
+                _ => None,
+            })
     }
 
     /// The configuration as far as this replica may show it.
     pub fn configuration(&self) -> Option<(u64, Arc<str>)> {
-        self.held(CONFIGURATION).shown.values().find_map(|row| match &row.value {
-            Value::Configuration { text, .. } => Some((row.version, text.clone())),
-            _ => None,
-        })
+        self.held(CONFIGURATION)
+            .shown
+            .values()
+            .find_map(|row| match &row.value {
+                Value::Configuration { text, .. } => Some((row.version, text.clone())),
+                _ => None,
+            })
     }
 }
 
@@ -193,7 +240,12 @@
         }
         self.image.epoch = keep.epoch;
         for (key, row) in &keep.rows {
-            if self.image.rows.get(key).is_none_or(|known| known.version < row.version) {
+            if self
+                .image
+                .rows
+                .get(key)
+                .is_none_or(|known| known.version < row.version)
+            {
                 self.image.rows.insert(key.clone(), row.clone());
             }
         }
@@ -207,14 +259,23 @@
         if keep.slice < NEWS {
             self.publish(keep.published);
         } else {
-            self.image.published = self.image.published.max(keep.published.min(self.image.version));
+            self.image.published = self
+                .image
+                .published
+                .max(keep.published.min(self.image.version));
         }
     }
 
     fn publish(&mut self, published: u64) {
-        while let Some((version, rows)) = self.tail.pop_front_if(|(version, _)| *version <= published) {
+        while let Some((version, rows)) =
+            self.tail.pop_front_if(|(version, _)| *version <= published)
+        {
             for (key, row) in rows {
-                if self.shown.get(&key).is_none_or(|known| known.version < row.version) {
+                if self
+                    .shown
+                    .get(&key)
+                    .is_none_or(|known| known.version < row.version)
+                {
                     self.shown.insert(key, row);
                 }
             }
@@ -228,19 +289,40 @@
     use crate::prelude::*;
 
     fn keep(from: u64, to: u64, published: u64) -> Keep {
-        let purge = Purge { entry: Some(format!("e{to}")), ..Purge::default() };
-        let row = Row { version: to, value: Value::Purge { purge, change: to } };
+        let purge = Purge {
+            entry: Some(format!("e{to}")),
+            ..Purge::default()
+        };
+        let row = Row {
+            version: to,
+            value: Value::Purge { purge, change: to },
+        };
         let rows = vec![("k".to_string(), row)];
-        Keep { slice: PURGES, epoch: 3, seats: 0, round: 1, whole: from == 0, from, to, rows, drops: vec![], published }
+        Keep {
+            slice: PURGES,
+            epoch: 3,
+            seats: 0,
+            round: 1,
+            whole: from == 0,
+            from,
+            to,
+            rows,
+            drops: vec![],
+            published,
+        }
     }
 
     #[test]
     fn a_row_is_shown_only_once_published_and_a_newer_one_does_not_hide_it() {
         let mut replica = Replica::blank(1);
-        replica.apply(&Record::Kept { keep: keep(0, 1, 0) });
+        replica.apply(&Record::Kept {
+            keep: keep(0, 1, 0),
+        });
         assert!(replica.news(&[0; 4]).is_empty());
         // Publishing 1 and adding 2 over it come in one message.
-        replica.apply(&Record::Kept { keep: keep(1, 2, 1) });
+        replica.apply(&Record::Kept {
+            keep: keep(1, 2, 1),
+        });
         let news = replica.news(&[0; 4]);
         assert_eq!((news[0].version, news[0].rows[0].1.version), (1, 1));
         assert!(replica.news(&[0, 1, 0, 0]).is_empty());
@@ -251,11 +333,20 @@
     #[test]
     fn what_a_later_row_hides_is_not_claimed_to_be_shown() {
         let mut replica = Replica::blank(1);
-        replica.apply(&Record::Kept { keep: keep(0, 1, 1) });
+        replica.apply(&Record::Kept {
+            keep: keep(0, 1, 1),
+        });
         // Rows 2 and 3 were published; row 4 of the same key went over them.
-        replica.apply(&Record::Kept { keep: keep(1, 4, 3) });
+        replica.apply(&Record::Kept {
+            keep: keep(1, 4, 3),
+        });
         assert!(replica.news(&[0, 1]).is_empty(), "3 is not known here");
-        replica.apply(&Record::Kept { keep: Keep { rows: vec![], ..keep(4, 4, 4) } });
+        replica.apply(&Record::Kept {
+            keep: Keep {
+                rows: vec![],
+                ..keep(4, 4, 4)
+            },
+        });
         let news = replica.news(&[0, 1]);
         assert_eq!((news[0].version, news[0].rows[0].1.version), (4, 4));
     }
@@ -263,8 +354,20 @@
     #[test]
     fn the_log_reads_back_to_the_same_state_and_without_a_number_it_is_blank() {
         let mut replica = Replica::blank(0);
-        let records = [Record::Life { life: 9 }, Record::Promise { slice: PURGES, epoch: 3 }, Record::Kept { keep: keep(0, 1, 0) }];
-        let bytes: Vec<Vec<u8>> = records.iter().map(|record| bincode::serialize(record).unwrap()).collect();
+        let records = [
+            Record::Life { life: 9 },
+            Record::Promise {
+                slice: PURGES,
+                epoch: 3,
+            },
+            Record::Kept {
+                keep: keep(0, 1, 0),
+            },
+        ];
+        let bytes: Vec<Vec<u8>> = records
+            .iter()
+            .map(|record| bincode::serialize(record).unwrap())
+            .collect();
         records.iter().for_each(|record| replica.apply(record));
         assert_eq!(Replica::replay(&bytes).unwrap(), Some(replica.clone()));
         let image = bincode::serialize(&Record::Image(Box::new(replica.clone()))).unwrap();
--- a/control-plane/src/sessions.rs
+++ b/control-plane/src/sessions.rs
@@ -61,13 +61,19 @@
 
     /// `run`: unlike that of any other run of this node.
     pub fn new(run: u64) -> Sessions {
-        Sessions { run, ..Sessions::default() }
+        Sessions {
+            run,
+            ..Sessions::default()
+        }
     }
 
     /// A mark for the next renewal told.
     pub fn mark(&mut self) -> Mark {
         self.count += 1;
-        Mark { run: self.run, count: self.count }
+        Mark {
+            run: self.run,
+            count: self.count,
+        }
     }
 
     /// Marks told so far in this run.
@@ -85,8 +91,13 @@
             if mark.count > there.1 {
                 *there = (mate.life, mark.count);
             }
-            let lives = self.mine.range(Mate::new(mate.address, 0)..=Mate::new(mate.address, u64::MAX));
-            let over: Vec<Mate> = lives.filter(|(other, one)| **other != mate && one.first < mark.count).map(|(other, _)| *other).collect();
+            let lives = self
+                .mine
+                .range(Mate::new(mate.address, 0)..=Mate::new(mate.address, u64::MAX));
+            let over: Vec<Mate> = lives
+                .filter(|(other, one)| **other != mate && one.first < mark.count)
+                .map(|(other, _)| *other)
+                .collect();
             for other in over {
                 self.leave(other);
             }
@@ -96,14 +107,28 @@
 
     fn stand(&mut self, now: Duration, seen: Seen) -> bool {
         let known = self.mine.get_mut(&seen.mate);
-        let sum = known.as_ref().filter(|known| known.seen.core() == seen.core()).map_or_else(|| seen.sum(), |known| known.sum);
+        let sum = known
+            .as_ref()
+            .filter(|known| known.seen.core() == seen.core())
+            .map_or_else(|| seen.sum(), |known| known.sum);
         let Some(known) = known else {
             self.at += 1;
             self.sum ^= sum;
-            self.mine.insert(seen.mate, Standing { heard: now, first: self.count, seen, sum, since: self.at, changed: now });
+            self.mine.insert(
+                seen.mate,
+                Standing {
+                    heard: now,
+                    first: self.count,
+                    seen,
+                    sum,
+                    since: self.at,
+                    changed: now,
+                },
+            );
             return true;
         };
-        let read = now >= known.changed + READ && (known.seen.usage != seen.usage || known.seen.found != seen.found);
+        let read = now >= known.changed + READ
+            && (known.seen.usage != seen.usage || known.seen.found != seen.found);
         if sum != known.sum || read {
             self.at += 1;
             self.sum ^= known.sum ^ sum;
@@ -116,11 +141,15 @@
     /// Whether a life that had begun when `marks` were told has ended since:
     /// another is at its address.
     pub fn ended(&self, mate: Mate, marks: u64) -> bool {
-        self.there.get(&mate.address).is_some_and(|(life, count)| *life != mate.life && *count > marks)
+        self.there
+            .get(&mate.address)
+            .is_some_and(|(life, count)| *life != mate.life && *count > marks)
     }
 
     pub fn leave(&mut self, mate: Mate) -> bool {
-        let Some(gone) = self.mine.remove(&mate) else { return false };
+        let Some(gone) = self.mine.remove(&mate) else {
+            return false;
+        };
         self.at += 1;
         self.sum ^= gone.sum;
         self.went.insert(self.at, mate);
@@ -133,8 +162,12 @@
     /// Drops what lapsed and returns it.
     pub fn pulse(&mut self, now: Duration) -> Vec<Mate> {
         self.began.get_or_insert(now);
-        let lapsed: Vec<Mate> =
-            self.mine.iter().filter(|(_, standing)| now >= standing.heard + lease::CONTROL).map(|(mate, _)| *mate).collect();
+        let lapsed: Vec<Mate> = self
+            .mine
+            .iter()
+            .filter(|(_, standing)| now >= standing.heard + lease::CONTROL)
+            .map(|(mate, _)| *mate)
+            .collect();
         for mate in &lapsed {
             self.leave(*mate);
         }
@@ -143,11 +176,45 @@
 
     /// What a mate lacks that got our table up to this state.
     pub fn since(&self, got: u64) -> SeenSince {
-        let from = if got <= self.at && got >= self.forgotten { got } else { 0 };
-        let put = self.mine.values().filter(|standing| standing.since > from).map(|standing| standing.seen.clone()).collect();
-        let went = self.went.range(from + 1..).map(|(_, mate)| *mate).filter(|mate| from > 0 && !self.mine.contains_key(mate));
-        let newest = (0..NEWS).filter_map(|slice| self.mine.iter().map(|(mate, one)| (one.seen.vector.get(usize::from(slice)).copied().unwrap_or(0), *mate)).max());
-        SeenSince { from, at: self.at, sum: self.sum, put, gone: went.collect(), newest: newest.collect() }
+        let from = if got <= self.at && got >= self.forgotten {
+            got
+        } else {
+            0
+        };
+        let put = self
+            .mine
+            .values()
+            .filter(|standing| standing.since > from)
+            .map(|standing| standing.seen.clone())
+            .collect();
+        let went = self
+            .went
+            .range(from + 1..)
+            .map(|(_, mate)| *mate)
+            .filter(|mate| from > 0 && !self.mine.contains_key(mate));
+        let newest = (0..NEWS).filter_map(|slice| {
+            self.mine
+                .iter()
+                .map(|(mate, one)| {
+                    (
+                        one.seen
+                            .vector
+                            .get(usize::from(slice))
+                            .copied()
+                            .unwrap_or(0),
+                        *mate,
+                    )
+                })
+                .max()
+        });
+        SeenSince {
+            from,
+            at: self.at,
+            sum: self.sum,
+            put,
+            gone: went.collect(),
+            newest: newest.collect(),
+        }
     }
 
     /// The state up to which the table of another was got; 0: none.
@@ -158,8 +225,17 @@
     pub fn told(&mut self, now: Duration, slot: u8, since: SeenSince) {
         let table = self.told.entry(slot).or_default();
         let mut sum = if since.from == 0 { 0 } else { table.sum };
-        let known = |mate: &Mate| table.seen.get(mate).filter(|_| since.from > 0).map_or(0, Seen::sum);
-        since.put.iter().for_each(|seen| sum ^= known(&seen.mate) ^ seen.sum());
+        let known = |mate: &Mate| {
+            table
+                .seen
+                .get(mate)
+                .filter(|_| since.from > 0)
+                .map_or(0, Seen::sum)
+        };
+        since
+            .put
+            .iter()
+            .for_each(|seen| sum ^= known(&seen.mate) ^ seen.sum());
         since.gone.iter().for_each(|mate| sum ^= known(mate));
         if sum != since.sum || since.from > table.at {
             // Late, or of another run: what stands is not what it has.
@@ -174,20 +250,27 @@
         since.gone.iter().for_each(|mate| {
             table.seen.remove(mate);
         });
-        table.seen.extend(since.put.into_iter().map(|seen| (seen.mate, seen)));
+        table
+            .seen
+            .extend(since.put.into_iter().map(|seen| (seen.mate, seen)));
         (table.heard, table.at, table.sum, table.newest) = (now, since.at, sum, since.newest);
     }
 
     /// After a start, sessions renewed before it may still stand: not known
     /// until they would have lapsed or been renewed.
     pub fn known(&self, now: Duration) -> bool {
-        self.began.is_some_and(|began| now >= began + lease::CONTROL)
+        self.began
+            .is_some_and(|began| now >= began + lease::CONTROL)
     }
 
     /// The version of a slice that every session standing here has confirmed.
     pub fn clear(&self, now: Duration, slice: u8, published: u64) -> Option<u64> {
-        let confirmed = self.mine.values().filter_map(|standing| standing.seen.vector.get(usize::from(slice)).copied());
-        self.known(now).then(|| confirmed.min().unwrap_or(published).min(published))
+        let confirmed = self
+            .mine
+            .values()
+            .filter_map(|standing| standing.seen.vector.get(usize::from(slice)).copied());
+        self.known(now)
+            .then(|| confirmed.min().unwrap_or(published).min(published))
     }
 
     pub fn mine(&self) -> Vec<Seen> {
@@ -200,8 +283,18 @@
 
     /// Who has not confirmed this version of a slice, in this realm.
     pub fn lacking(&self, realm: u64, slice: u8, version: u64) -> Vec<SocketAddr> {
-        let has = |seen: &Seen| seen.realm == realm && seen.vector.get(usize::from(slice)).is_some_and(|known| *known >= version);
-        self.mine.values().filter(|one| !has(&one.seen)).map(|one| one.seen.mate.address).collect()
+        let has = |seen: &Seen| {
+            seen.realm == realm
+                && seen
+                    .vector
+                    .get(usize::from(slice))
+                    .is_some_and(|known| *known >= version)
+        };
+        self.mine
+            .values()
+            .filter(|one| !has(&one.seen))
+            .map(|one| one.seen.mate.address)
+            .collect()
     }
 
     /// Tables of sessions not older than `lease::CONTROL_MATE`, ours included.
@@ -224,20 +317,41 @@
 
     /// All that `live` and `gone` hang on, to see whether anything changed.
     pub fn standing(&self, now: Duration) -> Vec<Vec<(Mate, bool)>> {
-        self.tables(now).into_iter().map(|table| table.into_iter().map(|seen| (seen.mate, seen.draining)).collect()).collect()
+        self.tables(now)
+            .into_iter()
+            .map(|table| {
+                table
+                    .into_iter()
+                    .map(|seen| (seen.mate, seen.draining))
+                    .collect()
+            })
+            .collect()
     }
 
     /// Every session known, here or told.
     pub fn all(&self) -> Vec<&Seen> {
-        self.mine.values().map(|one| &one.seen).chain(self.told.values().flat_map(|table| table.seen.values())).collect()
+        self.mine
+            .values()
+            .map(|one| &one.seen)
+            .chain(self.told.values().flat_map(|table| table.seen.values()))
+            .collect()
     }
 
     /// Who confirmed more of a news slice than this version: here all, of others'
     /// tables the one that confirmed most.
     pub fn beyond(&self, slice: u8, version: u64) -> BTreeSet<SocketAddr> {
-        let mine = self.mine.iter().filter_map(|(mate, one)| Some((*one.seen.vector.get(usize::from(slice))?, *mate)));
-        let told = self.told.values().filter_map(|table| table.newest.get(usize::from(slice)).copied());
-        mine.chain(told).filter(|(known, _)| *known > version).map(|(_, mate)| mate.address).collect()
+        let mine = self
+            .mine
+            .iter()
+            .filter_map(|(mate, one)| Some((*one.seen.vector.get(usize::from(slice))?, *mate)));
+        let told = self
+            .told
+            .values()
+            .filter_map(|table| table.newest.get(usize::from(slice)).copied());
+        mine.chain(told)
+            .filter(|(known, _)| *known > version)
+            .map(|(_, mate)| mate.address)
+            .collect()
     }
 
     /// Every edge with a session in `rest` of the tables, as many as it takes
@@ -248,7 +362,11 @@
             let known = count.entry(seen.mate).or_insert((0, seen));
             known.0 += 1;
         }
-        count.into_values().filter(|(tables, _)| *tables >= quorum.rest()).map(|(_, seen)| seen.clone()).collect()
+        count
+            .into_values()
+            .filter(|(tables, _)| *tables >= quorum.rest())
+            .map(|(_, seen)| seen.clone())
+            .collect()
     }
 
     /// True only if a majority says that no session of this mate stands.
@@ -267,7 +385,18 @@
 
     fn seen(port: u16, version: u64) -> Seen {
         let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
-        Seen { mate, zone: "z".into(), ring: String::new(), strength: 1, draining: false, realm: 0, recalled: true, vector: vec![version; 4], usage: Usage::default(), found: vec![] }
+        Seen {
+            mate,
+            zone: "z".into(),
+            ring: String::new(),
+            strength: 1,
+            draining: false,
+            realm: 0,
+            recalled: true,
+            vector: vec![version; 4],
+            usage: Usage::default(),
+            found: vec![],
+        }
     }
 
     #[test]
@@ -277,7 +406,11 @@
         table.pulse(at(0));
         table.renew(at(1000), seen(1, 5), None);
         table.renew(at(1000), seen(2, 7), None);
-        assert_eq!(table.clear(at(700), PURGES, 7), None, "just started: earlier sessions may stand");
+        assert_eq!(
+            table.clear(at(700), PURGES, 7),
+            None,
+            "just started: earlier sessions may stand"
+        );
         assert_eq!(table.clear(at(1100), PURGES, 7), Some(5));
         table.renew(at(1400), seen(2, 7), None);
         assert_eq!(table.pulse(at(1799)).len(), 0);
@@ -288,7 +421,13 @@
     #[test]
     fn of_two_lives_at_an_address_the_one_that_gives_back_a_later_mark_is_there() {
         let at = Duration::from_millis;
-        let life = |life| Seen { mate: Mate { life, ..seen(1, 0).mate }, ..seen(1, 0) };
+        let life = |life| Seen {
+            mate: Mate {
+                life,
+                ..seen(1, 0).mate
+            },
+            ..seen(1, 0)
+        };
         let mut table = Sessions::new(7);
         table.pulse(at(0));
         let (one, two) = (life(8), life(3));
@@ -296,12 +435,22 @@
         let mark = table.mark();
         table.renew(at(20), one.clone(), Some(mark));
         table.renew(at(30), two.clone(), None);
-        assert_eq!(table.mine().len(), 2, "a first renewal may have been long on the way");
+        assert_eq!(
+            table.mine().len(),
+            2,
+            "a first renewal may have been long on the way"
+        );
         table.renew(at(40), two.clone(), Some(Mark { run: 6, count: 99 }));
-        assert!(!table.ended(one.mate, 0) && table.mine().len() == 2, "a mark of another run tells nothing");
+        assert!(
+            !table.ended(one.mate, 0) && table.mine().len() == 2,
+            "a mark of another run tells nothing"
+        );
         let granted = table.marks();
         table.renew(at(45), two.clone(), Some(mark));
-        assert!(!table.ended(one.mate, granted), "told before it was known that the other had begun");
+        assert!(
+            !table.ended(one.mate, granted),
+            "told before it was known that the other had begun"
+        );
         let mark = table.mark();
         table.renew(at(50), two.clone(), Some(mark));
         assert!(table.ended(one.mate, granted) && !table.ended(two.mate, granted));
@@ -314,7 +463,12 @@
 
     fn whole(put: Vec<Seen>) -> SeenSince {
         let sum = put.iter().fold(0, |sum, seen| sum ^ seen.sum());
-        SeenSince { at: 1, sum, put, ..SeenSince::default() }
+        SeenSince {
+            at: 1,
+            sum,
+            put,
+            ..SeenSince::default()
+        }
     }
 
     /// Whatever is lost, doubled, late, or said by another run: a table counts
@@ -323,10 +477,18 @@
     fn differences_never_make_a_table_that_the_other_did_not_have() {
         let mut dice = 7u64;
         let mut roll = |most: u64| {
-            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            dice = dice
+                .wrapping_mul(6364136223846793005)
+                .wrapping_add(1442695040888963407);
             (dice >> 33) % most
         };
-        let core = |table: &Sessions| table.mine.values().map(|one| (one.seen.mate, one.seen.draining)).collect::<BTreeSet<_>>();
+        let core = |table: &Sessions| {
+            table
+                .mine
+                .values()
+                .map(|one| (one.seen.mate, one.seen.draining))
+                .collect::<BTreeSet<_>>()
+        };
         let (mut one, mut other) = (Sessions::default(), Sessions::default());
         let (mut late, mut fitted) = (vec![], 0);
         let mut had: BTreeMap<u64, Vec<BTreeSet<(Mate, bool)>>> = BTreeMap::new();
@@ -336,19 +498,36 @@
             match roll(8) {
                 0 => _ = one.leave(seen(port, 1).mate),
                 1 if roll(40) == 0 => one = Sessions::default(),
-                _ => _ = one.renew(now, Seen { draining: roll(3) == 0, ..seen(port, step) }, None),
+                _ => {
+                    _ = one.renew(
+                        now,
+                        Seen {
+                            draining: roll(3) == 0,
+                            ..seen(port, step)
+                        },
+                        None,
+                    )
+                }
             }
             had.entry(one.sum).or_default().push(core(&one));
             let beat = one.since(other.got(1));
             if roll(4) == 0 {
                 late.push(beat.clone());
             }
-            let late = if !late.is_empty() && roll(4) == 0 { late.swap_remove(roll(late.len() as u64) as usize) } else { beat };
+            let late = if !late.is_empty() && roll(4) == 0 {
+                late.swap_remove(roll(late.len() as u64) as usize)
+            } else {
+                beat
+            };
             other.told(now, 1, late.clone());
             let table = &other.told[&1];
             if table.heard == now {
                 fitted += 1;
-                let told: BTreeSet<_> = table.seen.values().map(|seen| (seen.mate, seen.draining)).collect();
+                let told: BTreeSet<_> = table
+                    .seen
+                    .values()
+                    .map(|seen| (seen.mate, seen.draining))
+                    .collect();
                 assert!(had[&late.sum].contains(&told), "step {step}");
             }
         }
@@ -361,12 +540,28 @@
         let mut table = Sessions::default();
         (1..=100).for_each(|port| assert!(table.renew(at(0), seen(port, 1), None)));
         let got = table.since(0).at;
-        assert_eq!((table.since(0).put.len(), table.since(got).put.len()), (100, 0));
+        assert_eq!(
+            (table.since(0).put.len(), table.since(got).put.len()),
+            (100, 0)
+        );
         // What was confirmed rises all the time, and who is newest is said.
         table.renew(at(200), seen(7, 2), None);
         let since = table.since(got);
-        assert_eq!((since.put.len(), since.newest[0]), (0, (2, seen(7, 2).mate)));
-        table.renew(at(5000), Seen { usage: Usage { errands: 4, ..Usage::default() }, ..seen(7, 2) }, None);
+        assert_eq!(
+            (since.put.len(), since.newest[0]),
+            (0, (2, seen(7, 2).mate))
+        );
+        table.renew(
+            at(5000),
+            Seen {
+                usage: Usage {
+                    errands: 4,
+                    ..Usage::default()
+                },
+                ..seen(7, 2)
+            },
+            None,
+        );
         table.leave(seen(8, 1).mate);
         let since = table.since(got);
         assert_eq!((since.put.len(), since.gone), (1, vec![seen(8, 1).mate]));
@@ -377,7 +572,10 @@
         let at = Duration::from_millis;
         let mut table = Sessions::default();
         table.pulse(at(0));
-        assert!(!table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)), "one table is no majority");
+        assert!(
+            !table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)),
+            "one table is no majority"
+        );
         table.told(at(5000), 1, whole(vec![seen(1, 1)]));
         assert!(!table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)));
         table.told(at(5100), 1, whole(vec![]));
@@ -394,10 +592,25 @@
             for tables in 0..=slots {
                 let mut table = Sessions::default();
                 for slot in 0..slots {
-                    table.told(at(5000), slot as u8, whole(if slot < tables { vec![seen(1, 1)] } else { vec![] }));
+                    table.told(
+                        at(5000),
+                        slot as u8,
+                        whole(if slot < tables {
+                            vec![seen(1, 1)]
+                        } else {
+                            vec![]
+                        }),
+                    );
                 }
-                let (live, gone) = (!table.live(at(5000), quorum).is_empty(), table.gone(at(5000), seen(1, 1).mate, quorum));
-                assert_eq!((live, gone), (tables >= quorum.rest(), slots - tables >= quorum.most()), "{tables} of {slots}");
+                let (live, gone) = (
+                    !table.live(at(5000), quorum).is_empty(),
+                    table.gone(at(5000), seen(1, 1).mate, quorum),
+                );
+                assert_eq!(
+                    (live, gone),
+                    (tables >= quorum.rest(), slots - tables >= quorum.most()),
+                    "{tables} of {slots}"
+                );
                 assert!(!(live && gone));
             }
         }
--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -65,11 +65,27 @@
 impl Slot {
     fn new(now: Duration, entry: String, host: String, url: String, keep: Duration) -> Slot {
         let (tokens, waits) = (Vec::new(), Vec::new());
-        Slot { entry, host, url, keep, held: None, refresher: None, tokens, waits, private: Duration::ZERO, used: now }
+        Slot {
+            entry,
+            host,
+            url,
+            keep,
+            held: None,
+            refresher: None,
+            tokens,
+            waits,
+            private: Duration::ZERO,
+            used: now,
+        }
     }
 
     fn name<'a>(&'a self, reply: &'a Reply) -> CopyName<'a> {
-        CopyName { entry: &self.entry, host: &self.host, url: &self.url, tags: Some(&reply.tags) }
+        CopyName {
+            entry: &self.entry,
+            host: &self.host,
+            url: &self.url,
+            tags: Some(&reply.tags),
+        }
     }
 
     fn delta(&self) -> Duration {
@@ -85,14 +101,27 @@
 
     fn bytes(&self) -> u64 {
         let Some(held) = &self.held else { return 0 };
-        let heads: usize = held.reply.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+        let heads: usize = held
+            .reply
+            .headers
+            .iter()
+            .map(|(name, value)| name.len() + value.len())
+            .sum();
         (held.reply.body.len() + heads + self.url.len()) as u64 + COPY_BYTES
     }
 }
 
 impl CacheOwner {
     pub fn new(limit: u64) -> CacheOwner {
-        CacheOwner { keys: BTreeMap::new(), bytes: 0, limit, serial: 0, given: 0, aside: BTreeMap::new(), out: Vec::new() }
+        CacheOwner {
+            keys: BTreeMap::new(),
+            bytes: 0,
+            limit,
+            serial: 0,
+            given: 0,
+            aside: BTreeMap::new(),
+            out: Vec::new(),
+        }
     }
 
     pub fn take_out(&mut self) -> Vec<(SocketAddr, Message)> {
@@ -100,8 +129,20 @@
     }
 
     pub fn get(&mut self, now: Duration, from: SocketAddr, get: Get, epoch: u64, purged: u64) {
-        let Get { id, key, entry, host, url, keep, wait, spare } = get;
-        let slot = self.keys.entry(key).or_insert_with(|| Slot::new(now, entry, host, url, keep));
+        let Get {
+            id,
+            key,
+            entry,
+            host,
+            url,
+            keep,
+            wait,
+            spare,
+        } = get;
+        let slot = self
+            .keys
+            .entry(key)
+            .or_insert_with(|| Slot::new(now, entry, host, url, keep));
         slot.keep = keep;
         slot.used = now;
         if now < slot.private {
@@ -116,16 +157,28 @@
         if let Some(held) = &mut slot.held {
             if now < held.minor || spare || busy {
                 self.given += 1;
-                return self.out.push((from, CacheOwner::copy(now, id, key, held, purged, Duration::ZERO)));
+                return self.out.push((
+                    from,
+                    CacheOwner::copy(now, id, key, held, purged, Duration::ZERO),
+                ));
             }
             held.minor = now + delta;
         } else if spare {
             return self.out.push((from, NoCopy { id, key }.into()));
         } else if busy {
             let until = now + wait;
-            match slot.waits.iter_mut().find(|known| (known.from, known.id) == (from, id)) {
+            match slot
+                .waits
+                .iter_mut()
+                .find(|known| (known.from, known.id) == (from, id))
+            {
                 Some(known) => known.until = until,
-                None => slot.waits.push(Wait { from, id, since: now, until }),
+                None => slot.waits.push(Wait {
+                    from,
+                    id,
+                    since: now,
+                    until,
+                }),
             }
             return;
         }
@@ -134,17 +187,41 @@
         self.out.push((from, Miss { id, key, token }.into()));
     }
 
-    fn issue(now: Duration, slot: &mut Slot, serial: u64, epoch: u64, purged: u64, stall: Duration) -> Token {
+    fn issue(
+        now: Duration,
+        slot: &mut Slot,
+        serial: u64,
+        epoch: u64,
+        purged: u64,
+        stall: Duration,
+    ) -> Token {
         slot.refresher = Some((serial, now + stall));
         slot.tokens.retain(|(_, began)| now < *began + TOKEN);
         slot.tokens.push((serial, now));
-        Token { serial, epoch, purged }
+        Token {
+            serial,
+            epoch,
+            purged,
+        }
     }
 
-    fn copy(now: Duration, id: u64, key: CacheKey, held: &Held, purged: u64, waited: Duration) -> Message {
+    fn copy(
+        now: Duration,
+        id: u64,
+        key: CacheKey,
+        held: &Held,
+        purged: u64,
+        waited: Duration,
+    ) -> Message {
         // What is held here was checked against every purge known here.
         let purged = purged.max(held.purged);
-        let copy = CopyOut { reply: held.reply.clone(), purged, age: now - held.began, left: held.major - now, held: waited };
+        let copy = CopyOut {
+            reply: held.reply.clone(),
+            purged,
+            age: now - held.began,
+            left: held.major - now,
+            held: waited,
+        };
         Copy { id, key, copy }.into()
     }
 
@@ -152,9 +229,18 @@
     /// a purge that reaches it, or older than what is held.
     pub fn put(&mut self, now: Duration, put: Put, epoch: u64, book: &PurgeBook) -> bool {
         let Put { key, token, reply } = put;
-        let Some(slot) = self.keys.get_mut(&key) else { return false };
-        let began = slot.tokens.iter().find(|(serial, _)| *serial == token.serial).map(|(_, began)| *began);
-        let newer = slot.held.as_ref().is_none_or(|held| held.serial < token.serial);
+        let Some(slot) = self.keys.get_mut(&key) else {
+            return false;
+        };
+        let began = slot
+            .tokens
+            .iter()
+            .find(|(serial, _)| *serial == token.serial)
+            .map(|(_, began)| *began);
+        let newer = slot
+            .held
+            .as_ref()
+            .is_none_or(|held| held.serial < token.serial);
         let good = token.epoch == epoch && newer && book.clear(token.purged, slot.name(&reply));
         let Some(began) = began.filter(|began| good && now < *began + slot.keep) else {
             self.give_up(now, key, token, epoch, book.applied, false);
@@ -163,37 +249,63 @@
         self.bytes -= slot.bytes();
         let major = (now + slot.keep).min(began + slot.keep);
         let minor = (now + slot.delta()).min(major);
-        slot.held = Some(Held { reply, serial: token.serial, purged: book.applied, began, minor, major });
+        slot.held = Some(Held {
+            reply,
+            serial: token.serial,
+            purged: book.applied,
+            began,
+            minor,
+            major,
+        });
         slot.refresher = None;
         slot.tokens.retain(|(serial, _)| *serial > token.serial);
         self.bytes += slot.bytes();
         let held = slot.held.as_ref().expect("just put");
         for wait in slot.waits.drain(..) {
             self.given += 1;
-            self.out.push((wait.from, CacheOwner::copy(now, wait.id, key, held, book.applied, now - wait.since)));
+            self.out.push((
+                wait.from,
+                CacheOwner::copy(now, wait.id, key, held, book.applied, now - wait.since),
+            ));
         }
         self.evict();
         true
     }
 
     /// The refresher under this token came to nothing: the next waiter is it.
-    pub fn give_up(&mut self, now: Duration, key: CacheKey, token: Token, epoch: u64, purged: u64, private: bool) {
-        let Some(slot) = self.keys.get_mut(&key) else { return };
+    pub fn give_up(
+        &mut self,
+        now: Duration,
+        key: CacheKey,
+        token: Token,
+        epoch: u64,
+        purged: u64,
+        private: bool,
+    ) {
+        let Some(slot) = self.keys.get_mut(&key) else {
+            return;
+        };
         slot.tokens.retain(|(serial, _)| *serial != token.serial);
         if private {
             slot.private = now + slot.delta();
             for wait in slot.waits.drain(..) {
-                self.out.push((wait.from, NoCopy { id: wait.id, key }.into()));
+                self.out
+                    .push((wait.from, NoCopy { id: wait.id, key }.into()));
             }
         }
-        if slot.refresher.is_some_and(|(serial, _)| serial == token.serial) {
+        if slot
+            .refresher
+            .is_some_and(|(serial, _)| serial == token.serial)
+        {
             slot.refresher = None;
             self.next_refresher(now, key, epoch, purged);
         }
     }
 
     fn next_refresher(&mut self, now: Duration, key: CacheKey, epoch: u64, purged: u64) {
-        let Some(slot) = self.keys.get_mut(&key) else { return };
+        let Some(slot) = self.keys.get_mut(&key) else {
+            return;
+        };
         slot.waits.retain(|wait| now < wait.until);
         if slot.waits.is_empty() {
             return;
@@ -202,7 +314,15 @@
         let stall = slot.delta().min(STALL);
         self.serial += 1;
         let token = CacheOwner::issue(now, slot, self.serial, epoch, purged, stall);
-        self.out.push((wait.from, Miss { id: wait.id, key, token }.into()));
+        self.out.push((
+            wait.from,
+            Miss {
+                id: wait.id,
+                key,
+                token,
+            }
+            .into(),
+        ));
     }
 
     /// Refreshers that stalled are replaced; what is over goes.
@@ -227,7 +347,11 @@
     /// Drops every copy a purge reaches; the rest is clear of it.
     pub fn purge(&mut self, purge: &Purge) {
         for slot in self.keys.values_mut() {
-            if slot.held.as_ref().is_some_and(|held| purge.reaches(slot.name(&held.reply))) {
+            if slot
+                .held
+                .as_ref()
+                .is_some_and(|held| purge.reaches(slot.name(&held.reply)))
+            {
                 self.bytes -= slot.empty();
             }
         }
@@ -236,13 +360,22 @@
     /// Keeps only slices that are held under an unchanged epoch; copies of the
     /// others are set aside.
     pub fn keep_slices(&mut self, now: Duration, purged: u64, keep: &dyn Fn(u16) -> bool) {
-        let lost: Vec<CacheKey> = self.keys.keys().filter(|key| !keep(cache_slice(key))).copied().collect();
+        let lost: Vec<CacheKey> = self
+            .keys
+            .keys()
+            .filter(|key| !keep(cache_slice(key)))
+            .copied()
+            .collect();
         for key in lost {
             let mut slot = self.keys.remove(&key).expect("just listed");
             self.bytes -= slot.bytes();
             if let Some(held) = &mut slot.held {
                 held.purged = purged;
-                self.aside.entry(cache_slice(&key)).or_insert((now, Vec::new())).1.push((key, slot));
+                self.aside
+                    .entry(cache_slice(&key))
+                    .or_insert((now, Vec::new()))
+                    .1
+                    .push((key, slot));
             }
         }
     }
@@ -254,7 +387,9 @@
 
     /// What was set aside of a slice, latest asked for first.
     pub fn hand(&mut self, now: Duration, slice: u16) -> Vec<Carried> {
-        let Some((_, mut list)) = self.aside.remove(&slice) else { return Vec::new() };
+        let Some((_, mut list)) = self.aside.remove(&slice) else {
+            return Vec::new();
+        };
         list.sort_by_key(|(_, slot)| std::cmp::Reverse(slot.used));
         let mut bytes = 0;
         let fits = |(_, slot): &&(CacheKey, Slot)| {
@@ -281,24 +416,62 @@
 
     /// Copies from the last holder, `way` after it was asked for them: they
     /// count as that much older. What came here anew goes first.
-    pub fn take_over(&mut self, now: Duration, way: Duration, copies: Vec<Carried>, book: &PurgeBook) -> usize {
+    pub fn take_over(
+        &mut self,
+        now: Duration,
+        way: Duration,
+        copies: Vec<Carried>,
+        book: &PurgeBook,
+    ) -> usize {
         let mut taken = 0;
         for copy in copies {
-            let held = self.keys.get(&copy.key).is_some_and(|slot| slot.held.is_some());
-            let name = CopyName { entry: &copy.entry, host: &copy.host, url: &copy.url, tags: Some(&copy.reply.tags) };
+            let held = self
+                .keys
+                .get(&copy.key)
+                .is_some_and(|slot| slot.held.is_some());
+            let name = CopyName {
+                entry: &copy.entry,
+                host: &copy.host,
+                url: &copy.url,
+                tags: Some(&copy.reply.tags),
+            };
             if held || copy.major <= way || !book.clear(copy.purged, name) {
                 continue;
             }
             taken += 1;
-            let Carried { key, entry, host, url, keep, reply, age, minor, major, .. } = copy;
-            let slot = self.keys.entry(key).or_insert_with(|| Slot::new(now, entry, host, url, keep));
+            let Carried {
+                key,
+                entry,
+                host,
+                url,
+                keep,
+                reply,
+                age,
+                minor,
+                major,
+                ..
+            } = copy;
+            let slot = self
+                .keys
+                .entry(key)
+                .or_insert_with(|| Slot::new(now, entry, host, url, keep));
             let began = now.saturating_sub(age + way);
             // Older than any fetch begun here, whose put may still come.
             let serial = 0;
-            let held = Held { reply, serial, purged: book.applied, began, minor: now + minor.saturating_sub(way), major: now + major - way };
+            let held = Held {
+                reply,
+                serial,
+                purged: book.applied,
+                began,
+                minor: now + minor.saturating_sub(way),
+                major: now + major - way,
+            };
             for wait in slot.waits.drain(..) {
                 self.given += 1;
-                self.out.push((wait.from, CacheOwner::copy(now, wait.id, key, &held, book.applied, now - wait.since)));
+                self.out.push((
+                    wait.from,
+                    CacheOwner::copy(now, wait.id, key, &held, book.applied, now - wait.since),
+                ));
             }
             slot.held = Some(held);
             self.bytes += slot.bytes();
@@ -316,8 +489,12 @@
         if self.bytes <= self.limit {
             return;
         }
-        let mut list: Vec<(Duration, CacheKey)> =
-            self.keys.iter().filter(|(_, slot)| slot.held.is_some()).map(|(key, slot)| (slot.used, *key)).collect();
+        let mut list: Vec<(Duration, CacheKey)> = self
+            .keys
+            .iter()
+            .filter(|(_, slot)| slot.held.is_some())
+            .map(|(key, slot)| (slot.used, *key))
+            .collect();
         list.sort_unstable();
         // A tenth more than needed goes, so that not every put sorts anew.
         for (_, key) in list {
@@ -345,11 +522,24 @@
     }
 
     fn get(id: u64) -> Get {
-        Get { id, key: KEY, entry: "e".into(), host: "h".into(), url: "/u".into(), keep: at(10_000), wait: at(3000), spare: false }
+        Get {
+            id,
+            key: KEY,
+            entry: "e".into(),
+            host: "h".into(),
+            url: "/u".into(),
+            keep: at(10_000),
+            wait: at(3000),
+            spare: false,
+        }
     }
 
     fn reply(text: &str) -> Reply {
-        Reply { status: 200, body: Arc::new(text.into()), ..Reply::default() }
+        Reply {
+            status: 200,
+            body: Arc::new(text.into()),
+            ..Reply::default()
+        }
     }
 
     /// What the owner says to one get: "copy TEXT", "miss", "wait".
@@ -357,7 +547,10 @@
         owner.get(at(now), from(1), get(id), 7, 0);
         match owner.take_out().pop() {
             None => ("wait".into(), None),
-            Some((_, Message::Copy(copy))) => (format!("copy {}", String::from_utf8_lossy(&copy.copy.reply.body)), None),
+            Some((_, Message::Copy(copy))) => (
+                format!("copy {}", String::from_utf8_lossy(&copy.copy.reply.body)),
+                None,
+            ),
             Some((_, Message::Miss(miss))) => ("miss".into(), Some(miss.token)),
             Some((_, other)) => (other.name().into(), None),
         }
@@ -366,7 +559,16 @@
     fn filled(now: u64) -> CacheOwner {
         let mut owner = CacheOwner::new(1 << 20);
         let token = ask(&mut owner, now, 1).1.unwrap();
-        assert!(owner.put(at(now), Put { key: KEY, token, reply: reply("a") }, 7, &PurgeBook::default()));
+        assert!(owner.put(
+            at(now),
+            Put {
+                key: KEY,
+                token,
+                reply: reply("a")
+            },
+            7,
+            &PurgeBook::default()
+        ));
         owner
     }
 
@@ -378,7 +580,16 @@
         for id in 4..50 {
             assert_eq!(ask(&mut owner, 5001, id).0, "copy a");
         }
-        owner.put(at(5100), Put { key: KEY, token, reply: reply("b") }, 7, &PurgeBook::default());
+        owner.put(
+            at(5100),
+            Put {
+                key: KEY,
+                token,
+                reply: reply("b"),
+            },
+            7,
+            &PurgeBook::default(),
+        );
         assert_eq!(ask(&mut owner, 10_050, 50).0, "copy b");
         assert_eq!(ask(&mut owner, 10_100, 51).0, "miss");
     }
@@ -387,7 +598,16 @@
     fn without_a_put_the_copy_ends_with_its_keep_time_from_the_start_of_the_fetch() {
         let mut owner = CacheOwner::new(1 << 20);
         let token = ask(&mut owner, 0, 1).1.unwrap();
-        owner.put(at(1500), Put { key: KEY, token, reply: reply("a") }, 7, &PurgeBook::default());
+        owner.put(
+            at(1500),
+            Put {
+                key: KEY,
+                token,
+                reply: reply("a"),
+            },
+            7,
+            &PurgeBook::default(),
+        );
         assert_eq!(ask(&mut owner, 6500, 2).0, "miss");
         assert_eq!(ask(&mut owner, 9999, 3).0, "copy a");
         // Major has passed: no copy any more; the refresher of 6500 stalled.
@@ -403,37 +623,111 @@
         }
         owner.give_up(at(100), KEY, first, 7, 0, false);
         let out = owner.take_out();
-        assert!(matches!(out.as_slice(), [(_, Message::Miss(Miss { id: 2, .. }))]), "{out:?}");
+        assert!(
+            matches!(out.as_slice(), [(_, Message::Miss(Miss { id: 2, .. }))]),
+            "{out:?}"
+        );
         owner.pulse(at(2099), &|_| 7, 0);
         assert!(owner.take_out().is_empty());
         owner.pulse(at(2100), &|_| 7, 0);
         let out = owner.take_out();
-        let [(_, Message::Miss(Miss { id: 3, token, .. }))] = out.as_slice() else { panic!("{out:?}") };
-        owner.put(at(2200), Put { key: KEY, token: *token, reply: reply("c") }, 7, &PurgeBook::default());
-        assert_eq!(owner.take_out().len(), 2, "the two that still wait get the copy");
+        let [(_, Message::Miss(Miss { id: 3, token, .. }))] = out.as_slice() else {
+            panic!("{out:?}")
+        };
+        owner.put(
+            at(2200),
+            Put {
+                key: KEY,
+                token: *token,
+                reply: reply("c"),
+            },
+            7,
+            &PurgeBook::default(),
+        );
+        assert_eq!(
+            owner.take_out().len(),
+            2,
+            "the two that still wait get the copy"
+        );
     }
 
     #[test]
     fn a_late_put_is_dropped_after_a_purge_a_move_or_a_newer_put() {
-        let purge = Purge { url: Some("/u".into()), ..Purge::default() };
+        let purge = Purge {
+            url: Some("/u".into()),
+            ..Purge::default()
+        };
         let mut book = PurgeBook::default();
-        book.learn(Duration::ZERO, 1, &[("p".into(), Row { version: 1, value: Value::Purge { purge: purge.clone(), change: 1 } })]);
+        book.learn(
+            Duration::ZERO,
+            1,
+            &[(
+                "p".into(),
+                Row {
+                    version: 1,
+                    value: Value::Purge {
+                        purge: purge.clone(),
+                        change: 1,
+                    },
+                },
+            )],
+        );
         let mut owner = filled(0);
         let token = ask(&mut owner, 5000, 2).1.unwrap();
         owner.purge(&purge);
-        assert!(!owner.put(at(5100), Put { key: KEY, token, reply: reply("old") }, 7, &book));
-        assert_eq!(ask(&mut owner, 5200, 3).0, "miss", "the purged copy is gone and the late one was not taken");
+        assert!(!owner.put(
+            at(5100),
+            Put {
+                key: KEY,
+                token,
+                reply: reply("old")
+            },
+            7,
+            &book
+        ));
+        assert_eq!(
+            ask(&mut owner, 5200, 3).0,
+            "miss",
+            "the purged copy is gone and the late one was not taken"
+        );
 
         let mut owner = filled(0);
         let token = ask(&mut owner, 5000, 2).1.unwrap();
-        assert!(!owner.put(at(5100), Put { key: KEY, token, reply: reply("old") }, 8, &PurgeBook::default()));
+        assert!(!owner.put(
+            at(5100),
+            Put {
+                key: KEY,
+                token,
+                reply: reply("old")
+            },
+            8,
+            &PurgeBook::default()
+        ));
 
         let mut owner = filled(0);
         let slow = ask(&mut owner, 5000, 2).1.unwrap();
         // It stalls (its minor extension is over), another refreshes.
         let quick = ask(&mut owner, 10_000, 3).1.unwrap();
-        owner.put(at(10_100), Put { key: KEY, token: quick, reply: reply("new") }, 7, &PurgeBook::default());
-        assert!(!owner.put(at(10_200), Put { key: KEY, token: slow, reply: reply("old") }, 7, &PurgeBook::default()));
+        owner.put(
+            at(10_100),
+            Put {
+                key: KEY,
+                token: quick,
+                reply: reply("new"),
+            },
+            7,
+            &PurgeBook::default(),
+        );
+        assert!(!owner.put(
+            at(10_200),
+            Put {
+                key: KEY,
+                token: slow,
+                reply: reply("old")
+            },
+            7,
+            &PurgeBook::default()
+        ));
         assert_eq!(ask(&mut owner, 10_300, 4).0, "copy new");
     }
 
@@ -443,7 +737,10 @@
         let token = ask(&mut owner, 0, 1).1.unwrap();
         assert_eq!(ask(&mut owner, 1, 2).0, "wait");
         owner.give_up(at(10), KEY, token, 7, 0, true);
-        assert!(matches!(owner.take_out().as_slice(), [(_, Message::NoCopy(NoCopy { id: 2, .. }))]));
+        assert!(matches!(
+            owner.take_out().as_slice(),
+            [(_, Message::NoCopy(NoCopy { id: 2, .. }))]
+        ));
         assert_eq!(ask(&mut owner, 11, 3).0, "NoCopy");
         assert_eq!(ask(&mut owner, 5010, 4).0, "miss");
     }
@@ -454,8 +751,19 @@
         for round in 0..100u8 {
             let key = [round; 32];
             owner.get(at(round.into()), from(1), Get { key, ..get(1) }, 7, 0);
-            let Some((_, Message::Miss(miss))) = owner.take_out().pop() else { panic!() };
-            owner.put(at(round.into()), Put { key, token: miss.token, reply: reply(&"x".repeat(488)) }, 7, &PurgeBook::default());
+            let Some((_, Message::Miss(miss))) = owner.take_out().pop() else {
+                panic!()
+            };
+            owner.put(
+                at(round.into()),
+                Put {
+                    key,
+                    token: miss.token,
+                    reply: reply(&"x".repeat(488)),
+                },
+                7,
+                &PurgeBook::default(),
+            );
             assert!(owner.bytes <= 20_000);
         }
         assert!(owner.keys[&[99; 32]].held.is_some() && owner.keys[&[0; 32]].held.is_none());
@@ -469,10 +777,22 @@
         owner.keep_slices(at(2000), 3, &|_| false);
         assert_eq!(owner.bytes, 0);
         let copies = owner.hand(at(2100), cache_slice(&KEY));
-        assert_eq!((copies.len(), copies[0].age, copies[0].minor, copies[0].major, copies[0].purged), (1, at(2100), at(2900), at(7900), 3));
+        assert_eq!(
+            (
+                copies.len(),
+                copies[0].age,
+                copies[0].minor,
+                copies[0].major,
+                copies[0].purged
+            ),
+            (1, at(2100), at(2900), at(7900), 3)
+        );
         // Its clock is its own; the way there counts against the copy.
         let mut next = CacheOwner::new(1 << 20);
-        assert_eq!(next.take_over(at(50_000), at(100), copies.clone(), &PurgeBook::default()), 1);
+        assert_eq!(
+            next.take_over(at(50_000), at(100), copies.clone(), &PurgeBook::default()),
+            1
+        );
         assert_eq!(ask(&mut next, 52_799, 1).0, "copy a");
         assert_eq!(ask(&mut next, 52_800, 2).0, "miss");
         assert_eq!(ask(&mut next, 57_799, 3).0, "copy a");
@@ -480,11 +800,27 @@
         assert!(next.keys[&KEY].held.is_none());
         // Too long on the way: over before it came.
         let mut late = CacheOwner::new(1 << 20);
-        assert_eq!(late.take_over(at(50_000), at(7900), copies.clone(), &PurgeBook::default()), 0);
+        assert_eq!(
+            late.take_over(at(50_000), at(7900), copies.clone(), &PurgeBook::default()),
+            0
+        );
         // A purge that the last holder did not know yet.
-        let purge = Purge { url: Some("/u".into()), ..Purge::default() };
+        let purge = Purge {
+            url: Some("/u".into()),
+            ..Purge::default()
+        };
         let mut book = PurgeBook::default();
-        book.learn(Duration::ZERO, 4, &[("p".into(), Row { version: 4, value: Value::Purge { purge, change: 1 } })]);
+        book.learn(
+            Duration::ZERO,
+            4,
+            &[(
+                "p".into(),
+                Row {
+                    version: 4,
+                    value: Value::Purge { purge, change: 1 },
+                },
+            )],
+        );
         let mut next = CacheOwner::new(1 << 20);
         assert_eq!(next.take_over(at(50_000), at(100), copies, &book), 0);
         // Set aside too long, it is gone.
--- a/data-plane/src/caller_face.rs
+++ b/data-plane/src/caller_face.rs
@@ -2,12 +2,16 @@
 
 /// The errand of an arrival that passed all filters.
 pub fn errand_of(arrival: Arrival) -> Option<Errand> {
-    let caller = header(&arrival.headers, "authorization").unwrap_or_default().to_string();
+    let caller = header(&arrival.headers, "authorization")
+        .unwrap_or_default()
+        .to_string();
     let image = arrival.image?;
     let entry = arrival.entry?;
     // What must run once, or be held once, goes by its own key.
     let key = arrival.operation.as_deref().unwrap_or(&arrival.url);
-    let service = image.document.entries[entry].aim_at(key.as_bytes()).to_string();
+    let service = image.document.entries[entry]
+        .aim_at(key.as_bytes())
+        .to_string();
     Some(Errand {
         caller,
         method: arrival.method,
