--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -86,7 +86,13 @@
 
 impl EdgePart {
     /// The seeds hold the slots, unless it is `asked` who does.
-    pub fn new(me: Mate, spot: Spot, seeds: Vec<SocketAddr>, asked: bool, cache_bytes: u64) -> EdgePart {
+    pub fn new(
+        me: Mate,
+        spot: Spot,
+        seeds: Vec<SocketAddr>,
+        asked: bool,
+        cache_bytes: u64,
+    ) -> EdgePart {
         EdgePart {
             slots: if asked { 0 } else { seeds.len() },
             me,
@@ -127,7 +133,10 @@
     /// Extra tries a service may get in ten seconds beside a fifth of the
     /// first ones.
     pub fn with_extra_tries(self, most: Option<u32>) -> EdgePart {
-        EdgePart { extra_tries: most.map_or(EXTRA_TRIES, |most| most as usize), ..self }
+        EdgePart {
+            extra_tries: most.map_or(EXTRA_TRIES, |most| most as usize),
+            ..self
+        }
     }
 
     fn note(&mut self, event: Event, text: String) {
@@ -135,7 +144,10 @@
     }
 
     fn tell(&mut self, to: SocketAddr, message: impl Into<Message>) {
-        self.out.push(Output::Tell { to, message: message.into() });
+        self.out.push(Output::Tell {
+            to,
+            message: message.into(),
+        });
     }
 
     // Sessions and news.
@@ -149,16 +161,41 @@
     }
 
     fn renew_with(&mut self, now: Duration, seeds: Vec<SocketAddr>) {
-        let usage = Usage { copies: self.cache.given, pending: self.jobs.len() as u64, ..self.usage.clone() };
+        let usage = Usage {
+            copies: self.cache.given,
+            pending: self.jobs.len() as u64,
+            ..self.usage.clone()
+        };
         // Keyed errands begun in an earlier realm still have their end to tell.
         let old = |job: &Job| job.claim.is_some() && job.began < self.entered;
         let recalled = self.loose.is_empty() && !self.jobs.values().any(old);
-        let found = self.gates.values().flat_map(|gate| gate.found(now)).collect();
-        let renew =
-            Renew { sent: now, heard: None, realm: self.realm, recalled, vector: self.vector.clone(), zone: self.spot.zone.clone(), ring: self.spot.ring.clone(), strength: self.spot.strength, draining: self.warned.is_some(), usage, found };
+        let found = self
+            .gates
+            .values()
+            .flat_map(|gate| gate.found(now))
+            .collect();
+        let renew = Renew {
+            sent: now,
+            heard: None,
+            realm: self.realm,
+            recalled,
+            vector: self.vector.clone(),
+            zone: self.spot.zone.clone(),
+            ring: self.spot.ring.clone(),
+            strength: self.spot.strength,
+            draining: self.warned.is_some(),
+            usage,
+            found,
+        };
         for seed in seeds {
             let heard = self.marks.get(&seed).copied();
-            self.tell(seed, Renew { heard, ..renew.clone() });
+            self.tell(
+                seed,
+                Renew {
+                    heard,
+                    ..renew.clone()
+                },
+            );
         }
     }
 
@@ -166,11 +203,18 @@
     /// once it is applied.
     fn nudged(&mut self, now: Duration, from: Mate, nudge: &Nudge) {
         self.marks.insert(from.address, nudge.mark);
-        let known = self.vector.get(usize::from(nudge.slice)).is_some_and(|known| *known >= nudge.version);
+        let known = self
+            .vector
+            .get(usize::from(nudge.slice))
+            .is_some_and(|known| *known >= nudge.version);
         if known || self.left {
             return;
         }
-        if self.seeds.contains(&from.address) { self.renew_with(now, vec![from.address]) } else { self.renew(now) }
+        if self.seeds.contains(&from.address) {
+            self.renew_with(now, vec![from.address])
+        } else {
+            self.renew(now)
+        }
     }
 
     fn renewed(&mut self, now: Duration, from: Mate, renewed: Renewed) {
@@ -232,20 +276,41 @@
         for (_, claim, reply) in &self.ended {
             self.next_probe += 1;
             let change = Change::Record(claim.clone(), reply.clone());
-            self.loose.insert(self.next_probe, Loose { change, again: Duration::ZERO, round: 0 });
+            self.loose.insert(
+                self.next_probe,
+                Loose {
+                    change,
+                    again: Duration::ZERO,
+                    round: 0,
+                },
+            );
         }
     }
 
     fn recall(&mut self, from: Mate, slice: u8) {
         if let Some(rows) = self.known.get(usize::from(slice)) {
-            let rows = rows.iter().map(|(key, row)| (key.clone(), row.clone())).collect();
-            self.tell(from.address, Recalled { slice, version: self.vector[usize::from(slice)], rows });
+            let rows = rows
+                .iter()
+                .map(|(key, row)| (key.clone(), row.clone()))
+                .collect();
+            self.tell(
+                from.address,
+                Recalled {
+                    slice,
+                    version: self.vector[usize::from(slice)],
+                    rows,
+                },
+            );
         }
     }
 
     fn learn(&mut self, now: Duration, news: News) {
         let known = self.vector[usize::from(news.slice)];
-        let rows: Vec<(String, Row)> = news.rows.into_iter().filter(|(_, row)| row.version > known).collect();
+        let rows: Vec<(String, Row)> = news
+            .rows
+            .into_iter()
+            .filter(|(_, row)| row.version > known)
+            .collect();
         self.known[usize::from(news.slice)].extend(rows.iter().cloned());
         match news.slice {
             PURGES => {
@@ -256,13 +321,18 @@
                 fresh.iter().for_each(|purge| self.cache.purge(purge));
             }
             CONFIGURATION => {
-                let parts = rows.iter().any(|(_, row)| matches!(row.value, Value::Configuration { .. } | Value::Item(_)));
-                rows.into_iter().for_each(|(key, row)| self.learn_row(key, row));
+                let parts = rows.iter().any(|(_, row)| {
+                    matches!(row.value, Value::Configuration { .. } | Value::Item(_))
+                });
+                rows.into_iter()
+                    .for_each(|(key, row)| self.learn_row(key, row));
                 if parts {
                     self.take_configuration(news.version);
                 }
             }
-            _ => rows.into_iter().for_each(|(key, row)| self.learn_row(key, row)),
+            _ => rows
+                .into_iter()
+                .for_each(|(key, row)| self.learn_row(key, row)),
         }
         self.vector[usize::from(news.slice)] = news.version;
         // What duties are held and how hangs on these three.
@@ -298,18 +368,29 @@
                 self.slots = places.len();
                 self.leases.keep(&self.seeds);
             }
-            Value::Purge { .. } | Value::Operation(_) | Value::Founded { .. } | Value::Roll { .. } | Value::Enrolled { .. } | Value::Opened { .. } => {}
+            Value::Purge { .. }
+            | Value::Operation(_)
+            | Value::Founded { .. }
+            | Value::Roll { .. }
+            | Value::Enrolled { .. }
+            | Value::Opened { .. } => {}
         }
     }
 
     /// The epoch under which a duty is granted to this life.
     fn granted(&self, duty: &str) -> Option<u64> {
-        self.duties.get(duty).filter(|duty| duty.holder == Some(self.me)).map(|duty| duty.epoch)
+        self.duties
+            .get(duty)
+            .filter(|duty| duty.holder == Some(self.me))
+            .map(|duty| duty.epoch)
     }
 
     /// Where a duty is done now.
     fn holder(&self, duty: &str) -> Option<SocketAddr> {
-        self.duties.get(duty).and_then(|duty| duty.holder).map(|mate| mate.address)
+        self.duties
+            .get(duty)
+            .and_then(|duty| duty.holder)
+            .map(|mate| mate.address)
     }
 
     fn sync_duties(&mut self, now: Duration) {
@@ -320,41 +401,75 @@
             }
         }
         if slices != self.slices {
-            self.cache.keep_slices(now, self.book.applied, &|slice| self.slices.contains_key(&slice) && slices.get(&slice) == self.slices.get(&slice));
+            self.cache.keep_slices(now, self.book.applied, &|slice| {
+                self.slices.contains_key(&slice) && slices.get(&slice) == self.slices.get(&slice)
+            });
             let (before, after) = (self.slices.len(), slices.len());
             self.wants.retain(|slice, _| slices.contains_key(slice));
-            for slice in slices.iter().filter(|(slice, epoch)| self.slices.get(slice) != Some(epoch)).map(|(slice, _)| *slice) {
-                let last = self.duties.get(&cache_duty(&self.spot.ring, slice)).and_then(|duty| duty.last);
+            for slice in slices
+                .iter()
+                .filter(|(slice, epoch)| self.slices.get(slice) != Some(epoch))
+                .map(|(slice, _)| *slice)
+            {
+                let last = self
+                    .duties
+                    .get(&cache_duty(&self.spot.ring, slice))
+                    .and_then(|duty| duty.last);
                 if let Some(last) = last.filter(|last| last.address != self.me.address) {
                     self.wants.insert(slice, (last.address, 0));
                 }
             }
             self.slices = slices;
             self.ask_wants(now);
-            self.note(Event::DutyTaken, format!("{after} cache slices, before {before}"));
+            self.note(
+                Event::DutyTaken,
+                format!("{after} cache slices, before {before}"),
+            );
         }
         if let Some(table) = self.table.clone() {
             self.sync_gates(now, &table);
         }
         let gates = self.gates.keys().map(|service| gate_duty(service));
-        let list = self.slices.keys().map(|slice| cache_duty(&self.spot.ring, *slice)).chain(gates).collect();
+        let list = self
+            .slices
+            .keys()
+            .map(|slice| cache_duty(&self.spot.ring, *slice))
+            .chain(gates)
+            .collect();
         self.out.push(Output::Show(Shown::Duties(list)));
     }
 
     fn sync_gates(&mut self, now: Duration, table: &EntryTable) {
-        let wanted: Vec<(&Group, u64)> =
-            table.document.groups.iter().filter_map(|group| Some((group, self.granted(&gate_duty(&group.service))?))).collect();
-        let held: Vec<(String, u64)> = self.gates.values().map(|gate| (gate.service.clone(), gate.epoch)).collect();
+        let wanted: Vec<(&Group, u64)> = table
+            .document
+            .groups
+            .iter()
+            .filter_map(|group| Some((group, self.granted(&gate_duty(&group.service))?)))
+            .collect();
+        let held: Vec<(String, u64)> = self
+            .gates
+            .values()
+            .map(|gate| (gate.service.clone(), gate.epoch))
+            .collect();
         for (service, epoch) in held {
-            if !wanted.iter().any(|(group, granted)| group.service == service && *granted == epoch) {
+            if !wanted
+                .iter()
+                .any(|(group, granted)| group.service == service && *granted == epoch)
+            {
                 self.gates.remove(&service);
                 self.note(Event::DutyDropped, gate_duty(&service));
             }
         }
         for (group, epoch) in wanted {
             if !self.gates.contains_key(&group.service) {
-                self.gates.insert(group.service.clone(), Gate::new(now, &group.service, epoch, self.extra_tries));
-                self.note(Event::DutyTaken, format!("{} epoch {epoch}", gate_duty(&group.service)));
+                self.gates.insert(
+                    group.service.clone(),
+                    Gate::new(now, &group.service, epoch, self.extra_tries),
+                );
+                self.note(
+                    Event::DutyTaken,
+                    format!("{} epoch {epoch}", gate_duty(&group.service)),
+                );
             }
             let gate = self.gates.get_mut(&group.service).expect("just put");
             gate.update(now, group, &self.origins);
@@ -365,11 +480,22 @@
     /// Asks last holders for copies, a few times.
     fn ask_wants(&mut self, now: Duration) {
         self.wants.retain(|_, (_, asked)| *asked < WANTS);
-        let due: Vec<(u16, SocketAddr)> = self.wants.iter().map(|(slice, (last, _))| (*slice, *last)).collect();
+        let due: Vec<(u16, SocketAddr)> = self
+            .wants
+            .iter()
+            .map(|(slice, (last, _))| (*slice, *last))
+            .collect();
         for (slice, last) in due {
             self.wants.get_mut(&slice).expect("just listed").1 += 1;
             let epoch = self.slices.get(&slice).copied().unwrap_or(0);
-            self.tell(last, Want { slice, epoch, sent: now });
+            self.tell(
+                last,
+                Want {
+                    slice,
+                    epoch,
+                    sent: now,
+                },
+            );
         }
     }
 
@@ -377,13 +503,29 @@
         let Want { slice, epoch, sent } = want;
         let copies = self.cache.hand(now, slice);
         if !copies.is_empty() {
-            self.tell(from.address, Handed { slice, epoch, sent, copies });
+            self.tell(
+                from.address,
+                Handed {
+                    slice,
+                    epoch,
+                    sent,
+                    copies,
+                },
+            );
         }
     }
 
     fn handed(&mut self, now: Duration, handed: Handed) {
-        let Handed { slice, epoch, sent, copies } = handed;
-        if self.slices.get(&slice) == Some(&epoch) && self.wants.remove(&slice).is_some() && sent <= now {
+        let Handed {
+            slice,
+            epoch,
+            sent,
+            copies,
+        } = handed;
+        if self.slices.get(&slice) == Some(&epoch)
+            && self.wants.remove(&slice).is_some()
+            && sent <= now
+        {
             self.cache.take_over(now, now - sent, copies, &self.book);
         }
     }
@@ -391,20 +533,40 @@
     /// New gate holders hear of our calls under way by earlier permits.
     fn tell_underway(&mut self, now: Duration, table: &EntryTable) {
         for group in &table.document.groups {
-            let Some(Duty { holder: Some(holder), epoch, .. }) = self.duties.get(&gate_duty(&group.service)) else { continue };
+            let Some(Duty {
+                holder: Some(holder),
+                epoch,
+                ..
+            }) = self.duties.get(&gate_duty(&group.service))
+            else {
+                continue;
+            };
             let calls: Vec<_> = self
                 .jobs
                 .values()
                 .filter_map(|job| match &job.stage {
-                    Stage::Calling { permit, .. } if permit.service == group.service && permit.epoch < *epoch => {
-                        Some((permit.epoch, permit.serial, permit.origin.address, job.left(now)))
+                    Stage::Calling { permit, .. }
+                        if permit.service == group.service && permit.epoch < *epoch =>
+                    {
+                        Some((
+                            permit.epoch,
+                            permit.serial,
+                            permit.origin.address,
+                            job.left(now),
+                        ))
                     }
                     _ => None,
                 })
                 .collect();
             if !calls.is_empty() {
                 let to = holder.address;
-                self.tell(to, Underway { service: group.service.clone(), calls });
+                self.tell(
+                    to,
+                    Underway {
+                        service: group.service.clone(),
+                        calls,
+                    },
+                );
             }
         }
     }
@@ -414,10 +576,16 @@
         let live = now < until && !self.left;
         if live != self.live {
             self.live = live;
-            self.note(if live { Event::Live } else { Event::Fenced }, format!("vector {:?}", self.vector));
+            self.note(
+                if live { Event::Live } else { Event::Fenced },
+                format!("vector {:?}", self.vector),
+            );
         }
         let ready = self.warned.is_none() && self.table.is_some();
-        self.out.push(Output::Show(Shown::Fence { until: if self.left { Duration::ZERO } else { until }, ready }));
+        self.out.push(Output::Show(Shown::Fence {
+            until: if self.left { Duration::ZERO } else { until },
+            ready,
+        }));
     }
 
     fn is_live(&self, now: Duration) -> bool {
@@ -431,7 +599,11 @@
         let mut job = Job::new(now, errand);
         if !self.is_live(now) {
             let keyed = job.errand.entry().kind == Kind::Keyed;
-            let outcome = if keyed { RunState::Unknown } else { RunState::NotRun };
+            let outcome = if keyed {
+                RunState::Unknown
+            } else {
+                RunState::NotRun
+            };
             return self.answer(now, id, &job, Answer::Refusal(Refusal::fenced(outcome)));
         }
         if let Some(refusal) = self.crowded(now, &job) {
@@ -440,7 +612,10 @@
         match job.errand.entry().kind {
             Kind::Cached if !job.errand.personal() && job.errand.method == "GET" => {
                 job.key = Some(Job::cache_key(&job.errand));
-                job.stage = Stage::Getting { since: now, spare: false };
+                job.stage = Stage::Getting {
+                    since: now,
+                    spare: false,
+                };
             }
             Kind::Keyed => {
                 job.claim = Some(Job::claim_of(&job.errand, self.me, id));
@@ -457,25 +632,53 @@
     /// errand, or one that waits for a permit and is told so at once.
     fn crowded(&mut self, now: Duration, job: &Job) -> Option<Refusal> {
         let service = &job.errand.service;
-        let mates = self.jobs.iter().filter(|(_, known)| known.errand.service == *service);
+        let mates = self
+            .jobs
+            .iter()
+            .filter(|(_, known)| known.errand.service == *service);
         if mates.clone().count() < PENDING {
             return None;
         }
-        let waiting = mates.filter(|(_, known)| matches!(known.stage, Stage::Knocking | Stage::Getting { spare: false, .. }));
-        let lowest = waiting.min_by_key(|(id, known)| (known.errand.entry().rank, std::cmp::Reverse(**id))).map(|(id, known)| (*id, known.errand.entry().rank));
+        let waiting = mates.filter(|(_, known)| {
+            matches!(
+                known.stage,
+                Stage::Knocking | Stage::Getting { spare: false, .. }
+            )
+        });
+        let lowest = waiting
+            .min_by_key(|(id, known)| (known.errand.entry().rank, std::cmp::Reverse(**id)))
+            .map(|(id, known)| (*id, known.errand.entry().rank));
         if let Some((id, _)) = lowest.filter(|(_, rank)| *rank < job.errand.entry().rank) {
-            let refusal = self.jobs[&id].refuse(429, "over_capacity", "too many errands of this service are pending here");
+            let refusal = self.jobs[&id].refuse(
+                429,
+                "over_capacity",
+                "too many errands of this service are pending here",
+            );
             self.give_up(now, id, refusal);
             return None;
         }
         // Of an operation that was not looked up nothing can be said.
-        let outcome = if job.errand.entry().kind == Kind::Keyed { RunState::Unknown } else { RunState::NotRun };
-        Some(Refusal::new(429, "over_capacity", outcome, "too many errands of this service are pending here").idle())
+        let outcome = if job.errand.entry().kind == Kind::Keyed {
+            RunState::Unknown
+        } else {
+            RunState::NotRun
+        };
+        Some(
+            Refusal::new(
+                429,
+                "over_capacity",
+                outcome,
+                "too many errands of this service are pending here",
+            )
+            .idle(),
+        )
     }
 
     /// Says the message of a job's stage, for the first time or again.
     fn say(&mut self, now: Duration, id: u64) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         job.again = now + AGAIN;
         job.round += 1;
         let (round, left) = (job.round, job.deadline.saturating_sub(now));
@@ -495,7 +698,16 @@
             Stage::Getting { spare, .. } => {
                 let key = job.key.expect("cached");
                 let entry = job.errand.entry();
-                let get = Get { id, key, entry: entry.name.clone(), host: job.errand.home().into(), url: job.errand.url.clone(), keep: entry.keep(), wait: left, spare: *spare };
+                let get = Get {
+                    id,
+                    key,
+                    entry: entry.name.clone(),
+                    host: job.errand.home().into(),
+                    url: job.errand.url.clone(),
+                    keep: entry.keep(),
+                    wait: left,
+                    spare: *spare,
+                };
                 let spare = *spare;
                 match self.holder(&cache_duty(&self.spot.ring, cache_slice(&key))) {
                     Some(holder) => self.tell(holder, get),
@@ -510,7 +722,19 @@
                 let gate = gate_duty(&service);
                 let (extra, call) = (job.calls > 0, job.call_limit(now, Duration::ZERO));
                 let (zone, region) = (self.spot.zone.clone(), self.spot.region.clone());
-                let knock = Knock { service, id, rank: entry.rank, wait: left, sent: now, extra, call, aim: job.aim.saturating_sub(now), zone, region, avoid: job.failed.clone() };
+                let knock = Knock {
+                    service,
+                    id,
+                    rank: entry.rank,
+                    wait: left,
+                    sent: now,
+                    extra,
+                    call,
+                    aim: job.aim.saturating_sub(now),
+                    zone,
+                    region,
+                    avoid: job.failed.clone(),
+                };
                 match self.holder(&gate) {
                     Some(holder) => self.tell(holder, knock),
                     None => self.go_alone(now, id),
@@ -524,23 +748,44 @@
     /// through the others in turn.
     fn ask(&mut self, id: u64, round: usize, change: Change) {
         let slice = match &change {
-            Change::Claim(claim) | Change::Release(claim) | Change::Record(claim, _) => ledger_slice(&claim.operation),
+            Change::Claim(claim) | Change::Release(claim) | Change::Record(claim, _) => {
+                ledger_slice(&claim.operation)
+            }
             _ => return,
         };
-        let first = self.leases.best().and_then(|best| self.seeds.iter().position(|seed| *seed == best)).unwrap_or(0);
+        let first = self
+            .leases
+            .best()
+            .and_then(|best| self.seeds.iter().position(|seed| *seed == best))
+            .unwrap_or(0);
         let seed = self.seeds[(first + round.saturating_sub(1)) % self.seeds.len()];
-        self.tell(seed, Ask { asker: self.me.address, id, slice, ask: change });
+        self.tell(
+            seed,
+            Ask {
+                asker: self.me.address,
+                id,
+                slice,
+                ask: change,
+            },
+        );
     }
 
     fn remember(&mut self, now: Duration, claim: &Claim, reply: &Option<Arc<Reply>>) {
-        while self.ended.front().is_some_and(|(at, _, _)| now >= *at + lease::OPERATION) || self.ended.len() >= ENDED {
+        while self
+            .ended
+            .front()
+            .is_some_and(|(at, _, _)| now >= *at + lease::OPERATION)
+            || self.ended.len() >= ENDED
+        {
             self.ended.pop_front();
         }
         self.ended.push_back((now, claim.clone(), reply.clone()));
     }
 
     fn set_stage(&mut self, now: Duration, id: u64, stage: Stage) {
-        if let (Stage::Recording { reply, .. }, Some(claim)) = (&stage, self.jobs.get(&id).and_then(|job| job.claim.clone())) {
+        if let (Stage::Recording { reply, .. }, Some(claim)) =
+            (&stage, self.jobs.get(&id).and_then(|job| job.claim.clone()))
+        {
             self.remember(now, &claim, reply);
         }
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -578,18 +823,37 @@
     /// The errand is given up. What was claimed is released or recorded
     /// first; a refresher looks for a spare copy first.
     fn give_up(&mut self, now: Duration, id: u64, refusal: Refusal) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         if let Some((owner, token)) = job.token.take() {
             let key = job.key.expect("cached");
             job.refusal = Some(refusal);
-            self.tell(owner, Fail { key, token, private: false });
-            return self.set_stage(now, id, Stage::Getting { since: now, spare: true });
+            self.tell(
+                owner,
+                Fail {
+                    key,
+                    token,
+                    private: false,
+                },
+            );
+            return self.set_stage(
+                now,
+                id,
+                Stage::Getting {
+                    since: now,
+                    spare: true,
+                },
+            );
         }
         if job.claim.is_none() {
             return self.end(now, id, Answer::Refusal(refusal));
         }
         let stage = if job.sent {
-            Stage::Recording { reply: None, answer: Answer::Refusal(refusal) }
+            Stage::Recording {
+                reply: None,
+                answer: Answer::Refusal(refusal),
+            }
         } else {
             Stage::Releasing { refusal }
         };
@@ -601,18 +865,48 @@
         if matches!(told, Outcome::Released | Outcome::Recorded | Outcome::Lost) {
             self.loose.remove(&id);
         }
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         match (&job.stage, told) {
             (Stage::Claiming, Outcome::Claimed) => self.set_stage(now, id, Stage::Knocking),
             (Stage::Claiming, Outcome::Taken { same: false, .. }) => {
-                let refusal = Refusal::not_run(422, "operation_key_reused", "this operation key came with another request or caller");
+                let refusal = Refusal::not_run(
+                    422,
+                    "operation_key_reused",
+                    "this operation key came with another request or caller",
+                );
                 self.end(now, id, Answer::Refusal(refusal));
             }
-            (Stage::Claiming, Outcome::Taken { state: OperationState::Done(reply), .. }) => {
-                self.end(now, id, Answer::Reply { reply: (*reply).clone(), age: None });
+            (
+                Stage::Claiming,
+                Outcome::Taken {
+                    state: OperationState::Done(reply),
+                    ..
+                },
+            ) => {
+                self.end(
+                    now,
+                    id,
+                    Answer::Reply {
+                        reply: (*reply).clone(),
+                        age: None,
+                    },
+                );
             }
-            (Stage::Claiming, Outcome::Taken { state: OperationState::Unknown, .. }) => {
-                let mut refusal = Refusal::unknown(409, "outcome_unknown", "this operation was sent and its outcome is not known; it is not run again").idle();
+            (
+                Stage::Claiming,
+                Outcome::Taken {
+                    state: OperationState::Unknown,
+                    ..
+                },
+            ) => {
+                let mut refusal = Refusal::unknown(
+                    409,
+                    "outcome_unknown",
+                    "this operation was sent and its outcome is not known; it is not run again",
+                )
+                .idle();
                 refusal.retry_after_s = None;
                 self.end(now, id, Answer::Refusal(refusal));
             }
@@ -627,7 +921,8 @@
                 self.end(now, id, answer);
             }
             (Stage::Recording { .. } | Stage::Releasing { .. }, Outcome::Lost) => {
-                let refusal = Refusal::unknown(502, "outcome_unknown", "the outcome could not be recorded");
+                let refusal =
+                    Refusal::unknown(502, "outcome_unknown", "the outcome could not be recorded");
                 self.end(now, id, Answer::Refusal(refusal));
             }
             (Stage::Releasing { refusal }, Outcome::Released) => {
@@ -641,36 +936,62 @@
     /// The job this cache message is for, if it still waits for it.
     fn getting(&self, id: u64, key: CacheKey) -> Option<(Duration, bool)> {
         match self.jobs.get(&id) {
-            Some(Job { stage: Stage::Getting { since, spare }, key: Some(mine), .. }) if *mine == key => Some((*since, *spare)),
+            Some(Job {
+                stage: Stage::Getting { since, spare },
+                key: Some(mine),
+                ..
+            }) if *mine == key => Some((*since, *spare)),
             _ => None,
         }
     }
 
     fn copy(&mut self, now: Duration, copy: Copy) {
         let Copy { id, key, copy } = copy;
-        let Some((since, spare)) = self.getting(id, key) else { return };
+        let Some((since, spare)) = self.getting(id, key) else {
+            return;
+        };
         let job = &self.jobs[&id];
         let way = (now - since).saturating_sub(copy.held);
         if way >= copy.left || !self.book.clear(copy.purged, job.copy_name(&copy.reply)) {
             return self.set_stage(now, id, Stage::Getting { since: now, spare });
         }
-        self.end(now, id, Answer::Reply { reply: copy.reply, age: Some(copy.age + way) });
+        self.end(
+            now,
+            id,
+            Answer::Reply {
+                reply: copy.reply,
+                age: Some(copy.age + way),
+            },
+        );
     }
 
     fn miss(&mut self, now: Duration, from: Mate, miss: Miss) {
         let Miss { id, key, token } = miss;
-        if self.jobs.get(&id).is_some_and(|job| job.token == Some((from.address, token))) {
+        if self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.token == Some((from.address, token)))
+        {
             return; // Said twice.
         }
         if self.getting(id, key).is_none() {
-            return self.tell(from.address, Fail { key, token, private: false });
+            return self.tell(
+                from.address,
+                Fail {
+                    key,
+                    token,
+                    private: false,
+                },
+            );
         }
         self.jobs.get_mut(&id).expect("just seen").token = Some((from.address, token));
         self.set_stage(now, id, Stage::Knocking);
     }
 
     fn no_copy(&mut self, now: Duration, no_copy: NoCopy) {
-        let Some((_, spare)) = self.getting(no_copy.id, no_copy.key) else { return };
+        let Some((_, spare)) = self.getting(no_copy.id, no_copy.key) else {
+            return;
+        };
         if spare {
             self.end_spare(now, no_copy.id);
         } else {
@@ -680,21 +1001,36 @@
 
     fn end_spare(&mut self, now: Duration, id: u64) {
         let refusal = self.jobs.get_mut(&id).and_then(|job| job.refusal.take());
-        let refusal = refusal.unwrap_or_else(|| Refusal::not_run(503, "no_copy", "no copy came in time"));
+        let refusal =
+            refusal.unwrap_or_else(|| Refusal::not_run(503, "no_copy", "no copy came in time"));
         self.end(now, id, Answer::Refusal(refusal));
     }
 
     fn permit(&mut self, now: Duration, from: Mate, permit: Permit) {
         let fresh = now.saturating_sub(permit.sent).saturating_sub(permit.held) < lease::PERMIT;
         let live = self.is_live(now);
-        let listed = self.origins.iter().any(|origin| *origin == permit.origin && !origin.leaving);
+        let listed = self
+            .origins
+            .iter()
+            .any(|origin| *origin == permit.origin && !origin.leaving);
         let job = self.jobs.get_mut(&permit.id);
         let wants = job.as_ref().is_some_and(|job| {
-            matches!(job.stage, Stage::Knocking) && job.errand.service == permit.service && now < job.deadline
+            matches!(job.stage, Stage::Knocking)
+                && job.errand.service == permit.service
+                && now < job.deadline
         });
         if !(fresh && live && listed && wants) {
             let (service, epoch, serial) = (permit.service, permit.epoch, permit.serial);
-            self.tell(from.address, CallDone { service, epoch, serial, result: CallResult::Unused, took: Duration::ZERO });
+            self.tell(
+                from.address,
+                CallDone {
+                    service,
+                    epoch,
+                    serial,
+                    result: CallResult::Unused,
+                    took: Duration::ZERO,
+                },
+            );
             if let Some(job) = self.jobs.get_mut(&permit.id).filter(|_| wants) {
                 // With the next pulse, not at once: a gate that has not heard
                 // of a leaving origin yet would give it again and again.
@@ -707,7 +1043,9 @@
 
     /// The errand's call leaves.
     fn go(&mut self, now: Duration, permit: Permit) {
-        let Some(job) = self.jobs.get_mut(&permit.id) else { return };
+        let Some(job) = self.jobs.get_mut(&permit.id) else {
+            return;
+        };
         let call = job.call(now, permit.id, permit.origin.clone(), permit.takes);
         job.calls += 1;
         job.sent = true;
@@ -726,7 +1064,11 @@
 
     /// Calls without a permit, within our own share, where the gate is silent.
     fn go_alone(&mut self, now: Duration, id: u64) {
-        let Some(job) = self.jobs.get(&id).filter(|job| job.calls == 0 && now < job.deadline && matches!(job.stage, Stage::Knocking)) else { return };
+        let Some(job) = self.jobs.get(&id).filter(|job| {
+            job.calls == 0 && now < job.deadline && matches!(job.stage, Stage::Knocking)
+        }) else {
+            return;
+        };
         if !self.is_live(now) {
             return;
         }
@@ -736,17 +1078,40 @@
             self.jobs.values().filter(there).count()
         };
         let edges = match self.known[usize::from(DUTIES)].get("roll") {
-            Some(Row { value: Value::Roll { members, .. }, .. }) => members.len(),
+            Some(Row {
+                value: Value::Roll { members, .. },
+                ..
+            }) => members.len(),
             _ => return,
         };
         let share = self.shares.entry(service.clone()).or_default();
-        let Some(origin) = share.pick(now, job.errand.group(), &self.origins, &self.spot, edges, &under) else { return };
-        let permit = Permit { id, service, epoch: 0, serial: 0, origin, sent: now, held: Duration::ZERO, takes: Duration::ZERO };
+        let Some(origin) = share.pick(
+            now,
+            job.errand.group(),
+            &self.origins,
+            &self.spot,
+            edges,
+            &under,
+        ) else {
+            return;
+        };
+        let permit = Permit {
+            id,
+            service,
+            epoch: 0,
+            serial: 0,
+            origin,
+            sent: now,
+            held: Duration::ZERO,
+            takes: Duration::ZERO,
+        };
         self.go(now, permit);
     }
 
     fn away(&mut self, now: Duration, away: Away) {
-        let Some(job) = self.jobs.get(&away.id) else { return };
+        let Some(job) = self.jobs.get(&away.id) else {
+            return;
+        };
         if !matches!(job.stage, Stage::Knocking) {
             return;
         }
@@ -755,9 +1120,21 @@
             return self.go_alone(now, away.id);
         }
         let refusal = match away.reason {
-            AwayReason::Busy => job.refuse(429, "over_capacity", "more is asked of the service than it may be called"),
-            AwayReason::Budget => job.refuse(503, "no_more_tries", "the call failed and the budget for further tries is spent"),
-            _ => job.refuse(503, "no_origin", "no origin of the service can be called now"),
+            AwayReason::Busy => job.refuse(
+                429,
+                "over_capacity",
+                "more is asked of the service than it may be called",
+            ),
+            AwayReason::Budget => job.refuse(
+                503,
+                "no_more_tries",
+                "the call failed and the budget for further tries is spent",
+            ),
+            _ => job.refuse(
+                503,
+                "no_origin",
+                "no origin of the service can be called now",
+            ),
         };
         self.give_up(now, away.id, refusal.back(away.back));
     }
@@ -766,10 +1143,19 @@
         if id >= PROBE_IDS {
             return self.probed(now, id, result);
         }
-        let Some(Job { stage: Stage::Calling { permit, since }, .. }) = self.jobs.get(&id) else { return };
+        let Some(Job {
+            stage: Stage::Calling { permit, since },
+            ..
+        }) = self.jobs.get(&id)
+        else {
+            return;
+        };
         let (permit, took) = (permit.clone(), now - *since);
         if permit.epoch == 0 && !matches!(result, CallBack::Good(_)) {
-            self.shares.entry(permit.service.clone()).or_default().failed(now, permit.origin.address);
+            self.shares
+                .entry(permit.service.clone())
+                .or_default()
+                .failed(now, permit.origin.address);
         }
         if let Some(holder) = self.holder(&gate_duty(&permit.service)) {
             let result = match &result {
@@ -779,7 +1165,16 @@
                 CallBack::Stranger => CallResult::Stranger,
                 CallBack::Bad(_) => CallResult::Bad,
             };
-            self.tell(holder, CallDone { service: permit.service, epoch: permit.epoch, serial: permit.serial, result, took });
+            self.tell(
+                holder,
+                CallDone {
+                    service: permit.service,
+                    epoch: permit.epoch,
+                    serial: permit.serial,
+                    result,
+                    took,
+                },
+            );
         }
         match result {
             CallBack::Good(reply) if reply.status >= 500 && self.may_repeat(now, id) => {
@@ -795,15 +1190,32 @@
                 // It did not run this time; an earlier call may have.
                 job.sent = job.ran;
                 job.failed.push(permit.origin.address);
-                self.try_again(now, id, true, 503, "no_origin", "the origin did not take it");
+                self.try_again(
+                    now,
+                    id,
+                    true,
+                    503,
+                    "no_origin",
+                    "the origin did not take it",
+                );
             }
             CallBack::Bad(why) => {
-                self.note(Event::AnswerRefused, format!("{}: {why}", permit.origin.address));
+                self.note(
+                    Event::AnswerRefused,
+                    format!("{}: {why}", permit.origin.address),
+                );
                 let job = self.jobs.get_mut(&id).expect("just seen");
                 job.ran = true;
                 job.failed.push(permit.origin.address);
                 let again = job.repeatable();
-                self.try_again(now, id, again, 502, "bad_origin_answer", "no acceptable answer came from the origin");
+                self.try_again(
+                    now,
+                    id,
+                    again,
+                    502,
+                    "bad_origin_answer",
+                    "no acceptable answer came from the origin",
+                );
             }
         }
     }
@@ -814,7 +1226,15 @@
         job.repeatable() && job.has_try(now)
     }
 
-    fn try_again(&mut self, now: Duration, id: u64, may: bool, status: u16, code: &str, text: &str) {
+    fn try_again(
+        &mut self,
+        now: Duration,
+        id: u64,
+        may: bool,
+        status: u16,
+        code: &str,
+        text: &str,
+    ) {
         let job = &self.jobs[&id];
         let refusal = job.refuse(status, code, text);
         if may && job.has_try(now) {
@@ -827,8 +1247,18 @@
     fn good(&mut self, now: Duration, id: u64, reply: Reply) {
         let job = self.jobs.get_mut(&id).expect("just seen");
         if job.claim.is_some() {
-            let answer = Answer::Reply { reply: reply.clone(), age: None };
-            return self.set_stage(now, id, Stage::Recording { reply: Some(Arc::new(reply)), answer });
+            let answer = Answer::Reply {
+                reply: reply.clone(),
+                age: None,
+            };
+            return self.set_stage(
+                now,
+                id,
+                Stage::Recording {
+                    reply: Some(Arc::new(reply)),
+                    answer,
+                },
+            );
         }
         let mut age = None;
         if let Some((owner, token)) = job.token.take() {
@@ -840,26 +1270,53 @@
             let reached = self.book.reached(token.purged, job.copy_name(&reply));
             let purged = reached.is_some_and(|learned| now >= learned + PURGE_GRACE);
             if shared && keepable(reply.status) {
-                self.tell(owner, Put { key, token, reply: reply.clone() });
+                self.tell(
+                    owner,
+                    Put {
+                        key,
+                        token,
+                        reply: reply.clone(),
+                    },
+                );
             } else {
-                self.tell(owner, Fail { key, token, private: !shared });
+                self.tell(
+                    owner,
+                    Fail {
+                        key,
+                        token,
+                        private: !shared,
+                    },
+                );
             }
             if purged {
-                return self.set_stage(now, id, Stage::Getting { since: now, spare: false });
+                return self.set_stage(
+                    now,
+                    id,
+                    Stage::Getting {
+                        since: now,
+                        spare: false,
+                    },
+                );
             }
         }
         self.end(now, id, Answer::Reply { reply, age });
     }
 
     fn overdue(&mut self, now: Duration, id: u64) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         let late = now >= job.deadline + LATE;
         match &job.stage {
             Stage::Claiming => {
                 let running = job.round > 1;
                 let change = Change::Release(job.claim.clone().expect("keyed"));
                 let refusal = if running {
-                    Refusal::unknown(409, "in_progress", "this operation is being run, or its ledger cannot be reached; ask again")
+                    Refusal::unknown(
+                        409,
+                        "in_progress",
+                        "this operation is being run, or its ledger cannot be reached; ask again",
+                    )
                 } else {
                     Refusal::unknown(503, "no_ledger", "the ledger could not be reached").idle()
                 };
@@ -872,7 +1329,11 @@
                 self.end(now, id, Answer::Refusal(refusal));
             }
             Stage::Knocking => {
-                let refusal = job.refuse(429, "over_capacity", "the service could not be called in time");
+                let refusal = job.refuse(
+                    429,
+                    "over_capacity",
+                    "the service could not be called in time",
+                );
                 let spare = job.token.is_some();
                 self.give_up(now, id, refusal);
                 if spare {
@@ -880,11 +1341,17 @@
                     self.end_spare(now, id);
                 }
             }
-            Stage::Calling { .. } if late => self.called(now, id, CallBack::Bad("no answer in time".into())),
+            Stage::Calling { .. } if late => {
+                self.called(now, id, CallBack::Bad("no answer in time".into()))
+            }
             Stage::Recording { reply, .. } if late => {
                 let change = Change::Record(job.claim.clone().expect("keyed"), reply.clone());
                 self.tell_later(now, id, change);
-                let refusal = Refusal::unknown(503, "outcome_unrecorded", "the outcome could not be recorded in time");
+                let refusal = Refusal::unknown(
+                    503,
+                    "outcome_unrecorded",
+                    "the outcome could not be recorded in time",
+                );
                 self.end(now, id, Answer::Refusal(refusal));
             }
             Stage::Releasing { .. } if late => {
@@ -899,7 +1366,14 @@
 
     /// The ledger is told until it confirms, though nobody waits any more.
     fn tell_later(&mut self, now: Duration, id: u64, change: Change) {
-        self.loose.insert(id, Loose { change, again: now, round: 0 });
+        self.loose.insert(
+            id,
+            Loose {
+                change,
+                again: now,
+                round: 0,
+            },
+        );
     }
 
     // Duties held here.
@@ -914,7 +1388,13 @@
                 match self.slices.get(&cache_slice(&get.key)) {
                     Some(epoch) => self.cache.get(now, from.address, get, *epoch, purged),
                     // Between two owners: whoever asks fetches for itself.
-                    None => self.tell(from.address, NoCopy { id: get.id, key: get.key }),
+                    None => self.tell(
+                        from.address,
+                        NoCopy {
+                            id: get.id,
+                            key: get.key,
+                        },
+                    ),
                 }
             }
             Message::Put(put) => {
@@ -925,14 +1405,25 @@
                     }
                 }
             }
-            Message::Fail(Fail { key, token, private }) => {
+            Message::Fail(Fail {
+                key,
+                token,
+                private,
+            }) => {
                 if let Some(epoch) = self.slices.get(&cache_slice(&key)) {
                     self.cache.give_up(now, key, token, *epoch, purged, private);
                 }
             }
             Message::Knock(knock) => match self.gates.get_mut(&knock.service) {
                 Some(gate) => gate.knock(now, from.address, knock),
-                None => self.tell(from.address, Away { id: knock.id, reason: AwayReason::NotHere, back: AGAIN }),
+                None => self.tell(
+                    from.address,
+                    Away {
+                        id: knock.id,
+                        reason: AwayReason::NotHere,
+                        back: AGAIN,
+                    },
+                ),
             },
             Message::CallDone(done) => {
                 if let Some(gate) = self.gates.get_mut(&done.service) {
@@ -949,18 +1440,23 @@
     }
 
     fn run_gates(&mut self, now: Duration) {
-        let Some(table) = self.table.clone() else { return };
+        let Some(table) = self.table.clone() else {
+            return;
+        };
         let mut calls = Vec::new();
         let mut watches = Vec::new();
         for gate in self.gates.values_mut() {
             gate.pump(now);
-            let Some(group) = table.document.group(&gate.service) else { continue };
+            let Some(group) = table.document.group(&gate.service) else {
+                continue;
+            };
             watches.extend(gate.watches(now));
             for origin in gate.probes(now) {
                 calls.push((origin, group.key.clone()));
             }
         }
-        self.out.extend(watches.into_iter().map(|address| Output::Watch { address }));
+        self.out
+            .extend(watches.into_iter().map(|address| Output::Watch { address }));
         for (origin, key) in calls {
             self.next_probe += 1;
             let id = self.next_probe;
@@ -985,17 +1481,32 @@
     }
 
     fn probed(&mut self, now: Duration, id: u64, result: CallBack) {
-        let Some(origin) = self.probes.remove(&id) else { return };
+        let Some(origin) = self.probes.remove(&id) else {
+            return;
+        };
         let (good, why) = match result {
             CallBack::Good(reply) => (reply.status == 200, format!("status {}", reply.status)),
             CallBack::Refused => (false, "refused".into()),
             CallBack::NotRun | CallBack::Stranger => (false, "another, or not willing".into()),
             CallBack::Bad(why) => (false, why),
         };
-        let changed = self.gates.get_mut(&origin.service).is_some_and(|gate| gate.probed(now, &origin, good));
+        let changed = self
+            .gates
+            .get_mut(&origin.service)
+            .is_some_and(|gate| gate.probed(now, &origin, good));
         if changed {
-            let text = format!("{} {} {}: {why}", origin.address, origin.service, origin.instance);
-            self.note(if good { Event::OriginProven } else { Event::OriginAside }, text);
+            let text = format!(
+                "{} {} {}: {why}",
+                origin.address, origin.service, origin.instance
+            );
+            self.note(
+                if good {
+                    Event::OriginProven
+                } else {
+                    Event::OriginAside
+                },
+                text,
+            );
         }
     }
 
@@ -1007,7 +1518,11 @@
         self.ask_wants(now);
         if self.is_live(now) {
             let epochs = &self.slices;
-            self.cache.pulse(now, &|slice| epochs.get(&slice).copied().unwrap_or(0), self.book.applied);
+            self.cache.pulse(
+                now,
+                &|slice| epochs.get(&slice).copied().unwrap_or(0),
+                self.book.applied,
+            );
             self.run_gates(now);
         }
         let mut overdue = Vec::new();
@@ -1019,9 +1534,16 @@
                 again.push(*id);
             }
         }
-        again.into_iter().for_each(|id| self.fall_back_or_say(now, id));
+        again
+            .into_iter()
+            .for_each(|id| self.fall_back_or_say(now, id));
         overdue.into_iter().for_each(|id| self.overdue(now, id));
-        let due: Vec<u64> = self.loose.iter().filter(|(_, loose)| now >= loose.again).map(|(id, _)| *id).collect();
+        let due: Vec<u64> = self
+            .loose
+            .iter()
+            .filter(|(_, loose)| now >= loose.again)
+            .map(|(id, _)| *id)
+            .collect();
         for id in due {
             let loose = self.loose.get_mut(&id).expect("just listed");
             loose.again = now + AGAIN;
@@ -1035,15 +1557,21 @@
     /// An owner that says nothing for half the time is done without, as in
     /// the paper: who cannot get the copy goes to the origin.
     fn fall_back_or_say(&mut self, now: Duration, id: u64) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         let half = job.began + (job.deadline - job.began) / 2;
         match job.stage {
             Stage::Knocking if now >= job.heard + SILENT => {
                 self.go_alone(now, id);
                 self.say(now, id);
             }
-            Stage::Getting { spare: false, .. } if now >= half => self.set_stage(now, id, Stage::Knocking),
-            Stage::Recording { .. } | Stage::Releasing { .. } | Stage::Claiming => self.say(now, id),
+            Stage::Getting { spare: false, .. } if now >= half => {
+                self.set_stage(now, id, Stage::Knocking)
+            }
+            Stage::Recording { .. } | Stage::Releasing { .. } | Stage::Claiming => {
+                self.say(now, id)
+            }
             _ if self.is_live(now) => self.say(now, id),
             _ => {}
         }
@@ -1054,7 +1582,11 @@
     fn check_ended(&mut self, now: Duration) {
         let Some(since) = self.warned else { return };
         let idle = self.slices.is_empty() && self.gates.is_empty() && !self.cache.has_aside();
-        if !self.left && self.jobs.is_empty() && self.loose.is_empty() && (idle || now >= since + HAND_OVER) {
+        if !self.left
+            && self.jobs.is_empty()
+            && self.loose.is_empty()
+            && (idle || now >= since + HAND_OVER)
+        {
             self.left = true;
             self.leases.drop_all();
             for seed in self.seeds.clone() {
@@ -1107,7 +1639,9 @@
             Input::Errand { id, errand } => self.begin(now, id, errand),
             Input::Called { id, result } => self.called(now, id, result),
             Input::Watched { address, open } => {
-                self.gates.values_mut().for_each(|gate| gate.watched(now, address, open));
+                self.gates
+                    .values_mut()
+                    .for_each(|gate| gate.watched(now, address, open));
                 // At once: a proof is on the path of the first errands.
                 self.run_gates(now);
             }
@@ -1141,7 +1675,9 @@
 
     fn table() -> Arc<EntryTable> {
         let key = BASE64.encode([1; 32]);
-        let group = |name: &str| format!(r#"{{"service":"{name}","rate":9,"concurrency":9,"key":"{key}"}}"#);
+        let group = |name: &str| {
+            format!(r#"{{"service":"{name}","rate":9,"concurrency":9,"key":"{key}"}}"#)
+        };
         let text = format!(
             r#"{{"groups":[{},{}],"entries":[
             {{"name":"low","path":"/low","group":"slow","rank":1,"kind":"plain"}},
@@ -1157,11 +1693,30 @@
     /// An edge with two renewals at `now`, whose mates are played by the test.
     fn live(now: u64) -> EdgePart {
         let me = Mate::new(address(9), 5);
-        let mut edge = EdgePart::new(me, Spot::default(), vec![address(1), address(2), address(3)], false, 1 << 20);
+        let mut edge = EdgePart::new(
+            me,
+            Spot::default(),
+            vec![address(1), address(2), address(3)],
+            false,
+            1 << 20,
+        );
         edge.step(at(now), Input::Pulse);
         for seed in [1, 2] {
-            let renewed = Renewed { life: 5, mark: Mark::default(), sent: at(now), realm: 0, recall: false, news: vec![] };
-            edge.step(at(now), Input::Heard { from: Mate::new(address(seed), 1), message: renewed.into() });
+            let renewed = Renewed {
+                life: 5,
+                mark: Mark::default(),
+                sent: at(now),
+                realm: 0,
+                recall: false,
+                news: vec![],
+            };
+            edge.step(
+                at(now),
+                Input::Heard {
+                    from: Mate::new(address(seed), 1),
+                    message: renewed.into(),
+                },
+            );
         }
         edge
     }
@@ -1170,12 +1725,28 @@
         let image = table();
         let entry = image.find("h", url, method).unwrap();
         let headers = vec![("operation-key".to_string(), "key".to_string())];
-        Errand { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), caller: String::new(), operation: Some("key".into()), patience: None, name: None, service: image.document.entries[entry].group.clone(), image, entry }
+        Errand {
+            method: method.into(),
+            host: "h".into(),
+            url: url.into(),
+            headers,
+            body: Arc::default(),
+            caller: String::new(),
+            operation: Some("key".into()),
+            patience: None,
+            name: None,
+            service: image.document.entries[entry].group.clone(),
+            image,
+            entry,
+        }
     }
 
     fn answers(out: Vec<Output>) -> Vec<(u64, u16, String, RunState)> {
         let one = |output| match output {
-            Output::Answer { id, answer: Answer::Refusal(refusal) } => Some((id, refusal.status, refusal.code, refusal.outcome)),
+            Output::Answer {
+                id,
+                answer: Answer::Refusal(refusal),
+            } => Some((id, refusal.status, refusal.code, refusal.outcome)),
             _ => None,
         };
         out.into_iter().filter_map(one).collect()
@@ -1185,33 +1756,103 @@
     fn a_slow_service_is_bounded_lowest_rank_first_and_takes_nothing_from_others() {
         let mut edge = live(1000);
         for id in 0..256 {
-            assert!(answers(edge.step(at(1100), Input::Errand { id, errand: errand("/low", "GET") })).is_empty());
-        }
-        let told = answers(edge.step(at(1100), Input::Errand { id: 300, errand: errand("/low", "GET") }));
-        assert_eq!(told, [(300, 429, "over_capacity".to_string(), RunState::NotRun)]);
-        let told = answers(edge.step(at(1100), Input::Errand { id: 301, errand: errand("/high", "GET") }));
-        assert_eq!(told, [(255, 429, "over_capacity".to_string(), RunState::NotRun)], "the last of the lowest makes room");
-        assert!(answers(edge.step(at(1100), Input::Errand { id: 302, errand: errand("/quick", "GET") })).is_empty());
+            assert!(
+                answers(edge.step(
+                    at(1100),
+                    Input::Errand {
+                        id,
+                        errand: errand("/low", "GET")
+                    }
+                ))
+                .is_empty()
+            );
+        }
+        let told = answers(edge.step(
+            at(1100),
+            Input::Errand {
+                id: 300,
+                errand: errand("/low", "GET"),
+            },
+        ));
+        assert_eq!(
+            told,
+            [(300, 429, "over_capacity".to_string(), RunState::NotRun)]
+        );
+        let told = answers(edge.step(
+            at(1100),
+            Input::Errand {
+                id: 301,
+                errand: errand("/high", "GET"),
+            },
+        ));
+        assert_eq!(
+            told,
+            [(255, 429, "over_capacity".to_string(), RunState::NotRun)],
+            "the last of the lowest makes room"
+        );
+        assert!(
+            answers(edge.step(
+                at(1100),
+                Input::Errand {
+                    id: 302,
+                    errand: errand("/quick", "GET")
+                }
+            ))
+            .is_empty()
+        );
     }
 
     #[test]
     fn without_two_renewals_nothing_is_begun_and_of_a_keyed_errand_nothing_is_said() {
         let mut edge = live(1000);
-        let told = |edge: &mut EdgePart, now, id, url: &str, method: &str| answers(edge.step(at(now), Input::Errand { id, errand: errand(url, method) }));
+        let told = |edge: &mut EdgePart, now, id, url: &str, method: &str| {
+            answers(edge.step(
+                at(now),
+                Input::Errand {
+                    id,
+                    errand: errand(url, method),
+                },
+            ))
+        };
         assert!(told(&mut edge, 1599, 1, "/quick", "GET").is_empty());
-        assert_eq!(told(&mut edge, 1600, 2, "/quick", "GET"), [(2, 503, "fenced".to_string(), RunState::NotRun)]);
-        assert_eq!(told(&mut edge, 1600, 3, "/k", "POST"), [(3, 503, "fenced".to_string(), RunState::Unknown)]);
+        assert_eq!(
+            told(&mut edge, 1600, 2, "/quick", "GET"),
+            [(2, 503, "fenced".to_string(), RunState::NotRun)]
+        );
+        assert_eq!(
+            told(&mut edge, 1600, 3, "/k", "POST"),
+            [(3, 503, "fenced".to_string(), RunState::Unknown)]
+        );
     }
 
     #[test]
     fn a_renewal_of_an_earlier_life_or_a_stranger_counts_for_nothing() {
         for (life, seed) in [(4, 3), (5, 7)] {
             let mut edge = live(1000);
-            let renewed = Renewed { life, mark: Mark::default(), sent: at(5000), realm: 0, recall: false, news: vec![] };
+            let renewed = Renewed {
+                life,
+                mark: Mark::default(),
+                sent: at(5000),
+                realm: 0,
+                recall: false,
+                news: vec![],
+            };
             for _ in 0..2 {
-                edge.step(at(1500), Input::Heard { from: Mate::new(address(seed), 1), message: renewed.clone().into() });
+                edge.step(
+                    at(1500),
+                    Input::Heard {
+                        from: Mate::new(address(seed), 1),
+                        message: renewed.clone().into(),
+                    },
+                );
             }
-            let told = answers(edge.step(at(2500), Input::Errand { id: 1, errand: errand("/quick", "GET") }));
+            let told = answers(edge.step(
+                at(2500),
+                Input::Errand {
+                    id: 1,
+                    errand: errand("/quick", "GET"),
+                },
+            ));
             assert_eq!(told.len(), 1, "life {life}, seed {seed}");
         }
     }
@@ -1221,79 +1862,306 @@
     fn what_is_known_already_is_not_renewed_for_and_a_nudge_asks_the_nudger_alone() {
         let mut edge = live(1000);
         let said = |edge: &mut EdgePart, seed, message: Message| -> Vec<SocketAddr> {
-            let out = edge.step(at(1010), Input::Heard { from: Mate::new(address(seed), 1), message });
-            out.iter().filter_map(|one| matches!(one, Output::Tell { message: Message::Renew(_), .. }).then_some(one)).map(|one| if let Output::Tell { to, .. } = one { *to } else { unreachable!() }).collect()
+            let out = edge.step(
+                at(1010),
+                Input::Heard {
+                    from: Mate::new(address(seed), 1),
+                    message,
+                },
+            );
+            out.iter()
+                .filter_map(|one| {
+                    matches!(
+                        one,
+                        Output::Tell {
+                            message: Message::Renew(_),
+                            ..
+                        }
+                    )
+                    .then_some(one)
+                })
+                .map(|one| {
+                    if let Output::Tell { to, .. } = one {
+                        *to
+                    } else {
+                        unreachable!()
+                    }
+                })
+                .collect()
+        };
+        let news = || Renewed {
+            life: 5,
+            mark: Mark::default(),
+            sent: at(1010),
+            realm: 0,
+            recall: false,
+            news: vec![News {
+                slice: PURGES,
+                version: 4,
+                rows: vec![],
+            }],
         };
-        let news = || Renewed { life: 5, mark: Mark::default(), sent: at(1010), realm: 0, recall: false, news: vec![News { slice: PURGES, version: 4, rows: vec![] }] };
-        assert_eq!(said(&mut edge, 2, Nudge { slice: PURGES, version: 4, mark: Mark::default() }.into()), [address(2)]);
-        assert_eq!(said(&mut edge, 2, news().into()).len(), 3, "all are told that it is applied");
+        assert_eq!(
+            said(
+                &mut edge,
+                2,
+                Nudge {
+                    slice: PURGES,
+                    version: 4,
+                    mark: Mark::default()
+                }
+                .into()
+            ),
+            [address(2)]
+        );
+        assert_eq!(
+            said(&mut edge, 2, news().into()).len(),
+            3,
+            "all are told that it is applied"
+        );
         assert!(said(&mut edge, 3, news().into()).is_empty());
-        assert!(said(&mut edge, 3, Nudge { slice: PURGES, version: 4, mark: Mark::default() }.into()).is_empty());
-        assert_eq!(said(&mut edge, 3, Nudge { slice: PURGES, version: 5, mark: Mark::default() }.into()), [address(3)]);
+        assert!(
+            said(
+                &mut edge,
+                3,
+                Nudge {
+                    slice: PURGES,
+                    version: 4,
+                    mark: Mark::default()
+                }
+                .into()
+            )
+            .is_empty()
+        );
+        assert_eq!(
+            said(
+                &mut edge,
+                3,
+                Nudge {
+                    slice: PURGES,
+                    version: 5,
+                    mark: Mark::default()
+                }
+                .into()
+            ),
+            [address(3)]
+        );
     }
 
     #[test]
     fn the_lease_of_who_lost_its_slot_ends_with_the_news_of_it() {
         let mut edge = live(1000);
-        let places = [Mate::new(address(4), 8), Mate::new(address(2), 0), Mate::new(address(3), 0)];
-        let row = Row { version: 1, value: Value::Places(places.to_vec()) };
-        let news = vec![News { slice: PLACES, version: 1, rows: vec![("places".into(), row)] }];
-        let renewed = |sent, news| Renewed { life: 5, mark: Mark::default(), sent: at(sent), realm: 0, recall: false, news };
-        edge.step(at(1100), Input::Heard { from: Mate::new(address(2), 1), message: renewed(1100, news).into() });
-        let told = answers(edge.step(at(1200), Input::Errand { id: 1, errand: errand("/quick", "GET") }));
+        let places = [
+            Mate::new(address(4), 8),
+            Mate::new(address(2), 0),
+            Mate::new(address(3), 0),
+        ];
+        let row = Row {
+            version: 1,
+            value: Value::Places(places.to_vec()),
+        };
+        let news = vec![News {
+            slice: PLACES,
+            version: 1,
+            rows: vec![("places".into(), row)],
+        }];
+        let renewed = |sent, news| Renewed {
+            life: 5,
+            mark: Mark::default(),
+            sent: at(sent),
+            realm: 0,
+            recall: false,
+            news,
+        };
+        edge.step(
+            at(1100),
+            Input::Heard {
+                from: Mate::new(address(2), 1),
+                message: renewed(1100, news).into(),
+            },
+        );
+        let told = answers(edge.step(
+            at(1200),
+            Input::Errand {
+                id: 1,
+                errand: errand("/quick", "GET"),
+            },
+        ));
         assert_eq!(told.len(), 1, "one renewal of the new three is no majority");
-        edge.step(at(1300), Input::Heard { from: Mate::new(address(4), 8), message: renewed(1300, vec![]).into() });
-        assert!(answers(edge.step(at(1400), Input::Errand { id: 2, errand: errand("/quick", "GET") })).is_empty());
+        edge.step(
+            at(1300),
+            Input::Heard {
+                from: Mate::new(address(4), 8),
+                message: renewed(1300, vec![]).into(),
+            },
+        );
+        assert!(
+            answers(edge.step(
+                at(1400),
+                Input::Errand {
+                    id: 2,
+                    errand: errand("/quick", "GET")
+                }
+            ))
+            .is_empty()
+        );
     }
 
     /// Plays the ledger: what the edge asks, and an answer to it.
     fn asked(out: &[Output]) -> Vec<Change> {
         let one = |output: &Output| match output {
-            Output::Tell { message: Message::Ask(ask), .. } => Some(ask.ask.clone()),
+            Output::Tell {
+                message: Message::Ask(ask),
+                ..
+            } => Some(ask.ask.clone()),
             _ => None,
         };
         out.iter().filter_map(one).collect()
     }
 
     fn told(edge: &mut EdgePart, now: u64, id: u64, told: Outcome) -> Vec<Output> {
-        edge.step(at(now), Input::Heard { from: Mate::new(address(1), 1), message: Told { id, told }.into() })
+        edge.step(
+            at(now),
+            Input::Heard {
+                from: Mate::new(address(1), 1),
+                message: Told { id, told }.into(),
+            },
+        )
     }
 
     #[test]
     fn not_run_is_said_of_a_keyed_errand_only_once_its_release_is_recorded() {
         let mut edge = live(1000);
-        let out = edge.step(at(1000), Input::Errand { id: 1, errand: errand("/k", "POST") });
+        let out = edge.step(
+            at(1000),
+            Input::Errand {
+                id: 1,
+                errand: errand("/k", "POST"),
+            },
+        );
         assert!(matches!(asked(&out).as_slice(), [Change::Claim(_)]));
         told(&mut edge, 1010, 1, Outcome::Claimed);
-        let away = Away { id: 1, reason: AwayReason::Busy, back: at(2000) };
-        let out = edge.step(at(1020), Input::Heard { from: Mate::new(address(8), 1), message: away.into() });
+        let away = Away {
+            id: 1,
+            reason: AwayReason::Busy,
+            back: at(2000),
+        };
+        let out = edge.step(
+            at(1020),
+            Input::Heard {
+                from: Mate::new(address(8), 1),
+                message: away.into(),
+            },
+        );
         assert!(matches!(asked(&out).as_slice(), [Change::Release(_)]));
         assert!(answers(out).is_empty());
         let out = told(&mut edge, 1030, 1, Outcome::Released);
-        assert_eq!(answers(out), [(1, 429, "over_capacity".to_string(), RunState::NotRun)]);
+        assert_eq!(
+            answers(out),
+            [(1, 429, "over_capacity".to_string(), RunState::NotRun)]
+        );
     }
 
     #[test]
     fn what_was_sent_and_not_answered_is_unknown_and_recorded_before_it_is_said() {
         let mut edge = live(1000);
-        let origin = Origin { address: address(50), service: "slow".into(), instance: "i".into(), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 };
-        let row = Row { version: 1, value: Value::Origins { list: Arc::new(vec![origin.clone()]), change: 1 } };
-        let news = vec![News { slice: ORIGINS, version: 1, rows: vec![("origins".into(), row)] }];
-        let renewed = Renewed { life: 5, mark: Mark::default(), sent: at(1000), realm: 0, recall: false, news };
-        edge.step(at(1000), Input::Heard { from: Mate::new(address(1), 1), message: renewed.into() });
-        edge.step(at(1000), Input::Errand { id: 1, errand: errand("/k", "POST") });
+        let origin = Origin {
+            address: address(50),
+            service: "slow".into(),
+            instance: "i".into(),
+            leaving: false,
+            zone: String::new(),
+            region: String::new(),
+            capacity: 0,
+            cold_ms: 0,
+        };
+        let row = Row {
+            version: 1,
+            value: Value::Origins {
+                list: Arc::new(vec![origin.clone()]),
+                change: 1,
+            },
+        };
+        let news = vec![News {
+            slice: ORIGINS,
+            version: 1,
+            rows: vec![("origins".into(), row)],
+        }];
+        let renewed = Renewed {
+            life: 5,
+            mark: Mark::default(),
+            sent: at(1000),
+            realm: 0,
+            recall: false,
+            news,
+        };
+        edge.step(
+            at(1000),
+            Input::Heard {
+                from: Mate::new(address(1), 1),
+                message: renewed.into(),
+            },
+        );
+        edge.step(
+            at(1000),
+            Input::Errand {
+                id: 1,
+                errand: errand("/k", "POST"),
+            },
+        );
         told(&mut edge, 1010, 1, Outcome::Claimed);
-        let permit = |sent| Permit { id: 1, service: "slow".into(), epoch: 1, serial: 1, origin: origin.clone(), sent: at(sent), held: at(0), takes: at(0) };
-        let knock = |edge: &mut EdgePart, now, permit: Permit| edge.step(at(now), Input::Heard { from: Mate::new(address(8), 1), message: permit.into() });
-        let called = |out: &[Output]| out.iter().any(|output| matches!(output, Output::Call { .. }));
-        assert!(!called(&knock(&mut edge, 1300, permit(1010))), "a permit that was too long on the way lapses");
-        let left = Permit { origin: Origin { instance: "gone".into(), ..origin.clone() }, ..permit(1290) };
-        assert!(!called(&knock(&mut edge, 1300, left)), "nor is an origin called that is not listed so (any more)");
+        let permit = |sent| Permit {
+            id: 1,
+            service: "slow".into(),
+            epoch: 1,
+            serial: 1,
+            origin: origin.clone(),
+            sent: at(sent),
+            held: at(0),
+            takes: at(0),
+        };
+        let knock = |edge: &mut EdgePart, now, permit: Permit| {
+            edge.step(
+                at(now),
+                Input::Heard {
+                    from: Mate::new(address(8), 1),
+                    message: permit.into(),
+                },
+            )
+        };
+        let called = |out: &[Output]| {
+            out.iter()
+                .any(|output| matches!(output, Output::Call { .. }))
+        };
+        assert!(
+            !called(&knock(&mut edge, 1300, permit(1010))),
+            "a permit that was too long on the way lapses"
+        );
+        let left = Permit {
+            origin: Origin {
+                instance: "gone".into(),
+                ..origin.clone()
+            },
+            ..permit(1290)
+        };
+        assert!(
+            !called(&knock(&mut edge, 1300, left)),
+            "nor is an origin called that is not listed so (any more)"
+        );
         assert!(called(&knock(&mut edge, 1300, permit(1290))));
-        let out = edge.step(at(1400), Input::Called { id: 1, result: CallBack::Bad("cut off".into()) });
+        let out = edge.step(
+            at(1400),
+            Input::Called {
+                id: 1,
+                result: CallBack::Bad("cut off".into()),
+            },
+        );
         assert!(matches!(asked(&out).as_slice(), [Change::Record(_, None)]));
         assert!(answers(out).is_empty());
         let out = told(&mut edge, 1410, 1, Outcome::Recorded);
-        assert_eq!(answers(out), [(1, 502, "bad_origin_answer".to_string(), RunState::Unknown)]);
+        assert_eq!(
+            answers(out),
+            [(1, 502, "bad_origin_answer".to_string(), RunState::Unknown)]
+        );
     }
 }
--- a/data-plane/src/filter.rs
+++ b/data-plane/src/filter.rs
@@ -57,58 +57,100 @@
 pub const OPERATION_KEY_BYTES: usize = 128;
 
 struct Bounds;
-inventory::submit!(FilterPlugIn { order: 10, filter: &Bounds });
+inventory::submit!(FilterPlugIn {
+    order: 10,
+    filter: &Bounds
+});
 
 impl Filter for Bounds {
     fn pass(&self, arrival: &mut Arrival) -> Filtered {
-        let bytes: usize = arrival.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+        let bytes: usize = arrival
+            .headers
+            .iter()
+            .map(|(name, value)| name.len() + value.len())
+            .sum();
         if arrival.url.len() > URL_BYTES {
-            return Some(Refusal::not_run(414, "url_too_long", "the URL is longer than 2048 bytes"));
+            return Some(Refusal::not_run(
+                414,
+                "url_too_long",
+                "the URL is longer than 2048 bytes",
+            ));
         }
-        if !arrival.url.starts_with('/') || !arrival.url.bytes().all(|byte| byte.is_ascii_graphic()) {
-            return Some(Refusal::not_run(400, "url_malformed", "the target must be a path of printable ASCII"));
+        if !arrival.url.starts_with('/') || !arrival.url.bytes().all(|byte| byte.is_ascii_graphic())
+        {
+            return Some(Refusal::not_run(
+                400,
+                "url_malformed",
+                "the target must be a path of printable ASCII",
+            ));
         }
-        let most = arrival.image.as_ref().and_then(|image| image.bounds.as_ref()).map_or(HEADER_BYTES, |bounds| bounds.head_bytes as usize);
-        (bytes > most).then(|| Refusal::not_run(431, "headers_too_large", "headers are over the limit"))
+        let most = arrival
+            .image
+            .as_ref()
+            .and_then(|image| image.bounds.as_ref())
+            .map_or(HEADER_BYTES, |bounds| bounds.head_bytes as usize);
+        (bytes > most)
+            .then(|| Refusal::not_run(431, "headers_too_large", "headers are over the limit"))
     }
 }
 
 /// Without a configuration nothing can be told apart yet.
 struct Known;
-inventory::submit!(FilterPlugIn { order: 20, filter: &Known });
+inventory::submit!(FilterPlugIn {
+    order: 20,
+    filter: &Known
+});
 
 impl Filter for Known {
     fn pass(&self, arrival: &mut Arrival) -> Filtered {
         let none = arrival.image.is_none();
-        none.then(|| Refusal::unknown(503, "not_ready", "this node has no configuration yet").idle())
+        none.then(|| {
+            Refusal::unknown(503, "not_ready", "this node has no configuration yet").idle()
+        })
     }
 }
 
 /// A fenced node says nothing that hangs on its image, not even that there is
 /// no such entry. What carries an operation key may have run elsewhere.
 struct Fence;
-inventory::submit!(FilterPlugIn { order: 25, filter: &Fence });
+inventory::submit!(FilterPlugIn {
+    order: 25,
+    filter: &Fence
+});
 
 impl Filter for Fence {
     fn pass(&self, arrival: &mut Arrival) -> Filtered {
-        let outcome = if arrival.operation.is_some() { RunState::Unknown } else { RunState::NotRun };
+        let outcome = if arrival.operation.is_some() {
+            RunState::Unknown
+        } else {
+            RunState::NotRun
+        };
         (!arrival.live).then(|| Refusal::fenced(outcome))
     }
 }
 
 struct Match;
-inventory::submit!(FilterPlugIn { order: 30, filter: &Match });
+inventory::submit!(FilterPlugIn {
+    order: 30,
+    filter: &Match
+});
 
 impl Filter for Match {
     fn pass(&self, arrival: &mut Arrival) -> Filtered {
         let image = arrival.image.as_ref()?;
         arrival.entry = image.find(&arrival.host, &arrival.url, &arrival.method);
-        arrival.entry.is_none().then(|| Refusal::not_run(404, "no_entry", "no entry matches host, path and method"))
+        arrival
+            .entry
+            .is_none()
+            .then(|| Refusal::not_run(404, "no_entry", "no entry matches host, path and method"))
     }
 }
 
 struct OperationKey;
-inventory::submit!(FilterPlugIn { order: 40, filter: &OperationKey });
+inventory::submit!(FilterPlugIn {
+    order: 40,
+    filter: &OperationKey
+});
 
 impl Filter for OperationKey {
     fn pass(&self, arrival: &mut Arrival) -> Filtered {
@@ -116,9 +158,21 @@
             return None;
         }
         match arrival.operation.as_deref() {
-            None => Some(Refusal::not_run(400, "operation_key_missing", "this entry needs an Operation-Key header")),
-            Some(key) if key.is_empty() || key.len() > OPERATION_KEY_BYTES || !key.bytes().all(|byte| byte.is_ascii_graphic()) => {
-                Some(Refusal::not_run(400, "operation_key_malformed", "an operation key is 1 to 128 printable ASCII characters"))
+            None => Some(Refusal::not_run(
+                400,
+                "operation_key_missing",
+                "this entry needs an Operation-Key header",
+            )),
+            Some(key)
+                if key.is_empty()
+                    || key.len() > OPERATION_KEY_BYTES
+                    || !key.bytes().all(|byte| byte.is_ascii_graphic()) =>
+            {
+                Some(Refusal::not_run(
+                    400,
+                    "operation_key_malformed",
+                    "an operation key is 1 to 128 printable ASCII characters",
+                ))
             }
             Some(_) => None,
         }
@@ -137,26 +191,70 @@
             {{"name":"k","path":"/k","methods":["POST"],"group":"s","rank":1,"kind":"keyed"}}]}}"#
         );
         let image = Arc::new(EntryTable::new(1, Configuration::read(&text).unwrap()));
-        let headers: Vec<(String, String)> = headers.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect();
+        let headers: Vec<(String, String)> = headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.to_string()))
+            .collect();
         let operation = header(&headers, "operation-key").map(Into::into);
-        Arrival { method: method.into(), host: "h".into(), url: url.into(), headers, body: Arc::default(), operation, patience: None, name: None, live, image: Some(image), entry: None }
+        Arrival {
+            method: method.into(),
+            host: "h".into(),
+            url: url.into(),
+            headers,
+            body: Arc::default(),
+            operation,
+            patience: None,
+            name: None,
+            live,
+            image: Some(image),
+            entry: None,
+        }
     }
 
     #[test]
     fn each_filter_answers_for_itself_and_a_good_request_passes_all() {
         let long = "x".repeat(129);
-        let told = |mut arrival: Arrival| chain(&mut arrival).map(|refusal| (refusal.status, refusal.code, refusal.outcome));
+        let told = |mut arrival: Arrival| {
+            chain(&mut arrival).map(|refusal| (refusal.status, refusal.code, refusal.outcome))
+        };
         let not_run = |status, code: &str| Some((status, code.to_string(), RunState::NotRun));
         assert_eq!(told(arrival("GET", "/p/1", &[], true)), None);
-        assert_eq!(told(arrival("POST", "/k", &[("Operation-Key", "a-1")], true)), None);
-        assert_eq!(told(arrival("GET", &format!("/{}", "x".repeat(2048)), &[], true)), not_run(414, "url_too_long"));
-        assert_eq!(told(arrival("GET", "p", &[], true)), not_run(400, "url_malformed"));
-        assert_eq!(told(arrival("GET", "/p", &[("a", &"x".repeat(16400))], true)), not_run(431, "headers_too_large"));
-        assert_eq!(told(arrival("GET", "/none", &[], true)), not_run(404, "no_entry"));
-        assert_eq!(told(arrival("POST", "/k", &[], true)), not_run(400, "operation_key_missing"));
-        assert_eq!(told(arrival("POST", "/k", &[("operation-key", &long)], true)), not_run(400, "operation_key_malformed"));
-        assert_eq!(told(arrival("GET", "/p", &[], false)), not_run(503, "fenced"));
-        assert_eq!(told(arrival("GET", "/none", &[], false)), not_run(503, "fenced"));
+        assert_eq!(
+            told(arrival("POST", "/k", &[("Operation-Key", "a-1")], true)),
+            None
+        );
+        assert_eq!(
+            told(arrival("GET", &format!("/{}", "x".repeat(2048)), &[], true)),
+            not_run(414, "url_too_long")
+        );
+        assert_eq!(
+            told(arrival("GET", "p", &[], true)),
+            not_run(400, "url_malformed")
+        );
+        assert_eq!(
+            told(arrival("GET", "/p", &[("a", &"x".repeat(16400))], true)),
+            not_run(431, "headers_too_large")
+        );
+        assert_eq!(
+            told(arrival("GET", "/none", &[], true)),
+            not_run(404, "no_entry")
+        );
+        assert_eq!(
+            told(arrival("POST", "/k", &[], true)),
+            not_run(400, "operation_key_missing")
+        );
+        assert_eq!(
+            told(arrival("POST", "/k", &[("operation-key", &long)], true)),
+            not_run(400, "operation_key_malformed")
+        );
+        assert_eq!(
+            told(arrival("GET", "/p", &[], false)),
+            not_run(503, "fenced")
+        );
+        assert_eq!(
+            told(arrival("GET", "/none", &[], false)),
+            not_run(503, "fenced")
+        );
         let keyed = told(arrival("POST", "/k", &[("operation-key", "a")], false));
         assert_eq!(keyed, Some((503, "fenced".into(), RunState::Unknown)));
     }
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -40,20 +40,38 @@
 #[derive(Debug, Clone)]
 pub enum Stage {
     Claiming,
-    Getting { since: Duration, spare: bool },
+    Getting {
+        since: Duration,
+        spare: bool,
+    },
     Knocking,
-    Calling { permit: Permit, since: Duration },
+    Calling {
+        permit: Permit,
+        since: Duration,
+    },
     /// The outcome goes to the ledger, then the answer to the caller.
-    Recording { reply: Option<Arc<Reply>>, answer: Answer },
-    Releasing { refusal: Refusal },
+    Recording {
+        reply: Option<Arc<Reply>>,
+        answer: Answer,
+    },
+    Releasing {
+        refusal: Refusal,
+    },
 }
 
 impl Job {
     pub fn new(now: Duration, errand: Errand) -> Job {
         Job {
             began: now,
-            deadline: now + errand.patience.map_or(errand.entry().deadline(), |span| span.min(errand.entry().deadline())),
-            aim: now + errand.entry().aim_ms.map_or(errand.entry().deadline(), Duration::from_millis),
+            deadline: now
+                + errand.patience.map_or(errand.entry().deadline(), |span| {
+                    span.min(errand.entry().deadline())
+                }),
+            aim: now
+                + errand
+                    .entry()
+                    .aim_ms
+                    .map_or(errand.entry().deadline(), Duration::from_millis),
             stage: Stage::Knocking,
             again: now,
             round: 0,
@@ -95,28 +113,60 @@
     }
 
     pub fn outcome(&self) -> RunState {
-        if self.sent { RunState::Unknown } else { RunState::NotRun }
+        if self.sent {
+            RunState::Unknown
+        } else {
+            RunState::NotRun
+        }
     }
 
     pub fn refuse(&self, status: u16, code: &str, text: &str) -> Refusal {
-        Refusal { idle: !self.sent, ..Refusal::new(status, code, self.outcome(), text) }
+        Refusal {
+            idle: !self.sent,
+            ..Refusal::new(status, code, self.outcome(), text)
+        }
     }
 
     /// Entry, service and URL: what tells requests apart.
     pub fn cache_key(errand: &Errand) -> CacheKey {
-        hash_of(&[errand.entry().name.as_bytes(), errand.home().as_bytes(), errand.service.as_bytes(), errand.url.as_bytes()])
+        hash_of(&[
+            errand.entry().name.as_bytes(),
+            errand.home().as_bytes(),
+            errand.service.as_bytes(),
+            errand.url.as_bytes(),
+        ])
     }
 
     pub fn copy_name<'a>(&'a self, reply: &'a Reply) -> CopyName<'a> {
-        CopyName { entry: &self.errand.entry().name, host: self.errand.home(), url: &self.errand.url, tags: Some(&reply.tags) }
+        CopyName {
+            entry: &self.errand.entry().name,
+            host: self.errand.home(),
+            url: &self.errand.url,
+            tags: Some(&reply.tags),
+        }
     }
 
     pub fn claim_of(errand: &Errand, by: Mate, id: u64) -> Claim {
         // Neither entry nor service: a changed configuration makes no new
         // operation of a repeat.
-        let print = hash_of(&[errand.caller.as_bytes(), errand.home().as_bytes(), errand.method.as_bytes(), errand.url.as_bytes(), &errand.body]);
-        let operation = format!("{}/{}", errand.home(), errand.operation_key().unwrap_or_default());
-        Claim { operation, print, by, errand: id }
+        let print = hash_of(&[
+            errand.caller.as_bytes(),
+            errand.home().as_bytes(),
+            errand.method.as_bytes(),
+            errand.url.as_bytes(),
+            &errand.body,
+        ]);
+        let operation = format!(
+            "{}/{}",
+            errand.home(),
+            errand.operation_key().unwrap_or_default()
+        );
+        Claim {
+            operation,
+            print,
+            by,
+            errand: id,
+        }
     }
 
     /// What may be called again leaves time for it: a mute origin then costs
@@ -125,19 +175,38 @@
     pub fn call_limit(&self, now: Duration, takes: Duration) -> Duration {
         let left = self.left(now);
         let again = self.repeatable() && self.calls + 1 < self.most_calls();
-        if again { (left / 2).max((takes * 6).min(left / 4 * 3)) } else { left }
+        if again {
+            (left / 2).max((takes * 6).min(left / 4 * 3))
+        } else {
+            left
+        }
     }
 
     /// What goes to the origin. A shared copy is fetched without anything of
     /// the caller's own, so it is the same whoever asked.
     pub fn call(&self, now: Duration, id: u64, origin: Origin, takes: Duration) -> Call {
         const OURS: [&str; 12] = [
-            "connection", "host", "content-length", "transfer-encoding", "te", "upgrade", "keep-alive", "expect", "operation-key",
-            "proxy-connection", "trailer", "accept-encoding",
+            "connection",
+            "host",
+            "content-length",
+            "transfer-encoding",
+            "te",
+            "upgrade",
+            "keep-alive",
+            "expect",
+            "operation-key",
+            "proxy-connection",
+            "trailer",
+            "accept-encoding",
         ];
         let errand = &self.errand;
-        let goes = |name: &str| !OURS.contains(&name) && !name.starts_with("otterslip-") && name != "x-forwarded-host";
-        let headers = errand.headers.iter().filter(|(name, _)| goes(&name.to_ascii_lowercase()) && self.token.is_none());
+        let goes = |name: &str| {
+            !OURS.contains(&name) && !name.starts_with("otterslip-") && name != "x-forwarded-host"
+        };
+        let headers = errand
+            .headers
+            .iter()
+            .filter(|(name, _)| goes(&name.to_ascii_lowercase()) && self.token.is_none());
         Call {
             origin,
             method: errand.method.clone(),
@@ -145,13 +214,19 @@
             host: errand.host.clone(),
             headers: headers.cloned().collect(),
             body: errand.body.clone(),
-            operation: self.claim.as_ref().and(errand.operation_key().map(Into::into)),
+            operation: self
+                .claim
+                .as_ref()
+                .and(errand.operation_key().map(Into::into)),
             name: errand.name.clone(),
             errand: id,
             key: errand.group().key.clone(),
             proof: errand.group().proof,
             limit: self.call_limit(now, takes),
-            sessions: errand.group().sessions.map_or(SESSIONS, |most| most as usize),
+            sessions: errand
+                .group()
+                .sessions
+                .map_or(SESSIONS, |most| most as usize),
         }
     }
 }
@@ -168,10 +243,15 @@
 
 /// Whether an answer may be handed to others.
 pub fn shareable(reply: &Reply) -> bool {
-    let control = reply.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("cache-control"));
+    let control = reply
+        .headers
+        .iter()
+        .filter(|(name, _)| name.eq_ignore_ascii_case("cache-control"));
     let own = |(_, value): &(String, String)| {
         let value = value.to_ascii_lowercase();
-        ["private", "no-store", "no-cache"].iter().any(|word| value.contains(word))
+        ["private", "no-store", "no-cache"]
+            .iter()
+            .any(|word| value.contains(word))
     };
     !control.clone().any(own) && header(&reply.headers, "set-cookie").is_none()
 }
--- a/data-plane/src/leases.rs
+++ b/data-plane/src/leases.rs
@@ -21,7 +21,10 @@
         let mut list: Vec<Duration> = self.until.values().copied().collect();
         list.sort_unstable();
         let rest = Quorum::new(slots).rest();
-        list.len().checked_sub(rest).filter(|_| slots > 0).map_or(Duration::ZERO, |at| list[at])
+        list.len()
+            .checked_sub(rest)
+            .filter(|_| slots > 0)
+            .map_or(Duration::ZERO, |at| list[at])
     }
 
     pub fn keep(&mut self, seeds: &[SocketAddr]) {
@@ -34,7 +37,10 @@
 
     /// The seed renewed last: the likeliest to carry what we ask.
     pub fn best(&self) -> Option<SocketAddr> {
-        self.until.iter().max_by_key(|(_, until)| **until).map(|(seed, _)| *seed)
+        self.until
+            .iter()
+            .max_by_key(|(_, until)| **until)
+            .map(|(seed, _)| *seed)
     }
 }
 
@@ -55,7 +61,10 @@
         leases.renewed(seed(3), at(600));
         assert_eq!(leases.until(3), at(1300));
         // Of five or eight slots more are needed, of a table not known all.
-        assert_eq!([0, 4, 5, 8].map(|slots| leases.until(slots)), [at(0), at(1300), at(1100), at(0)]);
+        assert_eq!(
+            [0, 4, 5, 8].map(|slots| leases.until(slots)),
+            [at(0), at(1300), at(1100), at(0)]
+        );
         // It fences itself before a control node counts it lapsed, even if
         // the renewal was heard the moment it was sent.
         assert!(lease::EDGE < lease::CONTROL);
--- a/data-plane/src/lib.rs
+++ b/data-plane/src/lib.rs
@@ -1,6 +1,6 @@
 //! The data plane: filters, cache owners, gates, calls to origins.
-mod caller_face;
 mod cache_owner;
+mod caller_face;
 mod edge_part;
 mod filter;
 mod gate;
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -1,6 +1,5 @@
 use crate::prelude::*;
 
-
 /// The face of an edge: callers come in and calls to origins go out over one
 /// HTTP line, in the words of one dialect. Invariant: every errand read is
 /// answered once, unless its session ended before.
@@ -36,7 +35,11 @@
 
 impl LineFace {
     pub fn new(program: &'static str, dialect: Arc<dyn Dialect>) -> LineFace {
-        LineFace { program, dialect, taker: None }
+        LineFace {
+            program,
+            dialect,
+            taker: None,
+        }
     }
 
     fn line(&self) -> Option<&HttpLine> {
@@ -49,7 +52,10 @@
         let http = port.startup.http.context("http address")?;
         let mut listeners = Vec::new();
         for address in [Some(http), port.startup.ready].into_iter().flatten() {
-            listeners.push(TcpListener::bind(address).with_context(|| format!("cannot listen on {address}"))?);
+            listeners.push(
+                TcpListener::bind(address)
+                    .with_context(|| format!("cannot listen on {address}"))?,
+            );
         }
         let taker = Arc::new_cyclic(|me| LineTaker {
             me: me.clone(),
@@ -67,11 +73,16 @@
     }
 
     fn call(&self, id: u64, call: Call) {
-        let (Some(taker), Some(line)) = (&self.taker, self.line()) else { return };
+        let (Some(taker), Some(line)) = (&self.taker, self.line()) else {
+            return;
+        };
         // The process may have stood still since the part decided: what it
         // knew holds only while the lease does.
         if !taker.port.live() {
-            let _ = taker.port.give.send(Input::Called { id, result: CallBack::Refused });
+            let _ = taker.port.give.send(Input::Called {
+                id,
+                result: CallBack::Refused,
+            });
             return;
         }
         let CallWords { headers, echo } = self.dialect.call(&call);
@@ -86,7 +97,11 @@
             echo,
             sessions: call.sessions,
         };
-        taker.calls.lock().expect("no holder panics").insert(id, call);
+        taker
+            .calls
+            .lock()
+            .expect("no holder panics")
+            .insert(id, call);
         line.call(out);
     }
 
@@ -103,23 +118,49 @@
 
 impl LineTaker {
     fn tell(&self, line: u64, words: TellWords) {
-        let TellWords { status, headers, body } = words;
-        self.line.wait().tell(line, http_line::Told { status, headers, body: body.into(), close: false });
+        let TellWords {
+            status,
+            headers,
+            body,
+        } = words;
+        self.line.wait().tell(
+            line,
+            http_line::Told {
+                status,
+                headers,
+                body: body.into(),
+                close: false,
+            },
+        );
     }
 
     /// Operators and the platform, by our own paths.
     fn plug_in(&self, line: u64, asked: Asked) {
-        let request = rouille::Request::fake_http(asked.method, asked.target, asked.headers, asked.body);
+        let request =
+            rouille::Request::fake_http(asked.method, asked.target, asked.headers, asked.body);
         let answer = serve_plug_ins(&self.plug_ins, &self.port, &request);
-        let headers = answer.headers.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect();
+        let headers = answer
+            .headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.to_string()))
+            .collect();
         let (mut body, _) = answer.data.into_reader_and_size();
         let mut bytes = Vec::new();
         let _ = body.read_to_end(&mut bytes);
-        self.tell(line, TellWords { status: answer.status_code, headers, body: Arc::new(bytes) });
+        self.tell(
+            line,
+            TellWords {
+                status: answer.status_code,
+                headers,
+                body: Arc::new(bytes),
+            },
+        );
     }
 
     fn heed_bounds(&self, image: &Option<Arc<EntryTable>>) {
-        let Some(bounds) = image.as_ref().and_then(|image| image.bounds.clone()) else { return };
+        let Some(bounds) = image.as_ref().and_then(|image| image.bounds.clone()) else {
+            return;
+        };
         let mut known = self.bounds.lock().expect("no holder panics");
         if known.as_ref() != Some(&bounds) {
             self.line.wait().set_limits(Limits {
@@ -138,7 +179,9 @@
         self.heed_bounds(&image);
         let mut arrival = Arrival {
             method: asked.method,
-            host: header(&asked.headers, "host").unwrap_or_default().to_string(),
+            host: header(&asked.headers, "host")
+                .unwrap_or_default()
+                .to_string(),
             url: asked.target,
             operation: self.dialect.operation(&asked.headers).map(Into::into),
             patience: self.dialect.patience(&asked.headers),
@@ -150,9 +193,15 @@
             entry: None,
         };
         if let Some(refusal) = chain(&mut arrival) {
-            return self.tell(line, self.dialect.tell(&arrival.headers, &Answer::Refusal(refusal)));
+            return self.tell(
+                line,
+                self.dialect
+                    .tell(&arrival.headers, &Answer::Refusal(refusal)),
+            );
         }
-        let Some(errand) = errand_of(arrival) else { return };
+        let Some(errand) = errand_of(arrival) else {
+            return;
+        };
         let keyed = errand.entry().kind == Kind::Keyed;
         let headers = errand.headers.clone();
         let errand = Mutex::new(Some(errand));
@@ -161,7 +210,10 @@
             let answer = match output {
                 // The process may have stood still since the part answered: a
                 // copy is only as good as the lease.
-                Output::Answer { answer: Answer::Reply { age: Some(_), .. }, .. } if !keyed && !taker.port.live() => {
+                Output::Answer {
+                    answer: Answer::Reply { age: Some(_), .. },
+                    ..
+                } if !keyed && !taker.port.live() => {
                     Answer::Refusal(Refusal::fenced(RunState::NotRun))
                 }
                 Output::Answer { answer, .. } => answer,
@@ -169,7 +221,14 @@
             };
             taker.tell(line, taker.dialect.tell(&headers, &answer));
         };
-        let take = |id| Input::Errand { id, errand: errand.lock().expect("no holder panics").take().expect("made once") };
+        let take = |id| Input::Errand {
+            id,
+            errand: errand
+                .lock()
+                .expect("no holder panics")
+                .take()
+                .expect("made once"),
+        };
         self.port.begin(&take, Box::new(then));
     }
 }
@@ -179,7 +238,13 @@
     fn asked(&self, line: u64, face: usize, asked: Asked) {
         if face == READY_FACE {
             let status = if self.port.ready() { 200 } else { 503 };
-            return self.tell(line, TellWords { status, ..TellWords::default() });
+            return self.tell(
+                line,
+                TellWords {
+                    status,
+                    ..TellWords::default()
+                },
+            );
         }
         if asked.target.starts_with("/.otterslip/") {
             return self.plug_in(line, asked);
@@ -191,10 +256,21 @@
     }
 
     fn came(&self, id: u64, came: Came) {
-        let Some(call) = self.calls.lock().expect("no holder panics").remove(&id) else { return };
+        let Some(call) = self.calls.lock().expect("no holder panics").remove(&id) else {
+            return;
+        };
         let result = match came {
-            Came::Reply { status, headers, body } => match self.dialect.judge(&call, status, &headers, &body) {
-                Judged::Own { headers, tags } => CallBack::Good(Reply { status, headers, body: Arc::new(body), tags }),
+            Came::Reply {
+                status,
+                headers,
+                body,
+            } => match self.dialect.judge(&call, status, &headers, &body) {
+                Judged::Own { headers, tags } => CallBack::Good(Reply {
+                    status,
+                    headers,
+                    body: Arc::new(body),
+                    tags,
+                }),
                 Judged::NotRun => CallBack::NotRun,
                 Judged::Stranger => CallBack::Stranger,
                 Judged::Bad(why) => CallBack::Bad(why),
@@ -214,7 +290,14 @@
             431 => "head_too_large",
             _ => "request_malformed",
         };
-        let words = self.dialect.tell(&[], &Answer::Refusal(Refusal::not_run(status, code, why)));
-        http_line::Told { status: words.status, headers: words.headers, body: words.body.into(), close: true }
+        let words = self
+            .dialect
+            .tell(&[], &Answer::Refusal(Refusal::not_run(status, code, why)));
+        http_line::Told {
+            status: words.status,
+            headers: words.headers,
+            body: words.body.into(),
+            close: true,
+        }
     }
 }
--- a/data-plane/src/prelude.rs
+++ b/data-plane/src/prelude.rs
@@ -1,16 +1,16 @@
 pub use crate::cache_owner::CacheOwner;
+pub use crate::caller_face::errand_of;
 pub use crate::edge_part::EdgePart;
 pub use crate::filter::{Arrival, Filter, FilterPlugIn, Filtered, chain};
 pub use crate::gate::Gate;
 pub use crate::job::{Job, Stage};
 pub use crate::leases::Leases;
-pub use crate::caller_face::errand_of;
 pub use crate::own_share::OwnShare;
 pub use crate::own_words::OwnWords;
 pub use crate::purge_book::PurgeBook;
 pub use crate::room::Room;
 pub use crate::seal::Seal;
 pub use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
-pub use std::sync::{OnceLock, Weak};
 pub use http_line::{Asked, Came, HttpLine, Limits, Taker};
 pub use kernel::prelude::*;
+pub use std::sync::{OnceLock, Weak};
--- a/data-plane/src/purge_book.rs
+++ b/data-plane/src/purge_book.rs
@@ -15,7 +15,12 @@
 impl PurgeBook {
     /// Takes news; returns what is new, and whether some were missed so that
     /// every copy must go.
-    pub fn learn(&mut self, now: Duration, version: u64, rows: &[(String, Row)]) -> (Vec<Purge>, bool) {
+    pub fn learn(
+        &mut self,
+        now: Duration,
+        version: u64,
+        rows: &[(String, Row)],
+    ) -> (Vec<Purge>, bool) {
         let before = self.applied;
         let mut fresh = Vec::new();
         for (_, row) in rows.iter().filter(|(_, row)| row.version > before) {
@@ -46,7 +51,9 @@
             return Some(Duration::ZERO);
         }
         let mut later = self.list.range(purged + 1..).map(|(_, known)| known);
-        later.find(|(_, purge)| purge.reaches(copy)).map(|(learned, _)| *learned)
+        later
+            .find(|(_, purge)| purge.reaches(copy))
+            .map(|(learned, _)| *learned)
     }
 }
 
@@ -55,12 +62,29 @@
     use crate::prelude::*;
 
     fn row(version: u64, prefix: &str) -> (String, Row) {
-        let purge = Purge { prefix: Some(prefix.into()), ..Purge::default() };
-        (format!("{version}"), Row { version, value: Value::Purge { purge, change: version } })
+        let purge = Purge {
+            prefix: Some(prefix.into()),
+            ..Purge::default()
+        };
+        (
+            format!("{version}"),
+            Row {
+                version,
+                value: Value::Purge {
+                    purge,
+                    change: version,
+                },
+            },
+        )
     }
 
     fn name(url: &str) -> CopyName<'_> {
-        CopyName { entry: "e", host: "h", url, tags: Some(&[]) }
+        CopyName {
+            entry: "e",
+            host: "h",
+            url,
+            tags: Some(&[]),
+        }
     }
 
     #[test]
@@ -77,7 +101,11 @@
     fn an_edge_that_missed_more_purges_than_are_kept_drops_everything_older() {
         let mut book = PurgeBook::default();
         assert!(!book.learn(Duration::ZERO, 1, &[row(1, "/a")]).1);
-        let (_, missed) = book.learn(Duration::ZERO, PURGES_KEPT + 5, &[row(PURGES_KEPT + 5, "/z")]);
+        let (_, missed) = book.learn(
+            Duration::ZERO,
+            PURGES_KEPT + 5,
+            &[row(PURGES_KEPT + 5, "/z")],
+        );
         assert!(missed);
         assert!(!book.clear(4, name("/other")));
         assert!(book.clear(5, name("/other")));
--- a/data-plane/src/room.rs
+++ b/data-plane/src/room.rs
@@ -14,12 +14,20 @@
 
 impl Room {
     pub fn new(now: Duration, rate: f64) -> Room {
-        Room { rate, tokens: 0.0, filled: now, window: VecDeque::new() }
+        Room {
+            rate,
+            tokens: 0.0,
+            filled: now,
+            window: VecDeque::new(),
+        }
     }
 
     /// With so many calls at once.
     pub fn with(now: Duration, rate: f64, tokens: f64) -> Room {
-        Room { tokens, ..Room::new(now, rate) }
+        Room {
+            tokens,
+            ..Room::new(now, rate)
+        }
     }
 
     /// Large enough that calls are not paced apart, small enough that any five
@@ -32,7 +40,11 @@
         let most = self.burst().max(self.tokens);
         self.tokens = (self.tokens + (now - self.filled).as_secs_f64() * self.rate).min(most);
         self.filled = now;
-        while self.window.front().is_some_and(|given| now >= *given + Duration::from_secs_f64(RATE_SPAN) + lease::PERMIT) {
+        while self
+            .window
+            .front()
+            .is_some_and(|given| now >= *given + Duration::from_secs_f64(RATE_SPAN) + lease::PERMIT)
+        {
             self.window.pop_front();
         }
     }
@@ -40,7 +52,8 @@
     /// Whether one more call or probe now keeps it within its rate over any
     /// span.
     pub fn has(&self) -> bool {
-        self.tokens >= 1.0 && self.window.len() < (self.rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize
+        self.tokens >= 1.0
+            && self.window.len() < (self.rate * RATE_SPAN * RATE_SLACK).max(1.0) as usize
     }
 
     pub fn take(&mut self, now: Duration) {
--- a/data-plane/src/seal.rs
+++ b/data-plane/src/seal.rs
@@ -61,7 +61,8 @@
     /// Checks an answer's headers against what was asked of whom.
     pub fn check(&self, headers: &[(String, String)], key: &str) -> Result<()> {
         let get = |name: &str| header(headers, name).with_context(|| format!("no {name}"));
-        if get("otterslip-service")? != self.service || get("otterslip-instance")? != self.instance {
+        if get("otterslip-service")? != self.service || get("otterslip-instance")? != self.instance
+        {
             bail!("from another service or instance");
         }
         if get("content-digest")? != self.digest() {
@@ -70,10 +71,18 @@
         if get("signature-input")?.strip_prefix("sig=") != Some(self.params().as_str()) {
             bail!("signed over other parts");
         }
-        let text = get("signature")?.strip_prefix("sig=:").and_then(|rest| rest.strip_suffix(':')).context("no signature")?;
+        let text = get("signature")?
+            .strip_prefix("sig=:")
+            .and_then(|rest| rest.strip_suffix(':'))
+            .context("no signature")?;
         let signature = Signature::from_slice(&BASE64.decode(text)?)?;
-        let key: [u8; 32] = BASE64.decode(key)?.try_into().map_err(|_| anyhow!("key has another length"))?;
-        VerifyingKey::from_bytes(&key)?.verify_strict(self.base().as_bytes(), &signature).context("signature does not verify")
+        let key: [u8; 32] = BASE64
+            .decode(key)?
+            .try_into()
+            .map_err(|_| anyhow!("key has another length"))?;
+        VerifyingKey::from_bytes(&key)?
+            .verify_strict(self.base().as_bytes(), &signature)
+            .context("signature does not verify")
     }
 }
 
@@ -85,18 +94,51 @@
     fn an_answer_passes_only_for_the_very_request_service_and_key_it_was_signed_for() {
         let key = SigningKey::from_bytes(&[7; 32]);
         let public = BASE64.encode(key.verifying_key().to_bytes());
-        let seal = Seal { status: 200, method: "POST", target: "/book?x=1", service: "book", instance: "b1", operation: "k1", errand: "9", body: b"done" };
+        let seal = Seal {
+            status: 200,
+            method: "POST",
+            target: "/book?x=1",
+            service: "book",
+            instance: "b1",
+            operation: "k1",
+            errand: "9",
+            body: b"done",
+        };
         let headers = seal.sign(&key);
         assert!(seal.check(&headers, &public).is_ok());
         let others = [
-            Seal { status: 201, ..seal.clone() },
-            Seal { method: "GET", ..seal.clone() },
-            Seal { target: "/book?x=2", ..seal.clone() },
-            Seal { service: "other", ..seal.clone() },
-            Seal { instance: "b2", ..seal.clone() },
-            Seal { operation: "k2", ..seal.clone() },
-            Seal { errand: "8", ..seal.clone() },
-            Seal { body: b"don", ..seal.clone() },
+            Seal {
+                status: 201,
+                ..seal.clone()
+            },
+            Seal {
+                method: "GET",
+                ..seal.clone()
+            },
+            Seal {
+                target: "/book?x=2",
+                ..seal.clone()
+            },
+            Seal {
+                service: "other",
+                ..seal.clone()
+            },
+            Seal {
+                instance: "b2",
+                ..seal.clone()
+            },
+            Seal {
+                operation: "k2",
+                ..seal.clone()
+            },
+            Seal {
+                errand: "8",
+                ..seal.clone()
+            },
+            Seal {
+                body: b"don",
+                ..seal.clone()
+            },
         ];
         for other in others {
             assert!(other.check(&headers, &public).is_err(), "{other:?}");
--- a/http-line/src/body.rs
+++ b/http-line/src/body.rs
@@ -11,7 +11,10 @@
     /// A part of the bytes; what lies outside of them is cut off.
     pub fn part(bytes: Arc<Vec<u8>>, range: Range<usize>) -> Body {
         let end = range.end.min(bytes.len());
-        Body { range: range.start.min(end)..end, bytes }
+        Body {
+            range: range.start.min(end)..end,
+            bytes,
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -29,7 +32,10 @@
 
 impl From<Arc<Vec<u8>>> for Body {
     fn from(bytes: Arc<Vec<u8>>) -> Body {
-        Body { range: 0..bytes.len(), bytes }
+        Body {
+            range: 0..bytes.len(),
+            bytes,
+        }
     }
 }
 
--- a/http-line/src/call.rs
+++ b/http-line/src/call.rs
@@ -37,9 +37,15 @@
 }
 
 pub(crate) fn token(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b))
+    !text.is_empty()
+        && text
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b))
 }
 
 pub(crate) fn header_fits((name, value): &(String, String)) -> bool {
-    token(name) && value.bytes().all(|b| b == b'\t' || (b >= b' ' && b != 0x7f))
+    token(name)
+        && value
+            .bytes()
+            .all(|b| b == b'\t' || (b >= b' ' && b != 0x7f))
 }
--- a/http-line/src/called.rs
+++ b/http-line/src/called.rs
@@ -56,10 +56,19 @@
     /// `from`: when the call's limit began.
     pub fn begin(&mut self, call: &Call, from: Instant, now: Instant) {
         let mut head = Vec::with_capacity(256);
-        for part in [call.method.as_bytes(), b" ", call.target.as_bytes(), b" HTTP/1.1\r\n"] {
+        for part in [
+            call.method.as_bytes(),
+            b" ",
+            call.target.as_bytes(),
+            b" HTTP/1.1\r\n",
+        ] {
             head.extend_from_slice(part);
         }
-        let ours = |name: &str| ["content-length", "transfer-encoding", "expect"].iter().any(|our| name.eq_ignore_ascii_case(our));
+        let ours = |name: &str| {
+            ["content-length", "transfer-encoding", "expect"]
+                .iter()
+                .any(|our| name.eq_ignore_ascii_case(our))
+        };
         for (name, value) in call.headers.iter().filter(|pair| !ours(&pair.0)) {
             for part in [name.as_bytes(), b": ", value.as_bytes(), b"\r\n"] {
                 head.extend_from_slice(part);
@@ -152,7 +161,9 @@
             self.seen = 0;
             let bare = self.running.as_ref().is_some_and(|run| run.bare);
             match Head::answer(&rest[..size], bare) {
-                Ok(head) if head.status < 100 || head.status == 101 => return self.fail("a status that cannot be"),
+                Ok(head) if head.status < 100 || head.status == 101 => {
+                    return self.fail("a status that cannot be");
+                }
                 Ok(head) if head.status < 200 => {}
                 Ok(head) => match Reading::new(head.framing, limits.answer_bytes) {
                     Ok(reading) => self.answer = Some((head, reading)),
@@ -179,9 +190,23 @@
         }
         let run = self.running.take()?;
         let reuse = alone && !head.close && !run.last && self.strangers == 0 && self.out.is_empty();
-        let keep = if reuse { Called::spare(&head.headers) } else { None };
-        let AnswerHead { status, headers, .. } = head;
-        Some(Ended { id: run.id, came: Came::Reply { status, headers, body: reading.body }, keep })
+        let keep = if reuse {
+            Called::spare(&head.headers)
+        } else {
+            None
+        };
+        let AnswerHead {
+            status, headers, ..
+        } = head;
+        Some(Ended {
+            id: run.id,
+            came: Came::Reply {
+                status,
+                headers,
+                body: reading.body,
+            },
+            keep,
+        })
     }
 
     /// How long an idle connection is kept: less than the other side does.
@@ -189,11 +214,16 @@
         let mut words = Head::named(headers, "keep-alive").flat_map(|value| value.split(','));
         let named = words.find_map(|word| {
             let (name, value) = word.split_once('=')?;
-            name.trim().eq_ignore_ascii_case("timeout").then(|| value.trim().parse::<u32>().ok())?
+            name.trim()
+                .eq_ignore_ascii_case("timeout")
+                .then(|| value.trim().parse::<u32>().ok())?
         });
-        let Some(seconds) = named else { return Some(UNUSED) };
+        let Some(seconds) = named else {
+            return Some(UNUSED);
+        };
         let time = Duration::from_secs(seconds.min(600).into());
-        time.checked_sub((time / 5).max(Duration::from_secs(1))).filter(|left| !left.is_zero())
+        time.checked_sub((time / 5).max(Duration::from_secs(1)))
+            .filter(|left| !left.is_zero())
     }
 
     fn fail(&mut self, why: &str) -> Option<Ended> {
@@ -201,20 +231,36 @@
         let came = if !run.sent {
             Came::Unsent(why.into())
         } else if self.uses > 1 && !run.heard {
-            Came::Lost { why: format!("reused: {why}"), reused: true }
+            Came::Lost {
+                why: format!("reused: {why}"),
+                reused: true,
+            }
         } else {
-            Came::Lost { why: why.into(), reused: false }
+            Came::Lost {
+                why: why.into(),
+                reused: false,
+            }
         };
-        Some(Ended { id: run.id, came, keep: None })
+        Some(Ended {
+            id: run.id,
+            came,
+            keep: None,
+        })
     }
 
     /// The connection has ended, `well` if by the other side's closing.
     pub fn ended(&mut self, well: bool, why: &str) -> Option<Ended> {
         if well
-            && self.answer.as_ref().is_some_and(|(_, reading)| reading.ends_here())
+            && self
+                .answer
+                .as_ref()
+                .is_some_and(|(_, reading)| reading.ends_here())
             && let Some(ended) = self.whole(true)
         {
-            return Some(Ended { keep: None, ..ended });
+            return Some(Ended {
+                keep: None,
+                ..ended
+            });
         }
         self.fail(why)
     }
@@ -223,10 +269,17 @@
     pub fn late(&mut self) -> Option<Ended> {
         let run = self.running.take()?;
         let came = match run.sent {
-            true => Came::Lost { why: "no whole answer in time".into(), reused: false },
+            true => Came::Lost {
+                why: "no whole answer in time".into(),
+                reused: false,
+            },
             false => Came::Unsent("no connection in time".into()),
         };
-        Some(Ended { id: run.id, came, keep: None })
+        Some(Ended {
+            id: run.id,
+            came,
+            keep: None,
+        })
     }
 
     pub fn due(&self) -> Option<Instant> {
@@ -249,8 +302,16 @@
             to: ([127, 0, 0, 1], 9).into(),
             method: method.into(),
             target: "/x".into(),
-            headers: vec![pair("Host", "h"), pair("Content-Length", "99"), pair("B", "c")],
-            body: Arc::new(if method == "POST" { b"hi".to_vec() } else { Vec::new() }),
+            headers: vec![
+                pair("Host", "h"),
+                pair("Content-Length", "99"),
+                pair("B", "c"),
+            ],
+            body: Arc::new(if method == "POST" {
+                b"hi".to_vec()
+            } else {
+                Vec::new()
+            }),
             limit: Duration::from_secs(3),
             echo: echo.then(|| pair("E", "1")),
             sessions: 1,
@@ -278,14 +339,18 @@
         }
         let mut other = begun(&call(method, echo));
         let ended = ended.map(|e| (e.came, e.keep.map(|k| k.as_secs())));
-        let at_once = other.feed(input.as_bytes(), &Limits::default()).map(|e| (e.came, e.keep.map(|k| k.as_secs())));
+        let at_once = other
+            .feed(input.as_bytes(), &Limits::default())
+            .map(|e| (e.came, e.keep.map(|k| k.as_secs())));
         assert_eq!(ended.as_ref().map(|e| &e.0), at_once.as_ref().map(|e| &e.0));
         at_once
     }
 
     fn reply(got: Option<(Came, Option<u64>)>) -> (u16, String, Option<u64>) {
         match got {
-            Some((Came::Reply { status, body, .. }, keep)) => (status, String::from_utf8(body).unwrap(), keep),
+            Some((Came::Reply { status, body, .. }, keep)) => {
+                (status, String::from_utf8(body).unwrap(), keep)
+            }
             other => panic!("{other:?}"),
         }
     }
@@ -303,54 +368,136 @@
         let mut sink = Vec::new();
         called.begin(&call("POST", false), Instant::now(), Instant::now());
         called.out.write(&mut sink).1.unwrap();
-        assert_eq!(sink, b"POST /x HTTP/1.1\r\nHost: h\r\nB: c\r\nContent-Length: 2\r\n\r\nhi");
-        assert!(Call { target: "/ HTTP/1.1\r\nA: b".into(), ..call("GET", false) }.check().is_err());
-        assert!(Call { headers: vec![("A".into(), "b\nc".into())], ..call("GET", false) }.check().is_err());
+        assert_eq!(
+            sink,
+            b"POST /x HTTP/1.1\r\nHost: h\r\nB: c\r\nContent-Length: 2\r\n\r\nhi"
+        );
+        assert!(
+            Call {
+                target: "/ HTTP/1.1\r\nA: b".into(),
+                ..call("GET", false)
+            }
+            .check()
+            .is_err()
+        );
+        assert!(
+            Call {
+                headers: vec![("A".into(), "b\nc".into())],
+                ..call("GET", false)
+            }
+            .check()
+            .is_err()
+        );
         assert!(call("GET", false).check().is_ok());
     }
 
     #[test]
     fn reads_answers_and_how_long_to_keep() {
         let head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
-        assert_eq!(reply(fed("GET", false, &format!("{head}\r\nok"))), (200, "ok".into(), Some(8)));
+        assert_eq!(
+            reply(fed("GET", false, &format!("{head}\r\nok"))),
+            (200, "ok".into(), Some(8))
+        );
         let early = "HTTP/1.1 103 Early\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n";
-        assert_eq!(reply(fed("GET", false, &format!("{early}{head}\r\nok"))), (200, "ok".into(), Some(8)));
-        for (extra, keep) in [("Keep-Alive: timeout=5, max=9", Some(4)), ("Keep-Alive: timeout=20", Some(16)),
-            ("Keep-Alive: timeout=1", None), ("Connection: close", None)] {
-            assert_eq!(reply(fed("GET", false, &format!("{head}{extra}\r\n\r\nok"))).2, keep, "{extra}");
+        assert_eq!(
+            reply(fed("GET", false, &format!("{early}{head}\r\nok"))),
+            (200, "ok".into(), Some(8))
+        );
+        for (extra, keep) in [
+            ("Keep-Alive: timeout=5, max=9", Some(4)),
+            ("Keep-Alive: timeout=20", Some(16)),
+            ("Keep-Alive: timeout=1", None),
+            ("Connection: close", None),
+        ] {
+            assert_eq!(
+                reply(fed("GET", false, &format!("{head}{extra}\r\n\r\nok"))).2,
+                keep,
+                "{extra}"
+            );
         }
-        assert_eq!(reply(fed("HEAD", false, &format!("{head}\r\n"))), (200, "".into(), Some(8)));
-        assert_eq!(reply(fed("GET", false, &format!("{head}\r\nokx"))), (200, "ok".into(), None));
+        assert_eq!(
+            reply(fed("HEAD", false, &format!("{head}\r\n"))),
+            (200, "".into(), Some(8))
+        );
+        assert_eq!(
+            reply(fed("GET", false, &format!("{head}\r\nokx"))),
+            (200, "ok".into(), None)
+        );
         let chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
-        assert_eq!(reply(fed("GET", false, chunks)), (200, "ok".into(), Some(8)));
+        assert_eq!(
+            reply(fed("GET", false, chunks)),
+            (200, "ok".into(), Some(8))
+        );
         assert!(why(fed("GET", false, "SSH-2.0")).contains("no HTTP/1"));
         assert!(why(fed("GET", false, "HTTP/1.1 200 OK\r\n\r\n")).contains("cannot be known"));
     }
 
     #[test]
     fn answers_of_others_are_passed_over() {
-        let (ours, other) = ("HTTP/1.1 200 OK\r\nE: 1\r\nContent-Length: 1\r\n\r\na", "HTTP/1.1 201 OK\r\nE: 2\r\nContent-Length: 1\r\n\r\nb");
+        let (ours, other) = (
+            "HTTP/1.1 200 OK\r\nE: 1\r\nContent-Length: 1\r\n\r\na",
+            "HTTP/1.1 201 OK\r\nE: 2\r\nContent-Length: 1\r\n\r\nb",
+        );
         assert_eq!(reply(fed("GET", true, ours)), (200, "a".into(), Some(8)));
-        assert_eq!(reply(fed("GET", true, &format!("{other}{other}{ours}"))), (200, "a".into(), None));
+        assert_eq!(
+            reply(fed("GET", true, &format!("{other}{other}{ours}"))),
+            (200, "a".into(), None)
+        );
         assert!(why(fed("GET", true, &other.repeat(3))).contains("other calls"));
     }
 
     #[test]
     fn how_it_ends_early() {
         let mut called = begun(&call("GET", false));
-        assert!(called.feed(b"HTTP/1.0 200 OK\r\n\r\nab", &Limits::default()).is_none());
-        assert!(matches!(called.ended(true, "eof"), Some(Ended { came: Came::Reply { status: 200, .. }, keep: None, .. })));
+        assert!(
+            called
+                .feed(b"HTTP/1.0 200 OK\r\n\r\nab", &Limits::default())
+                .is_none()
+        );
+        assert!(matches!(
+            called.ended(true, "eof"),
+            Some(Ended {
+                came: Came::Reply { status: 200, .. },
+                keep: None,
+                ..
+            })
+        ));
         let mut called = begun(&call("GET", false));
         called.feed(b"HTTP/1.0 200 OK\r\n\r\nab", &Limits::default());
-        assert!(matches!(called.ended(false, "reset"), Some(Ended { came: Came::Lost { reused: false, .. }, .. })));
+        assert!(matches!(
+            called.ended(false, "reset"),
+            Some(Ended {
+                came: Came::Lost { reused: false, .. },
+                ..
+            })
+        ));
         let mut called = begun(&call("GET", false));
-        assert!(called.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", &Limits::default()).is_some());
+        assert!(
+            called
+                .feed(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                    &Limits::default()
+                )
+                .is_some()
+        );
         again(&mut called, &call("GET", false));
-        assert!(matches!(called.ended(true, "eof"), Some(Ended { came: Came::Lost { reused: true, .. }, .. })));
+        assert!(matches!(
+            called.ended(true, "eof"),
+            Some(Ended {
+                came: Came::Lost { reused: true, .. },
+                ..
+            })
+        ));
         let mut unsent = Called::new(([127, 0, 0, 1], 9).into());
         let now = Instant::now();
         unsent.begin(&call("GET", false), now, now);
         assert_eq!(unsent.due(), Some(now + CONNECT));
-        assert!(matches!(unsent.late(), Some(Ended { came: Came::Unsent(_), .. })));
+        assert!(matches!(
+            unsent.late(),
+            Some(Ended {
+                came: Came::Unsent(_),
+                ..
+            })
+        ));
     }
 }
--- a/http-line/src/came.rs
+++ b/http-line/src/came.rs
@@ -2,7 +2,11 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Came {
     /// A whole answer; the body is decoded.
-    Reply { status: u16, headers: Vec<(String, String)>, body: Vec<u8> },
+    Reply {
+        status: u16,
+        headers: Vec<(String, String)>,
+        body: Vec<u8>,
+    },
     /// Nothing was sent: no connection, refused, the limit ran out before
     /// anything was written, or too many sessions.
     Unsent(String),
--- a/http-line/src/chunk.rs
+++ b/http-line/src/chunk.rs
@@ -26,18 +26,30 @@
 
 impl Chunk {
     pub fn new() -> Chunk {
-        Chunk { at: At::Size(0, 0), extra: 0 }
+        Chunk {
+            at: At::Size(0, 0),
+            extra: 0,
+        }
     }
 
     /// Bytes of the input used, and whether the body is whole.
-    pub fn feed(&mut self, input: &[u8], body: &mut Vec<u8>, limit: usize) -> std::result::Result<(usize, bool), Fault> {
+    pub fn feed(
+        &mut self,
+        input: &[u8],
+        body: &mut Vec<u8>,
+        limit: usize,
+    ) -> std::result::Result<(usize, bool), Fault> {
         let mut used = 0;
         while self.at != At::Done && used < input.len() {
             if let At::Data(left) = self.at {
                 let size = left.min(input.len() - used);
                 body.extend_from_slice(&input[used..used + size]);
                 used += size;
-                self.at = if size == left { At::DataCr } else { At::Data(left - size) };
+                self.at = if size == left {
+                    At::DataCr
+                } else {
+                    At::Data(left - size)
+                };
                 continue;
             }
             self.at = self.step(input[used])?;
@@ -60,9 +72,10 @@
             }
         }
         Ok(match (self.at, byte) {
-            (At::Size(size, count), _) if byte.is_ascii_hexdigit() && count < 8 => {
-                At::Size(size << 4 | (byte as char).to_digit(16).unwrap_or(0) as usize, count + 1)
-            }
+            (At::Size(size, count), _) if byte.is_ascii_hexdigit() && count < 8 => At::Size(
+                size << 4 | (byte as char).to_digit(16).unwrap_or(0) as usize,
+                count + 1,
+            ),
             (At::Size(size, 1..), b'\r') | (At::Note(size), b'\r') => At::SizeEnd(size),
             (At::Size(size, 1..), b';') => At::Note(size),
             (At::Note(size), _) if plain => At::Note(size),
@@ -101,7 +114,10 @@
     fn reads_in_any_pieces() {
         let input = b"4\r\nabcd\r\n00A;n=\"x\"\r\n0123456789\r\n0\r\nT: u\r\n\r\nGET";
         for step in [1, 2, 3, 7, 100] {
-            assert_eq!(read(input, step).unwrap(), (b"abcd0123456789".to_vec(), input.len() - 3, true));
+            assert_eq!(
+                read(input, step).unwrap(),
+                (b"abcd0123456789".to_vec(), input.len() - 3, true)
+            );
         }
         assert!(!read(b"1\r\na\r\n0\r\n", 1).unwrap().2);
     }
@@ -109,13 +125,33 @@
     #[test]
     fn refuses_what_others_may_read_otherwise() {
         for input in [
-            "4\nabcd", "4 \r\nabcd", " 4\r\nabcd", "\r\n", "+4\r\n", "0x4\r\n", "4\r\nabcde", "4\r\nabcd\n", "4;a\nb\r\n",
-            "000000004\r\n", "4;\r\r\n", "0\r\n\n", "0\r\n a: b\r\n", "0\r\na\rb\r\n", "fffffffff\r\n", "-1\r\n",
+            "4\nabcd",
+            "4 \r\nabcd",
+            " 4\r\nabcd",
+            "\r\n",
+            "+4\r\n",
+            "0x4\r\n",
+            "4\r\nabcde",
+            "4\r\nabcd\n",
+            "4;a\nb\r\n",
+            "000000004\r\n",
+            "4;\r\r\n",
+            "0\r\n\n",
+            "0\r\n a: b\r\n",
+            "0\r\na\rb\r\n",
+            "fffffffff\r\n",
+            "-1\r\n",
         ] {
-            assert!(matches!(read(input.as_bytes(), 1), Err(Fault::Bad(_))), "{input:?}");
+            assert!(
+                matches!(read(input.as_bytes(), 1), Err(Fault::Bad(_))),
+                "{input:?}"
+            );
         }
         assert!(matches!(read(b"15\r\n", 1), Err(Fault::Large)));
-        assert!(matches!(read(b"14\r\n01234567890123456789\r\n1\r\n", 9), Err(Fault::Large)));
+        assert!(matches!(
+            read(b"14\r\n01234567890123456789\r\n1\r\n", 9),
+            Err(Fault::Large)
+        ));
         assert!(matches!(read(b"ffffffff\r\n", 1), Err(Fault::Large)));
     }
 }
--- a/http-line/src/framing.rs
+++ b/http-line/src/framing.rs
@@ -32,7 +32,12 @@
             Framing::Length(size) => size.min(FIRST),
             _ => 0,
         };
-        Ok(Reading { framing, chunk: Chunk::new(), body: Vec::with_capacity(room), limit })
+        Ok(Reading {
+            framing,
+            chunk: Chunk::new(),
+            body: Vec::with_capacity(room),
+            limit,
+        })
     }
 
     /// Bytes of the input used, and whether the body is whole.
--- a/http-line/src/head.rs
+++ b/http-line/src/head.rs
@@ -44,7 +44,8 @@
 
     /// `bytes`: a head with its empty line.
     pub fn asked(bytes: &[u8]) -> std::result::Result<AskedHead, Refused> {
-        let alone = |(at, byte): (usize, &u8)| *byte == b'\n' && (at == 0 || bytes[at - 1] != b'\r');
+        let alone =
+            |(at, byte): (usize, &u8)| *byte == b'\n' && (at == 0 || bytes[at - 1] != b'\r');
         if bytes.iter().enumerate().any(alone) {
             return Err((400, "a line ends without CR"));
         }
@@ -63,8 +64,12 @@
         let old = found.version == Some(0);
         let mut headers = Vec::with_capacity(found.headers.len());
         for header in found.headers.iter() {
-            let value = std::str::from_utf8(header.value).map_err(|_| (400, "a header is not UTF-8"))?;
-            headers.push((header.name.to_string(), value.trim_matches([' ', '\t']).to_string()));
+            let value =
+                std::str::from_utf8(header.value).map_err(|_| (400, "a header is not UTF-8"))?;
+            headers.push((
+                header.name.to_string(),
+                value.trim_matches([' ', '\t']).to_string(),
+            ));
         }
         let (length, chunked) = Head::framing(&mut headers).map_err(|why| (400, why))?;
         if old && chunked {
@@ -73,14 +78,20 @@
         if Head::named(&headers, "host").count() > 1 {
             return Err((400, "more than one host"));
         }
-        let framing = if chunked { Framing::Chunked } else { Framing::Length(length.unwrap_or(0)) };
+        let framing = if chunked {
+            Framing::Chunked
+        } else {
+            Framing::Length(length.unwrap_or(0))
+        };
         Ok(AskedHead {
             method: found.method.unwrap_or_default().to_string(),
             target: target.to_string(),
             framing,
             close: Head::closes(&headers, old),
             old,
-            expect: !old && Head::named(&headers, "expect").any(|value| value.eq_ignore_ascii_case("100-continue")),
+            expect: !old
+                && Head::named(&headers, "expect")
+                    .any(|value| value.eq_ignore_ascii_case("100-continue")),
             headers,
         })
     }
@@ -102,11 +113,19 @@
                 Ok(value) => value.to_string(),
                 Err(_) => header.value.iter().map(|byte| *byte as char).collect(),
             };
-            headers.push((header.name.to_string(), value.trim_matches([' ', '\t']).to_string()));
+            headers.push((
+                header.name.to_string(),
+                value.trim_matches([' ', '\t']).to_string(),
+            ));
         }
         let close = Head::closes(&headers, old);
         if bare || status < 200 || matches!(status, 204 | 304) {
-            return Ok(AnswerHead { status, headers, framing: Framing::Length(0), close });
+            return Ok(AnswerHead {
+                status,
+                headers,
+                framing: Framing::Length(0),
+                close,
+            });
         }
         let framing = match Head::framing(&mut headers)? {
             (_, true) if old => return Err("chunked in HTTP/1.0"),
@@ -115,11 +134,22 @@
             _ if close => Framing::UntilClose,
             _ => return Err("the end of the body cannot be known"),
         };
-        Ok(AnswerHead { status, headers, framing, close })
+        Ok(AnswerHead {
+            status,
+            headers,
+            framing,
+            close,
+        })
     }
 
-    pub fn named<'a>(headers: &'a [(String, String)], name: &'a str) -> impl Iterator<Item = &'a str> {
-        headers.iter().filter(move |pair| pair.0.eq_ignore_ascii_case(name)).map(|pair| pair.1.as_str())
+    pub fn named<'a>(
+        headers: &'a [(String, String)],
+        name: &'a str,
+    ) -> impl Iterator<Item = &'a str> {
+        headers
+            .iter()
+            .filter(move |pair| pair.0.eq_ignore_ascii_case(name))
+            .map(|pair| pair.1.as_str())
     }
 
     fn closes(headers: &[(String, String)], old: bool) -> bool {
@@ -131,7 +161,9 @@
     }
 
     /// The one length, and whether it is chunked. Equal lengths are made one.
-    fn framing(headers: &mut Vec<(String, String)>) -> std::result::Result<(Option<usize>, bool), &'static str> {
+    fn framing(
+        headers: &mut Vec<(String, String)>,
+    ) -> std::result::Result<(Option<usize>, bool), &'static str> {
         let mut length = None;
         for value in Head::named(headers, "content-length") {
             if value.is_empty() || value.len() > 15 || !value.bytes().all(|b| b.is_ascii_digit()) {
@@ -176,14 +208,29 @@
 
     #[test]
     fn reads_a_head() {
-        let head = asked("Content-Length: 05\r\nX: \t\u{e9} y \r\ncontent-length: 5\r\nConnection: a, Close\r\n").unwrap();
-        assert_eq!((head.method.as_str(), head.target.as_str()), ("POST", "/a?b"));
+        let head = asked(
+            "Content-Length: 05\r\nX: \t\u{e9} y \r\ncontent-length: 5\r\nConnection: a, Close\r\n",
+        )
+        .unwrap();
+        assert_eq!(
+            (head.method.as_str(), head.target.as_str()),
+            ("POST", "/a?b")
+        );
         assert_eq!((head.framing, head.close), (Framing::Length(5), true));
         let pair = |name: &str, value: &str| (name.to_string(), value.to_string());
-        let want = [pair("Host", "h"), pair("Content-Length", "5"), pair("X", "\u{e9} y"), pair("Connection", "a, Close")];
+        let want = [
+            pair("Host", "h"),
+            pair("Content-Length", "5"),
+            pair("X", "\u{e9} y"),
+            pair("Connection", "a, Close"),
+        ];
         assert_eq!(head.headers, want);
         assert!(Head::asked(b"GET / HTTP/1.0\r\n\r\n").unwrap().close);
-        assert!(!Head::asked(b"GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n").unwrap().close);
+        assert!(
+            !Head::asked(b"GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n")
+                .unwrap()
+                .close
+        );
         assert_eq!(Head::end(b"a\r\nb\r\n\r\nc", 0), Some(8));
         assert_eq!(Head::end(b"a\r\nb\r\n\r\nc", 7), Some(8));
         assert_eq!(Head::end(b"a\r\nb\r\n\r", 0), None);
@@ -193,35 +240,91 @@
     #[test]
     fn refuses_what_others_may_read_otherwise() {
         for lines in [
-            "Content-Length: 1\r\nContent-Length: 2\r\n", "Content-Length: 1, 1\r\n", "Content-Length: +1\r\n",
-            "Content-Length: \r\n", "Content-Length: 1 1\r\n", "Content-Length: 99999999999999999999\r\n",
-            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n",
-            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: xchunked\r\n",
-            "Transfer-Encoding: identity\r\n", "Transfer-Encoding:\r\n chunked\r\n", "Transfer-Encoding : chunked\r\n",
-            "A: b\r\n c\r\n", "A: b\rc\r\n", "A: b\nC: d\r\n", "A: b\0\r\n", "A\r\n", ": b\r\n", "A b: c\r\n", "Host: i\r\n",
+            "Content-Length: 1\r\nContent-Length: 2\r\n",
+            "Content-Length: 1, 1\r\n",
+            "Content-Length: +1\r\n",
+            "Content-Length: \r\n",
+            "Content-Length: 1 1\r\n",
+            "Content-Length: 99999999999999999999\r\n",
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: xchunked\r\n",
+            "Transfer-Encoding: identity\r\n",
+            "Transfer-Encoding:\r\n chunked\r\n",
+            "Transfer-Encoding : chunked\r\n",
+            "A: b\r\n c\r\n",
+            "A: b\rc\r\n",
+            "A: b\nC: d\r\n",
+            "A: b\0\r\n",
+            "A\r\n",
+            ": b\r\n",
+            "A b: c\r\n",
+            "Host: i\r\n",
             "Transfer-Encoding: \u{b}chunked\r\n",
         ] {
             assert_eq!(asked(lines).err().map(|e| e.0), Some(400), "{lines:?}");
         }
-        for head in ["GET /\r\n\r\n", "GET / HTTP/2.0\r\n\r\n", "GET /a b HTTP/1.1\r\n\r\n", "G\u{e9} / HTTP/1.1\r\n\r\n",
-            "GET /\u{e9} HTTP/1.1\r\n\r\n", "GET / HTTP/1.1 \r\n\r\n", "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"] {
-            assert_eq!(Head::asked(head.as_bytes()).err().map(|e| e.0), Some(400), "{head:?}");
+        for head in [
+            "GET /\r\n\r\n",
+            "GET / HTTP/2.0\r\n\r\n",
+            "GET /a b HTTP/1.1\r\n\r\n",
+            "G\u{e9} / HTTP/1.1\r\n\r\n",
+            "GET /\u{e9} HTTP/1.1\r\n\r\n",
+            "GET / HTTP/1.1 \r\n\r\n",
+            "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        ] {
+            assert_eq!(
+                Head::asked(head.as_bytes()).err().map(|e| e.0),
+                Some(400),
+                "{head:?}"
+            );
         }
-        assert_eq!(Head::asked(b"GET / HTTP/1.1\r\nA: \xff\r\n\r\n").err().map(|e| e.0), Some(400));
+        assert_eq!(
+            Head::asked(b"GET / HTTP/1.1\r\nA: \xff\r\n\r\n")
+                .err()
+                .map(|e| e.0),
+            Some(400)
+        );
         assert_eq!(asked(&"A: b\r\n".repeat(101)).err().map(|e| e.0), Some(431));
     }
 
     #[test]
     fn knows_where_an_answer_ends() {
-        let framing = |head: &str, bare| Head::answer(head.as_bytes(), bare).map(|head| head.framing);
-        assert_eq!(framing("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", false), Ok(Framing::Length(3)));
-        assert_eq!(framing("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", true), Ok(Framing::Length(0)));
-        assert_eq!(framing("HTTP/1.1 304 \r\nContent-Length: 3\r\n\r\n", false), Ok(Framing::Length(0)));
-        assert_eq!(framing("HTTP/1.1 200\r\nTransfer-Encoding: Chunked\r\n\r\n", false), Ok(Framing::Chunked));
-        assert_eq!(framing("HTTP/1.0 200 OK\r\n\r\n", false), Ok(Framing::UntilClose));
-        assert_eq!(framing("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", false), Ok(Framing::UntilClose));
+        let framing =
+            |head: &str, bare| Head::answer(head.as_bytes(), bare).map(|head| head.framing);
+        assert_eq!(
+            framing("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", false),
+            Ok(Framing::Length(3))
+        );
+        assert_eq!(
+            framing("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", true),
+            Ok(Framing::Length(0))
+        );
+        assert_eq!(
+            framing("HTTP/1.1 304 \r\nContent-Length: 3\r\n\r\n", false),
+            Ok(Framing::Length(0))
+        );
+        assert_eq!(
+            framing("HTTP/1.1 200\r\nTransfer-Encoding: Chunked\r\n\r\n", false),
+            Ok(Framing::Chunked)
+        );
+        assert_eq!(
+            framing("HTTP/1.0 200 OK\r\n\r\n", false),
+            Ok(Framing::UntilClose)
+        );
+        assert_eq!(
+            framing("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", false),
+            Ok(Framing::UntilClose)
+        );
         assert!(framing("HTTP/1.1 200 OK\r\n\r\n", false).is_err());
-        assert!(framing("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", false).is_err());
+        assert!(
+            framing(
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+                false
+            )
+            .is_err()
+        );
         assert!(framing("SSH-2.0 x\r\n\r\n", false).is_err());
     }
 }
--- a/http-line/src/held.rs
+++ b/http-line/src/held.rs
@@ -19,16 +19,31 @@
 }
 
 pub enum Side {
-    Served { face: usize, served: Served },
+    Served {
+        face: usize,
+        served: Served,
+    },
     /// Answered and ended by us: what still comes in is thrown away, so that
     /// no reset overtakes the answer.
-    Linger { until: Instant, left: usize },
+    Linger {
+        until: Instant,
+        left: usize,
+    },
     Called(Called),
 }
 
 impl Held {
     pub fn new(stream: TcpStream, side: Side) -> Held {
-        Held { stream, side, unread: false, hup: false, blocked: false, writes: false, armed: None, busy: false }
+        Held {
+            stream,
+            side,
+            unread: false,
+            hup: false,
+            blocked: false,
+            writes: false,
+            armed: None,
+            busy: false,
+        }
     }
 
     /// The socket's end shall be a reset: the other side learns at once that
--- a/http-line/src/http_line.rs
+++ b/http-line/src/http_line.rs
@@ -32,16 +32,26 @@
 impl HttpLine {
     /// Starts the loop thread. The index of a listener is the face its
     /// requests come with.
-    pub fn open(listeners: Vec<TcpListener>, limits: Limits, taker: Arc<dyn Taker>) -> Result<HttpLine> {
+    pub fn open(
+        listeners: Vec<TcpListener>,
+        limits: Limits,
+        taker: Arc<dyn Taker>,
+    ) -> Result<HttpLine> {
         let shared = Line::start(listeners, limits, taker)?;
         Ok(HttpLine { shared })
     }
 
     /// A listener with a long queue, whose address may be taken anew at once.
     pub fn listen(at: SocketAddr) -> Result<TcpListener> {
-        let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
+        let socket = socket2::Socket::new(
+            socket2::Domain::for_address(at),
+            socket2::Type::STREAM,
+            None,
+        )?;
         socket.set_reuse_address(true)?;
-        socket.bind(&at.into()).with_context(|| format!("bind {at}"))?;
+        socket
+            .bind(&at.into())
+            .with_context(|| format!("bind {at}"))?;
         socket.listen(1024)?;
         Ok(socket.into())
     }
--- a/http-line/src/line.rs
+++ b/http-line/src/line.rs
@@ -39,7 +39,11 @@
 const CALLED_SILENCE: Duration = Duration::from_millis(1500);
 
 impl Line {
-    pub fn start(faces: Vec<std::net::TcpListener>, limits: Limits, taker: Arc<dyn Taker>) -> Result<Arc<Shared>> {
+    pub fn start(
+        faces: Vec<std::net::TcpListener>,
+        limits: Limits,
+        taker: Arc<dyn Taker>,
+    ) -> Result<Arc<Shared>> {
         let poll = Poll::new()?;
         let waker = mio::Waker::new(poll.registry(), Token(WAKER))?;
         let mut listeners = Vec::new();
@@ -47,7 +51,8 @@
             Line::tune(&face)?;
             face.set_nonblocking(true)?;
             let mut listener = TcpListener::from_std(face);
-            poll.registry().register(&mut listener, Token(at), Interest::READABLE)?;
+            poll.registry()
+                .register(&mut listener, Token(at), Interest::READABLE)?;
             listeners.push(listener);
         }
         let (send, orders) = flume::unbounded();
@@ -82,7 +87,9 @@
             drained: false,
             now,
         };
-        std::thread::Builder::new().name("http-line".into()).spawn(move || line.run())?;
+        std::thread::Builder::new()
+            .name("http-line".into())
+            .spawn(move || line.run())?;
         Ok(shared)
     }
 
@@ -124,7 +131,9 @@
                     if event.is_writable() || event.is_error() {
                         held.blocked = false;
                     }
-                    if event.is_error() && matches!(held.side, Side::Served { .. } | Side::Linger { .. }) {
+                    if event.is_error()
+                        && matches!(held.side, Side::Served { .. } | Side::Linger { .. })
+                    {
                         self.cut(token);
                     } else {
                         self.pump(token);
@@ -141,7 +150,11 @@
             return Some(Duration::ZERO);
         }
         while let Some((tick, token)) = self.timers.first() {
-            let Some(held) = self.held.get_mut(&token).filter(|held| held.armed == Some(tick)) else {
+            let Some(held) = self
+                .held
+                .get_mut(&token)
+                .filter(|held| held.armed == Some(tick))
+            else {
                 self.timers.pop();
                 continue;
             };
@@ -161,9 +174,19 @@
     }
 
     fn fire(&mut self) {
-        while let Some((tick, token)) = self.timers.first().filter(|(tick, _)| self.timers.at(*tick) <= self.now) {
+        while let Some((tick, token)) = self
+            .timers
+            .first()
+            .filter(|(tick, _)| self.timers.at(*tick) <= self.now)
+        {
             self.timers.pop();
-            let Some(held) = self.held.get_mut(&token).filter(|held| held.armed == Some(tick)) else { continue };
+            let Some(held) = self
+                .held
+                .get_mut(&token)
+                .filter(|held| held.armed == Some(tick))
+            else {
+                continue;
+            };
             held.armed = None;
             if held.due(&self.limits).is_some_and(|due| due <= self.now) {
                 let (cut, ended) = match &mut held.side {
@@ -193,8 +216,12 @@
     }
 
     fn arm(&mut self, token: usize) {
-        let Some(held) = self.held.get_mut(&token) else { return };
-        let Some(due) = held.due(&self.limits) else { return };
+        let Some(held) = self.held.get_mut(&token) else {
+            return;
+        };
+        let Some(due) = held.due(&self.limits) else {
+            return;
+        };
         let tick = self.timers.tick(due);
         if held.armed.is_none_or(|armed| tick < armed) {
             held.armed = Some(tick);
@@ -239,13 +266,22 @@
     }
 
     fn touch_all(&mut self) {
-        let served = self.held.iter().filter(|(_, held)| matches!(held.side, Side::Served { .. }));
+        let served = self
+            .held
+            .iter()
+            .filter(|(_, held)| matches!(held.side, Side::Served { .. }));
         self.touched.extend(served.map(|(token, _)| *token));
     }
 
     fn tell(&mut self, line: u64, told: Told) {
         let token = (line >> PLACES) as usize;
-        let Some(Held { side: Side::Served { served, .. }, .. }) = self.held.get_mut(&token) else { return };
+        let Some(Held {
+            side: Side::Served { served, .. },
+            ..
+        }) = self.held.get_mut(&token)
+        else {
+            return;
+        };
         let mut gone = Vec::new();
         served.told(line & ((1 << PLACES) - 1), told, self.now, &mut gone);
         if self.touched.last() != Some(&token) {
@@ -267,7 +303,12 @@
                     let token = self.next;
                     self.next += 1;
                     self.shared.accepted.fetch_add(1, Ordering::Relaxed);
-                    if self.poll.registry().register(&mut stream, Token(token), Interest::READABLE).is_err() {
+                    if self
+                        .poll
+                        .registry()
+                        .register(&mut stream, Token(token), Interest::READABLE)
+                        .is_err()
+                    {
                         continue;
                     }
                     let mut served = Served::new(peer, self.taker.clone(), self.now);
@@ -275,11 +316,16 @@
                         served.serve_one();
                     }
                     self.shared.open.fetch_add(1, Ordering::Relaxed);
-                    self.held.insert(token, Held::new(stream, Side::Served { face, served }));
+                    self.held
+                        .insert(token, Held::new(stream, Side::Served { face, served }));
                     self.arm(token);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        ErrorKind::Interrupted | ErrorKind::ConnectionAborted
+                    ) => {}
                 Err(_) => {
                     self.refused = Some(self.now + ACCEPT_PAUSE);
                     return;
@@ -303,14 +349,18 @@
             return Err("the limit ran out".into());
         }
         while let Some(token) = self.pool.take(call.to) {
-            let Some(mut held) = self.held.remove(&token) else { continue };
+            let Some(mut held) = self.held.remove(&token) else {
+                continue;
+            };
             if let Side::Called(called) = &mut held.side
                 && called.fresh(self.now)
                 && !held.unread
             {
                 called.begin(call, from, self.now);
                 let (size, end) = called.out.write(&mut held.stream);
-                let blocked = end.as_ref().is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+                let blocked = end
+                    .as_ref()
+                    .is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
                 if size > 0 || blocked {
                     self.shared.reused.fetch_add(1, Ordering::Relaxed);
                     return self.began(token, held, call.id, size, end);
@@ -334,28 +384,45 @@
             Side::Called(called) => called.out.write(&mut held.stream),
             _ => (0, Ok(())),
         };
-        let waits = |e: &io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected);
+        let waits =
+            |e: &io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected);
         let end = match end {
             Err(e) if size == 0 && !waits(&e) => return Err(format!("connect: {e}")),
             Err(e) if waits(&e) => Err(ErrorKind::WouldBlock.into()),
             end => end,
         };
         held.writes = end.is_err();
-        let interest = if held.writes { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
-        let registered = self.poll.registry().register(&mut held.stream, Token(token), interest);
+        let interest = if held.writes {
+            Interest::READABLE | Interest::WRITABLE
+        } else {
+            Interest::READABLE
+        };
+        let registered = self
+            .poll
+            .registry()
+            .register(&mut held.stream, Token(token), interest);
         self.shared.connects.fetch_add(1, Ordering::Relaxed);
         self.shared.open.fetch_add(1, Ordering::Relaxed);
         self.pool.opened(call.to);
         self.began(token, held, call.id, size, registered.and(end))
     }
 
-    fn began(&mut self, token: usize, mut held: Held, id: u64, size: usize, end: io::Result<()>) -> std::result::Result<(), String> {
+    fn began(
+        &mut self,
+        token: usize,
+        mut held: Held,
+        id: u64,
+        size: usize,
+        end: io::Result<()>,
+    ) -> std::result::Result<(), String> {
         if let Side::Called(called) = &mut held.side
             && size > 0
         {
             called.wrote();
         }
-        held.blocked = end.as_ref().is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+        held.blocked = end
+            .as_ref()
+            .is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
         let broken = end.is_err() && !held.blocked;
         held.unread |= broken;
         self.calls.insert(id, token);
@@ -370,17 +437,30 @@
 
     /// Asks to be told when a blocked socket can be written.
     fn watch(&mut self, token: usize) {
-        let Some(held) = self.held.get_mut(&token).filter(|held| held.blocked && !held.writes) else { return };
+        let Some(held) = self
+            .held
+            .get_mut(&token)
+            .filter(|held| held.blocked && !held.writes)
+        else {
+            return;
+        };
         let both = Interest::READABLE | Interest::WRITABLE;
         held.writes = true;
-        if self.poll.registry().reregister(&mut held.stream, Token(token), both).is_err() {
+        if self
+            .poll
+            .registry()
+            .reregister(&mut held.stream, Token(token), both)
+            .is_err()
+        {
             self.cut(token);
         }
     }
 
     /// Writes and reads what can be, then settles what is to be waited for.
     fn pump(&mut self, token: usize) {
-        let Some(mut held) = self.held.remove(&token) else { return };
+        let Some(mut held) = self.held.remove(&token) else {
+            return;
+        };
         let mut ended = None;
         let keep = match &mut held.side {
             Side::Served { .. } => self.pump_served(token, &mut held),
@@ -410,7 +490,9 @@
     }
 
     fn pump_served(&mut self, token: usize, held: &mut Held) -> bool {
-        let Side::Served { face, served } = &mut held.side else { return true };
+        let Side::Served { face, served } = &mut held.side else {
+            return true;
+        };
         let mut found = Vec::new();
         for _ in 0..ROUNDS {
             if !served.out.is_empty() && !held.blocked {
@@ -455,7 +537,10 @@
                 if held.stream.shutdown(std::net::Shutdown::Write).is_err() {
                     return false;
                 }
-                held.side = Side::Linger { until: self.now + LINGER, left: LINGER_BYTES };
+                held.side = Side::Linger {
+                    until: self.now + LINGER,
+                    left: LINGER_BYTES,
+                };
                 return self.pump_linger(held);
             }
             let more = held.unread && served.wants_read(&self.limits);
@@ -468,7 +553,9 @@
     }
 
     fn pump_linger(&mut self, held: &mut Held) -> bool {
-        let Side::Linger { left, .. } = &mut held.side else { return true };
+        let Side::Linger { left, .. } = &mut held.side else {
+            return true;
+        };
         while held.unread {
             match held.stream.read(&mut self.scratch) {
                 Ok(0) => return false,
@@ -486,7 +573,9 @@
     }
 
     fn pump_called(&mut self, token: usize, held: &mut Held, ended: &mut Option<Ended>) -> bool {
-        let Side::Called(called) = &mut held.side else { return true };
+        let Side::Called(called) = &mut held.side else {
+            return true;
+        };
         if called.idle() {
             return !held.unread && !held.hup;
         }
@@ -518,16 +607,27 @@
                         held.unread = size == self.scratch.len() || held.hup;
                         *ended = called.feed(&self.scratch[..size], &self.limits);
                     }
-                    Err(e) if e.kind() == ErrorKind::WouldBlock && held.hup && !called.out.is_empty() && called.sent() => {
+                    Err(e)
+                        if e.kind() == ErrorKind::WouldBlock
+                            && held.hup
+                            && !called.out.is_empty()
+                            && called.sent() =>
+                    {
                         *ended = called.ended(false, "the other side stopped reading");
                     }
-                    Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => held.unread = false,
+                    Err(e)
+                        if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) =>
+                    {
+                        held.unread = false
+                    }
                     Err(e) if e.kind() == ErrorKind::Interrupted => {}
                     Err(e) => *ended = called.ended(false, &format!("connection: {e}")),
                 }
             }
             if let Some(done) = ended {
-                let Some(keep) = done.keep.filter(|_| !held.unread && !held.hup) else { return false };
+                let Some(keep) = done.keep.filter(|_| !held.unread && !held.hup) else {
+                    return false;
+                };
                 called.keep(self.now + keep);
                 self.pool.keep(called.to, token);
                 return true;
--- a/http-line/src/outgoing.rs
+++ b/http-line/src/outgoing.rs
@@ -99,7 +99,10 @@
         out.push(b"body".to_vec().into());
         let mut sink = Narrow(Vec::new(), 5);
         let (sum, end) = out.write(&mut sink);
-        assert_eq!((sum, end.unwrap_err().kind(), out.left()), (5, ErrorKind::WouldBlock, 3));
+        assert_eq!(
+            (sum, end.unwrap_err().kind(), out.left()),
+            (5, ErrorKind::WouldBlock, 3)
+        );
         sink.1 = 100;
         assert_eq!(out.write(&mut sink).0, 3);
         assert!(out.is_empty() && sink.0 == b"headbody");
--- a/http-line/src/pool.rs
+++ b/http-line/src/pool.rs
@@ -54,7 +54,10 @@
             pool.keep(to, token);
         }
         pool.closed(to, 2);
-        assert_eq!((pool.take(to), pool.take(to), pool.take(to), pool.open(to)), (Some(3), Some(1), None, 2));
+        assert_eq!(
+            (pool.take(to), pool.take(to), pool.take(to), pool.open(to)),
+            (Some(3), Some(1), None, 2)
+        );
         pool.closed(to, 1);
         pool.closed(to, 3);
         assert!(pool.places.is_empty());
--- a/http-line/src/prelude.rs
+++ b/http-line/src/prelude.rs
@@ -1,4 +1,3 @@
-pub use crate::{Asked, Body, Call, Came, HttpLine, Limits, Taker, Told, Usage};
 pub(crate) use crate::called::{Called, Ended};
 pub(crate) use crate::chunk::Chunk;
 pub(crate) use crate::framing::{Fault, Framing, Reading};
@@ -10,6 +9,7 @@
 pub(crate) use crate::pool::Pool;
 pub(crate) use crate::served::Served;
 pub(crate) use crate::timers::Timers;
+pub use crate::{Asked, Body, Call, Came, HttpLine, Limits, Taker, Told, Usage};
 pub use anyhow::{Context, Result, bail};
 pub use std::cmp::Reverse;
 pub use std::collections::{BinaryHeap, HashMap, VecDeque};
--- a/http-line/src/served.rs
+++ b/http-line/src/served.rs
@@ -72,7 +72,10 @@
 
     /// Something is being read, unanswered or unwritten.
     pub fn busy(&self) -> bool {
-        !self.slots.is_empty() || !self.out.is_empty() || self.body.is_some() || !self.inbox.is_empty()
+        !self.slots.is_empty()
+            || !self.out.is_empty()
+            || self.body.is_some()
+            || !self.inbox.is_empty()
     }
 
     /// All is written; the connection is to be closed.
@@ -86,7 +89,13 @@
     }
 
     /// The whole requests found in the input, with their places.
-    pub fn feed(&mut self, input: &[u8], limits: &Limits, now: Instant, found: &mut Vec<(u64, Asked)>) {
+    pub fn feed(
+        &mut self,
+        input: &[u8],
+        limits: &Limits,
+        now: Instant,
+        found: &mut Vec<(u64, Asked)>,
+    ) {
         if self.inbox.is_empty() {
             let used = self.read(input, limits, now, found);
             self.inbox.extend_from_slice(&input[used..]);
@@ -112,7 +121,13 @@
         }
     }
 
-    fn read(&mut self, input: &[u8], limits: &Limits, now: Instant, found: &mut Vec<(u64, Asked)>) -> usize {
+    fn read(
+        &mut self,
+        input: &[u8],
+        limits: &Limits,
+        now: Instant,
+        found: &mut Vec<(u64, Asked)>,
+    ) -> usize {
         let mut at = 0;
         loop {
             if self.closing {
@@ -179,7 +194,14 @@
         }
     }
 
-    fn begin(&mut self, head: AskedHead, alone: bool, limits: &Limits, now: Instant, found: &mut Vec<(u64, Asked)>) {
+    fn begin(
+        &mut self,
+        head: AskedHead,
+        alone: bool,
+        limits: &Limits,
+        now: Instant,
+        found: &mut Vec<(u64, Asked)>,
+    ) {
         match Reading::new(head.framing, limits.body_bytes) {
             Ok(reading) => {
                 let none = head.framing == Framing::Length(0);
@@ -201,20 +223,48 @@
             let place = self.next;
             self.next += 1;
             let bare = head.method == "HEAD";
-            self.slots.push_back(Slot { place, bare, close: head.close, old: head.old, own: false, told: None });
+            self.slots.push_back(Slot {
+                place,
+                bare,
+                close: head.close,
+                old: head.old,
+                own: false,
+                told: None,
+            });
             self.last |= head.close;
             self.closing |= head.close || self.drained || self.next >> crate::line::PLACES != 0;
             self.owed = false;
             self.moved = now;
             let Reading { body, .. } = reading;
-            let AskedHead { method, target, headers, .. } = head;
-            found.push((place, Asked { method, target, headers, body, peer: self.peer }));
+            let AskedHead {
+                method,
+                target,
+                headers,
+                ..
+            } = head;
+            found.push((
+                place,
+                Asked {
+                    method,
+                    target,
+                    headers,
+                    body,
+                    peer: self.peer,
+                },
+            ));
         }
     }
 
     fn refuse(&mut self, status: u16, why: &'static str) {
         let told = self.taker.refused(status, why);
-        self.slots.push_back(Slot { place: self.next, bare: false, close: true, old: false, own: true, told: Some(told) });
+        self.slots.push_back(Slot {
+            place: self.next,
+            bare: false,
+            close: true,
+            old: false,
+            own: true,
+            told: Some(told),
+        });
         self.next += 1;
         self.body = None;
         self.inbox = Vec::new();
@@ -227,15 +277,24 @@
 
     /// An answer, in any order; the places in `gone` will get none.
     pub fn told(&mut self, place: u64, told: Told, now: Instant, gone: &mut Vec<u64>) {
-        let Some(first) = self.slots.front().map(|slot| slot.place) else { return };
-        let Some(slot) = place.checked_sub(first).and_then(|at| self.slots.get_mut(at as usize)) else { return };
+        let Some(first) = self.slots.front().map(|slot| slot.place) else {
+            return;
+        };
+        let Some(slot) = place
+            .checked_sub(first)
+            .and_then(|at| self.slots.get_mut(at as usize))
+        else {
+            return;
+        };
         if slot.told.is_some() {
             return;
         }
         if told.close {
             self.shut();
         }
-        let Some(slot) = self.slots.get_mut((place - first) as usize) else { return };
+        let Some(slot) = self.slots.get_mut((place - first) as usize) else {
+            return;
+        };
         slot.close |= told.close;
         slot.told = Some(told);
         if let Some(at) = self.slots.iter().position(|slot| slot.close) {
@@ -259,7 +318,9 @@
 
     fn advance(&mut self) {
         while self.slots.front().is_some_and(|slot| slot.told.is_some()) {
-            let Some(slot) = self.slots.pop_front() else { break };
+            let Some(slot) = self.slots.pop_front() else {
+                break;
+            };
             let close = slot.close || (self.closing && self.slots.is_empty());
             if let Some(told) = slot.told {
                 Served::write(&mut self.out, told, slot.bare, close, slot.old);
@@ -267,20 +328,45 @@
         }
         if self.owed && self.slots.is_empty() {
             self.owed = false;
-            self.out.push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec().into());
+            self.out
+                .push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec().into());
         }
     }
 
     fn write(out: &mut Outgoing, told: Told, bare: bool, close: bool, old: bool) {
-        let fits = (200..1000).contains(&told.status) && told.headers.iter().all(crate::call::header_fits);
-        let told = if fits { told } else { Told { status: 500, close, ..Told::default() } };
-        let mut head = Vec::with_capacity(64 + told.headers.iter().map(|(n, v)| n.len() + v.len() + 4).sum::<usize>());
-        head.extend_from_slice(format!("HTTP/1.1 {} {}\r\n", told.status, Served::reason(told.status)).as_bytes());
+        let fits =
+            (200..1000).contains(&told.status) && told.headers.iter().all(crate::call::header_fits);
+        let told = if fits {
+            told
+        } else {
+            Told {
+                status: 500,
+                close,
+                ..Told::default()
+            }
+        };
+        let mut head = Vec::with_capacity(
+            64 + told
+                .headers
+                .iter()
+                .map(|(n, v)| n.len() + v.len() + 4)
+                .sum::<usize>(),
+        );
+        head.extend_from_slice(
+            format!(
+                "HTTP/1.1 {} {}\r\n",
+                told.status,
+                Served::reason(told.status)
+            )
+            .as_bytes(),
+        );
         let none = matches!(told.status, 204 | 304);
         let keeps = told.body.is_empty() && (bare || told.status == 304);
         let mut sized = false;
         for (name, value) in &told.headers {
-            let ours = ["connection", "transfer-encoding", "keep-alive"].iter().any(|our| name.eq_ignore_ascii_case(our));
+            let ours = ["connection", "transfer-encoding", "keep-alive"]
+                .iter()
+                .any(|our| name.eq_ignore_ascii_case(our));
             let length = name.eq_ignore_ascii_case("content-length");
             if ours || (length && (!keeps || sized || value.parse::<u64>().is_err())) {
                 continue;
@@ -369,7 +455,11 @@
 
     /// The places that will get no answer, when the connection ends.
     pub fn unanswered(&mut self) -> Vec<u64> {
-        self.slots.drain(..).filter(|slot| !slot.own).map(|slot| slot.place).collect()
+        self.slots
+            .drain(..)
+            .filter(|slot| !slot.own)
+            .map(|slot| slot.place)
+            .collect()
     }
 
     /// When `late` is to be asked.
@@ -381,12 +471,16 @@
             return None;
         }
         if let Some((_, reading)) = &self.body {
-            return Some(self.began + limits.idle_time + Duration::from_millis(reading.body.len() as u64));
+            return Some(
+                self.began + limits.idle_time + Duration::from_millis(reading.body.len() as u64),
+            );
         }
         if !self.inbox.is_empty() {
             return Some(self.began + limits.head_time);
         }
-        self.slots.is_empty().then_some(self.moved + limits.idle_time)
+        self.slots
+            .is_empty()
+            .then_some(self.moved + limits.idle_time)
     }
 
     /// At `due`: whether the connection is to be cut off without a word.
@@ -421,13 +515,24 @@
     impl Desk {
         fn new() -> Desk {
             let now = Instant::now();
-            let limits = Limits { head_bytes: 200, body_bytes: 10, pipeline: 3, ..Limits::default() };
-            Desk { served: Served::new(([127, 0, 0, 1], 9).into(), Arc::new(Nobody), now), limits, now, gone: Vec::new() }
+            let limits = Limits {
+                head_bytes: 200,
+                body_bytes: 10,
+                pipeline: 3,
+                ..Limits::default()
+            };
+            Desk {
+                served: Served::new(([127, 0, 0, 1], 9).into(), Arc::new(Nobody), now),
+                limits,
+                now,
+                gone: Vec::new(),
+            }
         }
 
         fn feed(&mut self, input: &str) -> Vec<String> {
             let mut found = Vec::new();
-            self.served.feed(input.as_bytes(), &self.limits, self.now, &mut found);
+            self.served
+                .feed(input.as_bytes(), &self.limits, self.now, &mut found);
             Desk::shown(found)
         }
 
@@ -439,13 +544,23 @@
 
         fn shown(found: Vec<(u64, Asked)>) -> Vec<String> {
             let show = |(place, a): &(u64, Asked)| {
-                format!("{place} {} {} {}", a.method, a.target, String::from_utf8_lossy(&a.body))
+                format!(
+                    "{place} {} {} {}",
+                    a.method,
+                    a.target,
+                    String::from_utf8_lossy(&a.body)
+                )
             };
             found.iter().map(show).collect()
         }
 
         fn tell(&mut self, place: u64, status: u16, body: &str, close: bool) {
-            let told = Told { status, headers: Vec::new(), body: body.as_bytes().to_vec().into(), close };
+            let told = Told {
+                status,
+                headers: Vec::new(),
+                body: body.as_bytes().to_vec().into(),
+                close,
+            };
             self.served.told(place, told, self.now, &mut self.gone);
         }
 
@@ -473,9 +588,15 @@
         assert_eq!(desk.resume(), [""; 0]);
         desk.tell(2, 200, "c", false);
         assert_eq!(desk.wrote(), format!("{OK}\r\n"));
-        assert_eq!(desk.feed("TP/1.1\r\nConnection: close\r\n\r\nGET /e HTTP/1.1\r\n\r\n"), ["3 GET /d "]);
+        assert_eq!(
+            desk.feed("TP/1.1\r\nConnection: close\r\n\r\nGET /e HTTP/1.1\r\n\r\n"),
+            ["3 GET /d "]
+        );
         desk.tell(3, 204, "d", false);
-        assert_eq!(desk.wrote(), "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n");
+        assert_eq!(
+            desk.wrote(),
+            "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n"
+        );
         assert!(desk.served.finished() && !desk.served.clean());
     }
 
@@ -487,7 +608,10 @@
         assert_eq!(desk.gone, [2]);
         assert_eq!(desk.feed("GET / HTTP/1.1\r\n\r\n"), [""; 0]);
         desk.tell(0, 200, "a", false);
-        assert_eq!(desk.wrote(), format!("{OK}\r\na{OK}Connection: close\r\n\r\nb"));
+        assert_eq!(
+            desk.wrote(),
+            format!("{OK}\r\na{OK}Connection: close\r\n\r\nb")
+        );
         assert!(desk.served.finished());
     }
 
@@ -499,7 +623,10 @@
         assert_eq!(desk.feed("GET / HTTP/1.1\r\n\r\n"), [""; 0]);
         desk.tell(0, 200, "a", false);
         desk.tell(1, 200, "b", false);
-        assert_eq!(desk.wrote(), format!("{OK}\r\na{OK}Connection: close\r\n\r\nb"));
+        assert_eq!(
+            desk.wrote(),
+            format!("{OK}\r\na{OK}Connection: close\r\n\r\nb")
+        );
         assert!(desk.served.finished());
 
         let mut half = Desk::new();
@@ -517,19 +644,38 @@
     fn refusals_wait_for_their_turn() {
         for (input, status) in [
             ("GET / HTTP/1.1\r\nA : b\r\n\r\n", "400"),
-            ("POST / HTTP/1.1\r\nContent-Length: 11\r\nExpect: 100-continue\r\n\r\n", "413"),
-            ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n", "413"),
-            ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx", "400"),
+            (
+                "POST / HTTP/1.1\r\nContent-Length: 11\r\nExpect: 100-continue\r\n\r\n",
+                "413",
+            ),
+            (
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n",
+                "413",
+            ),
+            (
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx",
+                "400",
+            ),
             ("\u{16}\u{3}\u{1}", "400"),
             (&format!("GET /{} ", "a".repeat(200)), "431"),
-            (&format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "a".repeat(200)), "431"),
+            (
+                &format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "a".repeat(200)),
+                "431",
+            ),
         ] {
             let mut desk = Desk::new();
-            assert_eq!(desk.feed(&format!("GET /a HTTP/1.1\r\n\r\n{input}")).len(), 1, "{input:?}");
+            assert_eq!(
+                desk.feed(&format!("GET /a HTTP/1.1\r\n\r\n{input}")).len(),
+                1,
+                "{input:?}"
+            );
             assert_eq!(desk.wrote(), "");
             desk.tell(0, 200, "a", false);
             let wrote = desk.wrote();
-            assert!(wrote.starts_with(&format!("{OK}\r\naHTTP/1.1 {status} ")), "{input:?} {wrote:?}");
+            assert!(
+                wrote.starts_with(&format!("{OK}\r\naHTTP/1.1 {status} ")),
+                "{input:?} {wrote:?}"
+            );
             assert!(wrote.contains("\r\nConnection: close\r\n"));
             assert!(desk.served.finished() && !desk.served.clean());
         }
@@ -541,7 +687,10 @@
         desk.feed("GET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 1\r\nExpect: 100-Continue\r\n\r\n");
         assert_eq!(desk.wrote(), "");
         desk.tell(0, 200, "a", false);
-        assert_eq!(desk.wrote(), format!("{OK}\r\naHTTP/1.1 100 Continue\r\n\r\n"));
+        assert_eq!(
+            desk.wrote(),
+            format!("{OK}\r\naHTTP/1.1 100 Continue\r\n\r\n")
+        );
         assert_eq!(desk.feed("b"), ["1 POST / b"]);
     }
 
@@ -556,7 +705,10 @@
         assert!(desk.served.finished() && desk.served.clean());
 
         let mut slow = Desk::new();
-        assert_eq!(slow.served.due(&slow.limits), Some(slow.now + slow.limits.idle_time));
+        assert_eq!(
+            slow.served.due(&slow.limits),
+            Some(slow.now + slow.limits.idle_time)
+        );
         slow.now += Duration::from_secs(5);
         slow.feed("GET ");
         let due = slow.now + slow.limits.head_time;
@@ -576,7 +728,9 @@
             PUT /c HTTP/1.1\r\nContent-Length: 4\r\n\r\nGET GET /d HTTP/1.1\r\n\r\n";
         let mut seed = 1u64;
         let mut draw = |below: usize| {
-            seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            seed = seed
+                .wrapping_mul(6364136223846793005)
+                .wrapping_add(1442695040888963407);
             (seed >> 33) as usize % below
         };
         let mut whole = 0;
@@ -598,7 +752,8 @@
                     desk.served.resume(&desk.limits, desk.now, &mut found);
                     if at < input.len() && desk.served.wants_read(&desk.limits) {
                         let size = (draw(most) + 1).min(input.len() - at);
-                        desk.served.feed(&input[at..at + size], &desk.limits, desk.now, &mut found);
+                        desk.served
+                            .feed(&input[at..at + size], &desk.limits, desk.now, &mut found);
                         at += size;
                     } else if next < found.len() as u64 {
                         desk.tell(next, 200, "a", false);
@@ -623,11 +778,39 @@
         let mut desk = Desk::new();
         desk.feed("HEAD / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
         let pair = |name: &str, value: &str| (name.to_string(), value.to_string());
-        let headers = vec![pair("Content-Length", "77"), pair("Transfer-Encoding", "chunked"), pair("A", "b")];
-        desk.served.told(0, Told { status: 200, headers, ..Told::default() }, desk.now, &mut desk.gone);
-        assert_eq!(desk.wrote(), "HTTP/1.1 200 OK\r\nContent-Length: 77\r\nA: b\r\n\r\n");
+        let headers = vec![
+            pair("Content-Length", "77"),
+            pair("Transfer-Encoding", "chunked"),
+            pair("A", "b"),
+        ];
+        desk.served.told(
+            0,
+            Told {
+                status: 200,
+                headers,
+                ..Told::default()
+            },
+            desk.now,
+            &mut desk.gone,
+        );
+        assert_eq!(
+            desk.wrote(),
+            "HTTP/1.1 200 OK\r\nContent-Length: 77\r\nA: b\r\n\r\n"
+        );
         let headers = vec![pair("A", "b\r\nC: d")];
-        desk.served.told(1, Told { status: 200, headers, ..Told::default() }, desk.now, &mut desk.gone);
-        assert_eq!(desk.wrote(), "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+        desk.served.told(
+            1,
+            Told {
+                status: 200,
+                headers,
+                ..Told::default()
+            },
+            desk.now,
+            &mut desk.gone,
+        );
+        assert_eq!(
+            desk.wrote(),
+            "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+        );
     }
 }
--- a/http-line/src/taker.rs
+++ b/http-line/src/taker.rs
@@ -12,6 +12,11 @@
     /// The answer to what cannot be read as a request; its connection ends.
     fn refused(&self, status: u16, why: &str) -> Told {
         let headers = vec![("Content-Type".into(), "text/plain".into())];
-        Told { status, headers, body: why.as_bytes().to_vec().into(), close: true }
+        Told {
+            status,
+            headers,
+            body: why.as_bytes().to_vec().into(),
+            close: true,
+        }
     }
 }
--- a/http-line/src/timers.rs
+++ b/http-line/src/timers.rs
@@ -13,11 +13,16 @@
 
 impl Timers {
     pub fn new(start: Instant) -> Timers {
-        Timers { start, heap: BinaryHeap::new() }
+        Timers {
+            start,
+            heap: BinaryHeap::new(),
+        }
     }
 
     pub fn tick(&self, at: Instant) -> u64 {
-        at.saturating_duration_since(self.start).as_nanos().div_ceil(TICK.as_nanos()) as u64
+        at.saturating_duration_since(self.start)
+            .as_nanos()
+            .div_ceil(TICK.as_nanos()) as u64
     }
 
     pub fn at(&self, tick: u64) -> Instant {
--- a/http-line/tests/loopback.rs
+++ b/http-line/tests/loopback.rs
@@ -87,7 +87,12 @@
 }
 
 fn told(text: &str) -> Told {
-    Told { status: 200, headers: vec![("X".into(), "y".into())], body: text.as_bytes().to_vec().into(), close: false }
+    Told {
+        status: 200,
+        headers: vec![("X".into(), "y".into())],
+        body: text.as_bytes().to_vec().into(),
+        close: false,
+    }
 }
 
 fn call(id: u64, to: SocketAddr, target: &str) -> Call {
@@ -106,7 +111,12 @@
 
 fn body(came: (u64, Came)) -> (u64, String) {
     match came {
-        (id, Came::Reply { status: 200, body, .. }) => (id, String::from_utf8(body).unwrap()),
+        (
+            id,
+            Came::Reply {
+                status: 200, body, ..
+            },
+        ) => (id, String::from_utf8(body).unwrap()),
         other => panic!("{other:?}"),
     }
 }
@@ -143,7 +153,10 @@
         assert_eq!(body(here.came()), (id, "/now".into()));
     }
     let usage = here.http.usage();
-    assert_eq!((usage.connects, usage.reused, usage.calls, usage.open), (1, 4, 5, 1));
+    assert_eq!(
+        (usage.connects, usage.reused, usage.calls, usage.open),
+        (1, 4, 5, 1)
+    );
     for id in 10..13 {
         here.call(id, there.at, "/wait");
     }
@@ -157,17 +170,31 @@
     here.http.drop_call(11);
     assert_eq!(there.gone(), first);
     let large = Arc::new(vec![b'x'; 900_000]);
-    here.http.call(Call { method: "POST".into(), body: large.clone(), ..call(20, there.at, "/") });
+    here.http.call(Call {
+        method: "POST".into(),
+        body: large.clone(),
+        ..call(20, there.at, "/")
+    });
     let (line, asked) = there.asked();
     assert!(asked.body == *large);
     let part = Body::part(Arc::new(vec![b'z'; 5_000_000]), 1..4_000_001);
-    there.http.tell(line, Told { status: 200, body: part, ..Told::default() });
+    there.http.tell(
+        line,
+        Told {
+            status: 200,
+            body: part,
+            ..Told::default()
+        },
+    );
     assert!(body(here.came()).1 == "z".repeat(4_000_000));
 }
 
 #[test]
 fn pipelined_answers_keep_their_order() {
-    let rig = Rig::new(Limits { pipeline: 2, ..Limits::default() });
+    let rig = Rig::new(Limits {
+        pipeline: 2,
+        ..Limits::default()
+    });
     let mut peer = rig.peer();
     peer.write_all("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\nConnection: close\r\n\r\n".as_bytes()).unwrap();
     peer.shutdown(Shutdown::Write).unwrap();
@@ -176,35 +203,56 @@
     assert!(rig.events.is_empty());
     rig.http.tell(a, told("a"));
     let (c, asked) = rig.asked();
-    assert_eq!((asked.target.as_str(), asked.peer), ("/c", peer.local_addr().unwrap()));
+    assert_eq!(
+        (asked.target.as_str(), asked.peer),
+        ("/c", peer.local_addr().unwrap())
+    );
     rig.http.tell(c, told("c"));
     let one = "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 1\r\n";
-    assert_eq!(rest(&mut peer), format!("{one}\r\na{one}\r\nb{one}Connection: close\r\n\r\nc"));
+    assert_eq!(
+        rest(&mut peer),
+        format!("{one}\r\na{one}\r\nb{one}Connection: close\r\n\r\nc")
+    );
 }
 
 #[test]
 fn nothing_behind_an_uncertain_end_is_handed_out() {
     let rig = Rig::new(Limits::default());
     let hidden = "GET /hidden HTTP/1.1\r\n\r\n";
-    for lines in ["Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "Content-Length: 2\r\nContent-Length: 3\r\n\r\n",
-        "Transfer-Encoding: chunked\r\n\r\n2\nab\r\n0\r\n\r\n", "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
-        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", "A: b\n\nGET /x HTTP/1.1\r\n\r\n", "A: b\rContent-Length: 3\r\n\r\n"] {
+    for lines in [
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Content-Length: 2\r\nContent-Length: 3\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n2\nab\r\n0\r\n\r\n",
+        "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "A: b\n\nGET /x HTTP/1.1\r\n\r\n",
+        "A: b\rContent-Length: 3\r\n\r\n",
+    ] {
         let mut peer = rig.peer();
-        peer.write_all(format!("POST / HTTP/1.1\r\nHost: h\r\n{lines}{hidden}").as_bytes()).unwrap();
+        peer.write_all(format!("POST / HTTP/1.1\r\nHost: h\r\n{lines}{hidden}").as_bytes())
+            .unwrap();
         let answer = rest(&mut peer);
-        assert!(answer.starts_with("HTTP/1.1 400 ") && answer.contains("Connection: close"), "{lines:?} {answer:?}");
+        assert!(
+            answer.starts_with("HTTP/1.1 400 ") && answer.contains("Connection: close"),
+            "{lines:?} {answer:?}"
+        );
         assert_eq!(answer.matches("HTTP/1.1").count(), 1);
     }
     assert!(rig.events.is_empty());
     let mut peer = rig.peer();
-    peer.write_all(b"POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n").unwrap();
+    peer.write_all(b"POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n")
+        .unwrap();
     let _ = peer.write_all(&vec![0; 30_000]);
     assert!(rest(&mut peer).starts_with("HTTP/1.1 413 "));
 }
 
 #[test]
 fn late_and_early_ends() {
-    let rig = Rig::new(Limits { head_time: Duration::from_millis(30), idle_time: Duration::from_millis(80), ..Limits::default() });
+    let rig = Rig::new(Limits {
+        head_time: Duration::from_millis(30),
+        idle_time: Duration::from_millis(80),
+        ..Limits::default()
+    });
     let mut slow = rig.peer();
     slow.write_all(b"GET / HT").unwrap();
     assert!(rest(&mut slow).starts_with("HTTP/1.1 408 "));
@@ -215,7 +263,9 @@
     // Unread input at the closing makes it a reset.
     rig.http.set_limits(Limits::default());
     let mut other = rig.peer();
-    other.write_all(b"GET /now HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n").unwrap();
+    other
+        .write_all(b"GET /now HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+        .unwrap();
     let (second, _) = rig.asked();
     let mut one = [0];
     other.read_exact(&mut one).unwrap();
@@ -225,7 +275,8 @@
     rig.http.tell(line, told("a"));
     assert!(rest(&mut peer).contains("Connection: close"));
     let mut new = rig.peer();
-    new.write_all(b"GET /now HTTP/1.0\r\nConnection: keep-alive\r\n\r\n").unwrap();
+    new.write_all(b"GET /now HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+        .unwrap();
     assert!(rest(&mut new).contains("Connection: close"));
 }
 
@@ -235,34 +286,54 @@
     let other = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = other.local_addr().unwrap();
     let echo = Some(("E".to_string(), "1".to_string()));
-    let (ours, stranger) = ("HTTP/1.1 200 OK\r\nE: 1\r\nContent-Length: 1\r\n\r\na", "HTTP/1.1 200 OK\r\nE: 0\r\nContent-Length: 1\r\n\r\nb");
+    let (ours, stranger) = (
+        "HTTP/1.1 200 OK\r\nE: 1\r\nContent-Length: 1\r\n\r\na",
+        "HTTP/1.1 200 OK\r\nE: 0\r\nContent-Length: 1\r\n\r\nb",
+    );
 
-    rig.http.call(Call { echo: echo.clone(), ..call(1, at, "/") });
+    rig.http.call(Call {
+        echo: echo.clone(),
+        ..call(1, at, "/")
+    });
     let mut peer = other.accept().unwrap().0;
     serve(&mut peer, &format!("{stranger}{ours}"));
     assert_eq!(body(rig.came()), (1, "a".into()));
     assert_eq!(rest(&mut peer), "");
 
-    rig.http.call(Call { echo, ..call(2, at, "/") });
+    rig.http.call(Call {
+        echo,
+        ..call(2, at, "/")
+    });
     let mut peer = other.accept().unwrap().0;
     serve(&mut peer, ours);
     assert_eq!(body(rig.came()), (2, "a".into()));
     rig.call(3, at, "/");
     serve(&mut peer, "");
     drop(peer);
-    assert!(matches!(rig.came(), (3, Came::Lost { why, reused: true }) if why.starts_with("reused: ")));
+    assert!(
+        matches!(rig.came(), (3, Came::Lost { why, reused: true }) if why.starts_with("reused: "))
+    );
 
     rig.call(4, at, "/");
     let mut peer = other.accept().unwrap().0;
-    serve(&mut peer, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort");
+    serve(
+        &mut peer,
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+    );
     drop(peer);
     assert!(matches!(rig.came(), (4, Came::Lost { reused: false, .. })));
 
-    rig.http.call(Call { limit: Duration::from_millis(200), ..call(5, at, "/") });
+    rig.http.call(Call {
+        limit: Duration::from_millis(200),
+        ..call(5, at, "/")
+    });
     let mut peer = other.accept().unwrap().0;
     serve(&mut peer, "");
     assert!(matches!(rig.came(), (5, Came::Lost { reused: false, .. })));
-    assert_eq!(peer.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
+    assert_eq!(
+        peer.read(&mut [0]).unwrap_err().kind(),
+        ErrorKind::ConnectionReset
+    );
 
     drop(other);
     rig.call(6, at, "/");
@@ -274,13 +345,21 @@
 fn a_slow_reader_gets_all() {
     let rig = Rig::new(Limits::default());
     let mut peer = rig.peer();
-    peer.write_all("GET /a HTTP/1.1\r\n\r\n".repeat(40).as_bytes()).unwrap();
+    peer.write_all("GET /a HTTP/1.1\r\n\r\n".repeat(40).as_bytes())
+        .unwrap();
     let shared = Arc::new(vec![b'q'; 1_000_000]);
     let mut count = 0;
     let head = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n";
     while count < 40 {
         let (line, _) = rig.asked();
-        rig.http.tell(line, Told { status: 200, body: shared.clone().into(), ..Told::default() });
+        rig.http.tell(
+            line,
+            Told {
+                status: 200,
+                body: shared.clone().into(),
+                ..Told::default()
+            },
+        );
         exact(&mut peer, head);
         let mut bytes = vec![0; shared.len()];
         peer.read_exact(&mut bytes).unwrap();
