--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -196,7 +196,11 @@
         let mut found = Vec::new();
         let groups: Vec<Option<&Group>> = self.groups.iter().map(Some).collect();
         check_groups(&groups, &mut found);
-        check_entries(&self.entries.iter().map(Some).collect::<Vec<_>>(), &groups, &mut found);
+        check_entries(
+            &self.entries.iter().map(Some).collect::<Vec<_>>(),
+            &groups,
+            &mut found,
+        );
         if self.entries.len() as u64 > ENTRIES {
             found.push(Finding::new("/entries", format!("more than {ENTRIES}")));
         }
@@ -209,7 +213,10 @@
     /// Reads and checks a document: all findings come together.
     pub fn read(text: &str) -> Result<Configuration, Vec<Finding>> {
         if text.len() > CONFIGURATION_BYTES {
-            let text = format!("document has {} bytes; at most {CONFIGURATION_BYTES}", text.len());
+            let text = format!(
+                "document has {} bytes; at most {CONFIGURATION_BYTES}",
+                text.len()
+            );
             return Err(vec![Finding::new("", text)]);
         }
         let whole: serde_json::Value = serde_json::from_str(text)
@@ -218,16 +225,33 @@
         let Some(top) = whole.as_object() else {
             return Err(vec![Finding::new("", "must be an object")]);
         };
-        for name in top.keys().filter(|name| !["groups", "entries"].contains(&name.as_str())) {
+        for name in top
+            .keys()
+            .filter(|name| !["groups", "entries"].contains(&name.as_str()))
+        {
             found.push(Finding::new(pointer(&[name]), "unknown field"));
         }
         let groups: Vec<Option<Group>> = read_list(&whole, "groups", &mut found);
         let entries: Vec<Option<Entry>> = read_list(&whole, "entries", &mut found);
-        check_groups(&groups.iter().map(Option::as_ref).collect::<Vec<_>>(), &mut found);
-        check_entries(&entries.iter().map(Option::as_ref).collect::<Vec<_>>(), &groups.iter().map(Option::as_ref).collect::<Vec<_>>(), &mut found);
-        for (at, entry) in entries.iter().enumerate().filter_map(|(at, entry)| Some((at, entry.as_ref()?))) {
+        check_groups(
+            &groups.iter().map(Option::as_ref).collect::<Vec<_>>(),
+            &mut found,
+        );
+        check_entries(
+            &entries.iter().map(Option::as_ref).collect::<Vec<_>>(),
+            &groups.iter().map(Option::as_ref).collect::<Vec<_>>(),
+            &mut found,
+        );
+        for (at, entry) in entries
+            .iter()
+            .enumerate()
+            .filter_map(|(at, entry)| Some((at, entry.as_ref()?)))
+        {
             if entry.methods.is_empty() {
-                found.push(Finding::new(pointer(&["entries", &at.to_string(), "methods"]), "length out of bounds (min 1, max 8)"));
+                found.push(Finding::new(
+                    pointer(&["entries", &at.to_string(), "methods"]),
+                    "length out of bounds (min 1, max 8)",
+                ));
             }
         }
         if !found.is_empty() {
@@ -239,7 +263,11 @@
             entries: entries.into_iter().flatten().collect(),
         };
         let found = findings_of(document.validate());
-        if found.is_empty() { Ok(document) } else { Err(found) }
+        if found.is_empty() {
+            Ok(document)
+        } else {
+            Err(found)
+        }
     }
 }
 
@@ -249,7 +277,10 @@
         let Some(group) = group else { continue };
         let place = |field: &str| pointer(&["groups", &at.to_string(), field]);
         if !seen.insert(&group.service) {
-            found.push(Finding::new(place("service"), "service has a group already"));
+            found.push(Finding::new(
+                place("service"),
+                "service has a group already",
+            ));
         }
         let key = BASE64.decode(&group.key).unwrap_or_default();
         if group.proof == Proof::Named {
@@ -263,7 +294,11 @@
 }
 
 fn check_entries(entries: &[Option<&Entry>], groups: &[Option<&Group>], found: &mut Vec<Finding>) {
-    let known: HashSet<&str> = groups.iter().flatten().map(|group| group.service.as_str()).collect();
+    let known: HashSet<&str> = groups
+        .iter()
+        .flatten()
+        .map(|group| group.service.as_str())
+        .collect();
     let mut names = HashSet::new();
     let mut matches = HashSet::new();
     for (at, entry) in entries.iter().enumerate() {
@@ -276,10 +311,16 @@
         if !known.contains(entry.group.as_str()) {
             say("group", "no such group");
         }
-        if entry.split.iter().any(|share| !known.contains(share.group.as_str())) {
+        if entry
+            .split
+            .iter()
+            .any(|share| !known.contains(share.group.as_str()))
+        {
             say("split", "no such group");
         }
-        if !entry.split.is_empty() && entry.split.iter().map(|share| share.weight).sum::<f64>() <= 0.0 {
+        if !entry.split.is_empty()
+            && entry.split.iter().map(|share| share.weight).sum::<f64>() <= 0.0
+        {
             say("split", "some weight must be above 0");
         }
         if !entry.path.starts_with('/') {
@@ -293,7 +334,10 @@
                 say("methods", &format!("method {method} is not served"));
             }
             if !matches.insert((&entry.host, &entry.path, method.as_str())) {
-                say("path", &format!("another entry has this host, path and method {method}"));
+                say(
+                    "path",
+                    &format!("another entry has this host, path and method {method}"),
+                );
             }
         }
         if entry.kind == Kind::Cached && !entry.methods.is_empty() && entry.methods != ["GET"] {
@@ -325,7 +369,10 @@
             }
             Ok(good) => {
                 for finding in findings_of(good.validate()) {
-                    found.push(Finding::new(format!("{place}{}", finding.place), finding.text));
+                    found.push(Finding::new(
+                        format!("{place}{}", finding.place),
+                        finding.text,
+                    ));
                 }
                 unknown_fields(item, &good, &place, found);
                 read.push(Some(good));
@@ -336,18 +383,45 @@
 }
 
 /// A field that does not survive reading is one we do not know.
-fn unknown_fields<T: Serialize>(item: &serde_json::Value, good: &T, place: &str, found: &mut Vec<Finding>) {
+fn unknown_fields<T: Serialize>(
+    item: &serde_json::Value,
+    good: &T,
+    place: &str,
+    found: &mut Vec<Finding>,
+) {
     let known = serde_json::to_value(good).unwrap_or_default();
-    let optional = ["host", "cache_ttl_s", "key", "proof", "total_rate", "sessions", "probe", "keeps_keys", "split", "attempts", "aim_ms"];
-    for name in item.as_object().into_iter().flat_map(|fields| fields.keys()) {
+    let optional = [
+        "host",
+        "cache_ttl_s",
+        "key",
+        "proof",
+        "total_rate",
+        "sessions",
+        "probe",
+        "keeps_keys",
+        "split",
+        "attempts",
+        "aim_ms",
+    ];
+    for name in item
+        .as_object()
+        .into_iter()
+        .flat_map(|fields| fields.keys())
+    {
         if known.get(name).is_none() && !optional.contains(&name.as_str()) {
-            found.push(Finding::new(format!("{place}{}", pointer(&[name])), "unknown field"));
+            found.push(Finding::new(
+                format!("{place}{}", pointer(&[name])),
+                "unknown field",
+            ));
         }
     }
 }
 
 fn pointer(parts: &[&str]) -> String {
-    parts.iter().map(|part| format!("/{}", part.replace('~', "~0").replace('/', "~1"))).collect()
+    parts
+        .iter()
+        .map(|part| format!("/{}", part.replace('~', "~0").replace('/', "~1")))
+        .collect()
 }
 
 /// The validator's tree of errors as a flat list with pointers.
@@ -366,9 +440,17 @@
                     for error in list {
                         let bounds: Vec<String> = ["min", "max"]
                             .iter()
-                            .filter_map(|name| error.params.get(*name).map(|bound| format!("{name} {bound}")))
+                            .filter_map(|name| {
+                                error
+                                    .params
+                                    .get(*name)
+                                    .map(|bound| format!("{name} {bound}"))
+                            })
                             .collect();
-                        found.push(Finding::new(&place, format!("{} out of bounds ({})", error.code, bounds.join(", "))));
+                        found.push(Finding::new(
+                            &place,
+                            format!("{} out of bounds ({})", error.code, bounds.join(", ")),
+                        ));
                     }
                 }
             }
@@ -412,12 +494,22 @@
     fn thousands_of_entries_are_read_and_one_too_many_is_a_finding() {
         let text = |count: usize| {
             let entries: Vec<String> = (0..count)
-                .map(|at| format!(r#"{{"name":"e{at}","path":"/p/{at}","group":"s","rank":1,"kind":"plain"}}"#))
+                .map(|at| {
+                    format!(
+                        r#"{{"name":"e{at}","path":"/p/{at}","group":"s","rank":1,"kind":"plain"}}"#
+                    )
+                })
                 .collect();
             let key = BASE64.encode([7u8; 32]);
-            format!(r#"{{"groups":[{{"service":"s","rate":5,"concurrency":2,"key":"{key}"}}],"entries":[{}]}}"#, entries.join(","))
+            format!(
+                r#"{{"groups":[{{"service":"s","rate":5,"concurrency":2,"key":"{key}"}}],"entries":[{}]}}"#,
+                entries.join(",")
+            )
         };
-        assert_eq!(Configuration::read(&text(5000)).unwrap().entries.len(), 5000);
+        assert_eq!(
+            Configuration::read(&text(5000)).unwrap().entries.len(),
+            5000
+        );
         let found = Configuration::read(&text(ENTRIES as usize + 1)).unwrap_err();
         assert_eq!(found.len(), 1);
         assert_eq!(found[0].place, "/entries");
--- a/kernel/src/dialect.rs
+++ b/kernel/src/dialect.rs
@@ -42,7 +42,10 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Judged {
     /// The origin's own answer: the headers that go on with it, and its tags.
-    Own { headers: Vec<(String, String)>, tags: Vec<String> },
+    Own {
+        headers: Vec<(String, String)>,
+        tags: Vec<String>,
+    },
     /// The origin says that it did not run it.
     NotRun,
     /// Another instance listens at that address; it did not run it.
--- a/kernel/src/entry_table.rs
+++ b/kernel/src/entry_table.rs
@@ -17,7 +17,12 @@
         for (at, entry) in document.entries.iter().enumerate() {
             by_path.entry(entry.path.clone()).or_default().push(at);
         }
-        EntryTable { version, document, bounds: None, by_path }
+        EntryTable {
+            version,
+            document,
+            bounds: None,
+            by_path,
+        }
     }
 
     /// The same, with the callers' bounds.
@@ -30,16 +35,30 @@
     pub fn find(&self, host: &str, url: &str, method: &str) -> Option<usize> {
         let path = url.split(['?', '#']).next().unwrap_or(url);
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let cuts = path.match_indices('/').flat_map(|(at, _)| [at, at + 1]).chain([path.len()]);
+        let cuts = path
+            .match_indices('/')
+            .flat_map(|(at, _)| [at, at + 1])
+            .chain([path.len()]);
         let cuts: BTreeSet<usize> = cuts.filter(|at| *at > 0).collect();
         for cut in cuts.into_iter().rev() {
             let fits = |at: &&usize| {
                 let entry = &self.document.entries[**at];
                 entry.takes(method)
-                    && entry.host.as_deref().is_none_or(|known| known.eq_ignore_ascii_case(host))
+                    && entry
+                        .host
+                        .as_deref()
+                        .is_none_or(|known| known.eq_ignore_ascii_case(host))
             };
-            let list = self.by_path.get(&path[..cut]).map(Vec::as_slice).unwrap_or_default();
-            if let Some(at) = list.iter().filter(fits).max_by_key(|at| self.document.entries[**at].host.is_some()) {
+            let list = self
+                .by_path
+                .get(&path[..cut])
+                .map(Vec::as_slice)
+                .unwrap_or_default();
+            if let Some(at) = list
+                .iter()
+                .filter(fits)
+                .max_by_key(|at| self.document.entries[**at].host.is_some())
+            {
                 return Some(*at);
             }
         }
@@ -67,9 +86,24 @@
             attempts: None,
             aim_ms: None,
         };
-        let entries = vec![entry("root", None, "/"), entry("list", None, "/list"), entry("ours", Some("a.example"), "/list"), entry("tiles", None, "/t/")];
-        let table = EntryTable::new(1, Configuration { groups: vec![], entries });
-        let find = |host: &str, url: &str| table.find(host, url, "GET").map(|at| table.document.entries[at].name.clone());
+        let entries = vec![
+            entry("root", None, "/"),
+            entry("list", None, "/list"),
+            entry("ours", Some("a.example"), "/list"),
+            entry("tiles", None, "/t/"),
+        ];
+        let table = EntryTable::new(
+            1,
+            Configuration {
+                groups: vec![],
+                entries,
+            },
+        );
+        let find = |host: &str, url: &str| {
+            table
+                .find(host, url, "GET")
+                .map(|at| table.document.entries[at].name.clone())
+        };
         assert_eq!(find("b.example", "/list/4?x=/t/").as_deref(), Some("list"));
         assert_eq!(find("A.example:80", "/list").as_deref(), Some("ours"));
         assert_eq!(find("b.example", "/listing").as_deref(), Some("root"));
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -67,11 +67,23 @@
         let listed: Vec<String> = page
             .lines()
             .filter_map(|line| line.strip_prefix("| E"))
-            .map(|rest| rest.split('|').take(3).map(str::trim).collect::<Vec<_>>().join(" "))
+            .map(|rest| {
+                rest.split('|')
+                    .take(3)
+                    .map(str::trim)
+                    .collect::<Vec<_>>()
+                    .join(" ")
+            })
             .collect();
         let known: Vec<String> = Event::ALL
             .iter()
-            .map(|event| format!("{:03} {event:?} {}", *event as u32, event.level().to_string().to_lowercase()))
+            .map(|event| {
+                format!(
+                    "{:03} {event:?} {}",
+                    *event as u32,
+                    event.level().to_string().to_lowercase()
+                )
+            })
             .collect();
         assert_eq!(listed, known);
     }
--- a/kernel/src/finding.rs
+++ b/kernel/src/finding.rs
@@ -10,7 +10,10 @@
 
 impl Finding {
     pub fn new(place: impl Into<String>, text: impl Into<String>) -> Finding {
-        Finding { place: place.into(), text: text.into() }
+        Finding {
+            place: place.into(),
+            text: text.into(),
+        }
     }
 }
 
@@ -19,7 +22,10 @@
     for finding in found {
         eprintln!("{program}: {finding}");
     }
-    eprintln!("{program}: {} finding(s); see {program} --help", found.len());
+    eprintln!(
+        "{program}: {} finding(s); see {program} --help",
+        found.len()
+    );
     std::process::exit(2);
 }
 
--- a/kernel/src/frame.rs
+++ b/kernel/src/frame.rs
@@ -39,7 +39,17 @@
     #[test]
     fn what_is_written_is_read_and_any_flipped_or_missing_byte_is_an_error() {
         let mate = Mate::new("127.0.0.1:9".parse().unwrap(), 3);
-        let message: Message = Beat { slot: 2, full: true, blank: false, seats: 0, closed: Duration::ZERO, lost: 0, got: 0, seen: None }.into();
+        let message: Message = Beat {
+            slot: 2,
+            full: true,
+            blank: false,
+            seats: 0,
+            closed: Duration::ZERO,
+            lost: 0,
+            got: 0,
+            seen: None,
+        }
+        .into();
         let good = frame::write(mate, &message).unwrap();
         assert_eq!(frame::read(&mut good.as_slice()).unwrap(), (mate, message));
         for at in 0..good.len() {
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -28,7 +28,10 @@
     /// comes of it, and must not wait.
     pub fn begin(&self, make: &dyn Fn(u64) -> Input, then: Then) -> u64 {
         let id = self.serial.fetch_add(1, Ordering::Relaxed);
-        self.waits.lock().expect("no holder panics").insert(id, then);
+        self.waits
+            .lock()
+            .expect("no holder panics")
+            .insert(id, then);
         if self.give.send(make(id)).is_err() {
             self.forget(id);
         }
@@ -106,7 +109,8 @@
     pub fn run(mut self, mut part: Box<dyn Part>) -> Result<()> {
         let (give, take) = flume::unbounded::<Input>();
         let mesh = self.startup.mesh.context("mesh address")?;
-        let listener = TcpListener::bind(mesh).with_context(|| format!("cannot listen on {mesh}"))?;
+        let listener =
+            TcpListener::bind(mesh).with_context(|| format!("cannot listen on {mesh}"))?;
         let links = Links::open(self.me, listener, give.clone());
         let port = Arc::new(Port {
             give: give.clone(),
@@ -122,14 +126,25 @@
             startup: self.startup.clone(),
         });
         self.face.open(&port)?;
-        for source in inventory::iter::<SourcePlugIn>().filter(|source| source.program == self.program) {
+        for source in
+            inventory::iter::<SourcePlugIn>().filter(|source| source.program == self.program)
+        {
             let port = port.clone();
             thread::spawn(move || (source.run)(&port));
         }
-        let store = self.store.take().map(|store| Host::keep(store, give.clone()));
+        let store = self
+            .store
+            .take()
+            .map(|store| Host::keep(store, give.clone()));
         Host::watch_signal(&give, self.startup.grace())?;
         let pulse = self.pulse;
-        note(Event::Started, &format!("{} {} mesh {mesh} http {:?}", self.program, self.me, self.startup.http));
+        note(
+            Event::Started,
+            &format!(
+                "{} {} mesh {mesh} http {:?}",
+                self.program, self.me, self.startup.http
+            ),
+        );
         let mut next = port.now();
         // After the end, calls that were already read are still answered.
         while !(port.ending.load(Ordering::Acquire) && self.face.done()) {
@@ -150,14 +165,23 @@
                 match output {
                     Output::Tell { to, message } => {
                         if to == mesh {
-                            let _ = give.send(Input::Heard { from: self.me, message });
+                            let _ = give.send(Input::Heard {
+                                from: self.me,
+                                message,
+                            });
                         } else {
                             links.tell(to, &message);
                         }
                     }
-                    Output::Store { serial, record } => self.put(&store, Stored::Append(serial, record)),
-                    Output::StoreImage { serial, record } => self.put(&store, Stored::Image(serial, record)),
-                    Output::Answer { id, .. } | Output::OperatorAnswer { id, .. } => port.answer(id, output),
+                    Output::Store { serial, record } => {
+                        self.put(&store, Stored::Append(serial, record))
+                    }
+                    Output::StoreImage { serial, record } => {
+                        self.put(&store, Stored::Image(serial, record))
+                    }
+                    Output::Answer { id, .. } | Output::OperatorAnswer { id, .. } => {
+                        port.answer(id, output)
+                    }
                     Output::Call { id, call } => self.face.call(id, call),
                     Output::Watch { address } => {
                         let give = give.clone();
@@ -174,7 +198,9 @@
                             let _ = history.try_send((version, text));
                         }
                     }
-                    Output::Show(Shown::Configuration(table)) => port.image.store(Arc::new(Some(table))),
+                    Output::Show(Shown::Configuration(table)) => {
+                        port.image.store(Arc::new(Some(table)))
+                    }
                     Output::Ended => {
                         port.ending.store(true, Ordering::Release);
                     }
@@ -189,10 +215,16 @@
     /// took it, or of its patience: either way it must show again who it is.
     fn watch(address: SocketAddr, give: &Sender<Input>) {
         if let Ok(mut stream) = TcpStream::connect_timeout(&address, WATCH) {
-            let _ = give.send(Input::Watched { address, open: true });
+            let _ = give.send(Input::Watched {
+                address,
+                open: true,
+            });
             while matches!(stream.read(&mut [0; 64]), Ok(size) if size > 0) {}
         }
-        let _ = give.send(Input::Watched { address, open: false });
+        let _ = give.send(Input::Watched {
+            address,
+            open: false,
+        });
     }
 
     fn put(&self, store: &Option<Sender<Stored>>, what: Stored) {
@@ -217,7 +249,11 @@
                     good &= done.1.is_ok();
                 }
                 good &= store.sync().is_ok();
-                let input = if good { Input::Stored { serial: last } } else { Input::StoreFailed };
+                let input = if good {
+                    Input::Stored { serial: last }
+                } else {
+                    Input::StoreFailed
+                };
                 if give.send(input).is_err() || !good {
                     return;
                 }
@@ -229,12 +265,19 @@
     /// The first warning goes to the part; after the grace time the process
     /// ends regardless.
     fn watch_signal(give: &Sender<Input>, grace: Duration) -> Result<()> {
-        let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT, signal_hook::consts::SIGHUP])?;
+        let mut signals = signal_hook::iterator::Signals::new([
+            signal_hook::consts::SIGTERM,
+            signal_hook::consts::SIGINT,
+            signal_hook::consts::SIGHUP,
+        ])?;
         let give = give.clone();
         thread::spawn(move || {
             // A hang-up asks to read the startup anew: what hangs on it is
             // learned from the mates all the time.
-            if signals.forever().any(|signal| signal != signal_hook::consts::SIGHUP) {
+            if signals
+                .forever()
+                .any(|signal| signal != signal_hook::consts::SIGHUP)
+            {
                 note(Event::Warned, &format!("ending within {grace:?}"));
                 let _ = give.send(Input::Warned);
                 thread::sleep(grace);
--- a/kernel/src/lease.rs
+++ b/kernel/src/lease.rs
@@ -53,7 +53,15 @@
     #[test]
     fn no_wall_clock_is_read_by_the_product() {
         let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
-        let mut folders: Vec<PathBuf> = ["kernel", "segment-log", "control-plane", "data-plane", "programs"].map(|name| root.join(name).join("src")).into();
+        let mut folders: Vec<PathBuf> = [
+            "kernel",
+            "segment-log",
+            "control-plane",
+            "data-plane",
+            "programs",
+        ]
+        .map(|name| root.join(name).join("src"))
+        .into();
         let mut read = 0;
         while let Some(folder) = folders.pop() {
             for file in std::fs::read_dir(folder).unwrap() {
@@ -64,7 +72,11 @@
                     read += 1;
                     let text = std::fs::read_to_string(&path).unwrap();
                     let word = ["System", "Time"].concat();
-                    assert!(!text.contains(&word), "{} reads a wall clock", path.display());
+                    assert!(
+                        !text.contains(&word),
+                        "{} reads a wall clock",
+                        path.display()
+                    );
                 }
             }
         }
--- a/kernel/src/link.rs
+++ b/kernel/src/link.rs
@@ -26,11 +26,16 @@
                 thread::spawn(move || Links::hear(stream, &take));
             }
         });
-        Arc::new(Links { me, out: Mutex::default() })
+        Arc::new(Links {
+            me,
+            out: Mutex::default(),
+        })
     }
 
     fn hear(stream: TcpStream, take: &Sender<Input>) {
-        let alive = socket2::TcpKeepalive::new().with_time(IDLE).with_interval(IDLE / 3);
+        let alive = socket2::TcpKeepalive::new()
+            .with_time(IDLE)
+            .with_interval(IDLE / 3);
         let _ = socket2::SockRef::from(&stream).set_tcp_keepalive(&alive);
         let mut stream = std::io::BufReader::new(stream);
         loop {
@@ -42,7 +47,14 @@
                 }
                 Err(error) => {
                     let ended = error.downcast_ref::<std::io::Error>().is_some();
-                    note(if ended { Event::LinkBroken } else { Event::FrameRefused }, &error.to_string());
+                    note(
+                        if ended {
+                            Event::LinkBroken
+                        } else {
+                            Event::FrameRefused
+                        },
+                        &error.to_string(),
+                    );
                     return;
                 }
             }
@@ -50,7 +62,9 @@
     }
 
     pub fn tell(&self, to: SocketAddr, message: &Message) {
-        let Ok(frame) = frame::write(self.me, message) else { return };
+        let Ok(frame) = frame::write(self.me, message) else {
+            return;
+        };
         let mut out = self.out.lock().expect("no holder panics");
         let link = out.entry(to).or_insert_with(|| {
             let (give, take) = flume::bounded(PENDING);
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -202,7 +202,15 @@
     /// All that others' decisions hang on: what was served, how origins are
     /// found and what was confirmed is there for operators to read.
     pub fn core(&self) -> (Mate, &str, &str, u32, bool, u64, bool) {
-        (self.mate, &self.zone, &self.ring, self.strength, self.draining, self.realm, self.recalled)
+        (
+            self.mate,
+            &self.zone,
+            &self.ring,
+            self.strength,
+            self.draining,
+            self.realm,
+            self.recalled,
+        )
     }
 
     /// The sum of its core.
@@ -257,24 +265,45 @@
 /// What may be asked of a slice's owner. `change` makes a repeat harmless.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
-    PutConfiguration { text: Arc<str>, expect: Option<u64>, change: u64 },
+    PutConfiguration {
+        text: Arc<str>,
+        expect: Option<u64>,
+        change: u64,
+    },
     GetConfiguration,
     /// Sets or removes named parts, whole or not at all; one that is not newer
     /// than what is known under its name has no effect.
-    PutItems { items: Vec<Item>, change: u64 },
-    AddPurge { purge: Purge, change: u64 },
+    PutItems {
+        items: Vec<Item>,
+        change: u64,
+    },
+    AddPurge {
+        purge: Purge,
+        change: u64,
+    },
     /// `expect`: the version of the list that it was made to replace. One that
     /// comes late, over a newer list, then changes nothing.
-    PutOrigins { list: Arc<Vec<Origin>>, expect: Option<u64>, change: u64 },
+    PutOrigins {
+        list: Arc<Vec<Origin>>,
+        expect: Option<u64>,
+        change: u64,
+    },
     /// All rows of a news slice, confirmed at a majority.
     List,
     /// Says that no operation was run before this realm that may come again.
-    OpenLedger { realm: u64 },
+    OpenLedger {
+        realm: u64,
+    },
     /// Puts the mate in the place of a lost slot, if there is one; a
     /// `founding` one in a slot of its own.
-    Enlist { mate: Mate, founding: bool },
+    Enlist {
+        mate: Mate,
+        founding: bool,
+    },
     /// Acknowledged rows may be lost: name a new realm after this one.
-    Refound { after: u64 },
+    Refound {
+        after: u64,
+    },
     Claim(Claim),
     /// Nothing was sent under the claim and nothing will be.
     Release(Claim),
@@ -294,21 +323,36 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Outcome {
     /// In force everywhere, under this version.
-    Settled { version: u64 },
+    Settled {
+        version: u64,
+    },
     /// Another change came first; this version is in force.
-    Raced { version: u64 },
-    Configuration { version: u64, text: Arc<str> },
-    Rows { version: u64, rows: Vec<(String, Row)> },
+    Raced {
+        version: u64,
+    },
+    Configuration {
+        version: u64,
+        text: Arc<str>,
+    },
+    Rows {
+        version: u64,
+        rows: Vec<(String, Row)>,
+    },
     Findings(Vec<Finding>),
     Claimed,
     /// The key is taken; `same` if by a request like this one.
-    Taken { same: bool, state: OperationState },
+    Taken {
+        same: bool,
+        state: OperationState,
+    },
     Released,
     Recorded,
     /// No owner could be asked in time: it may or may not have happened.
     Lost,
     /// What was acknowledged may be lost: unknown keys are not run for so long.
-    Closed { left: Duration },
+    Closed {
+        left: Duration,
+    },
 }
 
 /// Ties a put to what the owner knew when it said MISS.
--- a/kernel/src/operator_server.rs
+++ b/kernel/src/operator_server.rs
@@ -9,7 +9,10 @@
 
 impl OperatorServer {
     pub fn new(program: &'static str) -> OperatorServer {
-        OperatorServer { program, server: None }
+        OperatorServer {
+            program,
+            server: None,
+        }
     }
 }
 
@@ -18,8 +21,10 @@
         let address = port.startup.http.context("http address")?;
         let plug_ins = PlugIn::of(self.program);
         let face = port.clone();
-        let server = rouille::Server::new(address, move |request| serve_plug_ins(&plug_ins, &face, request))
-            .map_err(|error| anyhow!("cannot listen on {address}: {error}"))?;
+        let server = rouille::Server::new(address, move |request| {
+            serve_plug_ins(&plug_ins, &face, request)
+        })
+        .map_err(|error| anyhow!("cannot listen on {address}: {error}"))?;
         let port = port.clone();
         self.server = Some(thread::spawn(move || {
             while !port.ending.load(Ordering::Acquire) {
@@ -33,6 +38,8 @@
     fn call(&self, _: u64, _: Call) {}
 
     fn done(&self) -> bool {
-        self.server.as_ref().is_none_or(|server| server.is_finished())
+        self.server
+            .as_ref()
+            .is_none_or(|server| server.is_finished())
     }
 }
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -9,34 +9,74 @@
 #[derive(Debug, Clone)]
 pub enum Input {
     Pulse,
-    Heard { from: Mate, message: Message },
+    Heard {
+        from: Mate,
+        message: Message,
+    },
     /// All that was stored up to this serial is synced.
-    Stored { serial: u64 },
+    Stored {
+        serial: u64,
+    },
     /// The disk refuses writes.
     StoreFailed,
-    Errand { id: u64, errand: Errand },
-    Called { id: u64, result: CallBack },
-    Operator { id: u64, ask: OperatorAsk },
+    Errand {
+        id: u64,
+        errand: Errand,
+    },
+    Called {
+        id: u64,
+        result: CallBack,
+    },
+    Operator {
+        id: u64,
+        ask: OperatorAsk,
+    },
     /// An open connection to an origin stands, or has ended: then the process
     /// that listens there may be another.
-    Watched { address: SocketAddr, open: bool },
+    Watched {
+        address: SocketAddr,
+        open: bool,
+    },
     /// Stop soon: hand over, answer what was read, leave.
     Warned,
 }
 
 #[derive(Debug, Clone)]
 pub enum Output {
-    Tell { to: SocketAddr, message: Message },
+    Tell {
+        to: SocketAddr,
+        message: Message,
+    },
     /// Append to the log; `Stored` follows once synced.
-    Store { serial: u64, record: Vec<u8> },
+    Store {
+        serial: u64,
+        record: Vec<u8>,
+    },
     /// Everything up to now, in place of all earlier records.
-    StoreImage { serial: u64, record: Vec<u8> },
-    Answer { id: u64, answer: Answer },
-    Call { id: u64, call: Call },
-    OperatorAnswer { id: u64, answer: OperatorAnswer },
+    StoreImage {
+        serial: u64,
+        record: Vec<u8>,
+    },
+    Answer {
+        id: u64,
+        answer: Answer,
+    },
+    Call {
+        id: u64,
+        call: Call,
+    },
+    OperatorAnswer {
+        id: u64,
+        answer: OperatorAnswer,
+    },
     /// Open a connection to this origin and tell when it ends.
-    Watch { address: SocketAddr },
-    Note { event: Event, text: String },
+    Watch {
+        address: SocketAddr,
+    },
+    Note {
+        event: Event,
+        text: String,
+    },
     /// What threads beside the part may read.
     Show(Shown),
     /// Nothing is left to do after a warning.
@@ -45,10 +85,16 @@
 
 #[derive(Debug, Clone)]
 pub enum Shown {
-    Fence { until: Duration, ready: bool },
+    Fence {
+        until: Duration,
+        ready: bool,
+    },
     Configuration(Arc<EntryTable>),
     /// A configuration in force, for those who keep a history.
-    Acknowledged { version: u64, text: Arc<str> },
+    Acknowledged {
+        version: u64,
+        text: Arc<str>,
+    },
     /// The duties held now, by name.
     Duties(Vec<String>),
 }
@@ -89,7 +135,10 @@
     }
 
     pub fn group(&self) -> &Group {
-        self.image.document.group(&self.service).expect("checked on reading")
+        self.image
+            .document
+            .group(&self.service)
+            .expect("checked on reading")
     }
 
     pub fn operation_key(&self) -> Option<&str> {
@@ -107,7 +156,10 @@
 }
 
 pub fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.as_str())
 }
 
 #[derive(Debug, Clone)]
@@ -163,7 +215,11 @@
     pub idle: bool,
     pub text: String,
     /// Written in whole seconds, rounded up: no one comes back too early.
-    #[serde(skip_serializing_if = "Option::is_none", serialize_with = "whole_seconds", default)]
+    #[serde(
+        skip_serializing_if = "Option::is_none",
+        serialize_with = "whole_seconds",
+        default
+    )]
     pub retry_after_s: Option<f64>,
 }
 
@@ -185,7 +241,14 @@
 impl Refusal {
     pub fn new(status: u16, code: &str, outcome: RunState, text: &str) -> Refusal {
         let retry_after_s = matches!(status, 409 | 429 | 503).then_some(1.0);
-        Refusal { status, code: code.into(), outcome, idle: outcome == RunState::NotRun, text: text.into(), retry_after_s }
+        Refusal {
+            status,
+            code: code.into(),
+            outcome,
+            idle: outcome == RunState::NotRun,
+            text: text.into(),
+            retry_after_s,
+        }
     }
 
     pub fn not_run(status: u16, code: &str, text: &str) -> Refusal {
@@ -203,7 +266,12 @@
 
     /// From a node without its lease.
     pub fn fenced(outcome: RunState) -> Refusal {
-        let refusal = Refusal::new(503, "fenced", outcome, "this node is cut off from a majority; another may serve");
+        let refusal = Refusal::new(
+            503,
+            "fenced",
+            outcome,
+            "this node is cut off from a majority; another may serve",
+        );
         refusal.idle().back(FENCED)
     }
 
--- a/kernel/src/plug_in.rs
+++ b/kernel/src/plug_in.rs
@@ -26,7 +26,12 @@
 /// The one description of all remote calls.
 pub const SCHEMA: &str = include_str!("../../schema/otterslip.json");
 
-inventory::submit!(PlugIn { name: "health", program: "", order: 1, serve: serve_health });
+inventory::submit!(PlugIn {
+    name: "health",
+    program: "",
+    order: 1,
+    serve: serve_health
+});
 
 fn serve_health(port: &Port, request: &rouille::Request) -> Option<rouille::Response> {
     if request.method() != "GET" {
@@ -34,8 +39,14 @@
     }
     match request.raw_url() {
         "/.otterslip/v1/live" => Some(json(200, &serde_json::json!({ "live": true }))),
-        "/.otterslip/v1/ready" if port.ready() => Some(json(200, &serde_json::json!({ "ready": true }))),
-        "/.otterslip/v1/ready" => Some(refuse(&Refusal::not_run(503, "not_ready", "do not send callers here now"))),
+        "/.otterslip/v1/ready" if port.ready() => {
+            Some(json(200, &serde_json::json!({ "ready": true })))
+        }
+        "/.otterslip/v1/ready" => Some(refuse(&Refusal::not_run(
+            503,
+            "not_ready",
+            "do not send callers here now",
+        ))),
         "/.otterslip/v1/schema" => Some(rouille::Response::from_data("application/json", SCHEMA)),
         _ => None,
     }
@@ -43,18 +54,30 @@
 
 impl PlugIn {
     pub fn of(program: &str) -> Vec<&'static PlugIn> {
-        let mut list: Vec<&PlugIn> = inventory::iter::<PlugIn>().filter(|one| one.program.is_empty() || one.program == program).collect();
+        let mut list: Vec<&PlugIn> = inventory::iter::<PlugIn>()
+            .filter(|one| one.program.is_empty() || one.program == program)
+            .collect();
         list.sort_by_key(|one| one.order);
         list
     }
 }
 
 /// The first plug-in that answers does.
-pub fn serve_plug_ins(plug_ins: &[&PlugIn], port: &Port, request: &rouille::Request) -> rouille::Response {
+pub fn serve_plug_ins(
+    plug_ins: &[&PlugIn],
+    port: &Port,
+    request: &rouille::Request,
+) -> rouille::Response {
     plug_ins
         .iter()
         .find_map(|one| (one.serve)(port, request))
-        .unwrap_or_else(|| refuse(&Refusal::not_run(404, "no_such_path", "nothing is served here")))
+        .unwrap_or_else(|| {
+            refuse(&Refusal::not_run(
+                404,
+                "no_such_path",
+                "nothing is served here",
+            ))
+        })
 }
 
 /// One JSON answer.
@@ -70,7 +93,9 @@
     let answer = json(refusal.status, refusal);
     match refusal.retry_after_s {
         // Whole seconds, rounded up: no one comes back too early.
-        Some(span) => answer.with_additional_header("Retry-After", (span.ceil().max(1.0) as u64).to_string()),
+        Some(span) => {
+            answer.with_additional_header("Retry-After", (span.ceil().max(1.0) as u64).to_string())
+        }
         None => answer,
     }
 }
@@ -78,16 +103,37 @@
 /// Reads a body whole, or refuses it when over `limit`.
 pub fn read_body(request: &rouille::Request, limit: usize) -> Result<Vec<u8>, Refusal> {
     let mut body = Vec::new();
-    let Some(stream) = request.data() else { return Ok(body) };
-    let announced = request.header("Content-Length").and_then(|text| text.parse::<usize>().ok());
-    if announced.is_some_and(|size| size > limit) || stream.take(limit as u64 + 1).read_to_end(&mut body).is_err() {
-        return Err(Refusal::not_run(413, "body_unreadable", "the body is too large or was cut off"));
+    let Some(stream) = request.data() else {
+        return Ok(body);
+    };
+    let announced = request
+        .header("Content-Length")
+        .and_then(|text| text.parse::<usize>().ok());
+    if announced.is_some_and(|size| size > limit)
+        || stream
+            .take(limit as u64 + 1)
+            .read_to_end(&mut body)
+            .is_err()
+    {
+        return Err(Refusal::not_run(
+            413,
+            "body_unreadable",
+            "the body is too large or was cut off",
+        ));
     }
     if body.len() > limit {
-        return Err(Refusal::not_run(413, "body_unreadable", "the body is too large"));
+        return Err(Refusal::not_run(
+            413,
+            "body_unreadable",
+            "the body is too large",
+        ));
     }
     if announced.is_some_and(|size| size != body.len()) {
-        return Err(Refusal::not_run(400, "body_short", "the body ended before its announced length"));
+        return Err(Refusal::not_run(
+            400,
+            "body_short",
+            "the body ended before its announced length",
+        ));
     }
     Ok(body)
 }
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -33,12 +33,19 @@
 
 /// The duty of a cache slice of one ring; copies do not cross between rings.
 pub fn cache_duty(ring: &str, slice: u16) -> String {
-    if ring.is_empty() { format!("cache/{slice:03}") } else { format!("cache/{ring}/{slice:03}") }
+    if ring.is_empty() {
+        format!("cache/{slice:03}")
+    } else {
+        format!("cache/{ring}/{slice:03}")
+    }
 }
 
 /// The ring whose edges may hold a duty; none: any edge.
 pub fn duty_ring(duty: &str) -> Option<&str> {
-    let (ring, _) = duty.strip_prefix("cache/")?.rsplit_once('/').unwrap_or_default();
+    let (ring, _) = duty
+        .strip_prefix("cache/")?
+        .rsplit_once('/')
+        .unwrap_or_default();
     Some(ring)
 }
 
@@ -69,12 +76,21 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Value {
     /// The document as it was put, byte for byte, and the change that put it.
-    Configuration { text: Arc<str>, change: u64 },
+    Configuration {
+        text: Arc<str>,
+        change: u64,
+    },
     /// A named part of the configuration, beside the document.
     Item(Item),
-    Purge { purge: Purge, change: u64 },
+    Purge {
+        purge: Purge,
+        change: u64,
+    },
     /// The platform's list of origins, whole.
-    Origins { list: Arc<Vec<Origin>>, change: u64 },
+    Origins {
+        list: Arc<Vec<Origin>>,
+        change: u64,
+    },
     Duty(Duty),
     /// Who holds the slots of the control plane, 1 to `SLOTS_MOST` of them;
     /// life 0: whoever listens there.
@@ -82,16 +98,26 @@
     /// Edges that have a session, and those gone for less than
     /// `lease::CLOSED`: all whose operations may be asked for again. Only if
     /// the ledger was `complete` by then, all of them together know of all.
-    Roll { members: Vec<Mate>, gone: Vec<Mate>, complete: bool },
+    Roll {
+        members: Vec<Mate>,
+        gone: Vec<Mate>,
+        complete: bool,
+    },
     /// Those of the roll whose being on it had settled: they may claim
     /// operations, since every other edge would miss them after a loss.
-    Enrolled { members: Vec<Mate> },
+    Enrolled {
+        members: Vec<Mate>,
+    },
     /// The realm's ledger is complete: all of the roll told what they knew, or
     /// no repeat of what it lacks can come any more, or operators said so.
-    Opened { realm: u64 },
+    Opened {
+        realm: u64,
+    },
     /// Marks the founding of the slice; in the configuration's, names the realm
     /// (see `message::Realm`).
-    Founded { realm: u64 },
+    Founded {
+        realm: u64,
+    },
     Operation(Operation),
 }
 
@@ -193,16 +219,36 @@
 impl Purge {
     pub fn reaches(&self, copy: CopyName) -> bool {
         self.entry.as_deref().is_none_or(|name| name == copy.entry)
-            && self.host.as_deref().is_none_or(|name| copy.host.is_empty() || name.eq_ignore_ascii_case(copy.host))
-            && self.url.as_deref().is_none_or(|one| one == copy.url || copy.url.split('?').next() == Some(one))
-            && self.prefix.as_deref().is_none_or(|start| copy.url.starts_with(start))
-            && self.tag.as_deref().is_none_or(|tag| copy.tags.is_none_or(|tags| tags.iter().any(|known| known == tag)))
+            && self
+                .host
+                .as_deref()
+                .is_none_or(|name| copy.host.is_empty() || name.eq_ignore_ascii_case(copy.host))
+            && self
+                .url
+                .as_deref()
+                .is_none_or(|one| one == copy.url || copy.url.split('?').next() == Some(one))
+            && self
+                .prefix
+                .as_deref()
+                .is_none_or(|start| copy.url.starts_with(start))
+            && self.tag.as_deref().is_none_or(|tag| {
+                copy.tags
+                    .is_none_or(|tags| tags.iter().any(|known| known == tag))
+            })
     }
 
     pub fn findings(&self) -> Vec<Finding> {
         let mut found = findings_of(self.validate());
-        if self.entry.is_none() && self.url.is_none() && self.prefix.is_none() && self.host.is_none() && self.tag.is_none() {
-            found.push(Finding::new("", "one of entry, host, url, prefix or tag must be given"));
+        if self.entry.is_none()
+            && self.url.is_none()
+            && self.prefix.is_none()
+            && self.host.is_none()
+            && self.tag.is_none()
+        {
+            found.push(Finding::new(
+                "",
+                "one of entry, host, url, prefix or tag must be given",
+            ));
         }
         if self.url.is_some() && self.prefix.is_some() {
             found.push(Finding::new("/prefix", "url and prefix exclude each other"));
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -92,24 +92,26 @@
         let mut startup = Startup::default();
         match flags.opt_value_from_str::<_, PathBuf>("--startup") {
             Ok(None) => {}
-            Ok(Some(path)) => match std::fs::read_to_string(&path).map_err(|error| error.to_string()).and_then(|text| {
-                serde_json::from_str(&text).map_err(|error| error.to_string())
-            }) {
+            Ok(Some(path)) => match std::fs::read_to_string(&path)
+                .map_err(|error| error.to_string())
+                .and_then(|text| serde_json::from_str(&text).map_err(|error| error.to_string()))
+            {
                 Ok(read) => startup = read,
                 Err(error) => found.push(Finding::new(path.display().to_string(), error)),
             },
             Err(error) => found.push(Finding::new("--startup", error.to_string())),
         }
-        let mut take = |name: &'static str, put: &mut dyn FnMut(&str) -> Result<()>| {
-            match flags.opt_value_from_str::<_, String>(name) {
-                Ok(None) => {}
-                Ok(Some(text)) => {
-                    if let Err(error) = put(&text) {
-                        found.push(Finding::new(name, format!("{text}: {error}")));
-                    }
+        let mut take = |name: &'static str, put: &mut dyn FnMut(&str) -> Result<()>| match flags
+            .opt_value_from_str::<_, String>(
+            name,
+        ) {
+            Ok(None) => {}
+            Ok(Some(text)) => {
+                if let Err(error) = put(&text) {
+                    found.push(Finding::new(name, format!("{text}: {error}")));
                 }
-                Err(error) => found.push(Finding::new(name, error.to_string())),
             }
+            Err(error) => found.push(Finding::new(name, error.to_string())),
         };
         take("--mesh", &mut |text| {
             startup.mesh = Some(text.parse()?);
@@ -124,7 +126,10 @@
             Ok(())
         });
         take("--seeds", &mut |text| {
-            startup.seeds = text.split(',').map(|one| one.parse()).collect::<Result<_, _>>()?;
+            startup.seeds = text
+                .split(',')
+                .map(|one| one.parse())
+                .collect::<Result<_, _>>()?;
             Ok(())
         });
         take("--gather-ms", &mut |text| {
@@ -155,7 +160,11 @@
             found.push(Finding::new(rest.to_string_lossy(), "unknown flag"));
         }
         found.extend(startup.findings(disk));
-        if found.is_empty() { Ok(startup) } else { Err(found) }
+        if found.is_empty() {
+            Ok(startup)
+        } else {
+            Err(found)
+        }
     }
 
     fn findings(&self, disk: bool) -> Vec<Finding> {
@@ -170,9 +179,17 @@
         need(self.zone.is_empty(), "zone", "is needed");
         let unlike: BTreeSet<_> = self.seeds.iter().collect();
         let few = self.gather_ms.is_some() && (1..=3).contains(&self.seeds.len());
-        need(!few && self.seeds.len() != 3 || unlike.len() != self.seeds.len(), "seeds", "must be three unlike addresses (or one to three with gather_ms)");
+        need(
+            !few && self.seeds.len() != 3 || unlike.len() != self.seeds.len(),
+            "seeds",
+            "must be three unlike addresses (or one to three with gather_ms)",
+        );
         let level = self.log.as_deref().unwrap_or("info");
-        need(level.parse::<log::LevelFilter>().is_err(), "log", "no such level");
+        need(
+            level.parse::<log::LevelFilter>().is_err(),
+            "log",
+            "no such level",
+        );
         if disk {
             need(self.data.is_none(), "data", "is needed");
         }
@@ -187,7 +204,12 @@
 
     pub fn spot(&self) -> Spot {
         let ring = self.ring.clone().unwrap_or_else(|| self.region.clone());
-        Spot { zone: self.zone.clone(), region: self.region.clone(), ring, strength: self.strength.unwrap_or(1) }
+        Spot {
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            ring,
+            strength: self.strength.unwrap_or(1),
+        }
     }
 
     pub fn grace(&self) -> Duration {
@@ -196,11 +218,19 @@
 
     /// Logs to standard error, one event a line.
     pub fn log(&self) -> Result<()> {
-        let level = self.log.as_deref().unwrap_or("info").parse::<log::LevelFilter>()?;
+        let level = self
+            .log
+            .as_deref()
+            .unwrap_or("info")
+            .parse::<log::LevelFilter>()?;
         let began = Instant::now();
         fern::Dispatch::new()
             .format(move |out, text, record| {
-                out.finish(format_args!("{:9.3} {:5} {text}", began.elapsed().as_secs_f64(), record.level()))
+                out.finish(format_args!(
+                    "{:9.3} {:5} {text}",
+                    began.elapsed().as_secs_f64(),
+                    record.level()
+                ))
             })
             .level(log::LevelFilter::Warn)
             .level_for("kernel", level)
@@ -216,22 +246,55 @@
 
     #[test]
     fn every_finding_is_reported_at_once() {
-        let words = ["--mesh", "nowhere", "--seeds", "127.0.0.1:1,127.0.0.1:1,127.0.0.1:2", "--odd"];
+        let words = [
+            "--mesh",
+            "nowhere",
+            "--seeds",
+            "127.0.0.1:1,127.0.0.1:1,127.0.0.1:2",
+            "--odd",
+        ];
         let flags = pico_args::Arguments::from_vec(words.iter().map(|word| word.into()).collect());
         let found = Startup::read(flags, true).unwrap_err();
         let places: Vec<&str> = found.iter().map(|finding| finding.place.as_str()).collect();
-        assert_eq!(places, ["--mesh", "--odd", "mesh", "http", "zone", "seeds", "data"]);
+        assert_eq!(
+            places,
+            ["--mesh", "--odd", "mesh", "http", "zone", "seeds", "data"]
+        );
     }
 
     #[test]
     fn fewer_seeds_than_three_do_only_where_the_table_is_asked_for() {
         let read = |more: &[&str]| {
-            let words = [&["--mesh", "127.0.0.1:1", "--http", "127.0.0.1:2", "--zone", "a", "--data", "d"], more].concat();
-            Startup::read(pico_args::Arguments::from_vec(words.iter().map(|word| word.into()).collect()), true)
+            let words = [
+                &[
+                    "--mesh",
+                    "127.0.0.1:1",
+                    "--http",
+                    "127.0.0.1:2",
+                    "--zone",
+                    "a",
+                    "--data",
+                    "d",
+                ],
+                more,
+            ]
+            .concat();
+            Startup::read(
+                pico_args::Arguments::from_vec(words.iter().map(|word| word.into()).collect()),
+                true,
+            )
         };
         let found = read(&["--seeds", "127.0.0.1:1"]).unwrap_err();
         assert_eq!(found.len(), 1, "{found:?}");
-        let startup = read(&["--seeds", "127.0.0.1:1", "--gather-ms", "1500", "--founding", "true"]).unwrap();
+        let startup = read(&[
+            "--seeds",
+            "127.0.0.1:1",
+            "--gather-ms",
+            "1500",
+            "--founding",
+            "true",
+        ])
+        .unwrap();
         assert!(startup.founding && startup.gather_span() == Some(Duration::from_millis(1500)));
     }
 }
--- a/programs/src/bin/operate.rs
+++ b/programs/src/bin/operate.rs
@@ -52,7 +52,14 @@
 
 fn gather(mut flags: pico_args::Arguments) -> Result<Ask, Vec<Finding>> {
     let mut found = Vec::new();
-    let mut ask = Ask { to: vec![], method: "GET", path: String::new(), body: vec![], if_match: None, put_back: None };
+    let mut ask = Ask {
+        to: vec![],
+        method: "GET",
+        path: String::new(),
+        body: vec![],
+        if_match: None,
+        put_back: None,
+    };
     match flags.opt_value_from_str::<_, String>("--to") {
         Ok(Some(list)) => {
             for one in list.split(',') {
@@ -65,7 +72,12 @@
         Ok(None) => found.push(Finding::new("--to", "is needed")),
         Err(error) => found.push(Finding::new("--to", error.to_string())),
     }
-    match flags.opt_value_from_str::<_, String>("--if-match").ok().flatten().map(|text| text.parse().map_err(|_| text)) {
+    match flags
+        .opt_value_from_str::<_, String>("--if-match")
+        .ok()
+        .flatten()
+        .map(|text| text.parse().map_err(|_| text))
+    {
         Some(Ok(version)) => ask.if_match = Some(version),
         Some(Err(text)) => found.push(Finding::new("--if-match", format!("{text} is no version"))),
         None => {}
@@ -83,9 +95,19 @@
             Err(error) => found.push(Finding::new(flag, error.to_string())),
         }
     }
-    let words: Vec<String> = flags.finish().into_iter().map(|word| word.to_string_lossy().into_owned()).collect();
-    let (odd, words): (Vec<&str>, Vec<&str>) = words.iter().map(String::as_str).partition(|word| word.starts_with('-'));
-    found.extend(odd.into_iter().map(|flag| Finding::new(flag, "unknown flag, or its value is missing")));
+    let words: Vec<String> = flags
+        .finish()
+        .into_iter()
+        .map(|word| word.to_string_lossy().into_owned())
+        .collect();
+    let (odd, words): (Vec<&str>, Vec<&str>) = words
+        .iter()
+        .map(String::as_str)
+        .partition(|word| word.starts_with('-'));
+    found.extend(
+        odd.into_iter()
+            .map(|flag| Finding::new(flag, "unknown flag, or its value is missing")),
+    );
     let mut file = |path: &str| {
         std::fs::read(path).unwrap_or_else(|error| {
             found.push(Finding::new(path, error.to_string()));
@@ -93,21 +115,31 @@
         })
     };
     match words.as_slice() {
-        ["check", path] => (ask.method, ask.path, ask.body) = ("POST", "configuration/check".into(), file(path)),
-        ["put", path] => (ask.method, ask.path, ask.body) = ("PUT", "configuration".into(), file(path)),
+        ["check", path] => {
+            (ask.method, ask.path, ask.body) = ("POST", "configuration/check".into(), file(path))
+        }
+        ["put", path] => {
+            (ask.method, ask.path, ask.body) = ("PUT", "configuration".into(), file(path))
+        }
         ["get"] => ask.path = "configuration".into(),
         ["items", "get"] => ask.path = "items".into(),
-        ["items", "put", path] => (ask.method, ask.path, ask.body) = ("PATCH", "items".into(), file(path)),
+        ["items", "put", path] => {
+            (ask.method, ask.path, ask.body) = ("PATCH", "items".into(), file(path))
+        }
         ["open-ledger", realm] => {
             (ask.method, ask.path) = ("POST", "ledger/open".into());
-            ask.body = serde_json::json!({ "realm": realm }).to_string().into_bytes();
+            ask.body = serde_json::json!({ "realm": realm })
+                .to_string()
+                .into_bytes();
         }
         ["purge"] => {
             (ask.method, ask.path) = ("POST", "purges".into());
             ask.body = serde_json::to_vec(&purge).unwrap_or_default();
         }
         ["origins"] => ask.path = "origins".into(),
-        ["origins", path] => (ask.method, ask.path, ask.body) = ("PUT", "origins".into(), file(path)),
+        ["origins", path] => {
+            (ask.method, ask.path, ask.body) = ("PUT", "origins".into(), file(path))
+        }
         [name @ ("duties" | "state" | "schema" | "history")] => ask.path = name.to_string(),
         ["show", version] => ask.path = format!("history/{version}"),
         ["compare", old, new] => ask.path = format!("history/{old}/{new}"),
@@ -127,7 +159,11 @@
     if !purge.is_empty() && ask.path != "purges" {
         found.push(Finding::new("--entry, --url, --prefix", "go with purge"));
     }
-    if found.is_empty() { Ok(ask) } else { Err(found) }
+    if found.is_empty() {
+        Ok(ask)
+    } else {
+        Err(found)
+    }
 }
 
 fn run(mut ask: Ask) -> i32 {
@@ -135,8 +171,20 @@
         return history(&ask);
     }
     if let Some(version) = ask.put_back {
-        let kept = Ask { method: "GET", path: format!("history/{version}"), body: vec![], if_match: None, put_back: None, to: ask.to.clone() };
-        match ask.to.iter().filter_map(|to| call(*to, &kept).ok()).find(|told| told.status == 200) {
+        let kept = Ask {
+            method: "GET",
+            path: format!("history/{version}"),
+            body: vec![],
+            if_match: None,
+            put_back: None,
+            to: ask.to.clone(),
+        };
+        match ask
+            .to
+            .iter()
+            .filter_map(|to| call(*to, &kept).ok())
+            .find(|told| told.status == 200)
+        {
             Some(told) => ask.body = told.text.into_bytes(),
             None => {
                 eprintln!("operate: version {version} is in no history of the nodes named");
@@ -149,14 +197,22 @@
     for to in &ask.to {
         match call(*to, ask) {
             // Another node may have kept what this one has not.
-            Ok(told) if told.status == 404 && ask.path.starts_with("history/") && Some(to) != ask.to.last() => continue,
+            Ok(told)
+                if told.status == 404
+                    && ask.path.starts_with("history/")
+                    && Some(to) != ask.to.last() =>
+            {
+                continue;
+            }
             Ok(told) => return show(ask, &told),
             Err(error) => {
                 // A connection that never came about asked nothing.
                 let refused = matches!(error.kind(), attohttpc::ErrorKind::Io(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused);
                 last = format!("{to}: {error}");
                 if ask.method != "GET" && !refused {
-                    eprintln!("operate: {last}\noperate: outcome unknown; read back before trying again");
+                    eprintln!(
+                        "operate: {last}\noperate: outcome unknown; read back before trying again"
+                    );
                     return 3;
                 }
             }
@@ -170,10 +226,21 @@
 fn history(ask: &Ask) -> i32 {
     let mut versions = BTreeSet::new();
     let mut answered = false;
-    for told in ask.to.iter().filter_map(|to| call(*to, ask).ok()).filter(|told| told.status == 200) {
+    for told in ask
+        .to
+        .iter()
+        .filter_map(|to| call(*to, ask).ok())
+        .filter(|told| told.status == 200)
+    {
         answered = true;
         let body: serde_json::Value = serde_json::from_str(&told.text).unwrap_or_default();
-        versions.extend(body["versions"].as_array().into_iter().flatten().filter_map(|version| version.as_u64()));
+        versions.extend(
+            body["versions"]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .filter_map(|version| version.as_u64()),
+        );
     }
     versions.iter().for_each(|version| println!("{version}"));
     i32::from(!answered)
@@ -181,15 +248,24 @@
 
 fn call(to: SocketAddr, ask: &Ask) -> attohttpc::Result<Told> {
     let method = attohttpc::Method::from_bytes(ask.method.as_bytes()).expect("ours");
-    let mut request = attohttpc::RequestBuilder::new(method, format!("http://{to}/.otterslip/v1/{}", ask.path))
-        .proxy_settings(attohttpc::ProxySettings::builder().build())
-        .timeout(Duration::from_secs(20));
+    let mut request =
+        attohttpc::RequestBuilder::new(method, format!("http://{to}/.otterslip/v1/{}", ask.path))
+            .proxy_settings(attohttpc::ProxySettings::builder().build())
+            .timeout(Duration::from_secs(20));
     if let Some(version) = ask.if_match {
         request = request.header("If-Match", format!("\"{version}\""));
     }
     let answer = request.bytes(ask.body.as_slice()).send()?;
-    let tag = answer.headers().get("etag").and_then(|tag| tag.to_str().ok()).map(Into::into);
-    Ok(Told { status: answer.status().as_u16(), tag, text: answer.text_utf8()? })
+    let tag = answer
+        .headers()
+        .get("etag")
+        .and_then(|tag| tag.to_str().ok())
+        .map(Into::into);
+    Ok(Told {
+        status: answer.status().as_u16(),
+        tag,
+        text: answer.text_utf8()?,
+    })
 }
 
 fn show(ask: &Ask, told: &Told) -> i32 {
@@ -206,10 +282,30 @@
         return 0;
     }
     let body: serde_json::Value = serde_json::from_str(&told.text).unwrap_or_default();
-    let word = |name: &str| body.get(name).and_then(|value| value.as_str()).unwrap_or("?");
-    eprintln!("operate: {} {} ({}): {}", told.status, word("code"), word("outcome"), word("text"));
-    for finding in body.get("findings").and_then(|list| list.as_array()).into_iter().flatten() {
-        let part = |name: &str| finding.get(name).and_then(|value| value.as_str()).unwrap_or("");
+    let word = |name: &str| {
+        body.get(name)
+            .and_then(|value| value.as_str())
+            .unwrap_or("?")
+    };
+    eprintln!(
+        "operate: {} {} ({}): {}",
+        told.status,
+        word("code"),
+        word("outcome"),
+        word("text")
+    );
+    for finding in body
+        .get("findings")
+        .and_then(|list| list.as_array())
+        .into_iter()
+        .flatten()
+    {
+        let part = |name: &str| {
+            finding
+                .get(name)
+                .and_then(|value| value.as_str())
+                .unwrap_or("")
+        };
         eprintln!("  {}: {}", part("place"), part("text"));
     }
     if let Some(version) = body.get("version") {
--- a/programs/src/control_node.rs
+++ b/programs/src/control_node.rs
@@ -9,7 +9,16 @@
         None => (Replica::blank(new_life()?), true),
     };
     let mesh = startup.mesh.context("mesh address")?;
-    let part = ControlPart::new(mesh, startup.seeds.clone(), replica, blank, startup.gather_span().map(|span| Gather::new(startup.founding, span)), new_life()?);
+    let part = ControlPart::new(
+        mesh,
+        startup.seeds.clone(),
+        replica,
+        blank,
+        startup
+            .gather_span()
+            .map(|span| Gather::new(startup.founding, span)),
+        new_life()?,
+    );
     let history = Some(History::keep(startup.data.clone().context("data folder")?));
     let host = Host {
         me: part.me(),
@@ -30,7 +39,10 @@
         Ok(loaded) => loaded,
         Err(error) => {
             let aside = SegmentLog::set_aside(folder)?;
-            note(Event::LogCorrupt, &format!("{error:#}; set aside as {}", aside.display()));
+            note(
+                Event::LogCorrupt,
+                &format!("{error:#}; set aside as {}", aside.display()),
+            );
             SegmentLog::open(folder)?
         }
     };
--- a/programs/src/edge_node.rs
+++ b/programs/src/edge_node.rs
@@ -10,9 +10,27 @@
 pub fn run_edge_node(startup: Startup, dialect: Arc<dyn Dialect>) -> Result<()> {
     let me = Mate::new(startup.mesh.context("mesh address")?, new_life()?);
     // A quarter of what the process may use goes to copies.
-    let bytes = startup.cache_bytes.or(startup.memory_bytes.map(|bytes| bytes / 4)).unwrap_or(CACHE_BYTES);
-    let part = EdgePart::new(me, startup.spot(), startup.seeds.clone(), startup.gather_ms.is_some(), bytes).with_extra_tries(startup.extra_tries);
+    let bytes = startup
+        .cache_bytes
+        .or(startup.memory_bytes.map(|bytes| bytes / 4))
+        .unwrap_or(CACHE_BYTES);
+    let part = EdgePart::new(
+        me,
+        startup.spot(),
+        startup.seeds.clone(),
+        startup.gather_ms.is_some(),
+        bytes,
+    )
+    .with_extra_tries(startup.extra_tries);
     let face = Box::new(LineFace::new("edge-node", dialect));
-    let host = Host { me, program: "edge-node", startup, pulse: PULSE, store: None, face, history: None };
+    let host = Host {
+        me,
+        program: "edge-node",
+        startup,
+        pulse: PULSE,
+        store: None,
+        face,
+        history: None,
+    };
     host.run(Box::new(part))
 }
--- a/segment-log/src/segment_log.rs
+++ b/segment-log/src/segment_log.rs
@@ -33,7 +33,10 @@
     /// after it cannot be trusted to be complete.
     pub fn open(folder: &Path) -> Result<Loaded> {
         fs::create_dir_all(folder)?;
-        let image = SegmentLog::numbers(folder, "image-")?.into_iter().max().unwrap_or(0);
+        let image = SegmentLog::numbers(folder, "image-")?
+            .into_iter()
+            .max()
+            .unwrap_or(0);
         let mut records = Vec::new();
         if image > 0 {
             let bytes = fs::read(folder.join(format!("image-{image:08}")))?;
@@ -70,7 +73,17 @@
         let file = OpenOptions::new().create(true).append(true).open(path)?;
         let size = file.metadata()?.len();
         SegmentLog::sync_folder(folder)?;
-        Ok(Loaded { log: SegmentLog { folder: folder.into(), number, file, size, pending: Vec::new() }, records, cut })
+        Ok(Loaded {
+            log: SegmentLog {
+                folder: folder.into(),
+                number,
+                file,
+                size,
+                pending: Vec::new(),
+            },
+            records,
+            cut,
+        })
     }
 
     /// Renames a folder that cannot be trusted out of the way.
@@ -89,7 +102,11 @@
         let mut found = Vec::new();
         for file in fs::read_dir(folder)? {
             let name = file?.file_name();
-            if let Some(number) = name.to_string_lossy().strip_prefix(start).and_then(|rest| rest.parse().ok()) {
+            if let Some(number) = name
+                .to_string_lossy()
+                .strip_prefix(start)
+                .and_then(|rest| rest.parse().ok())
+            {
                 found.push(number);
             }
         }
@@ -144,7 +161,10 @@
         self.file.sync_all()?;
         self.number += 1;
         let path = self.folder.join(format!("segment-{:08}", self.number));
-        self.file = OpenOptions::new().create_new(true).append(true).open(path)?;
+        self.file = OpenOptions::new()
+            .create_new(true)
+            .append(true)
+            .open(path)?;
         self.size = 0;
         SegmentLog::sync_folder(&self.folder)
     }
@@ -167,10 +187,16 @@
         let mut file = File::create(&draft)?;
         file.write_all(&SegmentLog::framed(record))?;
         file.sync_all()?;
-        fs::rename(&draft, self.folder.join(format!("image-{:08}", self.number)))?;
+        fs::rename(
+            &draft,
+            self.folder.join(format!("image-{:08}", self.number)),
+        )?;
         SegmentLog::sync_folder(&self.folder)?;
         for start in ["segment-", "image-"] {
-            for number in SegmentLog::numbers(&self.folder, start)?.into_iter().filter(|number| *number < self.number) {
+            for number in SegmentLog::numbers(&self.folder, start)?
+                .into_iter()
+                .filter(|number| *number < self.number)
+            {
                 fs::remove_file(self.folder.join(format!("{start}{number:08}")))?;
             }
         }
@@ -188,7 +214,8 @@
     use crate::prelude::*;
 
     fn folder(name: &str) -> PathBuf {
-        let path = std::env::temp_dir().join(format!("otterslip-log-{name}-{}", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("otterslip-log-{name}-{}", std::process::id()));
         let _ = fs::remove_dir_all(&path);
         path
     }
@@ -219,7 +246,10 @@
         log.image(b"all").unwrap();
         log.append(b"five").unwrap();
         log.sync().unwrap();
-        assert_eq!(SegmentLog::open(&path).unwrap().records, [b"all".to_vec(), b"five".to_vec()]);
+        assert_eq!(
+            SegmentLog::open(&path).unwrap().records,
+            [b"all".to_vec(), b"five".to_vec()]
+        );
         fs::remove_dir_all(&path).unwrap();
     }
 
@@ -273,13 +303,26 @@
                     let one = one.unwrap();
                     fs::copy(one.path(), copy.join(one.file_name())).unwrap();
                 }
-                fs::write(copy.join(file.file_name().unwrap()), &bytes[..keep as usize]).unwrap();
+                fs::write(
+                    copy.join(file.file_name().unwrap()),
+                    &bytes[..keep as usize],
+                )
+                .unwrap();
                 // A draft of an image may lie about, torn; so may the next,
                 // empty segment.
                 fs::write(copy.join("draft"), &bytes[..(keep - synced) as usize]).unwrap();
                 let read = SegmentLog::open(&copy).unwrap().records;
-                let whole = if keep == bytes.len() as u64 { written.len() + 1 } else { written.len() };
-                assert_eq!(read.len(), whole, "round {round}, {keep} of {} bytes", bytes.len());
+                let whole = if keep == bytes.len() as u64 {
+                    written.len() + 1
+                } else {
+                    written.len()
+                };
+                assert_eq!(
+                    read.len(),
+                    whole,
+                    "round {round}, {keep} of {} bytes",
+                    bytes.len()
+                );
                 assert!(read.starts_with(&written));
                 fs::remove_dir_all(&copy).unwrap();
             }
--- a/simulate-fleet/src/bin/simulate-fleet.rs
+++ b/simulate-fleet/src/bin/simulate-fleet.rs
@@ -27,7 +27,9 @@
 
 fn main() -> Result<()> {
     let mut flags = Flags::gather("simulate-fleet", HELP);
-    let name = flags.take("--deployment", Some("small".to_string())).unwrap_or_default();
+    let name = flags
+        .take("--deployment", Some("small".to_string()))
+        .unwrap_or_default();
     let seconds = flags.take("--seconds", Some(120u64)).unwrap_or(60);
     let first = flags.take("--seed", Some(1u64)).unwrap_or(1);
     let seeds = flags.take("--seeds", Some(1u64)).unwrap_or(1);
@@ -38,11 +40,15 @@
     }
     let edges = flags.take("--edges", Some(0usize)).unwrap_or(0);
     let rate = flags.take("--rate", Some(0u64)).unwrap_or(0);
-    let faults = flags.take("--faults", Some("random".to_string())).unwrap_or_default();
+    let faults = flags
+        .take("--faults", Some("random".to_string()))
+        .unwrap_or_default();
     let trace = flags.take("--trace", Some(0u8)).unwrap_or(0) > 0;
     let shrink = flags.take("--shrink", Some(0u8)).unwrap_or(0) > 0;
     let drift = flags.take("--drift", Some(1000u64)).unwrap_or(0);
-    let sizes = flags.take("--capacity", Some(String::new())).unwrap_or_default();
+    let sizes = flags
+        .take("--capacity", Some(String::new()))
+        .unwrap_or_default();
     let figures = flags.take("--figures", Some(0u8)).unwrap_or(0) > 0;
     let deployment = Deployment::find(&name);
     if deployment.is_none() {
@@ -55,9 +61,14 @@
         flags.found("--seconds", "at least 20");
     }
     let zones = flags.take("--zones", Some(0usize)).unwrap_or(0);
-    let service_rate = flags.take("--service-rate", Some(String::new())).unwrap_or_default();
-    let weather = ["--lost", "--doubled", "--late"].map(|name| flags.take(name, Some(0u64)).unwrap_or(0));
-    let script = flags.take("--script", Some(String::new())).filter(|path| !path.is_empty());
+    let service_rate = flags
+        .take("--service-rate", Some(String::new()))
+        .unwrap_or_default();
+    let weather =
+        ["--lost", "--doubled", "--late"].map(|name| flags.take(name, Some(0u64)).unwrap_or(0));
+    let script = flags
+        .take("--script", Some(String::new()))
+        .filter(|path| !path.is_empty());
     let mut deployment = deployment.unwrap_or_else(|| Deployment::find("small").expect("known"));
     if edges > 0 {
         deployment.edges = edges;
@@ -66,27 +77,54 @@
         deployment.rate = rate;
     }
     if zones > 0 {
-        const NAMES: [&str; 8] = ["zone-1", "zone-2", "zone-3", "zone-4", "zone-5", "zone-6", "zone-7", "zone-8"];
+        const NAMES: [&str; 8] = [
+            "zone-1", "zone-2", "zone-3", "zone-4", "zone-5", "zone-6", "zone-7", "zone-8",
+        ];
         deployment.zones = NAMES[..zones.min(8)].to_vec();
     }
     if weather.iter().any(|share| *share > 90) {
         flags.found("--lost, --doubled, --late", "at most 90 of a hundred");
     }
     if !service_rate.is_empty() {
-        let parts = service_rate.split_once('=').and_then(|(name, rate)| Some((name, rate.parse::<f64>().ok()?)));
-        match parts.and_then(|(name, rate)| Some((deployment.services.iter_mut().find(|one| one.name == name)?, rate))) {
+        let parts = service_rate
+            .split_once('=')
+            .and_then(|(name, rate)| Some((name, rate.parse::<f64>().ok()?)));
+        match parts.and_then(|(name, rate)| {
+            Some((
+                deployment
+                    .services
+                    .iter_mut()
+                    .find(|one| one.name == name)?,
+                rate,
+            ))
+        }) {
             Some((service, rate)) => service.rate = rate,
-            None => flags.found("--service-rate", "must be a service of the deployment, = and a number"),
+            None => flags.found(
+                "--service-rate",
+                "must be a service of the deployment, = and a number",
+            ),
         }
     }
     let mut scripted = None;
     if let Some(path) = &script {
-        match fs::read_to_string(path).map_err(|error| vec![Finding::new("", error.to_string())]).and_then(|text| Script::read(&text, &deployment, control)) {
+        match fs::read_to_string(path)
+            .map_err(|error| vec![Finding::new("", error.to_string())])
+            .and_then(|text| Script::read(&text, &deployment, control))
+        {
             Ok(list) => scripted = Some(list),
-            Err(found) => found.iter().for_each(|finding| flags.found(&format!("{path}{}", finding.place), &finding.text)),
+            Err(found) => found.iter().for_each(|finding| {
+                flags.found(&format!("{path}{}", finding.place), &finding.text)
+            }),
         }
     }
-    let hollow: Vec<usize> = if sizes == "all" { SIZES.to_vec() } else { sizes.split(',').filter_map(|size| size.trim().parse().ok()).collect() };
+    let hollow: Vec<usize> = if sizes == "all" {
+        SIZES.to_vec()
+    } else {
+        sizes
+            .split(',')
+            .filter_map(|size| size.trim().parse().ok())
+            .collect()
+    };
     if !sizes.is_empty() && (hollow.is_empty() || hollow.contains(&0)) {
         flags.found("--capacity", "all, or numbers of edges, as 16,64");
     }
@@ -109,9 +147,22 @@
         };
         let [lost, doubled, late] = weather;
         if (lost, doubled, late) != (0, 0, 0) {
-            list.insert(0, (Duration::from_secs(3), Fault::Weather { lost, doubled, late }));
+            list.insert(
+                0,
+                (
+                    Duration::from_secs(3),
+                    Fault::Weather {
+                        lost,
+                        doubled,
+                        late,
+                    },
+                ),
+            );
         }
-        let plan = WorldPlan { drift, ..WorldPlan::new(deployment.clone(), seed, span, list).of(control) };
+        let plan = WorldPlan {
+            drift,
+            ..WorldPlan::new(deployment.clone(), seed, span, list).of(control)
+        };
         let began = Instant::now();
         let mut world = World::new(plan.clone());
         world.trace = trace;
@@ -119,7 +170,10 @@
         let bad = show(seed, &report, seeds == 1, began.elapsed(), &mut sum);
         broken += bad;
         if bad > 0 && shrink {
-            println!("seed {seed}, made short:\n{}", Script::write(&Shrink::plan(&plan), &plan.deployment));
+            println!(
+                "seed {seed}, made short:\n{}",
+                Script::write(&Shrink::plan(&plan), &plan.deployment)
+            );
         }
     }
     sum.print();
@@ -139,17 +193,30 @@
     for edges in sizes {
         let began = Instant::now();
         let sized = Capacity::measure(*edges, control, &used)?;
-        println!("{edges} edges, {control} control nodes: {} live, {} regions, run in {:.1} s", sized.live, sized.regions, began.elapsed().as_secs_f64());
+        println!(
+            "{edges} edges, {control} control nodes: {} live, {} regions, run in {:.1} s",
+            sized.live,
+            sized.regions,
+            began.elapsed().as_secs_f64()
+        );
         for (role, name) in sized.quiet.sent.keys() {
             let (frames, bytes) = sized.quiet.rate(*role, name);
             println!("  {role:?} sends {name}: {frames:.0} frames, {bytes:.0} bytes a second");
         }
         for ((role, name), (count, took, most)) in &sized.quiet.steps {
-            println!("  {role:?} takes {name}: {count} steps, {:.1} us each, at most {:.1} us", took.as_secs_f64() * 1e6 / *count as f64, most.as_secs_f64() * 1e6);
+            println!(
+                "  {role:?} takes {name}: {count} steps, {:.1} us each, at most {:.1} us",
+                took.as_secs_f64() * 1e6 / *count as f64,
+                most.as_secs_f64() * 1e6
+            );
         }
         list.push(sized);
     }
-    println!("\n{}\n{}", Sized::table(&list, &Sized::counts), Sized::table(&list, &Sized::times));
+    println!(
+        "\n{}\n{}",
+        Sized::table(&list, &Sized::counts),
+        Sized::table(&list, &Sized::times)
+    );
     Ok(())
 }
 
@@ -166,11 +233,26 @@
     fn print(&self) {
         println!("cases held, by never: {:?}", self.held);
         for (never, (used, text)) in &self.worst {
-            println!("never {}: at most {:.0} % of the bound: {text}", never + 1, used * 100.0);
+            println!(
+                "never {}: at most {:.0} % of the bound: {text}",
+                never + 1,
+                used * 100.0
+            );
         }
-        println!("faults that fell into the cases of each never:\n{:>20} {}", "", (1..=12).map(|never| format!("{never:>6}")).collect::<String>());
+        println!(
+            "faults that fell into the cases of each never:\n{:>20} {}",
+            "",
+            (1..=12)
+                .map(|never| format!("{never:>6}"))
+                .collect::<String>()
+        );
         for (kind, row) in &self.fell {
-            println!("{kind:>20} {}", row.iter().map(|count| format!("{count:>6}")).collect::<String>());
+            println!(
+                "{kind:>20} {}",
+                row.iter()
+                    .map(|count| format!("{count:>6}"))
+                    .collect::<String>()
+            );
         }
     }
 }
@@ -182,28 +264,55 @@
         .into_iter()
         .map(|(rank, (good, all))| format!("rank {rank} {:.1} %", 100.0 * good as f64 / all as f64))
         .collect();
-    println!("seed {seed}: {} errands, {}, {} origin calls, {} steps in {} ms", checker.callers.len(), shares.join(", "), checker.origins.len(), report.steps, took.as_millis());
+    println!(
+        "seed {seed}: {} errands, {}, {} origin calls, {} steps in {} ms",
+        checker.callers.len(),
+        shares.join(", "),
+        checker.origins.len(),
+        report.steps,
+        took.as_millis()
+    );
     let moves = report.notes.get(&Event::DutyRevoked).unwrap_or(&0);
-    println!("  duties moved {moves}; longest gap without a success {:.2} s; {}", checker.longest_gap(), checker.calls_against_rate());
+    println!(
+        "  duties moved {moves}; longest gap without a success {:.2} s; {}",
+        checker.longest_gap(),
+        checker.calls_against_rate()
+    );
     if whole {
         let codes = checker.other_answers();
-        println!("other answers: {codes:?}\nevents: {:?}\nlog at most {} bytes", report.notes, report.log_bytes);
+        println!(
+            "other answers: {codes:?}\nevents: {:?}\nlog at most {} bytes",
+            report.notes, report.log_bytes
+        );
     }
     let mut broken = 0;
     let nevers = checker.cases();
     for (kind, row) in checker.coverage(&nevers) {
         let known = sum.fell.entry(kind).or_default();
-        known.iter_mut().zip(row).for_each(|(known, more)| *known += more);
+        known
+            .iter_mut()
+            .zip(row)
+            .for_each(|(known, more)| *known += more);
     }
     for (at, (never, cases)) in nevers.into_iter().enumerate() {
-        if let Some((used, text)) = cases.worst.clone().filter(|(used, _)| sum.worst.get(&at).is_none_or(|(most, _)| used > most)) {
-            sum.worst.insert(at, (used, format!("{text} (seed {seed})")));
+        if let Some((used, text)) = cases
+            .worst
+            .clone()
+            .filter(|(used, _)| sum.worst.get(&at).is_none_or(|(most, _)| used > most))
+        {
+            sum.worst
+                .insert(at, (used, format!("{text} (seed {seed})")));
         }
         sum.held[at] += cases.seen - cases.broken.len();
         match cases.verdict() {
             Verdict::Broken(cases) => {
                 broken = 1;
-                println!("  {:2}. {never}: BROKEN in {} cases: {}", at + 1, cases.len(), cases.iter().take(4).cloned().collect::<Vec<_>>().join("; "));
+                println!(
+                    "  {:2}. {never}: BROKEN in {} cases: {}",
+                    at + 1,
+                    cases.len(),
+                    cases.iter().take(4).cloned().collect::<Vec<_>>().join("; ")
+                );
             }
             verdict if whole => println!("  {:2}. {never}: {verdict:?}", at + 1),
             _ => {}
--- a/simulate-fleet/src/capacity.rs
+++ b/simulate-fleet/src/capacity.rs
@@ -23,10 +23,24 @@
 
 enum Coming {
     Pulse(usize),
-    Deliver { to: usize, from: Mate, message: Message },
-    Synced { node: usize, serial: u64 },
-    Called { node: usize, id: u64, result: CallBack },
-    Watched { node: usize, address: SocketAddr },
+    Deliver {
+        to: usize,
+        from: Mate,
+        message: Message,
+    },
+    Synced {
+        node: usize,
+        serial: u64,
+    },
+    Called {
+        node: usize,
+        id: u64,
+        result: CallBack,
+    },
+    Watched {
+        node: usize,
+        address: SocketAddr,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -85,24 +99,68 @@
 
 impl Capacity {
     fn new(edges: usize, control: usize) -> Capacity {
-        let address = |kind: u8, at: usize| SocketAddr::from(([10, kind, (at >> 8) as u8, at as u8], 7000));
+        let address =
+            |kind: u8, at: usize| SocketAddr::from(([10, kind, (at >> 8) as u8, at as u8], 7000));
         let seeds: Vec<SocketAddr> = (0..control.min(3)).map(|at| address(1, at)).collect();
         let mut nodes = Vec::new();
         for at in 0..control {
             let gather = Some(Gather::new(true, GATHER));
-            let part = ControlPart::new(address(1, at), seeds.clone(), Replica::blank(1 + at as u64), true, gather, 1 + at as u64);
-            nodes.push(Hollow { role: Role::Control, mate: part.me(), part: Some(Box::new(part)), until: Duration::ZERO });
+            let part = ControlPart::new(
+                address(1, at),
+                seeds.clone(),
+                Replica::blank(1 + at as u64),
+                true,
+                gather,
+                1 + at as u64,
+            );
+            nodes.push(Hollow {
+                role: Role::Control,
+                mate: part.me(),
+                part: Some(Box::new(part)),
+                until: Duration::ZERO,
+            });
         }
         for at in 0..edges {
             // Regions first: a small fleet has one node in each.
             let zone = at % ZONES;
-            let (region, zone) = (format!("region-{:02}", zone % REGIONS), format!("region-{:02}-{}", zone % REGIONS, zone / REGIONS));
+            let (region, zone) = (
+                format!("region-{:02}", zone % REGIONS),
+                format!("region-{:02}-{}", zone % REGIONS, zone / REGIONS),
+            );
             let mate = Mate::new(address(2, at), 1000 + at as u64);
-            let part = EdgePart::new(mate, Spot { zone, ring: region.clone(), region, strength: 1 }, seeds.clone(), true, 64 << 20);
-            nodes.push(Hollow { role: Role::Edge, mate, part: Some(Box::new(part)), until: Duration::ZERO });
+            let part = EdgePart::new(
+                mate,
+                Spot {
+                    zone,
+                    ring: region.clone(),
+                    region,
+                    strength: 1,
+                },
+                seeds.clone(),
+                true,
+                64 << 20,
+            );
+            nodes.push(Hollow {
+                role: Role::Edge,
+                mate,
+                part: Some(Box::new(part)),
+                until: Duration::ZERO,
+            });
         }
-        let by_address = nodes.iter().enumerate().map(|(at, node)| (node.mate.address, at)).collect();
-        let mut fleet = Capacity { now: Duration::ZERO, serial: 0, queue: BTreeMap::new(), nodes, by_address, answers: BTreeMap::new(), tally: Tally::default() };
+        let by_address = nodes
+            .iter()
+            .enumerate()
+            .map(|(at, node)| (node.mate.address, at))
+            .collect();
+        let mut fleet = Capacity {
+            now: Duration::ZERO,
+            serial: 0,
+            queue: BTreeMap::new(),
+            nodes,
+            by_address,
+            answers: BTreeMap::new(),
+            tally: Tally::default(),
+        };
         for node in 0..fleet.nodes.len() {
             // Spread over the pulse, as real starts are.
             let at = Duration::from_micros(node as u64 * 7919 % 50_000);
@@ -118,7 +176,9 @@
 
     fn step(&mut self, node: usize, name: &'static str, input: Input) {
         let (role, now) = (self.nodes[node].role, self.now);
-        let Some(part) = self.nodes[node].part.as_mut() else { return };
+        let Some(part) = self.nodes[node].part.as_mut() else {
+            return;
+        };
         let began = Instant::now();
         let out = part.step(now, input);
         let took = began.elapsed();
@@ -133,12 +193,22 @@
         match output {
             Output::Tell { to, message } => self.send(node, to, message),
             Output::Store { serial, record } | Output::StoreImage { serial, record } => {
-                self.tally.records = (self.tally.records.0 + 1, self.tally.records.1 + record.len() as u64);
+                self.tally.records = (
+                    self.tally.records.0 + 1,
+                    self.tally.records.1 + record.len() as u64,
+                );
                 self.after(SYNC, Coming::Synced { node, serial });
             }
             Output::Call { id, .. } => {
                 self.tally.probes += 1;
-                self.after(WAY, Coming::Called { node, id, result: CallBack::Good(Reply::default()) });
+                self.after(
+                    WAY,
+                    Coming::Called {
+                        node,
+                        id,
+                        result: CallBack::Good(Reply::default()),
+                    },
+                );
             }
             Output::Watch { address } => self.after(WAY, Coming::Watched { node, address }),
             Output::OperatorAnswer { id, answer } => {
@@ -151,32 +221,61 @@
 
     fn send(&mut self, node: usize, to: SocketAddr, message: Message) {
         let (role, from) = (self.nodes[node].role, self.nodes[node].mate);
-        let Some(to) = self.by_address.get(&to).copied() else { return };
+        let Some(to) = self.by_address.get(&to).copied() else {
+            return;
+        };
         if to == node {
             return self.after(Duration::ZERO, Coming::Deliver { to, from, message });
         }
-        let bytes = frame::write(from, &message).expect("messages serialize").len() as u64;
+        let bytes = frame::write(from, &message)
+            .expect("messages serialize")
+            .len() as u64;
         let known = self.tally.sent.entry((role, message.name())).or_default();
         *known = (known.0 + 1, known.1 + bytes);
         // A sender's nudges leave one after the other.
-        let queue = if matches!(message, Message::Nudge(_)) { Duration::from_micros(to as u64 * 40) } else { Duration::ZERO };
+        let queue = if matches!(message, Message::Nudge(_)) {
+            Duration::from_micros(to as u64 * 40)
+        } else {
+            Duration::ZERO
+        };
         self.after(WAY + queue, Coming::Deliver { to, from, message });
     }
 
     fn run_to(&mut self, end: Duration) {
-        while self.queue.first_key_value().is_some_and(|((at, _), _)| *at < end) {
+        while self
+            .queue
+            .first_key_value()
+            .is_some_and(|((at, _), _)| *at < end)
+        {
             let ((at, _), what) = self.queue.pop_first().expect("just seen");
             self.now = at;
             match what {
                 Coming::Pulse(node) => {
-                    let every = if self.nodes[node].role == Role::Control { lease::CONTROL_PULSE } else { Duration::from_millis(50) };
+                    let every = if self.nodes[node].role == Role::Control {
+                        lease::CONTROL_PULSE
+                    } else {
+                        Duration::from_millis(50)
+                    };
                     self.after(every, Coming::Pulse(node));
                     self.step(node, "pulse", Input::Pulse);
                 }
-                Coming::Deliver { to, from, message } => self.step(to, message.name(), Input::Heard { from, message }),
-                Coming::Synced { node, serial } => self.step(node, "synced", Input::Stored { serial }),
-                Coming::Called { node, id, result } => self.step(node, "probe", Input::Called { id, result }),
-                Coming::Watched { node, address } => self.step(node, "probe", Input::Watched { address, open: true }),
+                Coming::Deliver { to, from, message } => {
+                    self.step(to, message.name(), Input::Heard { from, message })
+                }
+                Coming::Synced { node, serial } => {
+                    self.step(node, "synced", Input::Stored { serial })
+                }
+                Coming::Called { node, id, result } => {
+                    self.step(node, "probe", Input::Called { id, result })
+                }
+                Coming::Watched { node, address } => self.step(
+                    node,
+                    "probe",
+                    Input::Watched {
+                        address,
+                        open: true,
+                    },
+                ),
             }
         }
         self.now = end;
@@ -185,11 +284,21 @@
     fn count(&mut self, span: Duration) -> Tally {
         self.tally = Tally::default();
         self.run_to(self.now + span);
-        Tally { span, ..std::mem::take(&mut self.tally) }
+        Tally {
+            span,
+            ..std::mem::take(&mut self.tally)
+        }
     }
 
     fn ask(&mut self, id: u64, slice: u8, change: Change) {
-        self.step(0, "operator", Input::Operator { id, ask: OperatorAsk::Change { slice, change } });
+        self.step(
+            0,
+            "operator",
+            Input::Operator {
+                id,
+                ask: OperatorAsk::Change { slice, change },
+            },
+        );
     }
 
     /// Asks for a change and counts for a second; with how long it took to be
@@ -199,7 +308,10 @@
         self.tally = Tally::default();
         self.ask(id, slice, change);
         self.run_to(began + Duration::from_secs(1));
-        let tally = Tally { span: Duration::from_secs(1), ..std::mem::take(&mut self.tally) };
+        let tally = Tally {
+            span: Duration::from_secs(1),
+            ..std::mem::take(&mut self.tally)
+        };
         for _ in 0..12 {
             if let Some((at, answer)) = self.answers.get(&id) {
                 if !matches!(answer, OperatorAnswer::Outcome(Outcome::Settled { .. })) {
@@ -222,13 +334,25 @@
         let one = |at: usize| {
             let service = services[at % services.len()].name;
             let address = SocketAddr::from(([10, 3, 0, at as u8], 8000));
-            Origin { address, service: service.into(), instance: format!("{service}-{at}"), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 }
+            Origin {
+                address,
+                service: service.into(),
+                instance: format!("{service}-{at}"),
+                leaving: false,
+                zone: String::new(),
+                region: String::new(),
+                capacity: 0,
+                cold_ms: 0,
+            }
         };
         (0..ORIGINS_LISTED).map(one).collect()
     }
 
     fn live(&self) -> usize {
-        self.nodes.iter().filter(|node| node.role == Role::Edge && node.part.is_some() && self.now < node.until).count()
+        self.nodes
+            .iter()
+            .filter(|node| node.role == Role::Edge && node.part.is_some() && self.now < node.until)
+            .count()
     }
 
     /// Runs one size through. `used`: bytes in use, if they are counted.
@@ -236,22 +360,53 @@
         let mut fleet = Capacity::new(edges, control);
         fleet.run_to(Duration::from_secs(5));
         let change = 1;
-        fleet.change(1, CONFIGURATION, Change::PutConfiguration { text: Capacity::document(1), expect: None, change })?;
-        fleet.change(2, ORIGINS, Change::PutOrigins { list: Arc::new(Capacity::origins()), expect: None, change })?;
+        fleet.change(
+            1,
+            CONFIGURATION,
+            Change::PutConfiguration {
+                text: Capacity::document(1),
+                expect: None,
+                change,
+            },
+        )?;
+        fleet.change(
+            2,
+            ORIGINS,
+            Change::PutOrigins {
+                list: Arc::new(Capacity::origins()),
+                expect: None,
+                change,
+            },
+        )?;
         fleet.run_to(fleet.now.max(SETTLED) + Duration::from_secs(3));
         let quiet = fleet.count(Duration::from_secs(2));
         let live = fleet.live();
-        let purge = Purge { prefix: Some("/listing/".into()), ..Purge::default() };
+        let purge = Purge {
+            prefix: Some("/listing/".into()),
+            ..Purge::default()
+        };
         let purge = fleet.change(3, PURGES, Change::AddPurge { purge, change: 2 })?;
         fleet.run_to(fleet.now + Duration::from_secs(1));
-        let configuration = fleet.change(4, CONFIGURATION, Change::PutConfiguration { text: Capacity::document(2), expect: None, change: 3 })?;
+        let configuration = fleet.change(
+            4,
+            CONFIGURATION,
+            Change::PutConfiguration {
+                text: Capacity::document(2),
+                expect: None,
+                change: 3,
+            },
+        )?;
         fleet.run_to(fleet.now + Duration::from_secs(1));
         let mut state = Vec::new();
         for slice in 0..NEWS {
             let id = 10 + u64::from(slice);
             fleet.ask(id, slice, Change::List);
             fleet.run_to(fleet.now + Duration::from_secs(1));
-            let Some((_, OperatorAnswer::Outcome(Outcome::Rows { rows, .. }))) = fleet.answers.remove(&id) else { bail!("slice {slice} was not listed") };
+            let Some((_, OperatorAnswer::Outcome(Outcome::Rows { rows, .. }))) =
+                fleet.answers.remove(&id)
+            else {
+                bail!("slice {slice} was not listed")
+            };
             state.push((rows.len(), bincode::serialized_size(&rows)?));
         }
         let before = used();
@@ -259,23 +414,52 @@
         let edge = before.zip(used()).map(|(before, after)| before - after);
         let loss = fleet.count(Duration::from_secs(5));
         let before = used();
-        fleet.nodes[..control].iter_mut().for_each(|node| node.part = None);
-        let memory = before.zip(used()).map(|(before, after)| (before - after) / control as u64).zip(edge);
+        fleet.nodes[..control]
+            .iter_mut()
+            .for_each(|node| node.part = None);
+        let memory = before
+            .zip(used())
+            .map(|(before, after)| (before - after) / control as u64)
+            .zip(edge);
         let regions = edges.min(REGIONS);
-        Ok(Sized { edges, control, regions, quiet, purge, configuration, loss, state, memory, live })
+        Ok(Sized {
+            edges,
+            control,
+            regions,
+            quiet,
+            purge,
+            configuration,
+            loss,
+            state,
+            memory,
+            live,
+        })
     }
 }
 
 impl Tally {
     /// Frames and bytes of one name by one role, a second.
     pub fn rate(&self, role: Role, name: &str) -> (f64, f64) {
-        let (frames, bytes) = self.sent.iter().filter(|((by, one), _)| (*by, *one) == (role, name)).map(|(_, sum)| *sum).fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
-        (frames as f64 / self.span.as_secs_f64(), bytes as f64 / self.span.as_secs_f64())
+        let (frames, bytes) = self
+            .sent
+            .iter()
+            .filter(|((by, one), _)| (*by, *one) == (role, name))
+            .map(|(_, sum)| *sum)
+            .fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        (
+            frames as f64 / self.span.as_secs_f64(),
+            bytes as f64 / self.span.as_secs_f64(),
+        )
     }
 
     /// Share of a core that one node of a role takes.
     fn core(&self, role: Role, nodes: usize) -> f64 {
-        let spent: f64 = self.steps.iter().filter(|((by, _), _)| *by == role).map(|(_, (_, took, _))| took.as_secs_f64()).sum();
+        let spent: f64 = self
+            .steps
+            .iter()
+            .filter(|((by, _), _)| *by == role)
+            .map(|(_, (_, took, _))| took.as_secs_f64())
+            .sum();
         spent / self.span.as_secs_f64() / nodes as f64
     }
 }
@@ -284,13 +468,22 @@
 /// that the line leaves over.
 pub fn fit(points: &[(f64, f64)]) -> (f64, f64, f64) {
     let count = points.len() as f64;
-    let (mean_x, mean_y) = (points.iter().map(|point| point.0).sum::<f64>() / count, points.iter().map(|point| point.1).sum::<f64>() / count);
-    let over: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let (mean_x, mean_y) = (
+        points.iter().map(|point| point.0).sum::<f64>() / count,
+        points.iter().map(|point| point.1).sum::<f64>() / count,
+    );
+    let over: f64 = points
+        .iter()
+        .map(|(x, y)| (x - mean_x) * (y - mean_y))
+        .sum();
     let under: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
     let slope = if under > 0.0 { over / under } else { 0.0 };
     let flat = mean_y - slope * mean_x;
     let spread: f64 = points.iter().map(|(_, y)| (y - mean_y).powi(2)).sum();
-    let left: f64 = points.iter().map(|(x, y)| (y - flat - slope * x).powi(2)).sum();
+    let left: f64 = points
+        .iter()
+        .map(|(x, y)| (y - flat - slope * x).powi(2))
+        .sum();
     (flat, slope, if spread > 0.0 { left / spread } else { 0.0 })
 }
 
@@ -302,23 +495,50 @@
         let quiet = |role, name| self.quiet.rate(role, name);
         let (renew, renewed) = (quiet(Role::Edge, "Renew"), quiet(Role::Control, "Renewed"));
         let beat = quiet(Role::Control, "Beat");
-        let rounds = ["Keep", "Kept", "Rounds", "Rounded"].map(|name| quiet(Role::Control, name)).iter().fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
+        let rounds = ["Keep", "Kept", "Rounds", "Rounded"]
+            .map(|name| quiet(Role::Control, name))
+            .iter()
+            .fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
         let probes = self.quiet.probes as f64 / self.quiet.span.as_secs_f64();
         let more = |tally: &Tally| {
-            let sum = |tally: &Tally| tally.sent.values().fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+            let sum = |tally: &Tally| {
+                tally
+                    .sent
+                    .values()
+                    .fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
+            };
             let (event, idle) = (sum(tally), sum(&self.quiet));
             let share = tally.span.as_secs_f64() / self.quiet.span.as_secs_f64();
-            (event.0 as f64 - idle.0 as f64 * share, event.1 as f64 - idle.1 as f64 * share)
+            (
+                event.0 as f64 - idle.0 as f64 * share,
+                event.1 as f64 - idle.1 as f64 * share,
+            )
         };
-        let (purge, configuration, loss) = (more(&self.purge.0), more(&self.configuration.0), more(&self.loss));
+        let (purge, configuration, loss) = (
+            more(&self.purge.0),
+            more(&self.configuration.0),
+            more(&self.loss),
+        );
         vec![
-            ("renewals and answers, frames a second, an edge", (renew.0 + renewed.0) / edges),
-            ("renewals and answers, bytes a second, an edge", (renew.1 + renewed.1) / edges),
+            (
+                "renewals and answers, frames a second, an edge",
+                (renew.0 + renewed.0) / edges,
+            ),
+            (
+                "renewals and answers, bytes a second, an edge",
+                (renew.1 + renewed.1) / edges,
+            ),
             ("beats, frames a second, a control node", beat.0 / control),
             ("beats, bytes a second, a control node", beat.1 / control),
-            ("rounds, frames a second, a control node", rounds.0 / control),
+            (
+                "rounds, frames a second, a control node",
+                rounds.0 / control,
+            ),
             ("rounds, bytes a second, a control node", rounds.1 / control),
-            ("records a second, a control node", self.quiet.records.0 as f64 / self.quiet.span.as_secs_f64() / control),
+            (
+                "records a second, a control node",
+                self.quiet.records.0 as f64 / self.quiet.span.as_secs_f64() / control,
+            ),
             ("probes a second, all gates", probes),
             ("a purge: frames more, all nodes", purge.0),
             ("a purge: bytes more, all nodes", purge.1),
@@ -326,28 +546,77 @@
             ("a configuration: bytes more, all nodes", configuration.1),
             ("an edge lost: frames more, all nodes", loss.0),
             ("an edge lost: bytes more, all nodes", loss.1),
-            ("news rows: configuration", self.state[usize::from(CONFIGURATION)].0 as f64),
-            ("news bytes: configuration", self.state[usize::from(CONFIGURATION)].1 as f64),
-            ("news bytes: origins", self.state[usize::from(ORIGINS)].1 as f64),
-            ("news rows: duties", self.state[usize::from(DUTIES)].0 as f64),
-            ("news bytes: duties", self.state[usize::from(DUTIES)].1 as f64),
-            ("news bytes: places", self.state[usize::from(PLACES)].1 as f64),
+            (
+                "news rows: configuration",
+                self.state[usize::from(CONFIGURATION)].0 as f64,
+            ),
+            (
+                "news bytes: configuration",
+                self.state[usize::from(CONFIGURATION)].1 as f64,
+            ),
+            (
+                "news bytes: origins",
+                self.state[usize::from(ORIGINS)].1 as f64,
+            ),
+            (
+                "news rows: duties",
+                self.state[usize::from(DUTIES)].0 as f64,
+            ),
+            (
+                "news bytes: duties",
+                self.state[usize::from(DUTIES)].1 as f64,
+            ),
+            (
+                "news bytes: places",
+                self.state[usize::from(PLACES)].1 as f64,
+            ),
         ]
     }
 
     /// Times and bytes in use, as this machine shows them.
     pub fn times(&self) -> Vec<(&'static str, f64)> {
-        let longest = |tally: &Tally, role| tally.steps.iter().filter(|((by, _), _)| *by == role).map(|(_, (_, _, most))| most.as_secs_f64() * 1e3).fold(0.0, f64::max);
+        let longest = |tally: &Tally, role| {
+            tally
+                .steps
+                .iter()
+                .filter(|((by, _), _)| *by == role)
+                .map(|(_, (_, _, most))| most.as_secs_f64() * 1e3)
+                .fold(0.0, f64::max)
+        };
         let (control, edge) = self.memory.unwrap_or_default();
         vec![
-            ("quiet: share of a core, a control node, %", 100.0 * self.quiet.core(Role::Control, self.control)),
-            ("quiet: share of a core, an edge, %", 100.0 * self.quiet.core(Role::Edge, self.edges)),
-            ("quiet: longest step of a control node, ms", longest(&self.quiet, Role::Control)),
-            ("an edge lost: share of a core over 5 s, a control node, %", 100.0 * self.loss.core(Role::Control, self.control)),
-            ("an edge lost: share of a core over 5 s, an edge, %", 100.0 * self.loss.core(Role::Edge, self.edges)),
-            ("an edge lost: longest step of a control node, ms", longest(&self.loss, Role::Control)),
-            ("a purge in force everywhere, virtual ms", self.purge.1.as_secs_f64() * 1e3),
-            ("a configuration in force everywhere, virtual ms", self.configuration.1.as_secs_f64() * 1e3),
+            (
+                "quiet: share of a core, a control node, %",
+                100.0 * self.quiet.core(Role::Control, self.control),
+            ),
+            (
+                "quiet: share of a core, an edge, %",
+                100.0 * self.quiet.core(Role::Edge, self.edges),
+            ),
+            (
+                "quiet: longest step of a control node, ms",
+                longest(&self.quiet, Role::Control),
+            ),
+            (
+                "an edge lost: share of a core over 5 s, a control node, %",
+                100.0 * self.loss.core(Role::Control, self.control),
+            ),
+            (
+                "an edge lost: share of a core over 5 s, an edge, %",
+                100.0 * self.loss.core(Role::Edge, self.edges),
+            ),
+            (
+                "an edge lost: longest step of a control node, ms",
+                longest(&self.loss, Role::Control),
+            ),
+            (
+                "a purge in force everywhere, virtual ms",
+                self.purge.1.as_secs_f64() * 1e3,
+            ),
+            (
+                "a configuration in force everywhere, virtual ms",
+                self.configuration.1.as_secs_f64() * 1e3,
+            ),
             ("memory of a control node's part, kB", control as f64 / 1e3),
             ("memory of an edge's part, kB", edge as f64 / 1e3),
         ]
@@ -356,17 +625,28 @@
     /// A table of lines by size, with the line through all sizes.
     pub fn table(list: &[Sized], lines: &dyn Fn(&Sized) -> Vec<(&'static str, f64)>) -> String {
         let mut text = String::from("| line |");
-        list.iter().for_each(|one| text += &format!(" {} |", one.edges));
+        list.iter()
+            .for_each(|one| text += &format!(" {} |", one.edges));
         text += " constant | slope an edge | left over |\n|---|";
         text += &"---|".repeat(list.len() + 3);
         text += "\n";
         let all: Vec<_> = list.iter().map(lines).collect();
         for (at, (name, _)) in all[0].iter().enumerate() {
             text += &format!("| {name} |");
-            all.iter().for_each(|lines| text += &format!(" {} |", number(lines[at].1)));
-            let points: Vec<(f64, f64)> = list.iter().zip(&all).map(|(one, lines)| (one.edges as f64, lines[at].1)).collect();
+            all.iter()
+                .for_each(|lines| text += &format!(" {} |", number(lines[at].1)));
+            let points: Vec<(f64, f64)> = list
+                .iter()
+                .zip(&all)
+                .map(|(one, lines)| (one.edges as f64, lines[at].1))
+                .collect();
             let (flat, slope, left) = fit(&points);
-            text += &format!(" {} | {} | {:.0} % |\n", number(flat), number(slope), 100.0 * left);
+            text += &format!(
+                " {} | {} | {:.0} % |\n",
+                number(flat),
+                number(slope),
+                100.0 * left
+            );
         }
         text
     }
@@ -374,9 +654,17 @@
 
 /// Four figures, as far as they say anything.
 fn number(value: f64) -> String {
-    let digits = if value == 0.0 { 0 } else { (3 - value.abs().log10().floor() as i32).clamp(0, 4) as usize };
+    let digits = if value == 0.0 {
+        0
+    } else {
+        (3 - value.abs().log10().floor() as i32).clamp(0, 4) as usize
+    };
     let text = format!("{value:.digits$}");
-    if text.contains('.') { text.trim_end_matches('0').trim_end_matches('.').into() } else { text }
+    if text.contains('.') {
+        text.trim_end_matches('0').trim_end_matches('.').into()
+    } else {
+        text
+    }
 }
 
 #[cfg(test)]
@@ -387,8 +675,14 @@
     #[test]
     fn the_page_holds_the_counts_that_the_command_prints() {
         let page = include_str!("../../docs/CAPACITY.md");
-        let held = page.split_once("<!-- counts -->\n").and_then(|(_, rest)| rest.split_once("<!-- end -->")).expect("markers").0;
-        let list: Vec<Sized> = [16, 64].map(|edges| Capacity::measure(edges, CONTROL, &|| None).unwrap()).into();
+        let held = page
+            .split_once("<!-- counts -->\n")
+            .and_then(|(_, rest)| rest.split_once("<!-- end -->"))
+            .expect("markers")
+            .0;
+        let list: Vec<Sized> = [16, 64]
+            .map(|edges| Capacity::measure(edges, CONTROL, &|| None).unwrap())
+            .into();
         for one in &list {
             assert_eq!(one.live, one.edges, "all are live");
         }
@@ -398,7 +692,10 @@
     #[test]
     fn a_line_is_fitted_and_what_is_no_line_is_seen() {
         let line = crate::capacity::fit(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)]);
-        assert!((line.0 - 3.0).abs() < 1e-9 && (line.1 - 2.0).abs() < 1e-9 && line.2 < 1e-9, "{line:?}");
+        assert!(
+            (line.0 - 3.0).abs() < 1e-9 && (line.1 - 2.0).abs() < 1e-9 && line.2 < 1e-9,
+            "{line:?}"
+        );
         assert!(crate::capacity::fit(&[(1.0, 1.0), (2.0, 4.0), (4.0, 16.0), (8.0, 64.0)]).2 > 0.02);
     }
 }
--- a/simulate-fleet/src/fault.rs
+++ b/simulate-fleet/src/fault.rs
@@ -27,7 +27,11 @@
     /// All cuts end.
     Heal,
     /// Of a hundred messages so many are lost, doubled, or late.
-    Weather { lost: u64, doubled: u64, late: u64 },
+    Weather {
+        lost: u64,
+        doubled: u64,
+        late: u64,
+    },
     Origin(usize, Mood),
     /// All origins of one service, by its place in the deployment.
     Service(usize, Mood),
@@ -101,7 +105,14 @@
             Fault::Heal => "heal",
             Fault::Weather { .. } => "weather",
             Fault::Origin(_, mood) => mood.name(),
-            Fault::Service(_, mood) => ["service-good", "service-down", "service-mute", "service-slow", "service-very-slow", "service-wrong"][*mood as usize],
+            Fault::Service(_, mood) => [
+                "service-good",
+                "service-down",
+                "service-mute",
+                "service-slow",
+                "service-very-slow",
+                "service-wrong",
+            ][*mood as usize],
             Fault::Leave(_) => "origin-leave",
             Fault::Usurp(_) => "origin-usurp",
             Fault::Replace(_) => "origin-replace",
@@ -125,8 +136,15 @@
     /// How it is told apart in the table of what fell where.
     pub fn kind(&self) -> String {
         match self {
-            Fault::Kill(place) | Fault::Pause(place, _) | Fault::Restart(place) | Fault::Isolate(place) => {
-                let what = if matches!(place, Place::Control(_)) { "control" } else { "edge" };
+            Fault::Kill(place)
+            | Fault::Pause(place, _)
+            | Fault::Restart(place)
+            | Fault::Isolate(place) => {
+                let what = if matches!(place, Place::Control(_)) {
+                    "control"
+                } else {
+                    "edge"
+                };
                 format!("{} {what}", self.name())
             }
             _ => self.name().into(),
@@ -136,13 +154,36 @@
     /// Ends something that was broken before; a shortened schedule keeps it.
     pub fn mends(&self) -> bool {
         let good = Mood::Good;
-        matches!(self, Fault::Start(_) | Fault::Heal | Fault::Weather { lost: 0, doubled: 0, late: 0 } | Fault::OpenLedger | Fault::Returned)
-            || matches!(self, Fault::Origin(_, mood) | Fault::Service(_, mood) if *mood == good)
+        matches!(
+            self,
+            Fault::Start(_)
+                | Fault::Heal
+                | Fault::Weather {
+                    lost: 0,
+                    doubled: 0,
+                    late: 0
+                }
+                | Fault::OpenLedger
+                | Fault::Returned
+        ) || matches!(self, Fault::Origin(_, mood) | Fault::Service(_, mood) if *mood == good)
     }
 
     /// What operators and the platform do by intent; the rest breaks or mends.
     pub fn planned(&self) -> bool {
         use Fault::*;
-        matches!(self, Restart(_) | Leave(_) | Content | Purge(_) | Configure | ConfigureInvalid | Grow(_) | Race(_) | ReadBack | OpenLedger | Returned)
+        matches!(
+            self,
+            Restart(_)
+                | Leave(_)
+                | Content
+                | Purge(_)
+                | Configure
+                | ConfigureInvalid
+                | Grow(_)
+                | Race(_)
+                | ReadBack
+                | OpenLedger
+                | Returned
+        )
     }
 }
--- a/simulate-fleet/src/figures.rs
+++ b/simulate-fleet/src/figures.rs
@@ -24,16 +24,48 @@
         let mut puts: VecDeque<(Duration, Token)> = VecDeque::new();
         let mut single_until = Duration::ZERO;
         let mut single_puts: VecDeque<Duration> = VecDeque::new();
-        let mut crowd = Crowd { errands: rate * 60, two_phase: 0, single_expiry: 0, no_cache: rate * 60 };
+        let mut crowd = Crowd {
+            errands: rate * 60,
+            two_phase: 0,
+            single_expiry: 0,
+            no_cache: rate * 60,
+        };
         for id in 0..crowd.errands {
             let now = Duration::from_micros(id * 1_000_000 / rate);
             while puts.front().is_some_and(|(at, _)| *at <= now) {
                 let (at, token) = puts.pop_front().expect("just seen");
-                let reply = Reply { status: 200, ..Reply::default() };
-                owner.put(at, Put { key: [0; 32], token, reply }, 1, &PurgeBook::default());
+                let reply = Reply {
+                    status: 200,
+                    ..Reply::default()
+                };
+                owner.put(
+                    at,
+                    Put {
+                        key: [0; 32],
+                        token,
+                        reply,
+                    },
+                    1,
+                    &PurgeBook::default(),
+                );
             }
             let wait = Duration::from_secs(4);
-            owner.get(now, address, Get { id, key: [0; 32], entry: "e".into(), host: "h".into(), url: "/".into(), keep, wait, spare: false }, 1, 0);
+            owner.get(
+                now,
+                address,
+                Get {
+                    id,
+                    key: [0; 32],
+                    entry: "e".into(),
+                    host: "h".into(),
+                    url: "/".into(),
+                    keep,
+                    wait,
+                    spare: false,
+                },
+                1,
+                0,
+            );
             for (_, message) in owner.take_out() {
                 if let Message::Miss(miss) = message {
                     crowd.two_phase += 1;
@@ -58,9 +90,15 @@
         let at = |round: u64| Duration::from_millis(8_000 + round * 2_037);
         for round in 0..20 {
             faults.push((at(round), Fault::Configure));
-            faults.push((at(round) + Duration::from_millis(700), Fault::Purge("/".into())));
+            faults.push((
+                at(round) + Duration::from_millis(700),
+                Fault::Purge("/".into()),
+            ));
             if lapse {
-                faults.push((at(round) - Duration::from_millis(5), Fault::Isolate(Place::Edge(round as usize % deployment.edges))));
+                faults.push((
+                    at(round) - Duration::from_millis(5),
+                    Fault::Isolate(Place::Edge(round as usize % deployment.edges)),
+                ));
                 faults.push((at(round) + Duration::from_millis(1_700), Fault::Heal));
             }
         }
@@ -72,12 +110,29 @@
                 _ => None,
             })
             .collect();
-        let report = World::new(WorldPlan::new(deployment.clone(), 1, Duration::from_secs(55), faults)).run();
+        let report = World::new(WorldPlan::new(
+            deployment.clone(),
+            1,
+            Duration::from_secs(55),
+            faults,
+        ))
+        .run();
         let mut table = BTreeMap::new();
         for what in ["configured", "purged"] {
-            let told = report.checker.fleet.iter().filter(|one| one.what == what).map(|one| one.at);
+            let told = report
+                .checker
+                .fleet
+                .iter()
+                .filter(|one| one.what == what)
+                .map(|one| one.at);
             let mut spans: Vec<f64> = told
-                .filter_map(|at| asked.iter().filter(|(asked, kind)| *kind == what && *asked <= at).map(|(asked, _)| at - asked).reduce(f64::min))
+                .filter_map(|at| {
+                    asked
+                        .iter()
+                        .filter(|(asked, kind)| *kind == what && *asked <= at)
+                        .map(|(asked, _)| at - asked)
+                        .reduce(f64::min)
+                })
                 .map(|span| span / lease::CONTROL_PULSE.as_secs_f64())
                 .collect();
             spans.sort_by(f64::total_cmp);
@@ -94,15 +149,34 @@
         let mut deployment = Deployment::find("mombasa").expect("known");
         let asked = deployment.rate as f64 * 0.35;
         deployment.services[1].rate = asked * part / deployment.services[1].origins as f64;
-        let cached: BTreeSet<String> = deployment.mix.iter().filter(|mix| mix.ttl > 0).map(|mix| mix.entry.clone()).collect();
-        let report = World::new(WorldPlan::new(deployment, 1, Duration::from_secs(60), vec![])).run();
+        let cached: BTreeSet<String> = deployment
+            .mix
+            .iter()
+            .filter(|mix| mix.ttl > 0)
+            .map(|mix| mix.entry.clone())
+            .collect();
+        let report = World::new(WorldPlan::new(
+            deployment,
+            1,
+            Duration::from_secs(60),
+            vec![],
+        ))
+        .run();
         let mut shares: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
-        for call in report.checker.callers.iter().filter(|call| !cached.contains(&call.entry)) {
+        for call in report
+            .checker
+            .callers
+            .iter()
+            .filter(|call| !cached.contains(&call.entry))
+        {
             let share = shares.entry(call.rank).or_default();
             share.0 += f64::from(u8::from(call.status == 200));
             share.1 += 1.0;
         }
-        shares.into_iter().map(|(rank, (good, all))| (rank, good / all)).collect()
+        shares
+            .into_iter()
+            .map(|(rank, (good, all))| (rank, good / all))
+            .collect()
     }
 
     /// Applications 60 times slower than usual for half a minute, with few
@@ -112,20 +186,49 @@
     pub fn slow(flat: bool) -> BTreeMap<u32, (f64, f64, f64)> {
         let mut deployment = Deployment::find("mombasa").expect("known");
         deployment.services[1].concurrency = 2;
-        let cached: BTreeSet<String> = deployment.mix.iter().filter(|mix| mix.ttl > 0).map(|mix| mix.entry.clone()).collect();
+        let cached: BTreeSet<String> = deployment
+            .mix
+            .iter()
+            .filter(|mix| mix.ttl > 0)
+            .map(|mix| mix.entry.clone())
+            .collect();
         if flat {
-            deployment.entries.iter_mut().for_each(|entry| entry["rank"] = 5.into());
+            deployment
+                .entries
+                .iter_mut()
+                .for_each(|entry| entry["rank"] = 5.into());
         }
         let at = Duration::from_secs;
-        let faults = vec![(at(10), Fault::Service(1, Mood::VerySlow)), (at(40), Fault::Service(1, Mood::Good))];
+        let faults = vec![
+            (at(10), Fault::Service(1, Mood::VerySlow)),
+            (at(40), Fault::Service(1, Mood::Good)),
+        ];
         let report = World::new(WorldPlan::new(deployment, 1, at(60), faults)).run();
         let mut ranks: BTreeMap<u32, (Vec<f64>, Vec<f64>)> = BTreeMap::new();
-        for call in report.checker.callers.iter().filter(|call| !cached.contains(&call.entry) && call.start > 10.0 && call.start < 40.0) {
+        for call in
+            report.checker.callers.iter().filter(|call| {
+                !cached.contains(&call.entry) && call.start > 10.0 && call.start < 40.0
+            })
+        {
             let known = ranks.entry(call.rank).or_default();
-            if call.status == 200 { &mut known.0 } else { &mut known.1 }.push(call.end - call.start);
+            if call.status == 200 {
+                &mut known.0
+            } else {
+                &mut known.1
+            }
+            .push(call.end - call.start);
         }
         let mean = |list: &[f64]| list.iter().sum::<f64>() / list.len().max(1) as f64;
-        let one = |(rank, (good, away)): (u32, (Vec<f64>, Vec<f64>))| (rank, (good.len() as f64 / (good.len() + away.len()) as f64, mean(&good), mean(&away)));
+        let one = |(rank, (good, away)): (u32, (Vec<f64>, Vec<f64>))| {
+            (
+                rank,
+                (
+                    good.len() as f64 / (good.len() + away.len()) as f64,
+                    mean(&good),
+                    mean(&away),
+                ),
+            )
+        };
         ranks.into_iter().map(one).collect()
     }
 
@@ -135,22 +238,46 @@
         let mate = |at: usize| Mate::new(SocketAddr::from(([10, 2, 0, 1], 1000 + at as u16)), 1);
         let best = |count: usize, slice: u16| {
             let name = cache_duty("", slice);
-            (0..count).max_by_key(|at| mate(*at).weight(&name)).expect("some edge")
+            (0..count)
+                .max_by_key(|at| mate(*at).weight(&name))
+                .expect("some edge")
+        };
+        let held = |at: usize| {
+            (0..CACHE_SLICES)
+                .filter(|slice| best(edges, *slice) == at)
+                .count()
         };
-        let held = |at: usize| (0..CACHE_SLICES).filter(|slice| best(edges, *slice) == at).count();
         let counts: Vec<usize> = (0..edges).map(held).collect();
-        let moved = (0..CACHE_SLICES).filter(|slice| best(edges, *slice) != best(edges + 1, *slice)).count();
-        (counts.iter().copied().min().unwrap_or(0), counts.iter().copied().max().unwrap_or(0), moved)
+        let moved = (0..CACHE_SLICES)
+            .filter(|slice| best(edges, *slice) != best(edges + 1, *slice))
+            .count();
+        (
+            counts.iter().copied().min().unwrap_or(0),
+            counts.iter().copied().max().unwrap_or(0),
+            moved,
+        )
     }
 
     /// Origin calls for content while every edge is drained and restarted in
     /// turn, with copies handed over and without.
     pub fn rolling(deployment: &Deployment, mute: &'static str, seed: u64) -> usize {
-        let faults = (0..deployment.edges.min(15)).map(|at| (Duration::from_millis(8_000 + at as u64 * 2_500), Fault::Restart(Place::Edge(at)))).collect();
-        let plan = WorldPlan { mute, ..WorldPlan::new(deployment.clone(), seed, Duration::from_secs(55), faults) };
+        let faults = (0..deployment.edges.min(15))
+            .map(|at| {
+                (
+                    Duration::from_millis(8_000 + at as u64 * 2_500),
+                    Fault::Restart(Place::Edge(at)),
+                )
+            })
+            .collect();
+        let plan = WorldPlan {
+            mute,
+            ..WorldPlan::new(deployment.clone(), seed, Duration::from_secs(55), faults)
+        };
         let report = World::new(plan).run();
         let content = deployment.services[0].name;
-        let calls = report.checker.origins.iter().filter(|call| call.service == content && !call.probe && call.at > 8.0 && call.at < 46.0);
+        let calls = report.checker.origins.iter().filter(|call| {
+            call.service == content && !call.probe && call.at > 8.0 && call.at < 46.0
+        });
         calls.count()
     }
 
@@ -161,10 +288,19 @@
         for mix in deployment.mix.iter_mut().filter(|mix| hot && mix.ttl > 0) {
             mix.paths = 1;
         }
-        let report = World::new(WorldPlan::new(deployment, 1, Duration::from_secs(60), vec![])).run();
+        let report = World::new(WorldPlan::new(
+            deployment,
+            1,
+            Duration::from_secs(60),
+            vec![],
+        ))
+        .run();
         let mean = report.copies.iter().sum::<u64>() as f64 / report.copies.len() as f64;
         let part = |count: Option<&u64>| count.map_or(0.0, |count| *count as f64 / mean);
-        (part(report.copies.iter().min()), part(report.copies.iter().max()))
+        (
+            part(report.copies.iter().min()),
+            part(report.copies.iter().max()),
+        )
     }
 
     pub fn print() {
@@ -174,28 +310,53 @@
         }
         for name in ["mombasa", "trasa"] {
             let deployment = Deployment::find(name).expect("known");
-            println!("{name}: acknowledgement in control pulses [least, middle, most]: {:?}", Figures::settle(&deployment, false));
-            println!("{name}: the same, an edge cut off just before: {:?}", Figures::settle(&deployment, true));
+            println!(
+                "{name}: acknowledgement in control pulses [least, middle, most]: {:?}",
+                Figures::settle(&deployment, false)
+            );
+            println!(
+                "{name}: the same, an edge cut off just before: {:?}",
+                Figures::settle(&deployment, true)
+            );
         }
         for name in ["small", "mombasa", "trasa"] {
             let deployment = Deployment::find(name).expect("known");
-            let (with, without) = (Figures::rolling(&deployment, "", 1), Figures::rolling(&deployment, "Want", 1));
-            println!("{name}: content calls while all edges restart in turn: {with} with copies handed over, {without} without");
+            let (with, without) = (
+                Figures::rolling(&deployment, "", 1),
+                Figures::rolling(&deployment, "Want", 1),
+            );
+            println!(
+                "{name}: content calls while all edges restart in turn: {with} with copies handed over, {without} without"
+            );
         }
         for part in [1.2, 0.8, 0.5, 0.3] {
-            println!("applications may take {part} of what is asked: served by rank {:?}", Figures::capped(part));
+            println!(
+                "applications may take {part} of what is asked: served by rank {:?}",
+                Figures::capped(part)
+            );
         }
         for flat in [false, true] {
-            println!("applications 60 times slower, first come {flat}: by rank (share, wait of the served, of those turned away) {:.3?}", Figures::slow(flat));
+            println!(
+                "applications 60 times slower, first come {flat}: by rank (share, wait of the served, of those turned away) {:.3?}",
+                Figures::slow(flat)
+            );
         }
         for name in ["mombasa", "trasa"] {
             let deployment = Deployment::find(name).expect("known");
-            let (spread, hot) = (Figures::spread(&deployment, false), Figures::spread(&deployment, true));
-            println!("{name}: copies handed out by an edge, in parts of the mean: {spread:?}; one key an entry: {hot:?}");
+            let (spread, hot) = (
+                Figures::spread(&deployment, false),
+                Figures::spread(&deployment, true),
+            );
+            println!(
+                "{name}: copies handed out by an edge, in parts of the mean: {spread:?}; one key an entry: {hot:?}"
+            );
         }
         for edges in [4, 8, 15, 30] {
             let (least, most, moved) = Figures::ring(edges);
-            println!("{edges} edges: {least} to {most} cache slices an edge (mean {:.1}); one more edge moves {moved}", f64::from(CACHE_SLICES) / edges as f64);
+            println!(
+                "{edges} edges: {least} to {most} cache slices an edge (mean {:.1}); one more edge moves {moved}",
+                f64::from(CACHE_SLICES) / edges as f64
+            );
         }
     }
 }
@@ -215,9 +376,16 @@
     fn handing_copies_over_spares_the_origins() {
         let deployment = Deployment::find("small").unwrap();
         // One seed's difference is smaller than its chance.
-        let sum = |mute| (1..=12).map(|seed| Figures::rolling(&deployment, mute, seed)).collect::<Vec<_>>();
+        let sum = |mute| {
+            (1..=12)
+                .map(|seed| Figures::rolling(&deployment, mute, seed))
+                .collect::<Vec<_>>()
+        };
         let (with, without) = (sum(""), sum("Want"));
-        assert!(with.iter().sum::<usize>() < without.iter().sum(), "{with:?} with, {without:?} without");
+        assert!(
+            with.iter().sum::<usize>() < without.iter().sum(),
+            "{with:?} with, {without:?} without"
+        );
     }
 
     #[test]
@@ -225,15 +393,26 @@
         let (ranked, flat) = (Figures::slow(false), Figures::slow(true));
         let shares: Vec<f64> = ranked.values().map(|rank| rank.0).collect();
         assert!(shares.is_sorted(), "{ranked:?}");
-        assert!(ranked[&9].0 > 0.99 && ranked[&9].0 > flat[&9].0, "{ranked:?} against first come {flat:?}");
-        assert!(ranked[&9].1 < flat[&9].1, "{ranked:?} against first come {flat:?}");
+        assert!(
+            ranked[&9].0 > 0.99 && ranked[&9].0 > flat[&9].0,
+            "{ranked:?} against first come {flat:?}"
+        );
+        assert!(
+            ranked[&9].1 < flat[&9].1,
+            "{ranked:?} against first come {flat:?}"
+        );
         assert!(ranked[&5].2 < 1.0, "the lowest is told soon: {ranked:?}");
     }
 
     #[test]
     fn acknowledgements_come_within_the_bound_of_the_lease_arithmetic() {
         let deployment = Deployment::find("small").unwrap();
-        let most = |lapse| Figures::settle(&deployment, lapse).into_values().map(|spans| spans[2]).fold(0.0, f64::max);
+        let most = |lapse| {
+            Figures::settle(&deployment, lapse)
+                .into_values()
+                .map(|spans| spans[2])
+                .fold(0.0, f64::max)
+        };
         assert!(most(false) < 5.0, "{}", most(false));
         assert!(most(true) < 20.0, "{}", most(true));
         assert!(most(true) > 5.0, "the cut-off edge was waited for");
--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod fault;
 pub mod figures;
 pub mod prelude;
+#[cfg(test)]
+mod scenarios;
 pub mod schedule;
 pub mod script;
 pub mod shrink;
@@ -13,5 +15,3 @@
 mod world_callers;
 mod world_faults;
 mod world_operators;
-#[cfg(test)]
-mod scenarios;
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -2,9 +2,16 @@
 
 /// A fleet of another number of control nodes, whose table is gathered.
 fn of(control: usize, seed: u64, span: u64, faults: Vec<(u64, Fault)>) -> WorldPlan {
-    let faults = faults.into_iter().map(|(at, fault)| (Duration::from_millis(at), fault)).collect();
+    let faults = faults
+        .into_iter()
+        .map(|(at, fault)| (Duration::from_millis(at), fault))
+        .collect();
     let deployment = Deployment::find("small").unwrap();
-    WorldPlan { control, gather: true, ..WorldPlan::new(deployment, seed, Duration::from_secs(span), faults) }
+    WorldPlan {
+        control,
+        gather: true,
+        ..WorldPlan::new(deployment, seed, Duration::from_secs(span), faults)
+    }
 }
 
 fn run(plan: WorldPlan) -> Report {
@@ -14,7 +21,12 @@
 }
 
 fn count(report: &Report, what: &str) -> usize {
-    report.checker.fleet.iter().filter(|one| one.what == what && one.good).count()
+    report
+        .checker
+        .fleet
+        .iter()
+        .filter(|one| one.what == what && one.good)
+        .count()
 }
 
 /// The founding with the first seed killed at each moment of it; and a node
@@ -22,14 +34,36 @@
 #[test]
 fn a_table_is_founded_once_and_grows_by_who_came_late() {
     for control in [4, 5, 8] {
-        for founder in [FounderEnd::Lives, FounderEnd::Unwritten, FounderEnd::Untold, FounderEnd::Told] {
+        for founder in [
+            FounderEnd::Lives,
+            FounderEnd::Unwritten,
+            FounderEnd::Untold,
+            FounderEnd::Told,
+        ] {
             for late in [false, true] {
-                let faults = vec![(11_000, Fault::Configure), (12_000, Fault::Content), (12_001, Fault::Purge("/".into())), (14_000, Fault::ReadBack)];
-                let report = run(WorldPlan { founder, late, ..of(control, 2, 30, faults) });
+                let faults = vec![
+                    (11_000, Fault::Configure),
+                    (12_000, Fault::Content),
+                    (12_001, Fault::Purge("/".into())),
+                    (14_000, Fault::ReadBack),
+                ];
+                let report = run(WorldPlan {
+                    founder,
+                    late,
+                    ..of(control, 2, 30, faults)
+                });
                 let what = format!("{control} {founder:?} late: {late}");
                 judge(&report, &[1, 4, 6, 7]);
-                assert_eq!(report.notes.get(&Event::DiskRefilled), Some(&control), "{what}");
-                assert_eq!(report.notes.get(&Event::SlotTaken).copied().unwrap_or(0), if late { control - 1 } else { 0 }, "{what}: grown at all others");
+                assert_eq!(
+                    report.notes.get(&Event::DiskRefilled),
+                    Some(&control),
+                    "{what}"
+                );
+                assert_eq!(
+                    report.notes.get(&Event::SlotTaken).copied().unwrap_or(0),
+                    if late { control - 1 } else { 0 },
+                    "{what}: grown at all others"
+                );
                 assert_eq!(count(&report, "configured"), 2, "{what}");
                 let share = served_within(&report, 15.0, 30.0);
                 assert!(share > 0.99, "{what}: {share}");
@@ -47,18 +81,32 @@
             let moment = Moment::ALL[seed as usize % 3];
             let slot = (seed as usize / 3 * 2) % control;
             let faults = vec![
-                (10_000, Fault::Trap(moment, Loss::Disks(slot, Schedule::borne(control)))),
+                (
+                    10_000,
+                    Fault::Trap(moment, Loss::Disks(slot, Schedule::borne(control))),
+                ),
                 (10_010 + seed * 7, Fault::Configure),
                 (10_015 + seed * 7, Fault::Content),
                 (10_016 + seed * 7, Fault::Purge("/".into())),
                 (17_000, Fault::ReadBack),
                 (19_000, Fault::ReadBack),
             ];
-            let report = run(WorldPlan { gather: control != 3, ..of(control, seed, 40, faults) });
+            let report = run(WorldPlan {
+                gather: control != 3,
+                ..of(control, seed, 40, faults)
+            });
             judge(&report, &[1, 12]);
             assert_eq!(count(&report, "read-back"), 2, "{control} {seed}");
-            assert_eq!(report.notes.get(&Event::DiskBlank), Some(&(control + Schedule::borne(control))), "{control} {seed}");
-            assert_eq!(report.notes.get(&Event::RealmFounded), Some(&1), "{control} {seed}: nothing was lost");
+            assert_eq!(
+                report.notes.get(&Event::DiskBlank),
+                Some(&(control + Schedule::borne(control))),
+                "{control} {seed}"
+            );
+            assert_eq!(
+                report.notes.get(&Event::RealmFounded),
+                Some(&1),
+                "{control} {seed}: nothing was lost"
+            );
         }
     }
 }
@@ -84,8 +132,16 @@
             let report = run(of(control, slot as u64 + 1, 45, faults));
             judge(&report, &[1, 6, 7]);
             assert_eq!(count(&report, "configured"), 3, "{control} {slot}");
-            assert_eq!(report.notes.get(&Event::SlotStruck), Some(&1), "{control} {slot}");
-            assert!(served_within(&report, 30.0, 45.0) > 0.98, "{control} {slot}: {}", served_within(&report, 30.0, 45.0));
+            assert_eq!(
+                report.notes.get(&Event::SlotStruck),
+                Some(&1),
+                "{control} {slot}"
+            );
+            assert!(
+                served_within(&report, 30.0, 45.0) > 0.98,
+                "{control} {slot}: {}",
+                served_within(&report, 30.0, 45.0)
+            );
         }
     }
 }
@@ -97,18 +153,31 @@
         for seed in 1..=12 {
             let deployment = Deployment::find("small").unwrap();
             let faults = Schedule::random(&deployment, control, seed, span);
-            let report = World::new(WorldPlan::new(deployment, seed, span, faults).of(control)).run();
+            let report =
+                World::new(WorldPlan::new(deployment, seed, span, faults).of(control)).run();
             for (never, verdict) in report.checker.verdicts() {
-                assert!(!matches!(verdict, Verdict::Broken(_)), "{control} seed {seed}: {never}: {}", cut(&verdict));
+                assert!(
+                    !matches!(verdict, Verdict::Broken(_)),
+                    "{control} seed {seed}: {never}: {}",
+                    cut(&verdict)
+                );
             }
         }
     }
 }
 
 fn small(seed: u64, span: u64, faults: Vec<(u64, Fault)>) -> Report {
-    let faults = faults.into_iter().map(|(at, fault)| (Duration::from_millis(at), fault)).collect();
+    let faults = faults
+        .into_iter()
+        .map(|(at, fault)| (Duration::from_millis(at), fault))
+        .collect();
     let deployment = Deployment::find("small").unwrap();
-    let mut world = World::new(WorldPlan::new(deployment, seed, Duration::from_secs(span), faults));
+    let mut world = World::new(WorldPlan::new(
+        deployment,
+        seed,
+        Duration::from_secs(span),
+        faults,
+    ));
     world.trace = std::env::var("TRACE").is_ok();
     world.run()
 }
@@ -116,8 +185,17 @@
 /// Fails on a broken never; those named must have been exercised.
 fn judge(report: &Report, exercised: &[usize]) {
     for (at, (never, verdict)) in report.checker.verdicts().into_iter().enumerate() {
-        assert!(!matches!(verdict, Verdict::Broken(_)), "{} {never}: {}", at + 1, cut(&verdict));
-        assert!(!exercised.contains(&(at + 1)) || verdict != Verdict::NotExercised, "{} {never} was not exercised", at + 1);
+        assert!(
+            !matches!(verdict, Verdict::Broken(_)),
+            "{} {never}: {}",
+            at + 1,
+            cut(&verdict)
+        );
+        assert!(
+            !exercised.contains(&(at + 1)) || verdict != Verdict::NotExercised,
+            "{} {never} was not exercised",
+            at + 1
+        );
     }
 }
 
@@ -126,13 +204,24 @@
 }
 
 fn served(report: &Report) -> f64 {
-    let good = report.checker.callers.iter().filter(|call| call.status == 200).count();
+    let good = report
+        .checker
+        .callers
+        .iter()
+        .filter(|call| call.status == 200)
+        .count();
     good as f64 / report.checker.callers.len() as f64
 }
 
 #[test]
 fn a_quiet_minute_serves_everything() {
-    let faults = vec![(8_000, Fault::Content), (8_100, Fault::Purge("/".into())), (12_000, Fault::Configure), (15_000, Fault::Race(2)), (18_000, Fault::ReadBack)];
+    let faults = vec![
+        (8_000, Fault::Content),
+        (8_100, Fault::Purge("/".into())),
+        (12_000, Fault::Configure),
+        (15_000, Fault::Race(2)),
+        (18_000, Fault::ReadBack),
+    ];
     let report = small(1, 40, faults);
     judge(&report, &[1, 3, 4, 5, 6, 7, 11]);
     assert!(served(&report) > 0.999, "{}", served(&report));
@@ -142,7 +231,12 @@
 
 /// Share of errands that began within a span (in seconds) and were served.
 fn served_within(report: &Report, from: f64, to: f64) -> f64 {
-    let calls: Vec<_> = report.checker.callers.iter().filter(|call| call.start >= from && call.start < to).collect();
+    let calls: Vec<_> = report
+        .checker
+        .callers
+        .iter()
+        .filter(|call| call.start >= from && call.start < to)
+        .collect();
     calls.iter().filter(|call| call.status == 200).count() as f64 / calls.len().max(1) as f64
 }
 
@@ -155,7 +249,11 @@
         let faults = Schedule::random(&deployment, 3, seed, span);
         let report = World::new(WorldPlan::new(deployment.clone(), seed, span, faults)).run();
         for (at, (never, verdict)) in report.checker.verdicts().into_iter().enumerate() {
-            assert!(!matches!(verdict, Verdict::Broken(_)), "seed {seed}: {never}: {}", cut(&verdict));
+            assert!(
+                !matches!(verdict, Verdict::Broken(_)),
+                "seed {seed}: {never}: {}",
+                cut(&verdict)
+            );
             if verdict != Verdict::NotExercised {
                 exercised.insert(at + 1);
             }
@@ -171,21 +269,32 @@
     let run = || {
         let faults = Schedule::random(&deployment, 3, 5, span);
         let report = World::new(WorldPlan::new(deployment.clone(), 5, span, faults)).run();
-        (report.steps, format!("{:?} {:?}", report.notes, report.checker.callers))
+        (
+            report.steps,
+            format!("{:?} {:?}", report.notes, report.checker.callers),
+        )
     };
     assert!(run() == run());
 }
 
 #[test]
 fn power_fails_everywhere_and_all_that_was_acknowledged_is_there() {
-    let mut faults = vec![(6_000, Fault::Configure), (9_000, Fault::Content), (9_001, Fault::Purge("/".into()))];
+    let mut faults = vec![
+        (6_000, Fault::Configure),
+        (9_000, Fault::Content),
+        (9_001, Fault::Purge("/".into())),
+    ];
     for place in CONTROL.into_iter().chain((0..4).map(Place::Edge)) {
         faults.extend([(15_000, Fault::Kill(place)), (18_000, Fault::Start(place))]);
     }
     faults.extend([(18_000, Fault::Returned), (20_000, Fault::ReadBack)]);
     let report = small(3, 50, faults);
     judge(&report, &[1, 6, 7, 12]);
-    assert!(served_within(&report, 23.0, 40.0) > 0.999, "{}", served_within(&report, 23.0, 40.0));
+    assert!(
+        served_within(&report, 23.0, 40.0) > 0.999,
+        "{}",
+        served_within(&report, 23.0, 40.0)
+    );
 }
 
 #[test]
@@ -223,7 +332,12 @@
         let report = small(4, 45, faults);
         judge(&report, &[1, 6, 7]);
         assert!(served(&report) > 0.97, "{place:?}: {}", served(&report));
-        let configured = report.checker.fleet.iter().filter(|one| one.what == "configured").count();
+        let configured = report
+            .checker
+            .fleet
+            .iter()
+            .filter(|one| one.what == "configured")
+            .count();
         assert_eq!(configured, 4, "{place:?}");
     }
 }
@@ -240,9 +354,26 @@
     ];
     let report = small(5, 40, faults);
     judge(&report, &[4, 6]);
-    let at = |what: &str| report.checker.fleet.iter().rev().find(|one| one.what == what).unwrap().at;
-    assert!(at("configured") < 8.1 + 2.0 && at("purged") < 8.2 + 2.0, "{} {}", at("configured"), at("purged"));
-    assert!(at("configured") > 8.1 + 0.3, "it waited for the edge to lapse");
+    let at = |what: &str| {
+        report
+            .checker
+            .fleet
+            .iter()
+            .rev()
+            .find(|one| one.what == what)
+            .unwrap()
+            .at
+    };
+    assert!(
+        at("configured") < 8.1 + 2.0 && at("purged") < 8.2 + 2.0,
+        "{} {}",
+        at("configured"),
+        at("purged")
+    );
+    assert!(
+        at("configured") > 8.1 + 0.3,
+        "it waited for the edge to lapse"
+    );
 }
 
 #[test]
@@ -251,7 +382,13 @@
         let mut faults = Vec::new();
         for round in 0..5u64 {
             let at = 8_000 + round * 5_000;
-            faults.push((at, Fault::Pause(Place::Edge(round as usize % 4), Duration::from_millis(3_800))));
+            faults.push((
+                at,
+                Fault::Pause(
+                    Place::Edge(round as usize % 4),
+                    Duration::from_millis(3_800),
+                ),
+            ));
             faults.push((at + 20, Fault::Content));
             faults.push((at + 21, Fault::Purge("/".into())));
         }
@@ -262,7 +399,11 @@
 #[test]
 fn a_rolling_restart_of_every_machine_drops_nothing_that_was_read() {
     let mut faults = Vec::new();
-    for (at, place) in CONTROL.into_iter().chain((0..4).map(Place::Edge)).enumerate() {
+    for (at, place) in CONTROL
+        .into_iter()
+        .chain((0..4).map(Place::Edge))
+        .enumerate()
+    {
         faults.push((8_000 + at as u64 * 5_000, Fault::Restart(place)));
     }
     let report = small(6, 60, faults);
@@ -291,14 +432,23 @@
     let report = small(7, 55, faults);
     judge(&report, &[1, 3, 8]);
     assert!(served(&report) > 0.95, "{}", served(&report));
-    let unknown = report.checker.callers.iter().filter(|call| call.outcome == "unknown").count();
+    let unknown = report
+        .checker
+        .callers
+        .iter()
+        .filter(|call| call.outcome == "unknown")
+        .count();
     assert!(unknown > 0, "some answers were lost after sending");
 }
 
 #[test]
 fn an_address_that_went_to_another_service_gets_no_errand() {
     for seed in 1..8 {
-        let faults = vec![(9_000, Fault::Origin(3, Mood::Down)), (9_400, Fault::Usurp(3)), (9_401, Fault::Origin(3, Mood::Good))];
+        let faults = vec![
+            (9_000, Fault::Origin(3, Mood::Down)),
+            (9_400, Fault::Usurp(3)),
+            (9_401, Fault::Origin(3, Mood::Good)),
+        ];
         judge(&small(seed, 30, faults), &[3]);
     }
 }
@@ -317,7 +467,15 @@
     ];
     let report = small(8, 45, faults);
     judge(&report, &[1, 6, 7]);
-    assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "configured").count(), 3);
+    assert_eq!(
+        report
+            .checker
+            .fleet
+            .iter()
+            .filter(|one| one.what == "configured")
+            .count(),
+        3
+    );
     assert!(served(&report) > 0.97, "{}", served(&report));
 }
 
@@ -327,21 +485,45 @@
     deployment.rate = 120;
     // Applications get 36 errands a second, of which 18 are of rank 9.
     deployment.services[1].rate = 11.0;
-    let report = World::new(WorldPlan::new(deployment, 9, Duration::from_secs(40), vec![])).run();
+    let report = World::new(WorldPlan::new(
+        deployment,
+        9,
+        Duration::from_secs(40),
+        vec![],
+    ))
+    .run();
     judge(&report, &[10]);
     let share = |rank: u32| {
-        let calls: Vec<_> = report.checker.callers.iter().filter(|call| call.rank == rank && call.entry != "listing").collect();
+        let calls: Vec<_> = report
+            .checker
+            .callers
+            .iter()
+            .filter(|call| call.rank == rank && call.entry != "listing")
+            .collect();
         calls.iter().filter(|call| call.status == 200).count() as f64 / calls.len() as f64
     };
     assert!(share(9) > 0.95, "rank 9: {}", share(9));
     assert!(share(5) < 0.6, "rank 5: {}", share(5));
-    for call in report.checker.callers.iter().filter(|call| call.status == 429) {
+    for call in report
+        .checker
+        .callers
+        .iter()
+        .filter(|call| call.status == 429)
+    {
         assert_eq!(call.outcome, "not_run");
     }
     let waited = |call: &&CallerRecord| call.status == 429 && call.end - call.start > 3.5;
     let late = report.checker.callers.iter().filter(waited).count();
-    let away = report.checker.callers.iter().filter(|call| call.status == 429).count();
-    assert!(late * 10 < away, "{late} of {away} heard only near their deadline");
+    let away = report
+        .checker
+        .callers
+        .iter()
+        .filter(|call| call.status == 429)
+        .count();
+    assert!(
+        late * 10 < away,
+        "{late} of {away} heard only near their deadline"
+    );
 }
 
 #[test]
@@ -364,7 +546,11 @@
 #[test]
 fn an_empty_node_elsewhere_takes_a_lost_slot_and_the_old_one_comes_back_fenced() {
     for slot in 0..3 {
-        let (lost, next, spare) = (Place::Control(slot), Place::Control((slot + 1) % 3), Place::Control(3));
+        let (lost, next, spare) = (
+            Place::Control(slot),
+            Place::Control((slot + 1) % 3),
+            Place::Control(3),
+        );
         let faults = vec![
             (6_000, Fault::Start(spare)),
             (8_000, Fault::Kill(lost)),
@@ -380,8 +566,21 @@
         ];
         let report = small(slot as u64 + 1, 45, faults);
         judge(&report, &[1, 4, 6, 7]);
-        assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "configured").count(), 3, "slot {slot}");
-        assert_eq!(report.notes.get(&Event::SlotStruck), Some(&1), "slot {slot}: the old one knows that it is out");
+        assert_eq!(
+            report
+                .checker
+                .fleet
+                .iter()
+                .filter(|one| one.what == "configured")
+                .count(),
+            3,
+            "slot {slot}"
+        );
+        assert_eq!(
+            report.notes.get(&Event::SlotStruck),
+            Some(&1),
+            "slot {slot}: the old one knows that it is out"
+        );
         assert!(served(&report) > 0.97, "slot {slot}: {}", served(&report));
     }
 }
@@ -392,10 +591,23 @@
         let lost = Place::Control(seed as usize % 3);
         let faults = vec![
             (5_000, Fault::Start(Place::Control(3))),
-            (6_000, Fault::Weather { lost: 5, doubled: 5, late: 20 }),
+            (
+                6_000,
+                Fault::Weather {
+                    lost: 5,
+                    doubled: 5,
+                    late: 20,
+                },
+            ),
             // Edges still hear it; the other control nodes do not.
-            (8_000, Fault::Cut(lost, Place::Control((seed as usize + 1) % 3))),
-            (8_000, Fault::Cut(lost, Place::Control((seed as usize + 2) % 3))),
+            (
+                8_000,
+                Fault::Cut(lost, Place::Control((seed as usize + 1) % 3)),
+            ),
+            (
+                8_000,
+                Fault::Cut(lost, Place::Control((seed as usize + 2) % 3)),
+            ),
             (12_000, Fault::Content),
             (12_001, Fault::Purge("/".into())),
             (15_000, Fault::Configure),
@@ -403,7 +615,14 @@
             (18_001, Fault::Purge("/".into())),
             (22_000, Fault::Heal),
             (24_000, Fault::Configure),
-            (26_000, Fault::Weather { lost: 0, doubled: 0, late: 0 }),
+            (
+                26_000,
+                Fault::Weather {
+                    lost: 0,
+                    doubled: 0,
+                    late: 0,
+                },
+            ),
             (28_000, Fault::ReadBack),
         ];
         let report = small(seed, 45, faults);
@@ -428,26 +647,62 @@
     ];
     let report = small(9, 45, faults);
     judge(&report, &[1, 6, 7]);
-    assert_eq!(report.notes.get(&Event::SlotStruck), Some(&1), "the one that lost its slot, and no other");
-    assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "configured").count(), 2);
+    assert_eq!(
+        report.notes.get(&Event::SlotStruck),
+        Some(&1),
+        "the one that lost its slot, and no other"
+    );
+    assert_eq!(
+        report
+            .checker
+            .fleet
+            .iter()
+            .filter(|one| one.what == "configured")
+            .count(),
+        2
+    );
 }
 
 fn wiped(slots: &[usize], lost_edge: bool, seed: u64) -> Report {
-    let mut faults = vec![(6_000, Fault::Configure), (8_000, Fault::Content), (8_001, Fault::Purge("/".into())), (9_000, Fault::Leave(3))];
+    let mut faults = vec![
+        (6_000, Fault::Configure),
+        (8_000, Fault::Content),
+        (8_001, Fault::Purge("/".into())),
+        (9_000, Fault::Leave(3)),
+    ];
     for slot in slots {
-        faults.extend([(15_000, Fault::Wipe(Place::Control(*slot))), (17_000, Fault::Start(Place::Control(*slot)))]);
+        faults.extend([
+            (15_000, Fault::Wipe(Place::Control(*slot))),
+            (17_000, Fault::Start(Place::Control(*slot))),
+        ]);
     }
     // One that was away for a while and came back in the same life knows all.
-    faults.push((10_000, Fault::Pause(Place::Edge(1), Duration::from_millis(2_500))));
+    faults.push((
+        10_000,
+        Fault::Pause(Place::Edge(1), Duration::from_millis(2_500)),
+    ));
     if lost_edge {
-        faults.extend([(14_900, Fault::Kill(Place::Edge(0))), (17_000, Fault::Start(Place::Edge(0)))]);
+        faults.extend([
+            (14_900, Fault::Kill(Place::Edge(0))),
+            (17_000, Fault::Start(Place::Edge(0))),
+        ]);
     }
-    faults.extend([(17_000, Fault::Returned), (25_000, Fault::ReadBack), (27_000, Fault::Configure), (30_000, Fault::ReadBack)]);
+    faults.extend([
+        (17_000, Fault::Returned),
+        (25_000, Fault::ReadBack),
+        (27_000, Fault::Configure),
+        (30_000, Fault::ReadBack),
+    ]);
     small(seed, 125, faults)
 }
 
 fn kind_served(report: &Report, entry: &str, from: f64, to: f64) -> f64 {
-    let calls: Vec<_> = report.checker.callers.iter().filter(|call| call.entry == entry && call.start >= from && call.start < to).collect();
+    let calls: Vec<_> = report
+        .checker
+        .callers
+        .iter()
+        .filter(|call| call.entry == entry && call.start >= from && call.start < to)
+        .collect();
     calls.iter().filter(|call| call.status == 200).count() as f64 / calls.len() as f64
 }
 
@@ -458,52 +713,119 @@
             let report = wiped(slots, lost_edge, 3 + slots[0] as u64);
             let what = format!("{slots:?}, an edge lost: {lost_edge}");
             judge(&report, &[1, 6, 7, 8, 12]);
-            assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "configured").count(), 3, "{what}");
-            assert_eq!(report.checker.fleet.iter().filter(|one| one.what == "read-back" && one.good).count(), 2, "{what}");
+            assert_eq!(
+                report
+                    .checker
+                    .fleet
+                    .iter()
+                    .filter(|one| one.what == "configured")
+                    .count(),
+                3,
+                "{what}"
+            );
+            assert_eq!(
+                report
+                    .checker
+                    .fleet
+                    .iter()
+                    .filter(|one| one.what == "read-back" && one.good)
+                    .count(),
+                2,
+                "{what}"
+            );
             let share = |entry: &str, from: f64, to: f64| kind_served(&report, entry, from, to);
             // Within 15 s of the machines' return all is served, if every edge
             // of the roll could tell what it knew; else new operations wait
             // for 75 s, and are told "unknown" meanwhile.
-            assert!(share("listing", 26.0, 85.0) > 0.99, "{what}: {}", share("listing", 26.0, 85.0));
-            let closed = report.checker.callers.iter().filter(|call| call.code == "ledger_recovering" && call.start > 32.0).count();
+            assert!(
+                share("listing", 26.0, 85.0) > 0.99,
+                "{what}: {}",
+                share("listing", 26.0, 85.0)
+            );
+            let closed = report
+                .checker
+                .callers
+                .iter()
+                .filter(|call| call.code == "ledger_recovering" && call.start > 32.0)
+                .count();
             if lost_edge {
                 assert!(closed > 20, "{what}: {closed}");
             } else {
                 assert_eq!(closed, 0, "{what}");
-                assert!(share("reservation", 32.0, 85.0) > 0.97, "{what}: {}", share("reservation", 32.0, 85.0));
+                assert!(
+                    share("reservation", 32.0, 85.0) > 0.97,
+                    "{what}: {}",
+                    share("reservation", 32.0, 85.0)
+                );
             }
-            assert!(share("reservation", 108.0, 118.0) > 0.9, "{what}: {}", share("reservation", 97.0, 103.0));
+            assert!(
+                share("reservation", 108.0, 118.0) > 0.9,
+                "{what}: {}",
+                share("reservation", 97.0, 103.0)
+            );
         }
     }
 }
 
 /// When errands are served again after a moment: the first success after it.
 fn first_served(report: &Report, entry: &str, after: f64) -> f64 {
-    let ends = report.checker.callers.iter().filter(|call| call.entry == entry && call.status == 200 && call.start > after).map(|call| call.end);
+    let ends = report
+        .checker
+        .callers
+        .iter()
+        .filter(|call| call.entry == entry && call.status == 200 && call.start > after)
+        .map(|call| call.end);
     ends.min_by(f64::total_cmp).unwrap_or(f64::INFINITY) - after
 }
 
 #[test]
 fn the_core_cut_off_fences_and_comes_back() {
-    let mut faults: Vec<(u64, Fault)> = CONTROL.into_iter().map(|place| (10_000, Fault::Isolate(place))).collect();
-    faults.extend([(20_000, Fault::Heal), (20_000, Fault::Returned), (20_500, Fault::Configure), (23_000, Fault::ReadBack)]);
+    let mut faults: Vec<(u64, Fault)> = CONTROL
+        .into_iter()
+        .map(|place| (10_000, Fault::Isolate(place)))
+        .collect();
+    faults.extend([
+        (20_000, Fault::Heal),
+        (20_000, Fault::Returned),
+        (20_500, Fault::Configure),
+        (23_000, Fault::ReadBack),
+    ]);
     let report = small(2, 40, faults);
     judge(&report, &[1, 7, 12]);
     assert_eq!(served_within(&report, 11.1, 19.9), 0.0, "fenced");
-    let back = ["listing", "availability", "reservation"].map(|entry| first_served(&report, entry, 20.0));
+    let back =
+        ["listing", "availability", "reservation"].map(|entry| first_served(&report, entry, 20.0));
     println!("core cut off for 10 s; served again after {back:?} s");
     assert!(back.iter().all(|span| *span < 3.0), "{back:?}");
 }
 
 #[test]
 fn half_of_the_edges_die_at_once() {
-    let mut faults: Vec<(u64, Fault)> = [0, 2].into_iter().map(|at| (10_000, Fault::Kill(Place::Edge(at)))).collect();
-    faults.extend([(10_100, Fault::Configure), (10_200, Fault::Content), (10_201, Fault::Purge("/".into())), (14_000, Fault::ReadBack)]);
+    let mut faults: Vec<(u64, Fault)> = [0, 2]
+        .into_iter()
+        .map(|at| (10_000, Fault::Kill(Place::Edge(at))))
+        .collect();
+    faults.extend([
+        (10_100, Fault::Configure),
+        (10_200, Fault::Content),
+        (10_201, Fault::Purge("/".into())),
+        (14_000, Fault::ReadBack),
+    ]);
     let report = small(2, 30, faults);
     judge(&report, &[1, 4, 6, 7]);
-    let settled = report.checker.fleet.iter().rev().find(|one| one.what == "configured").unwrap().at - 10.1;
+    let settled = report
+        .checker
+        .fleet
+        .iter()
+        .rev()
+        .find(|one| one.what == "configured")
+        .unwrap()
+        .at
+        - 10.1;
     let share = served_within(&report, 13.0, 20.0);
-    println!("half of the edges died; a change settled after {settled:.2} s, {share:.3} served from 3 s after");
+    println!(
+        "half of the edges died; a change settled after {settled:.2} s, {share:.3} served from 3 s after"
+    );
     assert!(settled < 2.0 && share > 0.99, "{settled} {share}");
 }
 
@@ -511,11 +833,23 @@
 fn a_zone_is_lost_with_its_control_node() {
     // Zone a: control 0, edges 0 and 3.
     let zone = [Place::Control(0), Place::Edge(0), Place::Edge(3)];
-    let mut faults: Vec<(u64, Fault)> = zone.into_iter().map(|place| (10_000, Fault::Isolate(place))).collect();
-    faults.extend([(11_000, Fault::Configure), (12_000, Fault::Content), (12_001, Fault::Purge("/".into())), (25_000, Fault::Heal)]);
+    let mut faults: Vec<(u64, Fault)> = zone
+        .into_iter()
+        .map(|place| (10_000, Fault::Isolate(place)))
+        .collect();
+    faults.extend([
+        (11_000, Fault::Configure),
+        (12_000, Fault::Content),
+        (12_001, Fault::Purge("/".into())),
+        (25_000, Fault::Heal),
+    ]);
     let report = small(3, 45, faults);
     judge(&report, &[1, 4, 6]);
-    assert!(served_within(&report, 14.0, 25.0) > 0.99, "{}", served_within(&report, 14.0, 25.0));
+    assert!(
+        served_within(&report, 14.0, 25.0) > 0.99,
+        "{}",
+        served_within(&report, 14.0, 25.0)
+    );
     assert!(served_within(&report, 27.0, 38.0) > 0.99);
 }
 
@@ -523,12 +857,21 @@
 fn two_that_cannot_hear_each_other_do_not_starve_a_slice() {
     // Control 0 and 1 both hear 2, and each thinks itself chosen for much.
     let (one, two) = (Place::Control(0), Place::Control(1));
-    let mut faults = vec![(8_000, Fault::Cut(one, two)), (8_000, Fault::Cut(two, one)), (28_000, Fault::Heal)];
+    let mut faults = vec![
+        (8_000, Fault::Cut(one, two)),
+        (8_000, Fault::Cut(two, one)),
+        (28_000, Fault::Heal),
+    ];
     faults.extend((0..6).map(|round| (10_000 + round * 3_000, Fault::Configure)));
     faults.push((30_000, Fault::ReadBack));
     let report = small(3, 45, faults);
     judge(&report, &[1, 6, 7]);
-    let done = report.checker.fleet.iter().filter(|one| one.what == "configured").count();
+    let done = report
+        .checker
+        .fleet
+        .iter()
+        .filter(|one| one.what == "configured")
+        .count();
     assert!(done >= 6, "{done} of 7 changes were acknowledged");
     assert!(served(&report) > 0.97, "{}", served(&report));
 }
@@ -546,9 +889,18 @@
     faults.push((13_000, Fault::Heal));
     let report = small(4, 35, faults);
     judge(&report, &[4]);
-    let purged: Vec<&FleetRecord> = report.checker.fleet.iter().filter(|one| one.what == "purged").collect();
+    let purged: Vec<&FleetRecord> = report
+        .checker
+        .fleet
+        .iter()
+        .filter(|one| one.what == "purged")
+        .collect();
     assert_eq!(purged.iter().filter(|one| one.good).count(), 1500);
-    assert!(report.log_bytes < 12 << 20, "{} bytes of log", report.log_bytes);
+    assert!(
+        report.log_bytes < 12 << 20,
+        "{} bytes of log",
+        report.log_bytes
+    );
 }
 
 #[test]
@@ -558,7 +910,13 @@
     deployment.mix[2].share = 60;
     deployment.mix[0].share = 25;
     deployment.services[1].rate = 150.0;
-    let report = World::new(WorldPlan::new(deployment, 2, Duration::from_secs(120), vec![])).run();
+    let report = World::new(WorldPlan::new(
+        deployment,
+        2,
+        Duration::from_secs(120),
+        vec![],
+    ))
+    .run();
     judge(&report, &[1]);
     // Some 13 000 operations with their answers were recorded on each disk.
     assert!(report.log_bytes < 24 << 20, "{} bytes", report.log_bytes);
@@ -570,15 +928,29 @@
 fn schedules_that_once_broke_a_never_break_nothing() {
     let deployment = Deployment::find("small").unwrap();
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("kept");
-    let mut files: Vec<PathBuf> = fs::read_dir(folder).unwrap().map(|file| file.unwrap().path()).collect();
+    let mut files: Vec<PathBuf> = fs::read_dir(folder)
+        .unwrap()
+        .map(|file| file.unwrap().path())
+        .collect();
     files.sort();
     assert!(files.len() >= 4);
     for file in files {
         let script = Script::read(&fs::read_to_string(&file).unwrap(), &deployment, 3).unwrap();
         for seed in 1..=6 {
-            let report = World::new(WorldPlan::new(deployment.clone(), seed, Duration::from_secs(120), script.clone())).run();
+            let report = World::new(WorldPlan::new(
+                deployment.clone(),
+                seed,
+                Duration::from_secs(120),
+                script.clone(),
+            ))
+            .run();
             for (never, verdict) in report.checker.verdicts() {
-                assert!(!matches!(verdict, Verdict::Broken(_)), "{} seed {seed}: {never}: {}", file.display(), cut(&verdict));
+                assert!(
+                    !matches!(verdict, Verdict::Broken(_)),
+                    "{} seed {seed}: {never}: {}",
+                    file.display(),
+                    cut(&verdict)
+                );
             }
         }
     }
@@ -590,10 +962,21 @@
         let faults = vec![(20_000, Fault::LoseAll)];
         let report = small(seed, 120, faults);
         judge(&report, &[1, 12]);
-        let closed = report.checker.callers.iter().filter(|call| call.code == "ledger_recovering").count();
+        let closed = report
+            .checker
+            .callers
+            .iter()
+            .filter(|call| call.code == "ledger_recovering")
+            .count();
         assert!(closed > 100, "{closed} operations waited");
-        assert!(kind_served(&report, "listing", 35.0, 60.0) > 0.99, "all else is served");
-        assert!(kind_served(&report, "reservation", 104.0, 112.0) > 0.9, "and then operations are, too");
+        assert!(
+            kind_served(&report, "listing", 35.0, 60.0) > 0.99,
+            "all else is served"
+        );
+        assert!(
+            kind_served(&report, "reservation", 104.0, 112.0) > 0.9,
+            "and then operations are, too"
+        );
     }
 }
 
@@ -602,13 +985,26 @@
 #[test]
 fn the_ledger_stays_closed_when_control_loses_power_again_after_a_loss() {
     for seed in 1..=4 {
-        let mut faults = vec![(19_900, Fault::Kill(Place::Edge(0))), (21_000, Fault::Start(Place::Edge(0)))];
+        let mut faults = vec![
+            (19_900, Fault::Kill(Place::Edge(0))),
+            (21_000, Fault::Start(Place::Edge(0))),
+        ];
         for place in CONTROL {
-            faults.extend([(20_000, Fault::Wipe(place)), (21_000, Fault::Start(place)), (30_000, Fault::Kill(place)), (31_000, Fault::Start(place))]);
+            faults.extend([
+                (20_000, Fault::Wipe(place)),
+                (21_000, Fault::Start(place)),
+                (30_000, Fault::Kill(place)),
+                (31_000, Fault::Start(place)),
+            ]);
         }
         let report = small(seed, 120, faults);
         judge(&report, &[1]);
-        let closed = report.checker.callers.iter().filter(|call| call.code == "ledger_recovering" && call.start > 36.0).count();
+        let closed = report
+            .checker
+            .callers
+            .iter()
+            .filter(|call| call.code == "ledger_recovering" && call.start > 36.0)
+            .count();
         assert!(closed > 100, "{closed} operations waited");
     }
 }
@@ -620,13 +1016,22 @@
     let mut ran = 0;
     for step in 0..40 {
         let at = 20_150 + step * 20;
-        let mut faults = vec![(15_000, Fault::Kill(Place::Edge(0))), (20_000, Fault::Start(Place::Edge(0))), (at, Fault::Kill(Place::Edge(0)))];
+        let mut faults = vec![
+            (15_000, Fault::Kill(Place::Edge(0))),
+            (20_000, Fault::Start(Place::Edge(0))),
+            (at, Fault::Kill(Place::Edge(0))),
+        ];
         for place in CONTROL {
             faults.extend([(at, Fault::Wipe(place)), (at + 1_000, Fault::Start(place))]);
         }
         let report = small(step + 1, 60, faults);
         judge(&report, &[1]);
-        let edge = |call: &&CallerRecord| call.operation.is_some() && call.edge.ends_with(":1000") && call.start > 20.0 && call.start < at as f64 / 1000.0;
+        let edge = |call: &&CallerRecord| {
+            call.operation.is_some()
+                && call.edge.ends_with(":1000")
+                && call.start > 20.0
+                && call.start < at as f64 / 1000.0
+        };
         ran += report.checker.callers.iter().filter(edge).count();
     }
     assert!(ran > 20, "{ran} operations were begun at the new edge");
@@ -646,12 +1051,31 @@
             faults.push((at + 31, Fault::Purge("/".into())));
             faults.push((at + 2_500, Fault::Heal));
         }
-        let faults = faults.into_iter().map(|(at, fault)| (Duration::from_millis(at), fault)).collect();
-        let plan = WorldPlan { drift, ..WorldPlan::new(Deployment::find("small").unwrap(), seed, Duration::from_secs(50), faults) };
+        let faults = faults
+            .into_iter()
+            .map(|(at, fault)| (Duration::from_millis(at), fault))
+            .collect();
+        let plan = WorldPlan {
+            drift,
+            ..WorldPlan::new(
+                Deployment::find("small").unwrap(),
+                seed,
+                Duration::from_secs(50),
+                faults,
+            )
+        };
         let verdicts = World::new(plan).run().checker.verdicts();
         // Of what hangs on leases: purges, configurations, duties.
-        [3, 5].iter().any(|never| matches!(verdicts[*never].1, Verdict::Broken(_)))
+        [3, 5]
+            .iter()
+            .any(|never| matches!(verdicts[*never].1, Verdict::Broken(_)))
     };
-    assert!((1..=12).all(|seed| !run(100_000, seed)), "clocks off by up to a tenth");
-    assert!((1..=12).any(|seed| run(450_000, seed)), "clocks off by up to nine twentieths");
+    assert!(
+        (1..=12).all(|seed| !run(100_000, seed)),
+        "clocks off by up to a tenth"
+    );
+    assert!(
+        (1..=12).any(|seed| run(450_000, seed)),
+        "clocks off by up to nine twentieths"
+    );
 }
--- a/simulate-fleet/src/schedule.rs
+++ b/simulate-fleet/src/schedule.rs
@@ -27,13 +27,22 @@
 
 impl Schedule {
     /// For a fleet of so many control nodes.
-    pub fn random(deployment: &Deployment, control: usize, seed: u64, span: Duration) -> Vec<(Duration, Fault)> {
+    pub fn random(
+        deployment: &Deployment,
+        control: usize,
+        seed: u64,
+        span: Duration,
+    ) -> Vec<(Duration, Fault)> {
         let mut schedule = Schedule {
             dice: Dice::new(seed ^ 0x5EED),
             list: Vec::new(),
             control: control as u64,
             edges: deployment.edges as u64,
-            origins: deployment.services.iter().map(|service| service.origins as u64).sum(),
+            origins: deployment
+                .services
+                .iter()
+                .map(|service| service.origins as u64)
+                .sum(),
             services: deployment.services.len() as u64,
             left: BTreeSet::new(),
             disks: 0,
@@ -51,7 +60,11 @@
         // A founding that is gathered takes longer.
         let mut at = if control == 3 { 6_000 } else { 9_000 };
         while at < schedule.end - 1_000 {
-            if planned { schedule.plan(at) } else { schedule.hurt(at) }
+            if planned {
+                schedule.plan(at)
+            } else {
+                schedule.hurt(at)
+            }
             at += 300 + schedule.dice.roll(2_500);
         }
         schedule.mend(standby);
@@ -66,7 +79,8 @@
     }
 
     fn put(&mut self, at: u64, fault: Fault) {
-        self.list.push((Duration::from_millis(at.min(self.end)), fault));
+        self.list
+            .push((Duration::from_millis(at.min(self.end)), fault));
     }
 
     fn both(&mut self, at: u64, first: Fault, second: Fault) {
@@ -88,7 +102,11 @@
     }
 
     fn place(&mut self) -> Place {
-        if self.dice.chance(50) { self.edge() } else { self.control() }
+        if self.dice.chance(50) {
+            self.edge()
+        } else {
+            self.control()
+        }
     }
 
     /// What operators and the platform do by intent.
@@ -97,7 +115,9 @@
             0 | 1 => {
                 // One machine at a time.
                 let place = self.place();
-                if self.list.iter().all(|(known, fault)| !matches!(fault, Fault::Restart(_)) || known.as_millis() as u64 + 9_000 < at) {
+                if self.list.iter().all(|(known, fault)| {
+                    !matches!(fault, Fault::Restart(_)) || known.as_millis() as u64 + 9_000 < at
+                }) {
                     self.put(at, Fault::Restart(place));
                 }
             }
@@ -105,10 +125,16 @@
                 self.put(at, Fault::Content);
                 self.put(at + 1, Fault::Purge("/".into()));
             }
-            4 => (0..3 + self.dice.roll(60)).for_each(|more| self.put(at + more * 15, Fault::Purge(format!("/listing/{}", more % 20)))),
+            4 => (0..3 + self.dice.roll(60)).for_each(|more| {
+                self.put(
+                    at + more * 15,
+                    Fault::Purge(format!("/listing/{}", more % 20)),
+                )
+            }),
             5 => self.put(at, Fault::Configure),
             // In quick succession.
-            6 => (0..2 + self.dice.roll(6)).for_each(|more| self.put(at + more * 40, Fault::Configure)),
+            6 => (0..2 + self.dice.roll(6))
+                .for_each(|more| self.put(at + more * 40, Fault::Configure)),
             7 => self.both(at, Fault::ConfigureInvalid, Fault::ReadBack),
             8 => {
                 let operators = 2 + self.dice.roll(4) as usize;
@@ -144,20 +170,43 @@
             6 => self.both(at, Fault::Cut(control, place), Fault::Heal),
             7 => self.both(at, Fault::Isolate(place), Fault::Heal),
             8 => {
-                let weather = Fault::Weather { lost: self.dice.roll(20), doubled: self.dice.roll(20), late: self.dice.roll(30) };
-                self.both(at, weather, Fault::Weather { lost: 0, doubled: 0, late: 0 });
+                let weather = Fault::Weather {
+                    lost: self.dice.roll(20),
+                    doubled: self.dice.roll(20),
+                    late: self.dice.roll(30),
+                };
+                self.both(
+                    at,
+                    weather,
+                    Fault::Weather {
+                        lost: 0,
+                        doubled: 0,
+                        late: 0,
+                    },
+                );
             }
             9..=12 => {
-                let mood = [Mood::Down, Mood::Mute, Mood::VerySlow, Mood::WrongBytes][self.dice.roll(4) as usize];
-                self.both(at, Fault::Origin(origin, mood), Fault::Origin(origin, Mood::Good));
+                let mood = [Mood::Down, Mood::Mute, Mood::VerySlow, Mood::WrongBytes]
+                    [self.dice.roll(4) as usize];
+                self.both(
+                    at,
+                    Fault::Origin(origin, mood),
+                    Fault::Origin(origin, Mood::Good),
+                );
             }
             13 => {
-                let mood = [Mood::Slow, Mood::VerySlow, Mood::Mute, Mood::WrongBytes][self.dice.roll(4) as usize];
-                self.both(at, Fault::Service(service, mood), Fault::Service(service, Mood::Good));
+                let mood = [Mood::Slow, Mood::VerySlow, Mood::Mute, Mood::WrongBytes]
+                    [self.dice.roll(4) as usize];
+                self.both(
+                    at,
+                    Fault::Service(service, mood),
+                    Fault::Service(service, Mood::Good),
+                );
             }
             14 => self.put(at, Fault::Replace(origin)),
             // One by one.
-            15 => (0..self.origins.min(4)).for_each(|more| self.put(at + more * 700, Fault::Replace(more as usize))),
+            15 => (0..self.origins.min(4))
+                .for_each(|more| self.put(at + more * 700, Fault::Replace(more as usize))),
             16 => {
                 // The process there ends and another service's takes the address.
                 if self.left.is_empty() {
@@ -171,7 +220,10 @@
                 // Power fails for a group of nodes at once.
                 let later = self.later(at);
                 let share = [30, 60, 100][self.dice.roll(3) as usize];
-                for place in (0..self.control as usize).map(Place::Control).chain((0..self.edges as usize).map(Place::Edge)) {
+                for place in (0..self.control as usize)
+                    .map(Place::Control)
+                    .chain((0..self.edges as usize).map(Place::Edge))
+                {
                     if self.dice.chance(share) {
                         self.put(at, Fault::Kill(place));
                         self.put(later, Fault::Start(place));
@@ -222,7 +274,8 @@
             22 | 23 => {
                 let moment = Moment::ALL[self.dice.roll(3) as usize];
                 let slot = self.dice.roll(self.control) as usize;
-                let mut loss = [Loss::Power, Loss::Disk(slot), Loss::Room(slot)][self.dice.roll(3) as usize];
+                let mut loss =
+                    [Loss::Power, Loss::Disk(slot), Loss::Room(slot)][self.dice.roll(3) as usize];
                 if at < self.disks {
                     loss = Loss::Power;
                 }
@@ -230,7 +283,14 @@
                     self.disks = at + REFILL;
                 }
                 self.put(at, Fault::Trap(moment, loss));
-                self.put(at + 5, if moment == Moment::Purged { Fault::Purge("/".into()) } else { Fault::Configure });
+                self.put(
+                    at + 5,
+                    if moment == Moment::Purged {
+                        Fault::Purge("/".into())
+                    } else {
+                        Fault::Configure
+                    },
+                );
                 if let Loss::Room(slot) = loss {
                     self.put(at + 4_000, Fault::Kill(Place::Control(slot)));
                     self.put(at + 4_500, Fault::Start(Place::Control(slot)));
@@ -239,9 +299,25 @@
             // As many disks as may be lost at once, while all lose power.
             31..=33 if at >= self.disks => {
                 self.disks = at + REFILL;
-                let (moment, slot) = (Moment::ALL[self.dice.roll(3) as usize], self.dice.roll(self.control) as usize);
-                self.put(at, Fault::Trap(moment, Loss::Disks(slot, Schedule::borne(self.control as usize))));
-                self.put(at + 5, if moment == Moment::Purged { Fault::Purge("/".into()) } else { Fault::Configure });
+                let (moment, slot) = (
+                    Moment::ALL[self.dice.roll(3) as usize],
+                    self.dice.roll(self.control) as usize,
+                );
+                self.put(
+                    at,
+                    Fault::Trap(
+                        moment,
+                        Loss::Disks(slot, Schedule::borne(self.control as usize)),
+                    ),
+                );
+                self.put(
+                    at + 5,
+                    if moment == Moment::Purged {
+                        Fault::Purge("/".into())
+                    } else {
+                        Fault::Configure
+                    },
+                );
             }
             // A slot is gone for longer than it takes an empty node to get it.
             34 => {
@@ -277,7 +353,14 @@
         let at = self.end;
         self.end += 200;
         self.put(at, Fault::Heal);
-        self.put(at, Fault::Weather { lost: 0, doubled: 0, late: 0 });
+        self.put(
+            at,
+            Fault::Weather {
+                lost: 0,
+                doubled: 0,
+                late: 0,
+            },
+        );
         for origin in 0..self.origins as usize {
             self.put(at, Fault::Origin(origin, Mood::Good));
         }
@@ -291,9 +374,14 @@
                 _ => None,
             })
             .collect();
-        full.into_iter().for_each(|place| self.put(at, Fault::Kill(place)));
+        full.into_iter()
+            .for_each(|place| self.put(at, Fault::Kill(place)));
         let spare = standby.then_some(Place::Control(self.control as usize));
-        for place in (0..self.control as usize).map(Place::Control).chain((0..self.edges as usize).map(Place::Edge)).chain(spare) {
+        for place in (0..self.control as usize)
+            .map(Place::Control)
+            .chain((0..self.edges as usize).map(Place::Edge))
+            .chain(spare)
+        {
             self.put(at + 100, Fault::Start(place));
         }
         self.put(at + 101, Fault::Returned);
--- a/simulate-fleet/src/script.rs
+++ b/simulate-fleet/src/script.rs
@@ -36,8 +36,13 @@
 
 impl Script {
     /// For a fleet of so many control nodes.
-    pub fn read(text: &str, deployment: &Deployment, control: usize) -> Result<Vec<(Duration, Fault)>, Vec<Finding>> {
-        let items: Vec<serde_json::Value> = serde_json::from_str(text).map_err(|error| vec![Finding::new("", error.to_string())])?;
+    pub fn read(
+        text: &str,
+        deployment: &Deployment,
+        control: usize,
+    ) -> Result<Vec<(Duration, Fault)>, Vec<Finding>> {
+        let items: Vec<serde_json::Value> = serde_json::from_str(text)
+            .map_err(|error| vec![Finding::new("", error.to_string())])?;
         let mut found = Vec::new();
         let mut list = Vec::new();
         for (at, item) in items.into_iter().enumerate() {
@@ -49,7 +54,8 @@
                 }
             };
             let before = found.len();
-            let mut say = |field: &str, text: &str| found.push(Finding::new(format!("/{at}/{field}"), text));
+            let mut say =
+                |field: &str, text: &str| found.push(Finding::new(format!("/{at}/{field}"), text));
             let when = Duration::try_from_secs_f64(line.at).unwrap_or_else(|_| {
                 say("at", "must be seconds, not negative");
                 Duration::ZERO
@@ -59,7 +65,11 @@
                 list.extend(fault.map(|fault| (when, fault)));
             }
         }
-        if found.is_empty() { Ok(list) } else { Err(found) }
+        if found.is_empty() {
+            Ok(list)
+        } else {
+            Err(found)
+        }
     }
 
     /// The script that says the same, a line each.
@@ -74,7 +84,12 @@
                 let mut line = json!({ "at": at.as_secs_f64(), "do": fault.name() });
                 let mut set = |name: &str, value: serde_json::Value| line[name] = value;
                 match fault {
-                    Fault::Kill(to) | Fault::Start(to) | Fault::Restart(to) | Fault::Wipe(to) | Fault::DiskFull(to) | Fault::Isolate(to) => set("to", node(to).into()),
+                    Fault::Kill(to)
+                    | Fault::Start(to)
+                    | Fault::Restart(to)
+                    | Fault::Wipe(to)
+                    | Fault::DiskFull(to)
+                    | Fault::Isolate(to) => set("to", node(to).into()),
                     Fault::Pause(to, span) => {
                         set("to", node(to).into());
                         set("seconds", span.as_secs_f64().into());
@@ -83,8 +98,17 @@
                         set("to", node(to).into());
                         set("other", node(other).into());
                     }
-                    Fault::Weather { lost, doubled, late } => [("lost", lost), ("doubled", doubled), ("late", late)].into_iter().for_each(|(name, share)| set(name, (*share).into())),
-                    Fault::Origin(to, _) | Fault::Leave(to) | Fault::Usurp(to) | Fault::Replace(to) => set("to", format!("origin-{to}").into()),
+                    Fault::Weather {
+                        lost,
+                        doubled,
+                        late,
+                    } => [("lost", lost), ("doubled", doubled), ("late", late)]
+                        .into_iter()
+                        .for_each(|(name, share)| set(name, (*share).into())),
+                    Fault::Origin(to, _)
+                    | Fault::Leave(to)
+                    | Fault::Usurp(to)
+                    | Fault::Replace(to) => set("to", format!("origin-{to}").into()),
                     Fault::Service(to, _) => set("to", deployment.services[*to].name.into()),
                     Fault::Purge(prefix) => set("prefix", prefix.as_str().into()),
                     Fault::Grow(count) | Fault::Race(count) => set("count", (*count).into()),
@@ -105,19 +129,42 @@
         format!("[{}]", lines.join(",\n "))
     }
 
-    fn fault(line: &Line, deployment: &Deployment, control: usize, say: &mut dyn FnMut(&str, &str)) -> Option<Fault> {
-        let number = |name: &str, start: &str| name.strip_prefix(start).and_then(|rest| rest.parse::<usize>().ok());
+    fn fault(
+        line: &Line,
+        deployment: &Deployment,
+        control: usize,
+        say: &mut dyn FnMut(&str, &str),
+    ) -> Option<Fault> {
+        let number = |name: &str, start: &str| {
+            name.strip_prefix(start)
+                .and_then(|rest| rest.parse::<usize>().ok())
+        };
         let place = |name: &Option<String>| {
             let name = name.as_deref().unwrap_or("");
-            let node = number(name, "control-").filter(|at| *at <= control).map(Place::Control);
-            node.or(number(name, "edge-").filter(|at| *at < deployment.edges).map(Place::Edge))
+            let node = number(name, "control-")
+                .filter(|at| *at <= control)
+                .map(Place::Control);
+            node.or(number(name, "edge-")
+                .filter(|at| *at < deployment.edges)
+                .map(Place::Edge))
         };
-        let origins: usize = deployment.services.iter().map(|service| service.origins).sum();
+        let origins: usize = deployment
+            .services
+            .iter()
+            .map(|service| service.origins)
+            .sum();
         let (to, other) = (place(&line.to), place(&line.other));
-        let origin = line.to.as_deref().and_then(|name| number(name, "origin-")).filter(|at| *at < origins);
+        let origin = line
+            .to
+            .as_deref()
+            .and_then(|name| number(name, "origin-"))
+            .filter(|at| *at < origins);
         let node = |make: &dyn Fn(Place) -> Fault, say: &mut dyn FnMut(&str, &str)| {
             if to.is_none() {
-                say("to", "must be control-0 to control-3 (the last one: the standby) or an edge of the deployment, as edge-0");
+                say(
+                    "to",
+                    "must be control-0 to control-3 (the last one: the standby) or an edge of the deployment, as edge-0",
+                );
             }
             to.map(make)
         };
@@ -139,7 +186,10 @@
                 if span.is_err() {
                     say("seconds", "is needed");
                 }
-                node(&|place| Fault::Pause(place, span.clone().unwrap_or_default()), say)
+                node(
+                    &|place| Fault::Pause(place, span.clone().unwrap_or_default()),
+                    say,
+                )
             }
             "cut" => {
                 if other.is_none() {
@@ -148,7 +198,11 @@
                 node(&|place| Fault::Cut(place, other.unwrap_or(place)), say)
             }
             "heal" => Some(Fault::Heal),
-            "weather" => Some(Fault::Weather { lost: line.lost.unwrap_or(0), doubled: line.doubled.unwrap_or(0), late: line.late.unwrap_or(0) }),
+            "weather" => Some(Fault::Weather {
+                lost: line.lost.unwrap_or(0),
+                doubled: line.doubled.unwrap_or(0),
+                late: line.late.unwrap_or(0),
+            }),
             "origin-leave" => back(&Fault::Leave, say),
             "origin-replace" => back(&Fault::Replace, say),
             "origin-usurp" => back(&Fault::Usurp, say),
@@ -157,8 +211,13 @@
                 back(&|at| Fault::Origin(at, mood), say)
             }
             name if name.starts_with("service-") => {
-                let mood = Mood::ALL.into_iter().find(|mood| mood.name()["origin-".len()..] == name["service-".len()..]);
-                let service = deployment.services.iter().position(|service| Some(service.name) == line.to.as_deref());
+                let mood = Mood::ALL
+                    .into_iter()
+                    .find(|mood| mood.name()["origin-".len()..] == name["service-".len()..]);
+                let service = deployment
+                    .services
+                    .iter()
+                    .position(|service| Some(service.name) == line.to.as_deref());
                 if service.is_none() {
                     say("to", "must be a service of the deployment");
                 }
@@ -168,7 +227,9 @@
                 Some(Fault::Service(service?, mood?))
             }
             "power-on" | "disk-lost-on" | "disks-lost-on" | "disk-full-on" => {
-                let moment = Moment::ALL.into_iter().find(|moment| Some(moment.name()) == line.moment.as_deref());
+                let moment = Moment::ALL
+                    .into_iter()
+                    .find(|moment| Some(moment.name()) == line.moment.as_deref());
                 if moment.is_none() {
                     say("moment", "must be configured, purged or booked");
                 }
@@ -189,7 +250,9 @@
                 Some(Fault::Trap(moment?, loss))
             }
             "content" => Some(Fault::Content),
-            "purge" => Some(Fault::Purge(line.prefix.clone().unwrap_or_else(|| "/".into()))),
+            "purge" => Some(Fault::Purge(
+                line.prefix.clone().unwrap_or_else(|| "/".into()),
+            )),
             "configure" => Some(Fault::Configure),
             "configure-invalid" => Some(Fault::ConfigureInvalid),
             "race" => Some(Fault::Race(line.count.unwrap_or(2))),
@@ -216,7 +279,10 @@
         for seed in 1..40 {
             let list = Schedule::random(&deployment, 3, seed, Duration::from_secs(120));
             let text = Script::write(&list, &deployment);
-            assert!(Script::read(&text, &deployment, 3).unwrap() == list, "seed {seed}: {text}");
+            assert!(
+                Script::read(&text, &deployment, 3).unwrap() == list,
+                "seed {seed}: {text}"
+            );
         }
     }
 
@@ -225,10 +291,32 @@
         let deployment = Deployment::find("small").unwrap();
         let good = r#"[{"at":8,"do":"kill","to":"edge-1"},{"at":9.5,"do":"cut","to":"control-0","other":"edge-3"},{"at":12,"do":"heal"}]"#;
         let list = Script::read(good, &deployment, 3).unwrap();
-        assert_eq!(list[1], (Duration::from_millis(9500), Fault::Cut(Place::Control(0), Place::Edge(3))));
+        assert_eq!(
+            list[1],
+            (
+                Duration::from_millis(9500),
+                Fault::Cut(Place::Control(0), Place::Edge(3))
+            )
+        );
         let bad = r#"[{"at":-1,"do":"kill","to":"edge-9"},{"at":1,"do":"explode"},{"at":1,"do":"pause","to":"edge-0"},
             {"at":1,"do":"heal","why":"x"},{"do":"heal"},{"at":1,"do":"cut","to":"edge-1"},{"at":2,"do":"origin-down","to":"edge-1"}]"#;
-        let found: Vec<String> = Script::read(bad, &deployment, 3).unwrap_err().into_iter().map(|finding| finding.place).collect();
-        assert_eq!(found, ["/0/at", "/0/to", "/1/do", "/2/seconds", "/3", "/4", "/5/other", "/6/to"]);
+        let found: Vec<String> = Script::read(bad, &deployment, 3)
+            .unwrap_err()
+            .into_iter()
+            .map(|finding| finding.place)
+            .collect();
+        assert_eq!(
+            found,
+            [
+                "/0/at",
+                "/0/to",
+                "/1/do",
+                "/2/seconds",
+                "/3",
+                "/4",
+                "/5/other",
+                "/6/to"
+            ]
+        );
     }
 }
--- a/simulate-fleet/src/shrink.rs
+++ b/simulate-fleet/src/shrink.rs
@@ -12,7 +12,11 @@
             while at < list.len() {
                 let mut less = list.clone();
                 less.drain(at..(at + size).min(list.len()));
-                if breaks(&less) { list = less } else { at += size }
+                if breaks(&less) {
+                    list = less
+                } else {
+                    at += size
+                }
             }
             size = if size == 1 { 0 } else { size.div_ceil(2) };
         }
@@ -22,26 +26,45 @@
     /// The schedule of a plan, with the same nevers broken.
     pub fn plan(plan: &WorldPlan) -> Vec<(Duration, Fault)> {
         let broken = |faults: &[(Duration, Fault)]| -> Vec<usize> {
-            let report = World::new(WorldPlan { faults: faults.to_vec(), ..plan.clone() }).run();
+            let report = World::new(WorldPlan {
+                faults: faults.to_vec(),
+                ..plan.clone()
+            })
+            .run();
             let verdicts = report.checker.verdicts().into_iter().enumerate();
-            verdicts.filter(|(_, (_, verdict))| matches!(verdict, Verdict::Broken(_))).map(|(at, _)| at).collect()
+            verdicts
+                .filter(|(_, (_, verdict))| matches!(verdict, Verdict::Broken(_)))
+                .map(|(at, _)| at)
+                .collect()
         };
         let first = broken(&plan.faults).first().copied();
-        let (mends, hurts): (Vec<_>, Vec<_>) = plan.faults.iter().cloned().partition(|(_, fault)| fault.mends());
+        let (mends, hurts): (Vec<_>, Vec<_>) = plan
+            .faults
+            .iter()
+            .cloned()
+            .partition(|(_, fault)| fault.mends());
         let whole = |hurts: &[(Duration, Fault)]| {
             let mut list = [mends.as_slice(), hurts].concat();
             list.sort_by_key(|(at, _)| *at);
             list
         };
-        let breaks = |list: &[(Duration, Fault)]| first.is_some_and(|first| broken(list).contains(&first));
+        let breaks =
+            |list: &[(Duration, Fault)]| first.is_some_and(|first| broken(list).contains(&first));
         let hurts = Shrink::list(hurts.clone(), &|hurts| breaks(&whole(hurts)));
         // Then those mends that mend nothing any more: all of one kind at once.
         let all = whole(&hurts);
         let kinds: BTreeSet<String> = mends.iter().map(|(_, fault)| fault.kind()).collect();
-        kinds.into_iter().filter(|kind| kind != "start").fold(all, |list, kind| {
-            let less: Vec<_> = list.iter().filter(|(_, fault)| fault.kind() != kind).cloned().collect();
-            if breaks(&less) { less } else { list }
-        })
+        kinds
+            .into_iter()
+            .filter(|kind| kind != "start")
+            .fold(all, |list, kind| {
+                let less: Vec<_> = list
+                    .iter()
+                    .filter(|(_, fault)| fault.kind() != kind)
+                    .cloned()
+                    .collect();
+                if breaks(&less) { less } else { list }
+            })
     }
 }
 
