--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -84,14 +84,23 @@
     /// as exact as its drift.
     pub fn clock(&self, now: Duration) -> Duration {
         let nanos = now.saturating_sub(self.began).as_nanos() as u64;
-        self.offset + Duration::from_nanos((i128::from(nanos) * i128::from(1_000_000 + self.drift) / 1_000_000) as u64)
+        self.offset
+            + Duration::from_nanos(
+                (i128::from(nanos) * i128::from(1_000_000 + self.drift) / 1_000_000) as u64,
+            )
     }
 
     pub fn live(&self, now: Duration) -> bool {
         self.part.is_some() && self.clock(now) < self.fence
     }
 
-    pub fn start(&mut self, now: Duration, seeds: &[SocketAddr], gather: Option<Duration>, life: u64) {
+    pub fn start(
+        &mut self,
+        now: Duration,
+        seeds: &[SocketAddr],
+        gather: Option<Duration>,
+        life: u64,
+    ) {
         self.run += 1;
         self.duties.clear();
         self.in_force = 0;
@@ -103,13 +112,29 @@
                 let known = Replica::replay(&self.disk.synced).expect("synced records read back");
                 let blank = known.is_none();
                 let gather = gather.map(|span| Gather::new(self.founding, span));
-                let part = ControlPart::new(self.mate.address, seeds.to_vec(), known.unwrap_or_else(|| Replica::blank(life)), blank, gather, life);
+                let part = ControlPart::new(
+                    self.mate.address,
+                    seeds.to_vec(),
+                    known.unwrap_or_else(|| Replica::blank(life)),
+                    blank,
+                    gather,
+                    life,
+                );
                 self.mate = part.me();
                 Box::new(part)
             }
             Place::Edge(_) => {
                 self.mate.life = life;
-                Box::new(EdgePart::new(self.mate, Spot { zone: self.zone.clone(), ..Spot::default() }, seeds.to_vec(), gather.is_some(), 64 << 20))
+                Box::new(EdgePart::new(
+                    self.mate,
+                    Spot {
+                        zone: self.zone.clone(),
+                        ..Spot::default()
+                    },
+                    seeds.to_vec(),
+                    gather.is_some(),
+                    64 << 20,
+                ))
             }
         });
     }
--- a/simulate-fleet/src/sim_origin.rs
+++ b/simulate-fleet/src/sim_origin.rs
@@ -14,10 +14,24 @@
 }
 
 impl Mood {
-    pub const ALL: [Mood; 6] = [Mood::Good, Mood::Down, Mood::Mute, Mood::Slow, Mood::VerySlow, Mood::WrongBytes];
+    pub const ALL: [Mood; 6] = [
+        Mood::Good,
+        Mood::Down,
+        Mood::Mute,
+        Mood::Slow,
+        Mood::VerySlow,
+        Mood::WrongBytes,
+    ];
 
     pub fn name(self) -> &'static str {
-        ["origin-good", "origin-down", "origin-mute", "origin-slow", "origin-very-slow", "origin-wrong"][self as usize]
+        [
+            "origin-good",
+            "origin-down",
+            "origin-mute",
+            "origin-slow",
+            "origin-very-slow",
+            "origin-wrong",
+        ][self as usize]
     }
 }
 
@@ -34,8 +48,16 @@
 impl SimOrigin {
     /// What comes of a call, and after how long; the call is recorded if it
     /// reached anyone.
-    pub fn take(&self, call: &Call, at: f64, version: u64, dice: &mut Dice) -> (Duration, CallBack, Option<OriginRecord>) {
-        let span = |low: u64, high: u64, dice: &mut Dice| Duration::from_millis(low + dice.roll(high - low));
+    pub fn take(
+        &self,
+        call: &Call,
+        at: f64,
+        version: u64,
+        dice: &mut Dice,
+    ) -> (Duration, CallBack, Option<OriginRecord>) {
+        let span = |low: u64, high: u64, dice: &mut Dice| {
+            Duration::from_millis(low + dice.roll(high - low))
+        };
         if self.mood == Mood::Down {
             return (span(0, 2, dice), CallBack::Refused, None);
         }
@@ -55,19 +77,44 @@
             _ => span(2, 12, dice),
         };
         if self.mood == Mood::Mute || took >= call.limit {
-            return (call.limit, CallBack::Bad("no answer in time".into()), Some(record));
+            return (
+                call.limit,
+                CallBack::Bad("no answer in time".into()),
+                Some(record),
+            );
         }
         // The seal would not verify: that is tested where it is checked.
-        if self.mood == Mood::WrongBytes || (&self.service, &self.instance) != (&call.origin.service, &call.origin.instance) {
-            return (took, CallBack::Bad("signature does not verify".into()), Some(record));
+        if self.mood == Mood::WrongBytes
+            || (&self.service, &self.instance) != (&call.origin.service, &call.origin.instance)
+        {
+            return (
+                took,
+                CallBack::Bad("signature does not verify".into()),
+                Some(record),
+            );
         }
-        let body = format!("{}\n{}\n{}\n{version}", call.method, call.url, call.operation.as_deref().unwrap_or(""));
-        let reply = Reply { status: 200, headers: vec![], body: Arc::new(body.into_bytes()), tags: vec![] };
+        let body = format!(
+            "{}\n{}\n{}\n{version}",
+            call.method,
+            call.url,
+            call.operation.as_deref().unwrap_or("")
+        );
+        let reply = Reply {
+            status: 200,
+            headers: vec![],
+            body: Arc::new(body.into_bytes()),
+            tags: vec![],
+        };
         (took, CallBack::Good(reply), Some(record))
     }
 
     /// Whether a reply answers this request, and its version of the content.
-    pub fn read(reply: &Reply, method: &str, path: &str, operation: Option<&str>) -> (bool, Option<u64>) {
+    pub fn read(
+        reply: &Reply,
+        method: &str,
+        path: &str,
+        operation: Option<&str>,
+    ) -> (bool, Option<u64>) {
         let text = String::from_utf8_lossy(&reply.body);
         let parts: Vec<&str> = text.split('\n').collect();
         let fits = parts.len() == 4 && parts[..3] == [method, path, operation.unwrap_or("")];
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -34,8 +34,24 @@
 
 impl WorldPlan {
     /// Clocks off by up to a thousandth, a hundred times what is common.
-    pub fn new(deployment: Deployment, seed: u64, span: Duration, faults: Vec<(Duration, Fault)>) -> WorldPlan {
-        WorldPlan { deployment, seed, span, faults, mute: "", drift: 1000, control: 3, gather: false, late: false, founder: FounderEnd::Lives }
+    pub fn new(
+        deployment: Deployment,
+        seed: u64,
+        span: Duration,
+        faults: Vec<(Duration, Fault)>,
+    ) -> WorldPlan {
+        WorldPlan {
+            deployment,
+            seed,
+            span,
+            faults,
+            mute: "",
+            drift: 1000,
+            control: 3,
+            gather: false,
+            late: false,
+            founder: FounderEnd::Lives,
+        }
     }
 }
 
@@ -48,8 +64,19 @@
             return self;
         }
         let late = self.seed % 3 == 0;
-        let founder = [FounderEnd::Lives, FounderEnd::Unwritten, FounderEnd::Untold, FounderEnd::Told][(self.seed % 7 % 4) as usize];
-        WorldPlan { control, gather: true, late, founder, ..self }
+        let founder = [
+            FounderEnd::Lives,
+            FounderEnd::Unwritten,
+            FounderEnd::Untold,
+            FounderEnd::Told,
+        ][(self.seed % 7 % 4) as usize];
+        WorldPlan {
+            control,
+            gather: true,
+            late,
+            founder,
+            ..self
+        }
     }
 }
 
@@ -108,25 +135,71 @@
 }
 
 pub(crate) enum Happening {
-    Pulse { node: usize, run: u64 },
-    Deliver { to: usize, from: Mate, message: Message },
-    Synced { node: usize, run: u64, serial: u64 },
-    CallStarts { node: usize, run: u64, id: u64, call: Box<Call> },
-    CallEnds { node: usize, run: u64, id: u64, result: CallBack },
-    AnswerLeaves { node: usize, run: u64, id: u64, answer: Answer },
-    Arrives { node: usize, run: u64, id: u64 },
-    Watched { node: usize, run: u64, address: SocketAddr, open: bool },
+    Pulse {
+        node: usize,
+        run: u64,
+    },
+    Deliver {
+        to: usize,
+        from: Mate,
+        message: Message,
+    },
+    Synced {
+        node: usize,
+        run: u64,
+        serial: u64,
+    },
+    CallStarts {
+        node: usize,
+        run: u64,
+        id: u64,
+        call: Box<Call>,
+    },
+    CallEnds {
+        node: usize,
+        run: u64,
+        id: u64,
+        result: CallBack,
+    },
+    AnswerLeaves {
+        node: usize,
+        run: u64,
+        id: u64,
+        answer: Answer,
+    },
+    Arrives {
+        node: usize,
+        run: u64,
+        id: u64,
+    },
+    Watched {
+        node: usize,
+        run: u64,
+        address: SocketAddr,
+        open: bool,
+    },
     PutOrigins,
     CallerComes,
     CallerAgain(Task),
-    CallerGivesUp { id: u64 },
+    CallerGivesUp {
+        id: u64,
+    },
     Fault(Fault),
     LookAtMarkers,
     /// Who was away at `since` must be ready by now.
-    LookReady { since: Duration },
+    LookReady {
+        since: Duration,
+    },
     /// A node that ended after a warning is started again.
-    Restarted { node: usize, run: u64 },
-    Ask { node: usize, asked: Asked, tries: u32 },
+    Restarted {
+        node: usize,
+        run: u64,
+    },
+    Ask {
+        node: usize,
+        asked: Asked,
+        tries: u32,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -150,12 +223,28 @@
 /// What an operator waits for.
 #[derive(Debug, Clone)]
 pub(crate) enum Asked {
-    Configure { marker: u64, text: String, expect: Option<u64>, race: bool, without: Vec<u64> },
-    Purge { prefix: String, version: u64 },
-    Origins { list: Vec<Origin>, at: f64 },
-    ReadBack { expect: (u64, String) },
+    Configure {
+        marker: u64,
+        text: String,
+        expect: Option<u64>,
+        race: bool,
+        without: Vec<u64>,
+    },
+    Purge {
+        prefix: String,
+        version: u64,
+    },
+    Origins {
+        list: Vec<Origin>,
+        at: f64,
+    },
+    ReadBack {
+        expect: (u64, String),
+    },
     /// The realm is asked for first.
-    OpenLedger { realm: Option<u64> },
+    OpenLedger {
+        realm: Option<u64>,
+    },
 }
 
 pub(crate) const CALLER_PATIENCE: Duration = Duration::from_secs(12);
@@ -204,19 +293,47 @@
         let deployment = self.plan.deployment.clone();
         let zone = |at: usize| deployment.zones[at % deployment.zones.len()];
         for slot in 0..self.plan.control {
-            self.nodes.push(SimNode::new(Place::Control(slot), address(1, slot), zone(slot)));
+            self.nodes.push(SimNode::new(
+                Place::Control(slot),
+                address(1, slot),
+                zone(slot),
+            ));
         }
         for at in 0..deployment.edges {
-            self.nodes.push(SimNode::new(Place::Edge(at), address(2, at), zone(at)));
+            self.nodes
+                .push(SimNode::new(Place::Edge(at), address(2, at), zone(at)));
         }
         // An empty control node in another place, not started by itself.
-        self.nodes.push(SimNode::new(Place::Control(self.plan.control), address(1, self.plan.control), zone(self.plan.control)));
-        self.by_address = self.nodes.iter().enumerate().map(|(at, node)| (node.mate.address, at)).collect();
+        self.nodes.push(SimNode::new(
+            Place::Control(self.plan.control),
+            address(1, self.plan.control),
+            zone(self.plan.control),
+        ));
+        self.by_address = self
+            .nodes
+            .iter()
+            .enumerate()
+            .map(|(at, node)| (node.mate.address, at))
+            .collect();
         for service in &deployment.services {
             for at in 0..service.origins {
                 let (name, instance) = (service.name.to_string(), format!("{}-{at}", service.name));
-                let origin = Origin { address: address(3, self.origins.len()), service: name.clone(), instance: instance.clone(), leaving: false, zone: String::new(), region: String::new(), capacity: 0, cold_ms: 0 };
-                self.origins.push(SimOrigin { origin, service: name, instance, mood: Mood::Good });
+                let origin = Origin {
+                    address: address(3, self.origins.len()),
+                    service: name.clone(),
+                    instance: instance.clone(),
+                    leaving: false,
+                    zone: String::new(),
+                    region: String::new(),
+                    capacity: 0,
+                    cold_ms: 0,
+                };
+                self.origins.push(SimOrigin {
+                    origin,
+                    service: name,
+                    instance,
+                    mood: Mood::Good,
+                });
             }
         }
         for node in 0..self.nodes.len() {
@@ -226,7 +343,10 @@
         for node in 0..self.nodes.len() - 1 {
             self.nodes[node].founding = true;
             if self.plan.late && node + 1 == self.plan.control {
-                self.push(Duration::from_millis(4_500), Happening::Fault(Fault::Start(self.nodes[node].place)));
+                self.push(
+                    Duration::from_millis(4_500),
+                    Happening::Fault(Fault::Start(self.nodes[node].place)),
+                );
             } else {
                 self.start(node);
             }
@@ -234,7 +354,14 @@
         let at = Duration::from_millis;
         self.push(at(1500), Happening::PutOrigins);
         self.push(at(1600), Happening::Fault(Fault::Configure));
-        self.push(at(1700), Happening::Ask { node: 0, asked: Asked::OpenLedger { realm: None }, tries: 0 });
+        self.push(
+            at(1700),
+            Happening::Ask {
+                node: 0,
+                asked: Asked::OpenLedger { realm: None },
+                tries: 0,
+            },
+        );
         for (when, fault) in self.plan.faults.clone() {
             self.push(when, Happening::Fault(fault));
         }
@@ -269,7 +396,13 @@
         if self.trace {
             println!("{:9.4} {what} {subject} {number} {good}", self.seconds());
         }
-        self.fleet.push(FleetRecord { at: self.seconds(), what: what.into(), subject: subject.into(), number, good });
+        self.fleet.push(FleetRecord {
+            at: self.seconds(),
+            what: what.into(),
+            subject: subject.into(),
+            number,
+            good,
+        });
     }
 
     /// Runs the plan to its end.
@@ -283,16 +416,37 @@
             self.happen(serial, what);
         }
         let (rates, keeps) = (self.plan.deployment.rates(), self.plan.deployment.keeps());
-        let log_bytes = self.nodes.iter().map(|node| node.disk.bytes()).max().unwrap_or(0);
-        let checker = Checker { callers: self.callers, origins: self.calls, fleet: self.fleet, rates, keeps };
-        Report { checker, steps: self.steps, notes: self.notes, log_bytes, copies: self.copies }
+        let log_bytes = self
+            .nodes
+            .iter()
+            .map(|node| node.disk.bytes())
+            .max()
+            .unwrap_or(0);
+        let checker = Checker {
+            callers: self.callers,
+            origins: self.calls,
+            fleet: self.fleet,
+            rates,
+            keeps,
+        };
+        Report {
+            checker,
+            steps: self.steps,
+            notes: self.notes,
+            log_bytes,
+            copies: self.copies,
+        }
     }
 
     /// The node and run an event is for; none if that run is over.
     pub(crate) fn owner(&self, what: &Happening) -> Option<usize> {
         match what {
-            Happening::Pulse { node, run } | Happening::Synced { node, run, .. } | Happening::CallStarts { node, run, .. }
-            | Happening::CallEnds { node, run, .. } | Happening::AnswerLeaves { node, run, .. } | Happening::Arrives { node, run, .. }
+            Happening::Pulse { node, run }
+            | Happening::Synced { node, run, .. }
+            | Happening::CallStarts { node, run, .. }
+            | Happening::CallEnds { node, run, .. }
+            | Happening::AnswerLeaves { node, run, .. }
+            | Happening::Arrives { node, run, .. }
             | Happening::Watched { node, run, .. } => {
                 (self.nodes[*node].run == *run).then_some(*node)
             }
@@ -310,14 +464,22 @@
                 return;
             }
         }
-        let alive = self.owner(&what).is_some_and(|node| self.nodes[node].part.is_some());
+        let alive = self
+            .owner(&what)
+            .is_some_and(|node| self.nodes[node].part.is_some());
         match what {
             Happening::Pulse { node, run } if alive => {
-                let every = if matches!(self.nodes[node].place, Place::Control(_)) { lease::CONTROL_PULSE } else { Duration::from_millis(50) };
+                let every = if matches!(self.nodes[node].place, Place::Control(_)) {
+                    lease::CONTROL_PULSE
+                } else {
+                    Duration::from_millis(50)
+                };
                 self.after(every, Happening::Pulse { node, run });
                 self.step(node, Input::Pulse);
             }
-            Happening::Deliver { to, from, message } if alive => self.step(to, Input::Heard { from, message }),
+            Happening::Deliver { to, from, message } if alive => {
+                self.step(to, Input::Heard { from, message })
+            }
             Happening::Synced { node, serial, .. } if alive => {
                 self.nodes[node].disk.sync(serial);
                 if self.founder_ends(node, FounderEnd::Untold) {
@@ -328,11 +490,25 @@
                     self.kill(node);
                 }
             }
-            Happening::CallStarts { node, run, id, call } if alive => self.call(node, run, id, &call),
-            Happening::CallEnds { node, id, result, .. } if alive => self.step(node, Input::Called { id, result }),
-            Happening::AnswerLeaves { node, id, answer, .. } if alive => self.answer_leaves(node, id, answer),
+            Happening::CallStarts {
+                node,
+                run,
+                id,
+                call,
+            } if alive => self.call(node, run, id, &call),
+            Happening::CallEnds {
+                node, id, result, ..
+            } if alive => self.step(node, Input::Called { id, result }),
+            Happening::AnswerLeaves {
+                node, id, answer, ..
+            } if alive => self.answer_leaves(node, id, answer),
             Happening::Arrives { node, id, .. } if alive => self.arrives(node, id),
-            Happening::Watched { node, address, open, .. } if alive => self.step(node, Input::Watched { address, open }),
+            Happening::Watched {
+                node,
+                address,
+                open,
+                ..
+            } if alive => self.step(node, Input::Watched { address, open }),
             Happening::PutOrigins => self.put_origins(),
             Happening::CallerComes => self.caller_comes(),
             Happening::CallerAgain(task) => self.caller_calls(task),
@@ -349,7 +525,9 @@
     pub(crate) fn step(&mut self, node: usize, input: Input) {
         self.steps += 1;
         let clock = self.nodes[node].clock(self.now);
-        let Some(part) = self.nodes[node].part.as_mut() else { return };
+        let Some(part) = self.nodes[node].part.as_mut() else {
+            return;
+        };
         let outputs = part.step(clock, input);
         for output in outputs {
             self.output(node, output);
@@ -359,7 +537,10 @@
 
     /// A table is in force at an edge once the edge is live with it.
     fn see_in_force(&mut self, node: usize) {
-        let version = self.nodes[node].image.as_ref().map_or(0, |image| image.version);
+        let version = self.nodes[node]
+            .image
+            .as_ref()
+            .map_or(0, |image| image.version);
         if version != self.nodes[node].in_force && self.nodes[node].live(self.now) {
             self.nodes[node].in_force = version;
             let subject = self.nodes[node].mate.address.to_string();
@@ -375,25 +556,58 @@
             Output::StoreImage { serial, record } => self.store(node, serial, true, record),
             Output::Answer { id, answer } => {
                 let span = self.micros(50, 500);
-                self.after(span, Happening::AnswerLeaves { node, run, id, answer });
+                self.after(
+                    span,
+                    Happening::AnswerLeaves {
+                        node,
+                        run,
+                        id,
+                        answer,
+                    },
+                );
             }
             Output::Call { id, call } => {
                 let span = self.micros(50, 1000);
-                self.after(span, Happening::CallStarts { node, run, id, call: Box::new(call) });
+                self.after(
+                    span,
+                    Happening::CallStarts {
+                        node,
+                        run,
+                        id,
+                        call: Box::new(call),
+                    },
+                );
             }
             Output::OperatorAnswer { id, answer } => self.operator_told(id, answer),
             Output::Watch { address } => {
-                let at = self.origins.iter().position(|origin| origin.origin.address == address && origin.mood != Mood::Down);
+                let at = self.origins.iter().position(|origin| {
+                    origin.origin.address == address && origin.mood != Mood::Down
+                });
                 self.watches.extend(at.map(|at| (node, run, at)));
-                self.after(Duration::from_millis(1), Happening::Watched { node, run, address, open: at.is_some() });
+                self.after(
+                    Duration::from_millis(1),
+                    Happening::Watched {
+                        node,
+                        run,
+                        address,
+                        open: at.is_some(),
+                    },
+                );
             }
             Output::Note { event, text } => {
                 if self.trace {
-                    println!("{:9.4} {:?} E{:03} {event:?} {text}", self.seconds(), self.nodes[node].place, event as u32);
+                    println!(
+                        "{:9.4} {:?} E{:03} {event:?} {text}",
+                        self.seconds(),
+                        self.nodes[node].place,
+                        event as u32
+                    );
                 }
                 *self.notes.entry(event).or_default() += 1;
             }
-            Output::Show(Shown::Fence { until, ready }) => (self.nodes[node].fence, self.nodes[node].ready) = (until, ready),
+            Output::Show(Shown::Fence { until, ready }) => {
+                (self.nodes[node].fence, self.nodes[node].ready) = (until, ready)
+            }
             Output::Show(Shown::Acknowledged { .. }) => {}
             Output::Show(Shown::Duties(list)) => self.duties_shown(node, list),
             Output::Show(Shown::Configuration(table)) => self.nodes[node].image = Some(table),
@@ -401,7 +615,10 @@
                 if !std::mem::replace(&mut self.nodes[node].ending, true) {
                     // Calls already read are answered; then the platform
                     // starts it again.
-                    self.after(Duration::from_millis(300), Happening::Restarted { node, run });
+                    self.after(
+                        Duration::from_millis(300),
+                        Happening::Restarted { node, run },
+                    );
                 }
             }
         }
@@ -409,28 +626,52 @@
 
     /// No duty is ever held by two live nodes.
     pub(crate) fn duties_shown(&mut self, node: usize, list: Vec<String>) {
-        let others = |duty: &String| self.edges().find(|other| *other != node && self.nodes[*other].live(self.now) && self.nodes[*other].duties.contains(duty));
+        let others = |duty: &String| {
+            self.edges().find(|other| {
+                *other != node
+                    && self.nodes[*other].live(self.now)
+                    && self.nodes[*other].duties.contains(duty)
+            })
+        };
         if self.nodes[node].live(self.now)
-            && let Some((duty, other)) = list.iter().find_map(|duty| Some((duty.clone(), others(duty)?)))
+            && let Some((duty, other)) = list
+                .iter()
+                .find_map(|duty| Some((duty.clone(), others(duty)?)))
         {
-            self.record("duty-held-twice", &format!("{duty} by {:?} and {:?}", self.nodes[node].place, self.nodes[other].place), 0, false);
+            self.record(
+                "duty-held-twice",
+                &format!(
+                    "{duty} by {:?} and {:?}",
+                    self.nodes[node].place, self.nodes[other].place
+                ),
+                0,
+                false,
+            );
         }
         self.nodes[node].duties = list;
     }
 
     pub(crate) fn spring(&mut self, moment: Moment) {
-        let Some((_, loss)) = self.trap.take_if(|(known, _)| *known == moment) else { return };
+        let Some((_, loss)) = self.trap.take_if(|(known, _)| *known == moment) else {
+            return;
+        };
         match loss {
             Loss::Power => {
                 for node in 0..self.nodes.len() - 1 {
                     self.kill(node);
-                    self.after(Duration::from_secs(3), Happening::Fault(Fault::Start(self.nodes[node].place)));
+                    self.after(
+                        Duration::from_secs(3),
+                        Happening::Fault(Fault::Start(self.nodes[node].place)),
+                    );
                 }
                 self.after(Duration::from_secs(3), Happening::Fault(Fault::Returned));
             }
             Loss::Disk(slot) => {
                 self.fault(Fault::Wipe(Place::Control(slot)));
-                self.after(Duration::from_secs(3), Happening::Fault(Fault::Start(Place::Control(slot))));
+                self.after(
+                    Duration::from_secs(3),
+                    Happening::Fault(Fault::Start(Place::Control(slot))),
+                );
             }
             Loss::Disks(slot, count) => {
                 for node in 0..self.nodes.len() {
@@ -442,7 +683,10 @@
                         self.kill(node);
                     }
                     if wiped || ran || node + 1 < self.nodes.len() {
-                        self.after(Duration::from_secs(3), Happening::Fault(Fault::Start(place)));
+                        self.after(
+                            Duration::from_secs(3),
+                            Happening::Fault(Fault::Start(place)),
+                        );
                     }
                 }
                 self.after(Duration::from_secs(3), Happening::Fault(Fault::Returned));
@@ -456,18 +700,34 @@
         if let (Place::Edge(at), Message::Copy(_)) = (self.nodes[node].place, &message) {
             self.copies[at] += 1;
         }
-        let Some(to) = self.by_address.get(&to).copied() else { return };
+        let Some(to) = self.by_address.get(&to).copied() else {
+            return;
+        };
         if to == node {
             return self.after(Duration::ZERO, Happening::Deliver { to, from, message });
         }
         let (lost, doubled, late) = self.weather;
-        if message.name() == self.plan.mute || self.cuts.contains(&(node, to)) || self.dice.chance(lost) {
+        if message.name() == self.plan.mute
+            || self.cuts.contains(&(node, to))
+            || self.dice.chance(lost)
+        {
             return;
         }
         let copies = if self.dice.chance(doubled) { 2 } else { 1 };
         for _ in 0..copies {
-            let span = if self.dice.chance(late) { self.micros(5_000, 400_000) } else { self.micros(200, 3_000) };
-            self.after(span, Happening::Deliver { to, from, message: message.clone() });
+            let span = if self.dice.chance(late) {
+                self.micros(5_000, 400_000)
+            } else {
+                self.micros(200, 3_000)
+            };
+            self.after(
+                span,
+                Happening::Deliver {
+                    to,
+                    from,
+                    message: message.clone(),
+                },
+            );
         }
     }
 
@@ -479,14 +739,18 @@
         let took = self.micros(500, 6_000);
         let disk = &mut self.nodes[node].disk;
         disk.pending.push_back((serial, image, record));
-        let unwritten = self.plan.founder == FounderEnd::Unwritten && self.founder_ends(node, FounderEnd::Unwritten);
+        let unwritten = self.plan.founder == FounderEnd::Unwritten
+            && self.founder_ends(node, FounderEnd::Unwritten);
         let disk = &mut self.nodes[node].disk;
         // One sync serves all that came while the one before was running.
         let done = disk.busy_until.max(self.now) + took;
         disk.busy_until = self.now + took;
         self.push(done, Happening::Synced { node, run, serial });
         if unwritten {
-            self.after(Duration::ZERO, Happening::Fault(Fault::Kill(Place::Control(0))));
+            self.after(
+                Duration::ZERO,
+                Happening::Fault(Fault::Kill(Place::Control(0))),
+            );
         }
     }
 
@@ -496,11 +760,20 @@
             return false;
         }
         let disk = &self.nodes[0].disk;
-        let record = if end == FounderEnd::Unwritten { disk.pending.back().map(|(_, _, record)| record) } else { disk.synced.last() };
-        let table = record.is_some_and(|record| matches!(bincode::deserialize(record), Ok(Record::Founding { .. })));
+        let record = if end == FounderEnd::Unwritten {
+            disk.pending.back().map(|(_, _, record)| record)
+        } else {
+            disk.synced.last()
+        };
+        let table = record.is_some_and(|record| {
+            matches!(bincode::deserialize(record), Ok(Record::Founding { .. }))
+        });
         if table {
             self.founder_ended = true;
-            self.after(Duration::from_secs(1), Happening::Fault(Fault::Start(Place::Control(0))));
+            self.after(
+                Duration::from_secs(1),
+                Happening::Fault(Fault::Start(Place::Control(0))),
+            );
         }
         table
     }
@@ -510,16 +783,29 @@
             (Duration::ZERO, CallBack::Refused)
         } else {
             let at = self.seconds();
-            let origin = self.origins.iter().find(|origin| origin.origin.address == call.origin.address).cloned();
+            let origin = self
+                .origins
+                .iter()
+                .find(|origin| origin.origin.address == call.origin.address)
+                .cloned();
             match origin {
                 None => (Duration::from_millis(1), CallBack::Refused),
                 Some(origin) => {
-                    let (span, result, record) = origin.take(call, at, self.version, &mut self.dice);
+                    let (span, result, record) =
+                        origin.take(call, at, self.version, &mut self.dice);
                     self.calls.extend(record);
                     (span, result)
                 }
             }
         };
-        self.after(span, Happening::CallEnds { node, run, id, result });
+        self.after(
+            span,
+            Happening::CallEnds {
+                node,
+                run,
+                id,
+                result,
+            },
+        );
     }
 }
--- a/simulate-fleet/src/world_callers.rs
+++ b/simulate-fleet/src/world_callers.rs
@@ -22,18 +22,33 @@
         }) else {
             return;
         };
-        let at = if self.dice.chance(70) { self.dice.roll(mix.paths / 10 + 1) } else { self.dice.roll(mix.paths) };
+        let at = if self.dice.chance(70) {
+            self.dice.roll(mix.paths / 10 + 1)
+        } else {
+            self.dice.roll(mix.paths)
+        };
         self.serial += 1;
         let operation = mix.keyed.then(|| format!("op-{}", self.serial));
         let path = format!("{}{at}", mix.path);
-        self.caller_calls(Task { mix, path, operation: operation.clone(), zone: None, tries: 0, first: self.now });
+        self.caller_calls(Task {
+            mix,
+            path,
+            operation: operation.clone(),
+            zone: None,
+            tries: 0,
+            first: self.now,
+        });
     }
 
     /// A caller, sent by the platform to a node that says it is ready.
     pub(crate) fn caller_calls(&mut self, task: Task) {
         let ready = |node: &&usize| {
             let node = &self.nodes[**node];
-            node.part.is_some() && !node.ending && node.ready && node.live(self.now) && task.zone.as_ref() != Some(&node.zone)
+            node.part.is_some()
+                && !node.ending
+                && node.ready
+                && node.live(self.now)
+                && task.zone.as_ref() != Some(&node.zone)
         };
         let all: Vec<usize> = self.edges().collect();
         let list: Vec<usize> = all.iter().filter(ready).copied().collect();
@@ -52,9 +67,20 @@
         self.serial += 1;
         let id = self.serial;
         let alive = self.nodes[node].part.is_some();
-        self.errands.insert(id, Asking { node, run: self.nodes[node].run, task: task.clone(), record });
+        self.errands.insert(
+            id,
+            Asking {
+                node,
+                run: self.nodes[node].run,
+                task: task.clone(),
+                record,
+            },
+        );
         if !alive {
-            return self.caller_ends(id, Some(Answer::Refusal(Refusal::not_run(0, "refused", ""))));
+            return self.caller_ends(
+                id,
+                Some(Answer::Refusal(Refusal::not_run(0, "refused", ""))),
+            );
         }
         self.after(CALLER_PATIENCE, Happening::CallerGivesUp { id });
         let run = self.nodes[node].run;
@@ -64,20 +90,38 @@
 
     /// The node reads the request.
     pub(crate) fn arrives(&mut self, node: usize, id: u64) {
-        let Some(Asking { task, .. }) = self.errands.get(&id) else { return };
+        let Some(Asking { task, .. }) = self.errands.get(&id) else {
+            return;
+        };
         let task = task.clone();
-        match self.arrive(node, &task.mix.method, &task.path, task.operation.as_deref()) {
+        match self.arrive(
+            node,
+            &task.mix.method,
+            &task.path,
+            task.operation.as_deref(),
+        ) {
             Err(refusal) => self.caller_ends(id, Some(Answer::Refusal(refusal))),
             Ok(errand) => self.step(node, Input::Errand { id, errand }),
         }
     }
 
     /// The same filters as in a process.
-    pub(crate) fn arrive(&self, node: usize, method: &str, path: &str, operation: Option<&str>) -> Result<Errand, Refusal> {
+    pub(crate) fn arrive(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        operation: Option<&str>,
+    ) -> Result<Errand, Refusal> {
         let node = &self.nodes[node];
         let headers: Vec<(String, String)> = operation
             .iter()
-            .flat_map(|key| [("Operation-Key".to_string(), key.to_string()), ("Authorization".to_string(), format!("caller of {key}"))])
+            .flat_map(|key| {
+                [
+                    ("Operation-Key".to_string(), key.to_string()),
+                    ("Authorization".to_string(), format!("caller of {key}")),
+                ]
+            })
             .collect();
         let mut arrival = Arrival {
             method: method.into(),
@@ -94,13 +138,17 @@
         };
         match chain(&mut arrival) {
             Some(refusal) => Err(refusal),
-            None => errand_of(arrival).ok_or_else(|| Refusal::not_run(500, "filters", "an unmatched arrival passed")),
+            None => errand_of(arrival)
+                .ok_or_else(|| Refusal::not_run(500, "filters", "an unmatched arrival passed")),
         }
     }
 
     /// The face checks the lease once more before a copy goes out.
     pub(crate) fn answer_leaves(&mut self, node: usize, id: u64, answer: Answer) {
-        let keyed = self.errands.get(&id).is_some_and(|errand| errand.task.operation.is_some());
+        let keyed = self
+            .errands
+            .get(&id)
+            .is_some_and(|errand| errand.task.operation.is_some());
         let copy = matches!(answer, Answer::Reply { age: Some(_), .. });
         let answer = if copy && !keyed && !self.nodes[node].live(self.now) {
             Answer::Refusal(Refusal::fenced(RunState::NotRun))
@@ -111,36 +159,76 @@
     }
 
     pub(crate) fn caller_ends(&mut self, id: u64, answer: Option<Answer>) {
-        let Some(Asking { node, task, mut record, .. }) = self.errands.remove(&id) else { return };
+        let Some(Asking {
+            node,
+            task,
+            mut record,
+            ..
+        }) = self.errands.remove(&id)
+        else {
+            return;
+        };
         record.end = self.seconds();
         match answer {
             None => record.dropped = true,
             Some(Answer::Refusal(refusal)) => {
                 (record.status, record.code) = (refusal.status, refusal.code);
                 if refusal.status != 0 {
-                    record.outcome = if refusal.outcome == RunState::NotRun { "not_run" } else { "unknown" }.into();
+                    record.outcome = if refusal.outcome == RunState::NotRun {
+                        "not_run"
+                    } else {
+                        "unknown"
+                    }
+                    .into();
                 }
             }
             Some(Answer::Reply { reply, .. }) => {
                 record.status = reply.status;
-                (record.fits, record.version) = SimOrigin::read(&reply, &task.mix.method, &task.path, task.operation.as_deref());
+                (record.fits, record.version) = SimOrigin::read(
+                    &reply,
+                    &task.mix.method,
+                    &task.path,
+                    task.operation.as_deref(),
+                );
             }
         }
         let good = record.status == 200;
         let mut sprung = false;
         if good && task.operation.is_some() && task.tries == 0 {
-            sprung = self.trap.is_some_and(|(moment, _)| moment == Moment::Booked);
+            sprung = self
+                .trap
+                .is_some_and(|(moment, _)| moment == Moment::Booked);
             self.spring(Moment::Booked);
         }
         if task.operation.is_some() && self.now + CALLER_PATIENCE < self.plan.span {
             // Some ask again though they were answered; all others until they are.
-            let again = if good { task.tries == 0 && (sprung || self.dice.chance(15)) } else { task.tries < if record.code == "outcome_unknown" { 3 } else { REPEATS } };
+            let again = if good {
+                task.tries == 0 && (sprung || self.dice.chance(15))
+            } else {
+                task.tries
+                    < if record.code == "outcome_unknown" {
+                        3
+                    } else {
+                        REPEATS
+                    }
+            };
             // Who was told when to come back may come then, or sooner.
-            let spread = if good { REPEAT } else { 1_500 << (task.tries / 4).min(4) };
+            let spread = if good {
+                REPEAT
+            } else {
+                1_500 << (task.tries / 4).min(4)
+            };
             let wait = Duration::from_millis(100 + self.dice.roll(spread));
             if again && self.now + wait < task.first + Duration::from_millis(REPEAT) {
                 let zone = Some(self.nodes[node].zone.clone());
-                self.after(wait, Happening::CallerAgain(Task { zone, tries: task.tries + 1, ..task }));
+                self.after(
+                    wait,
+                    Happening::CallerAgain(Task {
+                        zone,
+                        tries: task.tries + 1,
+                        ..task
+                    }),
+                );
             }
         }
         self.callers.push(record);
@@ -149,18 +237,35 @@
     /// Whether an entry is there, at an edge that says anything on it: a keyed
     /// entry without a key answers 400, no entry 404.
     fn entry_at(&self, node: usize, marker: u64) -> Option<bool> {
-        let told = self.arrive(node, "POST", &format!("/marker/{marker}"), None).err().map_or(0, |refusal| refusal.status);
-        [(400, true), (404, false)].into_iter().find(|(status, _)| *status == told).map(|(_, there)| there)
+        let told = self
+            .arrive(node, "POST", &format!("/marker/{marker}"), None)
+            .err()
+            .map_or(0, |refusal| refusal.status);
+        [(400, true), (404, false)]
+            .into_iter()
+            .find(|(status, _)| *status == told)
+            .map(|(_, there)| there)
     }
 
     /// The number of the last record of a kind since all was lost.
     pub(crate) fn last(&self, what: &str) -> Option<u64> {
-        self.fleet.iter().rev().take_while(|one| one.what != "all-lost").find(|one| one.what == what).map(|one| one.number)
+        self.fleet
+            .iter()
+            .rev()
+            .take_while(|one| one.what != "all-lost")
+            .find(|one| one.what == what)
+            .map(|one| one.number)
     }
 
     pub(crate) fn look_at_markers(&mut self) {
         self.after(Duration::from_millis(100), Happening::LookAtMarkers);
-        let looks = [self.last("configured").map(|marker| ("marker", marker, true)), self.last("removed").map(|marker| ("marker-gone", marker, false)), Some(("invalid-marker", 999, false))];
+        let looks = [
+            self.last("configured")
+                .map(|marker| ("marker", marker, true)),
+            self.last("removed")
+                .map(|marker| ("marker-gone", marker, false)),
+            Some(("invalid-marker", 999, false)),
+        ];
         for node in self.edges() {
             if self.nodes[node].part.is_none() || self.now < self.nodes[node].paused {
                 continue;
@@ -168,7 +273,13 @@
             for (what, marker, wanted) in looks.into_iter().flatten() {
                 if let Some(there) = self.entry_at(node, marker) {
                     let subject = self.nodes[node].mate.address.to_string();
-                    self.fleet.push(FleetRecord { at: self.seconds(), what: what.into(), subject, number: marker, good: there == wanted });
+                    self.fleet.push(FleetRecord {
+                        at: self.seconds(),
+                        what: what.into(),
+                        subject,
+                        number: marker,
+                        good: there == wanted,
+                    });
                 }
             }
         }
@@ -177,9 +288,15 @@
     /// Every edge must be ready by now, unless something was done to the fleet
     /// meanwhile.
     pub(crate) fn look_ready(&mut self, since: Duration) {
-        let meanwhile = self.fleet.iter().rev().any(|one| one.what == "fault" && !one.good && one.at > since.as_secs_f64());
+        let meanwhile = self
+            .fleet
+            .iter()
+            .rev()
+            .any(|one| one.what == "fault" && !one.good && one.at > since.as_secs_f64());
         for node in self.edges() {
-            let ready = self.nodes[node].part.is_some() && self.nodes[node].ready && self.nodes[node].live(self.now);
+            let ready = self.nodes[node].part.is_some()
+                && self.nodes[node].ready
+                && self.nodes[node].live(self.now);
             if ready || !meanwhile {
                 let subject = self.nodes[node].mate.address.to_string();
                 self.record("ready-again", &subject, 0, ready);
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -8,10 +8,20 @@
     /// The process that listened there ended: its connections end.
     pub(crate) fn end_watches(&mut self, at: usize) {
         let address = self.origins[at].origin.address;
-        let (ended, stand) = std::mem::take(&mut self.watches).into_iter().partition(|watch| watch.2 == at);
+        let (ended, stand) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|watch| watch.2 == at);
         self.watches = stand;
         for (node, run, _) in ended as BTreeSet<(usize, u64, usize)> {
-            self.after(Duration::from_millis(1), Happening::Watched { node, run, address, open: false });
+            self.after(
+                Duration::from_millis(1),
+                Happening::Watched {
+                    node,
+                    run,
+                    address,
+                    open: false,
+                },
+            );
         }
     }
 
@@ -24,7 +34,10 @@
     }
 
     pub(crate) fn start(&mut self, node: usize) {
-        let seeds: Vec<SocketAddr> = self.nodes[..self.plan.control.min(3)].iter().map(|node| node.mate.address).collect();
+        let seeds: Vec<SocketAddr> = self.nodes[..self.plan.control.min(3)]
+            .iter()
+            .map(|node| node.mate.address)
+            .collect();
         let life = self.dice.roll(u64::MAX >> 12) + 1;
         self.nodes[node].offset = self.micros(0, 1 << 40);
         let gather = self.plan.gather.then_some(GATHER);
@@ -41,11 +54,23 @@
         self.nodes[node].kill();
         let subject = self.nodes[node].mate.address.to_string();
         self.record("killed", &subject, 0, true);
-        let lost: Vec<u64> = self.errands.iter().filter(|(_, errand)| errand.node == node).map(|(id, _)| *id).collect();
+        let lost: Vec<u64> = self
+            .errands
+            .iter()
+            .filter(|(_, errand)| errand.node == node)
+            .map(|(id, _)| *id)
+            .collect();
         lost.into_iter().for_each(|id| self.caller_ends(id, None));
         // Operators see their connection end: the outcome is unknown.
-        let asked: Vec<u64> = self.asked.iter().filter(|(_, (at, _))| *at == node).map(|(id, _)| *id).collect();
-        asked.into_iter().for_each(|id| self.operator_told(id, OperatorAnswer::Outcome(Outcome::Lost)));
+        let asked: Vec<u64> = self
+            .asked
+            .iter()
+            .filter(|(_, (at, _))| *at == node)
+            .map(|(id, _)| *id)
+            .collect();
+        asked
+            .into_iter()
+            .for_each(|id| self.operator_told(id, OperatorAnswer::Outcome(Outcome::Lost)));
     }
 
     /// What has ended for good stays ended.
@@ -64,8 +89,15 @@
         if self.nodes[node].run != run {
             return;
         }
-        let unanswered: Vec<u64> = self.errands.iter().filter(|(_, one)| one.node == node && one.run == run).map(|(id, _)| *id).collect();
-        unanswered.into_iter().for_each(|id| self.caller_ends(id, None));
+        let unanswered: Vec<u64> = self
+            .errands
+            .iter()
+            .filter(|(_, one)| one.node == node && one.run == run)
+            .map(|(id, _)| *id)
+            .collect();
+        unanswered
+            .into_iter()
+            .for_each(|id| self.caller_ends(id, None));
         self.nodes[node].kill();
         let subject = self.nodes[node].mate.address.to_string();
         self.record("restarted", &subject, 0, true);
@@ -77,7 +109,10 @@
             self.kill(node);
             self.nodes[node].disk = Disk::default();
             self.nodes[node].founding = true;
-            self.after(Duration::from_secs(3), Happening::Fault(Fault::Start(self.nodes[node].place)));
+            self.after(
+                Duration::from_secs(3),
+                Happening::Fault(Fault::Start(self.nodes[node].place)),
+            );
         }
         self.see_all_lost();
         self.after(Duration::from_secs(3), Happening::Fault(Fault::Returned));
@@ -88,14 +123,20 @@
     pub(crate) fn see_all_lost(&mut self) {
         let knows = |node: &SimNode| match node.place {
             Place::Edge(_) => node.part.is_some() && node.image.is_some(),
-            Place::Control(_) => matches!(Replica::replay(&node.disk.synced), Ok(Some(replica)) if replica.full),
+            Place::Control(_) => {
+                matches!(Replica::replay(&node.disk.synced), Ok(Some(replica)) if replica.full)
+            }
         };
         if self.now < Duration::from_secs(4) || self.nodes.iter().any(knows) {
             return;
         }
         self.record("all-lost", "", 0, true);
         // The fleet is founded anew.
-        let again = if self.plan.gather { self.plan.control } else { 0 };
+        let again = if self.plan.gather {
+            self.plan.control
+        } else {
+            0
+        };
         for node in 0..again {
             let runs = self.nodes[node].part.is_some();
             self.nodes[node].kill();
@@ -119,10 +160,21 @@
         }
         // Operators make one change at a time, except where they race: of two
         // changes without a condition the later one rightly undoes the other.
-        if !self.changing.is_empty() && matches!(fault, Fault::Configure | Fault::Race(_) | Fault::Grow(_)) {
+        if !self.changing.is_empty()
+            && matches!(fault, Fault::Configure | Fault::Race(_) | Fault::Grow(_))
+        {
             return self.after(Duration::from_millis(50), Happening::Fault(fault));
         }
-        if !matches!(fault, Fault::Returned | Fault::Weather { lost: 0, doubled: 0, late: 0 }) || self.weather != (0, 0, 0) {
+        if !matches!(
+            fault,
+            Fault::Returned
+                | Fault::Weather {
+                    lost: 0,
+                    doubled: 0,
+                    late: 0
+                }
+        ) || self.weather != (0, 0, 0)
+        {
             self.record("fault", &fault.kind(), 0, fault.planned());
         }
         match fault {
@@ -170,11 +222,17 @@
                 }
             }
             Fault::Heal => self.cuts.clear(),
-            Fault::Weather { lost, doubled, late } => self.weather = (lost, doubled, late),
+            Fault::Weather {
+                lost,
+                doubled,
+                late,
+            } => self.weather = (lost, doubled, late),
             Fault::Origin(at, mood) => self.set_mood(at, mood),
             Fault::Service(service, mood) => {
                 let name = self.plan.deployment.services[service].name;
-                let list: Vec<usize> = (0..self.origins.len()).filter(|at| self.origins[*at].origin.service == name).collect();
+                let list: Vec<usize> = (0..self.origins.len())
+                    .filter(|at| self.origins[*at].origin.service == name)
+                    .collect();
                 list.into_iter().for_each(|at| self.set_mood(at, mood));
             }
             Fault::Leave(at) => {
@@ -197,7 +255,14 @@
                 self.version += 1;
                 self.record("content", "", self.version, true);
             }
-            Fault::Purge(prefix) => self.ask(1, Asked::Purge { prefix, version: self.version }, 0),
+            Fault::Purge(prefix) => self.ask(
+                1,
+                Asked::Purge {
+                    prefix,
+                    version: self.version,
+                },
+                0,
+            ),
             Fault::Configure => {
                 self.grown = 0;
                 let base = self.markers.clone();
@@ -209,20 +274,38 @@
                 self.configure(1, &base, None, false);
             }
             Fault::ConfigureInvalid => {
-                let text = self.plan.deployment.document(&[999]).replace("\"rank\": 0", "\"rank\": 0, \"colour\": 1");
-                self.ask(2, Asked::Configure { marker: 999, text, expect: None, race: false, without: vec![] }, 0);
+                let text = self
+                    .plan
+                    .deployment
+                    .document(&[999])
+                    .replace("\"rank\": 0", "\"rank\": 0, \"colour\": 1");
+                self.ask(
+                    2,
+                    Asked::Configure {
+                        marker: 999,
+                        text,
+                        expect: None,
+                        race: false,
+                        without: vec![],
+                    },
+                    0,
+                );
             }
             Fault::Race(operators) => {
                 let expect = self.acknowledged.as_ref().map(|(version, _)| *version);
                 let base = self.markers.clone();
-                (0..operators).for_each(|at| self.configure(at % self.plan.control, &base, expect, true));
+                (0..operators)
+                    .for_each(|at| self.configure(at % self.plan.control, &base, expect, true));
             }
             Fault::Trap(moment, loss) => self.trap = Some((moment, loss)),
             Fault::LoseAll => self.lose_all(),
             Fault::OpenLedger => self.ask(0, Asked::OpenLedger { realm: None }, 0),
             Fault::Returned => {
                 self.record("returned", "all", 0, true);
-                self.after(Duration::from_secs(15), Happening::LookReady { since: self.now });
+                self.after(
+                    Duration::from_secs(15),
+                    Happening::LookReady { since: self.now },
+                );
             }
             Fault::ReadBack => {
                 if let Some(expect) = self.acknowledged.clone() {
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -8,7 +8,11 @@
             return;
         }
         self.origins_due = Some(false);
-        let list = self.origins.iter().map(|origin| origin.origin.clone()).collect();
+        let list = self
+            .origins
+            .iter()
+            .map(|origin| origin.origin.clone())
+            .collect();
         let node = self.dice.roll(self.plan.control as u64) as usize;
         self.ask(node, Asked::Origins { list, at: 0.0 }, 0);
     }
@@ -18,23 +22,51 @@
     /// acknowledged: nobody may have been there to learn it from.
     pub(crate) fn origins_told(&mut self, list: &[Origin], settled: bool, read: f64) {
         let due = self.origins_due.take().unwrap_or(false);
-        let disturbed = self.fleet.iter().rev().any(|one| one.what == "fault" && !one.good && one.at > read - 5.0);
+        let disturbed = self
+            .fleet
+            .iter()
+            .rev()
+            .any(|one| one.what == "fault" && !one.good && one.at > read - 5.0);
         let at = if disturbed { self.seconds() } else { read };
         for origin in list.iter().filter(|origin| settled && origin.leaving) {
-            if !self.fleet.iter().any(|one| one.what == "leaving" && one.subject == origin.instance) {
-                self.fleet.push(FleetRecord { at, what: "leaving".into(), subject: origin.instance.clone(), number: 0, good: true });
+            if !self
+                .fleet
+                .iter()
+                .any(|one| one.what == "leaving" && one.subject == origin.instance)
+            {
+                self.fleet.push(FleetRecord {
+                    at,
+                    what: "leaving".into(),
+                    subject: origin.instance.clone(),
+                    number: 0,
+                    good: true,
+                });
             }
         }
         if due || !settled {
-            self.after(Duration::from_millis(if due { 0 } else { 500 }), Happening::PutOrigins);
+            self.after(
+                Duration::from_millis(if due { 0 } else { 500 }),
+                Happening::PutOrigins,
+            );
         }
     }
 
     pub(crate) fn ask(&mut self, node: usize, mut asked: Asked, tries: u32) {
         // An operator's tool takes the next control node if one is down.
-        let Some(node) = (0..self.plan.control).map(|more| (node + more) % self.plan.control).chain([self.nodes.len() - 1]).find(|node| self.nodes[*node].part.is_some() && self.nodes[*node].ready) else {
+        let Some(node) = (0..self.plan.control)
+            .map(|more| (node + more) % self.plan.control)
+            .chain([self.nodes.len() - 1])
+            .find(|node| self.nodes[*node].part.is_some() && self.nodes[*node].ready)
+        else {
             if tries < 20 {
-                self.after(Duration::from_secs(1), Happening::Ask { node, asked, tries: tries + 1 });
+                self.after(
+                    Duration::from_secs(1),
+                    Happening::Ask {
+                        node,
+                        asked,
+                        tries: tries + 1,
+                    },
+                );
             } else if let Asked::Configure { marker, .. } = asked {
                 self.changing.remove(&marker);
             }
@@ -45,44 +77,93 @@
         }
         let change = self.dice.roll(u64::MAX >> 12);
         let (slice, change) = match &asked {
-            Asked::Configure { text, expect, .. } => {
-                (CONFIGURATION, Change::PutConfiguration { text: text.as_str().into(), expect: *expect, change })
-            }
+            Asked::Configure { text, expect, .. } => (
+                CONFIGURATION,
+                Change::PutConfiguration {
+                    text: text.as_str().into(),
+                    expect: *expect,
+                    change,
+                },
+            ),
             Asked::Purge { prefix, .. } => {
-                let purge = Purge { prefix: Some(prefix.clone()), ..Purge::default() };
+                let purge = Purge {
+                    prefix: Some(prefix.clone()),
+                    ..Purge::default()
+                };
                 (PURGES, Change::AddPurge { purge, change })
             }
-            Asked::Origins { list, .. } => (ORIGINS, Change::PutOrigins { list: Arc::new(list.clone()), expect: Some(self.origins_at), change }),
+            Asked::Origins { list, .. } => (
+                ORIGINS,
+                Change::PutOrigins {
+                    list: Arc::new(list.clone()),
+                    expect: Some(self.origins_at),
+                    change,
+                },
+            ),
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
                 self.asked.insert(self.serial, (node, asked));
-                return self.step(node, Input::Operator { id: self.serial, ask: OperatorAsk::State });
+                return self.step(
+                    node,
+                    Input::Operator {
+                        id: self.serial,
+                        ask: OperatorAsk::State,
+                    },
+                );
+            }
+            Asked::OpenLedger { realm: Some(realm) } => {
+                (DUTIES, Change::OpenLedger { realm: *realm })
             }
-            Asked::OpenLedger { realm: Some(realm) } => (DUTIES, Change::OpenLedger { realm: *realm }),
         };
         self.serial += 1;
         let id = self.serial;
         self.asked.insert(id, (node, asked));
-        self.step(node, Input::Operator { id, ask: OperatorAsk::Change { slice, change } });
+        self.step(
+            node,
+            Input::Operator {
+                id,
+                ask: OperatorAsk::Change { slice, change },
+            },
+        );
     }
 
     pub(crate) fn operator_told(&mut self, id: u64, answer: OperatorAnswer) {
-        let Some((_, asked)) = self.asked.remove(&id) else { return };
+        let Some((_, asked)) = self.asked.remove(&id) else {
+            return;
+        };
         let outcome = match answer {
             OperatorAnswer::Outcome(outcome) => outcome,
             OperatorAnswer::State(state) => {
-                let realm = state["ledger"]["realm"].as_str().and_then(|text| u64::from_str_radix(text, 16).ok()).filter(|realm| *realm != 0);
+                let realm = state["ledger"]["realm"]
+                    .as_str()
+                    .and_then(|text| u64::from_str_radix(text, 16).ok())
+                    .filter(|realm| *realm != 0);
                 let next = Asked::OpenLedger { realm };
-                return self.after(Duration::from_millis(50), Happening::Ask { node: 0, asked: next, tries: 0 });
+                return self.after(
+                    Duration::from_millis(50),
+                    Happening::Ask {
+                        node: 0,
+                        asked: next,
+                        tries: 0,
+                    },
+                );
             }
         };
         let settled = matches!(outcome, Outcome::Settled { .. });
-        if let (Asked::Origins { .. }, Outcome::Settled { version } | Outcome::Raced { version }) = (&asked, &outcome) {
+        if let (Asked::Origins { .. }, Outcome::Settled { version } | Outcome::Raced { version }) =
+            (&asked, &outcome)
+        {
             self.origins_at = *version;
         }
         match asked {
-            Asked::Configure { marker, text, race, without, .. } => {
+            Asked::Configure {
+                marker,
+                text,
+                race,
+                without,
+                ..
+            } => {
                 self.changing.remove(&marker);
                 self.configured(outcome, marker, text, race, without);
             }
@@ -93,33 +174,72 @@
                 }
             }
             Asked::Origins { list, at } => self.origins_told(&list, settled, at),
-            Asked::OpenLedger { .. } if !settled => self.after(Duration::from_millis(50), Happening::Ask { node: 1, asked: Asked::OpenLedger { realm: None }, tries: 0 }),
+            Asked::OpenLedger { .. } if !settled => self.after(
+                Duration::from_millis(50),
+                Happening::Ask {
+                    node: 1,
+                    asked: Asked::OpenLedger { realm: None },
+                    tries: 0,
+                },
+            ),
             Asked::OpenLedger { .. } => {}
-            Asked::ReadBack { expect: (version, text) } => {
-                if let Outcome::Configuration { version: known, text: told } = outcome {
+            Asked::ReadBack {
+                expect: (version, text),
+            } => {
+                if let Outcome::Configuration {
+                    version: known,
+                    text: told,
+                } = outcome
+                {
                     // A later change may be in force by now, never an older one.
-                    let same = if known == version { *told == *text } else { known > version };
+                    let same = if known == version {
+                        *told == *text
+                    } else {
+                        known > version
+                    };
                     self.record("read-back", "", version, same);
                 }
             }
         }
     }
 
-    fn configured(&mut self, outcome: Outcome, marker: u64, text: String, race: bool, without: Vec<u64>) {
+    fn configured(
+        &mut self,
+        outcome: Outcome,
+        marker: u64,
+        text: String,
+        race: bool,
+        without: Vec<u64>,
+    ) {
         match outcome {
             Outcome::Settled { version } => {
                 self.record("configured", "", marker, true);
                 self.record("acknowledged", "", version, true);
-                without.into_iter().for_each(|gone| self.record("removed", "", gone, true));
+                without
+                    .into_iter()
+                    .for_each(|gone| self.record("removed", "", gone, true));
                 // In force everywhere: every live edge has it by now.
                 for node in self.edges() {
-                    let known = self.nodes[node].image.as_ref().map_or(0, |image| image.version);
+                    let known = self.nodes[node]
+                        .image
+                        .as_ref()
+                        .map_or(0, |image| image.version);
                     if self.nodes[node].live(self.now) {
-                        self.fleet.push(FleetRecord { at: self.seconds(), what: "at-ack".into(), subject: format!("{:?}", self.nodes[node].place), number: marker, good: known >= version });
+                        self.fleet.push(FleetRecord {
+                            at: self.seconds(),
+                            what: "at-ack".into(),
+                            subject: format!("{:?}", self.nodes[node].place),
+                            number: marker,
+                            good: known >= version,
+                        });
                     }
                 }
                 self.spring(Moment::Configured);
-                if self.acknowledged.as_ref().is_none_or(|(known, _)| *known < version) {
+                if self
+                    .acknowledged
+                    .as_ref()
+                    .is_none_or(|(known, _)| *known < version)
+                {
                     self.acknowledged = Some((version, text));
                 }
             }
@@ -151,6 +271,16 @@
         self.markers.retain(|known| !self.removed.contains(known));
         let text = self.plan.deployment.document_with(&list, self.grown);
         let without = self.removed.clone();
-        self.ask(node, Asked::Configure { marker, text, expect, race, without }, 0);
+        self.ask(
+            node,
+            Asked::Configure {
+                marker,
+                text,
+                expect,
+                race,
+                without,
+            },
+            0,
+        );
     }
 }
--- a/stand-ins/src/bin/stand-in-caller.rs
+++ b/stand-ins/src/bin/stand-in-caller.rs
@@ -7,11 +7,15 @@
 
 fn main() -> Result<()> {
     let mut flags = Flags::gather("stand-in-caller", HELP);
-    let plan = flags.take::<String>("--plan", Some(String::new())).filter(|path| !path.is_empty());
+    let plan = flags
+        .take::<String>("--plan", Some(String::new()))
+        .filter(|path| !path.is_empty());
     if let Some(path) = plan {
         let record = flags.take::<String>("--record", None);
         let plan = fs::read_to_string(&path).map_err(|error| error.to_string());
-        let plan = plan.and_then(|text| serde_json::from_str::<CallerPlan>(&text).map_err(|error| error.to_string()));
+        let plan = plan.and_then(|text| {
+            serde_json::from_str::<CallerPlan>(&text).map_err(|error| error.to_string())
+        });
         if let Err(error) = &plan {
             flags.found(&path, error);
         }
@@ -23,7 +27,9 @@
     let edge = flags.take::<SocketAddr>("--edge", None);
     let path = flags.take::<String>("--path", None);
     let method = flags.take("--method", Some("GET".to_string()));
-    let operation = flags.take("--operation", Some(String::new())).filter(|key| !key.is_empty());
+    let operation = flags
+        .take("--operation", Some(String::new()))
+        .filter(|key| !key.is_empty());
     flags.finish();
     let (edge, path) = (edge.context("edge")?, path.context("path")?);
     let mix = stand_ins::deployment::Mix {
--- a/stand-ins/src/bin/stand-in-origin.rs
+++ b/stand-ins/src/bin/stand-in-origin.rs
@@ -15,10 +15,18 @@
     let record = flags.take::<String>("--record", Some(String::new()));
     flags.finish();
     let (service, instance) = (service.context("service")?, instance.context("instance")?);
-    let mut origin = StandInOrigin::new(address.context("address")?, &service, &instance, Deployment::key_of(&service));
+    let mut origin = StandInOrigin::new(
+        address.context("address")?,
+        &service,
+        &instance,
+        Deployment::key_of(&service),
+    );
     origin.delay = Duration::from_millis(delay.unwrap_or(5));
     origin.content = content.filter(|path| !path.is_empty()).map(Into::into);
-    origin.record = record.filter(|path| !path.is_empty()).map(|path| Recorder::open(Path::new(&path))).transpose()?;
+    origin.record = record
+        .filter(|path| !path.is_empty())
+        .map(|path| Recorder::open(Path::new(&path)))
+        .transpose()?;
     let (_, serving) = Arc::new(origin).serve(Arc::default())?;
     let _ = serving.join();
     Ok(())
--- a/stand-ins/src/caller.rs
+++ b/stand-ins/src/caller.rs
@@ -36,7 +36,13 @@
 impl Traffic {
     pub fn run(plan: CallerPlan, record: Recorder) {
         let (edges, seconds, rate, seed) = (plan.edges.clone(), plan.seconds, plan.rate, plan.seed);
-        let traffic = Arc::new(Traffic { plan, ready: Mutex::new(edges), record, later: Mutex::default(), stop: AtomicBool::new(false) });
+        let traffic = Arc::new(Traffic {
+            plan,
+            ready: Mutex::new(edges),
+            record,
+            later: Mutex::default(),
+            stop: AtomicBool::new(false),
+        });
         let watch = traffic.clone();
         let watcher = thread::spawn(move || watch.watch_ready());
         let (give, take) = flume::unbounded::<Task>();
@@ -58,10 +64,14 @@
                 }
             }
             let mut later = traffic.later.lock().expect("no holder panics");
-            let (now, rest) = std::mem::take(&mut *later).into_iter().partition(|(when, _)| *when <= Instant::now());
+            let (now, rest) = std::mem::take(&mut *later)
+                .into_iter()
+                .partition(|(when, _)| *when <= Instant::now());
             *later = rest;
             drop(later);
-            (now as Vec<(Instant, Task)>).into_iter().for_each(|(_, task)| drop(give.send(task)));
+            (now as Vec<(Instant, Task)>)
+                .into_iter()
+                .for_each(|(_, task)| drop(give.send(task)));
             thread::sleep(Duration::from_millis(5));
         }
         drop(give);
@@ -75,7 +85,10 @@
         while !self.stop.load(Ordering::Acquire) {
             let asked = self.plan.edges.iter().filter(|(edge, _)| {
                 let url = format!("http://{edge}/.otterslip/v1/ready");
-                direct("GET", &url).timeout(Duration::from_millis(300)).send().is_ok_and(|answer| answer.is_success())
+                direct("GET", &url)
+                    .timeout(Duration::from_millis(300))
+                    .send()
+                    .is_ok_and(|answer| answer.is_success())
             });
             let ready: Vec<_> = asked.cloned().collect();
             *self.ready.lock().expect("no holder panics") = ready;
@@ -85,9 +98,17 @@
 
     fn pick(&self, dice: u64, not_zone: Option<&str>) -> Option<SocketAddr> {
         let ready = self.ready.lock().expect("no holder panics");
-        let list: Vec<_> = ready.iter().filter(|(_, zone)| not_zone != Some(zone.as_str())).collect();
-        let list = if list.is_empty() { ready.iter().collect() } else { list };
-        list.get(dice as usize % list.len().max(1)).map(|(edge, _)| *edge)
+        let list: Vec<_> = ready
+            .iter()
+            .filter(|(_, zone)| not_zone != Some(zone.as_str()))
+            .collect();
+        let list = if list.is_empty() {
+            ready.iter().collect()
+        } else {
+            list
+        };
+        list.get(dice as usize % list.len().max(1))
+            .map(|(edge, _)| *edge)
     }
 
     fn draw(&self, dice: &mut Dice, serial: u64) -> Option<Task> {
@@ -98,32 +119,69 @@
             hit
         })?;
         // A few objects are asked for most of the time.
-        let at = if dice.chance(70) { dice.roll(mix.paths / 10 + 1) } else { dice.roll(mix.paths) };
+        let at = if dice.chance(70) {
+            dice.roll(mix.paths / 10 + 1)
+        } else {
+            dice.roll(mix.paths)
+        };
         let operation = mix.keyed.then(|| format!("op-{}-{serial}", self.plan.seed));
-        Some(Task { mix: mix.clone(), path: format!("{}{at}", mix.path), operation, edge: self.pick(dice.roll(1 << 20), None)?, tries: 0 })
+        Some(Task {
+            mix: mix.clone(),
+            path: format!("{}{at}", mix.path),
+            operation,
+            edge: self.pick(dice.roll(1 << 20), None)?,
+            tries: 0,
+        })
     }
 
     fn work(&self, task: Task) {
         let record = call_edge(&task.mix, &task.path, task.operation.as_deref(), task.edge);
         self.record.put(&record);
-        let Some(operation) = &task.operation else { return };
+        let Some(operation) = &task.operation else {
+            return;
+        };
         let hash = Sha256::digest(format!("{operation}{}", task.tries).as_bytes());
         let good = record.status == 200;
-        let again = if good { u64::from(hash[0]) % 100 < REPEATS && task.tries == 0 } else { task.tries < 4 };
+        let again = if good {
+            u64::from(hash[0]) % 100 < REPEATS && task.tries == 0
+        } else {
+            task.tries < 4
+        };
         if again {
-            let zone = self.plan.edges.iter().find(|(edge, _)| *edge == task.edge).map(|(_, zone)| zone.as_str());
+            let zone = self
+                .plan
+                .edges
+                .iter()
+                .find(|(edge, _)| *edge == task.edge)
+                .map(|(_, zone)| zone.as_str());
             // What was answered comes again up to 70 s later.
-            let wait = if good { 100 + u64::from(u16::from_be_bytes([hash[1], hash[3]])) * 70_000 / 65_536 } else { 1000 };
+            let wait = if good {
+                100 + u64::from(u16::from_be_bytes([hash[1], hash[3]])) * 70_000 / 65_536
+            } else {
+                1000
+            };
             if let Some(edge) = self.pick(u64::from(hash[2]), zone) {
-                let task = Task { edge, tries: task.tries + 1, ..task };
-                self.later.lock().expect("no holder panics").push((Instant::now() + Duration::from_millis(wait), task));
+                let task = Task {
+                    edge,
+                    tries: task.tries + 1,
+                    ..task
+                };
+                self.later
+                    .lock()
+                    .expect("no holder panics")
+                    .push((Instant::now() + Duration::from_millis(wait), task));
             }
         }
     }
 }
 
 /// One errand, and whether what came back is the answer to it.
-pub fn call_edge(mix: &crate::deployment::Mix, path: &str, operation: Option<&str>, edge: SocketAddr) -> CallerRecord {
+pub fn call_edge(
+    mix: &crate::deployment::Mix,
+    path: &str,
+    operation: Option<&str>,
+    edge: SocketAddr,
+) -> CallerRecord {
     let caller = operation.map(|operation| format!("Bearer caller-of-{operation}"));
     let mut record = CallerRecord {
         start: wall(),
@@ -138,13 +196,19 @@
         .connect_timeout(Duration::from_secs(2))
         .timeout(Duration::from_secs(12));
     if let (Some(operation), Some(caller)) = (operation, &caller) {
-        request = request.header("Operation-Key", operation).header("Authorization", caller);
+        request = request
+            .header("Operation-Key", operation)
+            .header("Authorization", caller);
     }
     let body = operation.unwrap_or("").to_string();
     let sent = request.text(&body).send();
     let answer = sent.and_then(|answer| {
         record.status = answer.status().as_u16();
-        record.retry_after = answer.headers().get("retry-after").and_then(|text| text.to_str().ok()).map(Into::into);
+        record.retry_after = answer
+            .headers()
+            .get("retry-after")
+            .and_then(|text| text.to_str().ok())
+            .map(Into::into);
         answer.text_utf8()
     });
     record.end = wall();
@@ -161,9 +225,14 @@
             (record.code, record.outcome) = (word("code"), word("outcome"));
             record.version = body["version"].as_u64();
             let own = operation.is_none_or(|operation| {
-                body["operation"] == operation && body["sent"] == operation && body["caller"].as_str() == caller.as_deref()
+                body["operation"] == operation
+                    && body["sent"] == operation
+                    && body["caller"].as_str() == caller.as_deref()
             });
-            record.fits = word("target") == path && word("method") == mix.method && body["fill"].as_str().is_some_and(|fill| fill.len() == 400) && own;
+            record.fits = word("target") == path
+                && word("method") == mix.method
+                && body["fill"].as_str().is_some_and(|fill| fill.len() == 400)
+                && own;
         }
     }
     record
--- a/stand-ins/src/checker.rs
+++ b/stand-ins/src/checker.rs
@@ -130,22 +130,58 @@
     pub fn cases(&self) -> Vec<(&'static str, Cases)> {
         vec![
             ("an operation runs twice", self.runs_twice()),
-            ("\"not run\" is followed by the request running", self.not_run_ran()),
-            ("a success is not the origin's whole answer to this caller", self.foreign_success()),
-            ("an old copy is served 2 s after its purge was acknowledged", self.served_after_purge()),
-            ("a copy is served 2 s beyond its keep time once replaced", self.served_beyond_keep()),
-            ("an acknowledged configuration is not in force everywhere in 2.5 s, or a node slips back", self.configuration_in_force()),
-            ("part of an invalid configuration takes effect, or read-back differs", self.configuration_whole()),
-            ("a leaving origin is called after 2 s, or a service no entry allowed", self.leaving_called()),
-            ("extra tries exceed a fifth plus 3 in 10 s", self.extra_tries()),
-            ("an origin is called 10 % over its rate in 5 s", self.over_rate()),
-            ("a request read in full is dropped in a planned restart or change", self.dropped()),
-            ("service is not back 15 s after machines return", self.back_in_time()),
+            (
+                "\"not run\" is followed by the request running",
+                self.not_run_ran(),
+            ),
+            (
+                "a success is not the origin's whole answer to this caller",
+                self.foreign_success(),
+            ),
+            (
+                "an old copy is served 2 s after its purge was acknowledged",
+                self.served_after_purge(),
+            ),
+            (
+                "a copy is served 2 s beyond its keep time once replaced",
+                self.served_beyond_keep(),
+            ),
+            (
+                "an acknowledged configuration is not in force everywhere in 2.5 s, or a node slips back",
+                self.configuration_in_force(),
+            ),
+            (
+                "part of an invalid configuration takes effect, or read-back differs",
+                self.configuration_whole(),
+            ),
+            (
+                "a leaving origin is called after 2 s, or a service no entry allowed",
+                self.leaving_called(),
+            ),
+            (
+                "extra tries exceed a fifth plus 3 in 10 s",
+                self.extra_tries(),
+            ),
+            (
+                "an origin is called 10 % over its rate in 5 s",
+                self.over_rate(),
+            ),
+            (
+                "a request read in full is dropped in a planned restart or change",
+                self.dropped(),
+            ),
+            (
+                "service is not back 15 s after machines return",
+                self.back_in_time(),
+            ),
         ]
     }
 
     pub fn verdicts(&self) -> Vec<(&'static str, Verdict)> {
-        self.cases().into_iter().map(|(never, cases)| (never, cases.verdict())).collect()
+        self.cases()
+            .into_iter()
+            .map(|(never, cases)| (never, cases.verdict()))
+            .collect()
     }
 
     /// How many faults of each kind fell in a span of each never.
@@ -193,7 +229,9 @@
             if count > 1 || list.len() > 1 {
                 let from = list.iter().map(|one| one.start).fold(f64::MAX, f64::min);
                 let to = list.iter().map(|one| one.end).fold(f64::MIN, f64::max);
-                cases.case((from, to), count <= 1, || format!("{key} ran {count} times, at {:?}", runs[key]));
+                cases.case((from, to), count <= 1, || {
+                    format!("{key} ran {count} times, at {:?}", runs[key])
+                });
             }
         }
         cases
@@ -203,15 +241,24 @@
         let mut cases = Cases::default();
         let runs = self.runs();
         for (key, tries) in self.attempts() {
-            let Some(first) = tries.iter().find(|one| one.outcome == "not_run") else { continue };
+            let Some(first) = tries.iter().find(|one| one.outcome == "not_run") else {
+                continue;
+            };
             // A run belongs to some attempt that was under way, or whose end
             // did not say "not run".
             let bad = runs.get(key).into_iter().flatten().find(|at| {
-                !tries.iter().any(|one| one.start <= **at && (one.end >= **at || one.outcome != "not_run"))
+                !tries
+                    .iter()
+                    .any(|one| one.start <= **at && (one.end >= **at || one.outcome != "not_run"))
             });
             let only = tries.iter().all(|one| one.outcome == "not_run") && runs.contains_key(key);
-            let to = tries.iter().map(|one| one.end).fold(first.end + GRACE, f64::max);
-            cases.case((first.start, to), bad.is_none() && !only, || format!("{key} ran at {bad:?} after \"not run\""));
+            let to = tries
+                .iter()
+                .map(|one| one.end)
+                .fold(first.end + GRACE, f64::max);
+            cases.case((first.start, to), bad.is_none() && !only, || {
+                format!("{key} ran at {bad:?} after \"not run\"")
+            });
         }
         cases
     }
@@ -219,23 +266,42 @@
     fn foreign_success(&self) -> Cases {
         let mut cases = Cases::default();
         for call in self.callers.iter().filter(|call| call.status == 200) {
-            cases.case((call.start, call.end), call.fits, || format!("{} at {} {:?}", call.path, call.edge, call.operation));
+            cases.case((call.start, call.end), call.fits, || {
+                format!("{} at {} {:?}", call.path, call.edge, call.operation)
+            });
         }
         cases
     }
 
     /// Times at which content was replaced, and the version since then.
     fn replaced(&self) -> Vec<(f64, u64)> {
-        self.fleet.iter().filter(|one| one.what == "content").map(|one| (one.at, one.number)).collect()
+        self.fleet
+            .iter()
+            .filter(|one| one.what == "content")
+            .map(|one| (one.at, one.number))
+            .collect()
     }
 
     /// Judged by when an errand began: an answer that was on its way when the
     /// bound passed was asked for before it.
     fn served_after_purge(&self) -> Cases {
         let mut cases = Cases::default();
-        for purge in self.fleet.iter().filter(|one| one.what == "purged" && one.good) {
-            let reached = |call: &&CallerRecord| self.keeps.contains_key(&call.entry) && call.path.starts_with(&purge.subject) && call.status == 200;
-            for call in self.callers.iter().filter(reached).filter(|call| call.start > purge.at) {
+        for purge in self
+            .fleet
+            .iter()
+            .filter(|one| one.what == "purged" && one.good)
+        {
+            let reached = |call: &&CallerRecord| {
+                self.keeps.contains_key(&call.entry)
+                    && call.path.starts_with(&purge.subject)
+                    && call.status == 200
+            };
+            for call in self
+                .callers
+                .iter()
+                .filter(reached)
+                .filter(|call| call.start > purge.at)
+            {
                 let old = call.version < Some(purge.number);
                 if old {
                     let after = call.start - purge.at;
@@ -243,7 +309,13 @@
                 }
                 if call.start > purge.at + GRACE {
                     cases.case((purge.at - GRACE, purge.at + GRACE), !old, || {
-                        format!("{} version {:?} at {} s after purge of {}", call.path, call.version, call.start - purge.at, purge.number)
+                        format!(
+                            "{} version {:?} at {} s after purge of {}",
+                            call.path,
+                            call.version,
+                            call.start - purge.at,
+                            purge.number
+                        )
                     });
                 }
             }
@@ -254,16 +326,29 @@
     fn served_beyond_keep(&self) -> Cases {
         let mut cases = Cases::default();
         for (at, version) in self.replaced() {
-            for call in self.callers.iter().filter(|call| call.status == 200 && call.start > at) {
-                let Some(keep) = self.keeps.get(&call.entry) else { continue };
+            for call in self
+                .callers
+                .iter()
+                .filter(|call| call.status == 200 && call.start > at)
+            {
+                let Some(keep) = self.keeps.get(&call.entry) else {
+                    continue;
+                };
                 let old = call.version < Some(version);
                 let after = call.start - at - *keep as f64;
                 if old {
-                    cases.margin(after / GRACE, || format!("an old copy {after:.3} s after its keep time"));
+                    cases.margin(after / GRACE, || {
+                        format!("an old copy {after:.3} s after its keep time")
+                    });
                 }
                 if after > GRACE {
                     cases.case((at, at + *keep as f64 + GRACE), !old, || {
-                        format!("{} version {:?}, {} s after {version} came", call.path, call.version, call.start - at)
+                        format!(
+                            "{} version {:?}, {} s after {version} came",
+                            call.path,
+                            call.version,
+                            call.start - at
+                        )
                     });
                 }
             }
@@ -276,17 +361,34 @@
     /// took is in the record with its version.
     fn configuration_in_force(&self) -> Cases {
         let mut cases = Cases::default();
-        let at_of = |what: &str, number: u64| self.fleet.iter().find(|one| one.what == what && one.number == number && one.good).map(|one| one.at);
+        let at_of = |what: &str, number: u64| {
+            self.fleet
+                .iter()
+                .find(|one| one.what == what && one.number == number && one.good)
+                .map(|one| one.at)
+        };
         for (look, since) in [("marker", "configured"), ("marker-gone", "removed")] {
             let mut known: BTreeMap<u64, Option<f64>> = BTreeMap::new();
             for seen in self.fleet.iter().filter(|one| one.what == look) {
-                let Some(at) = *known.entry(seen.number).or_insert_with(|| at_of(since, seen.number)) else { continue };
+                let Some(at) = *known
+                    .entry(seen.number)
+                    .or_insert_with(|| at_of(since, seen.number))
+                else {
+                    continue;
+                };
                 if !seen.good && seen.at > at {
                     let after = seen.at - at;
-                    cases.margin(after / IN_FORCE, || format!("{look} {} not yet so {after:.3} s after", seen.number));
+                    cases.margin(after / IN_FORCE, || {
+                        format!("{look} {} not yet so {after:.3} s after", seen.number)
+                    });
                 }
                 if seen.at > at + IN_FORCE {
-                    cases.case((at - GRACE, at + IN_FORCE), seen.good, || format!("{look} {} not so at {} at {:.3}", seen.number, seen.subject, seen.at));
+                    cases.case((at - GRACE, at + IN_FORCE), seen.good, || {
+                        format!(
+                            "{look} {} not so at {} at {:.3}",
+                            seen.number, seen.subject, seen.at
+                        )
+                    });
                 }
             }
         }
@@ -300,15 +402,29 @@
                 "acknowledged" => acknowledged.push((one.at, one.number)),
                 "in-force" => {
                     let before = taken.insert(&one.subject, one.number).unwrap_or(0);
-                    let due = acknowledged.iter().filter(|(at, _)| one.at > at + IN_FORCE).map(|(_, version)| *version).max().unwrap_or(0);
+                    let due = acknowledged
+                        .iter()
+                        .filter(|(at, _)| one.at > at + IN_FORCE)
+                        .map(|(_, version)| *version)
+                        .max()
+                        .unwrap_or(0);
                     let good = one.number >= before && one.number >= due;
                     cases.case((one.at - IN_FORCE, one.at), good, || {
-                        format!("{} took version {} at {:.3} after {before}, {due} being in force", one.subject, one.number, one.at)
+                        format!(
+                            "{} took version {} at {:.3} after {before}, {due} being in force",
+                            one.subject, one.number, one.at
+                        )
                     });
                 }
                 "killed" | "restarted" if one.number == 0 => {
-                    let most = acknowledged.iter().map(|(_, version)| *version).max().unwrap_or(0);
-                    taken.entry(&one.subject).and_modify(|version| *version = most.min(*version));
+                    let most = acknowledged
+                        .iter()
+                        .map(|(_, version)| *version)
+                        .max()
+                        .unwrap_or(0);
+                    taken
+                        .entry(&one.subject)
+                        .and_modify(|version| *version = most.min(*version));
                 }
                 // All that knew of earlier ones is gone.
                 "all-lost" => {
@@ -319,7 +435,12 @@
                 // moment of the acknowledgement, and duties held by two live
                 // nodes.
                 "at-ack" | "duty-held-twice" => {
-                    cases.case((one.at - GRACE, one.at), one.good, || format!("{} {} {} at {:.3}", one.what, one.subject, one.number, one.at));
+                    cases.case((one.at - GRACE, one.at), one.good, || {
+                        format!(
+                            "{} {} {} at {:.3}",
+                            one.what, one.subject, one.number, one.at
+                        )
+                    });
                 }
                 _ => {}
             }
@@ -329,8 +450,12 @@
 
     fn configuration_whole(&self) -> Cases {
         let mut cases = Cases::default();
-        for seen in self.fleet.iter().filter(|one| one.what == "read-back" || one.what == "invalid-refused" || one.what == "invalid-marker") {
-            cases.case((seen.at - 5.0, seen.at), seen.good, || format!("{} {} {}", seen.what, seen.subject, seen.number));
+        for seen in self.fleet.iter().filter(|one| {
+            one.what == "read-back" || one.what == "invalid-refused" || one.what == "invalid-marker"
+        }) {
+            cases.case((seen.at - 5.0, seen.at), seen.good, || {
+                format!("{} {} {}", seen.what, seen.subject, seen.number)
+            });
         }
         cases
     }
@@ -340,20 +465,40 @@
     fn leaving_called(&self) -> Cases {
         let mut cases = Cases::default();
         for left in self.fleet.iter().filter(|one| one.what == "leaving") {
-            let calls = || self.origins.iter().filter(|call| call.instance == left.subject && call.at > left.at);
+            let calls = || {
+                self.origins
+                    .iter()
+                    .filter(|call| call.instance == left.subject && call.at > left.at)
+            };
             if let Some(last) = calls().map(|call| call.at - left.at).max_by(f64::total_cmp) {
                 cases.margin(last / GRACE, || format!("the last call {last:.3} s after"));
             }
             let count = calls().filter(|call| call.at > left.at + GRACE).count();
-            cases.case((left.at - GRACE, left.at + GRACE), count == 0, || format!("{} was called {count} times after 2 s", left.subject));
+            cases.case((left.at - GRACE, left.at + GRACE), count == 0, || {
+                format!("{} was called {count} times after 2 s", left.subject)
+            });
         }
         // A probe carries nobody's request and is how another service at an
         // address is found out; but only where an allowed one was listed.
         let allowed: BTreeSet<&String> = self.rates.keys().collect();
-        let listed: BTreeSet<&String> = self.origins.iter().filter(|call| allowed.contains(&call.service)).map(|call| &call.address).collect();
-        for call in self.origins.iter().filter(|call| !allowed.contains(&call.service)) {
+        let listed: BTreeSet<&String> = self
+            .origins
+            .iter()
+            .filter(|call| allowed.contains(&call.service))
+            .map(|call| &call.address)
+            .collect();
+        for call in self
+            .origins
+            .iter()
+            .filter(|call| !allowed.contains(&call.service))
+        {
             let good = call.probe && listed.contains(&call.address);
-            cases.case((call.at - GRACE, call.at), good, || format!("{} at {} is of service {}", call.path, call.address, call.service));
+            cases.case((call.at - GRACE, call.at), good, || {
+                format!(
+                    "{} at {} is of service {}",
+                    call.path, call.address, call.service
+                )
+            });
         }
         cases
     }
@@ -365,15 +510,30 @@
         for service in self.rates.keys() {
             let mut known = HashSet::new();
             let (mut firsts, mut extras) = (Vec::new(), Vec::new());
-            for call in self.origins.iter().filter(|call| call.service == *service && !call.probe) {
-                if known.insert(&call.errand) { firsts.push(call.at) } else { extras.push(call.at) }
+            for call in self
+                .origins
+                .iter()
+                .filter(|call| call.service == *service && !call.probe)
+            {
+                if known.insert(&call.errand) {
+                    firsts.push(call.at)
+                } else {
+                    extras.push(call.at)
+                }
             }
             for at in &extras {
-                let within = |list: &[f64]| list.partition_point(|time| *time <= *at) - list.partition_point(|time| *time <= at - 10.0);
+                let within = |list: &[f64]| {
+                    list.partition_point(|time| *time <= *at)
+                        - list.partition_point(|time| *time <= at - 10.0)
+                };
                 let (first, extra) = (within(&firsts), within(&extras));
                 let bound = first as f64 * 0.2 + ALLOWANCE;
-                cases.margin(extra as f64 / bound, || format!("{service}: {extra} extra of {first} first tries"));
-                cases.case((at - 10.0, *at), extra as f64 <= bound, || format!("{service}: {extra} extra of {first} first tries at {at:.3}"));
+                cases.margin(extra as f64 / bound, || {
+                    format!("{service}: {extra} extra of {first} first tries")
+                });
+                cases.case((at - 10.0, *at), extra as f64 <= bound, || {
+                    format!("{service}: {extra} extra of {first} first tries at {at:.3}")
+                });
             }
         }
         cases
@@ -383,11 +543,17 @@
     fn over_rate(&self) -> Cases {
         let mut cases = Cases::default();
         for ((service, address), list) in self.calls_by_origin() {
-            let Some(rate) = self.rates.get(service) else { continue };
+            let Some(rate) = self.rates.get(service) else {
+                continue;
+            };
             let (most, from) = most_within(&list, 5.0);
             let bound = rate_bound(*rate);
-            cases.margin(most as f64 / bound, || format!("{service}: {most} calls in 5 s at {rate}/s"));
-            cases.case((from, from + 5.0), most as f64 <= bound, || format!("{address}: {most} calls in 5 s at {rate}/s, from {from:.3}"));
+            cases.margin(most as f64 / bound, || {
+                format!("{service}: {most} calls in 5 s at {rate}/s")
+            });
+            cases.case((from, from + 5.0), most as f64 <= bound, || {
+                format!("{address}: {most} calls in 5 s at {rate}/s, from {from:.3}")
+            });
         }
         cases
     }
@@ -397,24 +563,48 @@
     /// meanwhile; a node that was killed may drop.
     fn dropped(&self) -> Cases {
         let mut cases = Cases::default();
-        let times = |what: &str, good: bool| -> Vec<f64> { self.fleet.iter().filter(|one| one.what == what && one.good == good).map(|one| one.at).collect() };
+        let times = |what: &str, good: bool| -> Vec<f64> {
+            self.fleet
+                .iter()
+                .filter(|one| one.what == what && one.good == good)
+                .map(|one| one.at)
+                .collect()
+        };
         // In a fault's record `good` says that it was planned.
         let (planned, unplanned) = (times("fault", true), times("fault", false));
-        let killed: Vec<(&str, f64)> = self.fleet.iter().filter(|one| one.what == "killed").map(|one| (one.subject.as_str(), one.at)).collect();
-        let within = |list: &[f64], from: f64, to: f64| list.iter().any(|at| *at >= from && *at <= to);
+        let killed: Vec<(&str, f64)> = self
+            .fleet
+            .iter()
+            .filter(|one| one.what == "killed")
+            .map(|one| (one.subject.as_str(), one.at))
+            .collect();
+        let within =
+            |list: &[f64], from: f64, to: f64| list.iter().any(|at| *at >= from && *at <= to);
         for call in &self.callers {
             if !within(&planned, call.start - 10.0, call.end) {
                 continue;
             }
-            let excused = killed.iter().any(|(edge, at)| *edge == call.edge && call.start < at + 0.5 && call.end > at - 0.5);
+            let excused = killed.iter().any(|(edge, at)| {
+                *edge == call.edge && call.start < at + 0.5 && call.end > at - 0.5
+            });
             // The closing after a loss outlasts the rest of it.
-            let calm = if call.code == "ledger_recovering" { CLOSED } else { CALM };
+            let calm = if call.code == "ledger_recovering" {
+                CLOSED
+            } else {
+                CALM
+            };
             let calm = !within(&unplanned, call.start - calm, call.end);
             // A connection that was refused was not read.
             let read = call.status != 0 || call.dropped;
-            let refused = read && calm && call.status != 200 && !CLEAN.contains(&call.code.as_str());
+            let refused =
+                read && calm && call.status != 200 && !CLEAN.contains(&call.code.as_str());
             let bad = call.dropped && !excused || refused && !excused;
-            cases.case((call.start, call.end), !bad, || format!("{} at {} at {:.3}: {} {}", call.path, call.edge, call.start, call.status, call.code));
+            cases.case((call.start, call.end), !bad, || {
+                format!(
+                    "{} at {} at {:.3}: {} {}",
+                    call.path, call.edge, call.start, call.status, call.code
+                )
+            });
         }
         cases
     }
@@ -424,37 +614,74 @@
         let mut cases = Cases::default();
         let last = self.callers.iter().map(|call| call.end).fold(0.0, f64::max);
         for back in self.fleet.iter().filter(|one| one.what == "returned") {
-            let entries: BTreeSet<&str> = self.callers.iter().map(|call| call.entry.as_str()).collect();
+            let entries: BTreeSet<&str> = self
+                .callers
+                .iter()
+                .map(|call| call.entry.as_str())
+                .collect();
             for entry in entries {
-                let calls = || self.callers.iter().filter(|call| call.entry == entry && call.end > back.at);
-                let closed = calls().any(|call| call.code == "ledger_recovering" && call.start < back.at + BACK);
+                let calls = || {
+                    self.callers
+                        .iter()
+                        .filter(|call| call.entry == entry && call.end > back.at)
+                };
+                let closed = calls()
+                    .any(|call| call.code == "ledger_recovering" && call.start < back.at + BACK);
                 let limit = if closed { CLOSED } else { BACK };
-                let first = calls().filter(|call| call.status == 200).map(|call| call.end - back.at).min_by(f64::total_cmp);
+                let first = calls()
+                    .filter(|call| call.status == 200)
+                    .map(|call| call.end - back.at)
+                    .min_by(f64::total_cmp);
                 // A record that ends too soon shows nothing; nor does one in
                 // which something else was broken meanwhile.
-                let meanwhile = self.fleet.iter().any(|one| one.what == "fault" && !one.good && one.at > back.at + 0.01 && one.at < back.at + limit);
-                if first.is_none_or(|first| first >= limit) && (meanwhile || first.is_none() && last < back.at + limit) {
+                let meanwhile = self.fleet.iter().any(|one| {
+                    one.what == "fault"
+                        && !one.good
+                        && one.at > back.at + 0.01
+                        && one.at < back.at + limit
+                });
+                if first.is_none_or(|first| first >= limit)
+                    && (meanwhile || first.is_none() && last < back.at + limit)
+                {
                     continue;
                 }
                 if let Some(first) = first {
-                    cases.margin(first / limit, || format!("{entry} after {first:.2} of {limit} s"));
+                    cases.margin(first / limit, || {
+                        format!("{entry} after {first:.2} of {limit} s")
+                    });
                 }
-                cases.case((back.at - BACK, back.at + BACK), first.is_some_and(|first| first < limit), || {
-                    format!("{entry}: {} returned at {:.3}; first success after {first:?}", back.subject, back.at)
-                });
+                cases.case(
+                    (back.at - BACK, back.at + BACK),
+                    first.is_some_and(|first| first < limit),
+                    || {
+                        format!(
+                            "{entry}: {} returned at {:.3}; first success after {first:?}",
+                            back.subject, back.at
+                        )
+                    },
+                );
             }
         }
         for back in self.fleet.iter().filter(|one| one.what == "ready-again") {
-            cases.case((back.at - BACK, back.at), back.good, || format!("{} was not ready in 15 s at {:.3}", back.subject, back.at));
+            cases.case((back.at - BACK, back.at), back.good, || {
+                format!("{} was not ready in 15 s at {:.3}", back.subject, back.at)
+            });
         }
         cases
     }
 
     /// The longest time in which errands ended and none with success.
     pub fn longest_gap(&self) -> f64 {
-        let mut ends: Vec<f64> = self.callers.iter().filter(|call| call.status == 200).map(|call| call.end).collect();
+        let mut ends: Vec<f64> = self
+            .callers
+            .iter()
+            .filter(|call| call.status == 200)
+            .map(|call| call.end)
+            .collect();
         ends.sort_by(f64::total_cmp);
-        ends.windows(2).map(|pair| pair[1] - pair[0]).fold(0.0, f64::max)
+        ends.windows(2)
+            .map(|pair| pair[1] - pair[0])
+            .fold(0.0, f64::max)
     }
 
     /// For each service, the most calls to one origin in 5 s, of what it may get.
@@ -464,14 +691,23 @@
             let known = most.entry(service).or_default();
             *known = (*known).max(most_within(&list, 5.0).0);
         }
-        let one = |(service, rate): (&String, &f64)| format!("{service}: at most {} calls in 5 s of {}", most.get(service.as_str()).unwrap_or(&0), rate * 5.0);
+        let one = |(service, rate): (&String, &f64)| {
+            format!(
+                "{service}: at most {} calls in 5 s of {}",
+                most.get(service.as_str()).unwrap_or(&0),
+                rate * 5.0
+            )
+        };
         self.rates.iter().map(one).collect::<Vec<_>>().join(", ")
     }
 
     fn calls_by_origin(&self) -> BTreeMap<(&str, &str), Vec<f64>> {
         let mut times: BTreeMap<(&str, &str), Vec<f64>> = BTreeMap::new();
         for call in &self.origins {
-            times.entry((&call.service, &call.address)).or_default().push(call.at);
+            times
+                .entry((&call.service, &call.address))
+                .or_default()
+                .push(call.at);
         }
         times
     }
@@ -502,7 +738,13 @@
     use crate::prelude::*;
 
     fn empty() -> Checker {
-        Checker { callers: vec![], origins: vec![], fleet: vec![], rates: [("s".to_string(), 10.0)].into(), keeps: [("e".to_string(), 5)].into() }
+        Checker {
+            callers: vec![],
+            origins: vec![],
+            fleet: vec![],
+            rates: [("s".to_string(), 10.0)].into(),
+            keeps: [("e".to_string(), 5)].into(),
+        }
     }
 
     fn verdict(checker: &Checker, at: usize) -> Verdict {
@@ -510,20 +752,48 @@
     }
 
     fn call(at: f64, operation: Option<&str>) -> OriginRecord {
-        OriginRecord { at, service: "s".into(), instance: "i".into(), address: "a".into(), operation: operation.map(Into::into), errand: format!("{at}"), ..Default::default() }
+        OriginRecord {
+            at,
+            service: "s".into(),
+            instance: "i".into(),
+            address: "a".into(),
+            operation: operation.map(Into::into),
+            errand: format!("{at}"),
+            ..Default::default()
+        }
     }
 
     fn errand(start: f64, status: u16, outcome: &str) -> CallerRecord {
-        CallerRecord { start, end: start + 1.0, status, outcome: outcome.into(), operation: Some("k".into()), entry: "e".into(), fits: true, ..Default::default() }
+        CallerRecord {
+            start,
+            end: start + 1.0,
+            status,
+            outcome: outcome.into(),
+            operation: Some("k".into()),
+            entry: "e".into(),
+            fits: true,
+            ..Default::default()
+        }
     }
 
     fn event(at: f64, what: &str, number: u64, good: bool) -> FleetRecord {
-        FleetRecord { at, what: what.into(), subject: "i".into(), number, good }
+        FleetRecord {
+            at,
+            what: what.into(),
+            subject: "i".into(),
+            number,
+            good,
+        }
     }
 
     #[test]
     fn what_did_not_happen_is_not_exercised() {
-        assert!(empty().verdicts().iter().all(|(_, verdict)| *verdict == Verdict::NotExercised));
+        assert!(
+            empty()
+                .verdicts()
+                .iter()
+                .all(|(_, verdict)| *verdict == Verdict::NotExercised)
+        );
         assert_eq!(empty().verdicts().len(), 12);
     }
 
@@ -544,15 +814,25 @@
         one.callers.push(errand(4.5, 200, ""));
         assert_eq!(verdict(&one, 1), Verdict::Held(1), "the later attempt ran");
         let mut one = empty();
-        one.callers = vec![CallerRecord { fits: false, ..errand(1.0, 200, "") }];
+        one.callers = vec![CallerRecord {
+            fits: false,
+            ..errand(1.0, 200, "")
+        }];
         assert!(broken(&one, 2));
         let mut one = empty();
-        one.callers = vec![CallerRecord { version: Some(1), path: "i/1".into(), ..errand(9.0, 200, "") }];
+        one.callers = vec![CallerRecord {
+            version: Some(1),
+            path: "i/1".into(),
+            ..errand(9.0, 200, "")
+        }];
         one.fleet = vec![event(6.0, "purged", 2, true)];
         assert!(broken(&one, 3));
         one.fleet = vec![event(1.5, "content", 2, true)];
         assert!(broken(&one, 4));
-        one.fleet = vec![event(1.0, "configured", 4, true), event(3.6, "marker", 4, false)];
+        one.fleet = vec![
+            event(1.0, "configured", 4, true),
+            event(3.6, "marker", 4, false),
+        ];
         assert!(broken(&one, 5));
         one.fleet = vec![event(1.0, "read-back", 4, false)];
         assert!(broken(&one, 6));
@@ -566,22 +846,42 @@
     #[test]
     fn a_node_slips_back_if_it_takes_an_older_table_even_over_a_restart() {
         let mut one = empty();
-        one.fleet = vec![event(1.0, "in-force", 5, true), event(2.0, "in-force", 6, true)];
+        one.fleet = vec![
+            event(1.0, "in-force", 5, true),
+            event(2.0, "in-force", 6, true),
+        ];
         assert_eq!(verdict(&one, 5), Verdict::Held(2));
         one.fleet.push(event(9.0, "in-force", 5, true));
         assert!(broken(&one, 5));
         // Ended in between: what was not acknowledged by then may be undone.
-        one.fleet = vec![event(1.0, "in-force", 6, true), event(2.0, "killed", 0, true), event(3.0, "in-force", 5, true)];
+        one.fleet = vec![
+            event(1.0, "in-force", 6, true),
+            event(2.0, "killed", 0, true),
+            event(3.0, "in-force", 5, true),
+        ];
         assert_eq!(verdict(&one, 5), Verdict::Held(2));
         one.fleet.insert(1, event(1.5, "acknowledged", 6, true));
         assert!(broken(&one, 5));
         // Another node that comes late with what is no longer in force.
-        one.fleet = vec![event(1.0, "acknowledged", 7, true), FleetRecord { subject: "other".into(), ..event(3.6, "in-force", 6, true) }];
+        one.fleet = vec![
+            event(1.0, "acknowledged", 7, true),
+            FleetRecord {
+                subject: "other".into(),
+                ..event(3.6, "in-force", 6, true)
+            },
+        ];
         assert!(broken(&one, 5));
         // After everything was lost numbers begin anew.
-        one.fleet = vec![event(1.0, "in-force", 6, true), event(2.0, "all-lost", 0, true), event(3.0, "in-force", 1, true)];
+        one.fleet = vec![
+            event(1.0, "in-force", 6, true),
+            event(2.0, "all-lost", 0, true),
+            event(3.0, "in-force", 1, true),
+        ];
         assert_eq!(verdict(&one, 5), Verdict::Held(2));
-        one.fleet = vec![event(1.0, "removed", 3, true), event(3.0, "marker-gone", 3, false)];
+        one.fleet = vec![
+            event(1.0, "removed", 3, true),
+            event(3.0, "marker-gone", 3, false),
+        ];
         assert_eq!(verdict(&one, 5), Verdict::NotExercised, "not due yet");
         one.fleet.push(event(3.6, "marker-gone", 3, false));
         assert!(broken(&one, 5), "a removed entry still answers");
@@ -590,7 +890,12 @@
     #[test]
     fn a_probe_is_excused_only_where_an_allowed_origin_was_called_before() {
         let mut one = empty();
-        let foreign = |address: &str, probe: bool| OriginRecord { service: "other".into(), address: address.into(), probe, ..call(5.0, None) };
+        let foreign = |address: &str, probe: bool| OriginRecord {
+            service: "other".into(),
+            address: address.into(),
+            probe,
+            ..call(5.0, None)
+        };
         one.origins = vec![call(1.0, None), foreign("a", true)];
         assert_eq!(verdict(&one, 7), Verdict::Held(1));
         one.origins[1] = foreign("b", true);
@@ -603,16 +908,24 @@
     fn the_bounds_of_tries_and_rates_are_met_exactly() {
         let tries = |firsts: u32, extras: u32| {
             let mut one = empty();
-            let first = |at: u32| OriginRecord { errand: format!("first {at}"), ..call(f64::from(at) * 0.01, None) };
+            let first = |at: u32| OriginRecord {
+                errand: format!("first {at}"),
+                ..call(f64::from(at) * 0.01, None)
+            };
             one.origins = (0..firsts).map(first).collect();
-            one.origins.extend((0..extras).map(|at| OriginRecord { errand: "first 0".into(), ..call(2.0 + f64::from(at) * 0.1, None) }));
+            one.origins.extend((0..extras).map(|at| OriginRecord {
+                errand: "first 0".into(),
+                ..call(2.0 + f64::from(at) * 0.1, None)
+            }));
             verdict(&one, 8)
         };
         assert_eq!(tries(10, 5), Verdict::Held(5));
         assert!(matches!(tries(10, 6), Verdict::Broken(_)));
         let calls = |count: u32| {
             let mut one = empty();
-            one.origins = (0..count).map(|at| call(f64::from(at) * 4.99 / f64::from(count), None)).collect();
+            one.origins = (0..count)
+                .map(|at| call(f64::from(at) * 4.99 / f64::from(count), None))
+                .collect();
             one
         };
         assert_eq!(verdict(&calls(55), 9), Verdict::Held(1));
@@ -622,31 +935,59 @@
     #[test]
     fn a_refusal_that_only_the_planned_change_explains_is_a_drop() {
         let mut one = empty();
-        let refused = |code: &str| CallerRecord { code: code.into(), ..errand(5.0, 503, "not_run") };
+        let refused = |code: &str| CallerRecord {
+            code: code.into(),
+            ..errand(5.0, 503, "not_run")
+        };
         one.fleet = vec![event(4.0, "fault", 0, true)];
         one.callers = vec![refused("over_capacity"), errand(5.0, 200, "")];
         assert_eq!(verdict(&one, 10), Verdict::Held(2));
         one.callers = vec![refused("fenced")];
         assert!(broken(&one, 10));
         one.fleet.push(event(1.0, "fault", 0, false));
-        assert_eq!(verdict(&one, 10), Verdict::Held(1), "something else was broken too");
-        one.callers = vec![CallerRecord { dropped: true, ..errand(5.0, 0, "") }];
+        assert_eq!(
+            verdict(&one, 10),
+            Verdict::Held(1),
+            "something else was broken too"
+        );
+        one.callers = vec![CallerRecord {
+            dropped: true,
+            ..errand(5.0, 0, "")
+        }];
         assert!(broken(&one, 10), "no answer at all is a drop all the same");
-        one.fleet.push(FleetRecord { subject: String::new(), ..event(5.5, "killed", 0, true) });
+        one.fleet.push(FleetRecord {
+            subject: String::new(),
+            ..event(5.5, "killed", 0, true)
+        });
         assert_eq!(verdict(&one, 10), Verdict::Held(1), "it was killed");
     }
 
     #[test]
     fn service_is_back_when_every_kind_of_entry_is() {
         let mut one = empty();
-        let other = |start: f64, status: u16, code: &str| CallerRecord { entry: "f".into(), code: code.into(), ..errand(start, status, "") };
+        let other = |start: f64, status: u16, code: &str| CallerRecord {
+            entry: "f".into(),
+            code: code.into(),
+            ..errand(start, status, "")
+        };
         one.fleet = vec![event(1.0, "returned", 0, true)];
-        one.callers = vec![errand(3.0, 200, ""), errand(20.0, 200, ""), other(4.0, 200, "")];
+        one.callers = vec![
+            errand(3.0, 200, ""),
+            errand(20.0, 200, ""),
+            other(4.0, 200, ""),
+        ];
         assert_eq!(verdict(&one, 11), Verdict::Held(2));
         one.callers[2] = other(16.0, 200, "");
-        assert!(broken(&one, 11), "one kind is served again, the other only later");
+        assert!(
+            broken(&one, 11),
+            "one kind is served again, the other only later"
+        );
         one.callers.push(other(5.0, 503, "ledger_recovering"));
-        assert_eq!(verdict(&one, 11), Verdict::Held(2), "operations may wait, for a minute and no longer");
+        assert_eq!(
+            verdict(&one, 11),
+            Verdict::Held(2),
+            "operations may wait, for a minute and no longer"
+        );
         one.callers[2] = other(86.0, 200, "");
         assert!(broken(&one, 11));
         one.callers = vec![errand(3.0, 200, "")];
@@ -658,7 +999,13 @@
     fn faults_are_counted_for_the_nevers_in_whose_cases_they_fell() {
         let mut one = empty();
         one.callers = vec![errand(1.0, 200, ""), errand(8.0, 200, "")];
-        one.fleet = vec![event(8.5, "fault", 0, false), event(12.0, "fault", 0, false)];
-        assert_eq!(one.coverage(&one.cases())["i"], [1, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0]);
+        one.fleet = vec![
+            event(8.5, "fault", 0, false),
+            event(12.0, "fault", 0, false),
+        ];
+        assert_eq!(
+            one.coverage(&one.cases())["i"],
+            [1, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0]
+        );
     }
 }
--- a/stand-ins/src/deployment.rs
+++ b/stand-ins/src/deployment.rs
@@ -34,8 +34,18 @@
 }
 
 fn mix(entry: &str, path: &str, paths: u64, share: u64, method: &str, rank: u32, ttl: u64) -> Mix {
-    let keyed = method == "POST" && (entry.contains("reserv") || entry.contains("confirm") || entry.contains("cancel"));
-    Mix { entry: entry.into(), path: path.into(), paths, share, method: method.into(), keyed, rank, ttl }
+    let keyed = method == "POST"
+        && (entry.contains("reserv") || entry.contains("confirm") || entry.contains("cancel"));
+    Mix {
+        entry: entry.into(),
+        path: path.into(),
+        paths,
+        share,
+        method: method.into(),
+        keyed,
+        rank,
+        ttl,
+    }
 }
 
 impl Deployment {
@@ -46,8 +56,18 @@
                 edges: 15,
                 zones: vec!["north-a", "north-b", "south-a", "south-b"],
                 services: vec![
-                    Service { name: "listings", origins: 4, rate: 20.0, concurrency: 20 },
-                    Service { name: "booking", origins: 8, rate: 15.0, concurrency: 20 },
+                    Service {
+                        name: "listings",
+                        origins: 4,
+                        rate: 20.0,
+                        concurrency: 20,
+                    },
+                    Service {
+                        name: "booking",
+                        origins: 8,
+                        rate: 15.0,
+                        concurrency: 20,
+                    },
                 ],
                 entries: vec![],
                 rate: 165,
@@ -64,8 +84,18 @@
                 edges: 14,
                 zones: vec!["zone-1", "zone-2", "zone-3", "zone-4"],
                 services: vec![
-                    Service { name: "notices", origins: 4, rate: 30.0, concurrency: 20 },
-                    Service { name: "routing", origins: 8, rate: 20.0, concurrency: 20 },
+                    Service {
+                        name: "notices",
+                        origins: 4,
+                        rate: 30.0,
+                        concurrency: 20,
+                    },
+                    Service {
+                        name: "routing",
+                        origins: 8,
+                        rate: 20.0,
+                        concurrency: 20,
+                    },
                 ],
                 entries: vec![],
                 rate: 370,
@@ -81,8 +111,18 @@
                 edges: 4,
                 zones: vec!["a", "b", "c"],
                 services: vec![
-                    Service { name: "listings", origins: 2, rate: 30.0, concurrency: 20 },
-                    Service { name: "booking", origins: 2, rate: 30.0, concurrency: 20 },
+                    Service {
+                        name: "listings",
+                        origins: 2,
+                        rate: 30.0,
+                        concurrency: 20,
+                    },
+                    Service {
+                        name: "booking",
+                        origins: 2,
+                        rate: 30.0,
+                        concurrency: 20,
+                    },
                 ],
                 entries: vec![],
                 rate: 40,
@@ -113,12 +153,19 @@
     }
 
     pub fn rates(&self) -> BTreeMap<String, f64> {
-        self.services.iter().map(|service| (service.name.to_string(), service.rate)).collect()
+        self.services
+            .iter()
+            .map(|service| (service.name.to_string(), service.rate))
+            .collect()
     }
 
     /// Keep time of each cached entry, in seconds.
     pub fn keeps(&self) -> BTreeMap<String, u64> {
-        self.mix.iter().filter(|mix| mix.ttl > 0).map(|mix| (mix.entry.clone(), mix.ttl)).collect()
+        self.mix
+            .iter()
+            .filter(|mix| mix.ttl > 0)
+            .map(|mix| (mix.entry.clone(), mix.ttl))
+            .collect()
     }
 
     pub fn key_of(service: &str) -> SigningKey {
@@ -150,6 +197,7 @@
             let (name, path) = (format!("marker-{marker}"), format!("/marker/{marker}"));
             entries.push(json!({ "name": name, "path": path, "methods": ["POST"], "group": self.services[1].name, "rank": 0, "kind": "keyed" }));
         }
-        serde_json::to_string_pretty(&json!({ "groups": groups, "entries": entries })).unwrap_or_default()
+        serde_json::to_string_pretty(&json!({ "groups": groups, "entries": entries }))
+            .unwrap_or_default()
     }
 }
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -26,7 +26,9 @@
     static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
     loop {
         let port = 10_000 + (new_life()? % 22_000) as u16;
-        let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) else { continue };
+        let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) else {
+            continue;
+        };
         let address = listener.local_addr()?;
         if GIVEN.lock().expect("no holder panics").insert(address) {
             return Ok(address);
@@ -38,22 +40,42 @@
     fn start(&mut self, folder: &Path) -> Result<()> {
         let program = std::env::current_exe()?.with_file_name(&self.words[0]);
         // Tests run from a folder below the one with the programs.
-        let program = if program.exists() { program } else { program.parent().and_then(Path::parent).context("folder")?.join(&self.words[0]) };
-        let log = OpenOptions::new().create(true).append(true).open(folder.join(format!("{}.log", self.name)))?;
-        let child = Command::new(&program).args(&self.words[1..]).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+        let program = if program.exists() {
+            program
+        } else {
+            program
+                .parent()
+                .and_then(Path::parent)
+                .context("folder")?
+                .join(&self.words[0])
+        };
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("{}.log", self.name)))?;
+        let child = Command::new(&program)
+            .args(&self.words[1..])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
         self.child = Some(child.with_context(|| program.display().to_string())?);
         Ok(())
     }
 
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+            let _ = Command::new("kill")
+                .args([signal, &child.id().to_string()])
+                .status();
         }
     }
 
     /// Waits for the process to end by itself; true if it did in time.
     pub fn ended(&mut self, limit: Duration) -> bool {
-        let Some(child) = &mut self.child else { return true };
+        let Some(child) = &mut self.child else {
+            return true;
+        };
         let until = Instant::now() + limit;
         while Instant::now() < until {
             if matches!(child.try_wait(), Ok(Some(_))) {
@@ -74,7 +96,9 @@
 
     /// True while the process runs.
     pub fn runs(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        self.child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
     pub fn ready(&self) -> bool {
@@ -89,17 +113,32 @@
 }
 
 /// One call of an operator or the platform.
-pub fn http(to: SocketAddr, method: &str, path: &str, body: &str) -> Result<(u16, serde_json::Value)> {
+pub fn http(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Result<(u16, serde_json::Value)> {
     http_if_match(to, method, path, body, None)
 }
 
-pub fn http_if_match(to: SocketAddr, method: &str, path: &str, body: &str, expect: Option<u64>) -> Result<(u16, serde_json::Value)> {
-    let mut request = direct(method, &format!("http://{to}/.otterslip/v1/{path}")).timeout(Duration::from_secs(16));
+pub fn http_if_match(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    expect: Option<u64>,
+) -> Result<(u16, serde_json::Value)> {
+    let mut request = direct(method, &format!("http://{to}/.otterslip/v1/{path}"))
+        .timeout(Duration::from_secs(16));
     if let Some(version) = expect {
         request = request.header("If-Match", format!("\"{version}\""));
     }
     let answer = request.text(body).send()?;
-    Ok((answer.status().as_u16(), serde_json::from_str(&answer.text_utf8()?).unwrap_or_default()))
+    Ok((
+        answer.status().as_u16(),
+        serde_json::from_str(&answer.text_utf8()?).unwrap_or_default(),
+    ))
 }
 
 impl Fleet {
@@ -109,36 +148,80 @@
         fs::write(folder.join("content-version"), "1")?;
         let seeds = (0..3).map(|_| free_address()).collect::<Result<Vec<_>>>()?;
         let seed_text: Vec<String> = seeds.iter().map(|seed| seed.to_string()).collect();
-        let node = |name: String, program: &str, mesh: SocketAddr, zone: &str, more: &[String]| -> Result<Node> {
+        let node = |name: String,
+                    program: &str,
+                    mesh: SocketAddr,
+                    zone: &str,
+                    more: &[String]|
+         -> Result<Node> {
             let http = free_address()?;
             let mut words = vec![program.to_string()];
-            for (flag, value) in [("--mesh", mesh.to_string()), ("--http", http.to_string()), ("--zone", zone.into()), ("--seeds", seed_text.join(","))] {
+            for (flag, value) in [
+                ("--mesh", mesh.to_string()),
+                ("--http", http.to_string()),
+                ("--zone", zone.into()),
+                ("--seeds", seed_text.join(",")),
+            ] {
                 words.extend([flag.to_string(), value]);
             }
             words.extend(more.iter().cloned());
-            Ok(Node { name, words, http, zone: zone.into(), child: None })
+            Ok(Node {
+                name,
+                words,
+                http,
+                zone: zone.into(),
+                child: None,
+            })
         };
         let zone = |at: usize| deployment.zones[at % deployment.zones.len()];
         let mut control = Vec::new();
         for (slot, seed) in seeds.iter().enumerate() {
             let data = folder.join(format!("data-{slot}")).display().to_string();
             let more = ["--data".into(), data];
-            control.push(node(format!("control-{slot}"), "control-node", *seed, zone(slot), &more)?);
+            control.push(node(
+                format!("control-{slot}"),
+                "control-node",
+                *seed,
+                zone(slot),
+                &more,
+            )?);
         }
         let mut edges = Vec::new();
         for at in 0..deployment.edges {
-            edges.push(node(format!("edge-{at}"), "edge-node", free_address()?, zone(at), &[])?);
+            edges.push(node(
+                format!("edge-{at}"),
+                "edge-node",
+                free_address()?,
+                zone(at),
+                &[],
+            )?);
         }
         let mut origins = Vec::new();
         // The last service has a listed origin but no group: never to be called.
-        let spare = crate::deployment::Service { name: "spare", origins: 1, rate: 1.0, concurrency: 1 };
+        let spare = crate::deployment::Service {
+            name: "spare",
+            origins: 1,
+            rate: 1.0,
+            concurrency: 1,
+        };
         for service in deployment.services.iter().chain([&spare]) {
             for at in 0..service.origins {
-                origins.push(Fleet::origin(folder, service.name, &format!("{}-{at}", service.name), free_address()?));
+                origins.push(Fleet::origin(
+                    folder,
+                    service.name,
+                    &format!("{}-{at}", service.name),
+                    free_address()?,
+                ));
             }
         }
         let record = Recorder::open(&folder.join("fleet.jsonl"))?;
-        Ok(Fleet { folder: folder.into(), control, edges, origins, record })
+        Ok(Fleet {
+            folder: folder.into(),
+            control,
+            edges,
+            origins,
+            record,
+        })
     }
 
     pub fn origin(folder: &Path, service: &str, instance: &str, http: SocketAddr) -> Node {
@@ -156,7 +239,13 @@
             "--record",
             &path("origins.jsonl"),
         ];
-        Node { name: format!("origin-{instance}"), words: words.map(Into::into).into(), http, zone: service.into(), child: None }
+        Node {
+            name: format!("origin-{instance}"),
+            words: words.map(Into::into).into(),
+            http,
+            zone: service.into(),
+            child: None,
+        }
     }
 
     /// An empty control node at another place, with the same seeds.
@@ -164,26 +253,47 @@
         let mut words = self.control[0].words.clone();
         let http = free_address()?;
         let data = self.folder.join("data-standby").display().to_string();
-        for (flag, value) in [("--mesh", free_address()?.to_string()), ("--http", http.to_string()), ("--data", data)] {
+        for (flag, value) in [
+            ("--mesh", free_address()?.to_string()),
+            ("--http", http.to_string()),
+            ("--data", data),
+        ] {
             let at = words.iter().position(|word| word == flag).context("flag")?;
             words[at + 1] = value;
         }
-        Ok(Node { name: "control-standby".into(), words, http, zone: "standby".into(), child: None })
+        Ok(Node {
+            name: "control-standby".into(),
+            words,
+            http,
+            zone: "standby".into(),
+            child: None,
+        })
     }
 
     pub fn note(&self, what: &str, subject: &str, number: u64, good: bool) {
-        self.record.put(&FleetRecord { at: wall(), what: what.into(), subject: subject.into(), number, good });
+        self.record.put(&FleetRecord {
+            at: wall(),
+            what: what.into(),
+            subject: subject.into(),
+            number,
+            good,
+        });
     }
 
     /// Control nodes and edges.
     pub fn start_nodes(&mut self) -> Result<()> {
         let folder = self.folder.clone();
-        self.control.iter_mut().chain(&mut self.edges).try_for_each(|node| node.start(&folder))
+        self.control
+            .iter_mut()
+            .chain(&mut self.edges)
+            .try_for_each(|node| node.start(&folder))
     }
 
     pub fn start_all(&mut self) -> Result<()> {
         let folder = self.folder.clone();
-        self.origins.iter_mut().try_for_each(|node| node.start(&folder))?;
+        self.origins
+            .iter_mut()
+            .try_for_each(|node| node.start(&folder))?;
         self.start_nodes()
     }
 
@@ -206,7 +316,13 @@
     }
 
     /// An operator's call, by way of any control node that answers.
-    pub fn operate(&self, method: &str, path: &str, body: &str, expect: Option<u64>) -> Result<(u16, serde_json::Value)> {
+    pub fn operate(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        expect: Option<u64>,
+    ) -> Result<(u16, serde_json::Value)> {
         let mut last = anyhow!("no control node");
         for node in &self.control {
             match http_if_match(node.http, method, path, body, expect) {
@@ -221,11 +337,19 @@
     pub fn open_ledger(&self) -> Result<()> {
         let mut realm = String::new();
         Fleet::wait(Duration::from_secs(20), &mut || {
-            let state = self.operate("GET", "state", "", None).map(|(_, state)| state).unwrap_or_default();
+            let state = self
+                .operate("GET", "state", "", None)
+                .map(|(_, state)| state)
+                .unwrap_or_default();
             realm = state["ledger"]["realm"].as_str().unwrap_or_default().into();
             realm.bytes().any(|byte| byte != b'0')
         });
-        let (status, body) = self.operate("POST", "ledger/open", &json!({ "realm": realm }).to_string(), None)?;
+        let (status, body) = self.operate(
+            "POST",
+            "ledger/open",
+            &json!({ "realm": realm }).to_string(),
+            None,
+        )?;
         if status != 200 {
             bail!("ledger/open: {status} {body}");
         }
@@ -245,7 +369,12 @@
     }
 
     pub fn stop_all(&mut self) {
-        for node in self.control.iter_mut().chain(&mut self.edges).chain(&mut self.origins) {
+        for node in self
+            .control
+            .iter_mut()
+            .chain(&mut self.edges)
+            .chain(&mut self.origins)
+        {
             node.kill();
         }
     }
@@ -259,7 +388,9 @@
     /// for both, and operations seemed to run twice.
     #[test]
     fn no_address_is_given_out_twice() {
-        let list: BTreeSet<SocketAddr> = (0..500).map(|_| crate::fleet::free_address().unwrap()).collect();
+        let list: BTreeSet<SocketAddr> = (0..500)
+            .map(|_| crate::fleet::free_address().unwrap())
+            .collect();
         assert_eq!(list.len(), 500);
     }
 }
--- a/stand-ins/src/origin.rs
+++ b/stand-ins/src/origin.rs
@@ -21,7 +21,12 @@
 }
 
 impl StandInOrigin {
-    pub fn new(address: SocketAddr, service: &str, instance: &str, key: SigningKey) -> StandInOrigin {
+    pub fn new(
+        address: SocketAddr,
+        service: &str,
+        instance: &str,
+        key: SigningKey,
+    ) -> StandInOrigin {
         StandInOrigin {
             address,
             service: service.into(),
@@ -39,7 +44,10 @@
 
     /// Listens; the answer is the address and a handle that serves until
     /// `stop` is set.
-    pub fn serve(self: &Arc<Self>, stop: Arc<AtomicBool>) -> Result<(SocketAddr, thread::JoinHandle<()>)> {
+    pub fn serve(
+        self: &Arc<Self>,
+        stop: Arc<AtomicBool>,
+    ) -> Result<(SocketAddr, thread::JoinHandle<()>)> {
         let origin = self.clone();
         let server = rouille::Server::new(self.address, move |request| origin.answer(request))
             .map_err(|error| anyhow!("cannot listen on {}: {error}", self.address))?;
@@ -53,7 +61,10 @@
     }
 
     fn version(&self) -> u64 {
-        let text = self.content.as_ref().and_then(|path| fs::read_to_string(path).ok());
+        let text = self
+            .content
+            .as_ref()
+            .and_then(|path| fs::read_to_string(path).ok());
         text.and_then(|text| text.trim().parse().ok()).unwrap_or(1)
     }
 
@@ -63,7 +74,10 @@
             return rouille::Response::text("set");
         }
         let head = |name: &str| request.header(name).unwrap_or_default().to_string();
-        let (errand, operation) = (head("otterslip-errand"), request.header("operation-key").map(Into::into));
+        let (errand, operation) = (
+            head("otterslip-errand"),
+            request.header("operation-key").map(Into::into),
+        );
         let mut body = Vec::new();
         if let Some(mut data) = request.data() {
             let _ = data.read_to_end(&mut body);
@@ -83,12 +97,21 @@
             });
         }
         if let Some(operation) = operation.clone() {
-            *self.runs.lock().expect("no holder panics").entry(operation).or_default() += 1;
+            *self
+                .runs
+                .lock()
+                .expect("no holder panics")
+                .entry(operation)
+                .or_default() += 1;
         }
         // The version is read when the call comes: that is what was current.
         let version = self.version();
         let fault = self.fault.lock().expect("no holder panics").clone();
-        let delay = if fault == "slow" && !probe { self.delay * 60 } else { self.delay };
+        let delay = if fault == "slow" && !probe {
+            self.delay * 60
+        } else {
+            self.delay
+        };
         thread::sleep(delay);
         let text = json!({
             "service": self.service, "target": request.raw_url(), "method": request.method(), "version": version,
@@ -96,11 +119,28 @@
             "fill": "x".repeat(400),
         })
         .to_string();
-        self.sealed(request, &fault, &errand, operation.as_deref().unwrap_or(""), text)
+        self.sealed(
+            request,
+            &fault,
+            &errand,
+            operation.as_deref().unwrap_or(""),
+            text,
+        )
     }
 
-    fn sealed(&self, request: &rouille::Request, fault: &str, errand: &str, operation: &str, text: String) -> rouille::Response {
-        let target = if fault == "other-request" { "/other" } else { request.raw_url() };
+    fn sealed(
+        &self,
+        request: &rouille::Request,
+        fault: &str,
+        errand: &str,
+        operation: &str,
+        text: String,
+    ) -> rouille::Response {
+        let target = if fault == "other-request" {
+            "/other"
+        } else {
+            request.raw_url()
+        };
         let status = if fault == "status-500" { 500 } else { 200 };
         let seal = Seal {
             status,
@@ -113,7 +153,11 @@
             body: text.as_bytes(),
         };
         let stranger = SigningKey::from_bytes(&[99; 32]);
-        let mut headers = seal.sign(if fault == "foreign-key" { &stranger } else { &self.key });
+        let mut headers = seal.sign(if fault == "foreign-key" {
+            &stranger
+        } else {
+            &self.key
+        });
         if fault == "unsigned" {
             headers.retain(|(name, _)| name != "Signature");
         }
@@ -127,9 +171,15 @@
         };
         let mut answer = rouille::Response::from_data("application/json", text);
         answer.status_code = status;
-        answer.headers.extend(headers.into_iter().map(|(name, value)| (name.into(), value.into())));
+        answer.headers.extend(
+            headers
+                .into_iter()
+                .map(|(name, value)| (name.into(), value.into())),
+        );
         if fault == "lose-answer" {
-            answer.headers.retain(|(name, _)| !name.starts_with("Signature"));
+            answer
+                .headers
+                .retain(|(name, _)| !name.starts_with("Signature"));
         }
         answer
     }
--- a/stand-ins/src/record.rs
+++ b/stand-ins/src/record.rs
@@ -47,7 +47,10 @@
 
 /// Seconds; one machine, so one clock serves all test tools.
 pub fn wall() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs_f64()
 }
 
 /// Appends lines of JSON to a file.
@@ -58,7 +61,9 @@
 impl Recorder {
     pub fn open(path: &Path) -> Result<Recorder> {
         let file = OpenOptions::new().create(true).append(true).open(path)?;
-        Ok(Recorder { file: Mutex::new(std::io::BufWriter::new(file)) })
+        Ok(Recorder {
+            file: Mutex::new(std::io::BufWriter::new(file)),
+        })
     }
 
     pub fn put(&self, record: &impl Serialize) {
@@ -71,5 +76,8 @@
 
 pub fn read_records<T: for<'a> Deserialize<'a>>(path: &Path) -> Result<Vec<T>> {
     let text = fs::read_to_string(path).with_context(|| path.display().to_string())?;
-    Ok(text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect())
+    Ok(text
+        .lines()
+        .filter_map(|line| serde_json::from_str(line).ok())
+        .collect())
 }
--- a/stand-ins/src/schema_check.rs
+++ b/stand-ins/src/schema_check.rs
@@ -7,13 +7,17 @@
 
 impl SchemaCheck {
     pub fn new() -> Result<SchemaCheck> {
-        Ok(SchemaCheck { schema: serde_json::from_str(SCHEMA)? })
+        Ok(SchemaCheck {
+            schema: serde_json::from_str(SCHEMA)?,
+        })
     }
 
     fn operation(&self, method: &str, path: &str) -> Result<&serde_json::Value> {
         let paths = &self.schema["paths"];
         let known = paths.get(path).unwrap_or(&paths["/{path}"]);
-        known.get(method.to_ascii_lowercase()).with_context(|| format!("{method} {path} is not in the schema"))
+        known
+            .get(method.to_ascii_lowercase())
+            .with_context(|| format!("{method} {path} is not in the schema"))
     }
 
     fn check(&self, place: &serde_json::Value, body: &serde_json::Value) -> Result<()> {
@@ -24,8 +28,15 @@
         let mut whole = schema;
         whole["components"] = self.schema["components"].clone();
         let checker = jsonschema::validator_for(&whole).map_err(|error| anyhow!("{error}"))?;
-        let found: Vec<String> = checker.iter_errors(body).map(|error| format!("{} {error}", error.instance_path())).collect();
-        if found.is_empty() { Ok(()) } else { bail!("{}", found.join("; ")) }
+        let found: Vec<String> = checker
+            .iter_errors(body)
+            .map(|error| format!("{} {error}", error.instance_path()))
+            .collect();
+        if found.is_empty() {
+            Ok(())
+        } else {
+            bail!("{}", found.join("; "))
+        }
     }
 
     pub fn request(&self, method: &str, path: &str, body: &serde_json::Value) -> Result<()> {
@@ -33,10 +44,23 @@
     }
 
     /// An answer's status must be described, and its body must fit.
-    pub fn answer(&self, method: &str, path: &str, status: u16, body: &serde_json::Value) -> Result<()> {
+    pub fn answer(
+        &self,
+        method: &str,
+        path: &str,
+        status: u16,
+        body: &serde_json::Value,
+    ) -> Result<()> {
         let answers = &self.operation(method, path)?["responses"];
         let class = format!("{}XX", status / 100);
-        let place = [status.to_string().as_str(), class.as_str(), "default"].iter().find_map(|name| answers.get(name));
-        self.check(place.with_context(|| format!("{method} {path}: status {status} is not in the schema"))?, body)
+        let place = [status.to_string().as_str(), class.as_str(), "default"]
+            .iter()
+            .find_map(|name| answers.get(name));
+        self.check(
+            place.with_context(|| {
+                format!("{method} {path}: status {status} is not in the schema")
+            })?,
+            body,
+        )
     }
 }
