--- a/control-plane/src/gather.rs
+++ b/control-plane/src/bootstrap.rs
@@ -5,7 +5,7 @@
 /// fleet starts for the first time) and only if nobody is heard who has one; it
 /// is on its disk before anybody is told.
 #[derive(Debug)]
-pub struct Gather {
+pub struct Bootstrap {
     pub founding: bool,
     span: Duration,
     since: Option<Duration>,
@@ -14,9 +14,9 @@
     others: bool,
 }
 
-impl Gather {
-    pub fn new(founding: bool, span: Duration) -> Gather {
-        Gather {
+impl Bootstrap {
+    pub fn new(founding: bool, span: Duration) -> Bootstrap {
+        Bootstrap {
             founding,
             span,
             since: None,
@@ -36,7 +36,7 @@
 
     /// The founding table, once the span is over: the seeds in their order,
     /// then who asked, by address.
-    pub fn table(&mut self, now: Duration, seeds: &[SocketAddr]) -> Option<Vec<Mate>> {
+    pub fn table(&mut self, now: Duration, seeds: &[SocketAddr]) -> Option<Vec<Peer>> {
         let since = *self.since.get_or_insert(now);
         if !self.founding || self.others || now < since + self.span {
             return None;
@@ -50,7 +50,7 @@
                 .iter()
                 .chain(more)
                 .take(SLOTS_MOST)
-                .map(|address| Mate::new(*address, 0))
+                .map(|address| Peer::new(*address, 0))
                 .collect(),
         )
     }
--- a/control-plane/src/control_part.rs
+++ b/control-plane/src/control_part.rs
@@ -7,37 +7,37 @@
 ///   renewed here.
 /// - What an earlier life (disk) of a slot said counts for nothing once a
 ///   later one was met, or once the slot went to another place.
-/// - A node without a slot (`NO_SLOT`) only asks for one; one that was struck
+/// - A node without a slot (`NO_SLOT`) only asks for one; one that was removed
 ///   does nothing.
 pub struct ControlPart {
     slot: u8,
     address: SocketAddr,
     /// Who holds the slots, by the newest table heard of; empty before one is.
-    places: Vec<Mate>,
+    places: Vec<Peer>,
     /// Version of that table.
-    seats: u64,
+    membership_version: u64,
     seeds: Vec<SocketAddr>,
     /// The seeds are not the table: it is founded or asked for.
-    gather: Option<Gather>,
-    struck: bool,
+    bootstrap: Option<Bootstrap>,
+    removed: bool,
     replica: Replica,
-    refiller: Option<Refiller>,
+    recovery: Option<ReplicaRecovery>,
     failed: bool,
     serial: u64,
     synced: u64,
     unsynced: VecDeque<(u64, SocketAddr, Message)>,
     log_bytes: usize,
     image_bytes: usize,
-    keepers: BTreeMap<u8, Keeper>,
+    leaders: BTreeMap<u8, PartitionLeader>,
     /// Highest promise met for each slice, and when to raise it at the soonest.
-    outrun: BTreeMap<u8, (u64, Duration, u32)>,
-    mates: BTreeMap<u8, MateAt>,
+    superseded: BTreeMap<u8, (u64, Duration, u32)>,
+    peers: BTreeMap<u8, PeerStatus>,
     /// The replica's, and what was met while the disk was blank.
     retired: VecDeque<u64>,
     sessions: Sessions,
-    waits: Vec<Wait>,
-    fronts: BTreeMap<u64, Front>,
-    finals: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
+    pending_replies: Vec<PendingReply>,
+    operator_calls: BTreeMap<u64, OperatorCall>,
+    finished_since: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
     swept: Duration,
     /// Until then unknown operations are not run: acknowledged ones may be lost.
     closed: Duration,
@@ -51,9 +51,9 @@
     /// Our disk was refilled after a loss in this realm: a new one is asked for.
     refound: Option<u64>,
     /// The roll as it was before the loss, while the ledger is closed.
-    before: Option<(Vec<Mate>, Vec<Mate>, bool)>,
+    before: Option<(Vec<Peer>, Vec<Peer>, bool)>,
     /// As owner of the duties: when edges on the roll were seen to be gone.
-    departed: BTreeMap<Mate, Duration>,
+    departed: BTreeMap<Peer, Duration>,
     /// The configuration's parts as far as shown here, up to this version, and
     /// the services of it.
     items: Items,
@@ -78,10 +78,10 @@
 const LOST: Duration = Duration::from_secs(5);
 
 /// Epoch, version, settled, configuration's version, sessions, holders that ended.
-type Planned = (u64, u64, u64, u64, Vec<Vec<(Mate, bool)>>, BTreeSet<Mate>);
+type Planned = (u64, u64, u64, u64, Vec<Vec<(Peer, bool)>>, BTreeSet<Peer>);
 
 #[derive(Debug, Clone, Copy)]
-struct MateAt {
+struct PeerStatus {
     life: u64,
     full: bool,
     blank: bool,
@@ -90,14 +90,14 @@
     got: u64,
 }
 
-impl MateAt {
+impl PeerStatus {
     fn near(&self, now: Duration) -> bool {
-        now < self.heard + lease::CONTROL_MATE
+        now < self.heard + lease::CONTROL_PEER
     }
 }
 
-/// An answer that waits for its keeper to get so far.
-struct Wait {
+/// An answer that pending_replies for its leader to get so far.
+struct PendingReply {
     slice: u8,
     asker: SocketAddr,
     id: u64,
@@ -107,20 +107,20 @@
     told: Outcome,
 }
 
-impl Wait {
+impl PendingReply {
     /// Puts a row that is replaced whole, unless this change did so already,
     /// another version stands than the expected one, or something is found
     /// wrong with it. The version, if it is put now.
     fn replace(
         &mut self,
-        keeper: &mut Keeper,
+        leader: &mut PartitionLeader,
         key: &str,
         value: Value,
         expect: Option<u64>,
         change: u64,
         found: &dyn Fn() -> Option<Vec<Finding>>,
     ) -> Option<u64> {
-        let row = keeper.rows.get(key);
+        let row = leader.rows.get(key);
         let current = row.map_or(0, |row| row.version);
         let made = row.is_some_and(|row| matches!(&row.value, Value::Configuration { change: known, .. } | Value::Origins { change: known, .. } if *known == change));
         if made {
@@ -137,8 +137,8 @@
             self.told = Outcome::Findings(found);
             return None;
         }
-        let version = keeper.put(key.into(), value);
-        keeper.make(change, version);
+        let version = leader.put(key.into(), value);
+        leader.make(change, version);
         self.settle = version;
         self.told = Outcome::Settled { version };
         Some(version)
@@ -146,7 +146,7 @@
 }
 
 /// A call from an operator, on its way to the owner.
-struct Front {
+struct OperatorCall {
     slice: u8,
     change: Change,
     until: Duration,
@@ -155,7 +155,7 @@
 }
 
 const FRONT: Duration = Duration::from_secs(12);
-/// A warned owner waits this long for others to take its slices.
+/// A warned owner pending_replies this long for others to take its slices.
 const HAND_OVER: Duration = Duration::from_secs(3);
 /// Without a loss for this long, an owner's pauses start short again.
 const OUTRUN_CALM: Duration = Duration::from_secs(10);
@@ -166,39 +166,42 @@
 impl ControlPart {
     /// `replica` as read from disk, or a blank one with a new life. The node's
     /// slot is the one its address holds; a blank node elsewhere asks for one.
-    /// The table begins with the seeds, unless there is a `gather`.
+    /// The table begins with the seeds, unless there is a `bootstrap`.
     pub fn new(
         address: SocketAddr,
         seeds: Vec<SocketAddr>,
         replica: Replica,
         blank: bool,
-        gather: Option<Gather>,
+        bootstrap: Option<Bootstrap>,
         run: u64,
     ) -> ControlPart {
-        let seats = || {
-            if gather.is_some() {
+        let membership_version = || {
+            if bootstrap.is_some() {
                 vec![]
             } else {
-                seeds.iter().map(|seed| Mate::new(*seed, 0)).collect()
+                seeds.iter().map(|seed| Peer::new(*seed, 0)).collect()
             }
         };
-        let (version, places) = replica.table().unwrap_or_else(|| (0, seats()));
+        let (version, places) = replica.table().unwrap_or_else(|| (0, membership_version()));
         let slot = places
             .iter()
-            .position(|mate| mate.address == address)
+            .position(|peer| peer.address == address)
             .map_or(NO_SLOT, |at| at as u8);
         let slots = places.len();
-        let fresh = blank && gather.as_ref().is_some_and(|gather| gather.founding);
+        let fresh = blank
+            && bootstrap
+                .as_ref()
+                .is_some_and(|bootstrap| bootstrap.founding);
         let mut part = ControlPart {
             slot,
             address,
             places,
-            seats: version,
+            membership_version: version,
             seeds,
-            gather,
-            struck: replica.struck,
-            refiller: (!replica.full && slot != NO_SLOT)
-                .then(|| Refiller::new(slot, slots, version)),
+            bootstrap,
+            removed: replica.removed,
+            recovery: (!replica.full && slot != NO_SLOT)
+                .then(|| ReplicaRecovery::new(slot, slots, version)),
             retired: replica.retired.clone(),
             replica,
             failed: false,
@@ -207,13 +210,13 @@
             unsynced: VecDeque::new(),
             log_bytes: 0,
             image_bytes: 0,
-            keepers: BTreeMap::new(),
-            outrun: BTreeMap::new(),
-            mates: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            superseded: BTreeMap::new(),
+            peers: BTreeMap::new(),
             sessions: Sessions::new(run),
-            waits: Vec::new(),
-            fronts: BTreeMap::new(),
-            finals: BTreeMap::new(),
+            pending_replies: Vec::new(),
+            operator_calls: BTreeMap::new(),
+            finished_since: BTreeMap::new(),
             swept: Duration::ZERO,
             closed: Duration::ZERO,
             shown: 0,
@@ -241,8 +244,8 @@
         part
     }
 
-    pub fn me(&self) -> Mate {
-        Mate::new(self.address, self.replica.life)
+    pub fn me(&self) -> Peer {
+        Peer::new(self.address, self.replica.life)
     }
 
     fn quorum(&self) -> Quorum {
@@ -307,7 +310,7 @@
         if let Some((version, places)) = self
             .replica
             .places()
-            .filter(|(version, _)| *version > self.seats)
+            .filter(|(version, _)| *version > self.membership_version)
         {
             self.go_by(version, places);
         }
@@ -315,12 +318,12 @@
 
     /// Of a full disk: from now on nobody who goes by an older table gets a
     /// promise or has anything kept here.
-    fn go_by(&mut self, version: u64, places: Vec<Mate>) {
-        self.seats = version;
+    fn go_by(&mut self, version: u64, places: Vec<Peer>) {
+        self.membership_version = version;
         if places == self.places {
-            self.keepers
+            self.leaders
                 .values_mut()
-                .for_each(|keeper| keeper.go_by(version));
+                .for_each(|leader| leader.go_by(version));
             return;
         }
         let before = std::mem::replace(&mut self.places, places.clone());
@@ -330,30 +333,30 @@
                 continue;
             }
             let was = old.map_or(String::new(), |old| format!(" from {old}"));
-            let to = new.map_or(String::new(), Mate::to_string);
-            self.note(Event::SlotTaken, format!("slot {slot}{was} to {to}"));
+            let to = new.map_or(String::new(), Peer::to_string);
+            self.note(Event::MemberReplaced, format!("slot {slot}{was} to {to}"));
             let at = slot as u8;
             self.sessions.forget_slot(at);
-            let Some(mate) = self.mates.remove(&at) else {
+            let Some(peer) = self.peers.remove(&at) else {
                 continue;
             };
             let stays = old
                 .zip(new)
-                .is_some_and(|(old, new)| new.names(&Mate::new(old.address, mate.life)));
+                .is_some_and(|(old, new)| new.names(&Peer::new(old.address, peer.life)));
             if !stays {
-                self.retire(mate.life);
+                self.retire(peer.life);
             }
         }
         // What was promised and counted so far was counted by another table:
         // slices are taken anew by this one.
-        self.keepers.clear();
-        self.waits.clear();
+        self.leaders.clear();
+        self.pending_replies.clear();
         if self.slot != NO_SLOT
             && !places
                 .get(usize::from(self.slot))
-                .is_some_and(|mate| mate.names(&self.me()))
+                .is_some_and(|peer| peer.names(&self.me()))
         {
-            self.strike();
+            self.mark_removed();
         }
     }
 
@@ -373,21 +376,21 @@
     }
 
     /// Another retired these.
-    fn heed_retired(&mut self, lives: &[u64]) {
+    fn note_retired(&mut self, lives: &[u64]) {
         for life in lives {
             self.retire(*life);
             let slots: Vec<u8> = self
-                .mates
+                .peers
                 .iter()
-                .filter(|(_, mate)| mate.life == *life)
+                .filter(|(_, peer)| peer.life == *life)
                 .map(|(slot, _)| *slot)
                 .collect();
             for slot in slots {
-                self.mates.remove(&slot);
+                self.peers.remove(&slot);
                 self.sessions.forget_slot(slot);
-                self.keepers
+                self.leaders
                     .values_mut()
-                    .for_each(|keeper| keeper.forget(slot));
+                    .for_each(|leader| leader.forget(slot));
             }
         }
     }
@@ -396,37 +399,40 @@
         self.retired.iter().copied().collect()
     }
 
-    fn strike(&mut self) {
-        if !self.struck {
-            self.struck = true;
+    fn mark_removed(&mut self) {
+        if !self.removed {
+            self.removed = true;
             self.store(&Record::Struck);
-            self.keepers.clear();
-            self.waits.clear();
+            self.leaders.clear();
+            self.pending_replies.clear();
             // Nobody answers those who asked here any more: at once, not when
             // they lose patience.
-            for id in std::mem::take(&mut self.fronts).into_keys() {
+            for id in std::mem::take(&mut self.operator_calls).into_keys() {
                 self.out.push(Output::OperatorAnswer {
                     id,
                     answer: OperatorAnswer::Outcome(Outcome::Lost),
                 });
             }
-            self.note(Event::SlotStruck, format!("slot {}", self.slot));
+            self.note(Event::MemberRemoved, format!("slot {}", self.slot));
         }
     }
 
     /// Another goes by a newer table.
-    fn heed_seats(&mut self, now: Duration, seats: Seats) {
-        let Seats { version, places } = seats;
-        if let Some(gather) = &mut self.gather {
-            gather.met_others();
+    fn handle_membership(&mut self, now: Duration, membership_version: MembershipTable) {
+        let MembershipTable { version, places } = membership_version;
+        if let Some(bootstrap) = &mut self.bootstrap {
+            bootstrap.met_others();
         }
         let slot = places
             .iter()
-            .position(|mate| mate.names(&self.me()))
+            .position(|peer| peer.names(&self.me()))
             .map(|at| at as u8);
-        if version <= self.seats {
+        if version <= self.membership_version {
             // The founding table, which there is one of, by who was there.
-            let mine = self.gather.as_ref().is_some_and(|gather| gather.founding)
+            let mine = self
+                .bootstrap
+                .as_ref()
+                .is_some_and(|bootstrap| bootstrap.founding)
                 && self.places.is_empty()
                 && !self.replica.full;
             if version == 0 && mine && slot.is_some() {
@@ -438,7 +444,7 @@
             return;
         }
         // Kept beside what the slice's rows say: those may be longer in coming.
-        self.store(&Record::Seats {
+        self.store(&Record::MembershipTable {
             version,
             places: places.clone(),
         });
@@ -448,40 +454,40 @@
         self.take_seat(now, version, places, slot);
     }
 
-    fn take_seat(&mut self, now: Duration, version: u64, places: Vec<Mate>, slot: Option<u8>) {
-        (self.seats, self.places) = (version, places);
+    fn take_seat(&mut self, now: Duration, version: u64, places: Vec<Peer>, slot: Option<u8>) {
+        (self.membership_version, self.places) = (version, places);
         // Who was met by the older table may sit elsewhere by this one: that
         // retires nobody.
-        self.mates.clear();
+        self.peers.clear();
         self.retired = self.replica.retired.clone();
         self.slot = slot.unwrap_or(NO_SLOT);
         let blank = slot.filter(|_| !self.replica.full);
-        self.refiller = blank.map(|slot| Refiller::new(slot, self.places.len(), version));
+        self.recovery = blank.map(|slot| ReplicaRecovery::new(slot, self.places.len(), version));
         self.sessions.begin(now);
     }
 
     fn able(&self) -> bool {
-        self.replica.full && !self.failed && !self.struck && self.slot != NO_SLOT
+        self.replica.full && !self.failed && !self.removed && self.slot != NO_SLOT
     }
 
     /// The slot that shall own a slice: by weight over the live, full slots.
     fn chosen(&self, now: Duration, slice: u8) -> Option<u8> {
         let name = format!("slice/{slice}");
-        let live = |slot: &u8| match self.mates.get(slot) {
+        let live = |slot: &u8| match self.peers.get(slot) {
             _ if *slot == self.slot => self.able() && self.warned.is_none(),
-            Some(mate) => mate.full && mate.near(now),
+            Some(peer) => peer.full && peer.near(now),
             None => false,
         };
         (0..self.places.len() as u8)
             .filter(live)
-            .max_by_key(|slot| Mate::new(self.address(*slot), 0).weight(&name))
+            .max_by_key(|slot| Peer::new(self.address(*slot), 0).weight(&name))
     }
 
-    fn pulse(&mut self, now: Duration) {
-        for mate in self.sessions.pulse(now) {
-            self.note(Event::SessionLapsed, mate.to_string());
+    fn tick(&mut self, now: Duration) {
+        for peer in self.sessions.tick(now) {
+            self.note(Event::SessionLapsed, peer.to_string());
         }
-        if self.struck {
+        if self.removed {
             return;
         }
         if self.slot == NO_SLOT {
@@ -490,8 +496,8 @@
         for slot in self.others() {
             self.tell(self.address(slot), self.beat(now, slot));
         }
-        if let Some(refiller) = &mut self.refiller {
-            for (slot, message) in refiller.pulse(now) {
+        if let Some(recovery) = &mut self.recovery {
+            for (slot, message) in recovery.tick(now) {
                 self.tell(self.address(slot), message);
             }
         }
@@ -515,15 +521,15 @@
         self.recollect(now);
         self.write_table();
         self.plan_duties(now);
-        self.push_fronts(now);
+        self.send_operator_calls(now);
     }
 
     /// Who owns the list of origins is the one to read the platform's.
     fn show_lists(&mut self) {
         let lists = self
-            .keepers
+            .leaders
             .get(&ORIGINS)
-            .is_some_and(|keeper| keeper.ready() && keeper.wary.is_none());
+            .is_some_and(|leader| leader.ready() && leader.wary.is_none());
         if lists != self.lists {
             self.lists = lists;
             let list = if lists {
@@ -542,19 +548,19 @@
             && self.places.is_empty()
             && !self.replica.full;
         let table = self
-            .gather
+            .bootstrap
             .as_mut()
             .filter(|_| first)
-            .and_then(|gather| gather.table(now, &self.seeds));
+            .and_then(|bootstrap| bootstrap.table(now, &self.seeds));
         if let Some(places) = table {
             self.store(&Record::Founding {
                 places: places.clone(),
             });
-            for mate in &places {
-                if mate.address != self.address {
+            for peer in &places {
+                if peer.address != self.address {
                     self.tell_synced(
-                        mate.address,
-                        Seats {
+                        peer.address,
+                        MembershipTable {
                             version: 0,
                             places: places.clone(),
                         },
@@ -563,10 +569,13 @@
             }
             return self.take_seat(now, 0, places, Some(0));
         }
-        let founding =
-            self.gather.as_ref().is_some_and(|gather| gather.founding) && !self.replica.full;
+        let founding = self
+            .bootstrap
+            .as_ref()
+            .is_some_and(|bootstrap| bootstrap.founding)
+            && !self.replica.full;
         // Seeds may be gone by now: who is in the last known table is asked too.
-        let known = self.places.iter().map(|mate| mate.address);
+        let known = self.places.iter().map(|peer| peer.address);
         let asked: BTreeSet<SocketAddr> = self
             .seeds
             .iter()
@@ -575,18 +584,18 @@
             .filter(|one| *one != self.address)
             .collect();
         for one in asked {
-            self.tell(one, Enlist { founding });
+            self.tell(one, JoinRequest { founding });
         }
     }
 
-    fn beat(&self, now: Duration, to: u8) -> Beat {
-        let got = self.mates.get(&to).map_or(0, |mate| mate.got);
+    fn beat(&self, now: Duration, to: u8) -> Heartbeat {
+        let got = self.peers.get(&to).map_or(0, |peer| peer.got);
         let seen = self.sessions.known(now).then(|| self.sessions.since(got));
-        Beat {
+        Heartbeat {
             slot: self.slot,
             full: self.able() && self.warned.is_none(),
             blank: !self.replica.full,
-            seats: self.seats,
+            membership_version: self.membership_version,
             closed: self.closed.saturating_sub(now),
             lost: self.lost(),
             got: self.sessions.got(to),
@@ -596,9 +605,9 @@
 
     fn take_slices(&mut self, now: Duration) {
         let met = self.others().filter(|slot| {
-            self.mates
+            self.peers
                 .get(slot)
-                .is_some_and(|mate| mate.full && mate.near(now))
+                .is_some_and(|peer| peer.full && peer.near(now))
         });
         if met.count() + 1 < self.quorum().most() {
             return;
@@ -606,24 +615,24 @@
         for slice in 0..SLICES {
             if self.chosen(now, slice) != Some(self.slot) {
                 if self
-                    .keepers
+                    .leaders
                     .get(&slice)
-                    .is_some_and(|keeper| keeper.active_since.is_none())
+                    .is_some_and(|leader| leader.active_since.is_none())
                 {
-                    self.keepers.remove(&slice);
+                    self.leaders.remove(&slice);
                 }
                 continue;
             }
-            let (met, soonest, _) = self.outrun.get(&slice).copied().unwrap_or_default();
-            if self.keepers.contains_key(&slice) || now < soonest {
+            let (met, soonest, _) = self.superseded.get(&slice).copied().unwrap_or_default();
+            if self.leaders.contains_key(&slice) || now < soonest {
                 continue;
             }
             let highest = met.max(self.replica.held(slice).promised);
             let epoch =
                 (highest / SLOTS_MOST as u64 + 1) * SLOTS_MOST as u64 + u64::from(self.slot);
-            self.keepers.insert(
+            self.leaders.insert(
                 slice,
-                Keeper::new(slice, epoch, self.places.len(), self.seats),
+                PartitionLeader::new(slice, epoch, self.places.len(), self.membership_version),
             );
         }
     }
@@ -633,15 +642,15 @@
     fn sweep(&mut self, now: Duration) {
         let mut notes = Vec::new();
         let quorum = self.quorum();
-        for (slice, keeper) in self
-            .keepers
+        for (slice, leader) in self
+            .leaders
             .iter_mut()
-            .filter(|(slice, keeper)| **slice >= NEWS && keeper.ready())
+            .filter(|(slice, leader)| **slice >= NEWS && leader.ready())
         {
-            let finals = self.finals.entry(*slice).or_default();
+            let finished_since = self.finished_since.entry(*slice).or_default();
             let mut lost = Vec::new();
             let mut old = Vec::new();
-            for (key, row) in &keeper.rows {
+            for (key, row) in &leader.rows {
                 let Value::Operation(operation) = &row.value else {
                     continue;
                 };
@@ -651,7 +660,9 @@
                     }
                     continue;
                 }
-                let since = finals.entry(key.clone()).or_insert((row.version, now));
+                let since = finished_since
+                    .entry(key.clone())
+                    .or_insert((row.version, now));
                 if since.0 != row.version {
                     *since = (row.version, now);
                 }
@@ -661,7 +672,7 @@
             }
             for (key, operation) in lost {
                 notes.push(format!("{key} by {}", operation.by));
-                keeper.put(
+                leader.put(
                     key,
                     Value::Operation(Operation {
                         state: OperationState::Unknown,
@@ -670,8 +681,8 @@
                 );
             }
             for key in old {
-                finals.remove(&key);
-                keeper.drop_row(&key);
+                finished_since.remove(&key);
+                leader.drop_row(&key);
             }
         }
         for text in notes {
@@ -702,7 +713,7 @@
 
     /// Another knows that a majority of disks was lost: said with every
     /// promise, so that no slice is taken in ignorance of it.
-    fn heed_loss(&mut self, now: Duration, realm: u64) {
+    fn note_loss(&mut self, now: Duration, realm: u64) {
         if realm != 0 && realm == self.realm && self.refound.is_none() {
             self.majority_lost(now);
             self.refound = Some(realm);
@@ -721,10 +732,10 @@
                 self.majority_lost(now);
                 // An owner that lost nothing itself knows the roll as it was.
                 let owner = self
-                    .keepers
+                    .leaders
                     .get(&DUTIES)
-                    .filter(|keeper| keeper.ready() && keeper.wary.is_none());
-                self.before = owner.and_then(Keeper::roll).or(self.before.take());
+                    .filter(|leader| leader.ready() && leader.wary.is_none());
+                self.before = owner.and_then(PartitionLeader::roll).or(self.before.take());
             }
         }
         if self.open() {
@@ -732,7 +743,7 @@
             self.before = None;
         }
         if let Some(after) = self.refound {
-            let ask = Ask {
+            let ask = ChangeRequest {
                 asker: self.address,
                 id: 0,
                 slice: CONFIGURATION,
@@ -751,25 +762,25 @@
             .max()
             .unwrap_or(0);
         let realm = Realm::after(earlier.max(self.replica.realm()), self.replica.life);
-        for (slice, keeper) in self
-            .keepers
+        for (slice, leader) in self
+            .leaders
             .iter_mut()
-            .filter(|(_, keeper)| keeper.ready() && keeper.wary.is_some())
+            .filter(|(_, leader)| leader.ready() && leader.wary.is_some())
         {
             if *slice < NEWS {
                 told.extend(
                     self.sessions
-                        .beyond(*slice, keeper.version)
+                        .beyond(*slice, leader.version)
                         .into_iter()
                         .map(|edge| (edge, *slice)),
                 );
             }
             // The ledger opens once the realm tells whether anything was lost.
             let may = *slice < NEWS || self.realm != 0;
-            if may && keeper.wary.is_some_and(|until| now >= until) {
-                keeper.wary = None;
-                before = keeper.roll().or(before);
-                keeper.put("founded".into(), Value::Founded { realm });
+            if may && leader.wary.is_some_and(|until| now >= until) {
+                leader.wary = None;
+                before = leader.roll().or(before);
+                leader.put("founded".into(), Value::Founded { realm });
                 if *slice == CONFIGURATION {
                     notes.push(format!("realm {realm:016x}"));
                 }
@@ -777,27 +788,27 @@
         }
         self.before = before.or(self.before.take());
         for (edge, slice) in told {
-            self.tell(edge, Recall { slice });
+            self.tell(edge, RecallRequest { slice });
         }
         for text in notes {
             self.note(Event::RealmFounded, text);
         }
     }
 
-    fn recalled(&mut self, recalled: Recalled) {
-        let Recalled {
+    fn recalled(&mut self, recalled: RecallReply) {
+        let RecallReply {
             slice,
             version,
             rows,
         } = recalled;
-        let Some(keeper) = self
-            .keepers
+        let Some(leader) = self
+            .leaders
             .get_mut(&slice)
-            .filter(|keeper| keeper.wary.is_some() && keeper.version < version)
+            .filter(|leader| leader.wary.is_some() && leader.version < version)
         else {
             return;
         };
-        let newer = keeper.recall(version, rows);
+        let newer = leader.recall(version, rows);
         self.granted = self.sessions.marks();
         self.note(
             Event::RowsRecalled,
@@ -806,14 +817,14 @@
     }
 
     fn plan_duties(&mut self, now: Duration) {
-        let Some(keeper) = self.keepers.get(&DUTIES) else {
+        let Some(leader) = self.leaders.get(&DUTIES) else {
             return;
         };
-        // A new owner waits until sessions have had time to show.
-        let calm = keeper
+        // A new owner pending_replies until sessions have had time to show.
+        let calm = leader
             .active_since
-            .is_some_and(|since| now >= since + lease::CONTROL_PULSE);
-        if !keeper.ready() || !calm || keeper.wary.is_some() {
+            .is_some_and(|since| now >= since + lease::CONTROL_TICK);
+        if !leader.ready() || !calm || leader.wary.is_some() {
             return;
         }
         // After a start, sessions may stand that are not known yet: then only
@@ -823,20 +834,20 @@
             self.plan_roll(now);
         }
         self.read_services();
-        let Some(keeper) = self.keepers.get(&DUTIES) else {
+        let Some(leader) = self.leaders.get(&DUTIES) else {
             return;
         };
-        let holders = keeper.rows.values().filter_map(|row| match &row.value {
+        let holders = leader.rows.values().filter_map(|row| match &row.value {
             Value::Duty(duty) => duty.holder,
             _ => None,
         });
-        let over: BTreeSet<Mate> = holders
-            .filter(|mate| self.sessions.ended(*mate, self.granted))
+        let over: BTreeSet<Peer> = holders
+            .filter(|peer| self.sessions.ended(*peer, self.granted))
             .collect();
         let planned = (
-            keeper.epoch,
-            keeper.version,
-            keeper.settled(),
+            leader.epoch,
+            leader.version,
+            leader.settled(),
             self.read,
             self.sessions.standing(now),
             over,
@@ -850,7 +861,7 @@
         } else {
             self.sessions.mine()
         };
-        let spread = keeper.rows.keys().filter_map(|duty| duty_ring(duty));
+        let spread = leader.rows.keys().filter_map(|duty| duty_ring(duty));
         let rings: BTreeSet<&str> = live
             .iter()
             .map(|seen| seen.ring.as_str())
@@ -861,17 +872,17 @@
             .flat_map(|ring| (0..CACHE_SLICES).map(|slice| cache_duty(ring, slice)))
             .collect();
         names.extend(self.services.iter().map(|service| gate_duty(service)));
-        let gone = |mate: Mate| self.sessions.gone(now, mate, quorum);
-        let ended = |mate: Mate| planned.5.contains(&mate);
+        let gone = |peer: Peer| self.sessions.gone(now, peer, quorum);
+        let ended = |peer: Peer| planned.5.contains(&peer);
         let places = &self.places;
-        let beside = |seen: &Seen| {
+        let beside = |seen: &SessionInfo| {
             places
                 .iter()
-                .any(|place| place.address.ip() == seen.mate.address.ip())
+                .any(|place| place.address.ip() == seen.peer.address.ip())
         };
         let plan = DutyPlan {
-            rows: &keeper.rows,
-            settled: keeper.settled(),
+            rows: &leader.rows,
+            settled: leader.settled(),
             live: &live,
             gone: &gone,
             ended: &ended,
@@ -883,15 +894,15 @@
         if !out.is_empty() {
             self.granted = self.sessions.marks();
         }
-        let keeper = self.keepers.get_mut(&DUTIES).expect("just seen");
+        let leader = self.leaders.get_mut(&DUTIES).expect("just seen");
         for (key, duty) in &out {
-            keeper.put(key.clone(), Value::Duty(duty.clone()));
+            leader.put(key.clone(), Value::Duty(duty.clone()));
         }
         for (key, duty) in out {
             match duty.holder {
-                Some(mate) => self.note(
+                Some(peer) => self.note(
                     Event::DutyGranted,
-                    format!("{key} epoch {} to {mate}", duty.epoch),
+                    format!("{key} epoch {} to {peer}", duty.epoch),
                 ),
                 None => self.note(Event::DutyRevoked, format!("{key} epoch {}", duty.epoch)),
             }
@@ -923,14 +934,14 @@
     fn plan_roll(&mut self, now: Duration) {
         let mut notes = Vec::new();
         let quorum = self.quorum();
-        let Some(keeper) = self.keepers.get_mut(&DUTIES) else {
+        let Some(leader) = self.leaders.get_mut(&DUTIES) else {
             return;
         };
-        let told = |mate: &Mate| {
+        let told = |peer: &Peer| {
             self.sessions
                 .all()
                 .iter()
-                .any(|seen| seen.mate == *mate && seen.realm == self.realm && seen.recalled)
+                .any(|seen| seen.peer == *peer && seen.realm == self.realm && seen.recalled)
         };
         if let Some((members, gone, true)) = &self.before
             && now < self.closed
@@ -939,16 +950,16 @@
             && !members.is_empty()
             && members.iter().all(told)
         {
-            keeper.put("opened".into(), Value::Opened { realm: self.realm });
+            leader.put("opened".into(), Value::Opened { realm: self.realm });
             self.before = None;
             notes.push("all of the roll told what they knew");
         }
         if self.fresh
             && self.realm != 0
             && !Realm::again(self.realm)
-            && keeper.opened() != self.realm
+            && leader.opened() != self.realm
         {
-            keeper.put("opened".into(), Value::Opened { realm: self.realm });
+            leader.put("opened".into(), Value::Opened { realm: self.realm });
             notes.push("the fleet is new");
         }
         // All that could come again has come.
@@ -956,57 +967,57 @@
         if self.realm != 0
             && self.replica.opened() != self.realm
             && over
-            && keeper.opened() != self.realm
+            && leader.opened() != self.realm
         {
-            keeper.put("opened".into(), Value::Opened { realm: self.realm });
+            leader.put("opened".into(), Value::Opened { realm: self.realm });
             notes.push("all that could come again has come");
         }
-        let (known, mut gone, complete) = keeper.roll().unwrap_or_default();
-        let mut members: BTreeSet<Mate> = self
+        let (known, mut gone, complete) = leader.roll().unwrap_or_default();
+        let mut members: BTreeSet<Peer> = self
             .sessions
             .live(now, quorum)
             .iter()
-            .map(|seen| seen.mate)
+            .map(|seen| seen.peer)
             .collect();
-        for mate in known {
-            if !members.contains(&mate) && self.sessions.gone(now, mate, quorum) {
-                gone.push(mate);
+        for peer in known {
+            if !members.contains(&peer) && self.sessions.gone(now, peer, quorum) {
+                gone.push(peer);
             } else {
-                members.insert(mate);
+                members.insert(peer);
             }
         }
-        self.departed.retain(|mate, _| gone.contains(mate));
-        for mate in &gone {
-            self.departed.entry(*mate).or_insert(now);
+        self.departed.retain(|peer, _| gone.contains(peer));
+        for peer in &gone {
+            self.departed.entry(*peer).or_insert(now);
         }
         // Who is back in the same life has kept what it knows.
-        gone.retain(|mate| !members.contains(mate) && now < self.departed[mate] + lease::CLOSED);
-        let members: Vec<Mate> = members.into_iter().collect();
+        gone.retain(|peer| !members.contains(peer) && now < self.departed[peer] + lease::CLOSED);
+        let members: Vec<Peer> = members.into_iter().collect();
         // Until the new realm has its name, the roll is the lost one's.
         let complete = if self.realm == 0 {
             complete
         } else {
-            keeper.opened() == self.realm
+            leader.opened() == self.realm
         };
         let value = Value::Roll {
             members: members.clone(),
             gone,
             complete,
         };
-        if keeper.rows.get("roll").is_none_or(|row| row.value != value) {
-            keeper.put("roll".into(), value);
+        if leader.rows.get("roll").is_none_or(|row| row.value != value) {
+            leader.put("roll".into(), value);
         }
-        let settled = keeper
+        let settled = leader
             .rows
             .get("roll")
-            .is_some_and(|row| row.version <= keeper.settled());
-        let before = keeper.enrolled();
-        let members: Vec<Mate> = members
+            .is_some_and(|row| row.version <= leader.settled());
+        let before = leader.enrolled();
+        let members: Vec<Peer> = members
             .into_iter()
-            .filter(|mate| settled || before.contains(mate))
+            .filter(|peer| settled || before.contains(peer))
             .collect();
         if members != before {
-            keeper.put("enrolled".into(), Value::Enrolled { members });
+            leader.put("enrolled".into(), Value::Enrolled { members });
         }
         for why in notes {
             self.note(
@@ -1016,15 +1027,15 @@
         }
     }
 
-    fn push_fronts(&mut self, now: Duration) {
+    fn send_operator_calls(&mut self, now: Duration) {
         let over: Vec<u64> = self
-            .fronts
+            .operator_calls
             .iter()
             .filter(|(_, front)| now >= front.until)
             .map(|(id, _)| *id)
             .collect();
         for id in over {
-            self.fronts.remove(&id);
+            self.operator_calls.remove(&id);
             self.out.push(Output::OperatorAnswer {
                 id,
                 answer: OperatorAnswer::Outcome(Outcome::Lost),
@@ -1032,23 +1043,23 @@
         }
         let me = self.address(self.slot);
         let due: Vec<u64> = self
-            .fronts
+            .operator_calls
             .iter()
             .filter(|(_, front)| now >= front.next)
             .map(|(id, _)| *id)
             .collect();
         for id in due {
-            let front = &self.fronts[&id];
+            let front = &self.operator_calls[&id];
             let (slice, ask) = (front.slice, front.change.clone());
             let Some(slot) = self.chosen(now, slice) else {
                 continue;
             };
-            let front = self.fronts.get_mut(&id).expect("just seen");
+            let front = self.operator_calls.get_mut(&id).expect("just seen");
             front.next = now + FRONT_AGAIN;
             front.tries += 1;
             self.tell(
                 self.address(slot),
-                Ask {
+                ChangeRequest {
                     asker: me,
                     id,
                     slice,
@@ -1058,50 +1069,58 @@
         }
     }
 
-    fn heard(&mut self, now: Duration, from: Mate, message: Message) {
+    fn heard(&mut self, now: Duration, from: Peer, message: Message) {
         let retired = self.retired.contains(&from.life);
         let slot = self
             .places
             .iter()
-            .position(|mate| mate.names(&from))
+            .position(|peer| peer.names(&from))
             .map(|at| at as u8)
             .filter(|_| !retired);
         match message {
-            Message::Enlist(enlist) => return self.enlist(from, enlist.founding),
-            Message::Seats(seats) => return self.heed_seats(now, seats),
-            _ if self.struck => return,
-            Message::Recalled(ref recalled) if self.slot == NO_SLOT => {
+            Message::JoinRequest(enlist) => return self.enlist(from, enlist.founding),
+            Message::MembershipTable(membership_version) => {
+                return self.handle_membership(now, membership_version);
+            }
+            _ if self.removed => return,
+            Message::RecallReply(ref recalled) if self.slot == NO_SLOT => {
                 return self.learn_table(now, recalled);
             }
             // Who holds the slots is asked of the edges too: after a loss of all
             // disks nobody else knows.
-            Message::Renew(_) if self.slot == NO_SLOT && self.gather.is_some() => {
-                return self.tell(from.address, Recall { slice: PLACES });
+            Message::RenewRequest(_) if self.slot == NO_SLOT && self.bootstrap.is_some() => {
+                return self.tell(from.address, RecallRequest { slice: PLACES });
             }
             // It thinks we hold a slot: seeds may be gone, it is there.
-            Message::Beat(_) if self.slot == NO_SLOT => {
-                let Some(gather) = &mut self.gather else {
+            Message::Heartbeat(_) if self.slot == NO_SLOT => {
+                let Some(bootstrap) = &mut self.bootstrap else {
                     return;
                 };
-                gather.met_others();
-                let founding = gather.founding && !self.replica.full;
-                return self.tell(from.address, Enlist { founding });
+                bootstrap.met_others();
+                let founding = bootstrap.founding && !self.replica.full;
+                return self.tell(from.address, JoinRequest { founding });
             }
             _ if self.slot == NO_SLOT => return,
-            Message::Beat(Beat { seats, .. })
-            | Message::Raise(Raise { seats, .. })
-            | Message::Keep(Keep { seats, .. })
-            | Message::Refill(Refill { seats, .. })
-                if seats < self.seats =>
-            {
+            Message::Heartbeat(Heartbeat {
+                membership_version, ..
+            })
+            | Message::PrepareRequest(PrepareRequest {
+                membership_version, ..
+            })
+            | Message::AppendRequest(AppendRequest {
+                membership_version, ..
+            })
+            | Message::SnapshotRequest(SnapshotRequest {
+                membership_version, ..
+            }) if membership_version < self.membership_version => {
                 self.tell(from.address, self.known_seats());
-                if !matches!(message, Message::Beat(_)) {
+                if !matches!(message, Message::Heartbeat(_)) {
                     // It may be another disk by now, but nothing is done for it.
                     return;
                 }
             }
             // One who knows better tells it to who does not.
-            Message::Beat(ref beat) if beat.seats > self.seats => {
+            Message::Heartbeat(ref beat) if beat.membership_version > self.membership_version => {
                 self.tell(from.address, self.beat(now, slot.unwrap_or(NO_SLOT)))
             }
             _ => {}
@@ -1113,10 +1132,10 @@
             self.meet(slot, from.life);
         }
         match (slot, message) {
-            (Some(slot), Message::Beat(beat)) if slot != self.slot => {
-                self.mates.insert(
+            (Some(slot), Message::Heartbeat(beat)) if slot != self.slot => {
+                self.peers.insert(
                     slot,
-                    MateAt {
+                    PeerStatus {
                         life: from.life,
                         full: beat.full,
                         blank: beat.blank,
@@ -1128,12 +1147,12 @@
                 if !self.open() && now + beat.closed > self.closed + Duration::from_secs(1) {
                     self.closed = now + beat.closed;
                 }
-                self.heed_loss(now, beat.lost);
+                self.note_loss(now, beat.lost);
                 if let Some(seen) = beat.seen {
                     self.sessions.told(now, slot, seen);
                 }
             }
-            (Some(_), Message::Refill(refill)) => {
+            (Some(_), Message::SnapshotRequest(refill)) => {
                 // In the first round nothing that is told counts.
                 let held = if refill.round == 0 {
                     vec![]
@@ -1145,32 +1164,32 @@
                 // After a loss of everything no table is shown by anybody, and
                 // no edge is renewed that might go by another.
                 let none = self.replica.held(PLACES).image.version == 0;
-                let seats = if none {
-                    self.seats
+                let membership_version = if none {
+                    self.membership_version
                 } else {
                     self.replica.places().map_or(0, |(version, _)| version)
                 };
                 self.tell_synced(
                     from.address,
-                    Refilled {
+                    SnapshotReply {
                         slot: self.slot,
                         round: refill.round,
                         full,
                         lost: self.lost(),
-                        seats,
+                        membership_version,
                         held,
                     },
                 );
             }
-            (Some(_), Message::Refilled(refilled)) => {
+            (Some(_), Message::SnapshotReply(refilled)) => {
                 if let Some(merged) = self
-                    .refiller
+                    .recovery
                     .as_mut()
-                    .and_then(|refiller| refiller.heard(refilled))
+                    .and_then(|recovery| recovery.heard(refilled))
                 {
-                    self.refiller = None;
+                    self.recovery = None;
                     self.sessions.begin(now);
-                    self.store(&Record::Refilled {
+                    self.store(&Record::SnapshotReply {
                         held: merged.held,
                         lost: merged.lost,
                     });
@@ -1192,31 +1211,35 @@
                     self.note(Event::DiskRefilled, format!("slot {}", self.slot));
                 }
             }
-            (Some(_), Message::Raise(raise)) if self.able() => self.heed_raise(from, raise),
-            (Some(_), Message::Keep(keep)) if self.able() => self.heed_keep(now, from, keep),
-            (Some(slot), Message::Raised(raised)) => {
-                self.heed_loss(now, raised.lost);
-                self.heed_retired(&raised.retired);
-                if let Some(keeper) = self
-                    .keepers
+            (Some(_), Message::PrepareRequest(raise)) if self.able() => {
+                self.handle_raise(from, raise)
+            }
+            (Some(_), Message::AppendRequest(keep)) if self.able() => {
+                self.handle_keep(now, from, keep)
+            }
+            (Some(slot), Message::PrepareReply(raised)) => {
+                self.note_loss(now, raised.lost);
+                self.note_retired(&raised.retired);
+                if let Some(leader) = self
+                    .leaders
                     .get_mut(&raised.slice)
-                    .filter(|keeper| keeper.epoch == raised.epoch)
+                    .filter(|leader| leader.epoch == raised.epoch)
                 {
-                    let before = keeper.active_since;
-                    keeper.raised(now, slot, raised.image);
-                    if before != keeper.active_since {
+                    let before = leader.active_since;
+                    leader.raised(now, slot, raised.image);
+                    if before != leader.active_since {
                         // Also one whose founding another began and did not end.
-                        if !keeper.rows.contains_key("founded") || now < self.closed {
+                        if !leader.rows.contains_key("founded") || now < self.closed {
                             // The realm is named last, when all have listened.
-                            let rounds = if keeper.slice == CONFIGURATION { 2 } else { 1 };
-                            keeper.wary = Some(now + lease::RECOLLECT * rounds);
+                            let rounds = if leader.slice == CONFIGURATION { 2 } else { 1 };
+                            leader.wary = Some(now + lease::RECOLLECT * rounds);
                         }
                         let text = format!(
                             "slice {} epoch {} version {}",
-                            keeper.slice, keeper.epoch, keeper.version
+                            leader.slice, leader.epoch, leader.version
                         );
                         self.granted = self.sessions.marks();
-                        self.finals.remove(&raised.slice);
+                        self.finished_since.remove(&raised.slice);
                         self.note(Event::SliceTaken, text);
                         if raised.slice == DUTIES {
                             // Which of the holders are still there?
@@ -1225,119 +1248,119 @@
                     }
                 }
             }
-            (Some(slot), Message::Kept(kept)) => {
-                self.heed_retired(&kept.retired);
-                if let Some(keeper) = self
-                    .keepers
+            (Some(slot), Message::AppendReply(kept)) => {
+                self.note_retired(&kept.retired);
+                if let Some(leader) = self
+                    .leaders
                     .get_mut(&kept.slice)
-                    .filter(|keeper| keeper.epoch == kept.epoch)
+                    .filter(|leader| leader.epoch == kept.epoch)
                 {
-                    keeper.kept(slot, &kept);
+                    leader.kept(slot, &kept);
                 }
             }
-            (Some(slot), Message::Lacks(lacks)) => {
-                if let Some(keeper) = self
-                    .keepers
+            (Some(slot), Message::AppendGap(lacks)) => {
+                if let Some(leader) = self
+                    .leaders
                     .get_mut(&lacks.slice)
-                    .filter(|keeper| keeper.epoch == lacks.epoch)
+                    .filter(|leader| leader.epoch == lacks.epoch)
                 {
                     // It has not what we thought: it gets everything.
-                    keeper.forget(slot);
+                    leader.forget(slot);
                 }
             }
-            (Some(_), Message::Outrun(outrun)) => self.heed_outrun(now, outrun),
-            (_, Message::Renew(renew)) if self.able() => self.renew(now, from, renew),
-            (_, Message::Leave(_)) => {
-                if self.sessions.leave(from) {
-                    self.note(Event::SessionLeft, from.to_string());
-                }
+            (Some(_), Message::StaleEpoch(superseded)) => self.handle_stale_epoch(now, superseded),
+            (_, Message::RenewRequest(renew)) if self.able() => self.renew(now, from, renew),
+            (_, Message::SessionClose(_)) if self.sessions.leave(from) => {
+                self.note(Event::SessionLeft, from.to_string());
             }
-            (_, Message::Recalled(recalled)) => self.recalled(recalled),
-            (_, Message::Ask(ask)) => self.heed_ask(now, from, ask),
-            (_, Message::Told(told)) => self.heed_told(told),
+            (_, Message::RecallReply(recalled)) => self.recalled(recalled),
+            (_, Message::ChangeRequest(ask)) => self.handle_ask(now, from, ask),
+            (_, Message::ChangeReply(told)) => self.handle_told(told),
             _ => {}
         }
     }
 
     /// A node without a slot asks for one, or asks again after it got it.
-    fn enlist(&mut self, from: Mate, founding: bool) {
-        if let Some(gather) = self
-            .gather
+    fn enlist(&mut self, from: Peer, founding: bool) {
+        if let Some(bootstrap) = self
+            .bootstrap
             .as_mut()
             .filter(|_| founding && self.slot == NO_SLOT)
         {
-            gather.enlist(from.address);
+            bootstrap.enlist(from.address);
         }
         if self.slot == NO_SLOT {
             return;
         }
-        if self.places.iter().any(|mate| mate.names(&from)) {
-            // Also one that was struck may know. The founder's own table is on its disk before it is told.
+        if self.places.iter().any(|peer| peer.names(&from)) {
+            // Also one that was removed may know. The founder's own table is on its disk before it is told.
             return self.tell_synced(from.address, self.known_seats());
         }
-        if self.struck {
+        if self.removed {
             return;
         }
-        // To the owner, through our own door; nobody waits for it.
-        let ask = Ask {
+        // To the owner, through our own door; nobody pending_replies for it.
+        let ask = ChangeRequest {
             asker: self.address,
             id: 0,
             slice: PLACES,
-            ask: Change::Enlist {
-                mate: from,
+            ask: Change::JoinRequest {
+                peer: from,
                 founding,
             },
         };
         self.tell(self.address, ask);
     }
 
-    fn known_seats(&self) -> Seats {
-        Seats {
-            version: self.seats,
+    fn known_seats(&self) -> MembershipTable {
+        MembershipTable {
+            version: self.membership_version,
             places: self.places.clone(),
         }
     }
 
     /// An edge told who holds the slots, which nobody else knows here.
-    fn learn_table(&mut self, now: Duration, recalled: &Recalled) {
+    fn learn_table(&mut self, now: Duration, recalled: &RecallReply) {
         let table = recalled.rows.iter().find_map(|(_, row)| match &row.value {
             Value::Places(places) if recalled.slice == PLACES => {
                 Some((row.version, places.clone()))
             }
             _ => None,
         });
-        if let Some((version, places)) = table.filter(|_| self.gather.is_some()) {
-            self.heed_seats(now, Seats { version, places });
+        if let Some((version, places)) = table.filter(|_| self.bootstrap.is_some()) {
+            self.handle_membership(now, MembershipTable { version, places });
         }
     }
 
     /// The table becomes a row, so that edges learn it: a first one that was
     /// founded is in no row yet, and one may have been lost with a majority.
     fn write_table(&mut self) {
-        let Some(keeper) = self
-            .keepers
+        let Some(leader) = self
+            .leaders
             .get_mut(&PLACES)
-            .filter(|keeper| keeper.ready() && keeper.wary.is_none())
+            .filter(|leader| leader.ready() && leader.wary.is_none())
         else {
             return;
         };
-        let known = keeper.rows.get("places").map(|row| row.version);
-        if known.is_none() && self.gather.is_some() || known.unwrap_or(0) < self.seats {
-            keeper.version = keeper.version.max(self.seats);
-            keeper.put("places".into(), Value::Places(self.places.clone()));
+        let known = leader.rows.get("places").map(|row| row.version);
+        if known.is_none() && self.bootstrap.is_some()
+            || known.unwrap_or(0) < self.membership_version
+        {
+            leader.version = leader.version.max(self.membership_version);
+            leader.put("places".into(), Value::Places(self.places.clone()));
         }
     }
 
     /// The slot not heard of for long enough, if that is exactly one.
-    fn lost_slot(&self, now: Duration, keeper: &Keeper) -> Option<u8> {
-        let since = keeper.active_since?;
+    fn lost_slot(&self, now: Duration, leader: &PartitionLeader) -> Option<u8> {
+        let since = leader.active_since?;
         let heard = |slot: &u8| {
             *slot == self.slot
                 || now
                     < self
-                        .mates
+                        .peers
                         .get(slot)
-                        .map_or(since, |mate| mate.heard.max(since))
+                        .map_or(since, |peer| peer.heard.max(since))
                         + LOST
         };
         let lost: Vec<u8> = (0..self.places.len() as u8)
@@ -1348,7 +1371,7 @@
 
     /// A slot was heard with this life; an earlier one is retired.
     fn meet(&mut self, slot: u8, life: u64) {
-        let known = self.mates.entry(slot).or_insert(MateAt {
+        let known = self.peers.entry(slot).or_insert(PeerStatus {
             life,
             full: false,
             blank: true,
@@ -1357,28 +1380,28 @@
         });
         if known.life != life {
             let earlier = known.life;
-            *known = MateAt {
+            *known = PeerStatus {
                 life,
                 full: false,
                 blank: true,
                 heard: Duration::ZERO,
                 got: 0,
             };
-            for keeper in self.keepers.values_mut() {
-                keeper.forget(slot);
+            for leader in self.leaders.values_mut() {
+                leader.forget(slot);
             }
             self.sessions.forget_slot(slot);
             self.retire(earlier);
         }
     }
 
-    fn heed_raise(&mut self, from: Mate, raise: Raise) {
-        let Raise { slice, epoch, .. } = raise;
+    fn handle_raise(&mut self, from: Peer, raise: PrepareRequest) {
+        let PrepareRequest { slice, epoch, .. } = raise;
         let promised = self.replica.held(slice).promised;
         if epoch < promised {
             return self.tell_synced(
                 from.address,
-                Outrun {
+                StaleEpoch {
                     slice,
                     epoch,
                     promised,
@@ -1391,7 +1414,7 @@
         let image = self.replica.held(slice).image.clone();
         self.tell_synced(
             from.address,
-            Raised {
+            PrepareReply {
                 slice,
                 epoch,
                 lost: self.lost(),
@@ -1401,8 +1424,8 @@
         );
     }
 
-    fn heed_keep(&mut self, now: Duration, from: Mate, keep: Keep) {
-        let Keep {
+    fn handle_keep(&mut self, now: Duration, from: Peer, keep: AppendRequest) {
+        let AppendRequest {
             slice,
             epoch,
             round,
@@ -1414,7 +1437,7 @@
             let promised = held.promised;
             return self.tell_synced(
                 from.address,
-                Outrun {
+                StaleEpoch {
                     slice,
                     epoch,
                     promised,
@@ -1424,7 +1447,7 @@
         if !held.fits(&keep) {
             return self.tell(
                 from.address,
-                Lacks {
+                AppendGap {
                     slice,
                     epoch,
                     round,
@@ -1434,7 +1457,7 @@
         let published = held.image.published;
         let same = held.image.epoch == epoch && held.image.version >= to && held.promised == epoch;
         if keep.whole || !same || keep.published > published {
-            self.store(&Record::Kept { keep });
+            self.store(&Record::AppendReply { keep });
         }
         let held = self.replica.held(slice);
         let clear = if slice < NEWS {
@@ -1445,7 +1468,7 @@
         let version = held.image.published;
         self.tell_synced(
             from.address,
-            Kept {
+            AppendReply {
                 slice,
                 epoch,
                 round,
@@ -1459,7 +1482,7 @@
             for edge in self.sessions.lacking(self.replica.realm(), slice, version) {
                 self.tell(
                     edge,
-                    Nudge {
+                    UpdateNotice {
                         slice,
                         version,
                         mark,
@@ -1473,41 +1496,42 @@
     fn ask_all(&mut self) {
         let mark = self.sessions.mark();
         for edge in self.sessions.addresses() {
-            self.tell(edge, Who { mark });
+            self.tell(edge, RenewPrompt { mark });
         }
     }
 
-    fn heed_outrun(&mut self, now: Duration, outrun: Outrun) {
+    fn handle_stale_epoch(&mut self, now: Duration, superseded: StaleEpoch) {
         if self
-            .keepers
-            .get(&outrun.slice)
-            .is_none_or(|keeper| keeper.epoch != outrun.epoch)
+            .leaders
+            .get(&superseded.slice)
+            .is_none_or(|leader| leader.epoch != superseded.epoch)
         {
             return;
         }
-        self.keepers.remove(&outrun.slice);
-        self.waits.retain(|wait| wait.slice != outrun.slice);
+        self.leaders.remove(&superseded.slice);
+        self.pending_replies
+            .retain(|wait| wait.slice != superseded.slice);
         // Two that both think themselves chosen do not chase each other:
-        // each waits longer after each loss, and unlike long.
+        // each pending_replies longer after each loss, and unlike long.
         let recent = |known: &&(u64, Duration, u32)| now < known.1 + OUTRUN_CALM;
         let spell = self
-            .outrun
-            .get(&outrun.slice)
+            .superseded
+            .get(&superseded.slice)
             .filter(recent)
             .map_or(0, |known| (known.2 + 1).min(5));
         let pause = Duration::from_millis((40 + 30 * u64::from(self.slot)) << spell);
-        self.outrun
-            .insert(outrun.slice, (outrun.promised, now + pause, spell));
+        self.superseded
+            .insert(superseded.slice, (superseded.promised, now + pause, spell));
         self.note(
             Event::SliceLost,
             format!(
                 "slice {} epoch {} to {}",
-                outrun.slice, outrun.epoch, outrun.promised
+                superseded.slice, superseded.epoch, superseded.promised
             ),
         );
     }
 
-    fn renew(&mut self, now: Duration, from: Mate, renew: Renew) {
+    fn renew(&mut self, now: Duration, from: Peer, renew: RenewRequest) {
         let mine = self.replica.realm();
         // An edge of another realm takes everything anew.
         let news = if renew.realm == mine || mine == 0 {
@@ -1517,7 +1541,7 @@
         };
         let recall = now < self.closed;
         let founded = renew.realm == 0 || mine != 0;
-        let Renew {
+        let RenewRequest {
             sent,
             heard,
             realm,
@@ -1532,8 +1556,8 @@
         } = renew;
         if self.sessions.renew(
             now,
-            Seen {
-                mate: from,
+            SessionInfo {
+                peer: from,
                 zone,
                 ring,
                 strength,
@@ -1556,7 +1580,7 @@
         let mark = self.sessions.mark();
         self.tell(
             from.address,
-            Renewed {
+            RenewReply {
                 life: from.life,
                 mark,
                 sent,
@@ -1567,11 +1591,11 @@
         );
     }
 
-    fn heed_ask(&mut self, now: Duration, from: Mate, ask: Ask) {
+    fn handle_ask(&mut self, now: Duration, from: Peer, ask: ChangeRequest) {
         let owner = self
-            .keepers
+            .leaders
             .get(&ask.slice)
-            .is_some_and(|keeper| keeper.ready() && keeper.wary.is_none());
+            .is_some_and(|leader| leader.ready() && leader.wary.is_none());
         if let Change::Claim(claim) = &ask.ask
             && owner
             && !self.replica.enrolled(&claim.by)
@@ -1579,10 +1603,10 @@
             return; // It asks again; by then it is on the roll.
         }
         if owner && self.able() {
-            self.waits
+            self.pending_replies
                 .retain(|wait| (wait.asker, wait.id) != (ask.asker, ask.id));
             let wait = self.change(now, ask);
-            self.waits.push(wait);
+            self.pending_replies.push(wait);
         } else if from.address == ask.asker
             && let Some(slot) = self
                 .chosen(now, ask.slice)
@@ -1595,36 +1619,36 @@
     /// Names the next realm, unless that was done since it was asked for.
     fn refound(&mut self, after: u64) {
         let realm = Realm::after(self.replica.realm(), self.replica.life);
-        let Some(keeper) = self.keepers.get_mut(&CONFIGURATION) else {
+        let Some(leader) = self.leaders.get_mut(&CONFIGURATION) else {
             return;
         };
-        if keeper
+        if leader
             .rows
             .get("founded")
             .is_some_and(|row| row.value == Value::Founded { realm: after })
         {
-            keeper.put("founded".into(), Value::Founded { realm });
+            leader.put("founded".into(), Value::Founded { realm });
             self.note(Event::RealmFounded, format!("realm {realm:016x}"));
         }
     }
 
-    /// Puts a mate in its own or in a lost slot's place, or a founding one in a
+    /// Puts a peer in its own or in a lost slot's place, or a founding one in a
     /// new slot, once the last move has settled. A lost or a new slot also
-    /// waits until the last newcomer was refilled: what was acknowledged by the
+    /// pending_replies until the last newcomer was refilled: what was acknowledged by the
     /// table before lies on a majority of this one only then.
-    fn seat(&mut self, now: Duration, mate: Mate, founding: bool) {
-        let Some(keeper) = self
-            .keepers
+    fn seat(&mut self, now: Duration, peer: Peer, founding: bool) {
+        let Some(leader) = self
+            .leaders
             .get(&PLACES)
-            .filter(|keeper| keeper.settled() >= keeper.version)
+            .filter(|leader| leader.settled() >= leader.version)
         else {
             return;
         };
-        if self.places.iter().any(|known| known.names(&mate))
-            || keeper
+        if self.places.iter().any(|known| known.names(&peer))
+            || leader
                 .rows
                 .get("places")
-                .is_some_and(|row| row.version > self.seats)
+                .is_some_and(|row| row.version > self.membership_version)
         {
             return;
         }
@@ -1632,36 +1656,36 @@
         let own = self
             .places
             .iter()
-            .position(|known| known.address == mate.address)
+            .position(|known| known.address == peer.address)
             .map(|at| at as u8);
         let blank = |slot: &u8| {
-            self.mates
+            self.peers
                 .get(slot)
-                .is_some_and(|mate| mate.blank && mate.near(now))
+                .is_some_and(|peer| peer.blank && peer.near(now))
         };
         let whole = !self.others().any(|slot| blank(&slot));
         let all = || {
             self.others().all(|slot| {
-                self.mates
+                self.peers
                     .get(&slot)
-                    .is_some_and(|mate| mate.full && mate.near(now))
+                    .is_some_and(|peer| peer.full && peer.near(now))
             })
         };
         let mut places = self.places.clone();
-        if let Some(slot) = own.or_else(|| self.lost_slot(now, keeper).filter(|_| whole)) {
-            places[usize::from(slot)] = mate;
+        if let Some(slot) = own.or_else(|| self.lost_slot(now, leader).filter(|_| whole)) {
+            places[usize::from(slot)] = peer;
         } else if founding && places.len() < SLOTS_MOST && all() {
-            places.push(Mate::new(mate.address, 0));
+            places.push(Peer::new(peer.address, 0));
         } else {
             return;
         }
-        let keeper = self.keepers.get_mut(&PLACES).expect("just seen");
-        keeper.put("places".into(), Value::Places(places));
+        let leader = self.leaders.get_mut(&PLACES).expect("just seen");
+        leader.put("places".into(), Value::Places(places));
     }
 
-    /// Makes a change as the slice's owner; the answer waits for the disks.
-    fn change(&mut self, now: Duration, ask: Ask) -> Wait {
-        let Ask {
+    /// Makes a change as the slice's owner; the answer pending_replies for the disks.
+    fn change(&mut self, now: Duration, ask: ChangeRequest) -> PendingReply {
+        let ChangeRequest {
             asker,
             id,
             slice,
@@ -1669,13 +1693,13 @@
         } = ask;
         let again = match &ask {
             Change::PutConfiguration { change, .. } | Change::PutOrigins { change, .. } => self
-                .keepers
+                .leaders
                 .get(&slice)
-                .and_then(|keeper| keeper.made(*change)),
+                .and_then(|leader| leader.made(*change)),
             _ => None,
         };
         if let Some(version) = again {
-            return Wait {
+            return PendingReply {
                 slice,
                 asker,
                 id,
@@ -1686,8 +1710,8 @@
             };
         }
         let left = self.closed.saturating_sub(now);
-        let keeper = self.keepers.get_mut(&slice).expect("owner");
-        let mut wait = Wait {
+        let leader = self.leaders.get_mut(&slice).expect("owner");
+        let mut wait = PendingReply {
             slice,
             asker,
             id,
@@ -1698,11 +1722,11 @@
         };
         match ask {
             Change::GetConfiguration => {
-                wait.round = keeper.start_round();
+                wait.round = leader.start_round();
                 if let Some(Row {
                     version,
                     value: Value::Configuration { text, .. },
-                }) = keeper.rows.get("configuration")
+                }) = leader.rows.get("configuration")
                 {
                     wait.commit = *version;
                     wait.told = Outcome::Configuration {
@@ -1717,15 +1741,15 @@
                 }
             }
             Change::List => {
-                wait.round = keeper.start_round();
-                wait.commit = keeper.version;
-                let rows = keeper
+                wait.round = leader.start_round();
+                wait.commit = leader.version;
+                let rows = leader
                     .rows
                     .iter()
                     .map(|(key, row)| (key.clone(), row.clone()))
                     .collect();
                 wait.told = Outcome::Rows {
-                    version: keeper.version,
+                    version: leader.version,
                     rows,
                 };
             }
@@ -1740,19 +1764,19 @@
                     change,
                 };
                 if let Some(version) =
-                    wait.replace(keeper, "configuration", value, expect, change, &found)
+                    wait.replace(leader, "configuration", value, expect, change, &found)
                 {
                     self.note(Event::ConfigurationPut, format!("version {version}"));
                 }
             }
-            Change::PutItems { items, change: _ } => match Items::change(&keeper.rows, items) {
+            Change::PutItems { items, change: _ } => match Items::change(&leader.rows, items) {
                 Err(found) => wait.told = Outcome::Findings(found),
                 Ok(fresh) => {
                     // What is not newer stands already, settled or on its way.
                     let count = fresh.len();
-                    let mut version = keeper.version;
+                    let mut version = leader.version;
                     for (key, item) in fresh {
-                        version = keeper.put(key, Value::Item(item));
+                        version = leader.put(key, Value::Item(item));
                     }
                     wait.settle = version;
                     wait.told = Outcome::Settled { version };
@@ -1764,10 +1788,10 @@
             },
             Change::AddPurge { purge, change } => {
                 let same = |row: &&Row| matches!(&row.value, Value::Purge { change: known, .. } if *known == change);
-                let known = keeper.rows.values().find(same).map(|row| row.version);
+                let known = leader.rows.values().find(same).map(|row| row.version);
                 let version = known.unwrap_or_else(|| {
-                    let key = format!("purge/{:04}", (keeper.version + 1) % PURGES_KEPT);
-                    keeper.put(key, Value::Purge { purge, change })
+                    let key = format!("purge/{:04}", (leader.version + 1) % PURGES_KEPT);
+                    leader.put(key, Value::Purge { purge, change })
                 });
                 wait.settle = version;
                 wait.told = Outcome::Settled { version };
@@ -1779,7 +1803,7 @@
             } => {
                 let value = Value::Origins { list, change };
                 if let Some(version) =
-                    wait.replace(keeper, "origins", value, expect, change, &|| None)
+                    wait.replace(leader, "origins", value, expect, change, &|| None)
                 {
                     self.note(Event::OriginsPut, format!("version {version}"));
                 }
@@ -1789,10 +1813,10 @@
                 wait.told = Outcome::Findings(vec![Finding::new("/realm", text)]);
             }
             Change::OpenLedger { realm } => {
-                let version = if keeper.opened() == realm {
-                    keeper.version
+                let version = if leader.opened() == realm {
+                    leader.version
                 } else {
-                    keeper.put("opened".into(), Value::Opened { realm })
+                    leader.put("opened".into(), Value::Opened { realm })
                 };
                 wait.commit = version;
                 wait.told = Outcome::Settled { version };
@@ -1802,24 +1826,24 @@
                 );
             }
             Change::Refound { after } => self.refound(after),
-            Change::Enlist { mate, founding } => self.seat(now, mate, founding),
-            Change::Claim(claim) if !left.is_zero() && !Ledger::tells(keeper, &claim) => {
+            Change::JoinRequest { peer, founding } => self.seat(now, peer, founding),
+            Change::Claim(claim) if !left.is_zero() && !Ledger::tells(leader, &claim) => {
                 wait.told = Outcome::Closed { left }
             }
-            Change::Claim(claim) => (wait.commit, wait.told) = Ledger::claim(keeper, claim),
+            Change::Claim(claim) => (wait.commit, wait.told) = Ledger::claim(leader, claim),
             Change::Release(claim) => {
-                (wait.commit, wait.told) = Ledger::finish(keeper, claim, OperationState::Released)
+                (wait.commit, wait.told) = Ledger::finish(leader, claim, OperationState::Released)
             }
             Change::Record(claim, reply) => {
                 let state = reply.map_or(OperationState::Unknown, OperationState::Done);
-                (wait.commit, wait.told) = Ledger::finish(keeper, claim, state);
+                (wait.commit, wait.told) = Ledger::finish(leader, claim, state);
             }
         }
         wait
     }
 
-    fn heed_told(&mut self, told: Told) {
-        let Some(front) = self.fronts.get(&told.id) else {
+    fn handle_told(&mut self, told: ChangeReply) {
+        let Some(front) = self.operator_calls.get(&told.id) else {
             return;
         };
         let outcome = match told.told {
@@ -1827,25 +1851,25 @@
             Outcome::Raced { .. } if front.tries > 1 => Outcome::Lost,
             outcome => outcome,
         };
-        self.fronts.remove(&told.id);
+        self.operator_calls.remove(&told.id);
         self.out.push(Output::OperatorAnswer {
             id: told.id,
             answer: OperatorAnswer::Outcome(outcome),
         });
     }
 
-    fn finish_step(&mut self, now: Duration, pulse: bool) {
+    fn finish_step(&mut self, now: Duration, tick: bool) {
         let mut told = Vec::new();
-        for (slice, keeper) in &mut self.keepers {
-            for (slot, message) in keeper.flush(now, pulse) {
+        for (slice, leader) in &mut self.leaders {
+            for (slot, message) in leader.flush(now, tick) {
                 told.push((self.places[usize::from(slot)].address, message));
             }
             let (committed, settled, round) = (
-                keeper.committed(),
-                keeper.settled(),
-                keeper.confirmed_round(),
+                leader.committed(),
+                leader.settled(),
+                leader.confirmed_round(),
             );
-            self.waits.retain(|wait| {
+            self.pending_replies.retain(|wait| {
                 let done = wait.slice == *slice
                     && wait.commit <= committed
                     && wait.settle <= settled
@@ -1853,7 +1877,7 @@
                 if done {
                     told.push((
                         wait.asker,
-                        Told {
+                        ChangeReply {
                             id: wait.id,
                             told: wait.told.clone(),
                         }
@@ -1870,16 +1894,16 @@
 
     fn operator(&mut self, now: Duration, id: u64, ask: OperatorAsk) {
         match ask {
-            OperatorAsk::Change { .. } if self.struck || self.slot == NO_SLOT => {
+            OperatorAsk::Change { .. } if self.removed || self.slot == NO_SLOT => {
                 self.out.push(Output::OperatorAnswer {
                     id,
                     answer: OperatorAnswer::Outcome(Outcome::Lost),
                 });
             }
             OperatorAsk::Change { slice, change } => {
-                self.fronts.insert(
+                self.operator_calls.insert(
                     id,
-                    Front {
+                    OperatorCall {
                         slice,
                         change,
                         until: now + FRONT,
@@ -1887,7 +1911,7 @@
                         tries: 0,
                     },
                 );
-                self.push_fronts(now);
+                self.send_operator_calls(now);
             }
             OperatorAsk::State => {
                 let answer = OperatorAnswer::State(self.state(now));
@@ -1900,9 +1924,9 @@
     fn state(&self, now: Duration) -> serde_json::Value {
         let control: Vec<_> = (0..self.places.len() as u8)
             .map(|slot| {
-                let mate = self.mates.get(&slot);
-                let live = slot == self.slot || mate.is_some_and(|mate| mate.near(now));
-                let full = if slot == self.slot { self.able() } else { live && mate.is_some_and(|mate| mate.full) };
+                let peer = self.peers.get(&slot);
+                let live = slot == self.slot || peer.is_some_and(|peer| peer.near(now));
+                let full = if slot == self.slot { self.able() } else { live && peer.is_some_and(|peer| peer.full) };
                 serde_json::json!({ "slot": slot, "address": self.address(slot), "live": live, "full": full })
             })
             .collect();
@@ -1912,7 +1936,7 @@
             .into_iter()
             .map(|seen| {
                 serde_json::json!({
-                    "address": seen.mate.address, "life": format!("{:016x}", seen.mate.life), "zone": seen.zone,
+                    "address": seen.peer.address, "life": format!("{:016x}", seen.peer.life), "zone": seen.zone,
                     "draining": seen.draining, "vector": seen.vector, "usage": seen.usage,
                 })
             })
@@ -1924,13 +1948,13 @@
             .flat_map(|seen| seen.found)
             .collect();
         let slices: Vec<_> = self
-            .keepers
+            .leaders
             .values()
-            .filter(|keeper| keeper.ready())
-            .map(|keeper| {
+            .filter(|leader| leader.ready())
+            .map(|leader| {
                 serde_json::json!({
-                    "slice": keeper.slice, "epoch": keeper.epoch, "version": keeper.version,
-                    "committed": keeper.committed(), "settled": keeper.settled(), "rows": keeper.rows.len(),
+                    "slice": leader.slice, "epoch": leader.epoch, "version": leader.version,
+                    "committed": leader.committed(), "settled": leader.settled(), "rows": leader.rows.len(),
                 })
             })
             .collect();
@@ -1941,11 +1965,11 @@
 
 impl Part for ControlPart {
     fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
-        let mut pulse = false;
+        let mut tick = false;
         match input {
-            Input::Pulse => {
-                pulse = true;
-                self.pulse(now);
+            Input::Tick => {
+                tick = true;
+                self.tick(now);
                 let ready = self.able() && self.warned.is_none();
                 self.out.push(Output::Show(Shown::Fence {
                     until: now + lease::CONTROL,
@@ -1955,8 +1979,8 @@
                 // operators answered, nothing is left to do.
                 let over = self
                     .warned
-                    .is_some_and(|since| self.keepers.is_empty() || now >= since + HAND_OVER);
-                if over && self.fronts.is_empty() {
+                    .is_some_and(|since| self.leaders.is_empty() || now >= since + HAND_OVER);
+                if over && self.operator_calls.is_empty() {
                     self.out.push(Output::Ended);
                 }
             }
@@ -1974,18 +1998,18 @@
             }
             Input::StoreFailed => {
                 self.failed = true;
-                self.keepers.clear();
-                self.waits.clear();
+                self.leaders.clear();
+                self.pending_replies.clear();
                 self.note(Event::DiskFailed, format!("slot {}", self.slot));
             }
             Input::Operator { id, ask } => self.operator(now, id, ask),
-            Input::Warned => {
+            Input::ShutdownRequested => {
                 self.warned.get_or_insert(now);
             }
-            Input::Errand { .. } | Input::Called { .. } | Input::Watched { .. } => {}
+            Input::ClientRequest { .. } | Input::Called { .. } | Input::Watched { .. } => {}
         }
         if self.able() {
-            self.finish_step(now, pulse);
+            self.finish_step(now, tick);
         }
         std::mem::take(&mut self.out)
     }
@@ -1999,7 +2023,7 @@
         SocketAddr::from(([127, 0, 0, 1], 100 + slot))
     }
 
-    /// Slot 0 with a full disk that syncs at once; the mates are scripted.
+    /// Slot 0 with a full disk that syncs at once; the peers are scripted.
     struct Script {
         part: ControlPart,
     }
@@ -2048,7 +2072,7 @@
             life: u64,
             message: impl Into<Message>,
         ) -> Vec<(SocketAddr, Message)> {
-            let from = Mate::new(address(slot), life);
+            let from = Peer::new(address(slot), life);
             self.step(
                 ms,
                 Input::Heard {
@@ -2063,15 +2087,15 @@
                 ms,
                 1,
                 life,
-                Beat {
+                Heartbeat {
                     slot: 1,
                     full: true,
                     blank: false,
-                    seats: 0,
+                    membership_version: 0,
                     closed: Duration::ZERO,
                     lost: 0,
                     got: 0,
-                    seen: Some(SeenSince::default()),
+                    seen: Some(SessionsDelta::default()),
                 },
             )
         }
@@ -2083,10 +2107,12 @@
         let mut owned = None;
         for ms in (0..1600).step_by(100) {
             let mut said: VecDeque<_> = script.beat(ms, 11).into();
-            said.extend(script.step(ms + 1, Input::Pulse));
+            said.extend(script.step(ms + 1, Input::Tick));
             while let Some((to, message)) = said.pop_front() {
                 match message {
-                    Message::Raise(Raise { slice, epoch, .. }) if to == address(1) => {
+                    Message::PrepareRequest(PrepareRequest { slice, epoch, .. })
+                        if to == address(1) =>
+                    {
                         if [PURGES, ORIGINS].contains(&slice) {
                             owned = Some((slice, epoch));
                         }
@@ -2094,16 +2120,16 @@
                             ms + 2,
                             1,
                             11,
-                            Raised {
+                            PrepareReply {
                                 slice,
                                 epoch,
                                 lost: 0,
                                 retired: vec![],
-                                image: SliceImage::default(),
+                                image: PartitionState::default(),
                             },
                         ));
                     }
-                    Message::Keep(Keep {
+                    Message::AppendRequest(AppendRequest {
                         slice,
                         epoch,
                         round,
@@ -2114,7 +2140,7 @@
                             ms + 3,
                             1,
                             11,
-                            Kept {
+                            AppendReply {
                                 slice,
                                 epoch,
                                 round,
@@ -2147,7 +2173,7 @@
             1700,
             1,
             11,
-            Ask {
+            ChangeRequest {
                 asker: address(1),
                 id: 7,
                 slice,
@@ -2155,13 +2181,13 @@
             },
         );
         let version = told.iter().find_map(|(_, message)| match message {
-            Message::Keep(keep) if keep.slice == slice => Some(keep.to),
+            Message::AppendRequest(keep) if keep.slice == slice => Some(keep.to),
             _ => None,
         });
         let version = version.expect("it is written at once");
         // The disk of slot 1 is another now; what the earlier one says comes late.
         script.beat(1710, 12);
-        let kept = Kept {
+        let kept = AppendReply {
             slice,
             epoch,
             round: 100,
@@ -2170,13 +2196,14 @@
             retired: vec![],
         };
         let answered = |told: &[(SocketAddr, Message)]| {
-            told.iter()
-                .any(|(_, message)| matches!(message, Message::Told(Told { id: 7, .. })))
+            told.iter().any(|(_, message)| {
+                matches!(message, Message::ChangeReply(ChangeReply { id: 7, .. }))
+            })
         };
         assert!(!answered(&script.hear(1720, 1, 11, kept.clone())));
-        assert!(!answered(&script.step(1801, Input::Pulse)));
+        assert!(!answered(&script.step(1801, Input::Tick)));
         let mut told = script.hear(1810, 1, 12, kept.clone());
-        told.extend(script.step(1901, Input::Pulse));
+        told.extend(script.step(1901, Input::Tick));
         told.extend(script.hear(1910, 1, 12, kept));
         assert!(answered(&told), "the disk that is there now has it");
     }
@@ -2205,24 +2232,24 @@
             for ms in (0..2_500).step_by(100) {
                 let mut said = VecDeque::new();
                 for slot in 1..5 {
-                    let beat = Beat {
+                    let beat = Heartbeat {
                         slot: slot as u8,
                         full: true,
                         blank: false,
-                        seats: 0,
+                        membership_version: 0,
                         closed: Duration::ZERO,
                         lost: 0,
                         got: 0,
-                        seen: Some(SeenSince::default()),
+                        seen: Some(SessionsDelta::default()),
                     };
                     said.extend(script.hear(ms, slot, 10 + u64::from(slot), beat));
                 }
-                said.extend(script.step(ms + 1, Input::Pulse));
+                said.extend(script.step(ms + 1, Input::Tick));
                 while let Some((to, message)) = said.pop_front() {
                     let slot = to.port() - 100;
                     let life = 10 + u64::from(slot);
                     match message {
-                        Message::Raise(Raise { slice, epoch, .. }) => {
+                        Message::PrepareRequest(PrepareRequest { slice, epoch, .. }) => {
                             owned = Some((slice, epoch))
                                 .filter(|_| [PURGES, ORIGINS].contains(&slice))
                                 .or(owned);
@@ -2230,16 +2257,16 @@
                                 ms + 2,
                                 slot,
                                 life,
-                                Raised {
+                                PrepareReply {
                                     slice,
                                     epoch,
                                     lost: 0,
                                     retired: vec![],
-                                    image: SliceImage::default(),
+                                    image: PartitionState::default(),
                                 },
                             ));
                         }
-                        Message::Keep(Keep {
+                        Message::AppendRequest(AppendRequest {
                             slice,
                             epoch,
                             round,
@@ -2250,7 +2277,7 @@
                                 ms + 3,
                                 slot,
                                 life,
-                                Kept {
+                                AppendReply {
                                     slice,
                                     epoch,
                                     round,
@@ -2264,9 +2291,7 @@
                     }
                 }
             }
-            let Some((slice, epoch)) = owned else {
-                return None;
-            };
+            let (slice, epoch) = owned?;
             let ask = match slice {
                 PURGES => Change::AddPurge {
                     purge: Purge {
@@ -2285,7 +2310,7 @@
                 2_600,
                 1,
                 11,
-                Ask {
+                ChangeRequest {
                     asker: address(1),
                     id: 7,
                     slice,
@@ -2293,10 +2318,10 @@
                 },
             );
             let version = told.iter().find_map(|(_, message)| match message {
-                Message::Keep(keep) if keep.slice == slice => Some(keep.to),
+                Message::AppendRequest(keep) if keep.slice == slice => Some(keep.to),
                 _ => None,
             })?;
-            let kept = |retired| Kept {
+            let kept = |retired| AppendReply {
                 slice,
                 epoch,
                 round: 1_000,
@@ -2306,18 +2331,17 @@
             };
             let mut told = script.hear(2_610, 1, 11, kept(vec![]));
             told.extend(script.hear(2_611, 2, 12, kept(retired)));
-            told.extend(script.step(2_701, Input::Pulse));
-            told.extend(script.step(2_801, Input::Pulse));
-            Some(
-                told.iter()
-                    .any(|(_, message)| matches!(message, Message::Told(Told { id: 7, .. }))),
-            )
+            told.extend(script.step(2_701, Input::Tick));
+            told.extend(script.step(2_801, Input::Tick));
+            Some(told.iter().any(|(_, message)| {
+                matches!(message, Message::ChangeReply(ChangeReply { id: 7, .. }))
+            }))
         };
         assert_eq!(owned(vec![]), Some(true), "three of five hold it");
         assert_eq!(owned(vec![11]), Some(false), "only two of them do");
     }
 
-    /// A control node whose disk keeps what is synced, alone with its mates.
+    /// A control node whose disk keeps what is synced, alone with its peers.
     struct Alone {
         part: ControlPart,
         disk: Vec<Vec<u8>>,
@@ -2328,14 +2352,14 @@
         fn start(slot: u16, disk: Vec<Vec<u8>>, founding: bool) -> Alone {
             let known = Replica::replay(&disk).unwrap();
             let blank = known.is_none();
-            let gather = Gather::new(founding, Duration::from_millis(500));
+            let bootstrap = Bootstrap::new(founding, Duration::from_millis(500));
             let replica = known.unwrap_or_else(|| Replica::blank(40 + u64::from(slot)));
             let part = ControlPart::new(
                 address(slot),
                 (0..3).map(address).collect(),
                 replica,
                 blank,
-                Some(gather),
+                Some(bootstrap),
                 1,
             );
             Alone {
@@ -2345,7 +2369,7 @@
             }
         }
 
-        /// What it says; what it stores waits to be synced.
+        /// What it says; what it stores pending_replies to be synced.
         fn step(&mut self, ms: u64, input: Input) -> Vec<(SocketAddr, Message)> {
             let mut told = Vec::new();
             for output in self.part.step(Duration::from_millis(ms), input) {
@@ -2376,20 +2400,20 @@
             self.step(
                 ms,
                 Input::Heard {
-                    from: Mate::new(address(from), 40 + u64::from(from)),
+                    from: Peer::new(address(from), 40 + u64::from(from)),
                     message: message.into(),
                 },
             )
         }
     }
 
-    fn seats(told: &[(SocketAddr, Message)]) -> Option<Vec<u16>> {
+    fn membership_version(told: &[(SocketAddr, Message)]) -> Option<Vec<u16>> {
         told.iter().find_map(|(_, message)| match message {
-            Message::Seats(seats) => Some(
-                seats
+            Message::MembershipTable(membership_version) => Some(
+                membership_version
                     .places
                     .iter()
-                    .map(|mate| mate.address.port() - 100)
+                    .map(|peer| peer.address.port() - 100)
                     .collect(),
             ),
             _ => None,
@@ -2399,51 +2423,51 @@
     #[test]
     fn the_first_seed_tells_a_table_only_once_it_is_on_its_disk_and_never_another() {
         let mut founder = Alone::start(0, vec![], true);
-        founder.step(0, Input::Pulse);
-        founder.hear(100, 4, Enlist { founding: true });
-        founder.hear(110, 3, Enlist { founding: true });
-        founder.hear(120, 7, Enlist { founding: false });
+        founder.step(0, Input::Tick);
+        founder.hear(100, 4, JoinRequest { founding: true });
+        founder.hear(110, 3, JoinRequest { founding: true });
+        founder.hear(120, 7, JoinRequest { founding: false });
         founder.sync(130);
         assert_eq!(
-            seats(&founder.step(600, Input::Pulse)),
+            membership_version(&founder.step(600, Input::Tick)),
             None,
             "not synced yet"
         );
         // It ends before the sync: nobody was told, and it begins anew.
         let mut again = Alone::start(0, founder.disk.clone(), true);
         assert!(again.part.places.is_empty());
-        again.step(0, Input::Pulse);
-        again.hear(100, 5, Enlist { founding: true });
-        again.step(600, Input::Pulse);
+        again.step(0, Input::Tick);
+        again.hear(100, 5, JoinRequest { founding: true });
+        again.step(600, Input::Tick);
         assert_eq!(
-            seats(&again.hear(601, 5, Enlist { founding: true })),
+            membership_version(&again.hear(601, 5, JoinRequest { founding: true })),
             None,
             "still not synced"
         );
-        assert_eq!(seats(&again.sync(602)), Some(vec![0, 1, 2, 5]));
+        assert_eq!(membership_version(&again.sync(602)), Some(vec![0, 1, 2, 5]));
         // It ends after it: the table is the one that was told, whoever asks.
         let mut again = Alone::start(0, again.disk, true);
-        again.hear(10, 3, Enlist { founding: true });
-        again.step(900, Input::Pulse);
+        again.hear(10, 3, JoinRequest { founding: true });
+        again.step(900, Input::Tick);
         assert_eq!(
-            seats(&again.hear(901, 1, Enlist { founding: true })),
+            membership_version(&again.hear(901, 1, JoinRequest { founding: true })),
             Some(vec![0, 1, 2, 5])
         );
     }
 
     #[test]
     fn a_founding_table_is_taken_once_and_only_by_who_was_there() {
-        let table = |list: &[u16]| Seats {
+        let table = |list: &[u16]| MembershipTable {
             version: 0,
             places: list
                 .iter()
-                .map(|slot| Mate::new(address(*slot), 0))
+                .map(|slot| Peer::new(address(*slot), 0))
                 .collect(),
         };
         let mut seed = Alone::start(1, vec![], true);
-        seed.step(0, Input::Pulse);
+        seed.step(0, Input::Tick);
         assert!(
-            (0..50).all(|more| seats(&seed.step(100 * more, Input::Pulse)).is_none()),
+            (0..50).all(|more| membership_version(&seed.step(100 * more, Input::Tick)).is_none()),
             "only the first seed makes one"
         );
         seed.hear(5_001, 0, table(&[0, 1, 2, 3]));
@@ -2455,14 +2479,17 @@
         // A machine that came in place of another never takes or makes one.
         for slot in [0, 1] {
             let mut other = Alone::start(slot, vec![], false);
-            other.step(0, Input::Pulse);
+            other.step(0, Input::Tick);
             other.hear(10, 2, table(&[0, 1, 2]));
-            assert!((1..20).all(|more| seats(&other.step(100 * more, Input::Pulse)).is_none()));
+            assert!(
+                (1..20)
+                    .all(|more| membership_version(&other.step(100 * more, Input::Tick)).is_none())
+            );
             assert!(other.part.places.is_empty());
             other.hear(
                 3_000,
                 2,
-                Seats {
+                MembershipTable {
                     version: 3,
                     ..table(&[0, 1, 2])
                 },
@@ -2471,22 +2498,22 @@
         }
         // Nor does the first seed, if it hears of somebody who has one.
         let mut late = Alone::start(0, vec![], true);
-        late.step(0, Input::Pulse);
+        late.step(0, Input::Tick);
         late.hear(
             100,
             2,
-            Beat {
+            Heartbeat {
                 slot: 2,
                 full: true,
                 blank: false,
-                seats: 4,
+                membership_version: 4,
                 closed: Duration::ZERO,
                 lost: 0,
                 got: 0,
                 seen: None,
             },
         );
-        late.step(900, Input::Pulse);
+        late.step(900, Input::Tick);
         assert!(late.part.places.is_empty());
     }
 }
--- a/control-plane/src/duty_plan.rs
+++ b/control-plane/src/duty_plan.rs
@@ -6,13 +6,13 @@
 pub struct DutyPlan<'a> {
     pub rows: &'a BTreeMap<String, Row>,
     pub settled: u64,
-    pub live: &'a [Seen],
-    pub gone: &'a dyn Fn(Mate) -> bool,
+    pub live: &'a [SessionInfo],
+    pub gone: &'a dyn Fn(Peer) -> bool,
     /// Its process is known to have ended: it cannot come back, so what it held
     /// needs no revoking.
-    pub ended: &'a dyn Fn(Mate) -> bool,
+    pub ended: &'a dyn Fn(Peer) -> bool,
     /// Whether a control node is on the same machine: its loss would take both.
-    pub beside: &'a dyn Fn(&Seen) -> bool,
+    pub beside: &'a dyn Fn(&SessionInfo) -> bool,
     /// Not all sessions are known yet: only what the ended left is given out.
     pub early: bool,
 }
@@ -81,9 +81,9 @@
                     let leaves = self
                         .live
                         .iter()
-                        .any(|seen| seen.mate == *holder && seen.draining);
+                        .any(|seen| seen.peer == *holder && seen.draining);
                     let better =
-                        name.starts_with("cache/") && want.is_some_and(|mate| mate != *holder);
+                        name.starts_with("cache/") && want.is_some_and(|peer| peer != *holder);
                     let may_move = want.is_some() && moves < MOVES;
                     if gone || (leaves && want.is_some()) || (better && may_move) {
                         moves += 1;
@@ -115,23 +115,23 @@
         out
     }
 
-    fn best(&self, name: &str) -> Option<Mate> {
-        let near = |seen: &&Seen| duty_ring(name).is_none_or(|ring| ring == seen.ring);
+    fn best(&self, name: &str) -> Option<Peer> {
+        let near = |seen: &&SessionInfo| duty_ring(name).is_none_or(|ring| ring == seen.ring);
         let able = self.live.iter().filter(|seen| !seen.draining).filter(near);
         // A gate is one node's work: the strong ones have it, beside a control
         // node only where others are much weaker.
-        let strength = |seen: &Seen| match duty_ring(name) {
+        let strength = |seen: &SessionInfo| match duty_ring(name) {
             Some(_) => seen.strength,
             None if (self.beside)(seen) => (seen.strength / APART).max(1).saturating_pow(3),
             None => seen.strength.saturating_pow(3),
         };
-        let far = |seen: &Seen| seen.mate.distance(name, strength(seen));
+        let far = |seen: &SessionInfo| seen.peer.distance(name, strength(seen));
         able.min_by(|one, other| {
             far(one)
                 .total_cmp(&far(other))
-                .then(one.mate.life.cmp(&other.mate.life))
+                .then(one.peer.life.cmp(&other.peer.life))
         })
-        .map(|seen| seen.mate)
+        .map(|seen| seen.peer)
     }
 }
 
@@ -139,10 +139,10 @@
 mod tests {
     use crate::prelude::*;
 
-    fn seen(port: u16, draining: bool) -> Seen {
-        let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
-        Seen {
-            mate,
+    fn seen(port: u16, draining: bool) -> SessionInfo {
+        let peer = Peer::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
+        SessionInfo {
+            peer,
             zone: "z".into(),
             ring: String::new(),
             strength: 1,
@@ -179,7 +179,7 @@
     fn a_duty_is_granted_again_only_after_its_revocation_settled() {
         let mut rows = BTreeMap::new();
         let (one, two) = ([seen(1, false)], [seen(2, false)]);
-        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let none: &dyn Fn(Peer) -> bool = &|_| false;
         let out = DutyPlan {
             rows: &rows,
             settled: 0,
@@ -191,7 +191,7 @@
         }
         .next(&names());
         apply(&mut rows, out, 1);
-        let all: &dyn Fn(Mate) -> bool = &|mate| mate.address.port() == 1;
+        let all: &dyn Fn(Peer) -> bool = &|peer| peer.address.port() == 1;
         let out = DutyPlan {
             rows: &rows,
             settled: 1,
@@ -232,7 +232,7 @@
         .next(&names());
         assert!(
             out.iter()
-                .all(|(_, duty)| duty.holder == Some(two[0].mate) && duty.epoch == 3)
+                .all(|(_, duty)| duty.holder == Some(two[0].peer) && duty.epoch == 3)
         );
         assert_eq!(out.len(), usize::from(CACHE_SLICES));
     }
@@ -240,7 +240,7 @@
     #[test]
     fn what_an_ended_process_held_is_granted_at_once_also_before_all_sessions_are_known() {
         let mut rows = BTreeMap::new();
-        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let none: &dyn Fn(Peer) -> bool = &|_| false;
         let out = DutyPlan {
             rows: &rows,
             settled: 0,
@@ -252,14 +252,14 @@
         }
         .next(&names());
         apply(&mut rows, out, 1);
-        let again = Seen {
-            mate: Mate {
+        let again = SessionInfo {
+            peer: Peer {
                 life: 9,
-                ..seen(1, false).mate
+                ..seen(1, false).peer
             },
             ..seen(1, false)
         };
-        let over: &dyn Fn(Mate) -> bool = &|mate| mate == seen(1, false).mate;
+        let over: &dyn Fn(Peer) -> bool = &|peer| peer == seen(1, false).peer;
         let out = DutyPlan {
             rows: &rows,
             settled: 1,
@@ -276,15 +276,15 @@
         );
         assert!(
             out.iter()
-                .all(|(_, duty)| duty.holder == Some(again.mate) && duty.epoch == 2)
+                .all(|(_, duty)| duty.holder == Some(again.peer) && duty.epoch == 2)
         );
     }
 
     #[test]
     fn a_join_moves_only_what_the_newcomer_gets_and_not_all_at_once() {
         let mut rows = BTreeMap::new();
-        let mut live: Vec<Seen> = (1..8).map(|port| seen(port, false)).collect();
-        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let mut live: Vec<SessionInfo> = (1..8).map(|port| seen(port, false)).collect();
+        let none: &dyn Fn(Peer) -> bool = &|_| false;
         let out = DutyPlan {
             rows: &rows,
             settled: 0,
@@ -323,7 +323,7 @@
             .next(&names());
             assert!(
                 out.iter()
-                    .all(|(_, duty)| duty.holder == Some(live[7].mate))
+                    .all(|(_, duty)| duty.holder == Some(live[7].peer))
             );
             apply(&mut rows, out, version + 1);
         }
@@ -335,15 +335,15 @@
 
     #[test]
     fn duties_go_by_strength() {
-        let strong = |port, strength| Seen {
+        let strong = |port, strength| SessionInfo {
             strength,
             ..seen(port, false)
         };
-        let live: Vec<Seen> = (1..=4)
+        let live: Vec<SessionInfo> = (1..=4)
             .map(|port| strong(port, 30))
             .chain((5..=34).map(|port| strong(port, 1)))
             .collect();
-        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let none: &dyn Fn(Peer) -> bool = &|_| false;
         let out = DutyPlan {
             rows: &BTreeMap::new(),
             settled: 0,
@@ -356,7 +356,7 @@
         .next(&names());
         let strong = out
             .iter()
-            .filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4))
+            .filter(|(_, duty)| duty.holder.is_some_and(|peer| peer.address.port() <= 4))
             .count();
         assert!(
             (180..=230).contains(&strong),
@@ -367,11 +367,11 @@
     #[test]
     fn a_gate_is_apart_from_control_nodes_unless_others_are_much_weaker() {
         let gates: Vec<String> = (0..200).map(|at| gate_duty(&format!("s{at}"))).collect();
-        let none: &dyn Fn(Mate) -> bool = &|_| false;
-        let beside = |seen: &Seen| seen.mate.address.port() <= 4;
+        let none: &dyn Fn(Peer) -> bool = &|_| false;
+        let beside = |seen: &SessionInfo| seen.peer.address.port() <= 4;
         let held = |other: u32| {
-            let live: Vec<Seen> = (1..=14)
-                .map(|port| Seen {
+            let live: Vec<SessionInfo> = (1..=14)
+                .map(|port| SessionInfo {
                     strength: if port <= 4 { 35 } else { other },
                     ..seen(port, false)
                 })
@@ -387,7 +387,7 @@
             }
             .next(&gates);
             out.iter()
-                .filter(|(_, duty)| duty.holder.is_some_and(|mate| mate.address.port() <= 4))
+                .filter(|(_, duty)| duty.holder.is_some_and(|peer| peer.address.port() <= 4))
                 .count()
         };
         assert!(
@@ -400,7 +400,7 @@
 
     #[test]
     fn a_slice_of_a_ring_goes_to_its_own_edges_only() {
-        let near = |port, ring: &str| Seen {
+        let near = |port, ring: &str| SessionInfo {
             ring: ring.into(),
             ..seen(port, false)
         };
@@ -408,7 +408,7 @@
         let names: Vec<String> = (0..CACHE_SLICES)
             .flat_map(|slice| ["a", "b", "c"].map(|ring| cache_duty(ring, slice)))
             .collect();
-        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let none: &dyn Fn(Peer) -> bool = &|_| false;
         let out = DutyPlan {
             rows: &BTreeMap::new(),
             settled: 0,
@@ -419,37 +419,37 @@
             early: false,
         }
         .next(&names);
-        let held = |ring: &str| -> BTreeSet<Option<Mate>> {
+        let held = |ring: &str| -> BTreeSet<Option<Peer>> {
             out.iter()
                 .filter(|(name, _)| duty_ring(name) == Some(ring))
                 .map(|(_, duty)| duty.holder)
                 .collect()
         };
-        assert_eq!(held("a"), [Some(live[0].mate), Some(live[1].mate)].into());
-        assert_eq!(held("b"), [Some(live[2].mate)].into());
+        assert_eq!(held("a"), [Some(live[0].peer), Some(live[1].peer)].into());
+        assert_eq!(held("b"), [Some(live[2].peer)].into());
         assert!(held("c").is_empty(), "no edge of that ring is there");
     }
 
     #[test]
     fn a_draining_holder_loses_its_gate_and_a_live_one_keeps_it() {
         let gate = [gate_duty("book")];
-        let held = |mate| {
+        let held = |peer| {
             BTreeMap::from([(
                 gate[0].clone(),
                 Row {
                     version: 1,
                     value: Value::Duty(Duty {
-                        holder: Some(mate),
+                        holder: Some(peer),
                         last: None,
                         epoch: 4,
                     }),
                 },
             )])
         };
-        let none: &dyn Fn(Mate) -> bool = &|_| false;
+        let none: &dyn Fn(Peer) -> bool = &|_| false;
         for port in 1..9 {
-            let rows = held(seen(port, false).mate);
-            let live: Vec<Seen> = (1..9).map(|port| seen(port, false)).collect();
+            let rows = held(seen(port, false).peer);
+            let live: Vec<SessionInfo> = (1..9).map(|port| seen(port, false)).collect();
             assert!(
                 DutyPlan {
                     rows: &rows,
@@ -463,7 +463,7 @@
                 .next(&gate)
                 .is_empty()
             );
-            let live: Vec<Seen> = (1..9).map(|other| seen(other, other == port)).collect();
+            let live: Vec<SessionInfo> = (1..9).map(|other| seen(other, other == port)).collect();
             assert_eq!(
                 DutyPlan {
                     rows: &rows,
--- a/control-plane/src/history.rs
+++ b/control-plane/src/history.rs
@@ -2,7 +2,7 @@
 
 /// Acknowledged configurations in a Git object store: one commit each, with a
 /// tag that is its version. A convenience beside the control state: written by
-/// a thread of its own, and nothing waits for it or depends on it.
+/// a thread of its own, and nothing pending_replies for it or depends on it.
 pub struct History {
     store: git2::Repository,
 }
--- a/control-plane/src/lib.rs
+++ b/control-plane/src/lib.rs
@@ -1,16 +1,16 @@
 //! The control plane: owners of slices, sessions with the edges, duties.
+mod bootstrap;
 mod control_part;
 mod duty_plan;
-mod gather;
 mod history;
-mod keeper;
 mod ledger;
 mod operator_face;
+mod partition_leader;
 pub mod prelude;
-mod refiller;
 mod replica;
+mod replica_recovery;
 mod sessions;
+pub use bootstrap::Bootstrap;
 pub use control_part::ControlPart;
-pub use gather::Gather;
 pub use history::History;
 pub use replica::{Record, Replica};
--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -414,7 +414,7 @@
         .into_iter()
         .filter_map(|(duty, row)| match row.value {
             Value::Duty(known) => {
-                let holder = known.holder.map(|mate| mate.address.to_string());
+                let holder = known.holder.map(|peer| peer.address.to_string());
                 Some(serde_json::json!({ "duty": duty, "epoch": known.epoch, "holder": holder }))
             }
             _ => None,
--- a/control-plane/src/keeper.rs
+++ b/control-plane/src/partition_leader.rs
@@ -2,14 +2,14 @@
 
 /// The owner of one slice, for one epoch. Invariants:
 /// - All that is counted here is counted by one table: with another table
-///   comes another keeper, under an epoch that was promised by that.
+///   comes another leader, under an epoch that was promised by that.
 /// - Until a majority promised the epoch and took the whole adopted image,
 ///   nothing is answered from `rows`.
 /// - `version` rises by one with each row put or dropped.
 /// - A copy's `to` counts only what it synced under this epoch.
 /// - `published` never exceeds what a majority of copies has.
 #[derive(Debug)]
-pub struct Keeper {
+pub struct PartitionLeader {
     pub slice: u8,
     pub epoch: u64,
     pub rows: BTreeMap<String, Row>,
@@ -22,15 +22,15 @@
     round: u64,
     /// When promises were last asked for.
     asked: Option<Duration>,
-    /// When the last round of a pulse began.
+    /// When the last round of a tick began.
     rounded: Duration,
-    promises: BTreeMap<u8, SliceImage>,
+    promises: BTreeMap<u8, PartitionState>,
     /// One for each slot of the table it was begun under: another table
-    /// takes another keeper.
+    /// takes another leader.
     copies: Vec<CopyAt>,
     quorum: Quorum,
     /// Version of that table.
-    seats: u64,
+    membership_version: u64,
     /// Changes made under this epoch, with their versions: one that comes again,
     /// late, must not undo what came after it.
     made: VecDeque<(u64, u64)>,
@@ -59,9 +59,9 @@
 /// Dropped keys remembered for copies that lag.
 const DROPS: usize = 4096;
 
-impl Keeper {
-    pub fn new(slice: u8, epoch: u64, slots: usize, seats: u64) -> Keeper {
-        Keeper {
+impl PartitionLeader {
+    pub fn new(slice: u8, epoch: u64, slots: usize, membership_version: u64) -> PartitionLeader {
+        PartitionLeader {
             slice,
             epoch,
             rows: BTreeMap::new(),
@@ -75,7 +75,7 @@
             promises: BTreeMap::new(),
             copies: vec![CopyAt::default(); slots],
             quorum: Quorum::new(slots),
-            seats,
+            membership_version,
             made: VecDeque::new(),
             active_since: None,
             wary: None,
@@ -83,7 +83,7 @@
     }
 
     /// A slot promised the epoch and told what it holds.
-    pub fn raised(&mut self, now: Duration, slot: u8, image: SliceImage) {
+    pub fn raised(&mut self, now: Duration, slot: u8, image: PartitionState) {
         if self.active_since.is_some() {
             return;
         }
@@ -185,7 +185,7 @@
         self.majority(|copy| copy.round)
     }
 
-    pub fn kept(&mut self, slot: u8, kept: &Kept) {
+    pub fn kept(&mut self, slot: u8, kept: &AppendReply) {
         let Some(copy) = self.copies.get_mut(usize::from(slot)) else {
             return;
         };
@@ -223,32 +223,33 @@
     }
 
     /// The table changed in its number only.
-    pub fn go_by(&mut self, seats: u64) {
-        self.seats = seats;
+    pub fn go_by(&mut self, membership_version: u64) {
+        self.membership_version = membership_version;
     }
 
-    /// Messages due now. On a pulse every copy gets a round; otherwise only
+    /// Messages due now. On a tick every copy gets a round; otherwise only
     /// those that lack something, one message at a time: what gathers while
     /// one is under way goes together in the next.
-    pub fn flush(&mut self, now: Duration, pulse: bool) -> Vec<(u8, Message)> {
+    pub fn flush(&mut self, now: Duration, tick: bool) -> Vec<(u8, Message)> {
         if self.active_since.is_none() {
-            let (slice, epoch, seats) = (self.slice, self.epoch, self.seats);
+            let (slice, epoch, membership_version) =
+                (self.slice, self.epoch, self.membership_version);
             // The answers bring whole images: asked too often, they stand in
             // each other's way.
-            let due = pulse && self.asked.is_none_or(|asked| now >= asked + RAISE_AGAIN);
+            let due = tick && self.asked.is_none_or(|asked| now >= asked + RAISE_AGAIN);
             if due {
                 self.asked = Some(now);
             }
-            let unsaid = (0..self.quorum.slots as u8)
+            let unanswered = (0..self.quorum.slots as u8)
                 .filter(|slot| due && !self.promises.contains_key(slot));
-            return unsaid
+            return unanswered
                 .map(|slot| {
                     (
                         slot,
-                        Raise {
+                        PrepareRequest {
                             slice,
                             epoch,
-                            seats,
+                            membership_version,
                         }
                         .into(),
                     )
@@ -258,8 +259,8 @@
         // What edges are not shown needs no settling: its rounds are seldom, and
         // that a row is on a majority goes along with the next.
         let news = self.slice < NEWS;
-        let pulse = pulse && (news || now >= self.rounded + SELDOM);
-        if pulse {
+        let tick = tick && (news || now >= self.rounded + SELDOM);
+        if tick {
             self.round += 1;
             self.rounded = now;
         }
@@ -271,7 +272,7 @@
                 || news && copy.shown < published
                 || copy.round < self.round;
             let busy = copy.busy.is_some_and(|(_, sent)| now < sent + AGAIN);
-            if busy || !(pulse || lacking) {
+            if busy || !(tick || lacking) {
                 continue;
             }
             let whole = copy.to.is_none_or(|to| to < self.floor);
@@ -280,10 +281,10 @@
                 .rows
                 .iter()
                 .filter(|(_, row)| whole || row.version > from);
-            let keep = Keep {
+            let keep = AppendRequest {
                 slice: self.slice,
                 epoch: self.epoch,
-                seats: self.seats,
+                membership_version: self.membership_version,
                 round: self.round,
                 whole,
                 from,
@@ -315,7 +316,7 @@
     }
 
     /// Edges that may claim operations.
-    pub fn enrolled(&self) -> Vec<Mate> {
+    pub fn enrolled(&self) -> Vec<Peer> {
         match self.rows.get("enrolled") {
             Some(Row {
                 value: Value::Enrolled { members },
@@ -338,7 +339,7 @@
 
     /// Members, gone and whether the ledger was complete, in the slice that
     /// keeps the roll.
-    pub fn roll(&self) -> Option<(Vec<Mate>, Vec<Mate>, bool)> {
+    pub fn roll(&self) -> Option<(Vec<Peer>, Vec<Peer>, bool)> {
         match self.rows.get("roll") {
             Some(Row {
                 value:
@@ -360,11 +361,11 @@
 
     const ZERO: Duration = Duration::ZERO;
 
-    fn active() -> Keeper {
-        let mut keeper = Keeper::new(PURGES, 3, 3, 0);
-        keeper.raised(ZERO, 0, SliceImage::default());
-        keeper.raised(ZERO, 1, SliceImage::default());
-        keeper
+    fn active() -> PartitionLeader {
+        let mut leader = PartitionLeader::new(PURGES, 3, 3, 0);
+        leader.raised(ZERO, 0, PartitionState::default());
+        leader.raised(ZERO, 1, PartitionState::default());
+        leader
     }
 
     fn value(change: u64) -> Value {
@@ -377,8 +378,8 @@
         }
     }
 
-    fn kept(round: u64, to: u64, clear: u64) -> Kept {
-        Kept {
+    fn kept(round: u64, to: u64, clear: u64) -> AppendReply {
+        AppendReply {
             slice: PURGES,
             epoch: 3,
             round,
@@ -399,26 +400,26 @@
                 },
             )]
             .into();
-            SliceImage {
+            PartitionState {
                 epoch,
                 version,
                 published: 0,
                 rows,
             }
         };
-        let mut keeper = Keeper::new(PURGES, 9, 3, 0);
-        keeper.raised(ZERO, 2, image(5, 4));
-        assert!(keeper.active_since.is_none(), "one promise is no majority");
-        keeper.raised(ZERO, 0, image(6, 2));
-        assert_eq!(keeper.rows["k"].value, value(6));
-        assert!(!keeper.ready(), "the image is not rewritten yet");
+        let mut leader = PartitionLeader::new(PURGES, 9, 3, 0);
+        leader.raised(ZERO, 2, image(5, 4));
+        assert!(leader.active_since.is_none(), "one promise is no majority");
+        leader.raised(ZERO, 0, image(6, 2));
+        assert_eq!(leader.rows["k"].value, value(6));
+        assert!(!leader.ready(), "the image is not rewritten yet");
     }
 
     #[test]
     fn promises_are_asked_for_again_only_when_an_image_has_had_time_to_come() {
-        let mut keeper = Keeper::new(PURGES, 3, 3, 0);
+        let mut leader = PartitionLeader::new(PURGES, 3, 3, 0);
         let said: Vec<usize> = (0..10)
-            .map(|pulse| keeper.flush(Duration::from_millis(pulse * 100), true).len())
+            .map(|tick| leader.flush(Duration::from_millis(tick * 100), true).len())
             .collect();
         assert_eq!(said, [3, 0, 0, 0, 3, 0, 0, 0, 3, 0]);
     }
@@ -426,15 +427,15 @@
     #[test]
     fn a_ledger_has_no_rounds_but_for_what_it_lacks_and_once_a_second() {
         let at = Duration::from_millis;
-        let mut keeper = Keeper {
+        let mut leader = PartitionLeader {
             slice: NEWS,
             ..active()
         };
-        assert_eq!(keeper.flush(at(1000), true).len(), 3, "the adopted image");
+        assert_eq!(leader.flush(at(1000), true).len(), 3, "the adopted image");
         for slot in 0..3 {
-            keeper.kept(
+            leader.kept(
                 slot,
-                &Kept {
+                &AppendReply {
                     slice: NEWS,
                     ..kept(1, 0, 0)
                 },
@@ -443,79 +444,79 @@
         assert!(
             (1100..2000)
                 .step_by(100)
-                .all(|ms| keeper.flush(at(ms), true).is_empty())
+                .all(|ms| leader.flush(at(ms), true).is_empty())
         );
-        assert_eq!(keeper.flush(at(2000), true).len(), 3);
+        assert_eq!(leader.flush(at(2000), true).len(), 3);
         for slot in 0..3 {
-            keeper.kept(
+            leader.kept(
                 slot,
-                &Kept {
+                &AppendReply {
                     slice: NEWS,
                     ..kept(2, 0, 0)
                 },
             );
         }
-        keeper.put("k".into(), value(1));
-        assert_eq!(keeper.flush(at(2010), false).len(), 3);
+        leader.put("k".into(), value(1));
+        assert_eq!(leader.flush(at(2010), false).len(), 3);
         for slot in 0..3 {
-            keeper.kept(
+            leader.kept(
                 slot,
-                &Kept {
+                &AppendReply {
                     slice: NEWS,
                     ..kept(2, 1, 0)
                 },
             );
         }
-        assert_eq!(keeper.committed(), 1);
+        assert_eq!(leader.committed(), 1);
         assert!(
-            keeper.flush(at(2020), true).is_empty(),
+            leader.flush(at(2020), true).is_empty(),
             "that it is on a majority can wait"
         );
     }
 
     #[test]
     fn committed_needs_two_disks_and_settled_two_clear_nodes() {
-        let mut keeper = active();
-        let version = keeper.put("k".into(), value(1));
-        keeper.flush(ZERO, true);
-        keeper.kept(0, &kept(1, 1, 0));
-        assert_eq!(keeper.committed(), 0);
-        keeper.kept(2, &kept(1, 1, 0));
-        assert_eq!((keeper.committed(), keeper.settled()), (version, 0));
-        keeper.kept(0, &kept(2, 1, 1));
-        assert_eq!(keeper.settled(), 0);
-        keeper.kept(2, &kept(2, 1, 1));
-        assert_eq!(keeper.settled(), version);
+        let mut leader = active();
+        let version = leader.put("k".into(), value(1));
+        leader.flush(ZERO, true);
+        leader.kept(0, &kept(1, 1, 0));
+        assert_eq!(leader.committed(), 0);
+        leader.kept(2, &kept(1, 1, 0));
+        assert_eq!((leader.committed(), leader.settled()), (version, 0));
+        leader.kept(0, &kept(2, 1, 1));
+        assert_eq!(leader.settled(), 0);
+        leader.kept(2, &kept(2, 1, 1));
+        assert_eq!(leader.settled(), version);
     }
 
     #[test]
     fn of_four_three_must_hold_it_and_of_eight_five() {
         for (slots, most) in [(4, 3), (5, 3), (8, 5)] {
-            let mut keeper = Keeper::new(PURGES, 3, slots, 0);
+            let mut leader = PartitionLeader::new(PURGES, 3, slots, 0);
             for slot in 0..most {
-                assert!(keeper.active_since.is_none(), "{slot} of {slots} promised");
-                keeper.raised(ZERO, slot, SliceImage::default());
+                assert!(leader.active_since.is_none(), "{slot} of {slots} promised");
+                leader.raised(ZERO, slot, PartitionState::default());
             }
-            assert!(keeper.active_since.is_some());
-            let version = keeper.put("k".into(), value(1));
-            keeper.flush(ZERO, true);
+            assert!(leader.active_since.is_some());
+            let version = leader.put("k".into(), value(1));
+            leader.flush(ZERO, true);
             for slot in 0..most {
                 assert_eq!(
                     (
-                        keeper.committed(),
-                        keeper.settled(),
-                        keeper.confirmed_round()
+                        leader.committed(),
+                        leader.settled(),
+                        leader.confirmed_round()
                     ),
                     (0, 0, 0),
                     "{slot} of {slots}"
                 );
-                keeper.kept(slots as u8 - 1 - slot, &kept(1, 1, 1));
+                leader.kept(slots as u8 - 1 - slot, &kept(1, 1, 1));
             }
             assert_eq!(
                 (
-                    keeper.committed(),
-                    keeper.settled(),
-                    keeper.confirmed_round()
+                    leader.committed(),
+                    leader.settled(),
+                    leader.confirmed_round()
                 ),
                 (version, version, 1)
             );
@@ -524,26 +525,26 @@
 
     #[test]
     fn a_replaced_disk_no_longer_counts() {
-        let mut keeper = active();
-        keeper.put("k".into(), value(1));
-        keeper.flush(ZERO, true);
-        keeper.kept(0, &kept(1, 1, 1));
-        keeper.forget(0);
-        keeper.kept(1, &kept(1, 1, 1));
-        assert_eq!((keeper.committed(), keeper.settled()), (0, 0));
+        let mut leader = active();
+        leader.put("k".into(), value(1));
+        leader.flush(ZERO, true);
+        leader.kept(0, &kept(1, 1, 1));
+        leader.forget(0);
+        leader.kept(1, &kept(1, 1, 1));
+        assert_eq!((leader.committed(), leader.settled()), (0, 0));
     }
 
     #[test]
     fn what_gathers_while_a_message_is_under_way_goes_in_one() {
-        let mut keeper = active();
-        assert_eq!(keeper.flush(ZERO, true).len(), 3);
+        let mut leader = active();
+        assert_eq!(leader.flush(ZERO, true).len(), 3);
         for change in 0..20 {
-            keeper.put(format!("k{change}"), value(change));
-            assert!(keeper.flush(ZERO, false).is_empty());
+            leader.put(format!("k{change}"), value(change));
+            assert!(leader.flush(ZERO, false).is_empty());
         }
-        keeper.kept(0, &kept(1, 0, 0));
-        let out = keeper.flush(ZERO, false);
-        let [(0, Message::Keep(keep))] = out.as_slice() else {
+        leader.kept(0, &kept(1, 0, 0));
+        let out = leader.flush(ZERO, false);
+        let [(0, Message::AppendRequest(keep))] = out.as_slice() else {
             panic!("{out:?}")
         };
         assert_eq!((keep.rows.len(), keep.from, keep.to), (20, 0, 20));
--- a/control-plane/src/prelude.rs
+++ b/control-plane/src/prelude.rs
@@ -1,11 +1,11 @@
+pub use crate::bootstrap::Bootstrap;
 pub use crate::control_part::ControlPart;
 pub use crate::duty_plan::DutyPlan;
-pub use crate::gather::Gather;
 pub use crate::history::History;
-pub use crate::keeper::Keeper;
 pub use crate::ledger::Ledger;
-pub use crate::refiller::Refiller;
+pub use crate::partition_leader::PartitionLeader;
 pub use crate::replica::{RETIRED, Record, Replica};
+pub use crate::replica_recovery::ReplicaRecovery;
 pub use crate::sessions::Sessions;
 pub use kernel::prelude::*;
 pub use serde_json::value::RawValue;
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -16,25 +16,25 @@
     /// Whether the disk counts: it was refilled since it was blank.
     pub full: bool,
     /// Its slot went to another: it counts for nothing, for good.
-    pub struck: bool,
+    pub removed: bool,
     /// The realm that may have lost something when this disk was refilled: of
     /// any two disks one knows, until the next realm has its name.
     pub lost: u64,
     /// A table of places heard of from others; the one in the slice of places
     /// goes first if it is as new.
-    pub seats: Option<(u64, Vec<Mate>)>,
+    pub membership_version: Option<(u64, Vec<Peer>)>,
     /// The first disk of its slot: it was there when the table was founded, and
     /// nothing was acknowledged before.
     pub founding: bool,
     /// Lives of slots that count for nothing any more, the latest last.
     pub retired: VecDeque<u64>,
-    pub slices: Vec<Held>,
+    pub slices: Vec<ReplicaPartition>,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Held {
+pub struct ReplicaPartition {
     pub promised: u64,
-    pub image: SliceImage,
+    pub image: PartitionState,
     pub shown: BTreeMap<String, Row>,
     pub tail: VecDeque<(u64, Vec<(String, Row)>)>,
 }
@@ -50,26 +50,26 @@
         life: u64,
     },
     /// `lost`: from what was left after a majority of disks went.
-    Refilled {
-        held: Vec<HeldSlice>,
+    SnapshotReply {
+        held: Vec<PartitionSnapshot>,
         lost: bool,
     },
     Promise {
         slice: u8,
         epoch: u64,
     },
-    Kept {
-        keep: Keep,
+    AppendReply {
+        keep: AppendRequest,
     },
     Image(Box<Replica>),
     Struck,
-    Seats {
+    MembershipTable {
         version: u64,
-        places: Vec<Mate>,
+        places: Vec<Peer>,
     },
     /// The founding table, as the first seed fixed it.
     Founding {
-        places: Vec<Mate>,
+        places: Vec<Peer>,
     },
     Retired {
         life: u64,
@@ -80,7 +80,7 @@
     pub fn blank(life: u64) -> Replica {
         Replica {
             life,
-            slices: vec![Held::default(); SLICES.into()],
+            slices: vec![ReplicaPartition::default(); SLICES.into()],
             ..Replica::default()
         }
     }
@@ -94,7 +94,7 @@
         Ok((replica.life != 0).then_some(replica))
     }
 
-    pub fn held(&self, slice: u8) -> &Held {
+    pub fn held(&self, slice: u8) -> &ReplicaPartition {
         &self.slices[usize::from(slice)]
     }
 
@@ -102,11 +102,13 @@
         match record {
             Record::Life { life } => self.life = *life,
             Record::Promise { slice, epoch } => self.slices[usize::from(*slice)].promised = *epoch,
-            Record::Kept { keep } => self.slices[usize::from(keep.slice)].keep(keep),
-            Record::Struck => self.struck = true,
-            Record::Seats { version, places } => self.seats = Some((*version, places.clone())),
+            Record::AppendReply { keep } => self.slices[usize::from(keep.slice)].keep(keep),
+            Record::Struck => self.removed = true,
+            Record::MembershipTable { version, places } => {
+                self.membership_version = Some((*version, places.clone()))
+            }
             Record::Founding { places } => {
-                (self.founding, self.seats) = (true, Some((0, places.clone())))
+                (self.founding, self.membership_version) = (true, Some((0, places.clone())))
             }
             Record::Retired { life } => {
                 self.retired.push_back(*life);
@@ -115,7 +117,7 @@
                 }
             }
             Record::Image(image) => *self = (**image).clone(),
-            Record::Refilled { held, lost } => {
+            Record::SnapshotReply { held, lost } => {
                 self.full = true;
                 for one in held {
                     let slice = &mut self.slices[usize::from(one.slice)];
@@ -138,8 +140,8 @@
         }
     }
 
-    pub fn copy_out(&self) -> Vec<HeldSlice> {
-        let one = |(at, held): (usize, &Held)| HeldSlice {
+    pub fn copy_out(&self) -> Vec<PartitionSnapshot> {
+        let one = |(at, held): (usize, &ReplicaPartition)| PartitionSnapshot {
             slice: at as u8,
             promised: held.promised,
             image: held.image.clone(),
@@ -187,14 +189,14 @@
     }
 
     /// Whether an edge may claim operations: its loss would be noticed.
-    pub fn enrolled(&self, mate: &Mate) -> bool {
-        matches!(self.held(DUTIES).shown.get("enrolled"), Some(Row { value: Value::Enrolled { members }, .. }) if members.contains(mate))
+    pub fn enrolled(&self, peer: &Peer) -> bool {
+        matches!(self.held(DUTIES).shown.get("enrolled"), Some(Row { value: Value::Enrolled { members }, .. }) if members.contains(peer))
     }
 
     /// Who holds the slots by the newest table known here, if any is.
-    pub fn table(&self) -> Option<(u64, Vec<Mate>)> {
+    pub fn table(&self) -> Option<(u64, Vec<Peer>)> {
         let shown = self.places();
-        match &self.seats {
+        match &self.membership_version {
             Some(heard) if shown.as_ref().is_none_or(|(version, _)| *version < heard.0) => {
                 Some(heard.clone())
             }
@@ -203,7 +205,7 @@
     }
 
     /// Who holds the slots as edges are shown it here, if there is such a row.
-    pub fn places(&self) -> Option<(u64, Vec<Mate>)> {
+    pub fn places(&self) -> Option<(u64, Vec<Peer>)> {
         self.held(PLACES)
             .shown
             .values()
@@ -225,13 +227,13 @@
     }
 }
 
-impl Held {
+impl ReplicaPartition {
     /// Whether `keep` can be taken as it is; the epoch was checked before.
-    pub fn fits(&self, keep: &Keep) -> bool {
+    pub fn fits(&self, keep: &AppendRequest) -> bool {
         keep.whole || (self.image.epoch == keep.epoch && self.image.version >= keep.from)
     }
 
-    fn keep(&mut self, keep: &Keep) {
+    fn keep(&mut self, keep: &AppendRequest) {
         self.promised = self.promised.max(keep.epoch);
         if keep.whole {
             self.image.rows.clear();
@@ -288,7 +290,7 @@
 mod tests {
     use crate::prelude::*;
 
-    fn keep(from: u64, to: u64, published: u64) -> Keep {
+    fn keep(from: u64, to: u64, published: u64) -> AppendRequest {
         let purge = Purge {
             entry: Some(format!("e{to}")),
             ..Purge::default()
@@ -298,10 +300,10 @@
             value: Value::Purge { purge, change: to },
         };
         let rows = vec![("k".to_string(), row)];
-        Keep {
+        AppendRequest {
             slice: PURGES,
             epoch: 3,
-            seats: 0,
+            membership_version: 0,
             round: 1,
             whole: from == 0,
             from,
@@ -315,12 +317,12 @@
     #[test]
     fn a_row_is_shown_only_once_published_and_a_newer_one_does_not_hide_it() {
         let mut replica = Replica::blank(1);
-        replica.apply(&Record::Kept {
+        replica.apply(&Record::AppendReply {
             keep: keep(0, 1, 0),
         });
         assert!(replica.news(&[0; 4]).is_empty());
         // Publishing 1 and adding 2 over it come in one message.
-        replica.apply(&Record::Kept {
+        replica.apply(&Record::AppendReply {
             keep: keep(1, 2, 1),
         });
         let news = replica.news(&[0; 4]);
@@ -333,16 +335,16 @@
     #[test]
     fn what_a_later_row_hides_is_not_claimed_to_be_shown() {
         let mut replica = Replica::blank(1);
-        replica.apply(&Record::Kept {
+        replica.apply(&Record::AppendReply {
             keep: keep(0, 1, 1),
         });
         // Rows 2 and 3 were published; row 4 of the same key went over them.
-        replica.apply(&Record::Kept {
+        replica.apply(&Record::AppendReply {
             keep: keep(1, 4, 3),
         });
         assert!(replica.news(&[0, 1]).is_empty(), "3 is not known here");
-        replica.apply(&Record::Kept {
-            keep: Keep {
+        replica.apply(&Record::AppendReply {
+            keep: AppendRequest {
                 rows: vec![],
                 ..keep(4, 4, 4)
             },
@@ -360,7 +362,7 @@
                 slice: PURGES,
                 epoch: 3,
             },
-            Record::Kept {
+            Record::AppendReply {
                 keep: keep(0, 1, 0),
             },
         ];
--- a/control-plane/src/refiller.rs
+++ b/control-plane/src/replica_recovery.rs
@@ -8,12 +8,12 @@
 /// round, which brings it.
 ///
 /// If all others answered and fewer are full, a majority was lost, and what is
-/// left is taken. Until then it waits: one that is full may be slow.
+/// left is taken. Until then it pending_replies: one that is full may be slow.
 #[derive(Debug)]
-pub struct Refiller {
+pub struct ReplicaRecovery {
     slot: u8,
     quorum: Quorum,
-    seats: u64,
+    membership_version: u64,
     round: u8,
     got: BTreeMap<u8, Got>,
     /// In which round each was last asked, and when.
@@ -29,24 +29,24 @@
     full: bool,
     /// And it counts: edges are shown the table that names us there.
     whole: bool,
-    held: Vec<HeldSlice>,
+    held: Vec<PartitionSnapshot>,
 }
 
 /// All slices merged, and whether a majority of disks was lost: too many others
 /// were blank too, or just refilled from what was left, and yet there was
 /// something.
 pub struct Merged {
-    pub held: Vec<HeldSlice>,
+    pub held: Vec<PartitionSnapshot>,
     pub lost: bool,
 }
 
-impl Refiller {
+impl ReplicaRecovery {
     /// For a slot of a table of so many slots and this version.
-    pub fn new(slot: u8, slots: usize, seats: u64) -> Refiller {
-        Refiller {
+    pub fn new(slot: u8, slots: usize, membership_version: u64) -> ReplicaRecovery {
+        ReplicaRecovery {
             slot,
             quorum: Quorum::new(slots),
-            seats,
+            membership_version,
             round: 0,
             got: BTreeMap::new(),
             asked: BTreeMap::new(),
@@ -56,7 +56,7 @@
     /// Asks all whose answer may still change something: blank ones may be full
     /// by now. Not more often than an answer, which brings all there is, takes
     /// to come: those asked for in vain would stand before what follows.
-    pub fn pulse(&mut self, now: Duration) -> Vec<(u8, Message)> {
+    pub fn tick(&mut self, now: Duration) -> Vec<(u8, Message)> {
         let whole = |slot: &u8| self.got.get(slot).is_some_and(|got| got.whole);
         let due = |slot: &u8| {
             self.asked
@@ -73,10 +73,10 @@
             .map(|slot| {
                 (
                     slot,
-                    Refill {
+                    SnapshotRequest {
                         slot: self.slot,
                         round: self.round,
-                        seats: self.seats,
+                        membership_version: self.membership_version,
                     }
                     .into(),
                 )
@@ -85,13 +85,13 @@
     }
 
     /// All slices merged, once the second round is whole.
-    pub fn heard(&mut self, refilled: Refilled) -> Option<Merged> {
+    pub fn heard(&mut self, refilled: SnapshotReply) -> Option<Merged> {
         if refilled.round != self.round || refilled.slot == self.slot {
             return None;
         }
         let full = refilled.full && refilled.lost == 0;
         // Else its edges may still go by the earlier table.
-        let whole = full && refilled.seats >= self.seats;
+        let whole = full && refilled.membership_version >= self.membership_version;
         self.got.insert(
             refilled.slot,
             Got {
@@ -110,7 +110,7 @@
             self.got.clear();
             return None;
         }
-        let mut merged: Vec<HeldSlice> = Vec::new();
+        let mut merged: Vec<PartitionSnapshot> = Vec::new();
         for Got { held, .. } in std::mem::take(&mut self.got).into_values() {
             if merged.is_empty() {
                 merged = held;
@@ -141,10 +141,10 @@
     #[test]
     fn only_the_second_round_of_both_others_counts_and_the_newer_image_wins() {
         let held = |promised, epoch, version| {
-            vec![HeldSlice {
+            vec![PartitionSnapshot {
                 slice: 0,
                 promised,
-                image: SliceImage {
+                image: PartitionState {
                     epoch,
                     version,
                     published: version,
@@ -153,75 +153,75 @@
                 shown: BTreeMap::new(),
             }]
         };
-        let mut refiller = Refiller::new(1, 3, 0);
+        let mut recovery = ReplicaRecovery::new(1, 3, 0);
         assert!(
-            refiller
-                .heard(Refilled {
+            recovery
+                .heard(SnapshotReply {
                     slot: 0,
                     round: 0,
                     full: true,
                     lost: 0,
-                    seats: 0,
+                    membership_version: 0,
                     held: held(1, 1, 90)
                 })
                 .is_none()
         );
         assert!(
-            refiller
-                .heard(Refilled {
+            recovery
+                .heard(SnapshotReply {
                     slot: 0,
                     round: 0,
                     full: true,
                     lost: 0,
-                    seats: 0,
+                    membership_version: 0,
                     held: held(1, 1, 90)
                 })
                 .is_none()
         );
         assert!(
-            refiller
-                .heard(Refilled {
+            recovery
+                .heard(SnapshotReply {
                     slot: 2,
                     round: 0,
                     full: true,
                     lost: 0,
-                    seats: 0,
+                    membership_version: 0,
                     held: held(1, 1, 90)
                 })
                 .is_none()
         );
         assert!(
-            refiller
-                .heard(Refilled {
+            recovery
+                .heard(SnapshotReply {
                     slot: 2,
                     round: 0,
                     full: true,
                     lost: 0,
-                    seats: 0,
+                    membership_version: 0,
                     held: held(1, 1, 90)
                 })
                 .is_none(),
             "late first round"
         );
         assert!(
-            refiller
-                .heard(Refilled {
+            recovery
+                .heard(SnapshotReply {
                     slot: 0,
                     round: 1,
                     full: true,
                     lost: 0,
-                    seats: 0,
+                    membership_version: 0,
                     held: held(9, 3, 5)
                 })
                 .is_none()
         );
-        let merged = refiller
-            .heard(Refilled {
+        let merged = recovery
+            .heard(SnapshotReply {
                 slot: 2,
                 round: 1,
                 full: true,
                 lost: 0,
-                seats: 0,
+                membership_version: 0,
                 held: held(7, 4, 2),
             })
             .unwrap();
@@ -237,70 +237,70 @@
         );
     }
 
-    fn told(slot: u8, round: u8, full: bool, version: u64) -> Refilled {
-        let image = SliceImage {
+    fn told(slot: u8, round: u8, full: bool, version: u64) -> SnapshotReply {
+        let image = PartitionState {
             epoch: 1,
             version,
             published: version,
             rows: BTreeMap::new(),
         };
-        let held = vec![HeldSlice {
+        let held = vec![PartitionSnapshot {
             slice: 0,
             promised: 1,
             image,
             shown: BTreeMap::new(),
         }];
-        Refilled {
+        SnapshotReply {
             slot,
             round,
             full,
             lost: 0,
-            seats: 5,
+            membership_version: 5,
             held,
         }
     }
 
     #[test]
     fn of_four_two_full_ones_suffice_and_one_beside_a_blank_does_not() {
-        let mut refiller = Refiller::new(3, 4, 5);
-        assert!(refiller.heard(told(0, 0, true, 9)).is_none());
-        assert!(refiller.heard(told(1, 0, false, 0)).is_none());
-        assert_eq!(refiller.round, 0, "one is blank: it does not count");
+        let mut recovery = ReplicaRecovery::new(3, 4, 5);
+        assert!(recovery.heard(told(0, 0, true, 9)).is_none());
+        assert!(recovery.heard(told(1, 0, false, 0)).is_none());
+        assert_eq!(recovery.round, 0, "one is blank: it does not count");
         assert!(
-            refiller
-                .pulse(Duration::ZERO)
+            recovery
+                .tick(Duration::ZERO)
                 .iter()
                 .any(|(slot, _)| *slot == 1),
             "and is asked again"
         );
         assert!(
-            refiller
-                .heard(Refilled {
-                    seats: 4,
+            recovery
+                .heard(SnapshotReply {
+                    membership_version: 4,
                     ..told(2, 0, true, 9)
                 })
                 .is_none()
         );
         assert_eq!(
-            refiller.round, 0,
+            recovery.round, 0,
             "one goes by an earlier table: it does not count"
         );
-        assert!(refiller.heard(told(2, 0, true, 9)).is_none());
-        assert_eq!(refiller.round, 1);
-        assert!(refiller.heard(told(1, 1, false, 0)).is_none());
-        assert!(refiller.heard(told(2, 1, true, 7)).is_none());
-        let merged = refiller.heard(told(0, 1, true, 9)).unwrap();
+        assert!(recovery.heard(told(2, 0, true, 9)).is_none());
+        assert_eq!(recovery.round, 1);
+        assert!(recovery.heard(told(1, 1, false, 0)).is_none());
+        assert!(recovery.heard(told(2, 1, true, 7)).is_none());
+        let merged = recovery.heard(told(0, 1, true, 9)).unwrap();
         assert!(!merged.lost && merged.held[0].image.version == 9);
     }
 
     #[test]
     fn when_all_answered_and_too_few_are_full_a_majority_is_known_to_be_lost() {
-        let mut refiller = Refiller::new(4, 5, 0);
+        let mut recovery = ReplicaRecovery::new(4, 5, 0);
         for round in 0..2 {
             for slot in 0..3 {
-                assert!(refiller.heard(told(slot, round, slot < 2, 9)).is_none());
+                assert!(recovery.heard(told(slot, round, slot < 2, 9)).is_none());
             }
-            let merged = refiller.heard(told(3, round, false, 0));
+            let merged = recovery.heard(told(3, round, false, 0));
             assert_eq!(
                 merged.map(|merged| merged.lost),
                 (round == 1).then_some(true)
@@ -310,9 +310,9 @@
 
     #[test]
     fn who_has_not_answered_is_asked_again_but_not_with_every_pulse() {
-        let mut refiller = Refiller::new(0, 3, 0);
+        let mut recovery = ReplicaRecovery::new(0, 3, 0);
         let said: Vec<usize> = (0..8)
-            .map(|pulse| refiller.pulse(Duration::from_millis(pulse * 100)).len())
+            .map(|tick| recovery.tick(Duration::from_millis(tick * 100)).len())
             .collect();
         assert_eq!(said, [2, 0, 0, 0, 0, 0, 2, 0]);
     }
--- a/control-plane/src/sessions.rs
+++ b/control-plane/src/sessions.rs
@@ -9,15 +9,15 @@
 ///   does not fit changes nothing, does not count as heard, and is asked for whole.
 #[derive(Debug, Default)]
 pub struct Sessions {
-    mine: BTreeMap<Mate, Standing>,
+    mine: BTreeMap<Peer, Session>,
     /// The state of `mine`, one more with each change, and its sum.
     at: u64,
     sum: u64,
     /// Who went, by the state since which; states up to `forgotten` are told
     /// whole.
-    went: BTreeMap<u64, Mate>,
+    went: BTreeMap<u64, Peer>,
     forgotten: u64,
-    told: BTreeMap<u8, ToldTable>,
+    told: BTreeMap<u8, PeerSessions>,
     /// Who last gave back a mark of this run at each address, and which: an
     /// address is one process's at a time, so who was there before that mark
     /// was told, and is another, has ended.
@@ -28,11 +28,11 @@
 }
 
 #[derive(Debug)]
-struct Standing {
+struct Session {
     heard: Duration,
     /// Marks told when it was first heard.
     first: u64,
-    seen: Seen,
+    seen: SessionInfo,
     sum: u64,
     /// The state since which it is as it is, and when that was.
     since: u64,
@@ -40,12 +40,12 @@
 }
 
 #[derive(Debug, Default)]
-struct ToldTable {
+struct PeerSessions {
     heard: Duration,
     at: u64,
     sum: u64,
-    seen: BTreeMap<Mate, Seen>,
-    newest: Vec<(u64, Mate)>,
+    seen: BTreeMap<Peer, SessionInfo>,
+    newest: Vec<(u64, Peer)>,
 }
 
 /// What only operators read is told again this seldom.
@@ -83,19 +83,19 @@
 
     /// True if this renewal opened the session. Earlier lives at the address
     /// that are known to have ended have none any more.
-    pub fn renew(&mut self, now: Duration, seen: Seen, heard: Option<Mark>) -> bool {
-        let mate = seen.mate;
+    pub fn renew(&mut self, now: Duration, seen: SessionInfo, heard: Option<Mark>) -> bool {
+        let peer = seen.peer;
         let opened = self.stand(now, seen);
         if let Some(mark) = heard.filter(|mark| mark.run == self.run) {
-            let there = self.there.entry(mate.address).or_insert((mate.life, 0));
+            let there = self.there.entry(peer.address).or_insert((peer.life, 0));
             if mark.count > there.1 {
-                *there = (mate.life, mark.count);
+                *there = (peer.life, mark.count);
             }
             let lives = self
                 .mine
-                .range(Mate::new(mate.address, 0)..=Mate::new(mate.address, u64::MAX));
-            let over: Vec<Mate> = lives
-                .filter(|(other, one)| **other != mate && one.first < mark.count)
+                .range(Peer::new(peer.address, 0)..=Peer::new(peer.address, u64::MAX));
+            let over: Vec<Peer> = lives
+                .filter(|(other, one)| **other != peer && one.first < mark.count)
                 .map(|(other, _)| *other)
                 .collect();
             for other in over {
@@ -105,8 +105,8 @@
         opened
     }
 
-    fn stand(&mut self, now: Duration, seen: Seen) -> bool {
-        let known = self.mine.get_mut(&seen.mate);
+    fn stand(&mut self, now: Duration, seen: SessionInfo) -> bool {
+        let known = self.mine.get_mut(&seen.peer);
         let sum = known
             .as_ref()
             .filter(|known| known.seen.core() == seen.core())
@@ -115,8 +115,8 @@
             self.at += 1;
             self.sum ^= sum;
             self.mine.insert(
-                seen.mate,
-                Standing {
+                seen.peer,
+                Session {
                     heard: now,
                     first: self.count,
                     seen,
@@ -140,19 +140,19 @@
 
     /// Whether a life that had begun when `marks` were told has ended since:
     /// another is at its address.
-    pub fn ended(&self, mate: Mate, marks: u64) -> bool {
+    pub fn ended(&self, peer: Peer, marks: u64) -> bool {
         self.there
-            .get(&mate.address)
-            .is_some_and(|(life, count)| *life != mate.life && *count > marks)
+            .get(&peer.address)
+            .is_some_and(|(life, count)| *life != peer.life && *count > marks)
     }
 
-    pub fn leave(&mut self, mate: Mate) -> bool {
-        let Some(gone) = self.mine.remove(&mate) else {
+    pub fn leave(&mut self, peer: Peer) -> bool {
+        let Some(gone) = self.mine.remove(&peer) else {
             return false;
         };
         self.at += 1;
         self.sum ^= gone.sum;
-        self.went.insert(self.at, mate);
+        self.went.insert(self.at, peer);
         while self.went.len() > WENT {
             self.forgotten = self.went.pop_first().expect("not empty").0;
         }
@@ -160,22 +160,22 @@
     }
 
     /// Drops what lapsed and returns it.
-    pub fn pulse(&mut self, now: Duration) -> Vec<Mate> {
+    pub fn tick(&mut self, now: Duration) -> Vec<Peer> {
         self.began.get_or_insert(now);
-        let lapsed: Vec<Mate> = self
+        let lapsed: Vec<Peer> = self
             .mine
             .iter()
             .filter(|(_, standing)| now >= standing.heard + lease::CONTROL)
-            .map(|(mate, _)| *mate)
+            .map(|(peer, _)| *peer)
             .collect();
-        for mate in &lapsed {
-            self.leave(*mate);
+        for peer in &lapsed {
+            self.leave(*peer);
         }
         lapsed
     }
 
-    /// What a mate lacks that got our table up to this state.
-    pub fn since(&self, got: u64) -> SeenSince {
+    /// What a peer lacks that got our table up to this state.
+    pub fn since(&self, got: u64) -> SessionsDelta {
         let from = if got <= self.at && got >= self.forgotten {
             got
         } else {
@@ -190,24 +190,24 @@
         let went = self
             .went
             .range(from + 1..)
-            .map(|(_, mate)| *mate)
-            .filter(|mate| from > 0 && !self.mine.contains_key(mate));
+            .map(|(_, peer)| *peer)
+            .filter(|peer| from > 0 && !self.mine.contains_key(peer));
         let newest = (0..NEWS).filter_map(|slice| {
             self.mine
                 .iter()
-                .map(|(mate, one)| {
+                .map(|(peer, one)| {
                     (
                         one.seen
                             .vector
                             .get(usize::from(slice))
                             .copied()
                             .unwrap_or(0),
-                        *mate,
+                        *peer,
                     )
                 })
                 .max()
         });
-        SeenSince {
+        SessionsDelta {
             from,
             at: self.at,
             sum: self.sum,
@@ -222,21 +222,21 @@
         self.told.get(&slot).map_or(0, |table| table.at)
     }
 
-    pub fn told(&mut self, now: Duration, slot: u8, since: SeenSince) {
+    pub fn told(&mut self, now: Duration, slot: u8, since: SessionsDelta) {
         let table = self.told.entry(slot).or_default();
         let mut sum = if since.from == 0 { 0 } else { table.sum };
-        let known = |mate: &Mate| {
+        let known = |peer: &Peer| {
             table
                 .seen
-                .get(mate)
+                .get(peer)
                 .filter(|_| since.from > 0)
-                .map_or(0, Seen::sum)
+                .map_or(0, SessionInfo::sum)
         };
         since
             .put
             .iter()
-            .for_each(|seen| sum ^= known(&seen.mate) ^ seen.sum());
-        since.gone.iter().for_each(|mate| sum ^= known(mate));
+            .for_each(|seen| sum ^= known(&seen.peer) ^ seen.sum());
+        since.gone.iter().for_each(|peer| sum ^= known(peer));
         if sum != since.sum || since.from > table.at {
             // Late, or of another run: what stands is not what it has.
             if since.at >= table.at || since.from == 0 {
@@ -247,12 +247,12 @@
         if since.from == 0 {
             table.seen.clear();
         }
-        since.gone.iter().for_each(|mate| {
-            table.seen.remove(mate);
+        since.gone.iter().for_each(|peer| {
+            table.seen.remove(peer);
         });
         table
             .seen
-            .extend(since.put.into_iter().map(|seen| (seen.mate, seen)));
+            .extend(since.put.into_iter().map(|seen| (seen.peer, seen)));
         (table.heard, table.at, table.sum, table.newest) = (now, since.at, sum, since.newest);
     }
 
@@ -273,17 +273,17 @@
             .then(|| confirmed.min().unwrap_or(published).min(published))
     }
 
-    pub fn mine(&self) -> Vec<Seen> {
+    pub fn mine(&self) -> Vec<SessionInfo> {
         self.mine.values().map(|one| one.seen.clone()).collect()
     }
 
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.mine.keys().map(|mate| mate.address).collect()
+        self.mine.keys().map(|peer| peer.address).collect()
     }
 
     /// Who has not confirmed this version of a slice, in this realm.
     pub fn lacking(&self, realm: u64, slice: u8, version: u64) -> Vec<SocketAddr> {
-        let has = |seen: &Seen| {
+        let has = |seen: &SessionInfo| {
             seen.realm == realm
                 && seen
                     .vector
@@ -293,18 +293,18 @@
         self.mine
             .values()
             .filter(|one| !has(&one.seen))
-            .map(|one| one.seen.mate.address)
+            .map(|one| one.seen.peer.address)
             .collect()
     }
 
-    /// Tables of sessions not older than `lease::CONTROL_MATE`, ours included.
-    fn tables(&self, now: Duration) -> Vec<Vec<&Seen>> {
+    /// Tables of sessions not older than `lease::CONTROL_PEER`, ours included.
+    fn tables(&self, now: Duration) -> Vec<Vec<&SessionInfo>> {
         let mut tables = Vec::new();
         if self.known(now) {
             tables.push(self.mine.values().map(|one| &one.seen).collect());
         }
         for table in self.told.values() {
-            if now < table.heard + lease::CONTROL_MATE {
+            if now < table.heard + lease::CONTROL_PEER {
                 tables.push(table.seen.values().collect());
             }
         }
@@ -316,20 +316,20 @@
     }
 
     /// All that `live` and `gone` hang on, to see whether anything changed.
-    pub fn standing(&self, now: Duration) -> Vec<Vec<(Mate, bool)>> {
+    pub fn standing(&self, now: Duration) -> Vec<Vec<(Peer, bool)>> {
         self.tables(now)
             .into_iter()
             .map(|table| {
                 table
                     .into_iter()
-                    .map(|seen| (seen.mate, seen.draining))
+                    .map(|seen| (seen.peer, seen.draining))
                     .collect()
             })
             .collect()
     }
 
     /// Every session known, here or told.
-    pub fn all(&self) -> Vec<&Seen> {
+    pub fn all(&self) -> Vec<&SessionInfo> {
         self.mine
             .values()
             .map(|one| &one.seen)
@@ -343,23 +343,23 @@
         let mine = self
             .mine
             .iter()
-            .filter_map(|(mate, one)| Some((*one.seen.vector.get(usize::from(slice))?, *mate)));
+            .filter_map(|(peer, one)| Some((*one.seen.vector.get(usize::from(slice))?, *peer)));
         let told = self
             .told
             .values()
             .filter_map(|table| table.newest.get(usize::from(slice)).copied());
         mine.chain(told)
             .filter(|(known, _)| *known > version)
-            .map(|(_, mate)| mate.address)
+            .map(|(_, peer)| peer.address)
             .collect()
     }
 
     /// Every edge with a session in `rest` of the tables, as many as it takes
     /// to be live by its own rule.
-    pub fn live(&self, now: Duration, quorum: Quorum) -> Vec<Seen> {
-        let mut count: BTreeMap<Mate, (usize, &Seen)> = BTreeMap::new();
+    pub fn live(&self, now: Duration, quorum: Quorum) -> Vec<SessionInfo> {
+        let mut count: BTreeMap<Peer, (usize, &SessionInfo)> = BTreeMap::new();
         for seen in self.tables(now).into_iter().flatten() {
-            let known = count.entry(seen.mate).or_insert((0, seen));
+            let known = count.entry(seen.peer).or_insert((0, seen));
             known.0 += 1;
         }
         count
@@ -369,12 +369,12 @@
             .collect()
     }
 
-    /// True only if a majority says that no session of this mate stands.
+    /// True only if a majority says that no session of this peer stands.
     /// Invariant: an edge that is live by its own rule when they say so is not
     /// gone. It relies on `rest` control nodes, each of which counts its session
     /// for longer than it does; and of `most` one is among those.
-    pub fn gone(&self, now: Duration, mate: Mate, quorum: Quorum) -> bool {
-        let without = |table: &&Vec<&Seen>| table.iter().all(|seen| seen.mate != mate);
+    pub fn gone(&self, now: Duration, peer: Peer, quorum: Quorum) -> bool {
+        let without = |table: &&Vec<&SessionInfo>| table.iter().all(|seen| seen.peer != peer);
         self.tables(now).iter().filter(without).count() >= quorum.most()
     }
 }
@@ -383,10 +383,10 @@
 mod tests {
     use crate::prelude::*;
 
-    fn seen(port: u16, version: u64) -> Seen {
-        let mate = Mate::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
-        Seen {
-            mate,
+    fn seen(port: u16, version: u64) -> SessionInfo {
+        let peer = Peer::new(SocketAddr::from(([127, 0, 0, 1], port)), 1);
+        SessionInfo {
+            peer,
             zone: "z".into(),
             ring: String::new(),
             strength: 1,
@@ -403,7 +403,7 @@
     fn clear_waits_for_the_slowest_session_until_it_confirms_or_lapses() {
         let at = Duration::from_millis;
         let mut table = Sessions::default();
-        table.pulse(at(0));
+        table.tick(at(0));
         table.renew(at(1000), seen(1, 5), None);
         table.renew(at(1000), seen(2, 7), None);
         assert_eq!(
@@ -413,23 +413,23 @@
         );
         assert_eq!(table.clear(at(1100), PURGES, 7), Some(5));
         table.renew(at(1400), seen(2, 7), None);
-        assert_eq!(table.pulse(at(1799)).len(), 0);
-        assert_eq!(table.pulse(at(1800)), [seen(1, 5).mate]);
+        assert_eq!(table.tick(at(1799)).len(), 0);
+        assert_eq!(table.tick(at(1800)), [seen(1, 5).peer]);
         assert_eq!(table.clear(at(1800), PURGES, 7), Some(7));
     }
 
     #[test]
     fn of_two_lives_at_an_address_the_one_that_gives_back_a_later_mark_is_there() {
         let at = Duration::from_millis;
-        let life = |life| Seen {
-            mate: Mate {
+        let life = |life| SessionInfo {
+            peer: Peer {
                 life,
-                ..seen(1, 0).mate
+                ..seen(1, 0).peer
             },
             ..seen(1, 0)
         };
         let mut table = Sessions::new(7);
-        table.pulse(at(0));
+        table.tick(at(0));
         let (one, two) = (life(8), life(3));
         table.renew(at(10), one.clone(), None);
         let mark = table.mark();
@@ -442,18 +442,18 @@
         );
         table.renew(at(40), two.clone(), Some(Mark { run: 6, count: 99 }));
         assert!(
-            !table.ended(one.mate, 0) && table.mine().len() == 2,
+            !table.ended(one.peer, 0) && table.mine().len() == 2,
             "a mark of another run tells nothing"
         );
         let granted = table.marks();
         table.renew(at(45), two.clone(), Some(mark));
         assert!(
-            !table.ended(one.mate, granted),
+            !table.ended(one.peer, granted),
             "told before it was known that the other had begun"
         );
         let mark = table.mark();
         table.renew(at(50), two.clone(), Some(mark));
-        assert!(table.ended(one.mate, granted) && !table.ended(two.mate, granted));
+        assert!(table.ended(one.peer, granted) && !table.ended(two.peer, granted));
         assert_eq!(table.mine(), std::slice::from_ref(&two));
         table.renew(at(60), one, None);
         let mark = table.mark();
@@ -461,13 +461,13 @@
         assert_eq!(table.mine(), [two], "what the earlier life said came late");
     }
 
-    fn whole(put: Vec<Seen>) -> SeenSince {
+    fn whole(put: Vec<SessionInfo>) -> SessionsDelta {
         let sum = put.iter().fold(0, |sum, seen| sum ^ seen.sum());
-        SeenSince {
+        SessionsDelta {
             at: 1,
             sum,
             put,
-            ..SeenSince::default()
+            ..SessionsDelta::default()
         }
     }
 
@@ -486,22 +486,22 @@
             table
                 .mine
                 .values()
-                .map(|one| (one.seen.mate, one.seen.draining))
+                .map(|one| (one.seen.peer, one.seen.draining))
                 .collect::<BTreeSet<_>>()
         };
         let (mut one, mut other) = (Sessions::default(), Sessions::default());
         let (mut late, mut fitted) = (vec![], 0);
-        let mut had: BTreeMap<u64, Vec<BTreeSet<(Mate, bool)>>> = BTreeMap::new();
+        let mut had: BTreeMap<u64, Vec<BTreeSet<(Peer, bool)>>> = BTreeMap::new();
         for step in 1..6000u64 {
             let now = Duration::from_millis(step * 100);
             let port = 1 + roll(20) as u16;
             match roll(8) {
-                0 => _ = one.leave(seen(port, 1).mate),
+                0 => _ = one.leave(seen(port, 1).peer),
                 1 if roll(40) == 0 => one = Sessions::default(),
                 _ => {
                     _ = one.renew(
                         now,
-                        Seen {
+                        SessionInfo {
                             draining: roll(3) == 0,
                             ..seen(port, step)
                         },
@@ -526,7 +526,7 @@
                 let told: BTreeSet<_> = table
                     .seen
                     .values()
-                    .map(|seen| (seen.mate, seen.draining))
+                    .map(|seen| (seen.peer, seen.draining))
                     .collect();
                 assert!(had[&late.sum].contains(&told), "step {step}");
             }
@@ -549,11 +549,11 @@
         let since = table.since(got);
         assert_eq!(
             (since.put.len(), since.newest[0]),
-            (0, (2, seen(7, 2).mate))
+            (0, (2, seen(7, 2).peer))
         );
         table.renew(
             at(5000),
-            Seen {
+            SessionInfo {
                 usage: Usage {
                     errands: 4,
                     ..Usage::default()
@@ -562,24 +562,24 @@
             },
             None,
         );
-        table.leave(seen(8, 1).mate);
+        table.leave(seen(8, 1).peer);
         let since = table.since(got);
-        assert_eq!((since.put.len(), since.gone), (1, vec![seen(8, 1).mate]));
+        assert_eq!((since.put.len(), since.gone), (1, vec![seen(8, 1).peer]));
     }
 
     #[test]
     fn an_edge_is_gone_only_by_a_majority_of_tables() {
         let at = Duration::from_millis;
         let mut table = Sessions::default();
-        table.pulse(at(0));
+        table.tick(at(0));
         assert!(
-            !table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)),
+            !table.gone(at(5000), seen(1, 1).peer, Quorum::new(3)),
             "one table is no majority"
         );
         table.told(at(5000), 1, whole(vec![seen(1, 1)]));
-        assert!(!table.gone(at(5000), seen(1, 1).mate, Quorum::new(3)));
+        assert!(!table.gone(at(5000), seen(1, 1).peer, Quorum::new(3)));
         table.told(at(5100), 1, whole(vec![]));
-        assert!(table.gone(at(5100), seen(1, 1).mate, Quorum::new(3)));
+        assert!(table.gone(at(5100), seen(1, 1).peer, Quorum::new(3)));
     }
 
     /// Of any tables: an edge in `rest` of them is live and not gone, whatever
@@ -604,7 +604,7 @@
                 }
                 let (live, gone) = (
                     !table.live(at(5000), quorum).is_empty(),
-                    table.gone(at(5000), seen(1, 1).mate, quorum),
+                    table.gone(at(5000), seen(1, 1).peer, quorum),
                 );
                 assert_eq!(
                     (live, gone),
--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -326,7 +326,7 @@
     }
 
     /// Refreshers that stalled are replaced; what is over goes.
-    pub fn pulse(&mut self, now: Duration, epoch: &dyn Fn(u16) -> u64, purged: u64) {
+    pub fn tick(&mut self, now: Duration, epoch: &dyn Fn(u16) -> u64, purged: u64) {
         self.aside.retain(|_, (since, _)| now < *since + ASIDE);
         let mut stalled = Vec::new();
         let bytes = &mut self.bytes;
@@ -627,9 +627,9 @@
             matches!(out.as_slice(), [(_, Message::Miss(Miss { id: 2, .. }))]),
             "{out:?}"
         );
-        owner.pulse(at(2099), &|_| 7, 0);
+        owner.tick(at(2099), &|_| 7, 0);
         assert!(owner.take_out().is_empty());
-        owner.pulse(at(2100), &|_| 7, 0);
+        owner.tick(at(2100), &|_| 7, 0);
         let out = owner.take_out();
         let [(_, Message::Miss(Miss { id: 3, token, .. }))] = out.as_slice() else {
             panic!("{out:?}")
@@ -796,7 +796,7 @@
         assert_eq!(ask(&mut next, 52_799, 1).0, "copy a");
         assert_eq!(ask(&mut next, 52_800, 2).0, "miss");
         assert_eq!(ask(&mut next, 57_799, 3).0, "copy a");
-        next.pulse(at(57_800), &|_| 7, 0);
+        next.tick(at(57_800), &|_| 7, 0);
         assert!(next.keys[&KEY].held.is_none());
         // Too long on the way: over before it came.
         let mut late = CacheOwner::new(1 << 20);
@@ -826,7 +826,7 @@
         // Set aside too long, it is gone.
         let mut owner = filled(0);
         owner.keep_slices(at(2000), 3, &|_| false);
-        owner.pulse(at(5000), &|_| 7, 0);
+        owner.tick(at(5000), &|_| 7, 0);
         assert!(owner.hand(at(5000), cache_slice(&KEY)).is_empty() && !owner.has_aside());
     }
 }
--- a/data-plane/src/caller_face.rs
+++ b/data-plane/src/caller_face.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// The errand of an arrival that passed all filters.
-pub fn errand_of(arrival: Arrival) -> Option<Errand> {
+pub fn errand_of(arrival: Arrival) -> Option<ClientRequest> {
     let caller = header(&arrival.headers, "authorization")
         .unwrap_or_default()
         .to_string();
@@ -12,7 +12,7 @@
     let service = image.document.entries[entry]
         .aim_at(key.as_bytes())
         .to_string();
-    Some(Errand {
+    Some(ClientRequest {
         caller,
         method: arrival.method,
         host: arrival.host,
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -9,7 +9,7 @@
 /// - A call leaves only while live, under a permit younger than
 ///   `lease::PERMIT`, to an origin that is listed and not leaving.
 pub struct EdgePart {
-    me: Mate,
+    me: Peer,
     spot: Spot,
     /// Who is renewed with: those who hold the slots, as far as that is known.
     seeds: Vec<SocketAddr>,
@@ -74,7 +74,7 @@
 /// How long after a purge was learned (so, before it was acknowledged) an
 /// answer that was under way may still go to the caller who waited for it.
 const PURGE_GRACE: Duration = Duration::from_secs(1);
-/// A last holder is asked so often for its copies, a pulse apart.
+/// A last holder is asked so often for its copies, a tick apart.
 const WANTS: u32 = 4;
 const EXTRA_TRIES: usize = 3;
 /// A gate that says nothing for this long is done without.
@@ -87,7 +87,7 @@
 impl EdgePart {
     /// The seeds hold the slots, unless it is `asked` who does.
     pub fn new(
-        me: Mate,
+        me: Peer,
         spot: Spot,
         seeds: Vec<SocketAddr>,
         asked: bool,
@@ -156,7 +156,7 @@
         if self.left {
             return;
         }
-        self.next_renew = now + lease::EDGE_PULSE;
+        self.next_renew = now + lease::EDGE_TICK;
         self.renew_with(now, self.seeds.clone());
     }
 
@@ -174,7 +174,7 @@
             .values()
             .flat_map(|gate| gate.found(now))
             .collect();
-        let renew = Renew {
+        let renew = RenewRequest {
             sent: now,
             heard: None,
             realm: self.realm,
@@ -191,7 +191,7 @@
             let heard = self.marks.get(&seed).copied();
             self.tell(
                 seed,
-                Renew {
+                RenewRequest {
                     heard,
                     ..renew.clone()
                 },
@@ -201,7 +201,7 @@
 
     /// Who nudged shows what we lack: it is asked alone, the others are told
     /// once it is applied.
-    fn nudged(&mut self, now: Duration, from: Mate, nudge: &Nudge) {
+    fn nudged(&mut self, now: Duration, from: Peer, nudge: &UpdateNotice) {
         self.marks.insert(from.address, nudge.mark);
         let known = self
             .vector
@@ -217,7 +217,7 @@
         }
     }
 
-    fn renewed(&mut self, now: Duration, from: Mate, renewed: Renewed) {
+    fn renewed(&mut self, now: Duration, from: Peer, renewed: RenewReply) {
         if renewed.life != self.me.life || !self.seeds.contains(&from.address) || self.left {
             return;
         }
@@ -287,7 +287,7 @@
         }
     }
 
-    fn recall(&mut self, from: Mate, slice: u8) {
+    fn recall(&mut self, from: Peer, slice: u8) {
         if let Some(rows) = self.known.get(usize::from(slice)) {
             let rows = rows
                 .iter()
@@ -295,7 +295,7 @@
                 .collect();
             self.tell(
                 from.address,
-                Recalled {
+                RecallReply {
                     slice,
                     version: self.vector[usize::from(slice)],
                     rows,
@@ -364,7 +364,7 @@
             }
             Value::Places(places) => {
                 // Renewals of who no longer holds a slot count for nothing.
-                self.seeds = places.iter().map(|mate| mate.address).collect();
+                self.seeds = places.iter().map(|peer| peer.address).collect();
                 self.slots = places.len();
                 self.leases.keep(&self.seeds);
             }
@@ -390,7 +390,7 @@
         self.duties
             .get(duty)
             .and_then(|duty| duty.holder)
-            .map(|mate| mate.address)
+            .map(|peer| peer.address)
     }
 
     fn sync_duties(&mut self, now: Duration) {
@@ -490,7 +490,7 @@
             let epoch = self.slices.get(&slice).copied().unwrap_or(0);
             self.tell(
                 last,
-                Want {
+                HandoverRequest {
                     slice,
                     epoch,
                     sent: now,
@@ -499,13 +499,13 @@
         }
     }
 
-    fn want(&mut self, now: Duration, from: Mate, want: Want) {
-        let Want { slice, epoch, sent } = want;
+    fn want(&mut self, now: Duration, from: Peer, want: HandoverRequest) {
+        let HandoverRequest { slice, epoch, sent } = want;
         let copies = self.cache.hand(now, slice);
         if !copies.is_empty() {
             self.tell(
                 from.address,
-                Handed {
+                HandoverReply {
                     slice,
                     epoch,
                     sent,
@@ -515,8 +515,8 @@
         }
     }
 
-    fn handed(&mut self, now: Duration, handed: Handed) {
-        let Handed {
+    fn handed(&mut self, now: Duration, handed: HandoverReply) {
+        let HandoverReply {
             slice,
             epoch,
             sent,
@@ -562,7 +562,7 @@
                 let to = holder.address;
                 self.tell(
                     to,
-                    Underway {
+                    CallsInProgress {
                         service: group.service.clone(),
                         calls,
                     },
@@ -594,7 +594,7 @@
 
     // Errands.
 
-    fn begin(&mut self, now: Duration, id: u64, errand: Errand) {
+    fn begin(&mut self, now: Duration, id: u64, errand: ClientRequest) {
         self.usage.errands += 1;
         let mut job = Job::new(now, errand);
         if !self.is_live(now) {
@@ -632,14 +632,14 @@
     /// errand, or one that waits for a permit and is told so at once.
     fn crowded(&mut self, now: Duration, job: &Job) -> Option<Refusal> {
         let service = &job.errand.service;
-        let mates = self
+        let peers = self
             .jobs
             .iter()
             .filter(|(_, known)| known.errand.service == *service);
-        if mates.clone().count() < PENDING {
+        if peers.clone().count() < PENDING {
             return None;
         }
-        let waiting = mates.filter(|(_, known)| {
+        let waiting = peers.filter(|(_, known)| {
             matches!(
                 known.stage,
                 Stage::Knocking | Stage::Getting { spare: false, .. }
@@ -722,7 +722,7 @@
                 let gate = gate_duty(&service);
                 let (extra, call) = (job.calls > 0, job.call_limit(now, Duration::ZERO));
                 let (zone, region) = (self.spot.zone.clone(), self.spot.region.clone());
-                let knock = Knock {
+                let knock = PermitRequest {
                     service,
                     id,
                     rank: entry.rank,
@@ -761,7 +761,7 @@
         let seed = self.seeds[(first + round.saturating_sub(1)) % self.seeds.len()];
         self.tell(
             seed,
-            Ask {
+            ChangeRequest {
                 asker: self.me.address,
                 id,
                 slice,
@@ -860,8 +860,8 @@
         self.set_stage(now, id, stage);
     }
 
-    fn told(&mut self, now: Duration, told: Told) {
-        let Told { id, told } = told;
+    fn told(&mut self, now: Duration, told: ChangeReply) {
+        let ChangeReply { id, told } = told;
         if matches!(told, Outcome::Released | Outcome::Recorded | Outcome::Lost) {
             self.loose.remove(&id);
         }
@@ -965,7 +965,7 @@
         );
     }
 
-    fn miss(&mut self, now: Duration, from: Mate, miss: Miss) {
+    fn miss(&mut self, now: Duration, from: Peer, miss: Miss) {
         let Miss { id, key, token } = miss;
         if self
             .jobs
@@ -1006,7 +1006,7 @@
         self.end(now, id, Answer::Refusal(refusal));
     }
 
-    fn permit(&mut self, now: Duration, from: Mate, permit: Permit) {
+    fn permit(&mut self, now: Duration, from: Peer, permit: Permit) {
         let fresh = now.saturating_sub(permit.sent).saturating_sub(permit.held) < lease::PERMIT;
         let live = self.is_live(now);
         let listed = self
@@ -1032,7 +1032,7 @@
                 },
             );
             if let Some(job) = self.jobs.get_mut(&permit.id).filter(|_| wants) {
-                // With the next pulse, not at once: a gate that has not heard
+                // With the next tick, not at once: a gate that has not heard
                 // of a leaving origin yet would give it again and again.
                 job.again = now;
             }
@@ -1108,7 +1108,7 @@
         self.go(now, permit);
     }
 
-    fn away(&mut self, now: Duration, away: Away) {
+    fn away(&mut self, now: Duration, away: PermitRefused) {
         let Some(job) = self.jobs.get(&away.id) else {
             return;
         };
@@ -1378,7 +1378,7 @@
 
     // Duties held here.
 
-    fn heed_duty(&mut self, now: Duration, from: Mate, message: Message) {
+    fn heed_duty(&mut self, now: Duration, from: Peer, message: Message) {
         if !self.is_live(now) {
             return;
         }
@@ -1414,11 +1414,11 @@
                     self.cache.give_up(now, key, token, *epoch, purged, private);
                 }
             }
-            Message::Knock(knock) => match self.gates.get_mut(&knock.service) {
+            Message::PermitRequest(knock) => match self.gates.get_mut(&knock.service) {
                 Some(gate) => gate.knock(now, from.address, knock),
                 None => self.tell(
                     from.address,
-                    Away {
+                    PermitRefused {
                         id: knock.id,
                         reason: AwayReason::NotHere,
                         back: AGAIN,
@@ -1430,7 +1430,7 @@
                     gate.done(now, done);
                 }
             }
-            Message::Underway(told) => {
+            Message::CallsInProgress(told) => {
                 if let Some(gate) = self.gates.get_mut(&told.service) {
                     gate.underway(now, told);
                 }
@@ -1510,7 +1510,7 @@
         }
     }
 
-    fn pulse(&mut self, now: Duration) {
+    fn tick(&mut self, now: Duration) {
         if now >= self.next_renew {
             self.renew(now);
         }
@@ -1518,7 +1518,7 @@
         self.ask_wants(now);
         if self.is_live(now) {
             let epochs = &self.slices;
-            self.cache.pulse(
+            self.cache.tick(
                 now,
                 &|slice| epochs.get(&slice).copied().unwrap_or(0),
                 self.book.applied,
@@ -1590,31 +1590,31 @@
             self.left = true;
             self.leases.drop_all();
             for seed in self.seeds.clone() {
-                self.tell(seed, Leave {});
+                self.tell(seed, SessionClose {});
             }
             self.check_live(now);
             self.out.push(Output::Ended);
         }
     }
 
-    fn heard(&mut self, now: Duration, from: Mate, message: Message) {
+    fn heard(&mut self, now: Duration, from: Peer, message: Message) {
         match message {
-            Message::Renewed(renewed) => self.renewed(now, from, renewed),
-            Message::Nudge(nudge) => self.nudged(now, from, &nudge),
-            Message::Who(who) => {
+            Message::RenewReply(renewed) => self.renewed(now, from, renewed),
+            Message::UpdateNotice(nudge) => self.nudged(now, from, &nudge),
+            Message::RenewPrompt(who) => {
                 self.marks.insert(from.address, who.mark);
                 self.renew(now);
             }
-            Message::Want(want) => self.want(now, from, want),
-            Message::Handed(handed) => self.handed(now, handed),
-            Message::Recall(recall) => self.recall(from, recall.slice),
-            Message::Told(told) => self.told(now, told),
+            Message::HandoverRequest(want) => self.want(now, from, want),
+            Message::HandoverReply(handed) => self.handed(now, handed),
+            Message::RecallRequest(recall) => self.recall(from, recall.slice),
+            Message::ChangeReply(told) => self.told(now, told),
             Message::Copy(copy) => self.copy(now, copy),
             Message::Miss(miss) => self.miss(now, from, miss),
             Message::NoCopy(no_copy) => self.no_copy(now, no_copy),
             Message::Permit(permit) => self.permit(now, from, permit),
-            Message::Away(away) => self.away(now, away),
-            Message::InLine(line) => self.in_line(now, line.id),
+            Message::PermitRefused(away) => self.away(now, away),
+            Message::PermitQueued(line) => self.in_line(now, line.id),
             other => self.heed_duty(now, from, other),
         }
     }
@@ -1634,9 +1634,9 @@
 impl Part for EdgePart {
     fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         match input {
-            Input::Pulse => self.pulse(now),
+            Input::Tick => self.tick(now),
             Input::Heard { from, message } => self.heard(now, from, message),
-            Input::Errand { id, errand } => self.begin(now, id, errand),
+            Input::ClientRequest { id, errand } => self.begin(now, id, errand),
             Input::Called { id, result } => self.called(now, id, result),
             Input::Watched { address, open } => {
                 self.gates
@@ -1645,7 +1645,7 @@
                 // At once: a proof is on the path of the first errands.
                 self.run_gates(now);
             }
-            Input::Warned => {
+            Input::ShutdownRequested => {
                 self.warned.get_or_insert(now);
                 self.check_live(now);
                 self.renew(now);
@@ -1690,9 +1690,9 @@
         Arc::new(EntryTable::new(1, Configuration::read(&text).unwrap()))
     }
 
-    /// An edge with two renewals at `now`, whose mates are played by the test.
+    /// An edge with two renewals at `now`, whose peers are played by the test.
     fn live(now: u64) -> EdgePart {
-        let me = Mate::new(address(9), 5);
+        let me = Peer::new(address(9), 5);
         let mut edge = EdgePart::new(
             me,
             Spot::default(),
@@ -1700,9 +1700,9 @@
             false,
             1 << 20,
         );
-        edge.step(at(now), Input::Pulse);
+        edge.step(at(now), Input::Tick);
         for seed in [1, 2] {
-            let renewed = Renewed {
+            let renewed = RenewReply {
                 life: 5,
                 mark: Mark::default(),
                 sent: at(now),
@@ -1713,7 +1713,7 @@
             edge.step(
                 at(now),
                 Input::Heard {
-                    from: Mate::new(address(seed), 1),
+                    from: Peer::new(address(seed), 1),
                     message: renewed.into(),
                 },
             );
@@ -1721,11 +1721,11 @@
         edge
     }
 
-    fn errand(url: &str, method: &str) -> Errand {
+    fn errand(url: &str, method: &str) -> ClientRequest {
         let image = table();
         let entry = image.find("h", url, method).unwrap();
         let headers = vec![("operation-key".to_string(), "key".to_string())];
-        Errand {
+        ClientRequest {
             method: method.into(),
             host: "h".into(),
             url: url.into(),
@@ -1759,7 +1759,7 @@
             assert!(
                 answers(edge.step(
                     at(1100),
-                    Input::Errand {
+                    Input::ClientRequest {
                         id,
                         errand: errand("/low", "GET")
                     }
@@ -1769,7 +1769,7 @@
         }
         let told = answers(edge.step(
             at(1100),
-            Input::Errand {
+            Input::ClientRequest {
                 id: 300,
                 errand: errand("/low", "GET"),
             },
@@ -1780,7 +1780,7 @@
         );
         let told = answers(edge.step(
             at(1100),
-            Input::Errand {
+            Input::ClientRequest {
                 id: 301,
                 errand: errand("/high", "GET"),
             },
@@ -1793,7 +1793,7 @@
         assert!(
             answers(edge.step(
                 at(1100),
-                Input::Errand {
+                Input::ClientRequest {
                     id: 302,
                     errand: errand("/quick", "GET")
                 }
@@ -1808,7 +1808,7 @@
         let told = |edge: &mut EdgePart, now, id, url: &str, method: &str| {
             answers(edge.step(
                 at(now),
-                Input::Errand {
+                Input::ClientRequest {
                     id,
                     errand: errand(url, method),
                 },
@@ -1829,7 +1829,7 @@
     fn a_renewal_of_an_earlier_life_or_a_stranger_counts_for_nothing() {
         for (life, seed) in [(4, 3), (5, 7)] {
             let mut edge = live(1000);
-            let renewed = Renewed {
+            let renewed = RenewReply {
                 life,
                 mark: Mark::default(),
                 sent: at(5000),
@@ -1841,14 +1841,14 @@
                 edge.step(
                     at(1500),
                     Input::Heard {
-                        from: Mate::new(address(seed), 1),
+                        from: Peer::new(address(seed), 1),
                         message: renewed.clone().into(),
                     },
                 );
             }
             let told = answers(edge.step(
                 at(2500),
-                Input::Errand {
+                Input::ClientRequest {
                     id: 1,
                     errand: errand("/quick", "GET"),
                 },
@@ -1865,31 +1865,21 @@
             let out = edge.step(
                 at(1010),
                 Input::Heard {
-                    from: Mate::new(address(seed), 1),
+                    from: Peer::new(address(seed), 1),
                     message,
                 },
             );
             out.iter()
-                .filter_map(|one| {
-                    matches!(
-                        one,
-                        Output::Tell {
-                            message: Message::Renew(_),
-                            ..
-                        }
-                    )
-                    .then_some(one)
-                })
-                .map(|one| {
-                    if let Output::Tell { to, .. } = one {
-                        *to
-                    } else {
-                        unreachable!()
-                    }
+                .filter_map(|one| match one {
+                    Output::Tell {
+                        to,
+                        message: Message::RenewRequest(_),
+                    } => Some(*to),
+                    _ => None,
                 })
                 .collect()
         };
-        let news = || Renewed {
+        let news = || RenewReply {
             life: 5,
             mark: Mark::default(),
             sent: at(1010),
@@ -1905,7 +1895,7 @@
             said(
                 &mut edge,
                 2,
-                Nudge {
+                UpdateNotice {
                     slice: PURGES,
                     version: 4,
                     mark: Mark::default()
@@ -1924,7 +1914,7 @@
             said(
                 &mut edge,
                 3,
-                Nudge {
+                UpdateNotice {
                     slice: PURGES,
                     version: 4,
                     mark: Mark::default()
@@ -1937,7 +1927,7 @@
             said(
                 &mut edge,
                 3,
-                Nudge {
+                UpdateNotice {
                     slice: PURGES,
                     version: 5,
                     mark: Mark::default()
@@ -1952,9 +1942,9 @@
     fn the_lease_of_who_lost_its_slot_ends_with_the_news_of_it() {
         let mut edge = live(1000);
         let places = [
-            Mate::new(address(4), 8),
-            Mate::new(address(2), 0),
-            Mate::new(address(3), 0),
+            Peer::new(address(4), 8),
+            Peer::new(address(2), 0),
+            Peer::new(address(3), 0),
         ];
         let row = Row {
             version: 1,
@@ -1965,7 +1955,7 @@
             version: 1,
             rows: vec![("places".into(), row)],
         }];
-        let renewed = |sent, news| Renewed {
+        let renewed = |sent, news| RenewReply {
             life: 5,
             mark: Mark::default(),
             sent: at(sent),
@@ -1976,13 +1966,13 @@
         edge.step(
             at(1100),
             Input::Heard {
-                from: Mate::new(address(2), 1),
+                from: Peer::new(address(2), 1),
                 message: renewed(1100, news).into(),
             },
         );
         let told = answers(edge.step(
             at(1200),
-            Input::Errand {
+            Input::ClientRequest {
                 id: 1,
                 errand: errand("/quick", "GET"),
             },
@@ -1991,14 +1981,14 @@
         edge.step(
             at(1300),
             Input::Heard {
-                from: Mate::new(address(4), 8),
+                from: Peer::new(address(4), 8),
                 message: renewed(1300, vec![]).into(),
             },
         );
         assert!(
             answers(edge.step(
                 at(1400),
-                Input::Errand {
+                Input::ClientRequest {
                     id: 2,
                     errand: errand("/quick", "GET")
                 }
@@ -2011,7 +2001,7 @@
     fn asked(out: &[Output]) -> Vec<Change> {
         let one = |output: &Output| match output {
             Output::Tell {
-                message: Message::Ask(ask),
+                message: Message::ChangeRequest(ask),
                 ..
             } => Some(ask.ask.clone()),
             _ => None,
@@ -2023,8 +2013,8 @@
         edge.step(
             at(now),
             Input::Heard {
-                from: Mate::new(address(1), 1),
-                message: Told { id, told }.into(),
+                from: Peer::new(address(1), 1),
+                message: ChangeReply { id, told }.into(),
             },
         )
     }
@@ -2034,14 +2024,14 @@
         let mut edge = live(1000);
         let out = edge.step(
             at(1000),
-            Input::Errand {
+            Input::ClientRequest {
                 id: 1,
                 errand: errand("/k", "POST"),
             },
         );
         assert!(matches!(asked(&out).as_slice(), [Change::Claim(_)]));
         told(&mut edge, 1010, 1, Outcome::Claimed);
-        let away = Away {
+        let away = PermitRefused {
             id: 1,
             reason: AwayReason::Busy,
             back: at(2000),
@@ -2049,7 +2039,7 @@
         let out = edge.step(
             at(1020),
             Input::Heard {
-                from: Mate::new(address(8), 1),
+                from: Peer::new(address(8), 1),
                 message: away.into(),
             },
         );
@@ -2087,7 +2077,7 @@
             version: 1,
             rows: vec![("origins".into(), row)],
         }];
-        let renewed = Renewed {
+        let renewed = RenewReply {
             life: 5,
             mark: Mark::default(),
             sent: at(1000),
@@ -2098,13 +2088,13 @@
         edge.step(
             at(1000),
             Input::Heard {
-                from: Mate::new(address(1), 1),
+                from: Peer::new(address(1), 1),
                 message: renewed.into(),
             },
         );
         edge.step(
             at(1000),
-            Input::Errand {
+            Input::ClientRequest {
                 id: 1,
                 errand: errand("/k", "POST"),
             },
@@ -2124,7 +2114,7 @@
             edge.step(
                 at(now),
                 Input::Heard {
-                    from: Mate::new(address(8), 1),
+                    from: Peer::new(address(8), 1),
                     message: permit.into(),
                 },
             )
