--- a/data-plane/src/gate.rs
+++ b/data-plane/src/gate.rs
@@ -278,8 +278,8 @@
         places - self.calls.len() as f64 - 1.0 >= needed.floor().max(0.0)
     }
 
-    pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: Knock) {
-        let Knock {
+    pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: PermitRequest) {
+        let PermitRequest {
             id,
             rank,
             wait,
@@ -299,7 +299,7 @@
         {
             known.sent = sent;
             known.since = now;
-            return self.out.push((from, InLine { id }.into()));
+            return self.out.push((from, PermitQueued { id }.into()));
         }
         self.arrivals.push_back((now, rank));
         self.serial += 1;
@@ -321,7 +321,7 @@
         });
         self.pump(now);
         if self.waits.iter().any(|wait| (wait.from, wait.id) == mine) {
-            self.out.push((from, InLine { id }.into()));
+            self.out.push((from, PermitQueued { id }.into()));
         }
     }
 
@@ -366,7 +366,7 @@
             {
                 self.out.push((
                     wait.from,
-                    Away {
+                    PermitRefused {
                         id: wait.id,
                         reason,
                         back,
@@ -546,7 +546,7 @@
     }
 
     /// Calls under way by permits of an earlier holder.
-    pub fn underway(&mut self, now: Duration, told: Underway) {
+    pub fn underway(&mut self, now: Duration, told: CallsInProgress) {
         for (epoch, serial, origin, left) in told.calls {
             if epoch < self.epoch {
                 self.calls.insert(
@@ -775,8 +775,8 @@
         }
     }
 
-    fn knock(id: u64, rank: u32, wait: u64, extra: bool) -> Knock {
-        Knock {
+    fn knock(id: u64, rank: u32, wait: u64, extra: bool) -> PermitRequest {
+        PermitRequest {
             service: "s".into(),
             id,
             rank,
@@ -795,7 +795,7 @@
     fn said(gate: &mut Gate) -> Vec<(SocketAddr, Message)> {
         gate.take_out()
             .into_iter()
-            .filter(|(_, message)| !matches!(message, Message::InLine(_)))
+            .filter(|(_, message)| !matches!(message, Message::PermitQueued(_)))
             .collect()
     }
 
@@ -806,7 +806,7 @@
         for ms in [400, 600] {
             gate.knock(at(ms), origin(9).address, knock(1, 1, 5000, false));
             assert!(
-                matches!(gate.take_out().as_slice(), [(to, Message::InLine(InLine { id: 1 }))] if *to == origin(9).address),
+                matches!(gate.take_out().as_slice(), [(to, Message::PermitQueued(PermitQueued { id: 1 }))] if *to == origin(9).address),
                 "nothing is proven yet"
             );
         }
@@ -832,7 +832,7 @@
                 run.gate.knock(
                     at(run.now),
                     origin(9).address,
-                    Knock {
+                    PermitRequest {
                         aim,
                         ..knock(id, u32::from(id % 25 == 0) * 8 + 1, 2000, false)
                     },
@@ -952,8 +952,10 @@
                         };
                         ends.push((self.now + took, done));
                     }
-                    Message::Away(away) => self.away.push((self.now, away.id, away.reason)),
-                    Message::InLine(_) => {}
+                    Message::PermitRefused(away) => {
+                        self.away.push((self.now, away.id, away.reason))
+                    }
+                    Message::PermitQueued(_) => {}
                     other => panic!("{other:?}"),
                 }
             }
@@ -1015,7 +1017,7 @@
             run.step(5, &mut ends);
         }
         let share = |high: bool| {
-            let mine = |id: &u64| (id % 6 == 0) == high && *id > 500;
+            let mine = |id: &u64| id.is_multiple_of(6) == high && *id > 500;
             let asked = (0..6000u64).filter(|id| id % 3 == 0 && mine(id)).count();
             run.given.iter().filter(|(_, id)| mine(id)).count() as f64 / asked as f64
         };
@@ -1200,7 +1202,7 @@
             said(&mut gate).as_slice(),
             [(
                 _,
-                Message::Away(Away {
+                Message::PermitRefused(PermitRefused {
                     reason: AwayReason::NoOrigin,
                     ..
                 })
@@ -1229,7 +1231,7 @@
         let mut run = Run::new(0, 5, 1000.0, 2);
         run.gate.underway(
             at(10),
-            Underway {
+            CallsInProgress {
                 service: "s".into(),
                 calls: vec![
                     (3, 1, origin(1).address, at(900)),
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -6,7 +6,7 @@
 ///   called again after it, and "not run" is never said after it.
 /// - A keyed errand calls only while its claim is held.
 pub struct Job {
-    pub errand: Errand,
+    pub errand: ClientRequest,
     pub began: Duration,
     pub deadline: Duration,
     /// Answered by then, it is worth most.
@@ -60,7 +60,7 @@
 }
 
 impl Job {
-    pub fn new(now: Duration, errand: Errand) -> Job {
+    pub fn new(now: Duration, errand: ClientRequest) -> Job {
         Job {
             began: now,
             deadline: now
@@ -128,7 +128,7 @@
     }
 
     /// Entry, service and URL: what tells requests apart.
-    pub fn cache_key(errand: &Errand) -> CacheKey {
+    pub fn cache_key(errand: &ClientRequest) -> CacheKey {
         hash_of(&[
             errand.entry().name.as_bytes(),
             errand.home().as_bytes(),
@@ -146,7 +146,7 @@
         }
     }
 
-    pub fn claim_of(errand: &Errand, by: Mate, id: u64) -> Claim {
+    pub fn claim_of(errand: &ClientRequest, by: Peer, id: u64) -> Claim {
         // Neither entry nor service: a changed configuration makes no new
         // operation of a repeat.
         let print = hash_of(&[
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -221,7 +221,7 @@
             };
             taker.tell(line, taker.dialect.tell(&headers, &answer));
         };
-        let take = |id| Input::Errand {
+        let take = |id| Input::ClientRequest {
             id,
             errand: errand
                 .lock()
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -15,7 +15,7 @@
 
 events! {
     Started = 100, Info;
-    Warned = 101, Info;
+    ShutdownRequested = 101, Info;
     Ended = 102, Info;
     LinkBroken = 110, Debug;
     FrameRefused = 111, Warn;
@@ -26,8 +26,8 @@
     DiskFailed = 212, Error;
     LogTailCut = 213, Warn;
     LogCorrupt = 214, Error;
-    SlotTaken = 215, Info;
-    SlotStruck = 216, Error;
+    MemberReplaced = 215, Info;
+    MemberRemoved = 216, Error;
     RealmFounded = 217, Info;
     MajorityLost = 218, Error;
     RowsRecalled = 219, Warn;
--- a/kernel/src/frame.rs
+++ b/kernel/src/frame.rs
@@ -5,7 +5,7 @@
 /// Larger than any whole slice image we send.
 pub const FRAME_BYTES: usize = 64 * 1024 * 1024;
 
-pub fn write(from: Mate, message: &Message) -> Result<Vec<u8>> {
+pub fn write(from: Peer, message: &Message) -> Result<Vec<u8>> {
     let body = bincode::serialize(&(from, message))?;
     let mut frame = Vec::with_capacity(body.len() + 8);
     frame.extend((body.len() as u32).to_be_bytes());
@@ -14,7 +14,7 @@
     Ok(frame)
 }
 
-pub fn read(stream: &mut dyn Read) -> Result<(Mate, Message)> {
+pub fn read(stream: &mut dyn Read) -> Result<(Peer, Message)> {
     let mut head = [0u8; 8];
     stream.read_exact(&mut head)?;
     let size = u32::from_be_bytes(head[..4].try_into()?) as usize;
@@ -38,20 +38,20 @@
 
     #[test]
     fn what_is_written_is_read_and_any_flipped_or_missing_byte_is_an_error() {
-        let mate = Mate::new("127.0.0.1:9".parse().unwrap(), 3);
-        let message: Message = Beat {
+        let peer = Peer::new("127.0.0.1:9".parse().unwrap(), 3);
+        let message: Message = Heartbeat {
             slot: 2,
             full: true,
             blank: false,
-            seats: 0,
+            membership_version: 0,
             closed: Duration::ZERO,
             lost: 0,
             got: 0,
             seen: None,
         }
         .into();
-        let good = frame::write(mate, &message).unwrap();
-        assert_eq!(frame::read(&mut good.as_slice()).unwrap(), (mate, message));
+        let good = frame::write(peer, &message).unwrap();
+        assert_eq!(frame::read(&mut good.as_slice()).unwrap(), (peer, message));
         for at in 0..good.len() {
             let mut bad = good.clone();
             bad[at] ^= 0x40;
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -86,12 +86,12 @@
     fn sync(&mut self) -> Result<()>;
 }
 
-/// Drives one part: sockets, disk, pulses and calls sit out here.
+/// Drives one part: sockets, disk, ticks and calls sit out here.
 pub struct Host {
-    pub me: Mate,
+    pub me: Peer,
     pub program: &'static str,
     pub startup: Startup,
-    pub pulse: Duration,
+    pub tick: Duration,
     pub store: Option<Box<dyn Store>>,
     pub face: Box<dyn Face>,
     /// Where acknowledged configurations go; never waited for.
@@ -137,7 +137,7 @@
             .take()
             .map(|store| Host::keep(store, give.clone()));
         Host::watch_signal(&give, self.startup.grace())?;
-        let pulse = self.pulse;
+        let tick = self.tick;
         note(
             Event::Started,
             &format!(
@@ -150,15 +150,15 @@
         while !(port.ending.load(Ordering::Acquire) && self.face.done()) {
             let now = port.now();
             let input = if now >= next {
-                next = now + pulse;
-                Input::Pulse
+                next = now + tick;
+                Input::Tick
             } else {
                 match take.recv_timeout(next - now) {
                     Ok(input) => input,
                     Err(_) => continue,
                 }
             };
-            if matches!(input, Input::Warned) {
+            if matches!(input, Input::ShutdownRequested) {
                 self.face.warn();
             }
             for output in part.step(port.now(), input) {
@@ -273,13 +273,16 @@
         let give = give.clone();
         thread::spawn(move || {
             // A hang-up asks to read the startup anew: what hangs on it is
-            // learned from the mates all the time.
+            // learned from the peers all the time.
             if signals
                 .forever()
                 .any(|signal| signal != signal_hook::consts::SIGHUP)
             {
-                note(Event::Warned, &format!("ending within {grace:?}"));
-                let _ = give.send(Input::Warned);
+                note(
+                    Event::ShutdownRequested,
+                    &format!("ending within {grace:?}"),
+                );
+                let _ = give.send(Input::ShutdownRequested);
                 thread::sleep(grace);
                 note(Event::Ended, "grace time is over");
                 std::process::exit(1);
--- a/kernel/src/items.rs
+++ b/kernel/src/items.rs
@@ -18,6 +18,9 @@
     Removed,
 }
 
+/// All items as one document, with the bounds if any are set.
+pub type Merged = (Configuration, Option<Arc<Bounds>>);
+
 impl Items {
     /// Row key of an item.
     pub fn key(kind: ItemKind, name: &str) -> String {
@@ -80,7 +83,7 @@
 
     /// All that stands, as one document, with the bounds if any are set; each
     /// finding's place begins with the row key of its item.
-    pub fn merged(&self) -> Result<(Configuration, Option<Arc<Bounds>>), Vec<Finding>> {
+    pub fn merged(&self) -> Result<Merged, Vec<Finding>> {
         self.joined().map_err(|found| {
             found
                 .into_iter()
@@ -91,7 +94,7 @@
 
     /// The same; each finding with its item's row key (none: of no one item),
     /// and its place within.
-    fn joined(&self) -> Result<(Configuration, Option<Arc<Bounds>>), Vec<(String, Finding)>> {
+    fn joined(&self) -> Result<Merged, Vec<(String, Finding)>> {
         let mut document = Configuration {
             groups: Vec::new(),
             entries: Vec::new(),
--- a/kernel/src/lease.rs
+++ b/kernel/src/lease.rs
@@ -6,25 +6,25 @@
 //! `CONTROL - EDGE` (200 ms, or 25 % of clock rate error) before it is counted
 //! lapsed.
 //!
-//! Settle bound: a change is published within one control pulse of its
-//! majority write; every session then confirms (nudge or next edge pulse) or
+//! Settle bound: a change is published within one control tick of its
+//! majority write; every session then confirms (nudge or next edge tick) or
 //! lapses: at most `CONTROL` (800 ms) after its last renewal was heard, plus
-//! two control pulses (200 ms) to see and collect it, plus syncs. 0.8 + 0.2 +
+//! two control ticks (200 ms) to see and collect it, plus syncs. 0.8 + 0.2 +
 //! two syncs stays below 2 s, under the brief's 2 to 2.5 s, and the
 //! acknowledgement comes after it, so "in force everywhere" is already true
 //! when an operator reads the answer.
 use crate::prelude::*;
 
 /// How often an edge renews with each control node.
-pub const EDGE_PULSE: Duration = Duration::from_millis(200);
+pub const EDGE_TICK: Duration = Duration::from_millis(200);
 /// How often control nodes confirm their slices with each other.
-pub const CONTROL_PULSE: Duration = Duration::from_millis(100);
+pub const CONTROL_TICK: Duration = Duration::from_millis(100);
 /// How long an edge relies on one control node's renewal, from its sending.
 pub const EDGE: Duration = Duration::from_millis(600);
 /// How long a control node counts a session as standing, from its hearing.
 pub const CONTROL: Duration = Duration::from_millis(800);
 /// How long a control node counts another as live without a word from it.
-pub const CONTROL_MATE: Duration = Duration::from_millis(450);
+pub const CONTROL_PEER: Duration = Duration::from_millis(450);
 /// A permit is good for this long from its granting: a leaving origin gets no
 /// errand later than this after the gate dropped it. Also the arrival jitter
 /// in the rate bound: 5.2 s of rate fit into any 5 s window (104 %), the rest
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -1,5 +1,5 @@
 //! What every otterslip process is built on: startup, messages, frames, links,
-//! pulses, events and the host that drives a part.
+//! ticks, events and the host that drives a part.
 pub mod configuration;
 pub mod dialect;
 pub mod entry_table;
@@ -11,10 +11,10 @@
 pub mod items;
 pub mod lease;
 pub mod link;
-pub mod mate;
 pub mod message;
 pub mod operator_server;
 pub mod part;
+pub mod peer;
 pub mod plug_in;
 pub mod prelude;
 pub mod quorum;
--- a/kernel/src/link.rs
+++ b/kernel/src/link.rs
@@ -1,16 +1,16 @@
 use crate::prelude::*;
 
-/// Sessions to mates over TCP, one thread each way. A link may lose what it
+/// Sessions to peers over TCP, one thread each way. A link may lose what it
 /// was given: the state machines say again what was not answered.
 pub struct Links {
-    me: Mate,
+    me: Peer,
     out: Mutex<HashMap<SocketAddr, Sender<Arc<Vec<u8>>>>>,
 }
 
-/// Frames waiting for one mate; more are dropped.
+/// Frames waiting for one peer; more are dropped.
 const PENDING: usize = 4096;
 const CONNECT: Duration = Duration::from_millis(500);
-/// A mate that acknowledges nothing for this long is dropped and met anew:
+/// A peer that acknowledges nothing for this long is dropped and met anew:
 /// left to itself, TCP would wait ever longer between tries, and a healed cut
 /// would go unnoticed for many seconds.
 const STALL: Duration = Duration::from_millis(1500);
@@ -18,8 +18,8 @@
 const IDLE: Duration = Duration::from_secs(15);
 
 impl Links {
-    /// Listens for mates and hands what they say to `take`.
-    pub fn open(me: Mate, listener: TcpListener, take: Sender<Input>) -> Arc<Links> {
+    /// Listens for peers and hands what they say to `take`.
+    pub fn open(me: Peer, listener: TcpListener, take: Sender<Input>) -> Arc<Links> {
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let take = take.clone();
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -24,63 +24,63 @@
     // Between control nodes.
     /// I am here, with this disk (`full` once it counts, and until I end) and
     /// these sessions, once they are known, as far as the hearer has not got them
-    /// by its last beat (`got`: the state of its table here); `seats` is the version of the table
+    /// by its last beat (`got`: the state of its table here); `membership_version` is the version of the table
     /// of places I go by; for `closed` no unknown operation may be claimed;
     /// what was acknowledged in the realm `lost` may be lost (0: none was).
     /// `blank`: the disk was not refilled yet.
-    Beat { slot: u8, full: bool, blank: bool, seats: u64, closed: Duration, lost: u64, got: u64, seen: Option<SeenSince> }
+    Heartbeat { slot: u8, full: bool, blank: bool, membership_version: u64, closed: Duration, lost: u64, got: u64, seen: Option<SessionsDelta> }
     /// A blank disk asks for all another holds. The first round only makes
     /// the others forget the earlier disk's acknowledgements; what the
-    /// second brings counts. `seats`: the table the sender goes by; who goes
+    /// second brings counts. `membership_version`: the table the sender goes by; who goes
     /// by a newer one answers with that instead (as to Raise and Keep).
-    Refill { slot: u8, round: u8, seats: u64 }
-    /// `full`: the disk holds all that it ever acknowledged. `seats`: the
+    SnapshotRequest { slot: u8, round: u8, membership_version: u64 }
+    /// `full`: the disk holds all that it ever acknowledged. `membership_version`: the
     /// table that edges are shown here.
-    Refilled { slot: u8, round: u8, full: bool, lost: u64, seats: u64, held: Vec<HeldSlice> }
+    SnapshotReply { slot: u8, round: u8, full: bool, lost: u64, membership_version: u64, held: Vec<PartitionSnapshot> }
     /// Take a slice: promise to heed no lower epoch.
-    Raise { slice: u8, epoch: u64, seats: u64 }
+    PrepareRequest { slice: u8, epoch: u64, membership_version: u64 }
     /// `retired`: lives of slots that count for nothing any more.
-    Raised { slice: u8, epoch: u64, lost: u64, retired: Vec<u64>, image: SliceImage }
+    PrepareReply { slice: u8, epoch: u64, lost: u64, retired: Vec<u64>, image: PartitionState }
     /// Rows after `from` up to `to`; with `whole`, all there is. An empty one
     /// is a round: it collects the sessions and confirms the owner.
-    Keep { slice: u8, epoch: u64, seats: u64, round: u64, whole: bool, from: u64, to: u64, rows: Vec<(String, Row)>, drops: Vec<String>, published: u64 }
+    AppendRequest { slice: u8, epoch: u64, membership_version: u64, round: u64, whole: bool, from: u64, to: u64, rows: Vec<(String, Row)>, drops: Vec<String>, published: u64 }
     /// Kept and synced up to `to`. `clear`: every session standing here has
     /// confirmed this version; none while the sessions are not known yet.
     /// `retired` as in Raised: heeded before anything is counted.
-    Kept { slice: u8, epoch: u64, round: u64, to: u64, clear: Option<u64>, retired: Vec<u64> }
+    AppendReply { slice: u8, epoch: u64, round: u64, to: u64, clear: Option<u64>, retired: Vec<u64> }
     /// Rows before `from` are missing here.
-    Lacks { slice: u8, epoch: u64, round: u64 }
+    AppendGap { slice: u8, epoch: u64, round: u64 }
     /// A higher epoch was promised.
-    Outrun { slice: u8, epoch: u64, promised: u64 }
+    StaleEpoch { slice: u8, epoch: u64, promised: u64 }
     /// A change on its way to the slice's owner; answered to `asker`.
-    Ask { asker: SocketAddr, id: u64, slice: u8, ask: Change }
-    Told { id: u64, told: Outcome }
+    ChangeRequest { asker: SocketAddr, id: u64, slice: u8, ask: Change }
+    ChangeReply { id: u64, told: Outcome }
 
     /// An empty control node without a slot asks for one that is lost, or
     /// (`founding`) for one of its own.
-    Enlist { founding: bool }
+    JoinRequest { founding: bool }
     /// Who holds the slots, to one who asks for a slot or goes by an older
     /// table. Who thought to hold one and is not in it, is struck. Version 0 is
     /// the founding table; there is one, made by the first seed.
-    Seats { version: u64, places: Vec<Mate> }
+    MembershipTable { version: u64, places: Vec<Peer> }
 
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
     /// `heard`: the last mark of this control node, none before the first.
-    Renew { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, ring: String, strength: u32, draining: bool, usage: Usage, found: Vec<OriginFound> }
+    RenewRequest { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, ring: String, strength: u32, draining: bool, usage: Usage, found: Vec<OriginFound> }
     /// To the life that sent the renewal, with its own time of sending.
     /// `recall`: acknowledged operations may be lost; tell those you know.
-    Renewed { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
+    RenewReply { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
     /// Tell all rows you know of this slice: more than its owner does.
-    Recall { slice: u8 }
-    Recalled { slice: u8, version: u64, rows: Vec<(String, Row)> }
+    RecallRequest { slice: u8 }
+    RecallReply { slice: u8, version: u64, rows: Vec<(String, Row)> }
     /// This version of a news slice is shown here, and you have not confirmed
     /// it: renew now, unless you have it from another by now.
-    Nudge { slice: u8, version: u64, mark: Mark }
+    UpdateNotice { slice: u8, version: u64, mark: Mark }
     /// It matters who is there: renew now, with this mark.
-    Who { mark: Mark }
+    RenewPrompt { mark: Mark }
     /// The edge has fenced itself for good.
-    Leave { }
+    SessionClose { }
 
     // Between edges: the cache.
     /// `spare`: the asker's own refill failed; it wants any copy in time.
@@ -95,18 +95,18 @@
     Fail { key: CacheKey, token: Token, private: bool }
 
     /// The new holder of a cache slice asks the last one for its copies.
-    Want { slice: u16, epoch: u64, sent: Duration }
-    Handed { slice: u16, epoch: u64, sent: Duration, copies: Vec<Carried> }
+    HandoverRequest { slice: u16, epoch: u64, sent: Duration }
+    HandoverReply { slice: u16, epoch: u64, sent: Duration, copies: Vec<Carried> }
 
     // Between edges: the gate.
-    Knock { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration, aim: Duration, zone: String, region: String, avoid: Vec<SocketAddr> }
+    PermitRequest { service: String, id: u64, rank: u32, wait: Duration, sent: Duration, extra: bool, call: Duration, aim: Duration, zone: String, region: String, avoid: Vec<SocketAddr> }
     Permit { id: u64, service: String, epoch: u64, serial: u64, origin: Origin, sent: Duration, held: Duration, takes: Duration }
     /// Heard, and stands in line.
-    InLine { id: u64 }
+    PermitQueued { id: u64 }
     /// Turned away; come back after this.
-    Away { id: u64, reason: AwayReason, back: Duration }
+    PermitRefused { id: u64, reason: AwayReason, back: Duration }
     /// Told to a new holder: calls still under way by earlier permits.
-    Underway { service: String, calls: Vec<(u64, u64, SocketAddr, Duration)> }
+    CallsInProgress { service: String, calls: Vec<(u64, u64, SocketAddr, Duration)> }
     CallDone { service: String, epoch: u64, serial: u64, result: CallResult, took: Duration }
 }
 
@@ -138,10 +138,10 @@
 
 /// What one disk holds of a slice.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct HeldSlice {
+pub struct PartitionSnapshot {
     pub slice: u8,
     pub promised: u64,
-    pub image: SliceImage,
+    pub image: PartitionState,
     /// A news slice's rows as they were at `image.published`.
     pub shown: BTreeMap<String, Row>,
 }
@@ -150,7 +150,7 @@
 /// `version`, so of two images the one with the higher (epoch, version) holds
 /// all that the other's majority ever acknowledged.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct SliceImage {
+pub struct PartitionState {
     pub epoch: u64,
     pub version: u64,
     /// Acknowledged up to here: may be shown to edges.
@@ -160,8 +160,8 @@
 
 /// A session standing at a control node.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Seen {
-    pub mate: Mate,
+pub struct SessionInfo {
+    pub peer: Peer,
     pub zone: String,
     /// The ring of cache slices it takes part in.
     pub ring: String,
@@ -187,23 +187,23 @@
 /// one), so that it is the one `at`. `sum` is that of the whole table: who comes
 /// to another one has not got it.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct SeenSince {
+pub struct SessionsDelta {
     pub from: u64,
     pub at: u64,
     pub sum: u64,
-    pub put: Vec<Seen>,
-    pub gone: Vec<Mate>,
+    pub put: Vec<SessionInfo>,
+    pub gone: Vec<Peer>,
     /// For each news slice the highest version confirmed here right now, and by
     /// whom: vectors rise with each change and are not told as differences.
-    pub newest: Vec<(u64, Mate)>,
+    pub newest: Vec<(u64, Peer)>,
 }
 
-impl Seen {
+impl SessionInfo {
     /// All that others' decisions hang on: what was served, how origins are
     /// found and what was confirmed is there for operators to read.
-    pub fn core(&self) -> (Mate, &str, &str, u32, bool, u64, bool) {
+    pub fn core(&self) -> (Peer, &str, &str, u32, bool, u64, bool) {
         (
-            self.mate,
+            self.peer,
             &self.zone,
             &self.ring,
             self.strength,
@@ -294,10 +294,10 @@
     OpenLedger {
         realm: u64,
     },
-    /// Puts the mate in the place of a lost slot, if there is one; a
+    /// Puts the peer in the place of a lost slot, if there is one; a
     /// `founding` one in a slot of its own.
-    Enlist {
-        mate: Mate,
+    JoinRequest {
+        peer: Peer,
         founding: bool,
     },
     /// Acknowledged rows may be lost: name a new realm after this one.
@@ -316,7 +316,7 @@
 pub struct Claim {
     pub operation: String,
     pub print: CacheKey,
-    pub by: Mate,
+    pub by: Peer,
     pub errand: u64,
 }
 
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -8,9 +8,9 @@
 
 #[derive(Debug, Clone)]
 pub enum Input {
-    Pulse,
+    Tick,
     Heard {
-        from: Mate,
+        from: Peer,
         message: Message,
     },
     /// All that was stored up to this serial is synced.
@@ -19,9 +19,9 @@
     },
     /// The disk refuses writes.
     StoreFailed,
-    Errand {
+    ClientRequest {
         id: u64,
-        errand: Errand,
+        errand: ClientRequest,
     },
     Called {
         id: u64,
@@ -38,7 +38,7 @@
         open: bool,
     },
     /// Stop soon: hand over, answer what was read, leave.
-    Warned,
+    ShutdownRequested,
 }
 
 #[derive(Debug, Clone)]
@@ -101,7 +101,7 @@
 
 /// A caller's request, read in full.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Errand {
+pub struct ClientRequest {
     pub method: String,
     pub host: String,
     /// Path and query.
@@ -123,7 +123,7 @@
     pub service: String,
 }
 
-impl Errand {
+impl ClientRequest {
     pub fn entry(&self) -> &Entry {
         &self.image.document.entries[self.entry]
     }
--- a/kernel/src/mate.rs
+++ b/kernel/src/peer.rs
@@ -1,27 +1,27 @@
 use crate::prelude::*;
 
-/// Another process of the fleet. `address` is where it listens for mates and
+/// Another process of the fleet. `address` is where it listens for peers and
 /// is its name; `life` tells one run (edge) or one disk (control) at that
 /// address from the next, so nothing said by an earlier life is laid to a later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Mate {
+pub struct Peer {
     pub address: SocketAddr,
     pub life: u64,
 }
 
-impl Mate {
-    pub fn new(address: SocketAddr, life: u64) -> Mate {
-        Mate { address, life }
+impl Peer {
+    pub fn new(address: SocketAddr, life: u64) -> Peer {
+        Peer { address, life }
     }
 
     /// Whether an entry of the table of places (life 0: whoever is there)
-    /// names this mate.
-    pub fn names(&self, mate: &Mate) -> bool {
-        self.address == mate.address && (self.life == 0 || self.life == mate.life)
+    /// names this peer.
+    pub fn names(&self, peer: &Peer) -> bool {
+        self.address == peer.address && (self.life == 0 || self.life == peer.life)
     }
 
-    /// Rendezvous weight of this mate for a named duty: the live mate with the
-    /// highest weight is wanted, so one mate coming or going moves only its own.
+    /// Rendezvous weight of this peer for a named duty: the live peer with the
+    /// highest weight is wanted, so one peer coming or going moves only its own.
     pub fn weight(&self, duty: &str) -> u64 {
         let mut hash = Sha256::new();
         hash.update(duty.as_bytes());
@@ -30,9 +30,9 @@
     }
 }
 
-impl Mate {
-    /// The same among mates of unlike strength: each is wanted for its part of
-    /// the sum. The mate with the lowest wins.
+impl Peer {
+    /// The same among peers of unlike strength: each is wanted for its part of
+    /// the sum. The peer with the lowest wins.
     pub fn distance(&self, duty: &str, strength: u32) -> f64 {
         let mut hash = std::hash::DefaultHasher::new();
         std::hash::Hash::hash(&(duty, self.address), &mut hash);
@@ -41,7 +41,7 @@
     }
 }
 
-impl fmt::Display for Mate {
+impl fmt::Display for Peer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}#{:08x}", self.address, self.life as u32)
     }
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -94,19 +94,19 @@
     Duty(Duty),
     /// Who holds the slots of the control plane, 1 to `SLOTS_MOST` of them;
     /// life 0: whoever listens there.
-    Places(Vec<Mate>),
+    Places(Vec<Peer>),
     /// Edges that have a session, and those gone for less than
     /// `lease::CLOSED`: all whose operations may be asked for again. Only if
     /// the ledger was `complete` by then, all of them together know of all.
     Roll {
-        members: Vec<Mate>,
-        gone: Vec<Mate>,
+        members: Vec<Peer>,
+        gone: Vec<Peer>,
         complete: bool,
     },
     /// Those of the roll whose being on it had settled: they may claim
     /// operations, since every other edge would miss them after a loss.
     Enrolled {
-        members: Vec<Mate>,
+        members: Vec<Peer>,
     },
     /// The realm's ledger is complete: all of the roll told what they knew, or
     /// no repeat of what it lacks can come any more, or operators said so.
@@ -146,9 +146,9 @@
 /// settled row without a holder; `epoch` rises with every row.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Duty {
-    pub holder: Option<Mate>,
+    pub holder: Option<Peer>,
     /// Who held it before: a new holder asks it for what it left.
-    pub last: Option<Mate>,
+    pub last: Option<Peer>,
     pub epoch: u64,
 }
 
@@ -157,7 +157,7 @@
     /// Hash over caller, entry, method, target and body.
     pub print: CacheKey,
     /// The edge and its errand that hold the claim.
-    pub by: Mate,
+    pub by: Peer,
     pub errand: u64,
     pub state: OperationState,
 }
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -5,7 +5,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Startup {
-    /// Where mates reach us.
+    /// Where peers reach us.
     pub mesh: Option<SocketAddr>,
     /// Where callers, operators and the platform reach us.
     pub http: Option<SocketAddr>,
--- a/programs/src/control_node.rs
+++ b/programs/src/control_node.rs
@@ -16,7 +16,7 @@
         blank,
         startup
             .gather_span()
-            .map(|span| Gather::new(startup.founding, span)),
+            .map(|span| Bootstrap::new(startup.founding, span)),
         new_life()?,
     );
     let history = Some(History::keep(startup.data.clone().context("data folder")?));
@@ -24,7 +24,7 @@
         me: part.me(),
         program: "control-node",
         startup,
-        pulse: lease::CONTROL_PULSE,
+        tick: lease::CONTROL_TICK,
         store: Some(Box::new(log)),
         face: Box::new(OperatorServer::new("control-node")),
         history,
--- a/programs/src/edge_node.rs
+++ b/programs/src/edge_node.rs
@@ -8,7 +8,7 @@
 /// Runs an edge until it has left; callers and origins are spoken to in
 /// `dialect`'s words.
 pub fn run_edge_node(startup: Startup, dialect: Arc<dyn Dialect>) -> Result<()> {
-    let me = Mate::new(startup.mesh.context("mesh address")?, new_life()?);
+    let me = Peer::new(startup.mesh.context("mesh address")?, new_life()?);
     // A quarter of what the process may use goes to copies.
     let bytes = startup
         .cache_bytes
@@ -27,7 +27,7 @@
         me,
         program: "edge-node",
         startup,
-        pulse: PULSE,
+        tick: PULSE,
         store: None,
         face,
         history: None,
--- a/simulate-fleet/src/capacity.rs
+++ b/simulate-fleet/src/capacity.rs
@@ -16,17 +16,17 @@
 /// A node whose origins and callers are not there.
 struct Hollow {
     role: Role,
-    mate: Mate,
+    peer: Peer,
     part: Option<Box<dyn Part>>,
     until: Duration,
 }
 
 enum Coming {
-    Pulse(usize),
+    Tick(usize),
     Deliver {
         to: usize,
-        from: Mate,
-        message: Message,
+        from: Peer,
+        message: Box<Message>,
     },
     Synced {
         node: usize,
@@ -104,7 +104,7 @@
         let seeds: Vec<SocketAddr> = (0..control.min(3)).map(|at| address(1, at)).collect();
         let mut nodes = Vec::new();
         for at in 0..control {
-            let gather = Some(Gather::new(true, GATHER));
+            let gather = Some(Bootstrap::new(true, GATHER));
             let part = ControlPart::new(
                 address(1, at),
                 seeds.clone(),
@@ -115,7 +115,7 @@
             );
             nodes.push(Hollow {
                 role: Role::Control,
-                mate: part.me(),
+                peer: part.me(),
                 part: Some(Box::new(part)),
                 until: Duration::ZERO,
             });
@@ -127,9 +127,9 @@
                 format!("region-{:02}", zone % REGIONS),
                 format!("region-{:02}-{}", zone % REGIONS, zone / REGIONS),
             );
-            let mate = Mate::new(address(2, at), 1000 + at as u64);
+            let peer = Peer::new(address(2, at), 1000 + at as u64);
             let part = EdgePart::new(
-                mate,
+                peer,
                 Spot {
                     zone,
                     ring: region.clone(),
@@ -142,7 +142,7 @@
             );
             nodes.push(Hollow {
                 role: Role::Edge,
-                mate,
+                peer,
                 part: Some(Box::new(part)),
                 until: Duration::ZERO,
             });
@@ -150,7 +150,7 @@
         let by_address = nodes
             .iter()
             .enumerate()
-            .map(|(at, node)| (node.mate.address, at))
+            .map(|(at, node)| (node.peer.address, at))
             .collect();
         let mut fleet = Capacity {
             now: Duration::ZERO,
@@ -162,9 +162,9 @@
             tally: Tally::default(),
         };
         for node in 0..fleet.nodes.len() {
-            // Spread over the pulse, as real starts are.
+            // Spread over the tick, as real starts are.
             let at = Duration::from_micros(node as u64 * 7919 % 50_000);
-            fleet.after(at, Coming::Pulse(node));
+            fleet.after(at, Coming::Tick(node));
         }
         fleet
     }
@@ -220,11 +220,12 @@
     }
 
     fn send(&mut self, node: usize, to: SocketAddr, message: Message) {
-        let (role, from) = (self.nodes[node].role, self.nodes[node].mate);
+        let (role, from) = (self.nodes[node].role, self.nodes[node].peer);
         let Some(to) = self.by_address.get(&to).copied() else {
             return;
         };
         if to == node {
+            let message = Box::new(message);
             return self.after(Duration::ZERO, Coming::Deliver { to, from, message });
         }
         let bytes = frame::write(from, &message)
@@ -233,11 +234,12 @@
         let known = self.tally.sent.entry((role, message.name())).or_default();
         *known = (known.0 + 1, known.1 + bytes);
         // A sender's nudges leave one after the other.
-        let queue = if matches!(message, Message::Nudge(_)) {
+        let queue = if matches!(message, Message::UpdateNotice(_)) {
             Duration::from_micros(to as u64 * 40)
         } else {
             Duration::ZERO
         };
+        let message = Box::new(message);
         self.after(WAY + queue, Coming::Deliver { to, from, message });
     }
 
@@ -250,16 +252,17 @@
             let ((at, _), what) = self.queue.pop_first().expect("just seen");
             self.now = at;
             match what {
-                Coming::Pulse(node) => {
+                Coming::Tick(node) => {
                     let every = if self.nodes[node].role == Role::Control {
-                        lease::CONTROL_PULSE
+                        lease::CONTROL_TICK
                     } else {
                         Duration::from_millis(50)
                     };
-                    self.after(every, Coming::Pulse(node));
-                    self.step(node, "pulse", Input::Pulse);
+                    self.after(every, Coming::Tick(node));
+                    self.step(node, "tick", Input::Tick);
                 }
                 Coming::Deliver { to, from, message } => {
+                    let message = *message;
                     self.step(to, message.name(), Input::Heard { from, message })
                 }
                 Coming::Synced { node, serial } => {
@@ -493,9 +496,12 @@
     pub fn counts(&self) -> Vec<(&'static str, f64)> {
         let (edges, control) = (self.edges as f64, self.control as f64);
         let quiet = |role, name| self.quiet.rate(role, name);
-        let (renew, renewed) = (quiet(Role::Edge, "Renew"), quiet(Role::Control, "Renewed"));
-        let beat = quiet(Role::Control, "Beat");
-        let rounds = ["Keep", "Kept", "Rounds", "Rounded"]
+        let (renew, renewed) = (
+            quiet(Role::Edge, "RenewRequest"),
+            quiet(Role::Control, "RenewReply"),
+        );
+        let beat = quiet(Role::Control, "Heartbeat");
+        let rounds = ["AppendRequest", "AppendReply", "Rounds", "Rounded"]
             .map(|name| quiet(Role::Control, name))
             .iter()
             .fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
--- a/simulate-fleet/src/figures.rs
+++ b/simulate-fleet/src/figures.rs
@@ -84,7 +84,7 @@
     }
 
     /// Time from asking to acknowledgement of changes and of purges, in
-    /// control pulses: least, middle, most.
+    /// control ticks: least, middle, most.
     pub fn settle(deployment: &Deployment, lapse: bool) -> BTreeMap<&'static str, [f64; 3]> {
         let mut faults = Vec::new();
         let at = |round: u64| Duration::from_millis(8_000 + round * 2_037);
@@ -133,7 +133,7 @@
                         .map(|(asked, _)| at - asked)
                         .reduce(f64::min)
                 })
-                .map(|span| span / lease::CONTROL_PULSE.as_secs_f64())
+                .map(|span| span / lease::CONTROL_TICK.as_secs_f64())
                 .collect();
             spans.sort_by(f64::total_cmp);
             if let (Some(least), Some(most)) = (spans.first(), spans.last()) {
@@ -235,11 +235,11 @@
     /// Cache slices by edge: least and most held, and how many move when one
     /// edge more comes.
     pub fn ring(edges: usize) -> (usize, usize, usize) {
-        let mate = |at: usize| Mate::new(SocketAddr::from(([10, 2, 0, 1], 1000 + at as u16)), 1);
+        let peer = |at: usize| Peer::new(SocketAddr::from(([10, 2, 0, 1], 1000 + at as u16)), 1);
         let best = |count: usize, slice: u16| {
             let name = cache_duty("", slice);
             (0..count)
-                .max_by_key(|at| mate(*at).weight(&name))
+                .max_by_key(|at| peer(*at).weight(&name))
                 .expect("some edge")
         };
         let held = |at: usize| {
@@ -311,7 +311,7 @@
         for name in ["mombasa", "trasa"] {
             let deployment = Deployment::find(name).expect("known");
             println!(
-                "{name}: acknowledgement in control pulses [least, middle, most]: {:?}",
+                "{name}: acknowledgement in control ticks [least, middle, most]: {:?}",
                 Figures::settle(&deployment, false)
             );
             println!(
@@ -323,7 +323,7 @@
             let deployment = Deployment::find(name).expect("known");
             let (with, without) = (
                 Figures::rolling(&deployment, "", 1),
-                Figures::rolling(&deployment, "Want", 1),
+                Figures::rolling(&deployment, "HandoverRequest", 1),
             );
             println!(
                 "{name}: content calls while all edges restart in turn: {with} with copies handed over, {without} without"
@@ -381,7 +381,7 @@
                 .map(|seed| Figures::rolling(&deployment, mute, seed))
                 .collect::<Vec<_>>()
         };
-        let (with, without) = (sum(""), sum("Want"));
+        let (with, without) = (sum(""), sum("HandoverRequest"));
         assert!(
             with.iter().sum::<usize>() < without.iter().sum(),
             "{with:?} with, {without:?} without"
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -8,7 +8,7 @@
 pub use crate::sim_origin::{Mood, SimOrigin};
 pub(crate) use crate::world::{Asked, Asking, CALLER_PATIENCE, Happening, Task};
 pub use crate::world::{FounderEnd, Report, World, WorldPlan};
-pub use control_plane::{ControlPart, Gather, Record, Replica};
+pub use control_plane::{Bootstrap, ControlPart, Record, Replica};
 pub use data_plane::prelude::{Arrival, chain};
 pub use data_plane::{EdgePart, errand_of};
 pub use stand_ins::deployment::Mix;
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -60,7 +60,11 @@
                     "{what}"
                 );
                 assert_eq!(
-                    report.notes.get(&Event::SlotTaken).copied().unwrap_or(0),
+                    report
+                        .notes
+                        .get(&Event::MemberReplaced)
+                        .copied()
+                        .unwrap_or(0),
                     if late { control - 1 } else { 0 },
                     "{what}: grown at all others"
                 );
@@ -133,7 +137,7 @@
             judge(&report, &[1, 6, 7]);
             assert_eq!(count(&report, "configured"), 3, "{control} {slot}");
             assert_eq!(
-                report.notes.get(&Event::SlotStruck),
+                report.notes.get(&Event::MemberRemoved),
                 Some(&1),
                 "{control} {slot}"
             );
@@ -577,7 +581,7 @@
             "slot {slot}"
         );
         assert_eq!(
-            report.notes.get(&Event::SlotStruck),
+            report.notes.get(&Event::MemberRemoved),
             Some(&1),
             "slot {slot}: the old one knows that it is out"
         );
@@ -627,7 +631,10 @@
         ];
         let report = small(seed, 45, faults);
         judge(&report, &[1, 6, 7]);
-        assert!(report.notes.contains_key(&Event::SlotTaken), "seed {seed}");
+        assert!(
+            report.notes.contains_key(&Event::MemberReplaced),
+            "seed {seed}"
+        );
     }
 }
 
@@ -648,7 +655,7 @@
     let report = small(9, 45, faults);
     judge(&report, &[1, 6, 7]);
     assert_eq!(
-        report.notes.get(&Event::SlotStruck),
+        report.notes.get(&Event::MemberRemoved),
         Some(&1),
         "the one that lost its slot, and no other"
     );
--- a/simulate-fleet/src/schedule.rs
+++ b/simulate-fleet/src/schedule.rs
@@ -48,7 +48,7 @@
             disks: 0,
             end: (span.as_millis() as u64).saturating_sub(QUIET).max(8_000),
         };
-        let planned = seed % 5 == 0;
+        let planned = seed.is_multiple_of(5);
         // In some runs an empty node stands by for a lost slot.
         let standby = !planned && schedule.dice.chance(40);
         if standby {
@@ -147,7 +147,7 @@
             _ => {
                 let origin = self.dice.roll(self.origins) as usize;
                 // At least one of each service stays.
-                if self.left.len() < 1 && self.left.insert(origin) {
+                if self.left.is_empty() && self.left.insert(origin) {
                     self.put(at, Fault::Leave(origin));
                     self.put(at + 4_000, Fault::Origin(origin, Mood::Down));
                 }
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -34,7 +34,7 @@
 /// A process in the simulation: a part and what its host would hold.
 pub struct SimNode {
     pub place: Place,
-    pub mate: Mate,
+    pub peer: Peer,
     pub zone: String,
     pub part: Option<Box<dyn Part>>,
     /// Counts starts: what an earlier run began does not reach a later one.
@@ -61,7 +61,7 @@
     pub fn new(place: Place, address: SocketAddr, zone: &str) -> SimNode {
         SimNode {
             place,
-            mate: Mate::new(address, 0),
+            peer: Peer::new(address, 0),
             zone: zone.into(),
             part: None,
             run: 0,
@@ -111,22 +111,22 @@
             Place::Control(_) => {
                 let known = Replica::replay(&self.disk.synced).expect("synced records read back");
                 let blank = known.is_none();
-                let gather = gather.map(|span| Gather::new(self.founding, span));
+                let gather = gather.map(|span| Bootstrap::new(self.founding, span));
                 let part = ControlPart::new(
-                    self.mate.address,
+                    self.peer.address,
                     seeds.to_vec(),
                     known.unwrap_or_else(|| Replica::blank(life)),
                     blank,
                     gather,
                     life,
                 );
-                self.mate = part.me();
+                self.peer = part.me();
                 Box::new(part)
             }
             Place::Edge(_) => {
-                self.mate.life = life;
+                self.peer.life = life;
                 Box::new(EdgePart::new(
-                    self.mate,
+                    self.peer,
                     Spot {
                         zone: self.zone.clone(),
                         ..Spot::default()
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -63,7 +63,7 @@
         if control == 3 {
             return self;
         }
-        let late = self.seed % 3 == 0;
+        let late = self.seed.is_multiple_of(3);
         let founder = [
             FounderEnd::Lives,
             FounderEnd::Unwritten,
@@ -135,13 +135,13 @@
 }
 
 pub(crate) enum Happening {
-    Pulse {
+    Tick {
         node: usize,
         run: u64,
     },
     Deliver {
         to: usize,
-        from: Mate,
+        from: Peer,
         message: Message,
     },
     Synced {
@@ -313,7 +313,7 @@
             .nodes
             .iter()
             .enumerate()
-            .map(|(at, node)| (node.mate.address, at))
+            .map(|(at, node)| (node.peer.address, at))
             .collect();
         for service in &deployment.services {
             for at in 0..service.origins {
@@ -441,7 +441,7 @@
     /// The node and run an event is for; none if that run is over.
     pub(crate) fn owner(&self, what: &Happening) -> Option<usize> {
         match what {
-            Happening::Pulse { node, run }
+            Happening::Tick { node, run }
             | Happening::Synced { node, run, .. }
             | Happening::CallStarts { node, run, .. }
             | Happening::CallEnds { node, run, .. }
@@ -468,14 +468,14 @@
             .owner(&what)
             .is_some_and(|node| self.nodes[node].part.is_some());
         match what {
-            Happening::Pulse { node, run } if alive => {
+            Happening::Tick { node, run } if alive => {
                 let every = if matches!(self.nodes[node].place, Place::Control(_)) {
-                    lease::CONTROL_PULSE
+                    lease::CONTROL_TICK
                 } else {
                     Duration::from_millis(50)
                 };
-                self.after(every, Happening::Pulse { node, run });
-                self.step(node, Input::Pulse);
+                self.after(every, Happening::Tick { node, run });
+                self.step(node, Input::Tick);
             }
             Happening::Deliver { to, from, message } if alive => {
                 self.step(to, Input::Heard { from, message })
@@ -543,7 +543,7 @@
             .map_or(0, |image| image.version);
         if version != self.nodes[node].in_force && self.nodes[node].live(self.now) {
             self.nodes[node].in_force = version;
-            let subject = self.nodes[node].mate.address.to_string();
+            let subject = self.nodes[node].peer.address.to_string();
             self.record("in-force", &subject, version, true);
         }
     }
@@ -696,7 +696,7 @@
     }
 
     pub(crate) fn send(&mut self, node: usize, to: SocketAddr, message: Message) {
-        let from = self.nodes[node].mate;
+        let from = self.nodes[node].peer;
         if let (Place::Edge(at), Message::Copy(_)) = (self.nodes[node].place, &message) {
             self.copies[at] += 1;
         }
--- a/simulate-fleet/src/world_callers.rs
+++ b/simulate-fleet/src/world_callers.rs
@@ -57,7 +57,7 @@
         let node = list[self.dice.roll(list.len() as u64) as usize];
         let record = CallerRecord {
             start: self.seconds(),
-            edge: self.nodes[node].mate.address.to_string(),
+            edge: self.nodes[node].peer.address.to_string(),
             entry: task.mix.entry.clone(),
             rank: task.mix.rank,
             path: task.path.clone(),
@@ -101,7 +101,7 @@
             task.operation.as_deref(),
         ) {
             Err(refusal) => self.caller_ends(id, Some(Answer::Refusal(refusal))),
-            Ok(errand) => self.step(node, Input::Errand { id, errand }),
+            Ok(errand) => self.step(node, Input::ClientRequest { id, errand }),
         }
     }
 
@@ -112,7 +112,7 @@
         method: &str,
         path: &str,
         operation: Option<&str>,
-    ) -> Result<Errand, Refusal> {
+    ) -> Result<ClientRequest, Refusal> {
         let node = &self.nodes[node];
         let headers: Vec<(String, String)> = operation
             .iter()
@@ -272,7 +272,7 @@
             }
             for (what, marker, wanted) in looks.into_iter().flatten() {
                 if let Some(there) = self.entry_at(node, marker) {
-                    let subject = self.nodes[node].mate.address.to_string();
+                    let subject = self.nodes[node].peer.address.to_string();
                     self.fleet.push(FleetRecord {
                         at: self.seconds(),
                         what: what.into(),
@@ -298,7 +298,7 @@
                 && self.nodes[node].ready
                 && self.nodes[node].live(self.now);
             if ready || !meanwhile {
-                let subject = self.nodes[node].mate.address.to_string();
+                let subject = self.nodes[node].peer.address.to_string();
                 self.record("ready-again", &subject, 0, ready);
             }
         }
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -36,7 +36,7 @@
     pub(crate) fn start(&mut self, node: usize) {
         let seeds: Vec<SocketAddr> = self.nodes[..self.plan.control.min(3)]
             .iter()
-            .map(|node| node.mate.address)
+            .map(|node| node.peer.address)
             .collect();
         let life = self.dice.roll(u64::MAX >> 12) + 1;
         self.nodes[node].offset = self.micros(0, 1 << 40);
@@ -44,7 +44,7 @@
         self.nodes[node].start(self.now, &seeds, gather, life);
         let run = self.nodes[node].run;
         let span = self.micros(0, 100_000);
-        self.after(span, Happening::Pulse { node, run });
+        self.after(span, Happening::Tick { node, run });
     }
 
     pub(crate) fn kill(&mut self, node: usize) {
@@ -52,7 +52,7 @@
             return;
         }
         self.nodes[node].kill();
-        let subject = self.nodes[node].mate.address.to_string();
+        let subject = self.nodes[node].peer.address.to_string();
         self.record("killed", &subject, 0, true);
         let lost: Vec<u64> = self
             .errands
@@ -99,7 +99,7 @@
             .into_iter()
             .for_each(|id| self.caller_ends(id, None));
         self.nodes[node].kill();
-        let subject = self.nodes[node].mate.address.to_string();
+        let subject = self.nodes[node].peer.address.to_string();
         self.record("restarted", &subject, 0, true);
         self.start(node);
     }
@@ -192,14 +192,14 @@
             Fault::Pause(place, span) => {
                 let node = self.at(place);
                 self.nodes[node].paused = self.now + span;
-                let subject = self.nodes[node].mate.address.to_string();
+                let subject = self.nodes[node].peer.address.to_string();
                 // Callers may give up on it meanwhile; that is no planned change.
                 self.record("killed", &subject, 1, true);
             }
             Fault::Restart(place) => {
                 let node = self.at(place);
                 if self.nodes[node].part.is_some() && self.now >= self.nodes[node].paused {
-                    self.step(node, Input::Warned);
+                    self.step(node, Input::ShutdownRequested);
                 }
             }
             Fault::Wipe(place) => {
--- a/stand-ins/src/checker.rs
+++ b/stand-ins/src/checker.rs
@@ -598,7 +598,7 @@
             let read = call.status != 0 || call.dropped;
             let refused =
                 read && calm && call.status != 200 && !CLEAN.contains(&call.code.as_str());
-            let bad = call.dropped && !excused || refused && !excused;
+            let bad = (call.dropped || refused) && !excused;
             cases.case((call.start, call.end), !bad, || {
                 format!(
                     "{} at {} at {:.3}: {} {}",
