The control node in modules by duty; messages handled one function each

Change: control_part/ by duty (membership, replication, realm, duties, edge_sessions, changes), tests in a test file, what the duties were planned from is a named type. Behaviour and formats unchanged.

--- /dev/null
+++ b/control-plane/src/control_part/duties.rs
@@ -0,0 +1,146 @@
+//! What edges are assigned: cache slices and gates, planned by the leader of the duties.
+
+use super::*;
+
+/// What the duties were last planned from: the same again gives the same plan.
+#[derive(PartialEq)]
+pub(super) struct PlannedFrom {
+    epoch: u64,
+    version: u64,
+    settled: u64,
+    configuration: u64,
+    sessions: Vec<Vec<(Peer, bool)>>,
+    ended: BTreeSet<Peer>,
+}
+
+impl ControlPart {
+    /// Who owns the list of origins is the one to read the platform's.
+    pub(super) fn show_lists(&mut self) {
+        let lists = self
+            .leaders
+            .get(&ORIGINS)
+            .is_some_and(|leader| leader.ready() && leader.wary.is_none());
+        if lists != self.lists {
+            self.lists = lists;
+            let list = if lists {
+                vec![LISTS.to_string()]
+            } else {
+                vec![]
+            };
+            self.out.push(Output::Show(Shown::Duties(list)));
+        }
+    }
+
+    pub(super) fn plan_duties(&mut self, now: Duration) {
+        let Some(leader) = self.leaders.get(&DUTIES) else {
+            return;
+        };
+        // A new owner pending_replies until sessions have had time to show.
+        let calm = leader
+            .active_since
+            .is_some_and(|since| now >= since + lease::CONTROL_TICK);
+        if !leader.ready() || !calm || leader.wary.is_some() {
+            return;
+        }
+        // After a start, sessions may stand that are not known yet: then only
+        // what holders left who are known to have ended is given out.
+        let known = self.sessions.known(now);
+        if known {
+            self.plan_roll(now);
+        }
+        self.read_services();
+        let Some(leader) = self.leaders.get(&DUTIES) else {
+            return;
+        };
+        let holders = leader.rows.values().filter_map(|row| match &row.value {
+            Value::Duty(duty) => duty.holder,
+            _ => None,
+        });
+        let over: BTreeSet<Peer> = holders
+            .filter(|peer| self.sessions.ended(*peer, self.granted))
+            .collect();
+        let planned = PlannedFrom {
+            epoch: leader.epoch,
+            version: leader.version,
+            settled: leader.settled(),
+            configuration: self.read,
+            sessions: self.sessions.standing(now),
+            ended: over,
+        };
+        if self.planned.as_ref() == Some(&planned) {
+            return;
+        }
+        let quorum = self.quorum();
+        let live = if known {
+            self.sessions.live(now, quorum)
+        } else {
+            self.sessions.mine()
+        };
+        let spread = leader.rows.keys().filter_map(|duty| duty_ring(duty));
+        let rings: BTreeSet<&str> = live
+            .iter()
+            .map(|seen| seen.ring.as_str())
+            .chain(spread)
+            .collect();
+        let mut names: Vec<String> = rings
+            .iter()
+            .flat_map(|ring| (0..CACHE_SLICES).map(|slice| cache_duty(ring, slice)))
+            .collect();
+        names.extend(self.services.iter().map(|service| gate_duty(service)));
+        let gone = |peer: Peer| self.sessions.gone(now, peer, quorum);
+        let ended = |peer: Peer| planned.ended.contains(&peer);
+        let places = &self.places;
+        let beside = |seen: &SessionInfo| {
+            places
+                .iter()
+                .any(|place| place.address.ip() == seen.peer.address.ip())
+        };
+        let plan = DutyPlan {
+            rows: &leader.rows,
+            settled: leader.settled(),
+            live: &live,
+            gone: &gone,
+            ended: &ended,
+            beside: &beside,
+            early: !known,
+        };
+        let out = plan.next(&names);
+        self.planned = Some(planned);
+        if !out.is_empty() {
+            self.granted = self.sessions.marks();
+        }
+        let leader = self.leaders.get_mut(&DUTIES).expect("just seen");
+        for (key, duty) in &out {
+            leader.put(key.clone(), Value::Duty(duty.clone()));
+        }
+        for (key, duty) in out {
+            match duty.holder {
+                Some(peer) => self.note(
+                    Event::DutyGranted,
+                    format!("{key} epoch {} to {peer}", duty.epoch),
+                ),
+                None => self.note(Event::DutyRevoked, format!("{key} epoch {}", duty.epoch)),
+            }
+        }
+    }
+
+    /// The services of the configuration in force, as shown here.
+    pub(super) fn read_services(&mut self) {
+        let held = self.replica.held(CONFIGURATION);
+        if held.image.published == self.read {
+            return;
+        }
+        self.read = held.image.published;
+        for (key, row) in &held.shown {
+            // What stands was judged before.
+            let _ = self.items.learn(key, row);
+        }
+        if let Ok((document, _)) = self.items.merged() {
+            self.services = document
+                .groups
+                .into_iter()
+                .map(|group| group.service)
+                .collect();
+        }
+    }
+}
--- /dev/null
+++ b/control-plane/src/control_part/edge_sessions.rs
@@ -0,0 +1,73 @@
+//! Renewals of edges and the news they are told.
+
+use super::*;
+
+impl ControlPart {
+    /// All sessions renew now, with a mark of this moment.
+    pub(super) fn ask_all(&mut self) {
+        let mark = self.sessions.mark();
+        for edge in self.sessions.addresses() {
+            self.tell(edge, RenewPrompt { mark });
+        }
+    }
+
+    pub(super) fn renew(&mut self, now: Duration, from: Peer, renew: RenewRequest) {
+        let mine = self.replica.realm();
+        // An edge of another realm takes everything anew.
+        let news = if renew.realm == mine || mine == 0 {
+            self.replica.news(&renew.vector)
+        } else {
+            self.replica.news(&[])
+        };
+        let recall = now < self.closed;
+        let founded = renew.realm == 0 || mine != 0;
+        let RenewRequest {
+            sent,
+            heard,
+            realm,
+            recalled,
+            vector,
+            zone,
+            ring,
+            strength,
+            draining,
+            usage,
+            found,
+        } = renew;
+        if self.sessions.renew(
+            now,
+            SessionInfo {
+                peer: from,
+                zone,
+                ring,
+                strength,
+                draining,
+                realm,
+                recalled,
+                vector,
+                usage,
+                found,
+            },
+            heard,
+        ) {
+            self.note(Event::SessionOpened, from.to_string());
+        }
+        // An edge of an earlier realm is heard, but not live by us, until there
+        // is a new one for it to enter.
+        if !founded {
+            return;
+        }
+        let mark = self.sessions.mark();
+        self.tell(
+            from.address,
+            RenewReply {
+                life: from.life,
+                mark,
+                sent,
+                realm: mine,
+                recall,
+                news,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/control-plane/src/control_part/membership.rs
@@ -0,0 +1,492 @@
+//! Who holds the slots: the membership table, joining, replaced and retired disks.
+
+use super::*;
+
+/// A slot not heard of for this long may go to an empty node.
+const LOST: Duration = Duration::from_secs(5);
+
+impl ControlPart {
+    /// The slot that this life of a peer holds by our table.
+    pub(super) fn slot_of(&self, peer: &Peer) -> Option<u8> {
+        let at = self.places.iter().position(|known| known.names(peer))?;
+        Some(at as u8)
+    }
+
+    /// Handles what concerns membership itself, and holds back what may not be
+    /// heeded by our table or by that of the sender. The message, if it stands.
+    pub(super) fn check_membership(
+        &mut self,
+        now: Duration,
+        from: Peer,
+        slot: Option<u8>,
+        message: Message,
+    ) -> Option<Message> {
+        match message {
+            Message::JoinRequest(request) => {
+                self.handle_join_request(from, request.founding);
+                None
+            }
+            Message::MembershipTable(table) => {
+                self.handle_membership(now, table);
+                None
+            }
+            _ if self.removed => None,
+            other if self.slot == NO_SLOT => {
+                self.heard_without_slot(now, from, &other);
+                None
+            }
+            other => self.compare_tables(now, from, slot, other),
+        }
+    }
+
+    /// A node that holds no slot only looks for somebody who knows the table.
+    fn heard_without_slot(&mut self, now: Duration, from: Peer, message: &Message) {
+        match message {
+            Message::RecallReply(reply) => self.learn_table(now, reply),
+            // After a loss of all disks nobody but the edges knows the table.
+            Message::RenewRequest(_) if self.bootstrap.is_some() => {
+                self.tell(from.address, RecallRequest { slice: PLACES });
+            }
+            // The sender takes us for a member: seeds may be gone, it is there.
+            Message::Heartbeat(_) => {
+                let Some(bootstrap) = &mut self.bootstrap else {
+                    return;
+                };
+                bootstrap.met_others();
+                let founding = bootstrap.founding && !self.replica.full;
+                self.tell(from.address, JoinRequest { founding });
+            }
+            _ => {}
+        }
+    }
+
+    /// Who goes by an older table is told the newer one; nothing else than a
+    /// heartbeat is heeded under it. One who goes by a newer one is told by our
+    /// heartbeat that we lack it.
+    fn compare_tables(
+        &mut self,
+        now: Duration,
+        from: Peer,
+        slot: Option<u8>,
+        message: Message,
+    ) -> Option<Message> {
+        let version = match &message {
+            Message::Heartbeat(heartbeat) => heartbeat.membership_version,
+            Message::PrepareRequest(request) => request.membership_version,
+            Message::AppendRequest(request) => request.membership_version,
+            Message::SnapshotRequest(request) => request.membership_version,
+            _ => return Some(message),
+        };
+        let is_heartbeat = matches!(message, Message::Heartbeat(_));
+        if version < self.membership_version {
+            self.tell(from.address, self.known_table());
+            return Some(message).filter(|_| is_heartbeat);
+        }
+        if is_heartbeat && version > self.membership_version {
+            self.tell(from.address, self.beat(now, slot.unwrap_or(NO_SLOT)));
+        }
+        Some(message)
+    }
+
+    pub(super) fn handle_heartbeat(
+        &mut self,
+        now: Duration,
+        from: Peer,
+        slot: u8,
+        heartbeat: Heartbeat,
+    ) {
+        let status = PeerStatus {
+            life: from.life,
+            full: heartbeat.full,
+            blank: heartbeat.blank,
+            heard: now,
+            got: heartbeat.got,
+        };
+        self.peers.insert(slot, status);
+        self.extend_closing(now, heartbeat.closed);
+        self.note_loss(now, heartbeat.lost);
+        if let Some(sessions) = heartbeat.seen {
+            self.sessions.told(now, slot, sessions);
+        }
+    }
+
+    /// The table of places is news like any other: heeded once published.
+    pub(super) fn see_places(&mut self) {
+        if let Some((version, places)) = self
+            .replica
+            .places()
+            .filter(|(version, _)| *version > self.membership_version)
+        {
+            self.go_by(version, places);
+        }
+    }
+
+    /// Of a full disk: from now on nobody who goes by an older table gets a
+    /// promise or has anything kept here.
+    pub(super) fn go_by(&mut self, version: u64, places: Vec<Peer>) {
+        self.membership_version = version;
+        if places == self.places {
+            self.leaders
+                .values_mut()
+                .for_each(|leader| leader.go_by(version));
+            return;
+        }
+        let before = std::mem::replace(&mut self.places, places.clone());
+        for slot in 0..before.len().max(places.len()) {
+            let (old, new) = (before.get(slot), places.get(slot));
+            if old == new {
+                continue;
+            }
+            let was = old.map_or(String::new(), |old| format!(" from {old}"));
+            let to = new.map_or(String::new(), Peer::to_string);
+            self.note(Event::MemberReplaced, format!("slot {slot}{was} to {to}"));
+            let at = slot as u8;
+            self.sessions.forget_slot(at);
+            let Some(peer) = self.peers.remove(&at) else {
+                continue;
+            };
+            let stays = old
+                .zip(new)
+                .is_some_and(|(old, new)| new.names(&Peer::new(old.address, peer.life)));
+            if !stays {
+                self.retire(peer.life);
+            }
+        }
+        // What was promised and counted so far was counted by another table:
+        // slices are taken anew by this one.
+        self.leaders.clear();
+        self.pending_replies.clear();
+        if self.slot != NO_SLOT
+            && !places
+                .get(usize::from(self.slot))
+                .is_some_and(|peer| peer.names(&self.me()))
+        {
+            self.mark_removed();
+        }
+    }
+
+    /// What this disk said counts for nothing any more. Written down: whoever
+    /// hears an acknowledgement of ours hears of this first, over our restarts.
+    pub(super) fn retire(&mut self, life: u64) {
+        if life == self.replica.life || self.retired.contains(&life) {
+            return;
+        }
+        self.retired.push_back(life);
+        while self.retired.len() > RETIRED {
+            self.retired.pop_front();
+        }
+        if self.replica.full {
+            self.store(&Record::Retired { life });
+        }
+    }
+
+    /// Another retired these.
+    pub(super) fn note_retired(&mut self, lives: &[u64]) {
+        for life in lives {
+            self.retire(*life);
+            let slots: Vec<u8> = self
+                .peers
+                .iter()
+                .filter(|(_, peer)| peer.life == *life)
+                .map(|(slot, _)| *slot)
+                .collect();
+            for slot in slots {
+                self.peers.remove(&slot);
+                self.sessions.forget_slot(slot);
+                self.leaders
+                    .values_mut()
+                    .for_each(|leader| leader.forget(slot));
+            }
+        }
+    }
+
+    pub(super) fn retired_lives(&self) -> Vec<u64> {
+        self.retired.iter().copied().collect()
+    }
+
+    pub(super) fn mark_removed(&mut self) {
+        if !self.removed {
+            self.removed = true;
+            self.store(&Record::Removed);
+            self.leaders.clear();
+            self.pending_replies.clear();
+            // Nobody answers those who asked here any more: at once, not when
+            // they lose patience.
+            for id in std::mem::take(&mut self.operator_calls).into_keys() {
+                self.out.push(Output::OperatorAnswer {
+                    id,
+                    answer: OperatorAnswer::Outcome(Outcome::Lost),
+                });
+            }
+            self.note(Event::MemberRemoved, format!("slot {}", self.slot));
+        }
+    }
+
+    /// Another goes by a newer table.
+    pub(super) fn handle_membership(&mut self, now: Duration, table: MembershipTable) {
+        let MembershipTable { version, places } = table;
+        if let Some(bootstrap) = &mut self.bootstrap {
+            bootstrap.met_others();
+        }
+        let slot = places
+            .iter()
+            .position(|peer| peer.names(&self.me()))
+            .map(|at| at as u8);
+        if version <= self.membership_version {
+            // The founding table, which there is one of, by who was there.
+            let mine = self
+                .bootstrap
+                .as_ref()
+                .is_some_and(|bootstrap| bootstrap.founding)
+                && self.places.is_empty()
+                && !self.replica.full;
+            if version == 0 && mine && slot.is_some() {
+                self.store(&Record::Founding {
+                    places: places.clone(),
+                });
+                self.join_table(now, 0, places, slot);
+            }
+            return;
+        }
+        // Kept beside what the slice's rows say: those may be longer in coming.
+        self.store(&Record::MembershipTable {
+            version,
+            places: places.clone(),
+        });
+        if self.replica.full && !self.places.is_empty() {
+            return self.go_by(version, places);
+        }
+        self.join_table(now, version, places, slot);
+    }
+
+    pub(super) fn join_table(
+        &mut self,
+        now: Duration,
+        version: u64,
+        places: Vec<Peer>,
+        slot: Option<u8>,
+    ) {
+        (self.membership_version, self.places) = (version, places);
+        // Who was met by the older table may sit elsewhere by this one: that
+        // retires nobody.
+        self.peers.clear();
+        self.retired = self.replica.retired.clone();
+        self.slot = slot.unwrap_or(NO_SLOT);
+        let blank = slot.filter(|_| !self.replica.full);
+        self.recovery = blank.map(|slot| ReplicaRecovery::new(slot, self.places.len(), version));
+        self.sessions.begin(now);
+    }
+
+    /// Without a slot: the first seed of a founding makes the table, all others
+    /// ask.
+    pub(super) fn ask_for_slot(&mut self, now: Duration) {
+        let first = self.seeds.first() == Some(&self.address)
+            && self.places.is_empty()
+            && !self.replica.full;
+        let table = self
+            .bootstrap
+            .as_mut()
+            .filter(|_| first)
+            .and_then(|bootstrap| bootstrap.table(now, &self.seeds));
+        if let Some(places) = table {
+            self.store(&Record::Founding {
+                places: places.clone(),
+            });
+            for peer in &places {
+                if peer.address != self.address {
+                    self.tell_synced(
+                        peer.address,
+                        MembershipTable {
+                            version: 0,
+                            places: places.clone(),
+                        },
+                    );
+                }
+            }
+            return self.join_table(now, 0, places, Some(0));
+        }
+        let founding = self
+            .bootstrap
+            .as_ref()
+            .is_some_and(|bootstrap| bootstrap.founding)
+            && !self.replica.full;
+        // Seeds may be gone by now: who is in the last known table is asked too.
+        let known = self.places.iter().map(|peer| peer.address);
+        let asked: BTreeSet<SocketAddr> = self
+            .seeds
+            .iter()
+            .copied()
+            .chain(known)
+            .filter(|one| *one != self.address)
+            .collect();
+        for one in asked {
+            self.tell(one, JoinRequest { founding });
+        }
+    }
+
+    /// A node without a slot asks for one, or asks again after it got it.
+    pub(super) fn handle_join_request(&mut self, from: Peer, founding: bool) {
+        if let Some(bootstrap) = self
+            .bootstrap
+            .as_mut()
+            .filter(|_| founding && self.slot == NO_SLOT)
+        {
+            bootstrap.enlist(from.address);
+        }
+        if self.slot == NO_SLOT {
+            return;
+        }
+        if self.places.iter().any(|peer| peer.names(&from)) {
+            // Also one that was removed may know. The founder's own table is on its disk before it is told.
+            return self.tell_synced(from.address, self.known_table());
+        }
+        if self.removed {
+            return;
+        }
+        // To the owner, through our own door; nobody pending_replies for it.
+        let ask = ChangeRequest {
+            asker: self.address,
+            id: 0,
+            slice: PLACES,
+            ask: Change::JoinRequest {
+                peer: from,
+                founding,
+            },
+        };
+        self.tell(self.address, ask);
+    }
+
+    pub(super) fn known_table(&self) -> MembershipTable {
+        MembershipTable {
+            version: self.membership_version,
+            places: self.places.clone(),
+        }
+    }
+
+    /// An edge told who holds the slots, which nobody else knows here.
+    pub(super) fn learn_table(&mut self, now: Duration, recalled: &RecallReply) {
+        let table = recalled.rows.iter().find_map(|(_, row)| match &row.value {
+            Value::Places(places) if recalled.slice == PLACES => {
+                Some((row.version, places.clone()))
+            }
+            _ => None,
+        });
+        if let Some((version, places)) = table.filter(|_| self.bootstrap.is_some()) {
+            self.handle_membership(now, MembershipTable { version, places });
+        }
+    }
+
+    /// The table becomes a row, so that edges learn it: a first one that was
+    /// founded is in no row yet, and one may have been lost with a majority.
+    pub(super) fn write_table(&mut self) {
+        let Some(leader) = self
+            .leaders
+            .get_mut(&PLACES)
+            .filter(|leader| leader.ready() && leader.wary.is_none())
+        else {
+            return;
+        };
+        let known = leader.rows.get("places").map(|row| row.version);
+        if known.is_none() && self.bootstrap.is_some()
+            || known.unwrap_or(0) < self.membership_version
+        {
+            leader.version = leader.version.max(self.membership_version);
+            leader.put("places".into(), Value::Places(self.places.clone()));
+        }
+    }
+
+    /// The slot not heard of for long enough, if that is exactly one.
+    pub(super) fn lost_slot(&self, now: Duration, leader: &PartitionLeader) -> Option<u8> {
+        let since = leader.active_since?;
+        let heard = |slot: &u8| {
+            *slot == self.slot
+                || now
+                    < self
+                        .peers
+                        .get(slot)
+                        .map_or(since, |peer| peer.heard.max(since))
+                        + LOST
+        };
+        let lost: Vec<u8> = (0..self.places.len() as u8)
+            .filter(|slot| !heard(slot))
+            .collect();
+        (lost.len() == 1).then(|| lost[0])
+    }
+
+    /// A slot was heard with this life; an earlier one is retired.
+    pub(super) fn meet(&mut self, slot: u8, life: u64) {
+        let known = self.peers.entry(slot).or_insert(PeerStatus {
+            life,
+            full: false,
+            blank: true,
+            heard: Duration::ZERO,
+            got: 0,
+        });
+        if known.life != life {
+            let earlier = known.life;
+            *known = PeerStatus {
+                life,
+                full: false,
+                blank: true,
+                heard: Duration::ZERO,
+                got: 0,
+            };
+            for leader in self.leaders.values_mut() {
+                leader.forget(slot);
+            }
+            self.sessions.forget_slot(slot);
+            self.retire(earlier);
+        }
+    }
+
+    /// Puts a peer in its own or in a lost slot's place, or a founding one in a
+    /// new slot, once the last move has settled. A lost or a new slot also
+    /// pending_replies until the last newcomer was refilled: what was acknowledged by the
+    /// table before lies on a majority of this one only then.
+    pub(super) fn assign_slot(&mut self, now: Duration, peer: Peer, founding: bool) {
+        let Some(leader) = self
+            .leaders
+            .get(&PLACES)
+            .filter(|leader| leader.settled() >= leader.version)
+        else {
+            return;
+        };
+        if self.places.iter().any(|known| known.names(&peer))
+            || leader
+                .rows
+                .get("places")
+                .is_some_and(|row| row.version > self.membership_version)
+        {
+            return;
+        }
+        // A new disk at a place that holds a slot asks for that slot.
+        let own = self
+            .places
+            .iter()
+            .position(|known| known.address == peer.address)
+            .map(|at| at as u8);
+        let blank = |slot: &u8| {
+            self.peers
+                .get(slot)
+                .is_some_and(|peer| peer.blank && peer.near(now))
+        };
+        let whole = !self.others().any(|slot| blank(&slot));
+        let all = || {
+            self.others().all(|slot| {
+                self.peers
+                    .get(&slot)
+                    .is_some_and(|peer| peer.full && peer.near(now))
+            })
+        };
+        let mut places = self.places.clone();
+        if let Some(slot) = own.or_else(|| self.lost_slot(now, leader).filter(|_| whole)) {
+            places[usize::from(slot)] = peer;
+        } else if founding && places.len() < SLOTS_MOST && all() {
+            places.push(Peer::new(peer.address, 0));
+        } else {
+            return;
+        }
+        let leader = self.leaders.get_mut(&PLACES).expect("just seen");
+        leader.put("places".into(), Value::Places(places));
+    }
+}
--- /dev/null
+++ b/control-plane/src/control_part/mod.rs
@@ -0,0 +1,421 @@
+//! A control node as a state machine without I/O: this module routes each input to the part of the node whose
+//! duty it is.
+
+use crate::prelude::*;
+use changes::{OperatorCall, PendingReply};
+use duties::PlannedFrom;
+
+mod changes;
+mod duties;
+mod edge_sessions;
+mod membership;
+mod realm;
+mod replication;
+#[cfg(test)]
+mod tests;
+
+/// A control node without its I/O. Invariants:
+/// - A reply that speaks for the disk leaves only once all that was stored
+///   before it is synced.
+/// - While the disk is blank or has failed nothing is promised, kept or
+///   renewed here.
+/// - What an earlier life (disk) of a slot said counts for nothing once a
+///   later one was met, or once the slot went to another place.
+/// - A node without a slot (`NO_SLOT`) only asks for one; one that was removed
+///   does nothing.
+pub struct ControlPart {
+    slot: u8,
+    address: SocketAddr,
+    /// Who holds the slots, by the newest table heard of; empty before one is.
+    places: Vec<Peer>,
+    /// Version of that table.
+    membership_version: u64,
+    seeds: Vec<SocketAddr>,
+    /// The seeds are not the table: it is founded or asked for.
+    bootstrap: Option<Bootstrap>,
+    removed: bool,
+    replica: Replica,
+    recovery: Option<ReplicaRecovery>,
+    failed: bool,
+    serial: u64,
+    synced: u64,
+    unsynced: VecDeque<(u64, SocketAddr, Message)>,
+    log_bytes: usize,
+    image_bytes: usize,
+    leaders: BTreeMap<u8, PartitionLeader>,
+    /// Highest promise met for each slice, and when to raise it at the soonest.
+    superseded: BTreeMap<u8, (u64, Duration, u32)>,
+    peers: BTreeMap<u8, PeerStatus>,
+    /// The replica's, and what was met while the disk was blank.
+    retired: VecDeque<u64>,
+    sessions: Sessions,
+    pending_replies: Vec<PendingReply>,
+    operator_calls: BTreeMap<u64, OperatorCall>,
+    finished_since: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
+    swept: Duration,
+    /// Until then unknown operations are not run: acknowledged ones may be lost.
+    closed: Duration,
+    /// Version of the configuration last shown to the history.
+    shown: u64,
+    /// The realm as last looked at; 0 after a start, so that one whose ledger
+    /// is not open yet closes it anew, in full.
+    realm: u64,
+    /// When that was first seen.
+    entered: Duration,
+    /// Our disk was refilled after a loss in this realm: a new one is asked for.
+    refound: Option<u64>,
+    /// The roll as it was before the loss, while the ledger is closed.
+    before: Option<(Vec<Peer>, Vec<Peer>, bool)>,
+    /// As owner of the duties: when edges on the roll were seen to be gone.
+    departed: BTreeMap<Peer, Duration>,
+    /// The configuration's parts as far as shown here, up to this version, and
+    /// the services of it.
+    items: Items,
+    read: u64,
+    services: Vec<String>,
+    /// Marks told when the last duty was known: each holder had begun by then.
+    granted: u64,
+    /// What the duties were last planned from.
+    planned: Option<PlannedFrom>,
+    /// The whole fleet started for the first time when we did, on empty disks:
+    /// no operation ran before.
+    fresh: bool,
+    /// Whether we were last seen to own the list of origins.
+    lists: bool,
+    warned: Option<Duration>,
+    out: Vec<Output>,
+}
+
+/// Of a node that holds no slot (yet).
+const NO_SLOT: u8 = u8::MAX;
+
+#[derive(Debug, Clone, Copy)]
+struct PeerStatus {
+    life: u64,
+    full: bool,
+    blank: bool,
+    heard: Duration,
+    /// The state of our table of sessions up to which it has it.
+    got: u64,
+}
+
+impl PeerStatus {
+    fn near(&self, now: Duration) -> bool {
+        now < self.heard + lease::CONTROL_PEER
+    }
+}
+
+/// A node that is to end waits this long for others to lead its partitions.
+const HAND_OVER: Duration = Duration::from_secs(3);
+/// A fresh image is written when the log since the last one is this long.
+const LOG_BYTES: usize = 4 * 1024 * 1024;
+
+impl ControlPart {
+    /// `replica` as read from disk, or a blank one with a new life. The node's
+    /// slot is the one its address holds; a blank node elsewhere asks for one.
+    /// The table begins with the seeds, unless there is a `bootstrap`.
+    pub fn new(
+        address: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        replica: Replica,
+        blank: bool,
+        bootstrap: Option<Bootstrap>,
+        run: u64,
+    ) -> ControlPart {
+        let table_of_seeds = || {
+            if bootstrap.is_some() {
+                vec![]
+            } else {
+                seeds.iter().map(|seed| Peer::new(*seed, 0)).collect()
+            }
+        };
+        let (version, places) = replica.table().unwrap_or_else(|| (0, table_of_seeds()));
+        let slot = places
+            .iter()
+            .position(|peer| peer.address == address)
+            .map_or(NO_SLOT, |at| at as u8);
+        let slots = places.len();
+        let fresh = blank
+            && bootstrap
+                .as_ref()
+                .is_some_and(|bootstrap| bootstrap.founding);
+        let mut part = ControlPart {
+            slot,
+            address,
+            places,
+            membership_version: version,
+            seeds,
+            bootstrap,
+            removed: replica.removed,
+            recovery: (!replica.full && slot != NO_SLOT)
+                .then(|| ReplicaRecovery::new(slot, slots, version)),
+            retired: replica.retired.clone(),
+            replica,
+            failed: false,
+            serial: 0,
+            synced: 0,
+            unsynced: VecDeque::new(),
+            log_bytes: 0,
+            image_bytes: 0,
+            leaders: BTreeMap::new(),
+            superseded: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            sessions: Sessions::new(run),
+            pending_replies: Vec::new(),
+            operator_calls: BTreeMap::new(),
+            finished_since: BTreeMap::new(),
+            swept: Duration::ZERO,
+            closed: Duration::ZERO,
+            shown: 0,
+            realm: 0,
+            entered: Duration::ZERO,
+            refound: None,
+            before: None,
+            departed: BTreeMap::new(),
+            items: Items::default(),
+            read: 0,
+            services: Vec::new(),
+            granted: 0,
+            planned: None,
+            fresh,
+            lists: false,
+            warned: None,
+            out: Vec::new(),
+        };
+        if blank {
+            part.store(&Record::Life {
+                life: part.replica.life,
+            });
+            part.note(Event::DiskBlank, format!("slot {slot}"));
+        }
+        part
+    }
+
+    pub fn me(&self) -> Peer {
+        Peer::new(self.address, self.replica.life)
+    }
+
+    fn quorum(&self) -> Quorum {
+        Quorum::new(self.places.len())
+    }
+
+    /// All slots but ours.
+    fn others(&self) -> impl Iterator<Item = u8> + use<> {
+        let mine = self.slot;
+        (0..self.places.len() as u8).filter(move |slot| *slot != mine)
+    }
+
+    fn address(&self, slot: u8) -> SocketAddr {
+        self.places[usize::from(slot)].address
+    }
+
+    fn note(&mut self, event: Event, text: String) {
+        self.out.push(Output::Note { event, text });
+    }
+
+    fn tell(&mut self, to: SocketAddr, message: impl Into<Message>) {
+        self.out.push(Output::Tell {
+            to,
+            message: message.into(),
+        });
+    }
+
+    /// Tells once everything stored so far is synced.
+    fn tell_synced(&mut self, to: SocketAddr, message: impl Into<Message>) {
+        if self.synced >= self.serial {
+            self.tell(to, message);
+        } else {
+            self.unsynced.push_back((self.serial, to, message.into()));
+        }
+    }
+
+    fn store(&mut self, record: &Record) {
+        let bytes = bincode::serialize(record).expect("records serialize");
+        self.serial += 1;
+        self.log_bytes += bytes.len();
+        self.out.push(Output::Store {
+            serial: self.serial,
+            record: bytes,
+        });
+        self.replica.apply(record);
+        self.see_places();
+        if self.log_bytes > LOG_BYTES.max(2 * self.image_bytes) {
+            let image = bincode::serialize(&Record::Image(Box::new(self.replica.clone())))
+                .expect("records serialize");
+            self.image_bytes = image.len();
+            self.log_bytes = 0;
+            self.serial += 1;
+            self.out.push(Output::StoreImage {
+                serial: self.serial,
+                record: image,
+            });
+        }
+    }
+
+    fn able(&self) -> bool {
+        self.replica.full && !self.failed && !self.removed && self.slot != NO_SLOT
+    }
+
+    fn tick(&mut self, now: Duration) {
+        for peer in self.sessions.tick(now) {
+            self.note(Event::SessionLapsed, peer.to_string());
+        }
+        if self.removed {
+            return;
+        }
+        if self.slot == NO_SLOT {
+            return self.ask_for_slot(now);
+        }
+        for slot in self.others() {
+            self.tell(self.address(slot), self.beat(now, slot));
+        }
+        if let Some(recovery) = &mut self.recovery {
+            for (slot, message) in recovery.tick(now) {
+                self.tell(self.address(slot), message);
+            }
+        }
+        if self.able() {
+            self.take_slices(now);
+        }
+        if now >= self.swept + Duration::from_secs(1) {
+            self.swept = now;
+            self.sweep(now);
+        }
+        if let Some((version, text)) = self
+            .replica
+            .configuration()
+            .filter(|(version, _)| *version != self.shown)
+        {
+            self.shown = version;
+            self.out
+                .push(Output::Show(Shown::Acknowledged { version, text }));
+        }
+        self.show_lists();
+        self.recollect(now);
+        self.write_table();
+        self.plan_duties(now);
+        self.send_operator_calls(now);
+    }
+
+    fn beat(&self, now: Duration, to: u8) -> Heartbeat {
+        let got = self.peers.get(&to).map_or(0, |peer| peer.got);
+        let seen = self.sessions.known(now).then(|| self.sessions.since(got));
+        Heartbeat {
+            slot: self.slot,
+            full: self.able() && self.warned.is_none(),
+            blank: !self.replica.full,
+            membership_version: self.membership_version,
+            closed: self.closed.saturating_sub(now),
+            lost: self.lost(),
+            got: self.sessions.got(to),
+            seen,
+        }
+    }
+
+    fn heard(&mut self, now: Duration, from: Peer, message: Message) {
+        let retired = self.retired.contains(&from.life);
+        let slot = self.slot_of(&from).filter(|_| !retired);
+        let Some(message) = self.check_membership(now, from, slot, message) else {
+            return;
+        };
+        if retired {
+            return;
+        }
+        if let Some(slot) = slot.filter(|slot| *slot != self.slot) {
+            self.meet(slot, from.life);
+        }
+        match slot {
+            Some(slot) => self.heard_from_member(now, from, slot, message),
+            None => self.heard_from_anyone(now, from, message),
+        }
+    }
+
+    /// What only members of the table may say; all else is judged as from
+    /// anyone.
+    fn heard_from_member(&mut self, now: Duration, from: Peer, slot: u8, message: Message) {
+        match message {
+            Message::Heartbeat(heartbeat) if slot != self.slot => {
+                self.handle_heartbeat(now, from, slot, heartbeat)
+            }
+            Message::SnapshotRequest(request) => self.handle_snapshot_request(from, &request),
+            Message::SnapshotReply(reply) => self.handle_snapshot_reply(now, reply),
+            Message::PrepareRequest(request) if self.able() => {
+                self.handle_prepare_request(from, request)
+            }
+            Message::PrepareReply(reply) => self.handle_prepare_reply(now, slot, reply),
+            Message::AppendRequest(request) if self.able() => {
+                self.handle_append_request(now, from, request)
+            }
+            Message::AppendReply(reply) => self.handle_append_reply(slot, &reply),
+            Message::AppendGap(gap) => self.handle_append_gap(slot, &gap),
+            Message::StaleEpoch(stale) => self.handle_stale_epoch(now, stale),
+            other => self.heard_from_anyone(now, from, other),
+        }
+    }
+
+    /// What edges say, and changes and their answers.
+    fn heard_from_anyone(&mut self, now: Duration, from: Peer, message: Message) {
+        match message {
+            Message::RenewRequest(request) if self.able() => self.renew(now, from, request),
+            Message::SessionClose(_) if self.sessions.leave(from) => {
+                self.note(Event::SessionLeft, from.to_string());
+            }
+            Message::RecallReply(reply) => self.handle_recall_reply(reply),
+            Message::ChangeRequest(request) => self.handle_change_request(now, from, request),
+            Message::ChangeReply(reply) => self.handle_change_reply(reply),
+            _ => {}
+        }
+    }
+}
+
+impl Part for ControlPart {
+    fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        let mut tick = false;
+        match input {
+            Input::Tick => {
+                tick = true;
+                self.tick(now);
+                let ready = self.able() && self.warned.is_none();
+                self.out.push(Output::Show(Shown::Fence {
+                    until: now + lease::CONTROL,
+                    ready,
+                }));
+                // After a warning the others take the slices; then, with all
+                // operators answered, nothing is left to do.
+                let over = self
+                    .warned
+                    .is_some_and(|since| self.leaders.is_empty() || now >= since + HAND_OVER);
+                if over && self.operator_calls.is_empty() {
+                    self.out.push(Output::Ended);
+                }
+            }
+            Input::Heard { from, message } => self.heard(now, from, message),
+            Input::Stored { serial } => {
+                self.synced = self.synced.max(serial);
+                while self
+                    .unsynced
+                    .front()
+                    .is_some_and(|(serial, _, _)| *serial <= self.synced)
+                {
+                    let (_, to, message) = self.unsynced.pop_front().expect("just seen");
+                    self.tell(to, message);
+                }
+            }
+            Input::StoreFailed => {
+                self.failed = true;
+                self.leaders.clear();
+                self.pending_replies.clear();
+                self.note(Event::DiskFailed, format!("slot {}", self.slot));
+            }
+            Input::Operator { id, ask } => self.operator(now, id, ask),
+            Input::ShutdownRequested => {
+                self.warned.get_or_insert(now);
+            }
+            Input::ClientRequest { .. } | Input::Called { .. } | Input::Watched { .. } => {}
+        }
+        if self.able() {
+            self.finish_step(now, tick);
+        }
+        std::mem::take(&mut self.out)
+    }
+}
--- /dev/null
+++ b/control-plane/src/control_part/tests.rs
@@ -0,0 +1,500 @@
+//! A control node with scripted peers on a fake clock.
+
+use crate::prelude::*;
+
+fn address(slot: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 100 + slot))
+}
+
+/// Slot 0 with a full disk that syncs at once; the peers are scripted.
+struct Script {
+    part: ControlPart,
+}
+
+impl Script {
+    fn new() -> Script {
+        let replica = Replica {
+            full: true,
+            ..Replica::blank(1)
+        };
+        let seeds = (0..3).map(address).collect();
+        Script {
+            part: ControlPart::new(address(0), seeds, replica, false, None, 1),
+        }
+    }
+
+    /// What it says to others; what it says to itself it hears.
+    fn step(&mut self, ms: u64, input: Input) -> Vec<(SocketAddr, Message)> {
+        let now = Duration::from_millis(ms);
+        let mut inputs = VecDeque::from([input]);
+        let mut told = Vec::new();
+        while let Some(input) = inputs.pop_front() {
+            for output in self.part.step(now, input) {
+                match output {
+                    Output::Tell { to, message } if to == address(0) => {
+                        inputs.push_back(Input::Heard {
+                            from: self.part.me(),
+                            message,
+                        })
+                    }
+                    Output::Tell { to, message } => told.push((to, message)),
+                    Output::Store { serial, .. } | Output::StoreImage { serial, .. } => {
+                        inputs.push_back(Input::Stored { serial })
+                    }
+                    _ => {}
+                }
+            }
+        }
+        told
+    }
+
+    fn hear(
+        &mut self,
+        ms: u64,
+        slot: u16,
+        life: u64,
+        message: impl Into<Message>,
+    ) -> Vec<(SocketAddr, Message)> {
+        let from = Peer::new(address(slot), life);
+        self.step(
+            ms,
+            Input::Heard {
+                from,
+                message: message.into(),
+            },
+        )
+    }
+
+    fn beat(&mut self, ms: u64, life: u64) -> Vec<(SocketAddr, Message)> {
+        self.hear(
+            ms,
+            1,
+            life,
+            Heartbeat {
+                slot: 1,
+                full: true,
+                blank: false,
+                membership_version: 0,
+                closed: Duration::ZERO,
+                lost: 0,
+                got: 0,
+                seen: Some(SessionsDelta::default()),
+            },
+        )
+    }
+}
+
+#[test]
+fn acknowledgements_of_a_slots_earlier_disk_count_for_nothing() {
+    let mut script = Script::new();
+    let mut owned = None;
+    for ms in (0..1600).step_by(100) {
+        let mut said: VecDeque<_> = script.beat(ms, 11).into();
+        said.extend(script.step(ms + 1, Input::Tick));
+        while let Some((to, message)) = said.pop_front() {
+            match message {
+                Message::PrepareRequest(PrepareRequest { slice, epoch, .. })
+                    if to == address(1) =>
+                {
+                    if [PURGES, ORIGINS].contains(&slice) {
+                        owned = Some((slice, epoch));
+                    }
+                    said.extend(script.hear(
+                        ms + 2,
+                        1,
+                        11,
+                        PrepareReply {
+                            slice,
+                            epoch,
+                            lost: 0,
+                            retired: vec![],
+                            image: PartitionState::default(),
+                        },
+                    ));
+                }
+                Message::AppendRequest(AppendRequest {
+                    slice,
+                    epoch,
+                    round,
+                    to: version,
+                    ..
+                }) if to == address(1) => {
+                    said.extend(script.hear(
+                        ms + 3,
+                        1,
+                        11,
+                        AppendReply {
+                            slice,
+                            epoch,
+                            round,
+                            to: version,
+                            clear: Some(0),
+                            retired: vec![],
+                        },
+                    ));
+                }
+                _ => {}
+            }
+        }
+    }
+    let (slice, epoch) = owned.expect("one of the two is ours by weight");
+    let ask = match slice {
+        PURGES => Change::AddPurge {
+            purge: Purge {
+                entry: Some("e".into()),
+                ..Purge::default()
+            },
+            change: 5,
+        },
+        _ => Change::PutOrigins {
+            list: Arc::default(),
+            expect: None,
+            change: 5,
+        },
+    };
+    let told = script.hear(
+        1700,
+        1,
+        11,
+        ChangeRequest {
+            asker: address(1),
+            id: 7,
+            slice,
+            ask,
+        },
+    );
+    let version = told.iter().find_map(|(_, message)| match message {
+        Message::AppendRequest(keep) if keep.slice == slice => Some(keep.to),
+        _ => None,
+    });
+    let version = version.expect("it is written at once");
+    // The disk of slot 1 is another now; what the earlier one says comes late.
+    script.beat(1710, 12);
+    let kept = AppendReply {
+        slice,
+        epoch,
+        round: 100,
+        to: version,
+        clear: Some(version),
+        retired: vec![],
+    };
+    let answered = |told: &[(SocketAddr, Message)]| {
+        told.iter()
+            .any(|(_, message)| matches!(message, Message::ChangeReply(ChangeReply { id: 7, .. })))
+    };
+    assert!(!answered(&script.hear(1720, 1, 11, kept.clone())));
+    assert!(!answered(&script.step(1801, Input::Tick)));
+    let mut told = script.hear(1810, 1, 12, kept.clone());
+    told.extend(script.step(1901, Input::Tick));
+    told.extend(script.hear(1910, 1, 12, kept));
+    assert!(answered(&told), "the disk that is there now has it");
+}
+
+/// Five slots, ours is the first: disks 1 and 2 acknowledge a change, and
+/// with ours that is a majority. But disk 2 knows that disk 1 is another by
+/// now, refilled without it, and says so with its acknowledgement.
+#[test]
+fn an_acknowledgement_of_a_retired_life_that_another_reports_is_not_counted() {
+    let owned =
+        |retired: Vec<u64>| {
+            let replica = Replica {
+                full: true,
+                ..Replica::blank(1)
+            };
+            let mut script = Script {
+                part: ControlPart::new(
+                    address(0),
+                    (0..5).map(address).collect(),
+                    replica,
+                    false,
+                    None,
+                    1,
+                ),
+            };
+            let mut owned = None;
+            for ms in (0..2_500).step_by(100) {
+                let mut said = VecDeque::new();
+                for slot in 1..5 {
+                    let beat = Heartbeat {
+                        slot: slot as u8,
+                        full: true,
+                        blank: false,
+                        membership_version: 0,
+                        closed: Duration::ZERO,
+                        lost: 0,
+                        got: 0,
+                        seen: Some(SessionsDelta::default()),
+                    };
+                    said.extend(script.hear(ms, slot, 10 + u64::from(slot), beat));
+                }
+                said.extend(script.step(ms + 1, Input::Tick));
+                while let Some((to, message)) = said.pop_front() {
+                    let slot = to.port() - 100;
+                    let life = 10 + u64::from(slot);
+                    match message {
+                        Message::PrepareRequest(PrepareRequest { slice, epoch, .. }) => {
+                            owned = Some((slice, epoch))
+                                .filter(|_| [PURGES, ORIGINS].contains(&slice))
+                                .or(owned);
+                            said.extend(script.hear(
+                                ms + 2,
+                                slot,
+                                life,
+                                PrepareReply {
+                                    slice,
+                                    epoch,
+                                    lost: 0,
+                                    retired: vec![],
+                                    image: PartitionState::default(),
+                                },
+                            ));
+                        }
+                        Message::AppendRequest(AppendRequest {
+                            slice,
+                            epoch,
+                            round,
+                            to: version,
+                            ..
+                        }) => {
+                            said.extend(script.hear(
+                                ms + 3,
+                                slot,
+                                life,
+                                AppendReply {
+                                    slice,
+                                    epoch,
+                                    round,
+                                    to: version,
+                                    clear: Some(0),
+                                    retired: vec![],
+                                },
+                            ));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            let (slice, epoch) = owned?;
+            let ask = match slice {
+                PURGES => Change::AddPurge {
+                    purge: Purge {
+                        entry: Some("e".into()),
+                        ..Purge::default()
+                    },
+                    change: 5,
+                },
+                _ => Change::PutOrigins {
+                    list: Arc::default(),
+                    expect: None,
+                    change: 5,
+                },
+            };
+            let told = script.hear(
+                2_600,
+                1,
+                11,
+                ChangeRequest {
+                    asker: address(1),
+                    id: 7,
+                    slice,
+                    ask,
+                },
+            );
+            let version = told.iter().find_map(|(_, message)| match message {
+                Message::AppendRequest(keep) if keep.slice == slice => Some(keep.to),
+                _ => None,
+            })?;
+            let kept = |retired| AppendReply {
+                slice,
+                epoch,
+                round: 1_000,
+                to: version,
+                clear: Some(version),
+                retired,
+            };
+            let mut told = script.hear(2_610, 1, 11, kept(vec![]));
+            told.extend(script.hear(2_611, 2, 12, kept(retired)));
+            told.extend(script.step(2_701, Input::Tick));
+            told.extend(script.step(2_801, Input::Tick));
+            Some(told.iter().any(|(_, message)| {
+                matches!(message, Message::ChangeReply(ChangeReply { id: 7, .. }))
+            }))
+        };
+    assert_eq!(owned(vec![]), Some(true), "three of five hold it");
+    assert_eq!(owned(vec![11]), Some(false), "only two of them do");
+}
+
+/// A control node whose disk keeps what is synced, alone with its peers.
+struct Alone {
+    part: ControlPart,
+    disk: Vec<Vec<u8>>,
+    unsynced: Vec<(u64, Vec<u8>)>,
+}
+
+impl Alone {
+    fn start(slot: u16, disk: Vec<Vec<u8>>, founding: bool) -> Alone {
+        let known = Replica::replay(&disk).unwrap();
+        let blank = known.is_none();
+        let bootstrap = Bootstrap::new(founding, Duration::from_millis(500));
+        let replica = known.unwrap_or_else(|| Replica::blank(40 + u64::from(slot)));
+        let part = ControlPart::new(
+            address(slot),
+            (0..3).map(address).collect(),
+            replica,
+            blank,
+            Some(bootstrap),
+            1,
+        );
+        Alone {
+            part,
+            disk,
+            unsynced: vec![],
+        }
+    }
+
+    /// What it says; what it stores pending_replies to be synced.
+    fn step(&mut self, ms: u64, input: Input) -> Vec<(SocketAddr, Message)> {
+        let mut told = Vec::new();
+        for output in self.part.step(Duration::from_millis(ms), input) {
+            match output {
+                Output::Tell { to, message } => told.push((to, message)),
+                Output::Store { serial, record } => self.unsynced.push((serial, record)),
+                _ => {}
+            }
+        }
+        told
+    }
+
+    fn sync(&mut self, ms: u64) -> Vec<(SocketAddr, Message)> {
+        let mut told = Vec::new();
+        for (serial, record) in std::mem::take(&mut self.unsynced) {
+            self.disk.push(record);
+            told.extend(self.step(ms, Input::Stored { serial }));
+        }
+        told
+    }
+
+    fn hear(
+        &mut self,
+        ms: u64,
+        from: u16,
+        message: impl Into<Message>,
+    ) -> Vec<(SocketAddr, Message)> {
+        self.step(
+            ms,
+            Input::Heard {
+                from: Peer::new(address(from), 40 + u64::from(from)),
+                message: message.into(),
+            },
+        )
+    }
+}
+
+fn membership_version(told: &[(SocketAddr, Message)]) -> Option<Vec<u16>> {
+    told.iter().find_map(|(_, message)| match message {
+        Message::MembershipTable(membership_version) => Some(
+            membership_version
+                .places
+                .iter()
+                .map(|peer| peer.address.port() - 100)
+                .collect(),
+        ),
+        _ => None,
+    })
+}
+
+#[test]
+fn the_first_seed_tells_a_table_only_once_it_is_on_its_disk_and_never_another() {
+    let mut founder = Alone::start(0, vec![], true);
+    founder.step(0, Input::Tick);
+    founder.hear(100, 4, JoinRequest { founding: true });
+    founder.hear(110, 3, JoinRequest { founding: true });
+    founder.hear(120, 7, JoinRequest { founding: false });
+    founder.sync(130);
+    assert_eq!(
+        membership_version(&founder.step(600, Input::Tick)),
+        None,
+        "not synced yet"
+    );
+    // It ends before the sync: nobody was told, and it begins anew.
+    let mut again = Alone::start(0, founder.disk.clone(), true);
+    assert!(again.part.places.is_empty());
+    again.step(0, Input::Tick);
+    again.hear(100, 5, JoinRequest { founding: true });
+    again.step(600, Input::Tick);
+    assert_eq!(
+        membership_version(&again.hear(601, 5, JoinRequest { founding: true })),
+        None,
+        "still not synced"
+    );
+    assert_eq!(membership_version(&again.sync(602)), Some(vec![0, 1, 2, 5]));
+    // It ends after it: the table is the one that was told, whoever asks.
+    let mut again = Alone::start(0, again.disk, true);
+    again.hear(10, 3, JoinRequest { founding: true });
+    again.step(900, Input::Tick);
+    assert_eq!(
+        membership_version(&again.hear(901, 1, JoinRequest { founding: true })),
+        Some(vec![0, 1, 2, 5])
+    );
+}
+
+#[test]
+fn a_founding_table_is_taken_once_and_only_by_who_was_there() {
+    let table = |list: &[u16]| MembershipTable {
+        version: 0,
+        places: list
+            .iter()
+            .map(|slot| Peer::new(address(*slot), 0))
+            .collect(),
+    };
+    let mut seed = Alone::start(1, vec![], true);
+    seed.step(0, Input::Tick);
+    assert!(
+        (0..50).all(|more| membership_version(&seed.step(100 * more, Input::Tick)).is_none()),
+        "only the first seed makes one"
+    );
+    seed.hear(5_001, 0, table(&[0, 1, 2, 3]));
+    seed.hear(5_002, 0, table(&[0, 1, 2, 4]));
+    seed.sync(5_003);
+    assert_eq!(seed.part.places.len(), 4);
+    let again = Alone::start(1, seed.disk, false);
+    assert_eq!(again.part.places[3].address, address(3));
+    // A machine that came in place of another never takes or makes one.
+    for slot in [0, 1] {
+        let mut other = Alone::start(slot, vec![], false);
+        other.step(0, Input::Tick);
+        other.hear(10, 2, table(&[0, 1, 2]));
+        assert!(
+            (1..20).all(|more| membership_version(&other.step(100 * more, Input::Tick)).is_none())
+        );
+        assert!(other.part.places.is_empty());
+        other.hear(
+            3_000,
+            2,
+            MembershipTable {
+                version: 3,
+                ..table(&[0, 1, 2])
+            },
+        );
+        assert_eq!((other.part.places.len(), other.part.slot), (3, slot as u8));
+    }
+    // Nor does the first seed, if it hears of somebody who has one.
+    let mut late = Alone::start(0, vec![], true);
+    late.step(0, Input::Tick);
+    late.hear(
+        100,
+        2,
+        Heartbeat {
+            slot: 2,
+            full: true,
+            blank: false,
+            membership_version: 4,
+            closed: Duration::ZERO,
+            lost: 0,
+            got: 0,
+            seen: None,
+        },
+    );
+    late.step(900, Input::Tick);
+    assert!(late.part.places.is_empty());
+}
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -50,7 +50,7 @@
         life: u64,
     },
     /// `lost`: from what was left after a majority of disks went.
-    SnapshotReply {
+    Recovered {
         held: Vec<PartitionSnapshot>,
         lost: bool,
     },
@@ -58,11 +58,11 @@
         slice: u8,
         epoch: u64,
     },
-    AppendReply {
+    Appended {
         keep: AppendRequest,
     },
     Image(Box<Replica>),
-    Struck,
+    Removed,
     MembershipTable {
         version: u64,
         places: Vec<Peer>,
@@ -102,8 +102,8 @@
         match record {
             Record::Life { life } => self.life = *life,
             Record::Promise { slice, epoch } => self.slices[usize::from(*slice)].promised = *epoch,
-            Record::AppendReply { keep } => self.slices[usize::from(keep.slice)].keep(keep),
-            Record::Struck => self.removed = true,
+            Record::Appended { keep } => self.slices[usize::from(keep.slice)].keep(keep),
+            Record::Removed => self.removed = true,
             Record::MembershipTable { version, places } => {
                 self.membership_version = Some((*version, places.clone()))
             }
@@ -117,7 +117,7 @@
                 }
             }
             Record::Image(image) => *self = (**image).clone(),
-            Record::SnapshotReply { held, lost } => {
+            Record::Recovered { held, lost } => {
                 self.full = true;
                 for one in held {
                     let slice = &mut self.slices[usize::from(one.slice)];
@@ -317,12 +317,12 @@
     #[test]
     fn a_row_is_shown_only_once_published_and_a_newer_one_does_not_hide_it() {
         let mut replica = Replica::blank(1);
-        replica.apply(&Record::AppendReply {
+        replica.apply(&Record::Appended {
             keep: keep(0, 1, 0),
         });
         assert!(replica.news(&[0; 4]).is_empty());
         // Publishing 1 and adding 2 over it come in one message.
-        replica.apply(&Record::AppendReply {
+        replica.apply(&Record::Appended {
             keep: keep(1, 2, 1),
         });
         let news = replica.news(&[0; 4]);
@@ -335,15 +335,15 @@
     #[test]
     fn what_a_later_row_hides_is_not_claimed_to_be_shown() {
         let mut replica = Replica::blank(1);
-        replica.apply(&Record::AppendReply {
+        replica.apply(&Record::Appended {
             keep: keep(0, 1, 1),
         });
         // Rows 2 and 3 were published; row 4 of the same key went over them.
-        replica.apply(&Record::AppendReply {
+        replica.apply(&Record::Appended {
             keep: keep(1, 4, 3),
         });
         assert!(replica.news(&[0, 1]).is_empty(), "3 is not known here");
-        replica.apply(&Record::AppendReply {
+        replica.apply(&Record::Appended {
             keep: AppendRequest {
                 rows: vec![],
                 ..keep(4, 4, 4)
@@ -362,7 +362,7 @@
                 slice: PURGES,
                 epoch: 3,
             },
-            Record::AppendReply {
+            Record::Appended {
                 keep: keep(0, 1, 0),
             },
         ];
