A fleet founded again after a total loss keeps its ledger closed

Cause: after the loss of every disk and every edge the simulator started all control nodes with `founding`, which says that no operation ran before. On the platform `bootstrap` is true at the very first start only, so the simulator was wrong; but operators had no way to found a table again without saying that nothing ran before.

Ruled out: a node that kept its disk opening the ledger (no trace shows one; all five disks were blank), and three control nodes without a gathered table, where nobody is `founding`.

The simulator says `refounding` after a total loss and gives up read-backs that still wait there.

--- a/control-plane/src/bootstrap.rs
+++ b/control-plane/src/bootstrap.rs
@@ -2,11 +2,13 @@
 
 /// How a node that is not told who holds the slots comes to know it. Invariant:
 /// only the first seed makes a founding table, only while `founding` (the whole
-/// fleet starts for the first time) and only if nobody is heard who has one; it
-/// is on its disk before anybody is told.
+/// fleet starts for the first time, or again after everything was lost) and only
+/// if nobody is heard who has one; it is on its disk before anybody is told.
 #[derive(Debug)]
 pub struct Bootstrap {
     pub founding: bool,
+    /// No fleet was there before this one, so no operation ran.
+    pub first_start: bool,
     span: Duration,
     since: Option<Duration>,
     enlisted: BTreeSet<SocketAddr>,
@@ -18,6 +20,7 @@
     pub fn new(founding: bool, span: Duration) -> Bootstrap {
         Bootstrap {
             founding,
+            first_start: founding,
             span,
             since: None,
             enlisted: BTreeSet::new(),
@@ -25,6 +28,15 @@
         }
     }
 
+    /// For a fleet that is founded again after everything was lost: operations
+    /// of the earlier one may still be repeated, so its ledger stays closed.
+    pub fn refounding(span: Duration) -> Bootstrap {
+        Bootstrap {
+            first_start: false,
+            ..Bootstrap::new(true, span)
+        }
+    }
+
     /// A founding node asked for a slot.
     pub fn enlist(&mut self, address: SocketAddr) {
         self.enlisted.insert(address);
--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -138,7 +138,7 @@
         let fresh = blank
             && bootstrap
                 .as_ref()
-                .is_some_and(|bootstrap| bootstrap.founding);
+                .is_some_and(|bootstrap| bootstrap.first_start);
         let mut part = ControlPart {
             slot,
             address,
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -33,6 +33,10 @@
     /// True only when the whole fleet starts for the first time, with empty
     /// disks. Heeded by control nodes with `gather_ms` only.
     pub founding: bool,
+    /// In place of `founding` when operators found the fleet again after every
+    /// disk and every edge was lost: operations of the earlier fleet may still
+    /// be repeated, so the ledger stays closed.
+    pub refounding: bool,
     /// How long the first seed collects founding control nodes before it fixes
     /// the table of slots. Edges: that the seeds are not that table.
     pub gather_ms: Option<u64>,
@@ -78,6 +82,7 @@
         );
         if disk {
             text += "--founding true  the whole fleet starts for the first time, with empty disks\n\
+                     --refounding true  instead: it is founded again after everything was lost\n\
                      --data DIR       the data folder\n\nThe node holds the slot whose seed address is its --mesh. One elsewhere, with an\nempty folder, waits for a lost slot and takes it.\n\n";
         } else {
             text += "--cache-bytes N  memory for copies (default 268435456)\n";
@@ -140,6 +145,10 @@
             startup.founding = text.parse()?;
             Ok(())
         });
+        take("--refounding", &mut |text| {
+            startup.refounding = text.parse()?;
+            Ok(())
+        });
         take("--data", &mut |text| {
             startup.data = Some(text.into());
             Ok(())
@@ -184,6 +193,11 @@
             "seeds",
             "must be three unlike addresses (or one to three with gather_ms)",
         );
+        need(
+            self.founding && self.refounding,
+            "refounding",
+            "must be false where founding is true",
+        );
         let level = self.log.as_deref().unwrap_or("info");
         need(
             level.parse::<log::LevelFilter>().is_err(),
@@ -296,5 +310,18 @@
         ])
         .unwrap();
         assert!(startup.founding && startup.gather_span() == Some(Duration::from_millis(1500)));
+        let again = [
+            "--seeds",
+            "127.0.0.1:1",
+            "--gather-ms",
+            "1",
+            "--refounding",
+            "true",
+        ];
+        let startup = read(&again).unwrap();
+        assert!(startup.refounding && !startup.founding);
+        let both = [&again[..], &["--founding", "true"]].concat();
+        let found = read(&both).unwrap_err();
+        assert_eq!(found.len(), 1, "{found:?}");
     }
 }
--- a/programs/src/control_node.rs
+++ b/programs/src/control_node.rs
@@ -14,9 +14,7 @@
         startup.seeds.clone(),
         replica,
         blank,
-        startup
-            .gather_span()
-            .map(|span| Bootstrap::new(startup.founding, span)),
+        startup.gather_span().map(|span| bootstrap(&startup, span)),
         new_life()?,
     );
     let history = Some(History::keep(startup.data.clone().context("data folder")?));
@@ -32,6 +30,14 @@
     host.run(Box::new(part))
 }
 
+fn bootstrap(startup: &Startup, span: Duration) -> Bootstrap {
+    if startup.refounding {
+        Bootstrap::refounding(span)
+    } else {
+        Bootstrap::new(startup.founding, span)
+    }
+}
+
 /// A log that is corrupt before its tail is set aside: this disk then counts
 /// as blank and is refilled by the others.
 fn open(folder: &Path) -> Result<(SegmentLog, Vec<Vec<u8>>)> {
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -4,7 +4,7 @@
 pub use crate::schedule::Schedule;
 pub use crate::script::Script;
 pub use crate::shrink::Shrink;
-pub use crate::sim_node::{Disk, SimNode};
+pub use crate::sim_node::{Disk, Founding, SimNode};
 pub use crate::sim_origin::{Mood, SimOrigin};
 pub(crate) use crate::world::{Asked, Asking, CALLER_PATIENCE, Happening, Task};
 pub use crate::world::{FounderEnd, Report, World, WorldPlan};
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -53,8 +53,29 @@
     pub in_force: u64,
     pub ending: bool,
     pub duties: Vec<String>,
-    /// The whole fleet starts for the first time with it.
-    pub founding: bool,
+    /// What its settings say of the fleet's founding.
+    pub founding: Founding,
+}
+
+/// Whether a node's settings let it found the table of slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Founding {
+    /// A fleet is there: the node asks for its table.
+    Never,
+    /// The whole fleet starts for the first time.
+    FirstStart,
+    /// Operators start the whole fleet again after everything was lost.
+    AfterTotalLoss,
+}
+
+impl Founding {
+    fn bootstrap(self, span: Duration) -> Bootstrap {
+        match self {
+            Founding::Never => Bootstrap::new(false, span),
+            Founding::FirstStart => Bootstrap::new(true, span),
+            Founding::AfterTotalLoss => Bootstrap::refounding(span),
+        }
+    }
 }
 
 impl SimNode {
@@ -76,7 +97,7 @@
             in_force: 0,
             ending: false,
             duties: Vec::new(),
-            founding: false,
+            founding: Founding::Never,
         }
     }
 
@@ -111,7 +132,7 @@
             Place::Control(_) => {
                 let known = Replica::replay(&self.disk.synced).expect("synced records read back");
                 let blank = known.is_none();
-                let gather = gather.map(|span| Bootstrap::new(self.founding, span));
+                let gather = gather.map(|span| self.founding.bootstrap(span));
                 let part = ControlPart::new(
                     self.peer.address,
                     seeds.to_vec(),
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -341,7 +341,7 @@
             self.nodes[node].drift = self.dice.roll(2 * drift + 1) as i64 - drift as i64;
         }
         for node in 0..self.nodes.len() - 1 {
-            self.nodes[node].founding = true;
+            self.nodes[node].founding = Founding::FirstStart;
             if self.plan.late && node + 1 == self.plan.control {
                 self.push(
                     Duration::from_millis(4_500),
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -108,7 +108,7 @@
         for node in 0..self.nodes.len() - 1 {
             self.kill(node);
             self.nodes[node].disk = Disk::default();
-            self.nodes[node].founding = true;
+            self.nodes[node].founding = Founding::AfterTotalLoss;
             self.after(
                 Duration::from_secs(3),
                 Happening::Fault(Fault::Start(self.nodes[node].place)),
@@ -131,6 +131,7 @@
             return;
         }
         self.record("all-lost", "", 0, true);
+        self.forget_read_backs();
         // The fleet is founded anew.
         let again = if self.plan.gather {
             self.plan.control
@@ -141,7 +142,7 @@
             let runs = self.nodes[node].part.is_some();
             self.nodes[node].kill();
             self.nodes[node].disk = Disk::default();
-            self.nodes[node].founding = true;
+            self.nodes[node].founding = Founding::AfterTotalLoss;
             if runs {
                 self.start(node);
             }
@@ -154,6 +155,14 @@
         self.after(Duration::from_secs(4), Happening::Fault(Fault::Configure));
     }
 
+    /// Operators who still wait to read back what nobody knows any more.
+    fn forget_read_backs(&mut self) {
+        let read_back = |asked: &Asked| matches!(asked, Asked::ReadBack { .. });
+        self.asked.retain(|_, (_, asked)| !read_back(asked));
+        self.queue
+            .retain(|_, what| !matches!(what, Happening::Ask { asked, .. } if read_back(asked)));
+    }
+
     pub(crate) fn fault(&mut self, fault: Fault) {
         if self.trace {
             println!("{:9.4} FAULT {fault:?}", self.seconds());
@@ -206,7 +215,7 @@
                 let node = self.at(place);
                 self.kill(node);
                 self.nodes[node].disk = Disk::default();
-                self.nodes[node].founding = false;
+                self.nodes[node].founding = Founding::Never;
                 self.see_all_lost();
             }
             Fault::DiskFull(place) => {
