A whole image that comes late takes no acknowledged row off a replica

Cause: a leader sends a replica the whole image of a partition until that is acknowledged, then the rows after it. A replica stored each whole image of its epoch, also one that came late, over rows it had acknowledged since: these were gone from its disk while the leader counted it.

Ruled out: an earlier epoch (refused by the promise) and recalled rows, whose versions may lie below those held: a recall always raises the image's version.

Change: within an epoch a replica is complete up to its version, so rows of a request up to that are passed over, whole or not; what it publishes counts.

--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -5,6 +5,17 @@
 /// Without a loss for this long, a leader's pauses start short again.
 const STALE_EPOCH_CALM: Duration = Duration::from_secs(10);
 
+/// Of a request whose rows are held already, maybe with later ones over them:
+/// a whole image that comes late must not take those away.
+fn without_rows(request: AppendRequest) -> AppendRequest {
+    AppendRequest {
+        whole: false,
+        rows: vec![],
+        drops: vec![],
+        ..request
+    }
+}
+
 impl ControlPart {
     /// The slot that shall own a slice: by weight over the live, full slots.
     pub(super) fn chosen(&self, now: Duration, slice: u8) -> Option<u8> {
@@ -114,7 +125,10 @@
         }
         let published = held.image.published;
         let same = held.image.epoch == epoch && held.image.version >= to && held.promised == epoch;
-        if keep.whole || !same || keep.published > published {
+        if !same {
+            self.store(&Record::Appended { keep });
+        } else if keep.published > published {
+            let keep = without_rows(keep);
             self.store(&Record::Appended { keep });
         }
         let held = self.replica.held(slice);
--- a/control-plane/src/control_part/tests.rs
+++ b/control-plane/src/control_part/tests.rs
@@ -498,3 +498,59 @@
     late.step(900, Input::Tick);
     assert!(late.part.places.is_empty());
 }
+
+fn purge_rows(versions: std::ops::RangeInclusive<u64>) -> Vec<(String, Row)> {
+    versions
+        .map(|version| {
+            let purge = Purge::default();
+            let change = version;
+            let value = Value::Purge { purge, change };
+            (format!("purge/{version}"), Row { version, value })
+        })
+        .collect()
+}
+
+/// Within an epoch a replica is complete up to its version: a whole image that
+/// comes late, over rows that were acknowledged since, takes none of them away.
+#[test]
+fn a_whole_image_that_comes_late_takes_no_later_row_away() {
+    let mut script = Script::new();
+    script.beat(10, 11);
+    let whole = AppendRequest {
+        slice: PURGES,
+        epoch: 17,
+        membership_version: 0,
+        round: 1,
+        whole: true,
+        from: 0,
+        to: 1,
+        rows: purge_rows(1..=1),
+        drops: vec![],
+        published: 0,
+    };
+    script.hear(20, 1, 11, whole.clone());
+    let next = AppendRequest {
+        whole: false,
+        round: 2,
+        from: 1,
+        to: 2,
+        rows: purge_rows(2..=2),
+        ..whole.clone()
+    };
+    script.hear(30, 1, 11, next);
+    script.hear(40, 1, 11, whole);
+    let prepare = PrepareRequest {
+        slice: PURGES,
+        epoch: 34,
+        membership_version: 0,
+    };
+    let held = script
+        .hear(50, 1, 11, prepare)
+        .into_iter()
+        .find_map(|(_, message)| match message {
+            Message::PrepareReply(reply) => Some(reply.image),
+            _ => None,
+        })
+        .expect("the epoch is promised");
+    assert_eq!((held.version, held.rows.len()), (2, 2));
+}
