Simulator: long cuts, frozen, slow and stalled members, lost answers, resets

An order that was settled and is sent again to another node must be settled again (judged with read-backs).

--- a/simulate-fleet/src/bin/simulate-fleet.rs
+++ b/simulate-fleet/src/bin/simulate-fleet.rs
@@ -16,7 +16,7 @@
 --script FILE   what happens when, see docs/simulator.md; instead of --faults
 --drift N       clocks are off by up to so many millionths (default 1000)
 --shrink 1      makes the schedule of a broken seed short and prints it as a script
---trace 1       prints what happens
+--trace 1       prints what happens; 2: messages between control nodes, too
 --figures 1     prints the figures of docs/figures.md, nothing else
 --capacity A,B  prints the tables of docs/CAPACITY.md for so many hollow edges
                 (all: 16,64,256,1100) and --control nodes (default 12), nothing else
@@ -43,7 +43,7 @@
     let faults = flags
         .take("--faults", Some("random".to_string()))
         .unwrap_or_default();
-    let trace = flags.take("--trace", Some(0u8)).unwrap_or(0) > 0;
+    let trace = flags.take("--trace", Some(0u8)).unwrap_or(0);
     let shrink = flags.take("--shrink", Some(0u8)).unwrap_or(0) > 0;
     let drift = flags.take("--drift", Some(1000u64)).unwrap_or(0);
     let sizes = flags
@@ -165,7 +165,8 @@
         };
         let began = Instant::now();
         let mut world = World::new(plan.clone());
-        world.trace = trace;
+        world.trace = trace > 0;
+        world.trace_messages = trace > 1;
         let report = world.run();
         let bad = show(seed, &report, seeds == 1, began.elapsed(), &mut sum);
         broken += bad;
--- a/simulate-fleet/src/fault.rs
+++ b/simulate-fleet/src/fault.rs
@@ -20,8 +20,26 @@
     Wipe(Place),
     /// The disk refuses writes from now on.
     DiskFull(Place),
+    /// All that the process does takes longer.
+    Slow(Place, Duration),
+    /// No sync of its disk ends before the span is over.
+    StallDisk(Place, Duration),
+    /// Each sync of its disk takes a good part of a second.
+    SlowDisk(Place, Duration),
     /// Nothing gets from the first to the second; the other way still does.
     Cut(Place, Place),
+    /// A node is cut off for a span, in silence.
+    CutOff(Place, CutScope, Duration),
+    /// The connections between two nodes are reset: what is under way is lost.
+    Reset(Place, Place),
+    /// SIGTERM; the node is not started again by itself.
+    Remove(Place),
+    /// Nodes that start from now on are told the seeds in another order, and
+    /// others among them, as far as they found no table.
+    TurnSeeds,
+    /// Many answers to operators are lost for a span; the same order is then
+    /// sent again to another node.
+    LoseAnswers(Duration),
     /// Nothing gets to or from this node.
     Isolate(Place),
     /// All cuts end.
@@ -45,6 +63,8 @@
     Purge(String),
     Configure,
     ConfigureInvalid,
+    /// One named item of the configuration is set under its next revision.
+    PutItem,
     /// A change that brings so many entries more; the next one drops them.
     Grow(usize),
     /// So many operators at once, at different control nodes.
@@ -60,6 +80,38 @@
     Returned,
 }
 
+/// What a node that is cut off does not reach, or is not reached by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutScope {
+    /// Every other node, both ways.
+    Everybody,
+    /// The control nodes, both ways.
+    ControlNodes,
+    /// It hears no control node.
+    FromControlNodes,
+    /// No control node hears it.
+    ToControlNodes,
+}
+
+impl CutScope {
+    pub const ALL: [CutScope; 4] = [
+        CutScope::Everybody,
+        CutScope::ControlNodes,
+        CutScope::FromControlNodes,
+        CutScope::ToControlNodes,
+    ];
+
+    /// Its name in scripts.
+    pub fn name(self) -> &'static str {
+        match self {
+            CutScope::Everybody => "everybody",
+            CutScope::ControlNodes => "control-nodes",
+            CutScope::FromControlNodes => "from-control-nodes",
+            CutScope::ToControlNodes => "to-control-nodes",
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Moment {
     Configured,
@@ -100,7 +152,15 @@
             Fault::Restart(_) => "restart",
             Fault::Wipe(_) => "wipe",
             Fault::DiskFull(_) => "disk-full",
+            Fault::Slow(..) => "slow",
+            Fault::StallDisk(..) => "disk-stall",
+            Fault::SlowDisk(..) => "disk-slow",
             Fault::Cut(..) => "cut",
+            Fault::CutOff(..) => "cut-off",
+            Fault::Reset(..) => "reset",
+            Fault::Remove(_) => "remove",
+            Fault::TurnSeeds => "turn-seeds",
+            Fault::LoseAnswers(_) => "lose-answers",
             Fault::Isolate(_) => "isolate",
             Fault::Heal => "heal",
             Fault::Weather { .. } => "weather",
@@ -112,6 +172,7 @@
                 "service-slow",
                 "service-very-slow",
                 "service-wrong",
+                "service-grey",
             ][*mood as usize],
             Fault::Leave(_) => "origin-leave",
             Fault::Usurp(_) => "origin-usurp",
@@ -120,6 +181,7 @@
             Fault::Purge(_) => "purge",
             Fault::Configure => "configure",
             Fault::ConfigureInvalid => "configure-invalid",
+            Fault::PutItem => "put-item",
             Fault::Grow(_) => "grow",
             Fault::Race(_) => "race",
             Fault::ReadBack => "read-back",
@@ -138,7 +200,9 @@
         match self {
             Fault::Kill(place)
             | Fault::Pause(place, _)
+            | Fault::Slow(place, _)
             | Fault::Restart(place)
+            | Fault::Remove(place)
             | Fault::Isolate(place) => {
                 let what = if matches!(place, Place::Control(_)) {
                     "control"
@@ -147,10 +211,23 @@
                 };
                 format!("{} {what}", self.name())
             }
+            Fault::CutOff(_, scope, _) => format!("cut-off {}", scope.name()),
             _ => self.name().into(),
         }
     }
 
+    /// How long it lasts, if it ends by itself.
+    pub fn span(&self) -> Option<Duration> {
+        match self {
+            Fault::Pause(_, span)
+            | Fault::Slow(_, span)
+            | Fault::StallDisk(_, span)
+            | Fault::SlowDisk(_, span)
+            | Fault::CutOff(_, _, span) => Some(*span),
+            _ => None,
+        }
+    }
+
     /// Ends something that was broken before; a shortened schedule keeps it.
     pub fn mends(&self) -> bool {
         let good = Mood::Good;
@@ -179,6 +256,9 @@
                 | Purge(_)
                 | Configure
                 | ConfigureInvalid
+                | PutItem
+                | TurnSeeds
+                | Remove(_)
                 | Grow(_)
                 | Race(_)
                 | ReadBack
--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 #[cfg(test)]
 mod scenarios;
 pub mod schedule;
+mod schedule_core;
 pub mod script;
 pub mod shrink;
 pub mod sim_node;
@@ -14,4 +15,6 @@
 pub mod world;
 mod world_callers;
 mod world_faults;
+mod world_network;
 mod world_operators;
+mod world_orders;
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -1,12 +1,12 @@
 pub use crate::capacity::{CONTROL, Capacity, Role, SIZES, Sized, Tally};
-pub use crate::fault::{Fault, Loss, Moment, Place};
+pub use crate::fault::{CutScope, Fault, Loss, Moment, Place};
 pub use crate::figures::Figures;
 pub use crate::schedule::Schedule;
 pub use crate::script::Script;
 pub use crate::shrink::Shrink;
 pub use crate::sim_node::{Disk, Founding, SimNode};
 pub use crate::sim_origin::{Mood, SimOrigin};
-pub(crate) use crate::world::{Asked, Asking, CALLER_PATIENCE, Happening, Task};
+pub(crate) use crate::world::{Asked, Asking, CALLER_PATIENCE, Happening, Order, Task};
 pub use crate::world::{FounderEnd, Report, World, WorldPlan};
 pub use control_plane::{Bootstrap, ControlPart, Record, Replica};
 pub use data_plane::prelude::{Arrival, chain};
--- a/simulate-fleet/src/schedule.rs
+++ b/simulate-fleet/src/schedule.rs
@@ -5,23 +5,32 @@
 ///   nothing happens: recovery is judged in that quiet.
 /// - A disk goes only once the one before was refilled (`REFILL` later), but
 ///   for seeds that lose two or three at once, which then break no other.
+/// - Where an empty node stands by, a slot whose node is away goes to it, and
+///   its disk is lost with that: in these runs either disks go or the troubles
+///   of `schedule_core` come, never both.
 /// - Every fifth seed holds nothing but what operators and the platform do by
 ///   intent.
 pub struct Schedule {
-    dice: Dice,
+    pub(super) dice: Dice,
     list: Vec<(Duration, Fault)>,
-    control: u64,
-    edges: u64,
-    origins: u64,
-    services: u64,
+    pub(super) control: u64,
+    pub(super) edges: u64,
+    pub(super) origins: u64,
+    pub(super) services: u64,
     left: BTreeSet<usize>,
     /// When a disk may go again.
-    disks: u64,
-    end: u64,
+    pub(super) disks: u64,
+    pub(super) end: u64,
+    /// A majority of disks goes in this run: edges must live on.
+    pub(super) majority_wiped: bool,
+    /// The empty node that stands by is started in this run.
+    pub(super) standby: bool,
 }
 
 /// A blank disk is refilled in much less, once both others are there.
-const REFILL: u64 = 14_000;
+pub(super) const REFILL: u64 = 14_000;
+/// Of a hundred troubles so many are those of `schedule_core`.
+const CORE_TROUBLE: u64 = 40;
 /// From the mending to the end.
 const QUIET: u64 = 26_000;
 
@@ -46,12 +55,18 @@
             services: deployment.services.len() as u64,
             left: BTreeSet::new(),
             disks: 0,
+            majority_wiped: false,
+            standby: false,
             end: (span.as_millis() as u64).saturating_sub(QUIET).max(8_000),
         };
         let planned = seed.is_multiple_of(5);
         // In some runs an empty node stands by for a lost slot.
-        let standby = !planned && schedule.dice.chance(40);
-        if standby {
+        schedule.standby = !planned && schedule.dice.chance(40);
+        let core_troubles = !schedule.standby || schedule.dice.chance(50);
+        if schedule.standby && core_troubles {
+            schedule.disks = u64::MAX;
+        }
+        if schedule.standby {
             schedule.put(5_000, Fault::Start(Place::Control(control)));
         }
         if !planned && schedule.dice.chance(12) {
@@ -62,12 +77,14 @@
         while at < schedule.end - 1_000 {
             if planned {
                 schedule.plan(at)
+            } else if core_troubles && schedule.dice.chance(CORE_TROUBLE) {
+                schedule.core_trouble(at)
             } else {
                 schedule.hurt(at)
             }
             at += 300 + schedule.dice.roll(2_500);
         }
-        schedule.mend(standby);
+        schedule.mend();
         let mut list = schedule.list;
         list.sort_by_key(|(at, _)| *at);
         list
@@ -78,30 +95,30 @@
         if control < 5 { 1 } else { 2 }
     }
 
-    fn put(&mut self, at: u64, fault: Fault) {
+    pub(super) fn put(&mut self, at: u64, fault: Fault) {
         self.list
             .push((Duration::from_millis(at.min(self.end)), fault));
     }
 
-    fn both(&mut self, at: u64, first: Fault, second: Fault) {
+    pub(super) fn both(&mut self, at: u64, first: Fault, second: Fault) {
         let later = self.later(at);
         self.put(at, first);
         self.put(later, second);
     }
 
-    fn later(&mut self, at: u64) -> u64 {
+    pub(super) fn later(&mut self, at: u64) -> u64 {
         (at + 500 + self.dice.roll(5_000)).min(self.end)
     }
 
-    fn edge(&mut self) -> Place {
+    pub(super) fn edge(&mut self) -> Place {
         Place::Edge(self.dice.roll(self.edges) as usize)
     }
 
-    fn control(&mut self) -> Place {
+    pub(super) fn control(&mut self) -> Place {
         Place::Control(self.dice.roll(self.control) as usize)
     }
 
-    fn place(&mut self) -> Place {
+    pub(super) fn place(&mut self) -> Place {
         if self.dice.chance(50) {
             self.edge()
         } else {
@@ -346,10 +363,11 @@
             self.put(at + 2_000, Fault::Start(edge));
         }
         self.disks = u64::MAX;
+        self.majority_wiped = true;
     }
 
     /// Everything that can be is whole and started again.
-    fn mend(&mut self, standby: bool) {
+    fn mend(&mut self) {
         let at = self.end;
         self.end += 200;
         self.put(at, Fault::Heal);
@@ -376,7 +394,9 @@
             .collect();
         full.into_iter()
             .for_each(|place| self.put(at, Fault::Kill(place)));
-        let spare = standby.then_some(Place::Control(self.control as usize));
+        let spare = self
+            .standby
+            .then_some(Place::Control(self.control as usize));
         for place in (0..self.control as usize)
             .map(Place::Control)
             .chain((0..self.edges as usize).map(Place::Edge))
--- a/simulate-fleet/src/script.rs
+++ b/simulate-fleet/src/script.rs
@@ -25,6 +25,9 @@
     count: Option<usize>,
     #[serde(default)]
     moment: Option<String>,
+    /// What a node that is cut off does not reach.
+    #[serde(default)]
+    scope: Option<String>,
     /// Of a hundred messages.
     #[serde(default)]
     lost: Option<u64>,
@@ -87,14 +90,24 @@
                     Fault::Kill(to)
                     | Fault::Start(to)
                     | Fault::Restart(to)
+                    | Fault::Remove(to)
                     | Fault::Wipe(to)
                     | Fault::DiskFull(to)
                     | Fault::Isolate(to) => set("to", node(to).into()),
-                    Fault::Pause(to, span) => {
+                    Fault::Pause(to, span)
+                    | Fault::Slow(to, span)
+                    | Fault::StallDisk(to, span)
+                    | Fault::SlowDisk(to, span) => {
+                        set("to", node(to).into());
+                        set("seconds", span.as_secs_f64().into());
+                    }
+                    Fault::CutOff(to, scope, span) => {
                         set("to", node(to).into());
+                        set("scope", scope.name().into());
                         set("seconds", span.as_secs_f64().into());
                     }
-                    Fault::Cut(to, other) => {
+                    Fault::LoseAnswers(span) => set("seconds", span.as_secs_f64().into()),
+                    Fault::Cut(to, other) | Fault::Reset(to, other) => {
                         set("to", node(to).into());
                         set("other", node(other).into());
                     }
@@ -129,6 +142,22 @@
         format!("[{}]", lines.join(",\n "))
     }
 
+    fn span(line: &Line, say: &mut dyn FnMut(&str, &str)) -> Duration {
+        Duration::try_from_secs_f64(line.seconds.unwrap_or(-1.0)).unwrap_or_else(|_| {
+            say("seconds", "is needed");
+            Duration::ZERO
+        })
+    }
+
+    fn scope(line: &Line, say: &mut dyn FnMut(&str, &str)) -> CutScope {
+        let name = line.scope.as_deref().unwrap_or(CutScope::Everybody.name());
+        let known = CutScope::ALL.into_iter().find(|scope| scope.name() == name);
+        known.unwrap_or_else(|| {
+            say("scope", "no such scope; see docs/simulator.md");
+            CutScope::Everybody
+        })
+    }
+
     fn fault(
         line: &Line,
         deployment: &Deployment,
@@ -182,15 +211,36 @@
             "disk-full" => node(&Fault::DiskFull, say),
             "isolate" => node(&Fault::Isolate, say),
             "pause" => {
-                let span = Duration::try_from_secs_f64(line.seconds.unwrap_or(-1.0));
-                if span.is_err() {
-                    say("seconds", "is needed");
+                let span = Script::span(line, say);
+                node(&|place| Fault::Pause(place, span), say)
+            }
+            "slow" => {
+                let span = Script::span(line, say);
+                node(&|place| Fault::Slow(place, span), say)
+            }
+            "disk-stall" => {
+                let span = Script::span(line, say);
+                node(&|place| Fault::StallDisk(place, span), say)
+            }
+            "disk-slow" => {
+                let span = Script::span(line, say);
+                node(&|place| Fault::SlowDisk(place, span), say)
+            }
+            "cut-off" => {
+                let span = Script::span(line, say);
+                let scope = Script::scope(line, say);
+                node(&|place| Fault::CutOff(place, scope, span), say)
+            }
+            "lose-answers" => Some(Fault::LoseAnswers(Script::span(line, say))),
+            "reset" => {
+                if other.is_none() {
+                    say("other", "must be a node: the other end");
                 }
-                node(
-                    &|place| Fault::Pause(place, span.clone().unwrap_or_default()),
-                    say,
-                )
+                node(&|place| Fault::Reset(place, other.unwrap_or(place)), say)
             }
+            "remove" => node(&Fault::Remove, say),
+            "turn-seeds" => Some(Fault::TurnSeeds),
+            "put-item" => Some(Fault::PutItem),
             "cut" => {
                 if other.is_none() {
                     say("other", "must be a node: nothing gets to it any more");
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -8,6 +8,10 @@
     pub full: bool,
     /// When the sync now running is done.
     pub busy_until: Duration,
+    /// No sync ends before.
+    pub stalled_until: Duration,
+    /// Until then each sync takes long.
+    pub slow_until: Duration,
 }
 
 impl Disk {
@@ -45,6 +49,12 @@
     pub offset: Duration,
     pub drift: i64,
     pub paused: Duration,
+    /// Until then each step takes long.
+    pub slow_until: Duration,
+    /// When the step now running is done.
+    pub busy_until: Duration,
+    /// It is not started again when it has ended.
+    pub leaves: bool,
     pub disk: Disk,
     pub fence: Duration,
     pub ready: bool,
@@ -90,6 +100,9 @@
             offset: Duration::ZERO,
             drift: 0,
             paused: Duration::ZERO,
+            slow_until: Duration::ZERO,
+            busy_until: Duration::ZERO,
+            leaves: false,
             disk: Disk::default(),
             fence: Duration::ZERO,
             ready: false,
@@ -126,7 +139,7 @@
         self.duties.clear();
         self.in_force = 0;
         self.began = now;
-        self.paused = Duration::ZERO;
+        self.leaves = false;
         (self.fence, self.ready, self.image, self.ending) = (Duration::ZERO, false, None, false);
         self.part = Some(match self.place {
             Place::Control(_) => {
@@ -160,9 +173,13 @@
         });
     }
 
+    /// What is sent to it from now on is lost, not held as by a paused process.
     pub fn kill(&mut self) {
         self.part = None;
         self.run += 1;
+        self.paused = Duration::ZERO;
+        self.slow_until = Duration::ZERO;
+        self.busy_until = Duration::ZERO;
         self.disk.lose_power();
     }
 }
--- a/simulate-fleet/src/sim_origin.rs
+++ b/simulate-fleet/src/sim_origin.rs
@@ -11,16 +11,19 @@
     /// Some 60 times slower than good.
     VerySlow,
     WrongBytes,
+    /// Some of its answers do not come, or are not its own.
+    Grey,
 }
 
 impl Mood {
-    pub const ALL: [Mood; 6] = [
+    pub const ALL: [Mood; 7] = [
         Mood::Good,
         Mood::Down,
         Mood::Mute,
         Mood::Slow,
         Mood::VerySlow,
         Mood::WrongBytes,
+        Mood::Grey,
     ];
 
     pub fn name(self) -> &'static str {
@@ -31,10 +34,21 @@
             "origin-slow",
             "origin-very-slow",
             "origin-wrong",
+            "origin-grey",
         ][self as usize]
     }
 }
 
+/// How a grey origin takes its calls, each as likely as the others.
+const GREY: [Mood; 6] = [
+    Mood::Good,
+    Mood::Good,
+    Mood::Good,
+    Mood::Slow,
+    Mood::Mute,
+    Mood::WrongBytes,
+];
+
 /// An origin as the simulated network shows it.
 #[derive(Debug, Clone)]
 pub struct SimOrigin {
@@ -71,12 +85,16 @@
             operation: call.operation.clone(),
             probe: call.url.starts_with("/.well-known/"),
         };
-        let took = match self.mood {
+        let mood = match self.mood {
+            Mood::Grey => GREY[dice.roll(GREY.len() as u64) as usize],
+            mood => mood,
+        };
+        let took = match mood {
             Mood::Slow => span(20, 120, dice),
             Mood::VerySlow => span(120, 720, dice),
             _ => span(2, 12, dice),
         };
-        if self.mood == Mood::Mute || took >= call.limit {
+        if mood == Mood::Mute || took >= call.limit {
             return (
                 call.limit,
                 CallBack::Bad("no answer in time".into()),
@@ -84,7 +102,7 @@
             );
         }
         // The seal would not verify: that is tested where it is checked.
-        if self.mood == Mood::WrongBytes
+        if mood == Mood::WrongBytes
             || (&self.service, &self.instance) != (&call.origin.service, &call.origin.instance)
         {
             return (
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -101,7 +101,14 @@
     pub(crate) nodes: Vec<SimNode>,
     pub(crate) by_address: HashMap<SocketAddr, usize>,
     pub(crate) origins: Vec<SimOrigin>,
-    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// From whom nothing gets to whom, and until when.
+    pub(crate) cuts: BTreeMap<(usize, usize), Duration>,
+    /// Until then answers to operators are lost.
+    pub(crate) answers_lost_until: Duration,
+    /// Revision of the item that operators set.
+    pub(crate) item_revision: u64,
+    /// By how many places the seeds that nodes are told have turned.
+    pub(crate) seeds_turned: usize,
     pub(crate) weather: (u64, u64, u64),
     pub(crate) version: u64,
     /// In every document from now on; those taken out again are `removed`.
@@ -123,7 +130,7 @@
     /// Connections that stand: node, run, origin.
     pub(crate) watches: BTreeSet<(usize, u64, usize)>,
     /// With the node that was asked.
-    pub(crate) asked: BTreeMap<u64, (usize, Asked)>,
+    pub(crate) asked: BTreeMap<u64, (usize, Order)>,
     pub(crate) errands: BTreeMap<u64, Asking>,
     pub(crate) callers: Vec<CallerRecord>,
     pub(crate) calls: Vec<OriginRecord>,
@@ -132,6 +139,8 @@
     pub(crate) copies: Vec<u64>,
     pub(crate) notes: BTreeMap<Event, usize>,
     pub trace: bool,
+    /// Messages between control nodes are printed, too.
+    pub trace_messages: bool,
 }
 
 pub(crate) enum Happening {
@@ -185,6 +194,8 @@
         id: u64,
     },
     Fault(Fault),
+    /// A fault of this kind still lasts, or ends now.
+    FaultGoesOn(String),
     LookAtMarkers,
     /// Who was away at `since` must be ready by now.
     LookReady {
@@ -197,7 +208,7 @@
     },
     Ask {
         node: usize,
-        asked: Asked,
+        order: Order,
         tries: u32,
     },
 }
@@ -220,6 +231,26 @@
     pub(crate) record: CallerRecord,
 }
 
+/// An order of an operator, who may send it more than once.
+#[derive(Debug, Clone)]
+pub(crate) struct Order {
+    pub(crate) asked: Asked,
+    /// Names the order; the same each time it is sent.
+    pub(crate) change: Option<u64>,
+    /// It was settled, but the answer was lost.
+    pub(crate) settled: bool,
+}
+
+impl From<Asked> for Order {
+    fn from(asked: Asked) -> Order {
+        Order {
+            asked,
+            change: None,
+            settled: false,
+        }
+    }
+}
+
 /// What an operator waits for.
 #[derive(Debug, Clone)]
 pub(crate) enum Asked {
@@ -241,6 +272,9 @@
     ReadBack {
         expect: (u64, String),
     },
+    PutItem {
+        item: Item,
+    },
     /// The realm is asked for first.
     OpenLedger {
         realm: Option<u64>,
@@ -259,7 +293,10 @@
             nodes: Vec::new(),
             by_address: HashMap::new(),
             origins: Vec::new(),
-            cuts: BTreeSet::new(),
+            cuts: BTreeMap::new(),
+            answers_lost_until: Duration::ZERO,
+            item_revision: 0,
+            seeds_turned: 0,
             weather: (0, 0, 0),
             version: 1,
             markers: Vec::new(),
@@ -282,6 +319,7 @@
             copies: vec![0; plan.deployment.edges],
             notes: BTreeMap::new(),
             trace: false,
+            trace_messages: false,
             plan,
         };
         world.lay_out();
@@ -358,7 +396,7 @@
             at(1700),
             Happening::Ask {
                 node: 0,
-                asked: Asked::OpenLedger { realm: None },
+                order: Asked::OpenLedger { realm: None }.into(),
                 tries: 0,
             },
         );
@@ -457,10 +495,10 @@
 
     pub(crate) fn happen(&mut self, serial: u64, what: Happening) {
         if let Some(node) = self.owner(&what) {
-            let paused = self.nodes[node].paused;
-            if self.now < paused {
+            let held = self.held_until(node, &what);
+            if self.now < held {
                 // It will see this when it goes on, in the old order.
-                self.queue.insert((paused, serial), what);
+                self.queue.insert((held, serial), what);
                 return;
             }
         }
@@ -478,6 +516,7 @@
                 self.step(node, Input::Tick);
             }
             Happening::Deliver { to, from, message } if alive => {
+                self.trace_message(to, from, &message);
                 self.step(to, Input::Heard { from, message })
             }
             Happening::Synced { node, serial, .. } if alive => {
@@ -514,16 +553,29 @@
             Happening::CallerAgain(task) => self.caller_calls(task),
             Happening::CallerGivesUp { id } => self.caller_ends(id, None),
             Happening::Fault(fault) => self.fault(fault),
+            Happening::FaultGoesOn(kind) => self.record("fault", &kind, 0, false),
             Happening::LookAtMarkers => self.look_at_markers(),
             Happening::LookReady { since } => self.look_ready(since),
             Happening::Restarted { node, run } => self.restarted(node, run),
-            Happening::Ask { node, asked, tries } => self.ask(node, asked, tries),
+            Happening::Ask { node, order, tries } => self.ask(node, order, tries),
             _ => {}
         }
     }
 
+    fn trace_message(&self, to: usize, from: Peer, message: &Message) {
+        let to = self.nodes[to].place;
+        let sender = self.by_address.get(&from.address);
+        let from = sender.map(|node| self.nodes[*node].place);
+        if self.trace_messages
+            && let (Place::Control(_), Some(Place::Control(_))) = (to, from)
+        {
+            println!("{:9.4} {from:?} to {to:?}: {message:?}", self.seconds());
+        }
+    }
+
     pub(crate) fn step(&mut self, node: usize, input: Input) {
         self.steps += 1;
+        self.take_time(node);
         let clock = self.nodes[node].clock(self.now);
         let Some(part) = self.nodes[node].part.as_mut() else {
             return;
@@ -707,10 +759,7 @@
             return self.after(Duration::ZERO, Happening::Deliver { to, from, message });
         }
         let (lost, doubled, late) = self.weather;
-        if message.name() == self.plan.mute
-            || self.cuts.contains(&(node, to))
-            || self.dice.chance(lost)
-        {
+        if message.name() == self.plan.mute || self.is_cut(node, to) || self.dice.chance(lost) {
             return;
         }
         let copies = if self.dice.chance(doubled) { 2 } else { 1 };
@@ -736,14 +785,14 @@
         if self.nodes[node].disk.full {
             return self.step(node, Input::StoreFailed);
         }
-        let took = self.micros(500, 6_000);
+        let took = self.sync_takes(node);
         let disk = &mut self.nodes[node].disk;
         disk.pending.push_back((serial, image, record));
         let unwritten = self.plan.founder == FounderEnd::Unwritten
             && self.founder_ends(node, FounderEnd::Unwritten);
         let disk = &mut self.nodes[node].disk;
         // One sync serves all that came while the one before was running.
-        let done = disk.busy_until.max(self.now) + took;
+        let done = (disk.busy_until.max(self.now) + took).max(disk.stalled_until);
         disk.busy_until = self.now + took;
         self.push(done, Happening::Synced { node, run, serial });
         if unwritten {
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -2,6 +2,10 @@
 
 /// How long the first seed collects founding control nodes.
 const GATHER: Duration = Duration::from_millis(500);
+/// Who starts later does not start with the whole fleet for the first time.
+const FIRST_START: Duration = Duration::from_secs(5);
+/// A fault that lasts is recorded again at this interval, and at its end.
+const FAULT_GOES_ON: Duration = Duration::from_secs(4);
 
 /// What is done to the fleet.
 impl World {
@@ -33,11 +37,22 @@
         }
     }
 
+    /// What a node's settings name as seeds. Who may found the table goes by
+    /// the first ones, and so does a fleet whose seeds are the table.
+    fn seeds(&self, node: usize) -> Vec<SocketAddr> {
+        let fixed = !self.plan.gather || self.nodes[node].founding != Founding::Never;
+        let turned = if fixed { 0 } else { self.seeds_turned };
+        let control = self.plan.control;
+        (0..control.min(3))
+            .map(|seed| self.nodes[(seed + turned) % control].peer.address)
+            .collect()
+    }
+
     pub(crate) fn start(&mut self, node: usize) {
-        let seeds: Vec<SocketAddr> = self.nodes[..self.plan.control.min(3)]
-            .iter()
-            .map(|node| node.peer.address)
-            .collect();
+        if self.now > FIRST_START && self.nodes[node].founding == Founding::FirstStart {
+            self.nodes[node].founding = Founding::Never;
+        }
+        let seeds = self.seeds(node);
         let life = self.dice.roll(u64::MAX >> 12) + 1;
         self.nodes[node].offset = self.micros(0, 1 << 40);
         let gather = self.plan.gather.then_some(GATHER);
@@ -52,6 +67,7 @@
             return;
         }
         self.nodes[node].kill();
+        self.lose_unread(node);
         let subject = self.nodes[node].peer.address.to_string();
         self.record("killed", &subject, 0, true);
         let lost: Vec<u64> = self
@@ -98,10 +114,14 @@
         unanswered
             .into_iter()
             .for_each(|id| self.caller_ends(id, None));
+        let leaves = self.nodes[node].leaves;
         self.nodes[node].kill();
+        self.lose_unread(node);
         let subject = self.nodes[node].peer.address.to_string();
         self.record("restarted", &subject, 0, true);
-        self.start(node);
+        if !leaves {
+            self.start(node);
+        }
     }
 
     fn lose_all(&mut self) {
@@ -132,6 +152,7 @@
         }
         self.record("all-lost", "", 0, true);
         self.forget_read_backs();
+        self.forget_settled_orders();
         // The fleet is founded anew.
         let again = if self.plan.gather {
             self.plan.control
@@ -157,10 +178,25 @@
 
     /// Operators who still wait to read back what nobody knows any more.
     fn forget_read_backs(&mut self) {
-        let read_back = |asked: &Asked| matches!(asked, Asked::ReadBack { .. });
-        self.asked.retain(|_, (_, asked)| !read_back(asked));
+        let read_back = |order: &Order| matches!(order.asked, Asked::ReadBack { .. });
+        self.asked.retain(|_, (_, order)| !read_back(order));
         self.queue
-            .retain(|_, what| !matches!(what, Happening::Ask { asked, .. } if read_back(asked)));
+            .retain(|_, what| !matches!(what, Happening::Ask { order, .. } if read_back(order)));
+    }
+
+    /// What is asked within the span of a fault is judged as disturbed by it.
+    fn record_span(&mut self, fault: &Fault) {
+        let Some(span) = fault.span() else {
+            return;
+        };
+        let mut at = FAULT_GOES_ON;
+        while at < span {
+            self.after(at, Happening::FaultGoesOn(fault.kind()));
+            at += FAULT_GOES_ON;
+        }
+        if span > FAULT_GOES_ON {
+            self.after(span, Happening::FaultGoesOn(fault.kind()));
+        }
     }
 
     pub(crate) fn fault(&mut self, fault: Fault) {
@@ -186,6 +222,7 @@
         {
             self.record("fault", &fault.kind(), 0, fault.planned());
         }
+        self.record_span(&fault);
         match fault {
             Fault::Kill(place) => {
                 self.kill(self.at(place));
@@ -222,14 +259,39 @@
                 let node = self.at(place);
                 self.nodes[node].disk.full = true;
             }
-            Fault::Cut(from, to) => drop(self.cuts.insert((self.at(from), self.at(to)))),
+            Fault::Cut(from, to) => self.cut(self.at(from), self.at(to), Duration::MAX),
             Fault::Isolate(place) => {
                 let node = self.at(place);
                 for other in 0..self.nodes.len() {
-                    self.cuts.insert((node, other));
-                    self.cuts.insert((other, node));
+                    self.cut(node, other, Duration::MAX);
+                    self.cut(other, node, Duration::MAX);
                 }
             }
+            Fault::CutOff(place, scope, span) => self.cut_off(self.at(place), scope, span),
+            Fault::Reset(one, other) => self.reset(self.at(one), self.at(other)),
+            Fault::Slow(place, span) => {
+                let node = self.at(place);
+                self.nodes[node].slow_until = self.now + span;
+                // As with a pause: callers may give up on it.
+                let subject = self.nodes[node].peer.address.to_string();
+                self.record("killed", &subject, 1, true);
+            }
+            Fault::StallDisk(place, span) => {
+                let node = self.at(place);
+                self.nodes[node].disk.stalled_until = self.now + span;
+            }
+            Fault::SlowDisk(place, span) => {
+                let node = self.at(place);
+                self.nodes[node].disk.slow_until = self.now + span;
+            }
+            Fault::Remove(place) => {
+                let node = self.at(place);
+                self.nodes[node].leaves = true;
+                self.fault(Fault::Restart(place));
+            }
+            Fault::TurnSeeds => self.seeds_turned += 1,
+            Fault::LoseAnswers(span) => self.answers_lost_until = self.now + span,
+            Fault::PutItem => self.put_item(),
             Fault::Heal => self.cuts.clear(),
             Fault::Weather {
                 lost,
--- /dev/null
+++ b/simulate-fleet/src/world_network.rs
@@ -0,0 +1,86 @@
+//! Cuts, resets, slow processes and slow disks.
+use crate::prelude::*;
+
+/// What a sync takes, in microseconds.
+const SYNC: (u64, u64) = (500, 6_000);
+const SLOW_SYNC: (u64, u64) = (50_000, 300_000);
+/// What a step of a slow process takes, in microseconds.
+const SLOW_STEP: (u64, u64) = (500, 4_000);
+
+impl World {
+    pub(crate) fn cut(&mut self, from: usize, to: usize, until: Duration) {
+        let known = self.cuts.entry((from, to)).or_default();
+        *known = until.max(*known);
+    }
+
+    pub(crate) fn is_cut(&self, from: usize, to: usize) -> bool {
+        let until = self.cuts.get(&(from, to));
+        until.is_some_and(|until| self.now < *until)
+    }
+
+    pub(crate) fn cut_off(&mut self, node: usize, scope: CutScope, span: Duration) {
+        let until = self.now + span;
+        for other in 0..self.nodes.len() {
+            let control = matches!(self.nodes[other].place, Place::Control(_));
+            if other == node || !control && scope != CutScope::Everybody {
+                continue;
+            }
+            if scope != CutScope::FromControlNodes {
+                self.cut(node, other, until);
+            }
+            if scope != CutScope::ToControlNodes {
+                self.cut(other, node, until);
+            }
+        }
+    }
+
+    /// What is under way between the two is lost.
+    pub(crate) fn reset(&mut self, one: usize, other: usize) {
+        let addresses = [one, other].map(|node| self.nodes[node].peer.address);
+        self.queue.retain(|_, what| match what {
+            Happening::Deliver { to, from, .. } => {
+                let between = (*to == one && from.address == addresses[1])
+                    || (*to == other && from.address == addresses[0]);
+                !between
+            }
+            _ => true,
+        });
+    }
+
+    /// A process ends: its connections end with all that it had not read, also
+    /// what waited for it while it was paused.
+    pub(crate) fn lose_unread(&mut self, node: usize) {
+        self.queue
+            .retain(|_, what| !matches!(what, Happening::Deliver { to, .. } if *to == node));
+    }
+
+    /// When a node can take this: not while it is paused or at another step,
+    /// and no sync ends while its disk stalls.
+    pub(crate) fn held_until(&self, node: usize, what: &Happening) -> Duration {
+        let SimNode {
+            paused,
+            busy_until,
+            disk,
+            ..
+        } = &self.nodes[node];
+        let held = *paused.max(busy_until);
+        match what {
+            Happening::Synced { .. } => held.max(disk.stalled_until),
+            _ => held,
+        }
+    }
+
+    /// A step of a slow process takes its time.
+    pub(crate) fn take_time(&mut self, node: usize) {
+        if self.now < self.nodes[node].slow_until {
+            let took = self.micros(SLOW_STEP.0, SLOW_STEP.1);
+            self.nodes[node].busy_until = self.now + took;
+        }
+    }
+
+    pub(crate) fn sync_takes(&mut self, node: usize) -> Duration {
+        let slow = self.now < self.nodes[node].disk.slow_until;
+        let (low, high) = if slow { SLOW_SYNC } else { SYNC };
+        self.micros(low, high)
+    }
+}
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -51,7 +51,8 @@
         }
     }
 
-    pub(crate) fn ask(&mut self, node: usize, mut asked: Asked, tries: u32) {
+    pub(crate) fn ask(&mut self, node: usize, order: impl Into<Order>, tries: u32) {
+        let mut order = order.into();
         // An operator's tool takes the next control node if one is down.
         let Some(node) = (0..self.plan.control)
             .map(|more| (node + more) % self.plan.control)
@@ -63,20 +64,21 @@
                     Duration::from_secs(1),
                     Happening::Ask {
                         node,
-                        asked,
+                        order,
                         tries: tries + 1,
                     },
                 );
-            } else if let Asked::Configure { marker, .. } = asked {
+            } else if let Asked::Configure { marker, .. } = order.asked {
                 self.changing.remove(&marker);
             }
             return;
         };
-        if let Asked::Origins { at, .. } = &mut asked {
+        if let Asked::Origins { at, .. } = &mut order.asked {
             *at = self.seconds();
         }
-        let change = self.dice.roll(u64::MAX >> 12);
-        let (slice, change) = match &asked {
+        let drawn = self.dice.roll(u64::MAX >> 12);
+        let change = *order.change.get_or_insert(drawn);
+        let (slice, change) = match &order.asked {
             Asked::Configure { text, expect, .. } => (
                 CONFIGURATION,
                 Change::PutConfiguration {
@@ -101,9 +103,13 @@
                 },
             ),
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
+            Asked::PutItem { item } => {
+                let items = vec![item.clone()];
+                (CONFIGURATION, Change::PutItems { items, change })
+            }
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
-                self.asked.insert(self.serial, (node, asked));
+                self.asked.insert(self.serial, (node, order));
                 return self.step(
                     node,
                     Input::Operator {
@@ -118,7 +124,7 @@
         };
         self.serial += 1;
         let id = self.serial;
-        self.asked.insert(id, (node, asked));
+        self.asked.insert(id, (node, order));
         self.step(
             node,
             Input::Operator {
@@ -129,7 +135,7 @@
     }
 
     pub(crate) fn operator_told(&mut self, id: u64, answer: OperatorAnswer) {
-        let Some((_, asked)) = self.asked.remove(&id) else {
+        let Some((node, order)) = self.asked.remove(&id) else {
             return;
         };
         let outcome = match answer {
@@ -144,12 +150,17 @@
                     Duration::from_millis(50),
                     Happening::Ask {
                         node: 0,
-                        asked: next,
+                        order: next.into(),
                         tries: 0,
                     },
                 );
             }
         };
+        if self.answer_is_lost(&order) {
+            return self.send_again(node, order, &outcome);
+        }
+        self.judge_again(&order, &outcome);
+        let asked = order.asked;
         let settled = matches!(outcome, Outcome::Settled { .. });
         if let (Asked::Origins { .. }, Outcome::Settled { version } | Outcome::Raced { version }) =
             (&asked, &outcome)
@@ -178,11 +189,16 @@
                 Duration::from_millis(50),
                 Happening::Ask {
                     node: 1,
-                    asked: Asked::OpenLedger { realm: None },
+                    order: Asked::OpenLedger { realm: None }.into(),
                     tries: 0,
                 },
             ),
             Asked::OpenLedger { .. } => {}
+            Asked::PutItem { item } => {
+                if let Outcome::Settled { version } = outcome {
+                    self.acknowledged_at(version, item.revision);
+                }
+            }
             Asked::ReadBack {
                 expect: (version, text),
             } => {
@@ -203,6 +219,20 @@
         }
     }
 
+    /// A version is in force everywhere: every live edge has it by now.
+    fn acknowledged_at(&mut self, version: u64, number: u64) {
+        self.record("acknowledged", "", version, true);
+        for node in self.edges() {
+            if !self.nodes[node].live(self.now) {
+                continue;
+            }
+            let image = self.nodes[node].image.as_ref();
+            let known = image.map_or(0, |image| image.version);
+            let subject = format!("{:?}", self.nodes[node].place);
+            self.record("at-ack", &subject, number, known >= version);
+        }
+    }
+
     fn configured(
         &mut self,
         outcome: Outcome,
@@ -214,25 +244,13 @@
         match outcome {
             Outcome::Settled { version } => {
                 self.record("configured", "", marker, true);
-                self.record("acknowledged", "", version, true);
                 without
                     .into_iter()
                     .for_each(|gone| self.record("removed", "", gone, true));
-                // In force everywhere: every live edge has it by now.
-                for node in self.edges() {
-                    let known = self.nodes[node]
-                        .image
-                        .as_ref()
-                        .map_or(0, |image| image.version);
-                    if self.nodes[node].live(self.now) {
-                        self.fleet.push(FleetRecord {
-                            at: self.seconds(),
-                            what: "at-ack".into(),
-                            subject: format!("{:?}", self.nodes[node].place),
-                            number: marker,
-                            good: known >= version,
-                        });
-                    }
+                self.acknowledged_at(version, marker);
+                // Sent before everything was lost, and settled after it.
+                if !self.markers.contains(&marker) {
+                    self.markers.push(marker);
                 }
                 self.spring(Moment::Configured);
                 if self
--- /dev/null
+++ b/simulate-fleet/src/world_orders.rs
@@ -0,0 +1,81 @@
+//! Answers to operators that are lost, and orders that are sent again.
+use crate::prelude::*;
+
+/// Of a hundred answers so many are lost while answers are lost at all.
+const ANSWERS_LOST: u64 = 60;
+const ITEM_NAME: &str = "note";
+
+impl World {
+    /// Sets the named item under its next revision, with a text of its own.
+    pub(crate) fn put_item(&mut self) {
+        self.item_revision += 1;
+        let revision = self.item_revision;
+        let group = self.plan.deployment.services[1].name;
+        let path = format!("/note/{revision}");
+        let entry = json!({
+            "name": ITEM_NAME, "path": path, "methods": ["POST"],
+            "group": group, "rank": 0, "kind": "keyed",
+        });
+        let text: Arc<str> = entry.to_string().into();
+        let item = Item {
+            kind: ItemKind::Entry,
+            name: ITEM_NAME.into(),
+            revision,
+            source: text.clone(),
+            text: Some(text),
+        };
+        let node = self.dice.roll(self.plan.control as u64) as usize;
+        self.ask(node, Asked::PutItem { item }, 0);
+    }
+
+    pub(crate) fn answer_is_lost(&mut self, order: &Order) -> bool {
+        let changes = matches!(
+            order.asked,
+            Asked::Configure { .. }
+                | Asked::Purge { .. }
+                | Asked::Origins { .. }
+                | Asked::PutItem { .. }
+        );
+        changes && self.now < self.answers_lost_until && self.dice.chance(ANSWERS_LOST)
+    }
+
+    /// The operator heard nothing: the same order goes to another node.
+    pub(crate) fn send_again(&mut self, node: usize, order: Order, outcome: &Outcome) {
+        let settled = order.settled || matches!(outcome, Outcome::Settled { .. });
+        let span = self.micros(100_000, 1_500_000);
+        let again = Happening::Ask {
+            node: (node + 1) % self.plan.control,
+            order: Order { settled, ..order },
+            tries: 0,
+        };
+        self.after(span, again);
+    }
+
+    /// An order that was settled is never refused when it comes again.
+    pub(crate) fn judge_again(&mut self, order: &Order, outcome: &Outcome) {
+        if !order.settled || matches!(outcome, Outcome::Lost) {
+            return;
+        }
+        let good = matches!(outcome, Outcome::Settled { .. });
+        let subject = match &order.asked {
+            Asked::Configure { .. } => "configuration",
+            Asked::Purge { .. } => "purge",
+            Asked::Origins { .. } => "origins",
+            Asked::PutItem { .. } => "item",
+            Asked::ReadBack { .. } | Asked::OpenLedger { .. } => return,
+        };
+        self.record("order-again", subject, 0, good);
+    }
+
+    /// Everything was lost: what was settled then is known to nobody.
+    pub(crate) fn forget_settled_orders(&mut self) {
+        let waiting = self.asked.values_mut().map(|(_, order)| order);
+        let queued = self.queue.values_mut().filter_map(|what| match what {
+            Happening::Ask { order, .. } => Some(order),
+            _ => None,
+        });
+        for order in waiting.chain(queued) {
+            order.settled = false;
+        }
+    }
+}
--- a/stand-ins/src/checker.rs
+++ b/stand-ins/src/checker.rs
@@ -451,7 +451,13 @@
     fn configuration_whole(&self) -> Cases {
         let mut cases = Cases::default();
         for seen in self.fleet.iter().filter(|one| {
-            one.what == "read-back" || one.what == "invalid-refused" || one.what == "invalid-marker"
+            [
+                "read-back",
+                "invalid-refused",
+                "invalid-marker",
+                "order-again",
+            ]
+            .contains(&one.what.as_str())
         }) {
             cases.case((seen.at - 5.0, seen.at), seen.good, || {
                 format!("{} {} {}", seen.what, seen.subject, seen.number)
@@ -836,6 +842,8 @@
         assert!(broken(&one, 5));
         one.fleet = vec![event(1.0, "read-back", 4, false)];
         assert!(broken(&one, 6));
+        one.fleet = vec![event(1.0, "order-again", 4, false)];
+        assert!(broken(&one, 6));
         one.fleet = vec![event(1.0, "leaving", 0, true)];
         one.origins = vec![call(3.1, None)];
         assert!(broken(&one, 7));
