--- a/simulate-fleet/src/schedule_core.rs
+++ b/simulate-fleet/src/schedule_core.rs
@@ -28,14 +28,14 @@
         }
     }
 
-    fn from_to(&mut self, (low, high): (u64, u64)) -> u64 {
+    fn between(&mut self, (low, high): (u64, u64)) -> u64 {
         low + self.dice.roll(high - low)
     }
 
     /// A span that ends before the mending.
     fn span(&mut self, at: u64, low: u64, high: u64) -> Duration {
         let most = self.end.saturating_sub(at + 100).max(1);
-        Duration::from_millis(self.from_to((low, high)).min(most))
+        Duration::from_millis(self.between((low, high)).min(most))
     }
 
     fn slot(&mut self) -> Place {
@@ -134,7 +134,7 @@
         self.put(at, Fault::LoseAnswers(span));
         self.orders(at + 5, length, 4);
         let place = self.slot();
-        let lost = at + self.from_to(AFTER_ORDER);
+        let lost = at + self.between(AFTER_ORDER);
         match self.dice.roll(3) {
             0 => self.both(lost, Fault::Kill(place), Fault::Start(place)),
             1 => self.put(lost, Fault::Restart(place)),
@@ -151,7 +151,7 @@
     /// Something is lost within an instant of an order.
     fn order_then_loss(&mut self, at: u64) {
         self.order(at);
-        let lost = at + self.from_to(AFTER_ORDER);
+        let lost = at + self.between(AFTER_ORDER);
         let place = self.slot();
         match self.dice.roll(4) {
             0 => self.both(lost, Fault::Kill(place), Fault::Start(place)),
@@ -216,7 +216,7 @@
     fn warned_while_busy(&mut self, at: u64) {
         let place = self.place();
         (0..6).for_each(|more| self.order(at + more * 30));
-        let warned = at + self.from_to(AFTER_ORDER);
+        let warned = at + self.between(AFTER_ORDER);
         self.put(warned, Fault::Restart(place));
     }
 
