Contact with a majority, in both directions, decides who leads and what is answered

Cause: a control node judged others by hearing them alone. One whose messages left but who heard nobody kept its partitions, and nobody else took them, for as long as a one-way cut lasted. A leader that was cut off refused orders from its old rows (findings and lost races were answered without a majority), and calls to a cut-off node waited for 3.5 to 12 s. Ruled out: reads from old state (they always waited for a round). Change: heartbeats name the slots that are heard; only contact both ways counts; a member not reached directly is vouched for by one that is, and changes go by that one, with the answer on the same way back; whatever a leader answers without a write of its own waits for a round of the majority; a node without a majority answers NoMajority at once (503, nothing was done, with the time to come back), and edges ask the next control node then. A cut-off leader no longer reads the platform's list.

--- a/control-plane/src/control_part/changes.rs
+++ b/control-plane/src/control_part/changes.rs
@@ -57,81 +57,197 @@
     }
 }
 
-/// A call from an operator, on its way to the owner.
+/// A call from an operator, on its way to the leader of its partition.
 pub(super) struct OperatorCall {
-    pub(super) slice: u8,
-    pub(super) change: Change,
+    slice: u8,
+    change: Change,
+    until: Duration,
+    next: Duration,
+    /// The leader it was last meant for, and how often it was sent.
+    sent_to: Option<u8>,
+    tries: u32,
+}
+
+impl OperatorCall {
+    /// What is known of a call that is given up: reads have no effect, and
+    /// what was never sent had none.
+    fn given_up(&self) -> Outcome {
+        let is_read = matches!(self.change, Change::GetConfiguration | Change::List);
+        if is_read || self.tries == 0 {
+            Outcome::NoMajority
+        } else {
+            Outcome::Lost
+        }
+    }
+}
+
+/// A change of another member that does not reach the leader itself.
+pub(super) struct Relay {
+    asker: SocketAddr,
+    id: u64,
     pub(super) until: Duration,
-    pub(super) next: Duration,
-    pub(super) tries: u32,
 }
 
+/// Id of a change that this node asks for by itself.
+pub(super) const NOBODY_WAITS: u64 = 0;
+/// Ids under which changes are passed on have this bit, ids of operators'
+/// calls have not.
+pub(super) const RELAY_IDS: u64 = 1 << 63;
+/// So many control nodes pass a change on at the most: one that is asked by
+/// mistake, and one between it and the leader.
+const MOST_HOPS: u8 = 2;
+/// A cut of this length may be over before a caller could ask another node.
+const CUT_OFF_GRACE: Duration = Duration::from_millis(600);
+
 impl ControlPart {
+    /// Notes since when no majority is in contact with this node.
+    pub(super) fn watch_contact(&mut self, now: Duration) {
+        if self.reaches_majority(now) {
+            self.cut_off = None;
+        } else {
+            self.cut_off.get_or_insert(now);
+        }
+    }
+
+    fn is_cut_off(&self, now: Duration) -> bool {
+        let for_long = |since| now >= since + CUT_OFF_GRACE;
+        self.cut_off.is_some_and(for_long) && !self.reaches_majority(now)
+    }
+
+    pub(super) fn answer_operator(&mut self, id: u64, outcome: Outcome) {
+        let answer = OperatorAnswer::Outcome(outcome);
+        self.out.push(Output::OperatorAnswer { id, answer });
+    }
+
+    /// Answers all operators' calls with what is known of them by now.
+    pub(super) fn give_up_operator_calls(&mut self) {
+        for (id, call) in std::mem::take(&mut self.operator_calls) {
+            self.answer_operator(id, call.given_up());
+        }
+    }
+
+    /// Sends operators' calls to the leaders of their partitions, again when
+    /// there was no answer or when another member leads.
     pub(super) fn send_operator_calls(&mut self, now: Duration) {
-        let over: Vec<u64> = self
-            .operator_calls
-            .iter()
-            .filter(|(_, front)| now >= front.until)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in over {
-            self.operator_calls.remove(&id);
-            self.out.push(Output::OperatorAnswer {
-                id,
-                answer: OperatorAnswer::Outcome(Outcome::Lost),
-            });
+        if self.is_cut_off(now) {
+            return self.give_up_operator_calls();
         }
-        let me = self.address(self.slot);
-        let due: Vec<u64> = self
-            .operator_calls
-            .iter()
-            .filter(|(_, front)| now >= front.next)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in due {
-            let front = &self.operator_calls[&id];
-            let (slice, ask) = (front.slice, front.change.clone());
-            let Some(slot) = self.chosen(now, slice) else {
+        let ids: Vec<u64> = self.operator_calls.keys().copied().collect();
+        for id in ids {
+            let call = &self.operator_calls[&id];
+            if now >= call.until {
+                let outcome = call.given_up();
+                self.operator_calls.remove(&id);
+                self.answer_operator(id, outcome);
                 continue;
-            };
-            let front = self.operator_calls.get_mut(&id).expect("just seen");
-            front.next = now + OPERATOR_CALL_AGAIN;
-            front.tries += 1;
-            self.tell(
-                self.address(slot),
-                ChangeRequest {
-                    asker: me,
-                    id,
-                    slice,
-                    ask,
-                },
-            );
+            }
+            let leader = self.chosen(now, call.slice);
+            if leader.is_some() && (now >= call.next || call.sent_to != leader) {
+                self.send_operator_call(now, id, leader);
+            }
         }
     }
 
-    pub(super) fn handle_change_request(&mut self, now: Duration, from: Peer, ask: ChangeRequest) {
-        let owner = self
-            .leaders
-            .get(&ask.slice)
-            .is_some_and(|leader| leader.ready() && leader.wary.is_none());
-        if let Change::Claim(claim) = &ask.ask
-            && owner
+    fn send_operator_call(&mut self, now: Duration, id: u64, leader: Option<u8>) {
+        let Some(next_hop) = leader.and_then(|leader| self.next_hop(now, leader)) else {
+            return;
+        };
+        let asker = self.address(self.slot);
+        let Some(call) = self.operator_calls.get_mut(&id) else {
+            return;
+        };
+        call.next = now + OPERATOR_CALL_AGAIN;
+        call.sent_to = leader;
+        call.tries += 1;
+        let request = ChangeRequest {
+            asker,
+            id,
+            slice: call.slice,
+            hops: 0,
+            ask: call.change.clone(),
+        };
+        self.tell(self.address(next_hop), request);
+    }
+
+    pub(super) fn handle_change_request(
+        &mut self,
+        now: Duration,
+        from: Peer,
+        request: ChangeRequest,
+    ) {
+        if !self.leads(request.slice) {
+            return self.pass_on(now, from, request);
+        }
+        if let Change::Claim(claim) = &request.ask
             && !self.replica.enrolled(&claim.by)
         {
             return; // It asks again; by then it is on the roll.
         }
-        if owner && self.able() {
-            self.pending_replies
-                .retain(|wait| (wait.asker, wait.id) != (ask.asker, ask.id));
-            let wait = self.change(now, ask);
-            self.pending_replies.push(wait);
-        } else if from.address == ask.asker
-            && let Some(slot) = self
-                .chosen(now, ask.slice)
-                .filter(|slot| *slot != self.slot)
+        self.pending_replies
+            .retain(|known| (known.asker, known.id) != (request.asker, request.id));
+        let slice = request.slice;
+        let before = self.leaders[&slice].version;
+        let mut reply = self.change(now, request);
+        let somebody_waits = reply.id != NOBODY_WAITS;
+        if let Some(leader) = self.leaders.get_mut(&slice)
+            && leader.version == before
+            && somebody_waits
         {
-            self.tell(self.address(slot), ask);
+            // Nothing was written that a majority would have to keep: whatever
+            // is answered, a refusal too, a majority must still follow us.
+            reply.round = leader.start_round();
         }
+        self.pending_replies.push(reply);
+    }
+
+    /// Whether we lead a partition, as far as we know.
+    fn leads(&self, slice: u8) -> bool {
+        let leader = self.leaders.get(&slice);
+        self.able() && leader.is_some_and(|leader| leader.ready() && leader.wary.is_none())
+    }
+
+    /// Sends a change on to the leader of its partition. A member of the table
+    /// is answered through us, since the leader may not reach it; an edge by
+    /// the leader itself.
+    fn pass_on(&mut self, now: Duration, from: Peer, mut request: ChangeRequest) {
+        if self.is_cut_off(now) {
+            let reply = ChangeReply {
+                id: request.id,
+                told: Outcome::NoMajority,
+            };
+            return self.tell(from.address, reply);
+        }
+        let leader = self.chosen(now, request.slice);
+        let elsewhere = leader.filter(|slot| *slot != self.slot);
+        let Some(next_hop) = elsewhere.and_then(|slot| self.next_hop(now, slot)) else {
+            return;
+        };
+        if request.hops >= MOST_HOPS || self.address(next_hop) == from.address {
+            return;
+        }
+        request.hops += 1;
+        let from_member = self.places.iter().any(|peer| peer.names(&from));
+        if from_member && request.asker == from.address {
+            request.id = self.relay_id(now, request.asker, request.id);
+            request.asker = self.address;
+        }
+        self.tell(self.address(next_hop), request);
+    }
+
+    /// The id under which a member's change is passed on, the same for a
+    /// change that is sent again.
+    fn relay_id(&mut self, now: Duration, asker: SocketAddr, id: u64) -> u64 {
+        let until = now + OPERATOR_CALL_LIMIT;
+        let mut known = self.relays.iter_mut();
+        let again = known.find(|(_, relay)| (relay.asker, relay.id) == (asker, id));
+        if let Some((relay_id, relay)) = again {
+            relay.until = until;
+            return *relay_id;
+        }
+        let relay_id = self.next_relay | RELAY_IDS;
+        self.next_relay = relay_id.wrapping_add(1);
+        self.relays.insert(relay_id, Relay { asker, id, until });
+        relay_id
     }
 
     /// Makes a change as the slice's owner; the answer pending_replies for the disks.
@@ -141,6 +257,7 @@
             id,
             slice,
             ask,
+            ..
         } = ask;
         let again = match &ask {
             Change::PutConfiguration { change, .. } | Change::PutOrigins { change, .. } => self
@@ -293,41 +410,46 @@
         wait
     }
 
-    pub(super) fn handle_change_reply(&mut self, told: ChangeReply) {
-        let Some(front) = self.operator_calls.get(&told.id) else {
+    pub(super) fn handle_change_reply(&mut self, reply: ChangeReply) {
+        if let Some(relay) = self.relays.remove(&reply.id) {
+            let passed_back = ChangeReply {
+                id: relay.id,
+                told: reply.told,
+            };
+            return self.tell(relay.asker, passed_back);
+        }
+        let Some(call) = self.operator_calls.get_mut(&reply.id) else {
             return;
         };
-        let outcome = match told.told {
+        let outcome = match reply.told {
+            // Who was to pass it on is cut off: another way may be found.
+            Outcome::NoMajority => {
+                call.next = Duration::ZERO;
+                return;
+            }
             // An earlier try of ours may be what this one lost against.
-            Outcome::Raced { .. } if front.tries > 1 => Outcome::Lost,
+            Outcome::Raced { .. } if call.tries > 1 => Outcome::Lost,
             outcome => outcome,
         };
-        self.operator_calls.remove(&told.id);
-        self.out.push(Output::OperatorAnswer {
-            id: told.id,
-            answer: OperatorAnswer::Outcome(outcome),
-        });
+        self.operator_calls.remove(&reply.id);
+        self.answer_operator(reply.id, outcome);
     }
 
     pub(super) fn operator(&mut self, now: Duration, id: u64, ask: OperatorAsk) {
         match ask {
             OperatorAsk::Change { .. } if self.removed || self.slot == NO_SLOT => {
-                self.out.push(Output::OperatorAnswer {
-                    id,
-                    answer: OperatorAnswer::Outcome(Outcome::Lost),
-                });
+                self.answer_operator(id, Outcome::NoMajority);
             }
             OperatorAsk::Change { slice, change } => {
-                self.operator_calls.insert(
-                    id,
-                    OperatorCall {
-                        slice,
-                        change,
-                        until: now + OPERATOR_CALL_LIMIT,
-                        next: now,
-                        tries: 0,
-                    },
-                );
+                let call = OperatorCall {
+                    slice,
+                    change,
+                    until: now + OPERATOR_CALL_LIMIT,
+                    next: now,
+                    sent_to: None,
+                    tries: 0,
+                };
+                self.operator_calls.insert(id, call);
                 self.send_operator_calls(now);
             }
             OperatorAsk::State => {
@@ -342,7 +464,7 @@
         let control: Vec<_> = (0..self.places.len() as u8)
             .map(|slot| {
                 let peer = self.peers.get(&slot);
-                let live = slot == self.slot || peer.is_some_and(|peer| peer.near(now));
+                let live = self.contacts(now).contains(slot);
                 let full = if slot == self.slot { self.able() } else { live && peer.is_some_and(|peer| peer.full) };
                 serde_json::json!({ "slot": slot, "address": self.address(slot), "live": live, "full": full })
             })
@@ -376,6 +498,6 @@
             })
             .collect();
         let ledger = serde_json::json!({ "realm": Realm::name(self.realm), "closed_s": self.closed.saturating_sub(now).as_secs_f64().ceil() });
-        serde_json::json!({ "slot": self.slot, "ledger": ledger, "control": control, "edges": edges, "origins": origins, "owned_slices": slices })
+        serde_json::json!({ "slot": self.slot, "majority": self.reaches_majority(now), "ledger": ledger, "control": control, "edges": edges, "origins": origins, "owned_slices": slices })
     }
 }
--- a/control-plane/src/control_part/duties.rs
+++ b/control-plane/src/control_part/duties.rs
@@ -15,11 +15,13 @@
 
 impl ControlPart {
     /// Who owns the list of origins is the one to read the platform's.
-    pub(super) fn show_lists(&mut self) {
-        let lists = self
+    pub(super) fn show_lists(&mut self, now: Duration) {
+        let leads = self
             .leaders
             .get(&ORIGINS)
             .is_some_and(|leader| leader.ready() && leader.wary.is_none());
+        // Cut off, what is read could not be put.
+        let lists = leads && self.reaches_majority(now);
         if lists != self.lists {
             self.lists = lists;
             let list = if lists {
--- a/control-plane/src/control_part/membership.rs
+++ b/control-plane/src/control_part/membership.rs
@@ -100,6 +100,9 @@
             full: heartbeat.full,
             blank: heartbeat.blank,
             heard: now,
+            hears: heartbeat.hears,
+            contacts: heartbeat.contacts,
+            vouched: heartbeat.vouched,
             got: heartbeat.got,
         };
         self.peers.insert(slot, status);
@@ -212,12 +215,7 @@
             self.pending_replies.clear();
             // Nobody answers those who asked here any more: at once, not when
             // they lose patience.
-            for id in std::mem::take(&mut self.operator_calls).into_keys() {
-                self.out.push(Output::OperatorAnswer {
-                    id,
-                    answer: OperatorAnswer::Outcome(Outcome::Lost),
-                });
-            }
+            self.give_up_operator_calls();
             self.note(Event::MemberRemoved, format!("slot {}", self.slot));
         }
     }
@@ -346,7 +344,8 @@
         // To the owner, through our own door; nobody pending_replies for it.
         let ask = ChangeRequest {
             asker: self.address,
-            id: 0,
+            id: changes::NOBODY_WAITS,
+            hops: 0,
             slice: PLACES,
             ask: Change::JoinRequest {
                 peer: from,
@@ -415,22 +414,13 @@
 
     /// A slot was heard with this life; an earlier one is retired.
     pub(super) fn meet(&mut self, slot: u8, life: u64) {
-        let known = self.peers.entry(slot).or_insert(PeerStatus {
-            life,
-            full: false,
-            blank: true,
-            heard: Duration::ZERO,
-            got: 0,
-        });
+        let known = self
+            .peers
+            .entry(slot)
+            .or_insert_with(|| PeerStatus::unheard(life));
         if known.life != life {
             let earlier = known.life;
-            *known = PeerStatus {
-                life,
-                full: false,
-                blank: true,
-                heard: Duration::ZERO,
-                got: 0,
-            };
+            *known = PeerStatus::unheard(life);
             for leader in self.leaders.values_mut() {
                 leader.forget(slot);
             }
--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -2,10 +2,11 @@
 //! duty it is.
 
 use crate::prelude::*;
-use changes::{OperatorCall, PendingReply};
+use changes::{OperatorCall, PendingReply, RELAY_IDS, Relay};
 use duties::PlannedFrom;
 
 mod changes;
+mod contact;
 mod duties;
 mod edge_sessions;
 mod membership;
@@ -51,6 +52,11 @@
     sessions: Sessions,
     pending_replies: Vec<PendingReply>,
     operator_calls: BTreeMap<u64, OperatorCall>,
+    /// Changes passed on for other members, by the id under which that was done.
+    relays: BTreeMap<u64, Relay>,
+    next_relay: u64,
+    /// Since when no majority is in contact with us.
+    cut_off: Option<Duration>,
     finished_since: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
     swept: Duration,
     /// Until then unknown operations are not run: acknowledged ones may be lost.
@@ -95,13 +101,36 @@
     full: bool,
     blank: bool,
     heard: Duration,
+    /// Slots that it hears, those that hear it too, and those of them for
+    /// which it vouches.
+    hears: SlotSet,
+    contacts: SlotSet,
+    vouched: SlotSet,
     /// The state of our table of sessions up to which it has it.
     got: u64,
 }
 
 impl PeerStatus {
+    /// Of a life that was not heard yet.
+    fn unheard(life: u64) -> PeerStatus {
+        PeerStatus {
+            life,
+            full: false,
+            blank: true,
+            heard: Duration::ZERO,
+            hears: SlotSet::default(),
+            contacts: SlotSet::default(),
+            vouched: SlotSet::default(),
+            got: 0,
+        }
+    }
+
+    fn heard_within(&self, now: Duration, span: Duration) -> bool {
+        now < self.heard + span
+    }
+
     fn near(&self, now: Duration) -> bool {
-        now < self.heard + lease::CONTROL_PEER
+        self.heard_within(now, lease::CONTROL_PEER)
     }
 }
 
@@ -163,6 +192,9 @@
             sessions: Sessions::new(run),
             pending_replies: Vec::new(),
             operator_calls: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            next_relay: run | RELAY_IDS,
+            cut_off: None,
             finished_since: BTreeMap::new(),
             swept: Duration::ZERO,
             closed: Duration::ZERO,
@@ -290,11 +322,13 @@
             self.out
                 .push(Output::Show(Shown::Acknowledged { version, text }));
         }
-        self.show_lists();
+        self.watch_contact(now);
+        self.show_lists(now);
         self.recollect(now);
         self.write_table();
         self.plan_duties(now);
         self.send_operator_calls(now);
+        self.relays.retain(|_, relay| now < relay.until);
     }
 
     fn beat(&self, now: Duration, to: u8) -> Heartbeat {
@@ -307,6 +341,9 @@
             membership_version: self.membership_version,
             closed: self.closed.saturating_sub(now),
             lost: self.lost(),
+            hears: self.hears(now, lease::CONTROL_PEER),
+            contacts: self.contacts(now),
+            vouched: self.vouched(now),
             got: self.sessions.got(to),
             seen,
         }
@@ -375,7 +412,7 @@
             Input::Tick => {
                 tick = true;
                 self.tick(now);
-                let ready = self.able() && self.warned.is_none();
+                let ready = self.able() && self.warned.is_none() && self.reaches_majority(now);
                 self.out.push(Output::Show(Shown::Fence {
                     until: now + lease::CONTROL,
                     ready,
--- a/control-plane/src/control_part/realm.rs
+++ b/control-plane/src/control_part/realm.rs
@@ -111,7 +111,8 @@
         if let Some(after) = self.refound {
             let ask = ChangeRequest {
                 asker: self.address,
-                id: 0,
+                id: changes::NOBODY_WAITS,
+                hops: 0,
                 slice: CONFIGURATION,
                 ask: Change::Refound { after },
             };
--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -6,26 +6,8 @@
 const STALE_EPOCH_CALM: Duration = Duration::from_secs(10);
 
 impl ControlPart {
-    /// The slot that shall own a slice: by weight over the live, full slots.
-    pub(super) fn chosen(&self, now: Duration, slice: u8) -> Option<u8> {
-        let name = format!("slice/{slice}");
-        let live = |slot: &u8| match self.peers.get(slot) {
-            _ if *slot == self.slot => self.able() && self.warned.is_none(),
-            Some(peer) => peer.full && peer.near(now),
-            None => false,
-        };
-        (0..self.places.len() as u8)
-            .filter(live)
-            .max_by_key(|slot| Peer::new(self.address(*slot), 0).weight(&name))
-    }
-
     pub(super) fn take_slices(&mut self, now: Duration) {
-        let met = self.others().filter(|slot| {
-            self.peers
-                .get(slot)
-                .is_some_and(|peer| peer.full && peer.near(now))
-        });
-        if met.count() + 1 < self.quorum().most() {
+        if !self.may_lead(now) {
             return;
         }
         for slice in 0..SLICES {
--- a/control-plane/src/control_part/tests.rs
+++ b/control-plane/src/control_part/tests.rs
@@ -6,6 +6,11 @@
     SocketAddr::from(([127, 0, 0, 1], 100 + slot))
 }
 
+/// All slots that there may be.
+fn everybody() -> SlotSet {
+    (0..SLOTS_MOST as u8).collect()
+}
+
 /// Slot 0 with a full disk that syncs at once; the peers are scripted.
 struct Script {
     part: ControlPart,
@@ -71,6 +76,9 @@
             1,
             life,
             Heartbeat {
+                hears: everybody(),
+                contacts: everybody(),
+                vouched: SlotSet::default(),
                 slot: 1,
                 full: true,
                 blank: false,
@@ -157,6 +165,7 @@
         1,
         11,
         ChangeRequest {
+            hops: 0,
             asker: address(1),
             id: 7,
             slice,
@@ -216,6 +225,9 @@
                 let mut said = VecDeque::new();
                 for slot in 1..5 {
                     let beat = Heartbeat {
+                        hears: everybody(),
+                        contacts: everybody(),
+                        vouched: SlotSet::default(),
                         slot: slot as u8,
                         full: true,
                         blank: false,
@@ -294,6 +306,7 @@
                 1,
                 11,
                 ChangeRequest {
+                    hops: 0,
                     asker: address(1),
                     id: 7,
                     slice,
@@ -485,6 +498,9 @@
         100,
         2,
         Heartbeat {
+            hears: everybody(),
+            contacts: everybody(),
+            vouched: SlotSet::default(),
             slot: 2,
             full: true,
             blank: false,
--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -9,6 +9,8 @@
 
 /// Longer than a front tries.
 const PATIENCE: Duration = Duration::from_secs(15);
+/// When to ask a node again that was cut off.
+const NO_MAJORITY_RETRY: Duration = Duration::from_secs(1);
 const ORIGINS_LISTED: usize = 1000;
 
 fn serve(port: &Port, request: &rouille::Request) -> Option<rouille::Response> {
@@ -88,6 +90,13 @@
     )
 }
 
+/// The node that was asked is cut off: it neither did anything nor can it tell
+/// what is in force.
+fn no_majority() -> Refusal {
+    let text = "this node is not in contact with a majority; ask another one";
+    Refusal::not_run(503, "no_majority", text).back(NO_MAJORITY_RETRY)
+}
+
 fn text_of(request: &rouille::Request) -> Result<String, rouille::Response> {
     let bytes = read_body(request, CONFIGURATION_BYTES).map_err(|refusal| refuse(&refusal))?;
     String::from_utf8(bytes).map_err(|_| invalid(&[Finding::new("", "not UTF-8")]))
@@ -114,6 +123,14 @@
     }
 }
 
+/// What is said where no answer came.
+fn unanswered(outcome: &Outcome) -> rouille::Response {
+    match outcome {
+        Outcome::NoMajority => refuse(&no_majority()),
+        _ => refuse(&lost()),
+    }
+}
+
 fn acknowledged(outcome: Outcome) -> rouille::Response {
     match outcome {
         Outcome::Settled { version } => json(200, &serde_json::json!({ "version": version }))
@@ -126,7 +143,7 @@
             )
         }
         Outcome::Findings(found) => invalid(&found),
-        _ => refuse(&lost()),
+        other => unanswered(&other),
     }
 }
 
@@ -141,7 +158,7 @@
             rouille::Response::from_data("application/json", text.as_bytes())
                 .with_additional_header("ETag", format!("\"{version}\""))
         }
-        _ => refuse(&lost()),
+        other => unanswered(&other),
     }
 }
 
@@ -361,8 +378,9 @@
         version: u64,
         items: Vec<Shown>,
     }
-    let Outcome::Rows { version, rows } = ask(port, CONFIGURATION, &Change::List) else {
-        return refuse(&lost());
+    let (version, rows) = match ask(port, CONFIGURATION, &Change::List) {
+        Outcome::Rows { version, rows } => (version, rows),
+        other => return unanswered(&other),
     };
     let shown = |(_, row): (String, Row)| match row.value {
         Value::Item(Item {
@@ -397,7 +415,7 @@
 ) -> rouille::Response {
     match ask(port, slice, &Change::List) {
         Outcome::Rows { version, rows } => json(200, &show(version, rows)),
-        _ => refuse(&lost()),
+        other => unanswered(&other),
     }
 }
 
--- /dev/null
+++ b/control-plane/tests/cluster/mod.rs
@@ -0,0 +1,358 @@
+//! Control nodes without edges in virtual time: the real state machines, a network that can be cut in either
+//! direction, and disks that keep what was synced.
+
+use control_plane::{ControlPart, Replica};
+use kernel::prelude::*;
+
+/// From the sending of a message to its hearing.
+const LATENCY: Duration = Duration::from_millis(1);
+/// How long a disk takes to sync.
+const SYNC: Duration = Duration::from_millis(5);
+/// Ports of the nodes begin here.
+const FIRST_PORT: u16 = 100;
+
+enum Happening {
+    Tick,
+    Deliver { from: Peer, message: Box<Message> },
+    Synced { serial: u64, record: Vec<u8> },
+}
+
+struct Scheduled {
+    node: usize,
+    /// The run of the node that this is meant for; a restart begins another.
+    run: u64,
+    happening: Happening,
+}
+
+struct Node {
+    part: ControlPart,
+    run: u64,
+    disk: Vec<Vec<u8>>,
+}
+
+/// A call of an operator: where and when it was made, and its answer.
+pub struct Call {
+    pub node: usize,
+    pub asked: Duration,
+    pub change: Change,
+    pub answer: Option<(Duration, Outcome)>,
+}
+
+/// A fleet of control nodes whose seeds are the membership table.
+pub struct Cluster {
+    pub now: Duration,
+    nodes: Vec<Node>,
+    scheduled: BTreeMap<(Duration, u64), Scheduled>,
+    sequence: u64,
+    /// Directions, as (from, to), in which nothing gets through.
+    cuts: BTreeSet<(usize, usize)>,
+    pub calls: Vec<Call>,
+    /// Epochs under which partitions were led, by node.
+    pub takeovers: usize,
+}
+
+pub fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + node as u16))
+}
+
+fn node_at(address: SocketAddr) -> usize {
+    usize::from(address.port() - FIRST_PORT)
+}
+
+impl Cluster {
+    /// Full disks that hold nothing yet; the fleet runs until it answers.
+    pub fn start(size: usize) -> Cluster {
+        let mut cluster = Cluster {
+            now: Duration::ZERO,
+            nodes: Vec::new(),
+            scheduled: BTreeMap::new(),
+            sequence: 0,
+            cuts: BTreeSet::new(),
+            calls: Vec::new(),
+            takeovers: 0,
+        };
+        for node in 0..size {
+            let replica = Replica {
+                full: true,
+                ..Replica::blank(1 + node as u64)
+            };
+            let image = control_plane::Record::Image(Box::new(replica.clone()));
+            let disk = vec![bincode::serialize(&image).expect("records serialize")];
+            let part = Cluster::part(node, size, replica, 1);
+            cluster.nodes.push(Node { part, run: 1, disk });
+            cluster.schedule(
+                Duration::from_millis(7 * node as u64),
+                node,
+                Happening::Tick,
+            );
+        }
+        cluster.run(Duration::from_secs(5));
+        cluster.open_ledger();
+        cluster
+    }
+
+    /// Says that nothing ran before, as operators do for a new fleet; until then
+    /// each takeover waits for what edges might still know.
+    fn open_ledger(&mut self) {
+        let state = self.state(0);
+        let realm = state["ledger"]["realm"].as_str().expect("a text");
+        let realm = u64::from_str_radix(realm, 16).expect("a realm");
+        let at = self.ask(0, DUTIES, Change::OpenLedger { realm });
+        self.run(Duration::from_secs(2));
+        let answer = &self.calls[at].answer;
+        let opened = matches!(answer, Some((_, Outcome::Settled { .. })));
+        assert!(opened, "{answer:?}");
+    }
+
+    fn part(node: usize, size: usize, replica: Replica, run: u64) -> ControlPart {
+        let seeds = (0..size).map(address).collect();
+        ControlPart::new(address(node), seeds, replica, false, None, run)
+    }
+
+    pub fn size(&self) -> usize {
+        self.nodes.len()
+    }
+
+    fn schedule(&mut self, after: Duration, node: usize, happening: Happening) {
+        self.sequence += 1;
+        // Of the node's current run; of none while it is being made.
+        let run = self.nodes.get(node).map_or(1, |known| known.run);
+        let scheduled = Scheduled {
+            node,
+            run,
+            happening,
+        };
+        let key = (self.now + after, self.sequence);
+        self.scheduled.insert(key, scheduled);
+    }
+
+    /// Nothing gets from the first to the second any more.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Neither hears the other.
+    pub fn cut_both_ways(&mut self, one: usize, other: usize) {
+        self.cut(one, other);
+        self.cut(other, one);
+    }
+
+    /// Cuts a node off from all others.
+    pub fn isolate(&mut self, node: usize) {
+        for other in self.others(node) {
+            self.cut_both_ways(node, other);
+        }
+    }
+
+    pub fn others(&self, node: usize) -> Vec<usize> {
+        (0..self.size()).filter(|other| *other != node).collect()
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// The process ends and starts again with what its disk holds.
+    pub fn restart(&mut self, node: usize) {
+        let size = self.size();
+        let known = &mut self.nodes[node];
+        let replica = Replica::replay(&known.disk).expect("reads").expect("full");
+        known.run += 1;
+        known.part = Cluster::part(node, size, replica, known.run);
+        // Who asked there sees the connection end.
+        let now = self.now;
+        for call in &mut self.calls {
+            if call.node == node && call.answer.is_none() {
+                call.answer = Some((now, Outcome::Lost));
+            }
+        }
+        self.schedule(Duration::ZERO, node, Happening::Tick);
+    }
+
+    /// Runs for a span of virtual time.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        self.run_until(end, |_| false);
+        self.now = end;
+    }
+
+    /// Runs until the condition holds, at most for the span; whether it held.
+    pub fn run_while_not(&mut self, span: Duration, done: impl Fn(&Cluster) -> bool) -> bool {
+        let end = self.now + span;
+        self.run_until(end, done)
+    }
+
+    fn run_until(&mut self, end: Duration, done: impl Fn(&Cluster) -> bool) -> bool {
+        while !done(self) {
+            let Some(entry) = self
+                .scheduled
+                .first_entry()
+                .filter(|entry| entry.key().0 <= end)
+            else {
+                return false;
+            };
+            self.now = entry.key().0;
+            let scheduled = entry.remove();
+            if self.nodes[scheduled.node].run == scheduled.run {
+                self.happen(scheduled);
+            }
+        }
+        true
+    }
+
+    fn happen(&mut self, scheduled: Scheduled) {
+        let node = scheduled.node;
+        let input = match scheduled.happening {
+            Happening::Tick => {
+                self.schedule(lease::CONTROL_TICK, node, Happening::Tick);
+                Input::Tick
+            }
+            Happening::Deliver { from, message } => Input::Heard {
+                from,
+                message: *message,
+            },
+            Happening::Synced { serial, record } => {
+                self.nodes[node].disk.push(record);
+                Input::Stored { serial }
+            }
+        };
+        self.step(node, input);
+    }
+
+    fn step(&mut self, node: usize, input: Input) {
+        let from = self.nodes[node].part.me();
+        for output in self.nodes[node].part.step(self.now, input) {
+            match output {
+                Output::Tell { to, message } => self.deliver(node, from, to, message),
+                Output::Store { serial, record } | Output::StoreImage { serial, record } => {
+                    self.schedule(SYNC, node, Happening::Synced { serial, record });
+                }
+                Output::OperatorAnswer {
+                    id,
+                    answer: OperatorAnswer::Outcome(outcome),
+                } => self.calls[id as usize - 1].answer = Some((self.now, outcome)),
+                Output::Note {
+                    event: Event::SliceTaken,
+                    ..
+                } => self.takeovers += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, node: usize, from: Peer, to: SocketAddr, message: Message) {
+        let receiver = node_at(to);
+        if self.cuts.contains(&(node, receiver)) {
+            return;
+        }
+        let latency = if receiver == node {
+            Duration::ZERO
+        } else {
+            LATENCY
+        };
+        let message = Box::new(message);
+        self.schedule(latency, receiver, Happening::Deliver { from, message });
+    }
+
+    /// An operator calls a node. The call's index.
+    pub fn ask(&mut self, node: usize, slice: u8, change: Change) -> usize {
+        self.calls.push(Call {
+            node,
+            asked: self.now,
+            change: change.clone(),
+            answer: None,
+        });
+        let id = self.calls.len() as u64;
+        let ask = OperatorAsk::Change { slice, change };
+        self.step(node, Input::Operator { id, ask });
+        self.calls.len() - 1
+    }
+
+    /// The same, and the answer with how long it took, waited for at the most
+    /// as long as the span.
+    pub fn answer(&mut self, node: usize, change: Change, span: Duration) -> (Duration, Outcome) {
+        let at = self.ask(node, CONFIGURATION, change);
+        let answered = self.run_while_not(span, |cluster| cluster.calls[at].answer.is_some());
+        assert!(answered, "no answer at node {node} within {span:?}");
+        let (when, outcome) = self.calls[at].answer.clone().expect("just seen");
+        (when - self.calls[at].asked, outcome)
+    }
+
+    /// What a node tells of itself.
+    pub fn state(&mut self, node: usize) -> serde_json::Value {
+        let ask = OperatorAsk::State;
+        let outputs = self.nodes[node]
+            .part
+            .step(self.now, Input::Operator { id: 0, ask });
+        let told = outputs.into_iter().find_map(|output| match output {
+            Output::OperatorAnswer {
+                answer: OperatorAnswer::State(state),
+                ..
+            } => Some(state),
+            _ => None,
+        });
+        told.expect("state is always told")
+    }
+
+    /// Whether a node says that a majority is in contact with it.
+    pub fn has_majority(&mut self, node: usize) -> bool {
+        self.state(node)["majority"] == true
+    }
+
+    /// The node that leads a partition under the highest epoch, as they say.
+    pub fn leader(&mut self, slice: u8) -> usize {
+        let led = |state: serde_json::Value| {
+            let slices = state["owned_slices"]
+                .as_array()
+                .cloned()
+                .unwrap_or_default();
+            let mine = slices.iter().find(|one| one["slice"] == slice);
+            mine.and_then(|one| one["epoch"].as_u64())
+        };
+        let epochs = (0..self.size()).map(|node| (led(self.state(node)), node));
+        let (epoch, node) = epochs.collect::<Vec<_>>().into_iter().max().expect("nodes");
+        assert!(epoch.is_some(), "nobody leads partition {slice}");
+        node
+    }
+}
+
+/// An order that sets a group of origins under a revision.
+pub fn put_group(name: &str, revision: u64) -> Change {
+    let text: Arc<str> =
+        format!(r#"{{"service":"{name}","rate":9,"concurrency":2,"proof":"named"}}"#).into();
+    put_item(ItemKind::Group, name, revision, text)
+}
+
+/// An order that sets an entry which needs a group.
+pub fn put_entry(name: &str, revision: u64, group: &str) -> Change {
+    let text: Arc<str> = format!(
+        r#"{{"name":"{name}","path":"/{name}/","methods":[],"group":"{group}","rank":1,"kind":"repeatable"}}"#
+    )
+    .into();
+    put_item(ItemKind::Entry, name, revision, text)
+}
+
+fn put_item(kind: ItemKind, name: &str, revision: u64, text: Arc<str>) -> Change {
+    let item = Item {
+        kind,
+        name: name.into(),
+        revision,
+        text: Some(text.clone()),
+        source: text,
+    };
+    Change::PutItems {
+        items: vec![item],
+        change: revision,
+    }
+}
+
+/// The revision of an item in an answer to `Change::List`, if it is there.
+pub fn revision_of(outcome: &Outcome, name: &str) -> Option<u64> {
+    let Outcome::Rows { rows, .. } = outcome else {
+        return None;
+    };
+    rows.iter().find_map(|(_, row)| match &row.value {
+        Value::Item(item) if item.name == name => Some(item.revision),
+        _ => None,
+    })
+}
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -762,6 +762,7 @@
         self.tell(
             seed,
             ChangeRequest {
+                hops: 0,
                 asker: self.me.address,
                 id,
                 slice,
@@ -914,6 +915,11 @@
                 let refusal = Refusal::unknown(503, "ledger_recovering", "acknowledged operations may be lost; none that is not known is run for a minute").idle();
                 self.end(now, id, Answer::Refusal(refusal.back(left)));
             }
+            // Who was asked is cut off: the next is asked at once, each once.
+            (
+                Stage::Claiming | Stage::Recording { .. } | Stage::Releasing { .. },
+                Outcome::NoMajority,
+            ) if job.round < self.seeds.len() => self.say(now, id),
             // Runs elsewhere: asked again in a moment, until the deadline.
             (Stage::Claiming, Outcome::Taken { .. }) => {}
             (Stage::Recording { answer, .. }, Outcome::Recorded) => {
--- a/kernel/src/frame.rs
+++ b/kernel/src/frame.rs
@@ -40,6 +40,9 @@
     fn what_is_written_is_read_and_any_flipped_or_missing_byte_is_an_error() {
         let peer = Peer::new("127.0.0.1:9".parse().unwrap(), 3);
         let message: Message = Heartbeat {
+            hears: SlotSet::default(),
+            contacts: SlotSet::default(),
+            vouched: SlotSet::default(),
             slot: 2,
             full: true,
             blank: false,
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -27,8 +27,10 @@
     /// by its last beat (`got`: the state of its table here); `membership_version` is the version of the table
     /// of places I go by; for `closed` no unknown operation may be claimed;
     /// what was acknowledged in the realm `lost` may be lost (0: none was).
-    /// `blank`: the disk was not refilled yet.
-    Heartbeat { slot: u8, full: bool, blank: bool, membership_version: u64, closed: Duration, lost: u64, got: u64, seen: Option<SessionsDelta> }
+    /// `blank`: the disk was not refilled yet. `hears`: slots whose heartbeats
+    /// come here; `contacts`: those of them that hear us too; `vouched`: those
+    /// of them that may lead partitions.
+    Heartbeat { slot: u8, full: bool, blank: bool, membership_version: u64, closed: Duration, lost: u64, hears: SlotSet, contacts: SlotSet, vouched: SlotSet, got: u64, seen: Option<SessionsDelta> }
     /// A blank disk asks for all another holds. The first round only makes
     /// the others forget the earlier disk's acknowledgements; what the
     /// second brings counts. `membership_version`: the table the sender goes by; who goes
@@ -52,8 +54,9 @@
     AppendGap { slice: u8, epoch: u64, round: u64 }
     /// A higher epoch was promised.
     StaleEpoch { slice: u8, epoch: u64, promised: u64 }
-    /// A change on its way to the slice's owner; answered to `asker`.
-    ChangeRequest { asker: SocketAddr, id: u64, slice: u8, ask: Change }
+    /// A change on its way to the leader of its partition; answered to
+    /// `asker`. `hops`: how many control nodes passed it on.
+    ChangeRequest { asker: SocketAddr, id: u64, slice: u8, hops: u8, ask: Change }
     ChangeReply { id: u64, told: Outcome }
 
     /// An empty control node without a slot asks for one that is lost, or
@@ -349,6 +352,9 @@
     Recorded,
     /// No owner could be asked in time: it may or may not have happened.
     Lost,
+    /// The node that was asked is not in contact with a majority: nothing was
+    /// done, and nothing can be said.
+    NoMajority,
     /// What was acknowledged may be lost: unknown keys are not run for so long.
     Closed {
         left: Duration,
--- /dev/null
+++ b/kernel/src/slot_set.rs
@@ -0,0 +1,65 @@
+//! A set of slots of the control plane.
+
+use crate::prelude::*;
+
+/// A set of slots, one bit each: small enough to go with each heartbeat.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotSet(u16);
+
+// One bit for each slot there may be.
+const _: () = assert!(SLOTS_MOST <= u16::BITS as usize);
+
+impl SlotSet {
+    /// Adds a slot; one beyond `SLOTS_MOST` is no slot and changes nothing.
+    pub fn insert(&mut self, slot: u8) {
+        self.0 |= SlotSet::bit(slot);
+    }
+
+    /// Whether the slot is in the set.
+    pub fn contains(self, slot: u8) -> bool {
+        self.0 & SlotSet::bit(slot) != 0
+    }
+
+    /// How many slots are in the set.
+    pub fn len(self) -> usize {
+        self.0.count_ones() as usize
+    }
+
+    /// Whether no slot is in the set.
+    pub fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+
+    /// The slots in rising order.
+    pub fn iter(self) -> impl Iterator<Item = u8> {
+        (0..SLOTS_MOST as u8).filter(move |slot| self.contains(*slot))
+    }
+
+    /// Slots that are in one of the two.
+    pub fn union(self, other: SlotSet) -> SlotSet {
+        SlotSet(self.0 | other.0)
+    }
+
+    /// Slots of this set that are not in the other.
+    pub fn without(self, other: SlotSet) -> SlotSet {
+        SlotSet(self.0 & !other.0)
+    }
+
+    fn bit(slot: u8) -> u16 {
+        1u16.checked_shl(u32::from(slot)).unwrap_or(0)
+    }
+}
+
+impl FromIterator<u8> for SlotSet {
+    fn from_iter<I: IntoIterator<Item = u8>>(slots: I) -> SlotSet {
+        let mut set = SlotSet::default();
+        slots.into_iter().for_each(|slot| set.insert(slot));
+        set
+    }
+}
+
+impl fmt::Debug for SlotSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_set().entries(self.iter()).finish()
+    }
+}
