Links between nodes run in one event loop, with queues bounded in bytes

Cause: a node kept two threads for each peer, and up to 4,096 messages for one, whatever their size. The duty table of 25 rings is some 430 KB, and every renewal (five a second) of an edge that has not taken it yet was answered with a copy of its own.

Ruled out: threads' stacks (at 300 edges, founded, 615 threads stand at 32 MB in all) and descriptors that leak on loopback (2 a peer throughout). What grows is what waits for edges that take it more slowly than it is told again.

Change: kernel/src/link is one thread with mio for all sessions. Each peer has two queues, urgent and bulk, bounded in bytes, for the peer and for the process; bulk goes in pieces of 16 KB with what is urgent between them. What is received is bounded as well until it was processed. Of the sessions that one address opened only the latest is read, so an old one is closed when its peer comes anew. A frame's checksum covers its header now. A message that cannot be decoded is dropped, counted and noted (E112) and its session goes on; messages dropped for want of room are noted once a second (E113).

kernel/tests/links.rs and frames.rs hold it. The unit test of frames moved there and tries every bit of each byte; `frame::read`, which only the old threads used, is gone.

--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -19,6 +19,8 @@
     Ended = 102, Info;
     LinkBroken = 110, Debug;
     FrameRefused = 111, Warn;
+    MessageRefused = 112, Warn;
+    QueueFull = 113, Warn;
     SliceTaken = 200, Info;
     SliceLost = 201, Warn;
     DiskBlank = 210, Warn;
--- a/kernel/src/frame.rs
+++ b/kernel/src/frame.rs
@@ -1,62 +1,218 @@
-//! Frames between our processes: length, checksum, bincode. A frame that does
-//! not check out ends its session and nothing else.
+//! Frames between our processes. A frame is a header of eight bytes and a
+//! body: the body's length with two flags, a checksum over that word and the
+//! body, then the body. A message is one frame, or, if it is large, several
+//! pieces: other frames may go between them, so that a large message holds up
+//! no small one. A frame that does not check out ends its session and nothing
+//! else.
 use crate::prelude::*;
+use bincode::Options;
 
 /// Larger than any whole slice image we send.
 pub const FRAME_BYTES: usize = 64 * 1024 * 1024;
+/// A larger message that need not hurry goes in pieces of this size.
+pub const PIECE_BYTES: usize = 16 * 1024;
+const HEADER_BYTES: usize = 8;
+/// The body is a piece of a message.
+const PIECE: u32 = 1 << 30;
+/// Further pieces of the message follow.
+const MORE: u32 = 1 << 31;
+const LENGTH: u32 = PIECE - 1;
 
+/// Why a session's bytes are no frames of ours.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FrameError {
+    /// A body of so many bytes is announced, or gathered from pieces.
+    TooLarge(usize),
+    ChecksumMismatch,
+    /// The flags are none that we write.
+    UnknownFlags,
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FrameError::TooLarge(bytes) => write!(f, "frame of {bytes} bytes"),
+            FrameError::ChecksumMismatch => write!(f, "frame does not match its checksum"),
+            FrameError::UnknownFlags => write!(f, "frame with unknown flags"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+/// A message as it is sent: bytes of its own, and after them those that it
+/// shares with messages to others.
+#[derive(Debug, Clone)]
+pub struct EncodedMessage {
+    own: Vec<u8>,
+    shared: Option<Arc<[u8]>>,
+}
+
+impl EncodedMessage {
+    pub fn new(from: Peer, message: &Message) -> Result<EncodedMessage> {
+        let encoded = EncodedMessage {
+            own: bincode::serialize(&(from, message))?,
+            shared: None,
+        };
+        if encoded.len() > FRAME_BYTES {
+            bail!(FrameError::TooLarge(encoded.len()));
+        }
+        Ok(encoded)
+    }
+
+    pub fn len(&self) -> usize {
+        self.own.len() + self.shared().map_or(0, |shared| shared.len())
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Bytes that no other message has.
+    pub fn own_len(&self) -> usize {
+        self.own.len()
+    }
+
+    pub fn shared(&self) -> Option<&Arc<[u8]>> {
+        self.shared.as_ref()
+    }
+
+    /// Appends the whole message as one frame.
+    pub fn write_whole(&self, out: &mut Vec<u8>) {
+        self.write_frame(0, self.len(), 0, out);
+    }
+
+    /// Appends the piece that begins at `from`, and returns where it ends. A
+    /// message that fits into one piece is one frame.
+    pub fn write_piece(&self, from: usize, out: &mut Vec<u8>) -> usize {
+        let to = self.len().min(from + PIECE_BYTES);
+        let flags = match (from, to == self.len()) {
+            (0, true) => 0,
+            (_, true) => PIECE,
+            (_, false) => PIECE | MORE,
+        };
+        self.write_frame(from, to, flags, out);
+        to
+    }
+
+    fn write_frame(&self, from: usize, to: usize, flags: u32, out: &mut Vec<u8>) {
+        let word = ((to - from) as u32 | flags).to_be_bytes();
+        let start = out.len();
+        out.extend(word);
+        out.extend([0; HEADER_BYTES - 4]);
+        let own = self.own.len();
+        out.extend(&self.own[from.min(own)..to.min(own)]);
+        if let Some(shared) = &self.shared {
+            out.extend(&shared[from.max(own) - own..to.max(own) - own]);
+        }
+        let sum = checksum(word, &out[start + HEADER_BYTES..]);
+        out[start + 4..start + HEADER_BYTES].copy_from_slice(&sum.to_be_bytes());
+    }
+}
+
+/// A message as one frame.
 pub fn write(from: Peer, message: &Message) -> Result<Vec<u8>> {
-    let body = bincode::serialize(&(from, message))?;
-    let mut frame = Vec::with_capacity(body.len() + 8);
-    frame.extend((body.len() as u32).to_be_bytes());
-    frame.extend(crc32fast::hash(&body).to_be_bytes());
-    frame.extend(body);
+    let mut frame = Vec::new();
+    EncodedMessage::new(from, message)?.write_whole(&mut frame);
     Ok(frame)
 }
 
-pub fn read(stream: &mut dyn Read) -> Result<(Peer, Message)> {
-    let mut head = [0u8; 8];
-    stream.read_exact(&mut head)?;
-    let size = u32::from_be_bytes(head[..4].try_into()?) as usize;
-    if size > FRAME_BYTES {
-        bail!("frame of {size} bytes");
-    }
-    let mut body = Vec::new();
-    stream.take(size as u64).read_to_end(&mut body)?;
-    if body.len() != size {
-        bail!("frame cut off");
-    }
-    if crc32fast::hash(&body) != u32::from_be_bytes(head[4..].try_into()?) {
-        bail!("frame does not match its checksum");
-    }
-    Ok(bincode::deserialize(&body)?)
-}
-
-#[cfg(test)]
-mod tests {
-    use crate::prelude::*;
-
-    #[test]
-    fn what_is_written_is_read_and_any_flipped_or_missing_byte_is_an_error() {
-        let peer = Peer::new("127.0.0.1:9".parse().unwrap(), 3);
-        let message: Message = Heartbeat {
-            slot: 2,
-            full: true,
-            blank: false,
-            membership_version: 0,
-            closed: Duration::ZERO,
-            lost: 0,
-            got: 0,
-            seen: None,
+/// Reads a whole message back; nothing may be left over.
+pub fn decode(body: &[u8]) -> Result<(Peer, Message)> {
+    let options = bincode::options()
+        .with_fixint_encoding()
+        .with_limit(FRAME_BYTES as u64);
+    Ok(options.deserialize(body)?)
+}
+
+fn checksum(word: [u8; 4], body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&word);
+    hasher.update(body);
+    hasher.finalize()
+}
+
+/// Finds the messages in the bytes of one session, however they are cut. Holds
+/// memory only while a message is incomplete.
+#[derive(Debug, Default)]
+pub struct FrameDecoder {
+    /// The start of a frame whose end has not come.
+    partial: Vec<u8>,
+    /// Pieces of a message whose last has not come.
+    gathered: Vec<u8>,
+}
+
+impl FrameDecoder {
+    /// Hands the body of each message that is complete by now to `take`.
+    pub fn feed(&mut self, bytes: &[u8], take: &mut dyn FnMut(&[u8])) -> Result<(), FrameError> {
+        if self.partial.is_empty() {
+            let used = self.take_frames(bytes, take)?;
+            self.partial.extend(&bytes[used..]);
+            return Ok(());
+        }
+        self.partial.extend(bytes);
+        let partial = std::mem::take(&mut self.partial);
+        let used = self.take_frames(&partial, take)?;
+        if used < partial.len() {
+            self.partial = partial;
+            self.partial.drain(..used);
+        }
+        Ok(())
+    }
+
+    /// Bytes held of what is incomplete.
+    pub fn held(&self) -> usize {
+        self.partial.len() + self.gathered.len()
+    }
+
+    /// Returns how many bytes the complete frames take.
+    fn take_frames(
+        &mut self,
+        bytes: &[u8],
+        take: &mut dyn FnMut(&[u8]),
+    ) -> Result<usize, FrameError> {
+        let mut used = 0;
+        while let Some(header) = bytes[used..].first_chunk::<HEADER_BYTES>() {
+            let [a, b, c, d, sum @ ..] = *header;
+            let word = [a, b, c, d];
+            let flagged = u32::from_be_bytes(word);
+            let length = (flagged & LENGTH) as usize;
+            if length > FRAME_BYTES {
+                return Err(FrameError::TooLarge(length));
+            }
+            let start = used + HEADER_BYTES;
+            let Some(body) = bytes.get(start..start + length) else {
+                break;
+            };
+            if checksum(word, body) != u32::from_be_bytes(sum) {
+                return Err(FrameError::ChecksumMismatch);
+            }
+            self.take_body(flagged & !LENGTH, body, take)?;
+            used = start + length;
         }
-        .into();
-        let good = frame::write(peer, &message).unwrap();
-        assert_eq!(frame::read(&mut good.as_slice()).unwrap(), (peer, message));
-        for at in 0..good.len() {
-            let mut bad = good.clone();
-            bad[at] ^= 0x40;
-            assert!(frame::read(&mut bad.as_slice()).is_err(), "flip at {at}");
-            assert!(frame::read(&mut &good[..at]).is_err(), "cut at {at}");
+        Ok(used)
+    }
+
+    fn take_body(
+        &mut self,
+        flags: u32,
+        body: &[u8],
+        take: &mut dyn FnMut(&[u8]),
+    ) -> Result<(), FrameError> {
+        match flags {
+            0 => take(body),
+            MORE => return Err(FrameError::UnknownFlags),
+            _ => {
+                let bytes = self.gathered.len() + body.len();
+                if bytes > FRAME_BYTES {
+                    return Err(FrameError::TooLarge(bytes));
+                }
+                self.gathered.extend(body);
+                if flags & MORE == 0 {
+                    take(&std::mem::take(&mut self.gathered));
+                }
+            }
         }
+        Ok(())
     }
 }
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -99,6 +99,9 @@
 }
 
 const WATCH: Duration = Duration::from_secs(1);
+/// While more inputs wait, what is told leaves after so many of them at the
+/// latest, together.
+const FLUSH_STEPS: u32 = 32;
 
 enum Stored {
     Append(u64, Vec<u8>),
@@ -111,7 +114,7 @@
         let mesh = self.startup.mesh.context("mesh address")?;
         let listener =
             TcpListener::bind(mesh).with_context(|| format!("cannot listen on {mesh}"))?;
-        let links = Links::open(self.me, listener, give.clone());
+        let links = Links::open(self.me, listener, give.clone())?;
         let port = Arc::new(Port {
             give: give.clone(),
             began: Instant::now(),
@@ -146,6 +149,7 @@
             ),
         );
         let mut next = port.now();
+        let mut unflushed = 0;
         // After the end, calls that were already read are still answered.
         while !(port.ending.load(Ordering::Acquire) && self.face.done()) {
             let now = port.now();
@@ -158,6 +162,7 @@
                     Err(_) => continue,
                 }
             };
+            let from_peer = matches!(&input, Input::Heard { from, .. } if *from != self.me);
             if matches!(input, Input::ShutdownRequested) {
                 self.face.warn();
             }
@@ -206,6 +211,14 @@
                     }
                 }
             }
+            if from_peer {
+                links.processed();
+            }
+            unflushed += 1;
+            if take.is_empty() || unflushed >= FLUSH_STEPS {
+                links.flush();
+                unflushed = 0;
+            }
         }
         note(Event::Ended, "nothing is left to do");
         Ok(())
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -26,7 +26,7 @@
 pub use crate::host::{Host, Port, Store, new_life};
 pub use crate::items::Items;
 pub use crate::lease;
-pub use crate::link::Links;
+pub use crate::link::{LinkCounters, Links, Priority, QueueLimits};
 pub use crate::message::*;
 pub use crate::operator_server::OperatorServer;
 pub use crate::part::*;
--- /dev/null
+++ b/kernel/tests/frames.rs
@@ -0,0 +1,199 @@
+//! Frames and messages, as they come and as they should not.
+use kernel::frame::{EncodedMessage, FrameDecoder, FrameError, PIECE_BYTES};
+use kernel::prelude::*;
+use proptest::prelude::{any, prop};
+use proptest::test_runner::Config;
+
+fn peer() -> Peer {
+    Peer::new("127.0.0.1:9".parse().unwrap(), 3)
+}
+
+fn heartbeat() -> Message {
+    Heartbeat {
+        slot: 2,
+        full: true,
+        blank: false,
+        membership_version: 0,
+        closed: Duration::ZERO,
+        lost: 0,
+        got: 0,
+        seen: None,
+    }
+    .into()
+}
+
+/// Larger than several pieces, and unlike everywhere.
+fn large(fill: u32) -> Message {
+    let row = |at: u32| {
+        let value = Value::Founded {
+            realm: u64::from(at * fill),
+        };
+        (format!("row {at}"), Row { version: 1, value })
+    };
+    RecallReply {
+        slice: 3,
+        version: 7,
+        rows: (0..4 * PIECE_BYTES as u32 / 40).map(row).collect(),
+    }
+    .into()
+}
+
+fn in_pieces(message: &Message) -> Vec<Vec<u8>> {
+    let encoded = EncodedMessage::new(peer(), message).unwrap();
+    let mut pieces = Vec::new();
+    let mut at = 0;
+    while at < encoded.len() {
+        let mut piece = Vec::new();
+        at = encoded.write_piece(at, &mut piece);
+        pieces.push(piece);
+    }
+    pieces
+}
+
+fn read(
+    decoder: &mut FrameDecoder,
+    bytes: &[u8],
+) -> Result<Vec<Result<(Peer, Message)>>, FrameError> {
+    let mut messages = Vec::new();
+    decoder.feed(bytes, &mut |body| messages.push(frame::decode(body)))?;
+    Ok(messages)
+}
+
+/// The messages of bytes that are to be ours.
+fn messages(decoder: &mut FrameDecoder, bytes: &[u8]) -> Vec<Message> {
+    let found = read(decoder, bytes).unwrap();
+    found.into_iter().map(|one| one.unwrap().1).collect()
+}
+
+#[test]
+fn what_is_written_is_read_and_any_flipped_or_missing_byte_is_an_error() {
+    let good = frame::write(peer(), &heartbeat()).unwrap();
+    let found = read(&mut FrameDecoder::default(), &good).unwrap();
+    assert_eq!(found.len(), 1);
+    assert_eq!(*found[0].as_ref().unwrap(), (peer(), heartbeat()));
+    for at in 0..good.len() {
+        for bit in 0..8 {
+            let mut bad = good.clone();
+            bad[at] ^= 1 << bit;
+            let found = read(&mut FrameDecoder::default(), &bad);
+            // A greater length waits for bytes that never come.
+            let nothing = found.as_ref().is_ok_and(Vec::is_empty);
+            assert!(nothing || found.is_err(), "flip of bit {bit} at {at}");
+        }
+        let cut = read(&mut FrameDecoder::default(), &good[..at]).unwrap();
+        assert!(cut.is_empty(), "cut at {at}");
+    }
+}
+
+#[test]
+fn a_large_message_goes_in_pieces_and_others_go_between_them() {
+    let pieces = in_pieces(&large(1));
+    assert!(pieces.len() > 3);
+    assert!(pieces.iter().all(|piece| piece.len() <= PIECE_BYTES + 8));
+    let small = frame::write(peer(), &heartbeat()).unwrap();
+    let mut decoder = FrameDecoder::default();
+    let mut found = Vec::new();
+    for piece in &pieces {
+        found.extend(messages(&mut decoder, piece));
+        found.extend(messages(&mut decoder, &small));
+    }
+    let expected = vec![heartbeat(); pieces.len() - 1];
+    assert_eq!(found[..pieces.len() - 1], expected);
+    assert_eq!(found[pieces.len() - 1..], [large(1), heartbeat()]);
+    assert_eq!(decoder.held(), 0, "nothing is held once all is complete");
+}
+
+#[test]
+fn pieces_that_gather_to_more_than_a_frame_are_refused() {
+    let pieces = in_pieces(&large(1));
+    let mut decoder = FrameDecoder::default();
+    let most = frame::FRAME_BYTES / PIECE_BYTES;
+    let refused = (0..most + 1).find_map(|_| read(&mut decoder, &pieces[0]).err());
+    assert!(matches!(refused, Some(FrameError::TooLarge(_))));
+}
+
+#[test]
+fn a_length_beyond_the_bound_is_refused_before_its_bytes_come() {
+    let mut header = (frame::FRAME_BYTES as u32 + 1).to_be_bytes().to_vec();
+    header.extend([0; 4]);
+    let refused = read(&mut FrameDecoder::default(), &header);
+    assert_eq!(
+        refused.err(),
+        Some(FrameError::TooLarge(frame::FRAME_BYTES + 1))
+    );
+}
+
+#[test]
+fn a_body_with_bytes_left_over_is_no_message() {
+    let mut body = frame::write(peer(), &heartbeat()).unwrap()[8..].to_vec();
+    assert!(frame::decode(&body).is_ok());
+    body.push(0);
+    assert!(frame::decode(&body).is_err());
+}
+
+proptest::proptest! {
+    #![proptest_config(Config::with_cases(512))]
+
+    #[test]
+    fn any_bytes_are_read_without_a_panic(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..20)
+    ) {
+        let mut decoder = FrameDecoder::default();
+        for chunk in &chunks {
+            if read(&mut decoder, chunk).is_err() {
+                break;
+            }
+        }
+    }
+
+    #[test]
+    fn any_body_is_decoded_or_refused_without_a_panic(
+        body in prop::collection::vec(any::<u8>(), 0..600)
+    ) {
+        let _ = frame::decode(&body);
+    }
+
+    /// Bodies near true ones get further than any bytes do.
+    #[test]
+    fn a_true_body_with_changed_bytes_is_decoded_or_refused_without_a_panic(
+        kind in 0..2,
+        changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..8),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let message = if kind == 0 { heartbeat() } else { large(3) };
+        let mut body = frame::write(peer(), &message).unwrap()[8..].to_vec();
+        for (at, byte) in changes {
+            let at = at.index(body.len());
+            body[at] = byte;
+        }
+        let _ = frame::decode(&body);
+        let _ = frame::decode(&body[..cut.index(body.len())]);
+    }
+
+    #[test]
+    fn messages_are_found_however_their_bytes_are_cut(
+        cuts in prop::collection::vec(1..30_000usize, 1..40),
+        large_first in any::<bool>(),
+    ) {
+        let small = frame::write(peer(), &heartbeat()).unwrap();
+        let pieces = in_pieces(&large(5)).concat();
+        let (bytes, expected) = if large_first {
+            ([pieces, small].concat(), [large(5), heartbeat()])
+        } else {
+            ([small, pieces].concat(), [heartbeat(), large(5)])
+        };
+        let mut decoder = FrameDecoder::default();
+        let mut found = Vec::new();
+        let mut rest = &bytes[..];
+        for cut in cuts.iter().cycle() {
+            let (chunk, after) = rest.split_at((*cut).min(rest.len()));
+            found.extend(messages(&mut decoder, chunk));
+            rest = after;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        proptest::prop_assert_eq!(found, expected);
+        proptest::prop_assert_eq!(decoder.held(), 0);
+    }
+}
--- /dev/null
+++ b/kernel/tests/links.rs
@@ -0,0 +1,435 @@
+//! The event loop of links over loopback, with peers that behave and others.
+use kernel::frame::{FrameDecoder, PIECE_BYTES};
+use kernel::prelude::*;
+use std::sync::atomic::AtomicU16;
+
+const SOON: Duration = Duration::from_secs(10);
+
+struct Node {
+    me: Peer,
+    links: Links,
+    take: Receiver<Input>,
+}
+
+/// Each node has an address of its own: connections come from another, so one
+/// to a port where nobody listens cannot meet itself.
+fn listen() -> TcpListener {
+    static NEXT: AtomicU16 = AtomicU16::new(2);
+    let [high, low] = NEXT.fetch_add(1, Ordering::SeqCst).to_be_bytes();
+    TcpListener::bind((std::net::Ipv4Addr::new(127, 2, high, low), 0)).unwrap()
+}
+
+fn peer_at(listener: &TcpListener) -> Peer {
+    Peer::new(listener.local_addr().unwrap(), new_life().unwrap())
+}
+
+impl Node {
+    fn start() -> Node {
+        Node::start_with(QueueLimits::default())
+    }
+
+    fn start_with(limits: QueueLimits) -> Node {
+        let listener = listen();
+        let me = peer_at(&listener);
+        let (give, take) = flume::unbounded();
+        let links = Links::open_with(me, listener, give, limits).unwrap();
+        Node { me, links, take }
+    }
+
+    fn tell(&self, to: SocketAddr, message: impl Into<Message>) {
+        self.links.tell(to, &message.into());
+        self.links.flush();
+    }
+
+    fn hear(&self) -> (Peer, Message) {
+        let input = self.take.recv_timeout(SOON).expect("something is heard");
+        self.links.processed();
+        match input {
+            Input::Heard { from, message } => (from, message),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Tells a number again until it is heard: a link may lose what it is given.
+    fn tell_until_heard(&self, to: &Node, id: u64) {
+        let until = Instant::now() + SOON;
+        while Instant::now() < until {
+            self.tell(to.me.address, PermitQueued { id });
+            if to.take.recv_timeout(Duration::from_millis(50)).is_ok() {
+                to.links.processed();
+                return;
+            }
+        }
+        panic!("{id} is not heard");
+    }
+}
+
+fn urgent(id: u64) -> Message {
+    PermitQueued { id }.into()
+}
+
+/// Bulk of so many bytes and a few more.
+fn bulk(id: u64, bytes: usize) -> Message {
+    Put {
+        key: [0; 32],
+        token: Token {
+            serial: id,
+            epoch: 0,
+            purged: 0,
+        },
+        reply: Reply {
+            body: Arc::new(vec![7; bytes]),
+            ..Reply::default()
+        },
+    }
+    .into()
+}
+
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + SOON;
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// All messages that a stream brings until `enough` of them are there.
+fn read_messages(stream: &mut TcpStream, enough: impl Fn(&[Message]) -> bool) -> Vec<Message> {
+    stream.set_read_timeout(Some(SOON)).unwrap();
+    let mut decoder = FrameDecoder::default();
+    let mut found = Vec::new();
+    let mut scratch = [0; 4096];
+    while !enough(&found) {
+        let size = stream.read(&mut scratch).unwrap();
+        assert!(size > 0, "the session goes on");
+        let decode = &mut |body: &[u8]| found.push(frame::decode(body).unwrap().1);
+        decoder.feed(&scratch[..size], decode).unwrap();
+    }
+    found
+}
+
+#[test]
+fn frames_that_come_byte_by_byte_are_heard_in_order() {
+    let node = Node::start();
+    let from = peer_at(&listen());
+    let mut stream = TcpStream::connect(node.me.address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    for id in 0..3 {
+        for byte in frame::write(from, &urgent(id)).unwrap() {
+            stream.write_all(&[byte]).unwrap();
+        }
+    }
+    for id in 0..3 {
+        assert_eq!(node.hear(), (from, urgent(id)));
+    }
+}
+
+#[test]
+fn a_reset_in_the_middle_of_a_frame_ends_that_session_only() {
+    let node = Node::start();
+    let (one, other) = (peer_at(&listen()), peer_at(&listen()));
+    let mut broken = TcpStream::connect(node.me.address).unwrap();
+    let mut whole = TcpStream::connect(node.me.address).unwrap();
+    whole
+        .write_all(&frame::write(other, &urgent(1)).unwrap())
+        .unwrap();
+    assert_eq!(node.hear(), (other, urgent(1)));
+    let frame = frame::write(one, &urgent(2)).unwrap();
+    broken.write_all(&frame[..frame.len() - 3]).unwrap();
+    until("both are there", || {
+        node.links.counters().inbound.get() == 2
+    });
+    let linger = socket2::SockRef::from(&broken);
+    linger.set_linger(Some(Duration::ZERO)).unwrap();
+    drop(broken);
+    until("one is left", || node.links.counters().inbound.get() == 1);
+    whole
+        .write_all(&frame::write(other, &urgent(3)).unwrap())
+        .unwrap();
+    assert_eq!(node.hear(), (other, urgent(3)));
+    // The one that was reset comes again, and its half frame is forgotten.
+    let mut again = TcpStream::connect(node.me.address).unwrap();
+    again.write_all(&frame).unwrap();
+    assert_eq!(node.hear(), (one, urgent(2)));
+}
+
+#[test]
+fn foreign_bytes_end_their_session_only() {
+    let node = Node::start();
+    let from = peer_at(&listen());
+    let mut good = TcpStream::connect(node.me.address).unwrap();
+    good.write_all(&frame::write(from, &urgent(1)).unwrap())
+        .unwrap();
+    assert_eq!(node.hear(), (from, urgent(1)));
+    let mut flipped = frame::write(peer_at(&listen()), &urgent(2)).unwrap();
+    *flipped.last_mut().unwrap() ^= 1;
+    for (at, bytes) in [b"GET / HTTP/1.1\r\n\r\n".to_vec(), flipped]
+        .into_iter()
+        .enumerate()
+    {
+        let mut foreign = TcpStream::connect(node.me.address).unwrap();
+        foreign.write_all(&bytes).unwrap();
+        foreign.set_read_timeout(Some(SOON)).unwrap();
+        // Closed with bytes unread, the system may answer with a reset.
+        assert!(matches!(foreign.read(&mut [0; 8]), Ok(0) | Err(_)));
+        until("it is counted", || {
+            node.links.counters().refused_frames.get() == at + 1
+        });
+    }
+    good.write_all(&frame::write(from, &urgent(3)).unwrap())
+        .unwrap();
+    assert_eq!(node.hear(), (from, urgent(3)));
+}
+
+#[test]
+fn a_message_that_cannot_be_decoded_is_dropped_and_counted_and_the_session_goes_on() {
+    let node = Node::start();
+    let from = peer_at(&listen());
+    let mut body = bincode::serialize(&(from, urgent(1))).unwrap();
+    let kind = body.len() - 12;
+    body[kind..kind + 4].copy_from_slice(&u32::MAX.to_le_bytes());
+    let word = (body.len() as u32).to_be_bytes();
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&word);
+    hasher.update(&body);
+    let sum = hasher.finalize().to_be_bytes();
+    let unknown = [&word[..], &sum, &body].concat();
+    let mut stream = TcpStream::connect(node.me.address).unwrap();
+    for bytes in [
+        unknown.clone(),
+        frame::write(from, &urgent(2)).unwrap(),
+        unknown,
+        frame::write(from, &urgent(3)).unwrap(),
+    ] {
+        stream.write_all(&bytes).unwrap();
+    }
+    assert_eq!(node.hear(), (from, urgent(2)));
+    assert_eq!(node.hear(), (from, urgent(3)));
+    assert_eq!(node.links.counters().undecodable.get(), 2);
+    assert_eq!(node.links.counters().refused_frames.get(), 0);
+}
+
+#[test]
+fn of_two_sessions_of_one_address_the_later_counts() {
+    let node = Node::start();
+    let from = peer_at(&listen());
+    let mut early = TcpStream::connect(node.me.address).unwrap();
+    early
+        .write_all(&frame::write(from, &urgent(1)).unwrap())
+        .unwrap();
+    assert_eq!(node.hear(), (from, urgent(1)));
+    let mut late = TcpStream::connect(node.me.address).unwrap();
+    late.write_all(&frame::write(from, &urgent(2)).unwrap())
+        .unwrap();
+    assert_eq!(node.hear(), (from, urgent(2)));
+    early.set_read_timeout(Some(SOON)).unwrap();
+    assert!(matches!(early.read(&mut [0; 8]), Ok(0)), "it was closed");
+    until("one is left", || node.links.counters().inbound.get() == 1);
+}
+
+#[test]
+fn a_session_is_one_peers() {
+    let node = Node::start();
+    let (one, other) = (peer_at(&listen()), peer_at(&listen()));
+    let mut stream = TcpStream::connect(node.me.address).unwrap();
+    for (from, id) in [(one, 1), (other, 2)] {
+        let _ = stream.write_all(&frame::write(from, &urgent(id)).unwrap());
+    }
+    assert_eq!(node.hear(), (one, urgent(1)));
+    until("it is refused", || {
+        node.links.counters().refused_frames.get() == 1
+    });
+    assert!(node.take.is_empty());
+}
+
+#[test]
+fn two_peers_that_cross_hear_all_of_each_other_in_order() {
+    const COUNT: u64 = 2_000;
+    let (one, other) = (Node::start(), Node::start());
+    for id in 0..COUNT {
+        one.tell(other.me.address, PermitQueued { id });
+        other.tell(one.me.address, PermitQueued { id });
+    }
+    for id in 0..COUNT {
+        assert_eq!(one.hear(), (other.me, urgent(id)));
+        assert_eq!(other.hear(), (one.me, urgent(id)));
+    }
+    assert_eq!(one.links.counters().inbound.get(), 1);
+    assert_eq!(one.links.counters().outbound.get(), 1);
+}
+
+#[test]
+fn a_peer_that_does_not_read_bounds_the_queue_and_hears_what_is_urgent_first() {
+    const LARGE: usize = 100_000;
+    let limits = QueueLimits {
+        peer_bulk: 1_000_000,
+        ..QueueLimits::default()
+    };
+    let node = Node::start_with(limits);
+    let listener = listen();
+    let to = listener.local_addr().unwrap();
+    let small = socket2::SockRef::from(&listener);
+    small.set_recv_buffer_size(64 * 1024).unwrap();
+    node.tell(to, urgent(0));
+    let (mut stream, _) = listener.accept().unwrap();
+    for id in 0..40 {
+        node.tell(to, bulk(id, LARGE));
+    }
+    let dropped = node.links.counters().dropped_bulk.get();
+    assert!(dropped >= 20, "{dropped} of 40 times 100 kB found no room");
+    assert!(node.links.queued_bytes() <= 1_000_000 + LARGE + 200);
+    until("the system takes no more", || {
+        let before = node.links.queued_bytes();
+        thread::sleep(Duration::from_millis(100));
+        node.links.queued_bytes() == before
+    });
+    node.tell(to, urgent(1));
+    node.tell(to, urgent(2));
+    assert_eq!(node.links.counters().dropped_urgent.get(), 0);
+    // It reads again, within the time after which it would be met anew.
+    let last = urgent(2);
+    let found = read_messages(&mut stream, |found| found.contains(&last));
+    let bulk_before = found.iter().filter(|one| matches!(one, Message::Put(_)));
+    let waiting = 40 - dropped;
+    let before = bulk_before.count();
+    assert!(before < waiting, "{before} of {waiting} were ahead");
+    let small: Vec<&Message> = found
+        .iter()
+        .filter(|one| !matches!(one, Message::Put(_)))
+        .collect();
+    assert_eq!(small, [&urgent(0), &urgent(1), &urgent(2)]);
+}
+
+#[test]
+fn what_is_sent_to_many_is_bounded_for_the_process_and_urgent_still_fits() {
+    let limits = QueueLimits {
+        process_bulk: 1_000_000,
+        process: 1_100_000,
+        ..QueueLimits::default()
+    };
+    let node = Node::start_with(limits);
+    // They accept, by the system alone, and read nothing.
+    let peers: Vec<TcpListener> = (0..20).map(|_| listen()).collect();
+    for listener in &peers {
+        let small = socket2::SockRef::from(listener);
+        small.set_recv_buffer_size(16 * 1024).unwrap();
+        for id in 0..10 {
+            node.links
+                .tell(listener.local_addr().unwrap(), &bulk(id, 100_000));
+        }
+    }
+    assert!(node.links.queued_bytes() <= 1_000_000 + 100_200);
+    assert!(node.links.counters().dropped_bulk.get() >= 180);
+    for listener in &peers {
+        node.links.tell(listener.local_addr().unwrap(), &urgent(1));
+    }
+    assert_eq!(node.links.counters().dropped_urgent.get(), 0);
+}
+
+#[test]
+fn a_peer_that_is_gone_is_met_again_when_it_is_back_and_not_too_often_before() {
+    let node = Node::start();
+    let listener = listen();
+    let me = peer_at(&listener);
+    let (give, take) = flume::unbounded();
+    let first = Links::open(me, listener, give).unwrap();
+    let mut other = Node {
+        me,
+        links: first,
+        take,
+    };
+    node.tell_until_heard(&other, 1);
+    drop(other.links);
+    until("the session has ended", || {
+        node.tell(me.address, PermitQueued { id: 2 });
+        node.links.counters().outbound.get() == 0
+    });
+    for _ in 0..100 {
+        node.tell(me.address, PermitQueued { id: 3 });
+        thread::sleep(Duration::from_millis(2));
+    }
+    assert!(node.links.queued_bytes() < 100_000);
+    let listener = TcpListener::bind(me.address).unwrap();
+    let (give, take) = flume::unbounded();
+    let life = Peer::new(me.address, new_life().unwrap());
+    other = Node {
+        me: life,
+        links: Links::open(life, listener, give).unwrap(),
+        take,
+    };
+    let began = Instant::now();
+    node.tell_until_heard(&other, 4);
+    assert!(began.elapsed() < Duration::from_secs(3));
+}
+
+#[test]
+fn tries_to_reach_a_peer_that_is_not_there_keep_their_distance() {
+    let node = Node::start();
+    let listener = listen();
+    let to = listener.local_addr().unwrap();
+    // It closes each session at once.
+    let count = thread::spawn(move || {
+        let end = Instant::now() + Duration::from_secs(1);
+        listener.set_nonblocking(true).unwrap();
+        let mut sessions = 0;
+        while Instant::now() < end {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    sessions += 1;
+                    drop(stream);
+                }
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+        sessions
+    });
+    while !count.is_finished() {
+        node.tell(to, urgent(1));
+        thread::sleep(Duration::from_millis(1));
+    }
+    let sessions = count.join().unwrap();
+    assert!((2..=12).contains(&sessions), "{sessions} in a second");
+}
+
+#[test]
+fn what_is_not_processed_is_not_read_without_bound_and_all_of_it_comes() {
+    const COUNT: u64 = 100;
+    const LARGE: usize = 200_000;
+    let limits = QueueLimits {
+        peer_bulk: 64 * 1024 * 1024,
+        process_bulk: 64 * 1024 * 1024,
+        process: 64 * 1024 * 1024,
+        ..QueueLimits::default()
+    };
+    let (one, other) = (Node::start_with(limits), Node::start());
+    for id in 0..COUNT {
+        one.tell(other.me.address, bulk(id, LARGE));
+    }
+    until("reading has paused", || {
+        other.links.backlog_bytes() >= 4 * 1024 * 1024
+    });
+    thread::sleep(Duration::from_millis(100));
+    // What one turn of reading brings, and a message that was begun before.
+    let most = 4 * 1024 * 1024 + 4 * 64 * 1024 + LARGE + 1_000;
+    assert!(other.links.backlog_bytes() <= most);
+    for id in 0..COUNT {
+        let (_, message) = other.hear();
+        assert!(matches!(message, Message::Put(put) if put.token.serial == id));
+    }
+}
+
+#[test]
+fn large_bulk_goes_in_pieces_with_what_is_urgent_between_them() {
+    const PIECES: usize = 200;
+    let node = Node::start();
+    let listener = listen();
+    let to = listener.local_addr().unwrap();
+    let small = socket2::SockRef::from(&listener);
+    small.set_recv_buffer_size(32 * 1024).unwrap();
+    node.tell(to, bulk(0, PIECES * PIECE_BYTES));
+    let (mut stream, _) = listener.accept().unwrap();
+    thread::sleep(Duration::from_millis(100));
+    node.tell(to, urgent(1));
+    let found = read_messages(&mut stream, |found| found.len() == 2);
+    assert_eq!(found[0], urgent(1), "it did not wait for all of the bulk");
+}
