The last messages leave before a process ends; a blocked link keeps one deadline

Cause: the host ends its loop with the message that says goodbye still queued for the event loop's thread, so whether it left was a race. And a link that was blocked time and again set a deadline each time, which woke the loop for nothing.

Change: the host waits for the queues to empty, 200 ms at most. A blocked session has one deadline, set anew when it comes if the session went on since. Closing a session no longer looks at all of them, and the time of the last try is forgotten also for peers whose session ended with nothing left to send.

`cargo test -p kernel`: all pass.

--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -99,6 +99,8 @@
 }
 
 const WATCH: Duration = Duration::from_secs(1);
+/// The last messages have this long to leave before the process ends.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 /// While more inputs wait, what is told leaves after so many of them at the
 /// latest, together.
 const FLUSH_STEPS: u32 = 32;
@@ -220,6 +222,7 @@
                 unflushed = 0;
             }
         }
+        links.drain(LAST_WORDS);
         note(Event::Ended, "nothing is left to do");
         Ok(())
     }
--- a/kernel/src/link/event_loop.rs
+++ b/kernel/src/link/event_loop.rs
@@ -317,13 +317,14 @@
         }
         self.retry.insert(to, self.now + RETRY);
         let token = self.new_token();
-        let begun = Outbound::connect(to, self.now + CONNECT, STALL).and_then(|mut session| {
-            let both = Interest::READABLE | Interest::WRITABLE;
-            self.poll
-                .registry()
-                .register(&mut session.stream, token, both)?;
-            Ok(session)
-        });
+        let begun =
+            Outbound::connect(token, to, self.now + CONNECT, STALL).and_then(|mut session| {
+                let both = Interest::READABLE | Interest::WRITABLE;
+                self.poll
+                    .registry()
+                    .register(&mut session.stream, token, both)?;
+                Ok(session)
+            });
         match begun {
             Ok(session) => {
                 keep_alive(&session.stream);
@@ -340,9 +341,7 @@
     fn connect_failed(&mut self, to: SocketAddr) {
         self.close_outbound(to);
         self.shared.lock_outbox().forget(to);
-        // The last try is remembered until its pause is over.
-        let at = self.retry.get(&to).copied().unwrap_or(self.now);
-        self.deadlines.insert((at, to));
+        self.forget_retry_later(to);
     }
 
     fn handle_outbound(&mut self, to: SocketAddr, event: &Readiness) {
@@ -376,12 +375,14 @@
                 self.unwritten.push(to);
             }
             Writing::Blocked { progress } => {
-                let stalls = match session.state {
+                let until = match session.state {
                     Connection::Blocked { until } if !progress => until,
                     _ => self.now + STALL,
                 };
-                session.state = Connection::Blocked { until: stalls };
-                self.deadlines.insert((stalls, to));
+                session.state = Connection::Blocked { until };
+                if !std::mem::replace(&mut session.watched, true) {
+                    self.deadlines.insert((until, to));
+                }
             }
             Writing::Broken(error) => self.broken(to, &error),
         }
@@ -400,12 +401,20 @@
         drop(outbox);
         if waits {
             self.connect(to);
+        } else {
+            self.forget_retry_later(to);
         }
     }
 
+    /// The last try is remembered until its pause is over.
+    fn forget_retry_later(&mut self, to: SocketAddr) {
+        let at = self.retry.get(&to).copied().unwrap_or(self.now);
+        self.deadlines.insert((at.max(self.now), to));
+    }
+
     fn close_outbound(&mut self, to: SocketAddr) {
-        if self.outbound.remove(&to).is_some() {
-            self.outbound_tokens.retain(|_, address| *address != to);
+        if let Some(session) = self.outbound.remove(&to) {
+            self.outbound_tokens.remove(&session.token);
             self.count_sessions();
         }
     }
@@ -434,7 +443,7 @@
             Some(Connection::Blocked { until }) if until <= self.now => {
                 self.broken(address, &ErrorKind::TimedOut.into());
             }
-            Some(_) => {}
+            Some(state) => self.watch_again(address, state),
             None => {
                 let waits = !self.shared.lock_outbox().is_empty(address);
                 if waits {
@@ -446,6 +455,20 @@
         }
     }
 
+    /// A session that was blocked when it was watched has gone on since.
+    fn watch_again(&mut self, address: SocketAddr, state: Connection) {
+        let Some(session) = self.outbound.get_mut(&address) else {
+            return;
+        };
+        match state {
+            Connection::Blocked { until } => {
+                self.deadlines.insert((until, address));
+            }
+            Connection::Open => session.watched = false,
+            Connection::Connecting { .. } => {}
+        }
+    }
+
     fn count_sessions(&self) {
         let counters = &self.shared.counters;
         counters.inbound.set(self.inbound.len());
--- a/kernel/src/link/mod.rs
+++ b/kernel/src/link/mod.rs
@@ -55,6 +55,8 @@
 use std::sync::MutexGuard;
 
 const WAKER: mio::Token = mio::Token(0);
+/// Between looks at what is left to be sent before the process ends.
+const DRAIN_STEP: Duration = Duration::from_millis(5);
 /// Dropped messages are noted at most this often.
 const NOTE_DROPPED: Duration = Duration::from_secs(1);
 
@@ -142,6 +144,15 @@
         }
     }
 
+    /// Has all that was queued sent and waits for it, for so long at most.
+    pub fn drain(&self, limit: Duration) {
+        let end = Instant::now() + limit;
+        self.flush();
+        while self.queued_bytes() > 0 && Instant::now() < end {
+            thread::sleep(DRAIN_STEP);
+        }
+    }
+
     /// The earliest message received that was not processed yet, is now.
     pub fn processed(&self) {
         if self.shared.backlog.processed() {
--- a/kernel/src/link/outbound.rs
+++ b/kernel/src/link/outbound.rs
@@ -1,6 +1,7 @@
 //! A session that we opened to a peer: we only speak.
 use crate::link::queue::Outbox;
 use crate::prelude::*;
+use mio::Token;
 use mio::net::TcpStream;
 use socket2::SockRef;
 use std::io;
@@ -14,8 +15,11 @@
 const UNSENT_BYTES: u32 = 32 * 1024;
 
 pub struct Outbound {
+    pub token: Token,
     pub stream: TcpStream,
     pub state: Connection,
+    /// A deadline for being blocked is set.
+    pub watched: bool,
     /// What was taken from the queue and not by the system.
     rest: Vec<u8>,
     written: usize,
@@ -50,15 +54,22 @@
 
 impl Outbound {
     /// Begins to connect.
-    pub fn connect(to: SocketAddr, until: Instant, stall: Duration) -> io::Result<Outbound> {
+    pub fn connect(
+        token: Token,
+        to: SocketAddr,
+        until: Instant,
+        stall: Duration,
+    ) -> io::Result<Outbound> {
         let stream = TcpStream::connect(to)?;
         let socket = SockRef::from(&stream);
         let _ = socket.set_tcp_nodelay(true);
         let _ = socket.set_tcp_user_timeout(Some(stall));
         let _ = socket.set_tcp_notsent_lowat(UNSENT_BYTES);
         Ok(Outbound {
+            token,
             stream,
             state: Connection::Connecting { until },
+            watched: false,
             rest: Vec::new(),
             written: 0,
         })
