News is encoded once for all edges that lack the same, and not told twice at once

Cause: each renewal of an edge that lacked the duty table (some 430 KB at 25 rings) cloned its rows and encoded them again, for each edge and, on a slow link, again every 200 ms before the first copy had arrived.

Change: `SharedNews` holds the encoded form; a frame has bytes of its own and the shared ones, which count once against the bound of the process. `NewsReplies` keeps what was taken from the replica by the versions an edge knows, until an epoch or published version changes. What is large and was told for the same versions is not told again before a link of 4 Mbit/s could have carried it; renewals meanwhile get no reply, since none would count without it. The wire format is the same.

--- a/control-plane/src/control_part/edge_sessions.rs
+++ b/control-plane/src/control_part/edge_sessions.rs
@@ -14,11 +14,12 @@
     pub(super) fn renew(&mut self, now: Duration, from: Peer, renew: RenewRequest) {
         let mine = self.replica.realm();
         // An edge of another realm takes everything anew.
-        let news = if renew.realm == mine || mine == 0 {
-            self.replica.news(&renew.vector)
+        let known: &[u64] = if renew.realm == mine || mine == 0 {
+            &renew.vector
         } else {
-            self.replica.news(&[])
+            &[]
         };
+        let news = self.news_replies.reply(now, from, known, &self.replica);
         let recall = now < self.closed;
         let founded = renew.realm == 0 || mine != 0;
         let RenewRequest {
@@ -57,6 +58,11 @@
         if !founded {
             return;
         }
+        // A renewal counts only with all news it lacks: while that is on the way
+        // there is nothing to say.
+        let Some(news) = news else {
+            return;
+        };
         let mark = self.sessions.mark();
         self.tell(
             from.address,
--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -49,6 +49,7 @@
     /// The replica's, and what was met while the disk was blank.
     retired: VecDeque<u64>,
     sessions: Sessions,
+    news_replies: NewsReplies,
     pending_replies: Vec<PendingReply>,
     operator_calls: BTreeMap<u64, OperatorCall>,
     finished_since: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
@@ -161,6 +162,7 @@
             superseded: BTreeMap::new(),
             peers: BTreeMap::new(),
             sessions: Sessions::new(run),
+            news_replies: NewsReplies::default(),
             pending_replies: Vec::new(),
             operator_calls: BTreeMap::new(),
             finished_since: BTreeMap::new(),
--- a/control-plane/src/lib.rs
+++ b/control-plane/src/lib.rs
@@ -4,6 +4,7 @@
 mod duty_plan;
 mod history;
 mod ledger;
+mod news_replies;
 mod operator_face;
 mod partition_leader;
 pub mod prelude;
--- /dev/null
+++ b/control-plane/src/news_replies.rs
@@ -0,0 +1,92 @@
+//! What renewing edges are told of the news, shared among those that lack the
+//! same.
+use crate::prelude::*;
+
+/// Replies kept for others that lack the same: edges that renew at one time know
+/// one of few versions.
+const KEPT: usize = 8;
+/// Less than this is told with every renewal that lacks it.
+const LARGE_BYTES: usize = 16 * 1024;
+/// What is large is told again only after the time that it takes over a link of
+/// 4 Mbit/s, and a little more: renewals come faster than it arrives there.
+const SLOW_LINK_BYTES_A_SECOND: usize = 500_000;
+const AGAIN: Duration = Duration::from_millis(250);
+
+/// Invariant: what is kept was taken from the replica as it is now.
+#[derive(Debug, Default)]
+pub struct NewsReplies {
+    /// Epoch and published version of each news slice when `kept` was taken.
+    shown: Vec<(u64, u64)>,
+    /// By the versions that the edge knows, the latest last.
+    kept: VecDeque<(Vec<u64>, SharedNews)>,
+    on_the_way: BTreeMap<Peer, OnTheWay>,
+}
+
+/// Large news told to an edge that has not confirmed it.
+#[derive(Debug)]
+struct OnTheWay {
+    /// What the edge knew when it was told.
+    known: Vec<u64>,
+    /// Not told again before.
+    until: Duration,
+}
+
+impl NewsReplies {
+    /// What an edge lacks that knows these versions. None if it was told the
+    /// same a moment ago, and that may not have arrived yet.
+    pub fn reply(
+        &mut self,
+        now: Duration,
+        edge: Peer,
+        vector: &[u64],
+        replica: &Replica,
+    ) -> Option<SharedNews> {
+        let known: Vec<u64> = (0..usize::from(NEWS))
+            .map(|slice| vector.get(slice).copied().unwrap_or(0))
+            .collect();
+        let told = self.on_the_way.get(&edge);
+        if told.is_some_and(|told| told.known == known && now < told.until) {
+            return None;
+        }
+        let news = self.lacking(&known, replica);
+        let bytes = if news.is_empty() {
+            0
+        } else {
+            news.encoded().len()
+        };
+        if bytes < LARGE_BYTES {
+            self.on_the_way.remove(&edge);
+        } else {
+            let takes = Duration::from_secs_f64(bytes as f64 / SLOW_LINK_BYTES_A_SECOND as f64);
+            let until = now + takes + AGAIN;
+            self.on_the_way.retain(|_, told| now < told.until);
+            self.on_the_way.insert(edge, OnTheWay { known, until });
+        }
+        Some(news)
+    }
+
+    fn lacking(&mut self, known: &[u64], replica: &Replica) -> SharedNews {
+        let held = (0..NEWS).map(|slice| &replica.held(slice).image);
+        let shown: Vec<(u64, u64)> = held.map(|image| (image.epoch, image.published)).collect();
+        let knows_all = |((_, published), known): (&(u64, u64), &u64)| known >= published;
+        if shown.iter().zip(known).all(knows_all) {
+            return SharedNews::default();
+        }
+        if self.shown != shown {
+            self.kept.clear();
+            self.shown = shown;
+        }
+        if let Some((_, news)) = self.kept.iter().find(|(kept, _)| kept == known) {
+            return news.clone();
+        }
+        let news = SharedNews::from(replica.news(known));
+        self.kept.push_back((known.to_vec(), news.clone()));
+        if self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+        news
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/control-plane/src/news_replies/tests.rs
@@ -0,0 +1,110 @@
+use crate::prelude::*;
+
+fn edge(port: u16) -> Peer {
+    Peer::new(SocketAddr::from(([127, 0, 0, 1], port)), 1)
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Publishes so many rows more of the purges.
+fn publish(replica: &mut Replica, count: u64) {
+    let from = replica.held(PURGES).image.version;
+    let to = from + count;
+    let row = |version: u64| {
+        let prefix = Some(format!("/{version:0100}"));
+        let purge = Purge {
+            prefix,
+            ..Purge::default()
+        };
+        let value = Value::Purge {
+            purge,
+            change: version,
+        };
+        (format!("purge/{version}"), Row { version, value })
+    };
+    let keep = AppendRequest {
+        slice: PURGES,
+        epoch: 1,
+        membership_version: 0,
+        round: to,
+        whole: from == 0,
+        from,
+        to,
+        rows: (from + 1..=to).map(row).collect(),
+        drops: vec![],
+        published: to,
+    };
+    replica.apply(&Record::Appended { keep });
+}
+
+fn told(replies: &mut NewsReplies, ms: u64, to: Peer, known: u64, from: &Replica) -> SharedNews {
+    let vector = [0, known, 0, 0, 0];
+    let news = replies
+        .reply(at(ms), to, &vector, from)
+        .expect("it is told");
+    assert_eq!(news.to_vec(), from.news(&vector));
+    news
+}
+
+#[test]
+fn edges_that_lack_the_same_share_it_until_more_is_published() {
+    let mut replica = Replica::blank(1);
+    let mut replies = NewsReplies::default();
+    publish(&mut replica, 400);
+    let first = told(&mut replies, 0, edge(1), 0, &replica);
+    let second = told(&mut replies, 0, edge(2), 0, &replica);
+    assert!(Arc::ptr_eq(&first.encoded(), &second.encoded()));
+    let behind = told(&mut replies, 0, edge(3), 399, &replica);
+    assert_eq!(behind[0].rows.len(), 1, "only what it lacks");
+    assert!(told(&mut replies, 0, edge(4), 400, &replica).is_empty());
+    publish(&mut replica, 1);
+    let later = told(&mut replies, 0, edge(5), 0, &replica);
+    assert_eq!(later[0].rows.len(), 401);
+}
+
+#[test]
+fn a_slice_taken_from_another_disk_is_not_told_as_it_was() {
+    let mut replica = Replica::blank(1);
+    let mut replies = NewsReplies::default();
+    publish(&mut replica, 3);
+    told(&mut replies, 0, edge(1), 0, &replica);
+    let mut other = Replica::blank(2);
+    publish(&mut other, 3);
+    other.slices[usize::from(PURGES)].image.epoch = 2;
+    other.slices[usize::from(PURGES)].shown.clear();
+    told(&mut replies, 0, edge(1), 0, &other);
+}
+
+#[test]
+fn what_is_large_and_on_the_way_is_told_again_only_after_a_while() {
+    let mut replica = Replica::blank(1);
+    let mut replies = NewsReplies::default();
+    publish(&mut replica, 2_000);
+    let news = told(&mut replies, 0, edge(1), 0, &replica);
+    let bytes = news.encoded().len() as u64;
+    assert!(bytes > 200_000);
+    let again = bytes / 500 + 251;
+    for ms in [1, 200, again - 2] {
+        let vector = [0; 5];
+        assert_eq!(replies.reply(at(ms), edge(1), &vector, &replica), None);
+    }
+    told(&mut replies, 201, edge(2), 0, &replica);
+    // Another run of the edge, and one that has taken some of it, get theirs.
+    let life = Peer::new(edge(1).address, 2);
+    told(&mut replies, 202, life, 0, &replica);
+    told(&mut replies, 203, edge(1), 1_900, &replica);
+    told(&mut replies, 204, edge(1), 0, &replica);
+    told(&mut replies, 204 + again, edge(1), 0, &replica);
+}
+
+#[test]
+fn what_is_small_is_told_with_every_renewal() {
+    let mut replica = Replica::blank(1);
+    let mut replies = NewsReplies::default();
+    publish(&mut replica, 2);
+    for ms in 0..3 {
+        assert_eq!(told(&mut replies, ms, edge(1), 0, &replica).len(), 1);
+    }
+}
--- a/control-plane/src/prelude.rs
+++ b/control-plane/src/prelude.rs
@@ -3,6 +3,7 @@
 pub use crate::duty_plan::DutyPlan;
 pub use crate::history::History;
 pub use crate::ledger::Ledger;
+pub use crate::news_replies::NewsReplies;
 pub use crate::partition_leader::PartitionLeader;
 pub use crate::replica::{RETIRED, Record, Replica};
 pub use crate::replica_recovery::{Merged, ReplicaRecovery};
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -233,7 +233,7 @@
             self.tell_ended();
         }
         let mut newer = false;
-        for news in renewed.news {
+        for news in renewed.news.into_news() {
             if news.version > self.vector[usize::from(news.slice)] {
                 newer = true;
                 self.learn(now, news);
@@ -1708,7 +1708,7 @@
                 sent: at(now),
                 realm: 0,
                 recall: false,
-                news: vec![],
+                news: SharedNews::default(),
             };
             edge.step(
                 at(now),
@@ -1835,7 +1835,7 @@
                 sent: at(5000),
                 realm: 0,
                 recall: false,
-                news: vec![],
+                news: SharedNews::default(),
             };
             for _ in 0..2 {
                 edge.step(
@@ -1889,7 +1889,8 @@
                 slice: PURGES,
                 version: 4,
                 rows: vec![],
-            }],
+            }]
+            .into(),
         };
         assert_eq!(
             said(
@@ -1955,13 +1956,13 @@
             version: 1,
             rows: vec![("places".into(), row)],
         }];
-        let renewed = |sent, news| RenewReply {
+        let renewed = |sent, news: Vec<News>| RenewReply {
             life: 5,
             mark: Mark::default(),
             sent: at(sent),
             realm: 0,
             recall: false,
-            news,
+            news: news.into(),
         };
         edge.step(
             at(1100),
@@ -2083,7 +2084,7 @@
             sent: at(1000),
             realm: 0,
             recall: false,
-            news,
+            news: news.into(),
         };
         edge.step(
             at(1000),
--- a/kernel/src/frame.rs
+++ b/kernel/src/frame.rs
@@ -11,6 +11,8 @@
 pub const FRAME_BYTES: usize = 64 * 1024 * 1024;
 /// A larger message that need not hurry goes in pieces of this size.
 pub const PIECE_BYTES: usize = 16 * 1024;
+/// What an empty list is encoded as: its length.
+const EMPTY_LIST_BYTES: usize = 8;
 const HEADER_BYTES: usize = 8;
 /// The body is a piece of a message.
 const PIECE: u32 = 1 << 30;
@@ -50,9 +52,14 @@
 
 impl EncodedMessage {
     pub fn new(from: Peer, message: &Message) -> Result<EncodedMessage> {
-        let encoded = EncodedMessage {
-            own: bincode::serialize(&(from, message))?,
-            shared: None,
+        let encoded = match message {
+            Message::RenewReply(reply) if !reply.news.is_empty() => {
+                EncodedMessage::sharing_news(from, reply)?
+            }
+            _ => EncodedMessage {
+                own: bincode::serialize(&(from, message))?,
+                shared: None,
+            },
         };
         if encoded.len() > FRAME_BYTES {
             bail!(FrameError::TooLarge(encoded.len()));
@@ -60,6 +67,20 @@
         Ok(encoded)
     }
 
+    /// News is the last field of a reply, so it stands at the end.
+    fn sharing_news(from: Peer, reply: &RenewReply) -> Result<EncodedMessage> {
+        let without = RenewReply {
+            news: SharedNews::default(),
+            ..reply.clone()
+        };
+        let mut own = bincode::serialize(&(from, Message::from(without)))?;
+        own.truncate(own.len() - EMPTY_LIST_BYTES);
+        Ok(EncodedMessage {
+            own,
+            shared: Some(reply.news.encoded()),
+        })
+    }
+
     pub fn len(&self) -> usize {
         self.own.len() + self.shared().map_or(0, |shared| shared.len())
     }
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod prelude;
 pub mod quorum;
 pub mod row;
+pub mod shared_news;
 pub mod startup;
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -69,8 +69,9 @@
     /// `heard`: the last mark of this control node, none before the first.
     RenewRequest { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, ring: String, strength: u32, draining: bool, usage: Usage, found: Vec<OriginFound> }
     /// To the life that sent the renewal, with its own time of sending.
-    /// `recall`: acknowledged operations may be lost; tell those you know.
-    RenewReply { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
+    /// `recall`: acknowledged operations may be lost; tell those you know. `news` stands
+    /// last: it is encoded once for all who are told the same.
+    RenewReply { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: SharedNews }
     /// Tell all rows you know of this slice: more than its owner does.
     RecallRequest { slice: u8 }
     RecallReply { slice: u8, version: u64, rows: Vec<(String, Row)> }
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -34,4 +34,5 @@
 pub use crate::plug_in::*;
 pub use crate::quorum::Quorum;
 pub use crate::row::*;
+pub use crate::shared_news::SharedNews;
 pub use crate::startup::{Startup, help_or_version};
--- a/kernel/tests/frames.rs
+++ b/kernel/tests/frames.rs
@@ -131,6 +131,39 @@
     assert!(frame::decode(&body).is_err());
 }
 
+#[test]
+fn news_told_to_many_is_encoded_once_and_read_as_ever() {
+    let news = SharedNews::from(vec![News {
+        slice: 3,
+        version: 7,
+        rows: match large(2) {
+            Message::RecallReply(reply) => reply.rows,
+            _ => vec![],
+        },
+    }]);
+    let reply = |life: u64| {
+        Message::from(RenewReply {
+            life,
+            mark: Mark::default(),
+            sent: Duration::from_millis(life),
+            realm: 5,
+            recall: false,
+            news: news.clone(),
+        })
+    };
+    let [one, other] = [1, 2].map(|life| EncodedMessage::new(peer(), &reply(life)).unwrap());
+    assert!(Arc::ptr_eq(one.shared().unwrap(), other.shared().unwrap()));
+    assert!(one.own_len() < 200);
+    for life in [1, 2] {
+        let whole = bincode::serialize(&(peer(), reply(life))).unwrap();
+        let frame = frame::write(peer(), &reply(life)).unwrap();
+        assert_eq!(frame[8..], whole);
+        let pieces = in_pieces(&reply(life)).concat();
+        let found = messages(&mut FrameDecoder::default(), &pieces);
+        assert_eq!(found, [reply(life)]);
+    }
+}
+
 proptest::proptest! {
     #![proptest_config(Config::with_cases(512))]
 
