--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -50,6 +50,7 @@
     /// The replica's, and what was met while the disk was blank.
     retired: VecDeque<u64>,
     sessions: Sessions,
+    news_replies: NewsReplies,
     pending_replies: Vec<PendingReply>,
     operator_calls: BTreeMap<u64, OperatorCall>,
     /// Changes passed on for other members, by the id under which that was done.
@@ -190,6 +191,7 @@
             superseded: BTreeMap::new(),
             peers: BTreeMap::new(),
             sessions: Sessions::new(run),
+            news_replies: NewsReplies::default(),
             pending_replies: Vec::new(),
             operator_calls: BTreeMap::new(),
             relays: BTreeMap::new(),
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -233,7 +233,7 @@
             self.tell_ended();
         }
         let mut newer = false;
-        for news in renewed.news {
+        for news in renewed.news.into_news() {
             if news.version > self.vector[usize::from(news.slice)] {
                 newer = true;
                 self.learn(now, news);
@@ -1714,7 +1714,7 @@
                 sent: at(now),
                 realm: 0,
                 recall: false,
-                news: vec![],
+                news: SharedNews::default(),
             };
             edge.step(
                 at(now),
@@ -1841,7 +1841,7 @@
                 sent: at(5000),
                 realm: 0,
                 recall: false,
-                news: vec![],
+                news: SharedNews::default(),
             };
             for _ in 0..2 {
                 edge.step(
@@ -1895,7 +1895,8 @@
                 slice: PURGES,
                 version: 4,
                 rows: vec![],
-            }],
+            }]
+            .into(),
         };
         assert_eq!(
             said(
@@ -1961,13 +1962,13 @@
             version: 1,
             rows: vec![("places".into(), row)],
         }];
-        let renewed = |sent, news| RenewReply {
+        let renewed = |sent, news: Vec<News>| RenewReply {
             life: 5,
             mark: Mark::default(),
             sent: at(sent),
             realm: 0,
             recall: false,
-            news,
+            news: news.into(),
         };
         edge.step(
             at(1100),
@@ -2089,7 +2090,7 @@
             sent: at(1000),
             realm: 0,
             recall: false,
-            news,
+            news: news.into(),
         };
         edge.step(
             at(1000),
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod prelude;
 pub mod quorum;
 pub mod row;
+pub mod shared_news;
 pub mod slot_set;
 pub mod startup;
