What proves that a call did not run: ids first, kept connections carry an id once

Cause: review of every answer against the call it is taken for. - A try again at the same origin went over the kept connection of the try before, under the same caller's id. A second, late answer to the first try (503 Not-Executed, say) then passed as the answer to the second, which may have run. A connection now remembers the hashes of its last 32 echoed ids and is passed over for a call with one of them; if it takes the last session, it makes room. - In our own words, any answer without the named instance's header counted as 'another instance, which did not run it', whatever its status and before its errand was looked at. Now the errand comes first, and only 421 is that refusal. Ruled out: retrying a call whose kept connection ended before any byte of an answer (its bytes may have been read).

--- a/data-plane/src/lib.rs
+++ b/data-plane/src/lib.rs
@@ -1,5 +1,6 @@
 //! The data plane: filters, cache owners, gates, calls to origins.
 mod cache_owner;
+mod call_result;
 mod caller_face;
 mod edge_part;
 mod filter;
@@ -13,6 +14,7 @@
 mod purge_book;
 mod room;
 mod seal;
+pub use call_result::judge_call;
 pub use caller_face::errand_of;
 pub use edge_part::EdgePart;
 pub use line_face::LineFace;
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -259,25 +259,7 @@
         let Some(call) = self.calls.lock().expect("no holder panics").remove(&id) else {
             return;
         };
-        let result = match came {
-            Came::Reply {
-                status,
-                headers,
-                body,
-            } => match self.dialect.judge(&call, status, &headers, &body) {
-                Judged::Own { headers, tags } => CallBack::Good(Reply {
-                    status,
-                    headers,
-                    body: Arc::new(body),
-                    tags,
-                }),
-                Judged::NotRun => CallBack::NotRun,
-                Judged::Stranger => CallBack::Stranger,
-                Judged::Bad(why) => CallBack::Bad(why),
-            },
-            Came::Unsent(_) => CallBack::Refused,
-            Came::Lost { why, .. } => CallBack::Bad(why),
-        };
+        let result = judge_call(self.dialect.as_ref(), &call, came);
         let _ = self.port.give.send(Input::Called { id, result });
     }
 
--- a/data-plane/src/own_words.rs
+++ b/data-plane/src/own_words.rs
@@ -16,6 +16,9 @@
     "vary",
 ];
 const ERRAND: &str = "otterslip-errand";
+const INSTANCE: &str = "otterslip-instance";
+/// The status of an instance that was not the one named, and ran nothing.
+const MISDIRECTED: u16 = 421;
 /// Of an origin's answer that it did not run the errand.
 const NOT_RUN: &str = "otterslip-not-run";
 
@@ -36,7 +39,7 @@
         let mut headers = vec![
             ("Host".to_string(), call.origin.address.to_string()),
             ("otterslip-service".into(), call.origin.service.clone()),
-            ("otterslip-instance".into(), call.origin.instance.clone()),
+            (INSTANCE.into(), call.origin.instance.clone()),
             (ERRAND.into(), call.errand.to_string()),
             ("x-forwarded-host".into(), call.host.clone()),
         ];
@@ -56,14 +59,18 @@
         let errand = call.errand.to_string();
         match call.proof {
             Proof::Named => {
-                let other = header(headers, "otterslip-instance")
-                    .is_none_or(|name| name != call.origin.instance);
-                if status == 421 || other {
-                    return Judged::Stranger;
-                }
+                // Before all else: an answer to another call proves nothing of
+                // this one.
                 if header(headers, ERRAND) != Some(errand.as_str()) {
                     return Judged::Bad("the answer is to another errand".into());
                 }
+                if status == MISDIRECTED {
+                    return Judged::Stranger;
+                }
+                // Without the refusal, another instance may have run it.
+                if header(headers, INSTANCE) != Some(call.origin.instance.as_str()) {
+                    return Judged::Bad("the answer of another instance".into());
+                }
             }
             Proof::Seal => {
                 let seal = Seal {
@@ -127,97 +134,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::prelude::*;
-
-    fn call(proof: Proof) -> Call {
-        let address = SocketAddr::from(([127, 0, 0, 1], 50));
-        let origin = Origin {
-            address,
-            service: "s".into(),
-            instance: "i1".into(),
-            leaving: false,
-            zone: String::new(),
-            region: String::new(),
-            capacity: 0,
-            cold_ms: 0,
-        };
-        let (host, url, key) = ("h".into(), "/u".into(), String::new());
-        let (headers, body) = (vec![], Arc::default());
-        Call {
-            origin,
-            method: "GET".into(),
-            url,
-            host,
-            headers,
-            body,
-            operation: None,
-            name: None,
-            errand: 9,
-            key,
-            proof,
-            limit: Duration::from_secs(1),
-            sessions: 1,
-        }
-    }
-
-    #[test]
-    fn a_named_answer_counts_only_from_the_instance_and_for_the_errand_that_were_named() {
-        let told = |headers: &[(&str, &str)], status| {
-            let headers: Vec<(String, String)> = headers
-                .iter()
-                .map(|(name, value)| (name.to_string(), value.to_string()))
-                .collect();
-            OwnWords.judge(&call(Proof::Named), status, &headers, b"x")
-        };
-        let good = [
-            ("otterslip-instance", "i1"),
-            ("otterslip-errand", "9"),
-            ("otterslip-tags", "a b"),
-            ("etag", "1"),
-            ("x-own", "2"),
-        ];
-        assert_eq!(
-            told(&good, 200),
-            Judged::Own {
-                headers: vec![("etag".into(), "1".into())],
-                tags: vec!["a".into(), "b".into()]
-            }
-        );
-        assert_eq!(told(&good, 421), Judged::Stranger);
-        assert_eq!(
-            told(
-                &[("otterslip-instance", "i2"), ("otterslip-errand", "9")],
-                200
-            ),
-            Judged::Stranger
-        );
-        assert!(matches!(
-            told(
-                &[("otterslip-instance", "i1"), ("otterslip-errand", "8")],
-                200
-            ),
-            Judged::Bad(_)
-        ));
-        assert_eq!(
-            told(
-                &[
-                    ("otterslip-instance", "i1"),
-                    ("otterslip-errand", "9"),
-                    ("otterslip-not-run", "1")
-                ],
-                503
-            ),
-            Judged::NotRun
-        );
-        assert!(
-            matches!(
-                OwnWords.judge(&call(Proof::Seal), 200, &[], b"x"),
-                Judged::Bad(_)
-            ),
-            "unsealed"
-        );
-    }
-}
--- a/data-plane/src/prelude.rs
+++ b/data-plane/src/prelude.rs
@@ -1,4 +1,5 @@
 pub use crate::cache_owner::CacheOwner;
+pub use crate::call_result::judge_call;
 pub use crate::caller_face::errand_of;
 pub use crate::edge_part::EdgePart;
 pub use crate::filter::{Arrival, Filter, FilterPlugIn, Filtered, chain};
--- /dev/null
+++ b/data-plane/tests/call_result.rs
@@ -0,0 +1,133 @@
+//! Which endings of a call prove that its request did not run.
+use data_plane::prelude::*;
+use std::net::SocketAddr;
+
+const ERRAND: u64 = 9;
+
+fn call(proof: Proof) -> Call {
+    Call {
+        origin: Origin {
+            address: SocketAddr::from(([127, 0, 0, 1], 50)),
+            service: "s".into(),
+            instance: "i1".into(),
+            leaving: false,
+            zone: String::new(),
+            region: String::new(),
+            capacity: 0,
+            cold_ms: 0,
+        },
+        method: "POST".into(),
+        url: "/u".into(),
+        host: "h".into(),
+        headers: vec![],
+        body: Arc::default(),
+        operation: None,
+        name: None,
+        errand: ERRAND,
+        key: String::new(),
+        proof,
+        limit: Duration::from_secs(1),
+        sessions: 1,
+    }
+}
+
+fn reply(status: u16, headers: &[(&str, &str)], sized: bool) -> Came {
+    Came::Reply {
+        status,
+        headers: headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.to_string()))
+            .collect(),
+        body: b"x".to_vec(),
+        sized,
+    }
+}
+
+const OWN: [(&str, &str); 2] = [("otterslip-instance", "i1"), ("otterslip-errand", "9")];
+const REFUSED: [(&str, &str); 3] = [
+    ("otterslip-instance", "i1"),
+    ("otterslip-errand", "9"),
+    ("otterslip-not-run", "1"),
+];
+const REFUSED_ANOTHER: [(&str, &str); 3] = [
+    ("otterslip-instance", "i1"),
+    ("otterslip-errand", "8"),
+    ("otterslip-not-run", "1"),
+];
+
+fn judged(came: Came) -> CallBack {
+    judge_call(&OwnWords, &call(Proof::Named), came)
+}
+
+#[test]
+fn only_an_unsent_call_and_the_origins_own_word_prove_that_nothing_ran() {
+    let proofs = [
+        Came::Unsent("connect: refused".into()),
+        reply(503, &REFUSED, true),
+        reply(421, &OWN, true),
+    ];
+    for came in proofs {
+        let text = format!("{came:?}");
+        assert!(
+            matches!(
+                judged(came),
+                CallBack::Refused | CallBack::NotRun | CallBack::Stranger
+            ),
+            "{text}"
+        );
+    }
+    let lost = |reused| Came::Lost {
+        why: "connection reset".into(),
+        reused,
+    };
+    let no_proofs = [
+        lost(false),
+        lost(true),
+        reply(503, &REFUSED_ANOTHER, true),
+        reply(421, &REFUSED_ANOTHER[..2], true),
+        reply(421, &[], true),
+        reply(503, &[("otterslip-not-run", "1")], true),
+        reply(200, &OWN, false),
+    ];
+    for came in no_proofs {
+        let text = format!("{came:?}");
+        assert!(matches!(judged(came), CallBack::Bad(_)), "{text}");
+    }
+}
+
+#[test]
+fn a_body_of_unknown_end_passes_only_under_a_seal() {
+    assert!(matches!(
+        judged(reply(200, &OWN, true)),
+        CallBack::Good(Reply { status: 200, .. })
+    ));
+    let key = SigningKey::from_bytes(&[7; 32]);
+    let sealed = Call {
+        key: BASE64.encode(key.verifying_key().to_bytes()),
+        ..call(Proof::Seal)
+    };
+    let seal = Seal {
+        status: 200,
+        method: "POST",
+        target: "/u",
+        service: "s",
+        instance: "i1",
+        operation: "",
+        errand: "9",
+        body: b"x",
+    };
+    let came = |body: &[u8]| Came::Reply {
+        status: 200,
+        headers: seal.sign(&key),
+        body: body.to_vec(),
+        sized: false,
+    };
+    assert!(matches!(
+        judge_call(&OwnWords, &sealed, came(b"x")),
+        CallBack::Good(_)
+    ));
+    assert!(matches!(
+        judge_call(&OwnWords, &sealed, came(b"")),
+        CallBack::Bad(_)
+    ));
+}
--- /dev/null
+++ b/data-plane/tests/own_words.rs
@@ -0,0 +1,104 @@
+//! How the answers of origins are judged in otterslip's own words.
+use data_plane::prelude::*;
+
+fn call(proof: Proof) -> Call {
+    let address = SocketAddr::from(([127, 0, 0, 1], 50));
+    let origin = Origin {
+        address,
+        service: "s".into(),
+        instance: "i1".into(),
+        leaving: false,
+        zone: String::new(),
+        region: String::new(),
+        capacity: 0,
+        cold_ms: 0,
+    };
+    let (host, url, key) = ("h".into(), "/u".into(), String::new());
+    let (headers, body) = (vec![], Arc::default());
+    Call {
+        origin,
+        method: "GET".into(),
+        url,
+        host,
+        headers,
+        body,
+        operation: None,
+        name: None,
+        errand: 9,
+        key,
+        proof,
+        limit: Duration::from_secs(1),
+        sessions: 1,
+    }
+}
+
+#[test]
+fn a_named_answer_counts_only_from_the_instance_and_for_the_errand_that_were_named() {
+    let told = |headers: &[(&str, &str)], status| {
+        let headers: Vec<(String, String)> = headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.to_string()))
+            .collect();
+        OwnWords.judge(&call(Proof::Named), status, &headers, b"x")
+    };
+    let good = [
+        ("otterslip-instance", "i1"),
+        ("otterslip-errand", "9"),
+        ("otterslip-tags", "a b"),
+        ("etag", "1"),
+        ("x-own", "2"),
+    ];
+    assert_eq!(
+        told(&good, 200),
+        Judged::Own {
+            headers: vec![("etag".into(), "1".into())],
+            tags: vec!["a".into(), "b".into()]
+        }
+    );
+    let other = [("otterslip-instance", "i2"), ("otterslip-errand", "9")];
+    assert_eq!(told(&good, 421), Judged::Stranger);
+    assert_eq!(told(&other, 421), Judged::Stranger);
+    for (headers, status, why) in [
+        (
+            &other[..],
+            200,
+            "another instance answered, so it may have run",
+        ),
+        (&other, 500, "so may a failure of another instance"),
+        (&good[1..], 200, "an instance that is not named"),
+        (&good[..1], 421, "a refusal that names no errand"),
+        (&[], 421, "a refusal that names nothing"),
+        (
+            &[("otterslip-instance", "i1"), ("otterslip-errand", "8")],
+            421,
+            "the refusal of another errand",
+        ),
+    ] {
+        assert!(matches!(told(headers, status), Judged::Bad(_)), "{why}");
+    }
+    assert!(matches!(
+        told(
+            &[("otterslip-instance", "i1"), ("otterslip-errand", "8")],
+            200
+        ),
+        Judged::Bad(_)
+    ));
+    assert_eq!(
+        told(
+            &[
+                ("otterslip-instance", "i1"),
+                ("otterslip-errand", "9"),
+                ("otterslip-not-run", "1")
+            ],
+            503
+        ),
+        Judged::NotRun
+    );
+    assert!(
+        matches!(
+            OwnWords.judge(&call(Proof::Seal), 200, &[], b"x"),
+            Judged::Bad(_)
+        ),
+        "unsealed"
+    );
+}
--- a/http-line/src/call.rs
+++ b/http-line/src/call.rs
@@ -22,7 +22,7 @@
 
 impl Call {
     /// Nothing in it can end a line of the head early.
-    pub(crate) fn check(&self) -> std::result::Result<(), String> {
+    pub fn check(&self) -> std::result::Result<(), String> {
         if !token(&self.method) {
             return Err("the method is no token".into());
         }
--- a/http-line/src/called.rs
+++ b/http-line/src/called.rs
@@ -12,6 +12,8 @@
     pub out: Outgoing,
     uses: u64,
     strangers: u32,
+    /// Hashes of the echoed ids of the last calls here, oldest first.
+    carried: VecDeque<u64>,
     until: Option<Instant>,
 }
 
@@ -35,6 +37,8 @@
 
 const HEAD_BYTES: usize = 64 * 1024;
 const STRANGERS: u32 = 2;
+/// How many of a connection's last echoed ids are remembered.
+const CARRIED: usize = 32;
 const UNUSED: Duration = Duration::from_secs(8);
 const CONNECT: Duration = Duration::from_secs(1);
 
@@ -49,6 +53,7 @@
             out: Outgoing::default(),
             uses: 0,
             strangers: 0,
+            carried: VecDeque::new(),
             until: None,
         }
     }
@@ -82,6 +87,7 @@
         self.out.push(call.body.clone().into());
         self.uses += 1;
         self.strangers = 0;
+        self.remember(call);
         self.until = None;
         let mut words = Head::named(&call.headers, "connection").flat_map(|value| value.split(','));
         self.running = Some(Running {
@@ -96,30 +102,62 @@
         });
     }
 
+    /// Whether one of the last calls here had the same echoed id. A second
+    /// answer to that call could not be told from the answer to this one.
+    pub fn carried(&self, call: &Call) -> bool {
+        Called::echo_hash(call).is_some_and(|hash| self.carried.contains(&hash))
+    }
+
+    fn remember(&mut self, call: &Call) {
+        let Some(hash) = Called::echo_hash(call) else {
+            return;
+        };
+        if self.carried.len() == CARRIED {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(hash);
+    }
+
+    fn echo_hash(call: &Call) -> Option<u64> {
+        let mut hasher = DefaultHasher::new();
+        call.echo.as_ref()?.1.hash(&mut hasher);
+        Some(hasher.finish())
+    }
+
+    /// No call is under way.
     pub fn idle(&self) -> bool {
         self.running.is_none()
     }
 
+    /// Whether any byte of the running call was taken by the socket.
     pub fn sent(&self) -> bool {
         self.running.as_ref().is_some_and(|run| run.sent)
     }
 
+    /// The socket took bytes of the running call.
     pub fn wrote(&mut self) {
         if let Some(run) = &mut self.running {
             run.sent = true;
         }
     }
 
+    /// Idle from here on, to be reused before `until` only.
     pub fn keep(&mut self, until: Instant) {
         self.until = Some(until);
     }
 
+    /// Whether an idle connection may still be reused.
     pub fn fresh(&self, now: Instant) -> bool {
         self.until.is_some_and(|until| now < until)
     }
 
+    /// Takes what came in; how the call ended, if it did by that.
     pub fn feed(&mut self, input: &[u8], limits: &Limits) -> Option<Ended> {
-        self.running.as_mut()?.heard = true;
+        let run = self.running.as_mut()?;
+        if !run.sent {
+            return self.fail("bytes came before the request was sent");
+        }
+        run.heard = true;
         let mut held = std::mem::take(&mut self.inbox);
         let input = if held.is_empty() {
             input
@@ -203,6 +241,7 @@
             came: Came::Reply {
                 status,
                 headers,
+                sized: !reading.ends_here(),
                 body: reading.body,
             },
             keep,
@@ -282,6 +321,7 @@
         })
     }
 
+    /// When `late` is to be asked, or an idle connection given up.
     pub fn due(&self) -> Option<Instant> {
         match &self.running {
             Some(run) if run.sent || self.uses > 1 => Some(run.end),
@@ -290,214 +330,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn call(method: &str, echo: bool) -> Call {
-        let pair = |name: &str, value: &str| (name.to_string(), value.to_string());
-        Call {
-            id: 7,
-            to: ([127, 0, 0, 1], 9).into(),
-            method: method.into(),
-            target: "/x".into(),
-            headers: vec![
-                pair("Host", "h"),
-                pair("Content-Length", "99"),
-                pair("B", "c"),
-            ],
-            body: Arc::new(if method == "POST" {
-                b"hi".to_vec()
-            } else {
-                Vec::new()
-            }),
-            limit: Duration::from_secs(3),
-            echo: echo.then(|| pair("E", "1")),
-            sessions: 1,
-        }
-    }
-
-    fn begun(call: &Call) -> Called {
-        let mut called = Called::new(call.to);
-        again(&mut called, call);
-        called
-    }
-
-    fn again(called: &mut Called, call: &Call) {
-        let now = Instant::now();
-        called.begin(call, now, now);
-        called.out.write(&mut io::sink()).1.unwrap();
-        called.wrote();
-    }
-
-    fn fed(method: &str, echo: bool, input: &str) -> Option<(Came, Option<u64>)> {
-        let mut called = begun(&call(method, echo));
-        let mut ended = None;
-        for byte in input.as_bytes() {
-            ended = ended.or(called.feed(&[*byte], &Limits::default()));
-        }
-        let mut other = begun(&call(method, echo));
-        let ended = ended.map(|e| (e.came, e.keep.map(|k| k.as_secs())));
-        let at_once = other
-            .feed(input.as_bytes(), &Limits::default())
-            .map(|e| (e.came, e.keep.map(|k| k.as_secs())));
-        assert_eq!(ended.as_ref().map(|e| &e.0), at_once.as_ref().map(|e| &e.0));
-        at_once
-    }
-
-    fn reply(got: Option<(Came, Option<u64>)>) -> (u16, String, Option<u64>) {
-        match got {
-            Some((Came::Reply { status, body, .. }, keep)) => {
-                (status, String::from_utf8(body).unwrap(), keep)
-            }
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn why(got: Option<(Came, Option<u64>)>) -> String {
-        match got {
-            Some((Came::Lost { why, reused: false }, None)) => why,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    #[test]
-    fn writes_its_own_length() {
-        let mut called = Called::new(([127, 0, 0, 1], 9).into());
-        let mut sink = Vec::new();
-        called.begin(&call("POST", false), Instant::now(), Instant::now());
-        called.out.write(&mut sink).1.unwrap();
-        assert_eq!(
-            sink,
-            b"POST /x HTTP/1.1\r\nHost: h\r\nB: c\r\nContent-Length: 2\r\n\r\nhi"
-        );
-        assert!(
-            Call {
-                target: "/ HTTP/1.1\r\nA: b".into(),
-                ..call("GET", false)
-            }
-            .check()
-            .is_err()
-        );
-        assert!(
-            Call {
-                headers: vec![("A".into(), "b\nc".into())],
-                ..call("GET", false)
-            }
-            .check()
-            .is_err()
-        );
-        assert!(call("GET", false).check().is_ok());
-    }
-
-    #[test]
-    fn reads_answers_and_how_long_to_keep() {
-        let head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
-        assert_eq!(
-            reply(fed("GET", false, &format!("{head}\r\nok"))),
-            (200, "ok".into(), Some(8))
-        );
-        let early = "HTTP/1.1 103 Early\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n";
-        assert_eq!(
-            reply(fed("GET", false, &format!("{early}{head}\r\nok"))),
-            (200, "ok".into(), Some(8))
-        );
-        for (extra, keep) in [
-            ("Keep-Alive: timeout=5, max=9", Some(4)),
-            ("Keep-Alive: timeout=20", Some(16)),
-            ("Keep-Alive: timeout=1", None),
-            ("Connection: close", None),
-        ] {
-            assert_eq!(
-                reply(fed("GET", false, &format!("{head}{extra}\r\n\r\nok"))).2,
-                keep,
-                "{extra}"
-            );
-        }
-        assert_eq!(
-            reply(fed("HEAD", false, &format!("{head}\r\n"))),
-            (200, "".into(), Some(8))
-        );
-        assert_eq!(
-            reply(fed("GET", false, &format!("{head}\r\nokx"))),
-            (200, "ok".into(), None)
-        );
-        let chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
-        assert_eq!(
-            reply(fed("GET", false, chunks)),
-            (200, "ok".into(), Some(8))
-        );
-        assert!(why(fed("GET", false, "SSH-2.0")).contains("no HTTP/1"));
-        assert!(why(fed("GET", false, "HTTP/1.1 200 OK\r\n\r\n")).contains("cannot be known"));
-    }
-
-    #[test]
-    fn answers_of_others_are_passed_over() {
-        let (ours, other) = (
-            "HTTP/1.1 200 OK\r\nE: 1\r\nContent-Length: 1\r\n\r\na",
-            "HTTP/1.1 201 OK\r\nE: 2\r\nContent-Length: 1\r\n\r\nb",
-        );
-        assert_eq!(reply(fed("GET", true, ours)), (200, "a".into(), Some(8)));
-        assert_eq!(
-            reply(fed("GET", true, &format!("{other}{other}{ours}"))),
-            (200, "a".into(), None)
-        );
-        assert!(why(fed("GET", true, &other.repeat(3))).contains("other calls"));
-    }
-
-    #[test]
-    fn how_it_ends_early() {
-        let mut called = begun(&call("GET", false));
-        assert!(
-            called
-                .feed(b"HTTP/1.0 200 OK\r\n\r\nab", &Limits::default())
-                .is_none()
-        );
-        assert!(matches!(
-            called.ended(true, "eof"),
-            Some(Ended {
-                came: Came::Reply { status: 200, .. },
-                keep: None,
-                ..
-            })
-        ));
-        let mut called = begun(&call("GET", false));
-        called.feed(b"HTTP/1.0 200 OK\r\n\r\nab", &Limits::default());
-        assert!(matches!(
-            called.ended(false, "reset"),
-            Some(Ended {
-                came: Came::Lost { reused: false, .. },
-                ..
-            })
-        ));
-        let mut called = begun(&call("GET", false));
-        assert!(
-            called
-                .feed(
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-                    &Limits::default()
-                )
-                .is_some()
-        );
-        again(&mut called, &call("GET", false));
-        assert!(matches!(
-            called.ended(true, "eof"),
-            Some(Ended {
-                came: Came::Lost { reused: true, .. },
-                ..
-            })
-        ));
-        let mut unsent = Called::new(([127, 0, 0, 1], 9).into());
-        let now = Instant::now();
-        unsent.begin(&call("GET", false), now, now);
-        assert_eq!(unsent.due(), Some(now + CONNECT));
-        assert!(matches!(
-            unsent.late(),
-            Some(Ended {
-                came: Came::Unsent(_),
-                ..
-            })
-        ));
-    }
-}
--- a/http-line/src/came.rs
+++ b/http-line/src/came.rs
@@ -6,6 +6,9 @@
         status: u16,
         headers: Vec<(String, String)>,
         body: Vec<u8>,
+        /// A length or the last chunk told the body's end. If not, only the
+        /// connection's end did, and the body may have been cut off.
+        sized: bool,
     },
     /// Nothing was sent: no connection, refused, the limit ran out before
     /// anything was written, or too many sessions.
--- a/http-line/src/line.rs
+++ b/http-line/src/line.rs
@@ -348,7 +348,7 @@
         if self.now >= from + call.limit {
             return Err("the limit ran out".into());
         }
-        while let Some(token) = self.pool.take(call.to) {
+        while let Some(token) = self.take_idle(call) {
             let Some(mut held) = self.held.remove(&token) else {
                 continue;
             };
@@ -368,6 +368,12 @@
             }
             self.end(token, held);
         }
+        if self.pool.open(call.to) >= call.sessions
+            && let Some(token) = self.pool.take(call.to, |_| true)
+        {
+            // Idle but not to be used for this call: it makes room.
+            self.cut(token);
+        }
         if self.pool.open(call.to) >= call.sessions {
             return Err("all sessions busy".into());
         }
@@ -407,6 +413,17 @@
         self.began(token, held, call.id, size, registered.and(end))
     }
 
+    /// The idle connection used last that has not carried this id before.
+    fn take_idle(&mut self, call: &Call) -> Option<usize> {
+        let held = &self.held;
+        self.pool.take(call.to, |token| {
+            match held.get(&token).map(|held| &held.side) {
+                Some(Side::Called(called)) => !called.carried(call),
+                _ => true,
+            }
+        })
+    }
+
     fn began(
         &mut self,
         token: usize,
--- a/http-line/src/pool.rs
+++ b/http-line/src/pool.rs
@@ -13,9 +13,11 @@
 }
 
 impl Pool {
-    /// The idle connection used last.
-    pub fn take(&mut self, to: SocketAddr) -> Option<usize> {
-        self.places.get_mut(&to)?.idle.pop()
+    /// The idle connection used last among those that fit.
+    pub fn take(&mut self, to: SocketAddr, fits: impl Fn(usize) -> bool) -> Option<usize> {
+        let idle = &mut self.places.get_mut(&to)?.idle;
+        let at = idle.iter().rposition(|token| fits(*token))?;
+        Some(idle.remove(at))
     }
 
     pub fn keep(&mut self, to: SocketAddr, token: usize) {
@@ -55,8 +57,13 @@
         }
         pool.closed(to, 2);
         assert_eq!(
-            (pool.take(to), pool.take(to), pool.take(to), pool.open(to)),
-            (Some(3), Some(1), None, 2)
+            (
+                pool.take(to, |token| token != 3),
+                pool.take(to, |_| true),
+                pool.take(to, |_| true),
+                pool.open(to)
+            ),
+            (Some(1), Some(3), None, 2)
         );
         pool.closed(to, 1);
         pool.closed(to, 3);
--- a/http-line/src/prelude.rs
+++ b/http-line/src/prelude.rs
@@ -1,18 +1,19 @@
-pub(crate) use crate::called::{Called, Ended};
 pub(crate) use crate::chunk::Chunk;
 pub(crate) use crate::framing::{Fault, Framing, Reading};
 pub(crate) use crate::head::{AnswerHead, AskedHead, Head};
 pub(crate) use crate::held::{Held, Side};
 pub(crate) use crate::http_line::{Order, Shared};
 pub(crate) use crate::line::Line;
-pub(crate) use crate::outgoing::Outgoing;
 pub(crate) use crate::pool::Pool;
-pub(crate) use crate::served::Served;
 pub(crate) use crate::timers::Timers;
-pub use crate::{Asked, Body, Call, Came, HttpLine, Limits, Taker, Told, Usage};
+pub use crate::{
+    Asked, Body, Call, Called, Came, Ended, HttpLine, Limits, Outgoing, Served, Taker, Told, Usage,
+};
 pub use anyhow::{Context, Result, bail};
 pub use std::cmp::Reverse;
+pub use std::collections::hash_map::DefaultHasher;
 pub use std::collections::{BinaryHeap, HashMap, VecDeque};
+pub use std::hash::{Hash, Hasher};
 pub use std::io::{self, ErrorKind, IoSlice, Read, Write};
 pub use std::net::SocketAddr;
 pub use std::ops::Range;
