A refill answer told to an earlier disk of a slot does not fill the next one

Cause: the rounds of a refill begin at 0 for each blank disk, and an answer named the round only. One to an earlier disk at the same address, asked for twice over a slow way or still queued while the process was replaced, could pass as the second round of the next disk, though it was taken before what the earlier disk helped to acknowledge; that disk's slot would then count without those rows. Change: the answer names the life of the disk that asked. A restart of the same blank disk keeps its life, and may take answers to it: it acknowledged nothing in between.

--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -235,6 +235,7 @@
         };
         let reply = SnapshotReply {
             slot: self.slot,
+            asker: from.life,
             round: request.round,
             full,
             lost: self.lost(),
@@ -245,6 +246,9 @@
     }
 
     pub(super) fn handle_snapshot_reply(&mut self, now: Duration, reply: SnapshotReply) {
+        if reply.asker != self.replica.life {
+            return; // To an earlier disk of this slot, which acknowledged since.
+        }
         let merged = self.recovery.as_mut().and_then(|one| one.heard(reply));
         if let Some(merged) = merged {
             self.finish_recovery(now, merged);
--- a/control-plane/src/replica_recovery.rs
+++ b/control-plane/src/replica_recovery.rs
@@ -158,6 +158,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 0,
+                    asker: 1,
                     round: 0,
                     full: true,
                     lost: 0,
@@ -170,6 +171,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 0,
+                    asker: 1,
                     round: 0,
                     full: true,
                     lost: 0,
@@ -182,6 +184,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 2,
+                    asker: 1,
                     round: 0,
                     full: true,
                     lost: 0,
@@ -194,6 +197,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 2,
+                    asker: 1,
                     round: 0,
                     full: true,
                     lost: 0,
@@ -207,6 +211,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 0,
+                    asker: 1,
                     round: 1,
                     full: true,
                     lost: 0,
@@ -218,6 +223,7 @@
         let merged = recovery
             .heard(SnapshotReply {
                 slot: 2,
+                asker: 1,
                 round: 1,
                 full: true,
                 lost: 0,
@@ -252,6 +258,7 @@
         }];
         SnapshotReply {
             slot,
+            asker: 1,
             round,
             full,
             lost: 0,
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -36,7 +36,9 @@
     SnapshotRequest { slot: u8, round: u8, membership_version: u64 }
     /// `full`: the disk holds all that it ever acknowledged. `membership_version`: the
     /// table that edges are shown here.
-    SnapshotReply { slot: u8, round: u8, full: bool, lost: u64, membership_version: u64, held: Vec<PartitionSnapshot> }
+    /// `asker`: the life of the disk that asked; a later disk of its slot starts
+    /// again with round 0, and what was told to the earlier one counts for nothing.
+    SnapshotReply { slot: u8, asker: u64, round: u8, full: bool, lost: u64, membership_version: u64, held: Vec<PartitionSnapshot> }
     /// Take a slice: promise to heed no lower epoch.
     PrepareRequest { slice: u8, epoch: u64, membership_version: u64 }
     /// `retired`: lives of slots that count for nothing any more.
