--- a/http-line/src/call.rs
+++ b/http-line/src/call.rs
@@ -14,6 +14,9 @@
     pub body: Arc<Vec<u8>>,
     /// For the whole call, from `HttpLine::call` on.
     pub limit: Duration,
+    /// The request that this is a try of, if its answer could be taken for
+    /// that of another try.
+    pub request: Option<u64>,
     /// The answer must carry this header with this value.
     pub echo: Option<(String, String)>,
     /// Most connections to this address from this process.
@@ -22,7 +25,7 @@
 
 impl Call {
     /// Nothing in it can end a line of the head early.
-    pub(crate) fn check(&self) -> std::result::Result<(), String> {
+    pub fn check(&self) -> std::result::Result<(), String> {
         if !token(&self.method) {
             return Err("the method is no token".into());
         }
