A leader's epoch is on its own disk before others are asked to promise it

Cause: a node that takes a partition derives its epoch from what its own disk promised, and told all three disks at once. With its own disk slow, two others promise, it leads and writes; ended and started again before its own promise was synced, it takes the same epoch a second time. Late acknowledgements of the first run then count for the second, and two disks hold other rows under one epoch and version.

Ruled out: counting the own disk among the promises only (the first run's messages would still meet the second run's under one epoch).

Change: the promise is stored when the epoch is chosen, and requests for promises leave once that is synced. No further record: the own request finds the promise made.

Before: the new test fails (requests leave at once). A takeover waits for one sync more.

--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -46,6 +46,9 @@
             let highest = met.max(self.replica.held(slice).promised);
             let epoch =
                 (highest / SLOTS_MOST as u64 + 1) * SLOTS_MOST as u64 + u64::from(self.slot);
+            // On our own disk before others are asked: an epoch that others
+            // promised and we forgot over a restart would be taken twice.
+            self.store(&Record::Promise { slice, epoch });
             self.leaders.insert(
                 slice,
                 PartitionLeader::new(slice, epoch, self.places.len(), self.membership_version),
@@ -211,7 +214,10 @@
             });
         }
         for (to, message) in told {
-            self.tell(to, message);
+            match message {
+                Message::PrepareRequest(_) => self.tell_synced(to, message),
+                _ => self.tell(to, message),
+            }
         }
     }
 
--- /dev/null
+++ b/control-plane/tests/leader_epoch.rs
@@ -0,0 +1,81 @@
+//! A leader's epoch is on its own disk before anybody else is asked to promise
+//! it, so that no epoch is taken twice over a restart.
+use control_plane::{ControlPart, Record, Replica};
+use kernel::prelude::*;
+
+fn address(slot: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 100 + slot))
+}
+
+/// Slot 0 of three, on a full disk.
+fn start(replica: Replica) -> ControlPart {
+    let seeds = (0..3).map(address).collect();
+    ControlPart::new(address(0), seeds, replica, false, None, 1)
+}
+
+fn heartbeat() -> Input {
+    let heartbeat = Heartbeat {
+        slot: 1,
+        full: true,
+        blank: false,
+        membership_version: 0,
+        closed: Duration::ZERO,
+        lost: 0,
+        got: 0,
+        seen: None,
+    };
+    Input::Heard {
+        from: Peer::new(address(1), 11),
+        message: heartbeat.into(),
+    }
+}
+
+/// Partition and epoch of each request for a promise that goes to another node.
+fn requests(outputs: &[Output]) -> BTreeSet<(u8, u64)> {
+    let request = |output: &Output| match output {
+        Output::Tell {
+            to,
+            message: Message::PrepareRequest(request),
+        } if *to != address(0) => Some((request.slice, request.epoch)),
+        _ => None,
+    };
+    outputs.iter().filter_map(request).collect()
+}
+
+#[test]
+fn others_are_asked_for_a_promise_only_once_our_own_is_synced() {
+    let now = Duration::from_secs(1);
+    let full = Replica {
+        full: true,
+        ..Replica::blank(1)
+    };
+    let mut part = start(full.clone());
+    part.step(now, heartbeat());
+    let outputs = part.step(now, Input::Tick);
+    assert!(requests(&outputs).is_empty(), "nothing is synced yet");
+    let mut replica = full;
+    let mut last = 0;
+    for output in outputs {
+        if let Output::Store { serial, record } = output {
+            last = serial;
+            replica.apply(&bincode::deserialize::<Record>(&record).unwrap());
+        }
+    }
+    let asked = requests(&part.step(now, Input::Stored { serial: last }));
+    assert!(!asked.is_empty(), "some partitions are ours by weight");
+
+    // The process ends before anybody's answer, and starts on what was synced.
+    let mut part = start(replica);
+    part.step(now, heartbeat());
+    let outputs = part.step(now, Input::Tick);
+    let stored = outputs.iter().filter_map(|output| match output {
+        Output::Store { serial, .. } => Some(*serial),
+        _ => None,
+    });
+    let serial = stored.max().expect("promises are stored");
+    let again = requests(&part.step(now, Input::Stored { serial }));
+    for (partition, epoch) in again {
+        let earlier = asked.iter().filter(|(other, _)| *other == partition);
+        assert!(earlier.map(|(_, epoch)| *epoch).all(|known| known < epoch));
+    }
+}
