An append that comes late does not send a disk back; drawn sequences

If the first copy arrived after later rows were acknowledged, the disk took it as new: its version fell, rows that counted as held were gone, and one more lost disk or the next leader lost them for good. In the same way rows that had been dropped came back on partitions that edges are shown.

Ruled out: ordered links as an answer. A connection that is opened anew does not order what the old one still holds.

Change: within an epoch, an append that goes to a lower version than the disk has is acknowledged and not stored. A recall always raises the version, so no state is passed over.

Tests: control-plane/tests/replication holds the search and, with proptest, sequences over ControlPart, PartitionLeader and Replica: any synced prefix of the log holds what was replied, a torn last record costs that record alone, appends lost, late and doubled leave whole states and end in the leader's, the newest membership table stays over restarts, and the model of the search answers as ControlPart does.

--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -116,8 +116,12 @@
             );
         }
         let published = held.image.published;
-        let same = held.image.epoch == epoch && held.image.version >= to && held.promised == epoch;
-        if keep.whole || !same || keep.published > published {
+        let current = held.image.epoch == epoch && held.promised == epoch;
+        let same = current && held.image.version == to;
+        // It was overtaken by a later one of its epoch, or came twice: taken
+        // again, it would undo what was acknowledged since.
+        let outdated = current && held.image.version > to;
+        if !outdated && (keep.whole || !same || keep.published > published) {
             self.store(&Record::Appended { keep });
         }
         let held = self.replica.held(slice);
--- a/control-plane/tests/replication_model.rs
+++ b/control-plane/tests/replication/exhaustive.rs
@@ -1,12 +1,11 @@
 //! Exhaustive, bounded search of replication: three slots, few rows, messages
 //! in any order or lost, crashes, one wiped disk, one replaced member. Each
 //! search is run again without a safeguard, and must then find a violation.
-mod model;
 
+use crate::model::cluster::{Budget, Cluster};
+use crate::model::safeguard::Safeguard;
+use crate::model::search::search;
 use kernel::prelude::*;
-use model::cluster::{Budget, Cluster};
-use model::safeguard::Safeguard;
-use model::search::search;
 
 /// A ledger partition: rows are not shown to edges.
 const LEDGER: u8 = NEWS;
@@ -75,6 +74,21 @@
         })
 }
 
+/// A leader that got its promises sends its state twice and writes a row; then
+/// another leads.
+fn retransmitting(without: Option<Safeguard>) -> Cluster {
+    Cluster::new(SLOTS, without)
+        .acquainted()
+        .promised(0, LEDGER)
+        .with(Budget {
+            elections: vec![(1, LEDGER)],
+            writes: vec![(0, LEDGER)],
+            retries: vec![0],
+            ..Budget::default()
+        })
+        .cut(&[(0, 2)])
+}
+
 /// A row is under way while a disk is wiped and refilled, which then leads.
 fn refilling(without: Option<Safeguard>) -> Cluster {
     Cluster::new(SLOTS, without)
@@ -211,6 +225,13 @@
     finds("replica crash", replica_crash, Safeguard::ReplyAfterSync);
 }
 
+#[test]
+fn a_late_append_does_not_send_a_disk_back() {
+    holds("retransmitting", retransmitting);
+    let without = Safeguard::OutdatedAppendIgnored;
+    finds("retransmitting", retransmitting, without);
+}
+
 #[test]
 fn a_refilled_disk_holds_what_the_earlier_one_helped_to_acknowledge() {
     holds("refilling", refilling);
--- a/control-plane/tests/model/cluster.rs
+++ b/control-plane/tests/replication/model/cluster.rs
@@ -126,6 +126,23 @@
         self
     }
 
+    /// The same after this node got its promises; its state is on the way.
+    pub fn promised(mut self, leader: usize, partition: u8) -> Cluster {
+        self.run(leader, |node| node.elect(partition));
+        while !self.nodes[leader].is_active(partition) {
+            let next = self.network.iter().find(|(_, envelope)| {
+                let prepares = matches!(
+                    envelope.message,
+                    Message::PrepareRequest(_) | Message::PrepareReply(_)
+                );
+                prepares && node_at(envelope.to) <= 1 && node_at(envelope.from.address) <= 1
+            });
+            let key = next.map(|(key, _)| *key);
+            self.apply(Action::Deliver(key.expect("promises are asked for")));
+        }
+        self
+    }
+
     /// The same after this election, of which one node hears nothing.
     pub fn established_without(mut self, leader: (usize, u8), absent: usize) -> Cluster {
         self.run(leader.0, |node| node.elect(leader.1));
--- a/control-plane/tests/model/node.rs
+++ b/control-plane/tests/replication/model/node.rs
@@ -166,6 +166,12 @@
         counts && !self.replica.removed && self.slot().is_some()
     }
 
+    /// Whether it leads the partition with a majority's promises.
+    pub fn is_active(&self, partition: u8) -> bool {
+        let leader = self.leaders.get(&partition);
+        leader.is_some_and(|leader| leader.active_since.is_some())
+    }
+
     /// Whether a leader may answer from its rows.
     pub fn answers(&self, leader: &PartitionLeader) -> bool {
         leader.ready()
@@ -523,8 +529,11 @@
             };
             return vec![self.envelope(from.address, gap)];
         }
-        let same = held.image.epoch == epoch && held.image.version >= to && held.promised == epoch;
-        if request.whole || !same || request.published > held.image.published {
+        let current = held.image.epoch == epoch && held.promised == epoch;
+        let outdated = current && held.image.version > to;
+        let same = current && held.image.version == to;
+        let news = request.whole || !same || request.published > held.image.published;
+        if news && (!outdated || !self.keeps(Safeguard::OutdatedAppendIgnored)) {
             self.store(&Record::Appended { keep: request });
         }
         let reply = AppendReply {
--- a/control-plane/tests/model/safeguard.rs
+++ b/control-plane/tests/replication/model/safeguard.rs
@@ -8,6 +8,8 @@
     PromiseCheckedOnAppend,
     /// A replica refuses an append that does not follow on what it holds.
     GapRefused,
+    /// An append that comes after a later one of its epoch changes nothing.
+    OutdatedAppendIgnored,
     /// A leader answers only once a majority holds its adopted state under its
     /// own epoch.
     StateRewrittenBeforeAnswering,
--- /dev/null
+++ b/control-plane/tests/replication/sequences.rs
@@ -0,0 +1,429 @@
+//! Drawn sequences of operations and faults over `ControlPart`,
+//! `PartitionLeader` and `Replica`; proptest makes a failing one short.
+
+use crate::model::node::{Node, address};
+use control_plane::prelude::*;
+use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, prop_oneof, proptest};
+use proptest::test_runner::TestCaseError;
+use segment_log::SegmentLog;
+
+/// A ledger partition, and one that is shown to edges.
+const PARTITIONS: [u8; 2] = [NEWS, PURGES];
+
+fn row(version: u64) -> (String, Row) {
+    let value = Value::Opened { realm: version };
+    (format!("row-{}", version % 4), Row { version, value })
+}
+
+fn partition() -> impl Strategy<Value = u8> {
+    prop::sample::select(PARTITIONS.to_vec())
+}
+
+fn prepare() -> impl Strategy<Value = Message> {
+    (partition(), 0u64..40).prop_map(|(slice, epoch)| {
+        let request = PrepareRequest {
+            slice,
+            epoch,
+            membership_version: 0,
+        };
+        request.into()
+    })
+}
+
+fn append() -> impl Strategy<Value = Message> {
+    let versions = (0u64..6, 0u64..6, 0u64..6);
+    (partition(), 0u64..40, versions, any::<bool>()).prop_map(
+        |(slice, epoch, (one, other, published), whole)| {
+            let (from, to) = (if whole { 0 } else { one.min(other) }, one.max(other));
+            let request = AppendRequest {
+                slice,
+                epoch,
+                membership_version: 0,
+                round: to,
+                whole,
+                from,
+                to,
+                rows: (from + 1..=to).map(row).collect(),
+                drops: vec![],
+                published: published.min(to),
+            };
+            request.into()
+        },
+    )
+}
+
+fn snapshot() -> impl Strategy<Value = Message> {
+    (0u8..2).prop_map(|round| {
+        let request = SnapshotRequest {
+            slot: 1,
+            round,
+            membership_version: 0,
+        };
+        request.into()
+    })
+}
+
+/// What two other members may ask of slot 0.
+fn request() -> impl Strategy<Value = (u16, Message)> {
+    (
+        1u16..3,
+        prop_oneof![2 => prepare(), 5 => append(), 1 => snapshot()],
+    )
+}
+
+fn members() -> Vec<Peer> {
+    (0..3).map(|node| Peer::new(address(node), 0)).collect()
+}
+
+fn full_replica() -> Replica {
+    Replica {
+        full: true,
+        ..Replica::blank(1)
+    }
+}
+
+fn member(replica: Replica) -> ControlPart {
+    let seeds = (0..3).map(address).collect();
+    ControlPart::new(address(0), seeds, replica, false, None, 1)
+}
+
+fn heard(from: u16, message: Message) -> Input {
+    let from = Peer::new(address(from.into()), u64::from(from) + 1);
+    Input::Heard { from, message }
+}
+
+/// One step after which everything is synced at once.
+fn step_synced(part: &mut ControlPart, input: Input) -> Vec<Message> {
+    let mut inputs = VecDeque::from([input]);
+    let mut told = Vec::new();
+    while let Some(input) = inputs.pop_front() {
+        for output in part.step(Duration::from_secs(1), input) {
+            match output {
+                Output::Tell { message, .. } => told.push(message),
+                Output::Store { serial, .. } => inputs.push_back(Input::Stored { serial }),
+                _ => {}
+            }
+        }
+    }
+    told
+}
+
+/// Of what the model leaves out nothing is compared.
+fn comparable(message: Message) -> Option<Message> {
+    match message {
+        Message::StaleEpoch(_) => None,
+        Message::AppendReply(mut reply) => {
+            reply.clear = None;
+            Some(reply.into())
+        }
+        Message::SnapshotReply(mut reply) => {
+            reply.held.truncate(usize::from(NEWS) + 1);
+            Some(reply.into())
+        }
+        other => Some(other),
+    }
+}
+
+/// Whether a replica holds what a reply told.
+fn holds(replica: &Replica, reply: &Message) -> bool {
+    match reply {
+        Message::PrepareReply(reply) => replica.held(reply.slice).promised >= reply.epoch,
+        Message::AppendReply(reply) => {
+            let image = &replica.held(reply.slice).image;
+            (image.epoch, image.version) >= (reply.epoch, reply.to) || image.epoch > reply.epoch
+        }
+        _ => true,
+    }
+}
+
+/// Appends all records to a log in a fresh folder, and cuts the last one.
+fn torn_log(records: &[Vec<u8>], cut: usize) -> Vec<Vec<u8>> {
+    static FOLDERS: AtomicU64 = AtomicU64::new(0);
+    let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("replication-sequences-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    let mut log = SegmentLog::open(&folder).unwrap().log;
+    for record in records {
+        log.append(record).unwrap();
+    }
+    log.sync().unwrap();
+    drop(log);
+    let segment = std::fs::read_dir(&folder).unwrap().next().unwrap();
+    let segment = segment.unwrap().path();
+    let length = std::fs::metadata(&segment).unwrap().len();
+    let last = records.last().map_or(0, Vec::len) as u64;
+    let file = std::fs::File::options().write(true).open(&segment).unwrap();
+    file.set_len(length - 1 - cut as u64 % last.max(1)).unwrap();
+    let read = SegmentLog::open(&folder).unwrap().records;
+    std::fs::remove_dir_all(&folder).unwrap();
+    read
+}
+
+/// A leader and the replicas of the three slots, with a network between.
+struct Lane {
+    leader: PartitionLeader,
+    replicas: Vec<Node>,
+    network: Vec<(u8, Message)>,
+    now: Duration,
+    /// Rows by version, as the leader had them.
+    states: BTreeMap<u64, BTreeMap<String, Row>>,
+}
+
+/// What happens next between a leader and its replicas.
+#[derive(Debug, Clone)]
+enum Step {
+    Put(u64),
+    Drop(u64),
+    Deliver(usize),
+    Duplicate(usize),
+    Lose(usize),
+    Tick,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => (0u64..4).prop_map(Step::Put),
+        1 => (0u64..4).prop_map(Step::Drop),
+        8 => any::<usize>().prop_map(Step::Deliver),
+        1 => any::<usize>().prop_map(Step::Duplicate),
+        2 => any::<usize>().prop_map(Step::Lose),
+        2 => prop::strategy::Just(Step::Tick),
+    ]
+}
+
+const EPOCH: u64 = 16;
+
+impl Lane {
+    fn new(partition: u8) -> Lane {
+        let mut lane = Lane {
+            leader: PartitionLeader::new(partition, EPOCH, 3, 0),
+            replicas: (0..3)
+                .map(|node| Node::member(node, members(), None))
+                .collect(),
+            network: vec![],
+            now: Duration::ZERO,
+            states: BTreeMap::new(),
+        };
+        for slot in 0..2 {
+            let nothing = PartitionState::default();
+            lane.leader.raised(lane.now, slot, nothing);
+        }
+        lane.flush(true);
+        lane
+    }
+
+    fn flush(&mut self, tick: bool) {
+        let state = self.leader.rows.clone();
+        self.states.insert(self.leader.version, state);
+        self.network.extend(self.leader.flush(self.now, tick));
+    }
+
+    fn take(&mut self, step: &Step) {
+        let at = |index: &usize| index % self.network.len().max(1);
+        match step {
+            Step::Put(key) => {
+                let value = Value::Opened {
+                    realm: self.leader.version,
+                };
+                self.leader.put(format!("row-{key}"), value);
+            }
+            Step::Drop(key) => self.leader.drop_row(&format!("row-{key}")),
+            Step::Tick => self.now += Duration::from_secs(2),
+            _ if self.network.is_empty() => {}
+            Step::Lose(index) => drop(self.network.remove(at(index))),
+            Step::Deliver(index) => {
+                let (slot, message) = self.network.remove(at(index));
+                self.deliver(slot, message);
+            }
+            Step::Duplicate(index) => {
+                let (slot, message) = self.network[at(index)].clone();
+                self.deliver(slot, message);
+            }
+        }
+        self.flush(matches!(step, Step::Tick));
+    }
+
+    fn deliver(&mut self, slot: u8, message: Message) {
+        match message {
+            Message::AppendRequest(_) => {
+                let leader = Peer::new(address(0), 1);
+                let replies = self.replicas[usize::from(slot)].hear(leader, message);
+                let replies = replies.into_iter().map(|reply| (slot, reply.message));
+                self.network.extend(replies);
+            }
+            Message::AppendReply(reply) => self.leader.kept(slot, &reply),
+            Message::AppendGap(_) => self.leader.forget(slot),
+            other => panic!("{}", other.name()),
+        }
+    }
+
+    /// All messages arrive until nothing is left to say.
+    fn heal(&mut self) {
+        for _ in 0..6 {
+            self.take(&Step::Tick);
+            while !self.network.is_empty() {
+                self.take(&Step::Deliver(0));
+            }
+        }
+    }
+
+    /// Every replica is the leader's state of some version, whole, and a
+    /// majority holds what the leader counts as committed.
+    fn check(&self) -> Result<(), TestCaseError> {
+        let partition = self.leader.slice;
+        let holding = self.replicas.iter().filter(|node| {
+            let image = &node.replica.held(partition).image;
+            image.epoch == EPOCH && image.version >= self.leader.committed()
+        });
+        let committed = self.leader.committed();
+        prop_assert!(
+            committed == 0 || holding.count() >= 2,
+            "{committed} is lost"
+        );
+        for node in &self.replicas {
+            let held = node.replica.held(partition);
+            if held.image.epoch == EPOCH {
+                let known = self.states.get(&held.image.version);
+                prop_assert_eq!(Some(&held.image.rows), known);
+            }
+            if partition < NEWS && held.image.published > 0 {
+                prop_assert!(held.image.published <= self.leader.committed());
+            }
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    /// The log read back at any synced prefix is the state that was replied
+    /// from, also once an image took the place of what came before it.
+    #[test]
+    fn any_synced_prefix_of_the_log_holds_what_was_replied(
+        requests in prop::collection::vec(request(), 1..40),
+        image_at in any::<prop::sample::Index>(),
+    ) {
+        let mut part = member(full_replica());
+        let mut replica = full_replica();
+        let start = Record::Image(Box::new(replica.clone()));
+        let mut log = vec![bincode::serialize(&start).unwrap()];
+        let image_at = image_at.index(requests.len());
+        for (at, (from, message)) in requests.into_iter().enumerate() {
+            let outputs = part.step(Duration::from_secs(1), heard(from, message));
+            let mut last = None;
+            for output in outputs {
+                if let Output::Store { serial, record } = output {
+                    replica.apply(&bincode::deserialize(&record).unwrap());
+                    log.push(record);
+                    let read = Replica::replay(&log).unwrap();
+                    prop_assert_eq!(read.as_ref(), Some(&replica));
+                    last = Some(serial);
+                }
+            }
+            if at == image_at {
+                let image = Record::Image(Box::new(replica.clone()));
+                log = vec![bincode::serialize(&image).unwrap()];
+            }
+            let Some(serial) = last else { continue };
+            for output in part.step(Duration::from_secs(1), Input::Stored { serial }) {
+                if let Output::Tell { message, .. } = output {
+                    prop_assert!(holds(&replica, &message), "{message:?}");
+                }
+            }
+        }
+    }
+
+    /// A last record that is torn at any byte costs that record alone.
+    #[test]
+    fn a_torn_last_record_leaves_the_state_before_it(
+        requests in prop::collection::vec(request(), 1..12),
+        cut in any::<usize>(),
+    ) {
+        let mut part = member(full_replica());
+        let first = bincode::serialize(&Record::Image(Box::new(full_replica()))).unwrap();
+        let mut log = vec![first.clone()];
+        for (from, message) in requests {
+            for output in part.step(Duration::from_secs(1), heard(from, message)) {
+                if let Output::Store { record, .. } = output {
+                    log.push(record);
+                }
+            }
+        }
+        let read = torn_log(&log, cut);
+        prop_assert_eq!(&read, &log[..log.len() - 1]);
+        let before = Replica::replay(&log[..log.len() - 1]).unwrap();
+        prop_assert_eq!(Replica::replay(&read).unwrap(), before);
+    }
+
+    /// Appends in any order, lost and doubled: each replica is the leader's
+    /// state of some version, and catching up by differences ends in the whole.
+    #[test]
+    fn appends_in_any_order_leave_whole_states(
+        partition in partition(),
+        steps in prop::collection::vec(step(), 1..80),
+    ) {
+        let mut lane = Lane::new(partition);
+        for step in &steps {
+            lane.take(step);
+            lane.check()?;
+        }
+        lane.heal();
+        lane.check()?;
+        prop_assert_eq!(lane.leader.committed(), lane.leader.version);
+        for node in &lane.replicas {
+            prop_assert_eq!(&node.replica.held(partition).image.rows, &lane.leader.rows);
+        }
+    }
+
+    /// Membership tables in any order and doubled: the newest stays, also over
+    /// a restart on what was stored.
+    #[test]
+    fn the_newest_membership_table_stays(
+        versions in prop::collection::vec(0u64..8, 1..12),
+    ) {
+        let mut part = member(full_replica());
+        let mut replica = full_replica();
+        let mut newest = 0;
+        for version in versions {
+            newest = newest.max(version);
+            // Slot 1 goes to another address with each version.
+            let mut places = members();
+            places[1] = Peer::new(address(10 + version as usize), 50 + version);
+            let table = MembershipTable { version, places };
+            for output in part.step(Duration::from_secs(1), heard(2, table.into())) {
+                if let Output::Store { serial, record } = output {
+                    replica.apply(&bincode::deserialize(&record).unwrap());
+                    part.step(Duration::from_secs(1), Input::Stored { serial });
+                }
+            }
+            let mut again = member(replica.clone());
+            for part in [&mut part, &mut again] {
+                let asked = heard(2, JoinRequest { founding: false }.into());
+                let told = step_synced(part, asked);
+                let known = told.iter().find_map(|message| match message {
+                    Message::MembershipTable(table) => Some(table.version),
+                    _ => None,
+                });
+                prop_assert_eq!(known, Some(newest));
+            }
+        }
+    }
+
+    /// The model of the exhaustive search answers as `ControlPart` does.
+    #[test]
+    fn the_model_answers_as_the_product(
+        requests in prop::collection::vec(request(), 1..40),
+    ) {
+        let mut part = member(full_replica());
+        let mut node = Node::member(0, members(), None);
+        for (from, message) in requests {
+            let told = step_synced(&mut part, heard(from, message.clone()));
+            let told: Vec<Message> = told.into_iter().filter_map(comparable).collect();
+            let peer = Peer::new(address(from.into()), u64::from(from) + 1);
+            let modelled = node.hear(peer, message).into_iter();
+            let modelled: Vec<Message> = modelled
+                .filter_map(|envelope| comparable(envelope.message))
+                .collect();
+            prop_assert_eq!(told, modelled);
+        }
+    }
+}
