--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -28,6 +28,9 @@
             let highest = met.max(self.replica.held(slice).promised);
             let epoch =
                 (highest / SLOTS_MOST as u64 + 1) * SLOTS_MOST as u64 + u64::from(self.slot);
+            // On our own disk before others are asked: an epoch that others
+            // promised and we forgot over a restart would be taken twice.
+            self.store(&Record::Promise { slice, epoch });
             self.leaders.insert(
                 slice,
                 PartitionLeader::new(slice, epoch, self.places.len(), self.membership_version),
@@ -95,8 +98,12 @@
             );
         }
         let published = held.image.published;
-        let same = held.image.epoch == epoch && held.image.version >= to && held.promised == epoch;
-        if keep.whole || !same || keep.published > published {
+        let current = held.image.epoch == epoch && held.promised == epoch;
+        let same = current && held.image.version == to;
+        // It was overtaken by a later one of its epoch, or came twice: taken
+        // again, it would undo what was acknowledged since.
+        let outdated = current && held.image.version > to;
+        if !outdated && (keep.whole || !same || keep.published > published) {
             self.store(&Record::Appended { keep });
         }
         let held = self.replica.held(slice);
@@ -193,7 +200,10 @@
             });
         }
         for (to, message) in told {
-            self.tell(to, message);
+            match message {
+                Message::PrepareRequest(_) => self.tell_synced(to, message),
+                _ => self.tell(to, message),
+            }
         }
     }
 
