One revision, one content: accepted orders are remembered, conflicts named

Cause: a call with a revision that stood already and another content had no effect and was acknowledged, so two operators were confirmed under one number; a test asserted that. And which change of a document or list had been applied was known to the leader's memory only: after a takeover a change that was sent again was refused, although it had been taken.

Ruled out: a record of the accepted revisions in the item's own row (each edge would get it with each change), in a partition of its own (not written together with the change), comparing parsed contents (what is read back would not be what was confirmed).

Change: revisions and digests that an item had earlier stand in a row beside it, applied changes of document and list in another; both go in the append that makes the change, and edges are not told them. Same revision and content is acknowledged again, another content is `Outcome::Conflict` with the items named (409), whole calls only; below the bound it is `RevisionForgotten`. A document or list with If-Match keeps its change id at whatever node it comes again. Refusals that rest on what stands wait for a confirmed round of the leader. The test that asserted an acknowledgement for another content under the same revision now asserts the conflict.

--- a/control-plane/src/control_part/changes.rs
+++ b/control-plane/src/control_part/changes.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+#[cfg(test)]
+mod cluster;
+#[cfg(test)]
+mod tests;
+
 /// How long a call of an operator is sent again before its outcome is given up
 /// as unknown.
 const OPERATOR_CALL_LIMIT: Duration = Duration::from_secs(12);
@@ -20,6 +25,34 @@
 }
 
 impl PendingReply {
+    /// A reply to this request that has to wait for nothing yet.
+    fn new(request: &ChangeRequest) -> PendingReply {
+        PendingReply {
+            slice: request.slice,
+            asker: request.asker,
+            id: request.id,
+            commit: 0,
+            settle: 0,
+            round: 0,
+            told: Outcome::Lost,
+        }
+    }
+
+    /// Acknowledges once this version is in force everywhere.
+    fn acknowledge(&mut self, version: u64) {
+        self.settle = version;
+        self.told = Outcome::Settled { version };
+    }
+
+    /// Refuses for what stands: only once that is on a majority of disks and
+    /// the leader is confirmed, since one that was superseded may not know what
+    /// was accepted after it.
+    fn refuse(&mut self, leader: &mut PartitionLeader, told: Outcome) {
+        self.commit = leader.version;
+        self.round = leader.start_round();
+        self.told = told;
+    }
+
     /// Puts a row that is replaced whole, unless this change did so already,
     /// another version stands than the expected one, or something is found
     /// wrong with it. The version, if it is put now.
@@ -32,29 +65,59 @@
         change: u64,
         found: &dyn Fn() -> Option<Vec<Finding>>,
     ) -> Option<u64> {
-        let row = leader.rows.get(key);
-        let current = row.map_or(0, |row| row.version);
-        let made = row.is_some_and(|row| matches!(&row.value, Value::Configuration { change: known, .. } | Value::Origins { change: known, .. } if *known == change));
-        if made {
-            self.settle = current;
-            self.told = Outcome::Settled { version: current };
+        if let Some(version) = leader.applied_version(key, change) {
+            self.acknowledge(version);
             return None;
         }
+        let current = leader.rows.get(key).map_or(0, |row| row.version);
         if expect.is_some_and(|version| version != current) {
-            self.commit = current;
-            self.told = Outcome::Raced { version: current };
+            let raced = Outcome::Raced {
+                version: current,
+                complete_after: leader.applied().complete_after(),
+            };
+            self.refuse(leader, raced);
             return None;
         }
         if let Some(found) = found() {
             self.told = Outcome::Findings(found);
             return None;
         }
-        let version = leader.put(key.into(), value);
-        leader.make(change, version);
-        self.settle = version;
-        self.told = Outcome::Settled { version };
+        let version = leader.apply_change(key, value, change);
+        self.acknowledge(version);
         Some(version)
     }
+
+    /// Sets or removes items. How many, and the version, if any are put now.
+    fn put_items(
+        &mut self,
+        leader: &mut PartitionLeader,
+        items: Vec<Item>,
+    ) -> Option<(usize, u64)> {
+        let change = match ItemsChange::judge(&leader.rows, items) {
+            Ok(change) => change,
+            Err(refusal) => {
+                self.refuse(leader, outcome_of(refusal));
+                return None;
+            }
+        };
+        let is_item = |(_, value): &&(String, Value)| matches!(value, Value::Item(_));
+        let count = change.rows.iter().filter(is_item).count();
+        for (key, value) in change.rows {
+            leader.put(key, value);
+        }
+        let versions = change.keys.iter().filter_map(|key| leader.rows.get(key));
+        let version = versions.map(|row| row.version).max().unwrap_or(0);
+        self.acknowledge(version);
+        (count > 0).then_some((count, version))
+    }
+}
+
+fn outcome_of(refusal: ItemsRefusal) -> Outcome {
+    match refusal {
+        ItemsRefusal::Invalid(found) => Outcome::Findings(found),
+        ItemsRefusal::Conflict(found) => Outcome::Conflict(found),
+        ItemsRefusal::Forgotten(found) => Outcome::RevisionForgotten(found),
+    }
 }
 
 /// A call from an operator, on its way to the owner.
@@ -66,6 +129,16 @@
     pub(super) tries: u32,
 }
 
+impl OperatorCall {
+    /// The version that the change is made to replace, if it says so.
+    fn expect(&self) -> Option<u64> {
+        match &self.change {
+            Change::PutConfiguration { expect, .. } | Change::PutOrigins { expect, .. } => *expect,
+            _ => None,
+        }
+    }
+}
+
 impl ControlPart {
     pub(super) fn send_operator_calls(&mut self, now: Duration) {
         let over: Vec<u64> = self
@@ -136,41 +209,10 @@
 
     /// Makes a change as the slice's owner; the answer pending_replies for the disks.
     pub(super) fn change(&mut self, now: Duration, ask: ChangeRequest) -> PendingReply {
-        let ChangeRequest {
-            asker,
-            id,
-            slice,
-            ask,
-        } = ask;
-        let again = match &ask {
-            Change::PutConfiguration { change, .. } | Change::PutOrigins { change, .. } => self
-                .leaders
-                .get(&slice)
-                .and_then(|leader| leader.made(*change)),
-            _ => None,
-        };
-        if let Some(version) = again {
-            return PendingReply {
-                slice,
-                asker,
-                id,
-                commit: 0,
-                settle: version,
-                round: 0,
-                told: Outcome::Settled { version },
-            };
-        }
+        let mut wait = PendingReply::new(&ask);
+        let ChangeRequest { slice, ask, .. } = ask;
         let left = self.closed.saturating_sub(now);
         let leader = self.leaders.get_mut(&slice).expect("owner");
-        let mut wait = PendingReply {
-            slice,
-            asker,
-            id,
-            commit: 0,
-            settle: 0,
-            round: 0,
-            told: Outcome::Lost,
-        };
         match ask {
             Change::GetConfiguration => {
                 wait.round = leader.start_round();
@@ -220,23 +262,12 @@
                     self.note(Event::ConfigurationPut, format!("version {version}"));
                 }
             }
-            Change::PutItems { items, change: _ } => match Items::change(&leader.rows, items) {
-                Err(found) => wait.told = Outcome::Findings(found),
-                Ok(fresh) => {
-                    // What is not newer stands already, settled or on its way.
-                    let count = fresh.len();
-                    let mut version = leader.version;
-                    for (key, item) in fresh {
-                        version = leader.put(key, Value::Item(item));
-                    }
-                    wait.settle = version;
-                    wait.told = Outcome::Settled { version };
-                    self.note(
-                        Event::ConfigurationPut,
-                        format!("{count} items, version {version}"),
-                    );
+            Change::PutItems { items } => {
+                if let Some((count, version)) = wait.put_items(leader, items) {
+                    let text = format!("{count} items, version {version}");
+                    self.note(Event::ConfigurationPut, text);
                 }
-            },
+            }
             Change::AddPurge { purge, change } => {
                 let same = |row: &&Row| matches!(&row.value, Value::Purge { change: known, .. } if *known == change);
                 let known = leader.rows.values().find(same).map(|row| row.version);
@@ -244,8 +275,7 @@
                     let key = format!("purge/{:04}", (leader.version + 1) % PURGES_KEPT);
                     leader.put(key, Value::Purge { purge, change })
                 });
-                wait.settle = version;
-                wait.told = Outcome::Settled { version };
+                wait.acknowledge(version);
             }
             Change::PutOrigins {
                 list,
@@ -299,7 +329,11 @@
         };
         let outcome = match told.told {
             // An earlier try of ours may be what this one lost against.
-            Outcome::Raced { .. } if front.tries > 1 => Outcome::Lost,
+            Outcome::Raced { complete_after, .. }
+                if front.tries > 1 && front.expect().is_some_and(|from| from < complete_after) =>
+            {
+                Outcome::Lost
+            }
             outcome => outcome,
         };
         self.operator_calls.remove(&told.id);
--- /dev/null
+++ b/control-plane/src/control_part/changes/cluster.rs
@@ -0,0 +1,215 @@
+//! Three control nodes in virtual time without edges, for tests of orders that
+//! are sent again while nodes are lost.
+
+use crate::prelude::*;
+
+/// Every message takes this long.
+const DELAY: Duration = Duration::from_millis(2);
+/// What is stored is synced after this.
+const SYNC: Duration = Duration::from_millis(1);
+const TICK: Duration = Duration::from_millis(100);
+const SLOTS: usize = 3;
+/// By then the partitions are founded and led.
+const FOUNDED: Duration = Duration::from_secs(6);
+
+enum Happening {
+    Tick { run: u64 },
+    Heard { from: Peer, message: Message },
+    Synced { run: u64, serial: u64 },
+}
+
+struct Node {
+    part: Option<ControlPart>,
+    /// Counts its starts: what was due for an earlier one is dropped.
+    run: u64,
+    disk: Vec<Vec<u8>>,
+    unsynced: VecDeque<(u64, Vec<u8>)>,
+}
+
+pub(super) struct Cluster {
+    pub now: Duration,
+    serial: u64,
+    queue: BTreeMap<(Duration, u64), (usize, Happening)>,
+    nodes: Vec<Node>,
+    lives: u64,
+    /// Nodes that no message reaches or leaves.
+    pub isolated: BTreeSet<usize>,
+    /// Answers to changes are lost.
+    pub replies_lost: bool,
+    pub answers: BTreeMap<u64, Outcome>,
+}
+
+fn address(slot: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 100 + slot as u16))
+}
+
+impl Cluster {
+    /// Founded and led.
+    pub fn new() -> Cluster {
+        let node = || Node {
+            part: None,
+            run: 0,
+            disk: Vec::new(),
+            unsynced: VecDeque::new(),
+        };
+        let mut cluster = Cluster {
+            now: Duration::ZERO,
+            serial: 0,
+            queue: BTreeMap::new(),
+            nodes: (0..SLOTS).map(|_| node()).collect(),
+            lives: 0,
+            isolated: BTreeSet::new(),
+            replies_lost: false,
+            answers: BTreeMap::new(),
+        };
+        (0..SLOTS).for_each(|slot| cluster.start(slot));
+        cluster.run_for(FOUNDED);
+        assert!(cluster.leader(CONFIGURATION).is_some(), "nobody leads");
+        cluster
+    }
+
+    /// Starts a node on what its disk holds.
+    pub fn start(&mut self, slot: usize) {
+        let known = Replica::replay(&self.nodes[slot].disk).expect("own records read");
+        let blank = known.is_none();
+        self.lives += 1;
+        let replica = known.unwrap_or_else(|| Replica::blank(1000 + self.lives));
+        let seeds = (0..SLOTS).map(address).collect();
+        let part = ControlPart::new(address(slot), seeds, replica, blank, None, self.lives);
+        let node = &mut self.nodes[slot];
+        node.run += 1;
+        node.part = Some(part);
+        let run = node.run;
+        self.push(self.now, slot, Happening::Tick { run });
+    }
+
+    /// The process ends at once; what was not synced is gone.
+    pub fn kill(&mut self, slot: usize) {
+        self.nodes[slot].part = None;
+        self.nodes[slot].unsynced.clear();
+    }
+
+    pub fn wipe(&mut self, slot: usize) {
+        self.kill(slot);
+        self.nodes[slot].disk.clear();
+    }
+
+    /// Another node than this one.
+    pub fn other(&self, slot: usize) -> usize {
+        (slot + 1) % SLOTS
+    }
+
+    /// Who leads a partition and may answer for it.
+    pub fn leader(&self, slice: u8) -> Option<usize> {
+        let leads = |slot: &usize| {
+            let part = self.nodes[*slot].part.as_ref();
+            let leader = part.and_then(|part| part.leaders.get(&slice));
+            !self.isolated.contains(slot)
+                && leader.is_some_and(|leader| leader.ready() && leader.wary.is_none())
+        };
+        (0..SLOTS).find(leads)
+    }
+
+    /// Asks a node; the answer comes under this id.
+    pub fn ask(&mut self, slot: usize, id: u64, slice: u8, change: Change) {
+        let ask = OperatorAsk::Change { slice, change };
+        self.step(slot, Input::Operator { id, ask });
+    }
+
+    /// Asks a node and waits for the answer.
+    pub fn outcome(&mut self, slot: usize, slice: u8, change: Change) -> Outcome {
+        self.serial += 1;
+        let id = 1_000_000 + self.serial;
+        self.ask(slot, id, slice, change);
+        for _ in 0..150 {
+            if let Some(outcome) = self.answers.remove(&id) {
+                return outcome;
+            }
+            self.run_for(TICK);
+        }
+        panic!("no answer")
+    }
+
+    pub fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry() {
+            let (at, _) = *entry.key();
+            if at > end {
+                break;
+            }
+            let (slot, what) = entry.remove();
+            self.now = at;
+            self.happen(slot, what);
+        }
+        self.now = end;
+    }
+
+    fn push(&mut self, at: Duration, slot: usize, what: Happening) {
+        self.serial += 1;
+        self.queue.insert((at, self.serial), (slot, what));
+    }
+
+    fn happen(&mut self, slot: usize, what: Happening) {
+        match what {
+            Happening::Tick { run } if run == self.nodes[slot].run => {
+                self.step(slot, Input::Tick);
+                self.push(self.now + TICK, slot, Happening::Tick { run });
+            }
+            Happening::Synced { run, serial } if run == self.nodes[slot].run => {
+                self.sync(slot, serial);
+                self.step(slot, Input::Stored { serial });
+            }
+            Happening::Heard { from, message } => {
+                self.step(slot, Input::Heard { from, message });
+            }
+            Happening::Tick { .. } | Happening::Synced { .. } => {}
+        }
+    }
+
+    fn sync(&mut self, slot: usize, serial: u64) {
+        let node = &mut self.nodes[slot];
+        let synced = |(known, _): &mut (u64, Vec<u8>)| *known <= serial;
+        while let Some((_, record)) = node.unsynced.pop_front_if(synced) {
+            node.disk.push(record);
+        }
+    }
+
+    fn step(&mut self, slot: usize, input: Input) {
+        let now = self.now;
+        let Some(part) = &mut self.nodes[slot].part else {
+            return;
+        };
+        let outputs = part.step(now, input);
+        let from = part.me();
+        let run = self.nodes[slot].run;
+        for output in outputs {
+            match output {
+                Output::Tell { to, message } => self.tell(slot, from, to, message),
+                Output::Store { serial, record } | Output::StoreImage { serial, record } => {
+                    self.nodes[slot].unsynced.push_back((serial, record));
+                    self.push(now + SYNC, slot, Happening::Synced { run, serial });
+                }
+                Output::OperatorAnswer {
+                    id,
+                    answer: OperatorAnswer::Outcome(outcome),
+                } => {
+                    self.answers.insert(id, outcome);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn tell(&mut self, slot: usize, from: Peer, to: SocketAddr, message: Message) {
+        let Some(to) = (0..SLOTS).find(|slot| address(*slot) == to) else {
+            return;
+        };
+        let cut = to != slot && (self.isolated.contains(&slot) || self.isolated.contains(&to));
+        let lost = self.replies_lost && matches!(message, Message::ChangeReply(_));
+        if cut || lost {
+            return;
+        }
+        let heard = Happening::Heard { from, message };
+        self.push(self.now + DELAY, to, heard);
+    }
+}
--- /dev/null
+++ b/control-plane/src/control_part/changes/tests.rs
@@ -0,0 +1,289 @@
+use super::cluster::Cluster;
+use crate::prelude::*;
+
+const PATIENT: Duration = Duration::from_secs(4);
+
+fn group(name: &str, revision: u64, rate: u32) -> Item {
+    let text: Arc<str> =
+        format!(r#"{{"service":"{name}","rate":{rate},"concurrency":2,"proof":"named"}}"#).into();
+    Item {
+        kind: ItemKind::Group,
+        name: name.into(),
+        revision,
+        text: Some(text.clone()),
+        source: text,
+    }
+}
+
+fn items(list: Vec<Item>) -> Change {
+    Change::PutItems { items: list }
+}
+
+fn document(path: &str, expect: Option<u64>, change: u64) -> Change {
+    let group = r#"{"service":"s","rate":9,"concurrency":2,"proof":"named"}"#;
+    let entry = format!(
+        r#"{{"name":"e","path":"{path}","methods":["GET"],"group":"s","rank":1,"kind":"plain"}}"#
+    );
+    Change::PutConfiguration {
+        text: format!(r#"{{"groups":[{group}],"entries":[{entry}]}}"#).into(),
+        expect,
+        change,
+    }
+}
+
+fn origins(instance: &str, expect: Option<u64>, change: u64) -> Change {
+    let origin = Origin {
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        service: "s".into(),
+        instance: instance.into(),
+        leaving: false,
+        zone: String::new(),
+        region: String::new(),
+        capacity: 0,
+        cold_ms: 0,
+    };
+    Change::PutOrigins {
+        list: Arc::new(vec![origin]),
+        expect,
+        change,
+    }
+}
+
+fn version(outcome: &Outcome) -> u64 {
+    match outcome {
+        Outcome::Settled { version } => *version,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn assert_settled(outcome: &Outcome, what: &str) {
+    assert!(
+        matches!(outcome, Outcome::Settled { .. }),
+        "{what}: {outcome:?}"
+    );
+}
+
+fn assert_conflict(outcome: &Outcome, what: &str) {
+    let Outcome::Conflict(found) = outcome else {
+        panic!("{what}: {outcome:?}")
+    };
+    assert!(found[0].text.contains("item/group/s"), "{what}: {found:?}");
+}
+
+#[test]
+fn of_two_operators_under_one_revision_at_two_nodes_one_is_confirmed_and_the_other_named() {
+    for first in 0..3 {
+        let mut cluster = Cluster::new();
+        let second = cluster.other(first);
+        cluster.ask(first, 1, CONFIGURATION, items(vec![group("s", 7, 1)]));
+        cluster.ask(second, 2, CONFIGURATION, items(vec![group("s", 7, 2)]));
+        cluster.run_for(PATIENT);
+        let told: Vec<&Outcome> = [1, 2].iter().map(|id| &cluster.answers[id]).collect();
+        let settled = told
+            .iter()
+            .filter(|told| matches!(told, Outcome::Settled { .. }));
+        assert_eq!(settled.count(), 1, "{told:?}");
+        let conflict = told
+            .iter()
+            .find(|told| matches!(told, Outcome::Conflict(_)));
+        assert_conflict(conflict.expect("the other"), "the other");
+    }
+}
+
+#[test]
+fn one_order_at_all_nodes_at_once_is_acknowledged_by_each() {
+    let mut cluster = Cluster::new();
+    for slot in 0..3 {
+        let id = slot as u64;
+        cluster.ask(slot, id, CONFIGURATION, items(vec![group("s", 7, 1)]));
+        cluster.ask(slot, 10 + id, ORIGINS, origins("o", Some(0), 5));
+    }
+    cluster.run_for(PATIENT);
+    for (id, outcome) in &cluster.answers {
+        assert_settled(outcome, &format!("call {id}"));
+    }
+    assert_eq!(cluster.answers.len(), 6);
+}
+
+#[test]
+fn eight_orders_under_way_at_once_are_each_acknowledged_and_again_after_their_answers_were_lost() {
+    let mut cluster = Cluster::new();
+    let order = |at: u64| items(vec![group(&format!("s{at}"), 1, 1), group("s", at + 1, 1)]);
+    cluster.replies_lost = true;
+    for at in 0..8 {
+        cluster.ask(at as usize % 3, at, CONFIGURATION, order(at));
+    }
+    cluster.run_for(Duration::from_millis(300));
+    assert!(cluster.answers.is_empty());
+    cluster.replies_lost = false;
+    for at in 0..8 {
+        let told = cluster.outcome((at as usize + 1) % 3, CONFIGURATION, order(at));
+        assert_settled(&told, &format!("order {at}"));
+    }
+}
+
+/// The leader ends at each moment from an order's arrival until it is settled;
+/// with its disk, or without it. The order is sent again to another node.
+#[test]
+fn an_order_whose_answer_was_lost_at_any_step_is_acknowledged_when_it_is_sent_again() {
+    for wiped in [false, true] {
+        for lost_at in 0..16 {
+            let what = format!("wiped: {wiped}, lost after {lost_at} ms");
+            let mut cluster = Cluster::new();
+            let leader = cluster.leader(CONFIGURATION).unwrap();
+            let asked = cluster.other(leader);
+            cluster.replies_lost = true;
+            cluster.ask(asked, 1, CONFIGURATION, items(vec![group("s", 7, 1)]));
+            cluster.run_for(Duration::from_millis(lost_at));
+            if wiped {
+                cluster.wipe(leader);
+            } else {
+                cluster.kill(leader);
+            }
+            cluster.replies_lost = false;
+            let next = cluster.other(asked);
+            let next = if next == leader { asked } else { next };
+            let told = cluster.outcome(next, CONFIGURATION, items(vec![group("s", 7, 1)]));
+            assert_settled(&told, &what);
+            cluster.start(leader);
+            cluster.run_for(PATIENT);
+            let told = cluster.outcome(leader, CONFIGURATION, items(vec![group("s", 7, 1)]));
+            assert_settled(&told, &what);
+            let told = cluster.outcome(leader, CONFIGURATION, items(vec![group("s", 7, 2)]));
+            assert_conflict(&told, &what);
+        }
+    }
+}
+
+#[test]
+fn what_was_accepted_is_known_after_newer_ones_restarts_and_lost_disks() {
+    let mut cluster = Cluster::new();
+    for revision in 1..=3 {
+        let told = cluster.outcome(
+            0,
+            CONFIGURATION,
+            items(vec![group("s", revision, revision as u32)]),
+        );
+        assert_settled(&told, "put");
+    }
+    let check = |cluster: &mut Cluster, what: &str| {
+        for revision in 1..=3 {
+            for slot in 0..3 {
+                let again = items(vec![group("s", revision, revision as u32)]);
+                assert_settled(&cluster.outcome(slot, CONFIGURATION, again), what);
+            }
+            let other = items(vec![group("s", revision, 99)]);
+            assert_conflict(&cluster.outcome(0, CONFIGURATION, other), what);
+        }
+    };
+    check(&mut cluster, "at once");
+    (0..3).for_each(|slot| cluster.kill(slot));
+    (0..3).for_each(|slot| cluster.start(slot));
+    cluster.run_for(PATIENT);
+    check(&mut cluster, "after a restart of all");
+    for slot in 0..3 {
+        cluster.wipe(slot);
+        cluster.run_for(Duration::from_secs(2));
+        cluster.start(slot);
+        cluster.run_for(PATIENT);
+        check(&mut cluster, "after each disk in turn was lost");
+    }
+}
+
+/// A document or a list that names the version it replaces.
+#[test]
+fn a_document_or_list_sent_again_after_a_takeover_is_acknowledged_under_its_first_version() {
+    for (slice, make) in [
+        (
+            CONFIGURATION,
+            document as fn(&str, Option<u64>, u64) -> Change,
+        ),
+        (ORIGINS, origins as fn(&str, Option<u64>, u64) -> Change),
+    ] {
+        for newer in [false, true] {
+            let what = format!("slice {slice}, newer: {newer}");
+            let mut cluster = Cluster::new();
+            let first = version(&cluster.outcome(0, slice, make("/a/", Some(0), 5)));
+            let mut stands = first;
+            if newer {
+                stands = version(&cluster.outcome(1, slice, make("/b/", Some(first), 6)));
+            }
+            let leader = cluster.leader(slice).unwrap();
+            cluster.kill(leader);
+            cluster.run_for(PATIENT);
+            let asked = cluster.other(leader);
+            let told = cluster.outcome(asked, slice, make("/a/", Some(0), 5));
+            assert_eq!(version(&told), first, "{what}");
+            let told = cluster.outcome(asked, slice, make("/c/", Some(0), 9));
+            assert!(
+                matches!(told, Outcome::Raced { version, .. } if version == stands),
+                "{what}: {told:?}"
+            );
+            let told = cluster.outcome(asked, slice, make("/c/", Some(stands), 9));
+            assert_settled(&told, &what);
+        }
+    }
+}
+
+/// Sent twice by the node itself, since the first answer was lost: another
+/// change came first, and that is what the operator is told.
+#[test]
+fn a_change_that_lost_a_race_is_told_so_also_when_it_had_to_be_sent_again() {
+    let mut cluster = Cluster::new();
+    assert_settled(
+        &cluster.outcome(0, CONFIGURATION, document("/a/", Some(0), 5)),
+        "first",
+    );
+    cluster.replies_lost = true;
+    cluster.ask(1, 1, CONFIGURATION, document("/b/", Some(0), 6));
+    cluster.run_for(Duration::from_millis(600));
+    cluster.replies_lost = false;
+    cluster.run_for(PATIENT);
+    let told = &cluster.answers[&1];
+    assert!(matches!(told, Outcome::Raced { .. }), "{told:?}");
+}
+
+/// A leader that is cut off does not know what was accepted after it.
+#[test]
+fn a_leader_that_is_cut_off_refuses_nothing() {
+    let mut cluster = Cluster::new();
+    assert_settled(
+        &cluster.outcome(0, CONFIGURATION, items(vec![group("s", 7, 1)])),
+        "first",
+    );
+    let old = cluster.leader(CONFIGURATION).unwrap();
+    cluster.isolated.insert(old);
+    cluster.ask(old, 1, CONFIGURATION, items(vec![group("s", 7, 2)]));
+    cluster.ask(old, 2, CONFIGURATION, document("/a/", Some(99), 5));
+    let orphan = Item {
+        kind: ItemKind::Entry,
+        name: "e".into(),
+        ..group("unknown", 1, 1)
+    };
+    let text: Arc<str> =
+        r#"{"name":"e","path":"/e/","group":"none","rank":1,"kind":"plain"}"#.into();
+    let orphan = Item {
+        text: Some(text.clone()),
+        source: text,
+        ..orphan
+    };
+    cluster.ask(old, 3, CONFIGURATION, items(vec![orphan]));
+    cluster.run_for(Duration::from_secs(14));
+    for id in [1, 2, 3] {
+        assert_eq!(cluster.answers[&id], Outcome::Lost, "call {id}");
+    }
+}
+
+#[test]
+fn memory_of_applied_changes_is_bounded_and_says_from_where_it_is_complete() {
+    let mut applied = AppliedChanges::default();
+    for change in 1..=2 * APPLIED_CHANGES as u64 {
+        applied.remember(change, change * 2);
+    }
+    let dropped = APPLIED_CHANGES as u64;
+    assert_eq!(applied.version_of(dropped), None);
+    assert_eq!(applied.version_of(dropped + 1), Some(2 * (dropped + 1)));
+    assert_eq!(applied.complete_after(), 2 * dropped);
+    let bytes = bincode::serialized_size(&applied).unwrap();
+    assert!(bytes <= 16 + 16 * APPLIED_CHANGES as u64, "{bytes}");
+}
--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -1,5 +1,10 @@
+//! Operators' calls over HTTP, in the product's own words.
+
 use crate::prelude::*;
 
+#[cfg(test)]
+mod tests;
+
 inventory::submit!(PlugIn {
     name: "operators",
     program: "control-node",
@@ -118,7 +123,7 @@
     match outcome {
         Outcome::Settled { version } => json(200, &serde_json::json!({ "version": version }))
             .with_additional_header("ETag", format!("\"{version}\"")),
-        Outcome::Raced { version } => {
+        Outcome::Raced { version, .. } => {
             let text = "another change came first";
             json(
                 409,
@@ -126,10 +131,30 @@
             )
         }
         Outcome::Findings(found) => invalid(&found),
+        Outcome::Conflict(found) => conflict(&found),
+        Outcome::RevisionForgotten(found) => revision_forgotten(&found),
         _ => refuse(&lost()),
     }
 }
 
+/// Names the items whose revision was accepted with another content.
+fn conflict(found: &[Finding]) -> rouille::Response {
+    let text = "a revision was accepted with another content; nothing took effect";
+    json(
+        409,
+        &serde_json::json!({ "code": "revision_conflict", "outcome": "not_run", "text": text, "findings": found }),
+    )
+}
+
+/// Names the items whose revision is below all that is remembered.
+fn revision_forgotten(found: &[Finding]) -> rouille::Response {
+    let text = "whether these revisions were accepted is not known any more; newer ones stand";
+    json(
+        410,
+        &serde_json::json!({ "code": "revision_forgotten", "outcome": "unknown", "text": text, "findings": found }),
+    )
+}
+
 fn get_configuration(port: &Port) -> rouille::Response {
     match ask(port, CONFIGURATION, &Change::GetConfiguration) {
         Outcome::Configuration { version: 0, .. } => refuse(&Refusal::not_run(
@@ -157,15 +182,13 @@
     let text = text_of(request)?;
     Configuration::read(&text).map_err(|found| invalid(&found))?;
     let expect = expected(request)?;
-    Ok(acknowledged(ask(
-        port,
-        CONFIGURATION,
-        &Change::PutConfiguration {
-            text: text.into(),
-            expect,
-            change: change_id()?,
-        },
-    )))
+    let change = change_id(expect, &text)?;
+    let change = Change::PutConfiguration {
+        text: text.into(),
+        expect,
+        change,
+    };
+    Ok(acknowledged(ask(port, CONFIGURATION, &change)))
 }
 
 /// The version that a change is made to replace, if it says so.
@@ -200,7 +223,7 @@
         PURGES,
         &Change::AddPurge {
             purge,
-            change: change_id()?,
+            change: new_change_id()?,
         },
     )))
 }
@@ -236,7 +259,8 @@
     port: &Port,
     request: &rouille::Request,
 ) -> Result<rouille::Response, rouille::Response> {
-    let items: Vec<serde_json::Value> = serde_json::from_str(&text_of(request)?)
+    let text = text_of(request)?;
+    let items: Vec<serde_json::Value> = serde_json::from_str(&text)
         .map_err(|error| invalid(&[Finding::new("", error.to_string())]))?;
     let mut found = Vec::new();
     let mut origins: Vec<Origin> = Vec::new();
@@ -269,15 +293,14 @@
     if !found.is_empty() {
         return Err(invalid(&found));
     }
-    Ok(acknowledged(ask(
-        port,
-        ORIGINS,
-        &Change::PutOrigins {
-            list: Arc::new(origins),
-            expect: expected(request)?,
-            change: change_id()?,
-        },
-    )))
+    let expect = expected(request)?;
+    let change = change_id(expect, &text)?;
+    let change = Change::PutOrigins {
+        list: Arc::new(origins),
+        expect,
+        change,
+    };
+    Ok(acknowledged(ask(port, ORIGINS, &change)))
 }
 
 /// An item as operators send it.
@@ -339,10 +362,7 @@
     Ok(acknowledged(ask(
         port,
         CONFIGURATION,
-        &Change::PutItems {
-            items,
-            change: change_id()?,
-        },
+        &Change::PutItems { items },
     )))
 }
 
@@ -386,7 +406,25 @@
     }
 }
 
-fn change_id() -> Result<u64, rouille::Response> {
+/// Names a change. One that replaces a given version is the same change when
+/// it is sent again, to whatever node: that version stands once only. Without
+/// a version, the same content is another change each time.
+fn change_id(expect: Option<u64>, content: &str) -> Result<u64, rouille::Response> {
+    match expect {
+        Some(version) => Ok(repeatable_change_id(version, content)),
+        None => new_change_id(),
+    }
+}
+
+fn repeatable_change_id(replaced: u64, content: &str) -> u64 {
+    let hash = Sha256::new()
+        .chain_update(replaced.to_be_bytes())
+        .chain_update(content.as_bytes())
+        .finalize();
+    u64::from_be_bytes(hash[..8].try_into().expect("eight bytes"))
+}
+
+fn new_change_id() -> Result<u64, rouille::Response> {
     new_life().map_err(|error| refuse(&Refusal::not_run(500, "no_randomness", &error.to_string())))
 }
 
@@ -422,32 +460,3 @@
         .collect();
     serde_json::json!({ "version": version, "duties": duties })
 }
-
-#[cfg(test)]
-mod tests {
-
-    #[test]
-    fn items_are_read_one_by_one_and_a_removal_must_be_said() {
-        let group = r#"{"service":"s","rate":9.50,"concurrency":2,"proof":"named"}"#;
-        let body = format!(
-            r#"[{{"kind":"group","name":"s","revision":1,"value":{group}}},{{"kind":"entry","name":"e","revision":2,"value":null}}]"#
-        );
-        let items = super::items_of(&body).unwrap();
-        assert_eq!(
-            (items[0].text.as_deref(), &*items[0].source),
-            (Some(group), group),
-            "as it was sent"
-        );
-        assert_eq!((items[1].text.as_deref(), items[1].revision), (None, 2));
-        let body = body
-            .replace("9.50", "0")
-            .replace(r#","value":null"#, "")
-            .replace(']', r#",{"kind":"odd"}]"#);
-        let places: Vec<String> = super::items_of(&body)
-            .unwrap_err()
-            .into_iter()
-            .map(|one| one.place)
-            .collect();
-        assert_eq!(places, ["/0/rate", "/1", "/2"]);
-    }
-}
--- /dev/null
+++ b/control-plane/src/operator_face/tests.rs
@@ -0,0 +1,59 @@
+#[test]
+fn items_are_read_one_by_one_and_a_removal_must_be_said() {
+    let group = r#"{"service":"s","rate":9.50,"concurrency":2,"proof":"named"}"#;
+    let body = format!(
+        r#"[{{"kind":"group","name":"s","revision":1,"value":{group}}},{{"kind":"entry","name":"e","revision":2,"value":null}}]"#
+    );
+    let items = super::items_of(&body).unwrap();
+    assert_eq!(
+        (items[0].text.as_deref(), &*items[0].source),
+        (Some(group), group),
+        "as it was sent"
+    );
+    assert_eq!((items[1].text.as_deref(), items[1].revision), (None, 2));
+    let body = body
+        .replace("9.50", "0")
+        .replace(r#","value":null"#, "")
+        .replace(']', r#",{"kind":"odd"}]"#);
+    let places: Vec<String> = super::items_of(&body)
+        .unwrap_err()
+        .into_iter()
+        .map(|one| one.place)
+        .collect();
+    assert_eq!(places, ["/0/rate", "/1", "/2"]);
+}
+
+#[test]
+fn a_change_that_names_what_it_replaces_has_one_id_and_others_a_new_one() {
+    let id = |expect, content| super::change_id(expect, content).unwrap();
+    assert_eq!(id(Some(4), "a"), id(Some(4), "a"));
+    assert_ne!(id(Some(4), "a"), id(Some(5), "a"));
+    assert_ne!(id(Some(4), "a"), id(Some(4), "b"));
+    assert_ne!(id(None, "a"), id(None, "a"));
+}
+
+#[test]
+fn a_conflict_names_its_items_and_promises_that_nothing_took_effect() {
+    let found = vec![crate::prelude::Finding::new("/0/revision", "item/entry/a")];
+    let body_of = |outcome| {
+        let answer = super::acknowledged(outcome);
+        let (mut reader, _) = answer.data.into_reader_and_size();
+        let mut text = String::new();
+        std::io::Read::read_to_string(&mut reader, &mut text).unwrap();
+        (
+            answer.status_code,
+            serde_json::from_str::<serde_json::Value>(&text).unwrap(),
+        )
+    };
+    let (status, body) = body_of(crate::prelude::Outcome::Conflict(found.clone()));
+    assert_eq!(
+        (status, &body["code"], &body["outcome"]),
+        (409, &"revision_conflict".into(), &"not_run".into())
+    );
+    assert_eq!(body["findings"][0]["place"], "/0/revision");
+    let (status, body) = body_of(crate::prelude::Outcome::RevisionForgotten(found));
+    assert_eq!(
+        (status, &body["code"], &body["outcome"]),
+        (410, &"revision_forgotten".into(), &"unknown".into())
+    );
+}
--- a/control-plane/src/partition_leader.rs
+++ b/control-plane/src/partition_leader.rs
@@ -31,9 +31,6 @@
     quorum: Quorum,
     /// Version of that table.
     membership_version: u64,
-    /// Changes made under this epoch, with their versions: one that comes again,
-    /// late, must not undo what came after it.
-    made: VecDeque<(u64, u64)>,
     pub active_since: Option<Duration>,
     /// Until then nothing is answered: edges may know more.
     pub wary: Option<Duration>,
@@ -51,8 +48,9 @@
 
 /// An unanswered message is sent again after this.
 const AGAIN: Duration = Duration::from_millis(300);
-/// Changes remembered as made.
-const MADE: usize = 256;
+/// Row key of the changes applied to the partition's one row that is replaced
+/// whole.
+const APPLIED_KEY: &str = "applied";
 const RAISE_AGAIN: Duration = Duration::from_millis(400);
 /// Between rounds of a slice that is not news.
 const SELDOM: Duration = Duration::from_secs(1);
@@ -76,7 +74,6 @@
             copies: vec![CopyAt::default(); slots],
             quorum: Quorum::new(slots),
             membership_version,
-            made: VecDeque::new(),
             active_since: None,
             wary: None,
         }
@@ -207,19 +204,41 @@
         }
     }
 
-    pub fn make(&mut self, change: u64, version: u64) {
-        self.made.push_back((change, version));
-        if self.made.len() > MADE {
-            self.made.pop_front();
+    /// Changes applied to the partition's row that is replaced whole. A row of
+    /// their own beside it: on disk, on all replicas, and adopted with the rest.
+    pub fn applied(&self) -> AppliedChanges {
+        match self.rows.get(APPLIED_KEY) {
+            Some(Row {
+                value: Value::Applied(applied),
+                ..
+            }) => applied.clone(),
+            _ => AppliedChanges::default(),
         }
     }
 
-    /// The version a change was made under, if it was not long ago.
-    pub fn made(&self, change: u64) -> Option<u64> {
-        self.made
-            .iter()
-            .find(|(known, _)| *known == change)
-            .map(|(_, version)| *version)
+    /// The version under which a change was applied to the row of this key, if
+    /// it is remembered.
+    pub fn applied_version(&self, key: &str, change: u64) -> Option<u64> {
+        // The row itself names its change: it may have come without the memory,
+        // from edges after a loss.
+        let standing = self.rows.get(key).filter(|row| match &row.value {
+            Value::Configuration { change: known, .. } | Value::Origins { change: known, .. } => {
+                *known == change
+            }
+            _ => false,
+        });
+        standing
+            .map(|row| row.version)
+            .or_else(|| self.applied().version_of(change))
+    }
+
+    /// Replaces a row whole and remembers the change. The memory goes first:
+    /// who has the row has the memory too.
+    pub fn apply_change(&mut self, key: &str, value: Value, change: u64) -> u64 {
+        let mut applied = self.applied();
+        applied.remember(change, self.version + 2);
+        self.put(APPLIED_KEY.into(), Value::Applied(applied));
+        self.put(key.into(), value)
     }
 
     /// The table changed in its number only.
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -4,7 +4,7 @@
 /// the log is read back. Invariants, per slice:
 /// - `promised` never goes down, and nothing under a lower epoch is taken.
 /// - `image` is complete up to `image.version` under `image.epoch`.
-/// - `shown` is, for the news slices, the whole slice as it was at
+/// - `shown` is, for the news slices, all rows for edges as they were at
 ///   `image.published`. Rows that came after it wait in `tail`, by the version
 ///   up to which each message made the image complete: what is published in
 ///   between is not shown, since a later row may hide an earlier one of its key
@@ -273,6 +273,9 @@
             self.tail.pop_front_if(|(version, _)| *version <= published)
         {
             for (key, row) in rows {
+                if !row.value.for_edges() {
+                    continue;
+                }
                 if self
                     .shown
                     .get(&key)
--- a/data-plane/src/edge_part.rs
+++ b/data-plane/src/edge_part.rs
@@ -373,7 +373,9 @@
             | Value::Founded { .. }
             | Value::Roll { .. }
             | Value::Enrolled { .. }
-            | Value::Opened { .. } => {}
+            | Value::Opened { .. }
+            | Value::Accepted(_)
+            | Value::Applied(_) => {}
         }
     }
 
--- /dev/null
+++ b/kernel/src/items_change/tests.rs
@@ -0,0 +1,245 @@
+use crate::prelude::*;
+
+fn item(kind: ItemKind, name: &str, revision: u64, text: Option<String>) -> Item {
+    let text: Option<Arc<str>> = text.map(Into::into);
+    Item {
+        kind,
+        name: name.into(),
+        revision,
+        source: text.clone().unwrap_or_else(|| "null".into()),
+        text,
+    }
+}
+
+fn group(name: &str, revision: u64) -> Item {
+    let text = format!(r#"{{"service":"{name}","rate":9,"concurrency":2,"proof":"named"}}"#);
+    item(ItemKind::Group, name, revision, Some(text))
+}
+
+fn entry(name: &str, revision: u64, path: &str, to: &str) -> Item {
+    let text = format!(
+        r#"{{"name":"{name}","path":"{path}","methods":[],"group":"{to}","rank":1,"kind":"repeatable"}}"#
+    );
+    item(ItemKind::Entry, name, revision, Some(text))
+}
+
+fn removal(name: &str, revision: u64) -> Item {
+    item(ItemKind::Entry, name, revision, None)
+}
+
+/// The rows of one partition, changed as its leader changes them.
+#[derive(Default, Clone)]
+struct Partition {
+    rows: BTreeMap<String, Row>,
+    version: u64,
+}
+
+impl Partition {
+    /// One with a group to which entries may go.
+    fn with_group() -> Partition {
+        let mut partition = Partition::default();
+        assert_eq!(partition.put(vec![group("s", 1)]), Ok(1));
+        partition
+    }
+
+    /// The number of items put, or why the call was refused.
+    fn put(&mut self, items: Vec<Item>) -> Result<usize, ItemsRefusal> {
+        let change = ItemsChange::judge(&self.rows, items)?;
+        let is_item = |(_, value): &&(String, Value)| matches!(value, Value::Item(_));
+        let count = change.rows.iter().filter(is_item).count();
+        for (key, value) in change.rows {
+            self.version += 1;
+            let version = self.version;
+            self.rows.insert(key, Row { version, value });
+        }
+        Ok(count)
+    }
+
+    /// What the call is refused for, as one text.
+    fn invalid(&mut self, items: Vec<Item>) -> String {
+        match self.put(items) {
+            Err(ItemsRefusal::Invalid(found)) => joined(&found),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn conflict(&mut self, items: Vec<Item>) -> String {
+        match self.put(items) {
+            Err(ItemsRefusal::Conflict(found)) => joined(&found),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn standing(&self, name: &str) -> Option<u64> {
+        match &self.rows.get(&Items::key(ItemKind::Entry, name))?.value {
+            Value::Item(item) => Some(item.revision),
+            _ => None,
+        }
+    }
+}
+
+fn joined(found: &[Finding]) -> String {
+    let texts: Vec<String> = found.iter().map(ToString::to_string).collect();
+    texts.join("; ")
+}
+
+#[test]
+fn per_name_the_highest_revision_holds_also_of_removals_and_a_call_is_whole_or_nothing() {
+    let mut partition = Partition::default();
+    assert_eq!(
+        partition.put(vec![group("s", 7), entry("a", 7, "/a/", "s")]),
+        Ok(2)
+    );
+    assert_eq!(
+        partition.put(vec![entry("a", 6, "/x/", "s")]),
+        Ok(0),
+        "not newer: no effect"
+    );
+    let found = partition.invalid(vec![
+        entry("b", 9, "/b/", "s"),
+        entry("c", 9, "/c/", "none"),
+    ]);
+    assert!(
+        found.contains("/1/group") && found.contains("no such group"),
+        "{found}"
+    );
+    let other = Item {
+        name: "d".into(),
+        ..entry("c", 9, "/c/", "s")
+    };
+    assert!(partition.invalid(vec![other]).contains("another name"));
+    assert_eq!(partition.standing("b"), None, "no part of an invalid call");
+    let found = partition.invalid(vec![entry("b", 9, "/a/", "s")]);
+    assert!(!found.is_empty(), "two entries at one place");
+    assert_eq!(
+        partition.put(vec![removal("a", 12), entry("b", 9, "/a/", "s")]),
+        Ok(2),
+        "it made room in the same call"
+    );
+    assert_eq!(
+        partition.put(vec![entry("a", 11, "/z/", "s")]),
+        Ok(0),
+        "older than the removal"
+    );
+    let found = partition.invalid(vec![item(ItemKind::Group, "s", 20, None)]);
+    assert!(
+        found.contains("item/entry/b/group"),
+        "an entry still goes to it: {found}"
+    );
+    assert_eq!(partition.put(vec![entry("a", 13, "/z/", "s")]), Ok(1));
+}
+
+/// Once, the second of two operators under one revision was acknowledged,
+/// while the first one's content stood.
+#[test]
+fn a_revision_with_another_content_is_a_conflict_and_nothing_of_the_call_takes_effect() {
+    let mut partition = Partition::with_group();
+    assert_eq!(partition.put(vec![entry("a", 7, "/a/", "s")]), Ok(1));
+    let before = partition.rows.clone();
+    let found = partition.conflict(vec![
+        entry("b", 7, "/b/", "s"),
+        entry("a", 7, "/other/", "s"),
+    ]);
+    assert!(
+        found.contains("/1/revision") && found.contains("item/entry/a: revision 7"),
+        "{found}"
+    );
+    partition.conflict(vec![removal("a", 7)]);
+    assert_eq!(partition.rows, before, "also the new item is not put");
+    assert_eq!(
+        partition.put(vec![entry("a", 7, "/a/", "s"), entry("b", 7, "/b/", "s")]),
+        Ok(1),
+        "the accepted one is no hindrance to others"
+    );
+}
+
+#[test]
+fn a_call_that_contradicts_itself_is_a_conflict_and_its_highest_revision_holds() {
+    let mut partition = Partition::with_group();
+    partition.conflict(vec![entry("a", 7, "/a/", "s"), entry("a", 7, "/b/", "s")]);
+    assert_eq!(
+        partition.put(vec![entry("a", 7, "/a/", "s"), entry("a", 7, "/a/", "s")]),
+        Ok(1),
+        "the same twice"
+    );
+    assert_eq!(
+        partition.put(vec![entry("b", 9, "/b/", "s"), entry("b", 8, "/c/", "s")]),
+        Ok(1)
+    );
+    assert_eq!(partition.standing("b"), Some(9));
+    partition.conflict(vec![entry("b", 8, "/d/", "s")]);
+}
+
+#[test]
+fn what_was_accepted_is_known_after_newer_revisions_have_passed_it() {
+    let mut partition = Partition::with_group();
+    for revision in [3, 5, 9] {
+        let path = format!("/{revision}/");
+        assert_eq!(partition.put(vec![entry("a", revision, &path, "s")]), Ok(1));
+    }
+    let before = partition.rows.clone();
+    assert_eq!(partition.put(vec![entry("a", 5, "/5/", "s")]), Ok(0));
+    assert_eq!(partition.put(vec![entry("a", 3, "/3/", "s")]), Ok(0));
+    partition.conflict(vec![entry("a", 5, "/other/", "s")]);
+    partition.conflict(vec![removal("a", 3)]);
+    assert_eq!(partition.rows, before, "a repeat changes nothing");
+}
+
+#[test]
+fn an_older_revision_that_was_never_accepted_has_no_effect_and_takes_its_number() {
+    let mut partition = Partition::with_group();
+    assert_eq!(partition.put(vec![entry("a", 9, "/9/", "s")]), Ok(1));
+    assert_eq!(partition.put(vec![entry("a", 7, "/7/", "s")]), Ok(0));
+    assert_eq!(partition.standing("a"), Some(9));
+    assert_eq!(partition.put(vec![entry("a", 7, "/7/", "s")]), Ok(0));
+    partition.conflict(vec![entry("a", 7, "/other/", "s")]);
+    assert_eq!(partition.put(vec![removal("a", 12)]), Ok(1));
+    assert_eq!(partition.put(vec![entry("a", 9, "/9/", "s")]), Ok(0));
+    partition.conflict(vec![entry("a", 12, "/back/", "s")]);
+}
+
+#[test]
+fn a_removal_is_the_same_in_whatever_words_it_was_sent() {
+    let mut partition = Partition::with_group();
+    assert_eq!(partition.put(vec![removal("a", 4)]), Ok(1));
+    let in_other_words = Item {
+        source: "".into(),
+        ..removal("a", 4)
+    };
+    assert_eq!(partition.put(vec![in_other_words]), Ok(0));
+}
+
+#[test]
+fn an_acknowledgement_waits_for_all_rows_that_speak_of_the_calls_items() {
+    let mut partition = Partition::with_group();
+    partition.put(vec![entry("a", 7, "/a/", "s")]).unwrap();
+    partition.put(vec![entry("b", 7, "/b/", "s")]).unwrap();
+    let again = ItemsChange::judge(&partition.rows, vec![entry("a", 7, "/a/", "s")]).unwrap();
+    assert!(again.rows.is_empty());
+    assert!(again.keys.contains("item/entry/a") && again.keys.contains("accepted/item/entry/a"));
+    assert!(!again.keys.contains("item/entry/b"), "of no concern to it");
+}
+
+#[test]
+fn memory_is_bounded_and_what_was_dropped_is_neither_confirmed_nor_refused() {
+    let mut partition = Partition::with_group();
+    let newest = 2 * ACCEPTED_REVISIONS as u64;
+    let at = |revision: u64| entry("a", revision, &format!("/{revision}/"), "s");
+    for revision in 1..=newest {
+        assert_eq!(partition.put(vec![at(revision)]), Ok(1));
+    }
+    let oldest_known = newest - ACCEPTED_REVISIONS as u64;
+    assert_eq!(partition.put(vec![at(oldest_known)]), Ok(0));
+    partition.conflict(vec![entry("a", oldest_known, "/other/", "s")]);
+    let before = partition.rows.clone();
+    for content in ["/1/", "/other/"] {
+        let told = partition.put(vec![entry("a", 1, content, "s")]);
+        assert!(
+            matches!(told, Err(ItemsRefusal::Forgotten(_))),
+            "{content}: {told:?}"
+        );
+    }
+    assert_eq!(partition.rows, before);
+    let bytes = bincode::serialized_size(&partition.rows["accepted/item/entry/a"]).unwrap();
+    assert!(bytes <= 64 + 24 * ACCEPTED_REVISIONS as u64, "{bytes}");
+}
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -1,5 +1,7 @@
 //! What every otterslip process is built on: startup, messages, frames, links,
 //! ticks, events and the host that drives a part.
+pub mod accepted;
+pub mod applied;
 pub mod configuration;
 pub mod dialect;
 pub mod entry_table;
@@ -9,6 +11,7 @@
 pub mod frame;
 pub mod host;
 pub mod items;
+pub mod items_change;
 pub mod lease;
 pub mod link;
 pub mod message;
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -272,10 +272,10 @@
     },
     GetConfiguration,
     /// Sets or removes named parts, whole or not at all; one that is not newer
-    /// than what is known under its name has no effect.
+    /// than what is known under its name has no effect. Name, revision and
+    /// content make a repeat harmless.
     PutItems {
         items: Vec<Item>,
-        change: u64,
     },
     AddPurge {
         purge: Purge,
@@ -326,9 +326,12 @@
     Settled {
         version: u64,
     },
-    /// Another change came first; this version is in force.
+    /// Another change came first; this version is in force. Whether a change
+    /// made to replace a version below `complete_after` was applied earlier is
+    /// not known any more.
     Raced {
         version: u64,
+        complete_after: u64,
     },
     Configuration {
         version: u64,
@@ -353,6 +356,12 @@
     Closed {
         left: Duration,
     },
+    /// A revision was accepted before with another content. Nothing of the
+    /// call took effect; the findings name the items.
+    Conflict(Vec<Finding>),
+    /// A revision is so old that it is not known any more whether it was
+    /// accepted. The call has no effect now; the findings name the items.
+    RevisionForgotten(Vec<Finding>),
 }
 
 /// Ties a put to what the owner knew when it said MISS.
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -16,6 +16,8 @@
 pub use std::time::{Duration, Instant};
 pub use validator::Validate;
 
+pub use crate::accepted::*;
+pub use crate::applied::*;
 pub use crate::configuration::*;
 pub use crate::dialect::{CallWords, Dialect, Judged, TellWords};
 pub use crate::entry_table::EntryTable;
@@ -25,6 +27,7 @@
 pub use crate::frame;
 pub use crate::host::{Host, Port, Store, new_life};
 pub use crate::items::Items;
+pub use crate::items_change::{ItemsChange, ItemsRefusal};
 pub use crate::lease;
 pub use crate::link::Links;
 pub use crate::message::*;
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -119,6 +119,18 @@
         realm: u64,
     },
     Operation(Operation),
+    /// Revisions an item was accepted under before the one that stands.
+    Accepted(AcceptedRevisions),
+    /// Changes that were applied to a row that is replaced whole.
+    Applied(AppliedChanges),
+}
+
+impl Value {
+    /// Whether edges are told rows of this kind; the others only serve to
+    /// judge changes.
+    pub fn for_edges(&self) -> bool {
+        !matches!(self, Value::Accepted(_) | Value::Applied(_))
+    }
 }
 
 /// A named part of the configuration, with a version of its own that its
