Simulated operators under one revision; counts of the record

Cause: that a revision is confirmed once only, and that an order sent again is acknowledged, was tried by scripts without edges.

Change: the simulator knows operators who set items, lose answers and send the same order to the next control node.

Not run: the scenario with a safeguard removed.

--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod prelude;
 #[cfg(test)]
 mod scenarios;
+#[cfg(test)]
+mod scenarios_orders;
 pub mod schedule;
 pub mod script;
 pub mod shrink;
@@ -15,3 +17,4 @@
 mod world_callers;
 mod world_faults;
 mod world_operators;
+mod world_orders;
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -8,6 +8,7 @@
 pub use crate::sim_origin::{Mood, SimOrigin};
 pub(crate) use crate::world::{Asked, Asking, CALLER_PATIENCE, Happening, Task};
 pub use crate::world::{FounderEnd, Report, World, WorldPlan};
+pub use crate::world_orders::{ItemOrder, OrderRecord};
 pub use control_plane::{Bootstrap, ControlPart, Record, Replica};
 pub use data_plane::prelude::{Arrival, chain};
 pub use data_plane::{EdgePart, errand_of};
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -19,6 +19,8 @@
     pub late: bool,
     /// How the first seed ends as it fixes the table; it is back a second later.
     pub founder: FounderEnd,
+    /// What operators order by items.
+    pub orders: Vec<ItemOrder>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +53,7 @@
             gather: false,
             late: false,
             founder: FounderEnd::Lives,
+            orders: Vec::new(),
         }
     }
 }
@@ -88,6 +91,7 @@
     pub log_bytes: usize,
     /// Copies handed out, by edge.
     pub copies: Vec<u64>,
+    pub orders: Vec<OrderRecord>,
 }
 
 /// The fleet, its network, its origins, callers and operators, in virtual
@@ -130,6 +134,7 @@
     pub(crate) fleet: Vec<FleetRecord>,
     pub(crate) steps: u64,
     pub(crate) copies: Vec<u64>,
+    pub(crate) orders: Vec<OrderRecord>,
     pub(crate) notes: BTreeMap<Event, usize>,
     pub trace: bool,
 }
@@ -200,6 +205,12 @@
         asked: Asked,
         tries: u32,
     },
+    SendOrder {
+        order: usize,
+    },
+    OrderUnanswered {
+        id: u64,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -245,6 +256,10 @@
     OpenLedger {
         realm: Option<u64>,
     },
+    /// The place of the order among those of the plan.
+    Order {
+        order: usize,
+    },
 }
 
 pub(crate) const CALLER_PATIENCE: Duration = Duration::from_secs(12);
@@ -280,6 +295,7 @@
             fleet: Vec::new(),
             steps: 0,
             copies: vec![0; plan.deployment.edges],
+            orders: Vec::new(),
             notes: BTreeMap::new(),
             trace: false,
             plan,
@@ -362,6 +378,7 @@
                 tries: 0,
             },
         );
+        self.schedule_orders();
         for (when, fault) in self.plan.faults.clone() {
             self.push(when, Happening::Fault(fault));
         }
@@ -435,6 +452,7 @@
             notes: self.notes,
             log_bytes,
             copies: self.copies,
+            orders: self.orders,
         }
     }
 
@@ -518,6 +536,8 @@
             Happening::LookReady { since } => self.look_ready(since),
             Happening::Restarted { node, run } => self.restarted(node, run),
             Happening::Ask { node, asked, tries } => self.ask(node, asked, tries),
+            Happening::SendOrder { order } => self.send_order(order),
+            Happening::OrderUnanswered { id } => self.order_unanswered(id),
             _ => {}
         }
     }
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -101,6 +101,7 @@
                 },
             ),
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
+            Asked::Order { order } => return self.send_order(*order),
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
                 self.asked.insert(self.serial, (node, asked));
@@ -185,6 +186,7 @@
                 },
             ),
             Asked::OpenLedger { .. } => {}
+            Asked::Order { order } => self.order_told(order, outcome),
             Asked::ReadBack {
                 expect: (version, text),
             } => {
--- /dev/null
+++ b/simulate-fleet/src/world_orders.rs
@@ -0,0 +1,115 @@
+//! Operators who set items: their answers may be lost, and then the same order
+//! is sent again to the next control node.
+
+use crate::prelude::*;
+
+/// One operator's order: an item under a revision, with a content.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ItemOrder {
+    pub at: Duration,
+    /// The control node that is asked first.
+    pub node: usize,
+    pub name: String,
+    pub revision: u64,
+    /// Tells contents apart.
+    pub content: u32,
+    /// So many answers do not reach the operator.
+    pub answers_lost: u32,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone)]
+pub struct OrderRecord {
+    pub order: ItemOrder,
+    pub tries: u32,
+    /// The answer that ended it; none if it was sent until the end.
+    pub outcome: Option<Outcome>,
+    pub ended: Duration,
+}
+
+/// An operator without an answer sends again after this.
+const AGAIN: Duration = Duration::from_millis(250);
+/// An operator waits this long for one node.
+const PATIENCE: Duration = Duration::from_millis(3500);
+
+impl ItemOrder {
+    fn change(&self) -> Change {
+        let text: Arc<str> = json!({
+            "service": self.name, "rate": 1 + self.content, "concurrency": 2, "proof": "named",
+        })
+        .to_string()
+        .into();
+        let item = Item {
+            kind: ItemKind::Group,
+            name: self.name.clone(),
+            revision: self.revision,
+            text: Some(text.clone()),
+            source: text,
+        };
+        Change::PutItems { items: vec![item] }
+    }
+}
+
+impl World {
+    /// Puts the plan's orders on the timetable.
+    pub(crate) fn schedule_orders(&mut self) {
+        for (order, at) in self
+            .plan
+            .orders
+            .iter()
+            .map(|one| one.at)
+            .enumerate()
+            .collect::<Vec<_>>()
+        {
+            let record = OrderRecord {
+                order: self.plan.orders[order].clone(),
+                tries: 0,
+                outcome: None,
+                ended: Duration::ZERO,
+            };
+            self.orders.push(record);
+            self.push(at, Happening::SendOrder { order });
+        }
+    }
+
+    pub(crate) fn send_order(&mut self, order: usize) {
+        let record = &mut self.orders[order];
+        if record.outcome.is_some() {
+            return;
+        }
+        let node = (record.order.node + record.tries as usize) % self.plan.control;
+        record.tries += 1;
+        let change = record.order.change();
+        if self.nodes[node].part.is_none() {
+            return self.after(AGAIN, Happening::SendOrder { order });
+        }
+        self.serial += 1;
+        let id = self.serial;
+        self.asked.insert(id, (node, Asked::Order { order }));
+        self.after(PATIENCE, Happening::OrderUnanswered { id });
+        let slice = CONFIGURATION;
+        let ask = OperatorAsk::Change { slice, change };
+        self.step(node, Input::Operator { id, ask });
+    }
+
+    /// The operator gives this try up and goes to the next node.
+    pub(crate) fn order_unanswered(&mut self, id: u64) {
+        if self.asked.contains_key(&id) {
+            self.operator_told(id, OperatorAnswer::Outcome(Outcome::Lost));
+        }
+    }
+
+    pub(crate) fn order_told(&mut self, order: usize, outcome: Outcome) {
+        let now = self.now;
+        let record = &mut self.orders[order];
+        let lost = record.order.answers_lost > 0;
+        if lost {
+            record.order.answers_lost -= 1;
+        }
+        if lost || outcome == Outcome::Lost {
+            return self.after(AGAIN, Happening::SendOrder { order });
+        }
+        record.outcome = Some(outcome);
+        record.ended = now;
+    }
+}
