--- a/control-plane/tests/cluster/mod.rs
+++ b/control-plane/tests/cluster/mod.rs
@@ -34,7 +34,6 @@
 pub struct Call {
     pub node: usize,
     pub asked: Duration,
-    pub change: Change,
     pub answer: Option<(Duration, Outcome)>,
 }
 
@@ -259,7 +258,6 @@
         self.calls.push(Call {
             node,
             asked: self.now,
-            change: change.clone(),
             answer: None,
         });
         let id = self.calls.len() as u64;
@@ -340,10 +338,7 @@
         text: Some(text.clone()),
         source: text,
     };
-    Change::PutItems {
-        items: vec![item],
-        change: revision,
-    }
+    Change::PutItems { items: vec![item] }
 }
 
 /// The revision of an item in an answer to `Change::List`, if it is there.
--- a/control-plane/tests/replication/model/node.rs
+++ b/control-plane/tests/replication/model/node.rs
@@ -206,8 +206,8 @@
     fn go_by(&mut self, version: u64, members: Vec<Peer>) {
         self.membership_version = version;
         let before = std::mem::replace(&mut self.members, members);
-        for slot in 0..before.len() {
-            let (old, new) = (before[slot], self.members[slot]);
+        let changes: Vec<(Peer, Peer)> = before.into_iter().zip(self.members.clone()).collect();
+        for (slot, (old, new)) in changes.into_iter().enumerate() {
             if old == new {
                 continue;
             }
@@ -572,6 +572,7 @@
         let founding = self.replica.held(PLACES).image.version == 0;
         let shown = self.replica.places().map_or(0, |(version, _)| version);
         let reply = SnapshotReply {
+            asker: from.life,
             slot: self.slot().expect("a member"),
             round: request.round,
             full: self.replica.full,
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -101,6 +101,7 @@
                 },
             ),
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
+            Asked::Order { order } => return self.send_order(*order),
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
                 self.asked.insert(self.serial, (node, asked));
@@ -151,8 +152,10 @@
             }
         };
         let settled = matches!(outcome, Outcome::Settled { .. });
-        if let (Asked::Origins { .. }, Outcome::Settled { version } | Outcome::Raced { version }) =
-            (&asked, &outcome)
+        if let (
+            Asked::Origins { .. },
+            Outcome::Settled { version } | Outcome::Raced { version, .. },
+        ) = (&asked, &outcome)
         {
             self.origins_at = *version;
         }
@@ -183,6 +186,7 @@
                 },
             ),
             Asked::OpenLedger { .. } => {}
+            Asked::Order { order } => self.order_told(order, outcome),
             Asked::ReadBack {
                 expect: (version, text),
             } => {
