--- /dev/null
+++ b/control-plane/src/control_part/changes.rs
@@ -0,0 +1,503 @@
+//! Changes on their way to the leader of their partition, made there, and their answers.
+
+use super::*;
+
+/// How long a call of an operator is sent again before its outcome is given up
+/// as unknown.
+const OPERATOR_CALL_LIMIT: Duration = Duration::from_secs(12);
+/// An unanswered call is sent again after this.
+const OPERATOR_CALL_AGAIN: Duration = Duration::from_millis(400);
+
+/// An answer that waits for its leader to get so far.
+pub(super) struct PendingReply {
+    pub(super) slice: u8,
+    pub(super) asker: SocketAddr,
+    pub(super) id: u64,
+    pub(super) commit: u64,
+    pub(super) settle: u64,
+    pub(super) round: u64,
+    pub(super) told: Outcome,
+}
+
+impl PendingReply {
+    /// Puts a row that is replaced whole, unless this change did so already,
+    /// another version stands than the expected one, or something is found
+    /// wrong with it. The version, if it is put now.
+    fn replace(
+        &mut self,
+        leader: &mut PartitionLeader,
+        key: &str,
+        value: Value,
+        expect: Option<u64>,
+        change: u64,
+        found: &dyn Fn() -> Option<Vec<Finding>>,
+    ) -> Option<u64> {
+        let row = leader.rows.get(key);
+        let current = row.map_or(0, |row| row.version);
+        let made = row.is_some_and(|row| matches!(&row.value, Value::Configuration { change: known, .. } | Value::Origins { change: known, .. } if *known == change));
+        if made {
+            self.settle = current;
+            self.told = Outcome::Settled { version: current };
+            return None;
+        }
+        if expect.is_some_and(|version| version != current) {
+            self.commit = current;
+            self.told = Outcome::Raced { version: current };
+            return None;
+        }
+        if let Some(found) = found() {
+            self.told = Outcome::Findings(found);
+            return None;
+        }
+        let version = leader.put(key.into(), value);
+        leader.make(change, version);
+        self.settle = version;
+        self.told = Outcome::Settled { version };
+        Some(version)
+    }
+}
+
+/// A call from an operator, on its way to the leader of its partition.
+pub(super) struct OperatorCall {
+    slice: u8,
+    change: Change,
+    until: Duration,
+    next: Duration,
+    /// The leader it was last meant for, and how often it was sent.
+    sent_to: Option<u8>,
+    tries: u32,
+}
+
+impl OperatorCall {
+    /// What is known of a call that is given up: reads have no effect, and
+    /// what was never sent had none.
+    fn given_up(&self) -> Outcome {
+        let is_read = matches!(self.change, Change::GetConfiguration | Change::List);
+        if is_read || self.tries == 0 {
+            Outcome::NoMajority
+        } else {
+            Outcome::Lost
+        }
+    }
+}
+
+/// A change of another member that does not reach the leader itself.
+pub(super) struct Relay {
+    asker: SocketAddr,
+    id: u64,
+    pub(super) until: Duration,
+}
+
+/// Id of a change that this node asks for by itself.
+pub(super) const NOBODY_WAITS: u64 = 0;
+/// Ids under which changes are passed on have this bit, ids of operators'
+/// calls have not.
+pub(super) const RELAY_IDS: u64 = 1 << 63;
+/// So many control nodes pass a change on at the most: one that is asked by
+/// mistake, and one between it and the leader.
+const MOST_HOPS: u8 = 2;
+/// A cut of this length may be over before a caller could ask another node.
+const CUT_OFF_GRACE: Duration = Duration::from_millis(600);
+
+impl ControlPart {
+    /// Notes since when no majority is in contact with this node.
+    pub(super) fn watch_contact(&mut self, now: Duration) {
+        if self.reaches_majority(now) {
+            self.cut_off = None;
+        } else {
+            self.cut_off.get_or_insert(now);
+        }
+    }
+
+    fn is_cut_off(&self, now: Duration) -> bool {
+        let for_long = |since| now >= since + CUT_OFF_GRACE;
+        self.cut_off.is_some_and(for_long) && !self.reaches_majority(now)
+    }
+
+    pub(super) fn answer_operator(&mut self, id: u64, outcome: Outcome) {
+        let answer = OperatorAnswer::Outcome(outcome);
+        self.out.push(Output::OperatorAnswer { id, answer });
+    }
+
+    /// Answers all operators' calls with what is known of them by now.
+    pub(super) fn give_up_operator_calls(&mut self) {
+        for (id, call) in std::mem::take(&mut self.operator_calls) {
+            self.answer_operator(id, call.given_up());
+        }
+    }
+
+    /// Sends operators' calls to the leaders of their partitions, again when
+    /// there was no answer or when another member leads.
+    pub(super) fn send_operator_calls(&mut self, now: Duration) {
+        if self.is_cut_off(now) {
+            return self.give_up_operator_calls();
+        }
+        let ids: Vec<u64> = self.operator_calls.keys().copied().collect();
+        for id in ids {
+            let call = &self.operator_calls[&id];
+            if now >= call.until {
+                let outcome = call.given_up();
+                self.operator_calls.remove(&id);
+                self.answer_operator(id, outcome);
+                continue;
+            }
+            let leader = self.chosen(now, call.slice);
+            if leader.is_some() && (now >= call.next || call.sent_to != leader) {
+                self.send_operator_call(now, id, leader);
+            }
+        }
+    }
+
+    fn send_operator_call(&mut self, now: Duration, id: u64, leader: Option<u8>) {
+        let Some(next_hop) = leader.and_then(|leader| self.next_hop(now, leader)) else {
+            return;
+        };
+        let asker = self.address(self.slot);
+        let Some(call) = self.operator_calls.get_mut(&id) else {
+            return;
+        };
+        call.next = now + OPERATOR_CALL_AGAIN;
+        call.sent_to = leader;
+        call.tries += 1;
+        let request = ChangeRequest {
+            asker,
+            id,
+            slice: call.slice,
+            hops: 0,
+            ask: call.change.clone(),
+        };
+        self.tell(self.address(next_hop), request);
+    }
+
+    pub(super) fn handle_change_request(
+        &mut self,
+        now: Duration,
+        from: Peer,
+        request: ChangeRequest,
+    ) {
+        if !self.leads(request.slice) {
+            return self.pass_on(now, from, request);
+        }
+        if let Change::Claim(claim) = &request.ask
+            && !self.replica.enrolled(&claim.by)
+        {
+            return; // It asks again; by then it is on the roll.
+        }
+        self.pending_replies
+            .retain(|known| (known.asker, known.id) != (request.asker, request.id));
+        let slice = request.slice;
+        let before = self.leaders[&slice].version;
+        let mut reply = self.change(now, request);
+        let somebody_waits = reply.id != NOBODY_WAITS;
+        if let Some(leader) = self.leaders.get_mut(&slice)
+            && leader.version == before
+            && somebody_waits
+        {
+            // Nothing was written that a majority would have to keep: whatever
+            // is answered, a refusal too, a majority must still follow us.
+            reply.round = leader.start_round();
+        }
+        self.pending_replies.push(reply);
+    }
+
+    /// Whether we lead a partition, as far as we know.
+    fn leads(&self, slice: u8) -> bool {
+        let leader = self.leaders.get(&slice);
+        self.able() && leader.is_some_and(|leader| leader.ready() && leader.wary.is_none())
+    }
+
+    /// Sends a change on to the leader of its partition. A member of the table
+    /// is answered through us, since the leader may not reach it; an edge by
+    /// the leader itself.
+    fn pass_on(&mut self, now: Duration, from: Peer, mut request: ChangeRequest) {
+        if self.is_cut_off(now) {
+            let reply = ChangeReply {
+                id: request.id,
+                told: Outcome::NoMajority,
+            };
+            return self.tell(from.address, reply);
+        }
+        let leader = self.chosen(now, request.slice);
+        let elsewhere = leader.filter(|slot| *slot != self.slot);
+        let Some(next_hop) = elsewhere.and_then(|slot| self.next_hop(now, slot)) else {
+            return;
+        };
+        if request.hops >= MOST_HOPS || self.address(next_hop) == from.address {
+            return;
+        }
+        request.hops += 1;
+        let from_member = self.places.iter().any(|peer| peer.names(&from));
+        if from_member && request.asker == from.address {
+            request.id = self.relay_id(now, request.asker, request.id);
+            request.asker = self.address;
+        }
+        self.tell(self.address(next_hop), request);
+    }
+
+    /// The id under which a member's change is passed on, the same for a
+    /// change that is sent again.
+    fn relay_id(&mut self, now: Duration, asker: SocketAddr, id: u64) -> u64 {
+        let until = now + OPERATOR_CALL_LIMIT;
+        let mut known = self.relays.iter_mut();
+        let again = known.find(|(_, relay)| (relay.asker, relay.id) == (asker, id));
+        if let Some((relay_id, relay)) = again {
+            relay.until = until;
+            return *relay_id;
+        }
+        let relay_id = self.next_relay | RELAY_IDS;
+        self.next_relay = relay_id.wrapping_add(1);
+        self.relays.insert(relay_id, Relay { asker, id, until });
+        relay_id
+    }
+
+    /// Makes a change as the slice's owner; the answer pending_replies for the disks.
+    pub(super) fn change(&mut self, now: Duration, ask: ChangeRequest) -> PendingReply {
+        let ChangeRequest {
+            asker,
+            id,
+            slice,
+            ask,
+            ..
+        } = ask;
+        let again = match &ask {
+            Change::PutConfiguration { change, .. } | Change::PutOrigins { change, .. } => self
+                .leaders
+                .get(&slice)
+                .and_then(|leader| leader.made(*change)),
+            _ => None,
+        };
+        if let Some(version) = again {
+            return PendingReply {
+                slice,
+                asker,
+                id,
+                commit: 0,
+                settle: version,
+                round: 0,
+                told: Outcome::Settled { version },
+            };
+        }
+        let left = self.closed.saturating_sub(now);
+        let leader = self.leaders.get_mut(&slice).expect("owner");
+        let mut wait = PendingReply {
+            slice,
+            asker,
+            id,
+            commit: 0,
+            settle: 0,
+            round: 0,
+            told: Outcome::Lost,
+        };
+        match ask {
+            Change::GetConfiguration => {
+                wait.round = leader.start_round();
+                if let Some(Row {
+                    version,
+                    value: Value::Configuration { text, .. },
+                }) = leader.rows.get("configuration")
+                {
+                    wait.commit = *version;
+                    wait.told = Outcome::Configuration {
+                        version: *version,
+                        text: text.clone(),
+                    };
+                } else {
+                    wait.told = Outcome::Configuration {
+                        version: 0,
+                        text: "".into(),
+                    };
+                }
+            }
+            Change::List => {
+                wait.round = leader.start_round();
+                wait.commit = leader.version;
+                let rows = leader
+                    .rows
+                    .iter()
+                    .map(|(key, row)| (key.clone(), row.clone()))
+                    .collect();
+                wait.told = Outcome::Rows {
+                    version: leader.version,
+                    rows,
+                };
+            }
+            Change::PutConfiguration {
+                text,
+                expect,
+                change,
+            } => {
+                let found = || Configuration::read(&text).err();
+                let value = Value::Configuration {
+                    text: text.clone(),
+                    change,
+                };
+                if let Some(version) =
+                    wait.replace(leader, "configuration", value, expect, change, &found)
+                {
+                    self.note(Event::ConfigurationPut, format!("version {version}"));
+                }
+            }
+            Change::PutItems { items, change: _ } => match Items::change(&leader.rows, items) {
+                Err(found) => wait.told = Outcome::Findings(found),
+                Ok(fresh) => {
+                    // What is not newer stands already, settled or on its way.
+                    let count = fresh.len();
+                    let mut version = leader.version;
+                    for (key, item) in fresh {
+                        version = leader.put(key, Value::Item(item));
+                    }
+                    wait.settle = version;
+                    wait.told = Outcome::Settled { version };
+                    self.note(
+                        Event::ConfigurationPut,
+                        format!("{count} items, version {version}"),
+                    );
+                }
+            },
+            Change::AddPurge { purge, change } => {
+                let same = |row: &&Row| matches!(&row.value, Value::Purge { change: known, .. } if *known == change);
+                let known = leader.rows.values().find(same).map(|row| row.version);
+                let version = known.unwrap_or_else(|| {
+                    let key = format!("purge/{:04}", (leader.version + 1) % PURGES_KEPT);
+                    leader.put(key, Value::Purge { purge, change })
+                });
+                wait.settle = version;
+                wait.told = Outcome::Settled { version };
+            }
+            Change::PutOrigins {
+                list,
+                expect,
+                change,
+            } => {
+                let value = Value::Origins { list, change };
+                if let Some(version) =
+                    wait.replace(leader, "origins", value, expect, change, &|| None)
+                {
+                    self.note(Event::OriginsPut, format!("version {version}"));
+                }
+            }
+            Change::OpenLedger { realm } if realm != self.realm => {
+                let text = format!("the realm is {} now", Realm::name(self.realm));
+                wait.told = Outcome::Findings(vec![Finding::new("/realm", text)]);
+            }
+            Change::OpenLedger { realm } => {
+                let version = if leader.opened() == realm {
+                    leader.version
+                } else {
+                    leader.put("opened".into(), Value::Opened { realm })
+                };
+                wait.commit = version;
+                wait.told = Outcome::Settled { version };
+                self.note(
+                    Event::LedgerOpened,
+                    format!("realm {}: operators said so", Realm::name(realm)),
+                );
+            }
+            Change::Refound { after } => self.refound(after),
+            Change::JoinRequest { peer, founding } => self.assign_slot(now, peer, founding),
+            Change::Claim(claim) if !left.is_zero() && !Ledger::tells(leader, &claim) => {
+                wait.told = Outcome::Closed { left }
+            }
+            Change::Claim(claim) => (wait.commit, wait.told) = Ledger::claim(leader, claim),
+            Change::Release(claim) => {
+                (wait.commit, wait.told) = Ledger::finish(leader, claim, OperationState::Released)
+            }
+            Change::Record(claim, reply) => {
+                let state = reply.map_or(OperationState::Unknown, OperationState::Done);
+                (wait.commit, wait.told) = Ledger::finish(leader, claim, state);
+            }
+        }
+        wait
+    }
+
+    pub(super) fn handle_change_reply(&mut self, reply: ChangeReply) {
+        if let Some(relay) = self.relays.remove(&reply.id) {
+            let passed_back = ChangeReply {
+                id: relay.id,
+                told: reply.told,
+            };
+            return self.tell(relay.asker, passed_back);
+        }
+        let Some(call) = self.operator_calls.get_mut(&reply.id) else {
+            return;
+        };
+        let outcome = match reply.told {
+            // Who was to pass it on is cut off: another way may be found.
+            Outcome::NoMajority => {
+                call.next = Duration::ZERO;
+                return;
+            }
+            // An earlier try of ours may be what this one lost against.
+            Outcome::Raced { .. } if call.tries > 1 => Outcome::Lost,
+            outcome => outcome,
+        };
+        self.operator_calls.remove(&reply.id);
+        self.answer_operator(reply.id, outcome);
+    }
+
+    pub(super) fn operator(&mut self, now: Duration, id: u64, ask: OperatorAsk) {
+        match ask {
+            OperatorAsk::Change { .. } if self.removed || self.slot == NO_SLOT => {
+                self.answer_operator(id, Outcome::NoMajority);
+            }
+            OperatorAsk::Change { slice, change } => {
+                let call = OperatorCall {
+                    slice,
+                    change,
+                    until: now + OPERATOR_CALL_LIMIT,
+                    next: now,
+                    sent_to: None,
+                    tries: 0,
+                };
+                self.operator_calls.insert(id, call);
+                self.send_operator_calls(now);
+            }
+            OperatorAsk::State => {
+                let answer = OperatorAnswer::State(self.state(now));
+                self.out.push(Output::OperatorAnswer { id, answer });
+            }
+        }
+    }
+
+    /// What this node knows of the fleet.
+    pub(super) fn state(&self, now: Duration) -> serde_json::Value {
+        let control: Vec<_> = (0..self.places.len() as u8)
+            .map(|slot| {
+                let peer = self.peers.get(&slot);
+                let live = self.contacts(now).contains(slot);
+                let full = if slot == self.slot { self.able() } else { live && peer.is_some_and(|peer| peer.full) };
+                serde_json::json!({ "slot": slot, "address": self.address(slot), "live": live, "full": full })
+            })
+            .collect();
+        let edges: Vec<_> = self
+            .sessions
+            .live(now, self.quorum())
+            .into_iter()
+            .map(|seen| {
+                serde_json::json!({
+                    "address": seen.peer.address, "life": format!("{:016x}", seen.peer.life), "zone": seen.zone,
+                    "draining": seen.draining, "vector": seen.vector, "usage": seen.usage,
+                })
+            })
+            .collect();
+        let origins: Vec<_> = self
+            .sessions
+            .live(now, self.quorum())
+            .into_iter()
+            .flat_map(|seen| seen.found)
+            .collect();
+        let slices: Vec<_> = self
+            .leaders
+            .values()
+            .filter(|leader| leader.ready())
+            .map(|leader| {
+                serde_json::json!({
+                    "slice": leader.slice, "epoch": leader.epoch, "version": leader.version,
+                    "committed": leader.committed(), "settled": leader.settled(), "rows": leader.rows.len(),
+                })
+            })
+            .collect();
+        let ledger = serde_json::json!({ "realm": Realm::name(self.realm), "closed_s": self.closed.saturating_sub(now).as_secs_f64().ceil() });
+        serde_json::json!({ "slot": self.slot, "majority": self.reaches_majority(now), "ledger": ledger, "control": control, "edges": edges, "origins": origins, "owned_slices": slices })
+    }
+}
