Histories of the document and of operation keys are judged for linearizability

Cause: the checker looked at single events (a read-back, a second run); an order of calls that no single copy could have answered passed.

Change: stand_ins::history, a search of Wing and Gong with a memory of positions, with models of the document, of named items with revisions and of operation keys. A call without an answer may have taken effect at any time after it began, or never. Simulator and run-fleet record each call on the document with its times and outcome; the checker judges that history and each key's runs and answers as verdicts 13 and 14. A key's answers must now be one run's, not just its only run.

Bad histories are seen: stand-ins/tests/history.rs, 10 tests.

Named items: no driver records them yet. run-fleet was built, not run.

--- a/simulate-fleet/src/bin/simulate-fleet.rs
+++ b/simulate-fleet/src/bin/simulate-fleet.rs
@@ -224,9 +224,9 @@
 /// kind fell into the cases of each never.
 #[derive(Default)]
 struct Sum {
-    held: [usize; 12],
+    held: [usize; JUDGED],
     worst: BTreeMap<usize, (f64, String)>,
-    fell: BTreeMap<String, [usize; 12]>,
+    fell: BTreeMap<String, [usize; JUDGED]>,
 }
 
 impl Sum {
@@ -242,7 +242,7 @@
         println!(
             "faults that fell into the cases of each never:\n{:>20} {}",
             "",
-            (1..=12)
+            (1..=JUDGED)
                 .map(|never| format!("{never:>6}"))
                 .collect::<String>()
         );
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -6,7 +6,7 @@
 pub use crate::shrink::Shrink;
 pub use crate::sim_node::{Disk, SimNode};
 pub use crate::sim_origin::{Mood, SimOrigin};
-pub(crate) use crate::world::{Asked, Asking, CALLER_PATIENCE, Happening, Task};
+pub(crate) use crate::world::{Asked, Asking, CALLER_PATIENCE, Happening, Question, Task};
 pub use crate::world::{FounderEnd, Report, World, WorldPlan};
 pub use control_plane::{Bootstrap, ControlPart, Record, Replica};
 pub use data_plane::prelude::{Arrival, chain};
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -263,7 +263,7 @@
             }
         }
     }
-    assert_eq!(exercised.len(), 12, "{exercised:?}");
+    assert_eq!(exercised.len(), JUDGED, "{exercised:?}");
 }
 
 #[test]
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -122,12 +122,13 @@
     pub(crate) founder_ended: bool,
     /// Connections that stand: node, run, origin.
     pub(crate) watches: BTreeSet<(usize, u64, usize)>,
-    /// With the node that was asked.
-    pub(crate) asked: BTreeMap<u64, (usize, Asked)>,
+    /// Operators' calls under way.
+    pub(crate) asked: BTreeMap<u64, Question>,
     pub(crate) errands: BTreeMap<u64, Asking>,
     pub(crate) callers: Vec<CallerRecord>,
     pub(crate) calls: Vec<OriginRecord>,
     pub(crate) fleet: Vec<FleetRecord>,
+    pub(crate) operators: Vec<OperatorRecord>,
     pub(crate) steps: u64,
     pub(crate) copies: Vec<u64>,
     pub(crate) notes: BTreeMap<Event, usize>,
@@ -220,6 +221,15 @@
     pub(crate) record: CallerRecord,
 }
 
+/// An operator's call under way.
+pub(crate) struct Question {
+    /// The node that was asked.
+    pub(crate) node: usize,
+    pub(crate) asked: Asked,
+    /// When.
+    pub(crate) start: f64,
+}
+
 /// What an operator waits for.
 #[derive(Debug, Clone)]
 pub(crate) enum Asked {
@@ -278,6 +288,7 @@
             callers: Vec::new(),
             calls: Vec::new(),
             fleet: Vec::new(),
+            operators: Vec::new(),
             steps: 0,
             copies: vec![0; plan.deployment.edges],
             notes: BTreeMap::new(),
@@ -415,6 +426,9 @@
             self.now = at;
             self.happen(serial, what);
         }
+        for question in std::mem::take(&mut self.asked).into_values() {
+            self.record_operator(&question, &Outcome::Lost);
+        }
         let (rates, keeps) = (self.plan.deployment.rates(), self.plan.deployment.keeps());
         let log_bytes = self
             .nodes
@@ -426,6 +440,7 @@
             callers: self.callers,
             origins: self.calls,
             fleet: self.fleet,
+            operators: self.operators,
             rates,
             keeps,
         };
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -65,7 +65,7 @@
         let asked: Vec<u64> = self
             .asked
             .iter()
-            .filter(|(_, (at, _))| *at == node)
+            .filter(|(_, question)| question.node == node)
             .map(|(id, _)| *id)
             .collect();
         asked
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -103,7 +103,7 @@
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
-                self.asked.insert(self.serial, (node, asked));
+                self.note_question(node, asked);
                 return self.step(
                     node,
                     Input::Operator {
@@ -118,7 +118,7 @@
         };
         self.serial += 1;
         let id = self.serial;
-        self.asked.insert(id, (node, asked));
+        self.note_question(node, asked);
         self.step(
             node,
             Input::Operator {
@@ -128,10 +128,51 @@
         );
     }
 
+    fn note_question(&mut self, node: usize, asked: Asked) {
+        let start = self.seconds();
+        let question = Question { node, asked, start };
+        self.asked.insert(self.serial, question);
+    }
+
+    /// Notes a call on the document with what came of it, for its history.
+    pub(crate) fn record_operator(&mut self, question: &Question, outcome: &Outcome) {
+        let (operation, known) = match (&question.asked, outcome) {
+            (Asked::Configure { .. }, Outcome::Findings(_)) => return,
+            (Asked::Configure { .. }, Outcome::Raced { version }) => {
+                (DocumentOperation::Raced { version: *version }, true)
+            }
+            (Asked::Configure { text, .. }, outcome) => {
+                let version = match outcome {
+                    Outcome::Settled { version } => Some(*version),
+                    _ => None,
+                };
+                let content = document_digest(text);
+                let put = DocumentOperation::Put { version, content };
+                (put, version.is_some())
+            }
+            (Asked::ReadBack { .. }, Outcome::Configuration { version, text }) => {
+                let content = document_digest(text);
+                let version = *version;
+                (DocumentOperation::Read { version, content }, true)
+            }
+            _ => return,
+        };
+        let end = known.then(|| self.seconds());
+        self.operators.push(OperatorRecord {
+            start: question.start,
+            end,
+            operation,
+        });
+    }
+
     pub(crate) fn operator_told(&mut self, id: u64, answer: OperatorAnswer) {
-        let Some((_, asked)) = self.asked.remove(&id) else {
+        let Some(question) = self.asked.remove(&id) else {
             return;
         };
+        if let OperatorAnswer::Outcome(outcome) = &answer {
+            self.record_operator(&question, outcome);
+        }
+        let asked = question.asked;
         let outcome = match answer {
             OperatorAnswer::Outcome(outcome) => outcome,
             OperatorAnswer::State(state) => {
--- a/stand-ins/src/bin/run-fleet.rs
+++ b/stand-ins/src/bin/run-fleet.rs
@@ -619,20 +619,13 @@
                 self.deployment.document(&markers)
             })
             .collect();
+        let fleet = &self.fleet;
         let told: Vec<_> = thread::scope(|scope| {
             let racers: Vec<_> = documents
                 .iter()
-                .zip(&self.fleet.control)
+                .zip(&fleet.control)
                 .map(|(text, node)| {
-                    scope.spawn(move || {
-                        stand_ins::fleet::http_if_match(
-                            node.http,
-                            "PUT",
-                            "configuration",
-                            text,
-                            version,
-                        )
-                    })
+                    scope.spawn(move || fleet.call_document(node.http, "PUT", text, version))
                 })
                 .collect();
             racers
--- a/stand-ins/src/checker.rs
+++ b/stand-ins/src/checker.rs
@@ -17,10 +17,14 @@
     /// Sorted by time.
     pub origins: Vec<OriginRecord>,
     pub fleet: Vec<FleetRecord>,
+    /// Operators' calls on the document.
+    pub operators: Vec<OperatorRecord>,
     pub rates: BTreeMap<String, f64>,
     pub keeps: BTreeMap<String, u64>,
 }
 
+/// The twelve nevers and the two kinds of histories.
+pub const JUDGED: usize = 14;
 /// The brief's "about 2 seconds", as judged here.
 pub const GRACE: f64 = 2.0;
 /// The brief's "2 to 2.5 seconds".
@@ -118,6 +122,7 @@
             callers: read_records(&folder.join("callers.jsonl"))?,
             origins: read_records(&folder.join("origins.jsonl"))?,
             fleet: read_records(&folder.join("fleet.jsonl"))?,
+            operators: read_records(&folder.join("operators.jsonl"))?,
             rates: deployment.rates(),
             keeps: deployment.keeps(),
         };
@@ -126,7 +131,7 @@
         Ok(checker)
     }
 
-    /// Each never with its cases, in the brief's order.
+    /// Each never with its cases, in the brief's order, and then the histories.
     pub fn cases(&self) -> Vec<(&'static str, Cases)> {
         vec![
             ("an operation runs twice", self.runs_twice()),
@@ -174,6 +179,14 @@
                 "service is not back 15 s after machines return",
                 self.back_in_time(),
             ),
+            (
+                "the history of the document is not linearizable",
+                self.document_history(),
+            ),
+            (
+                "the history of an operation key is not linearizable",
+                self.key_histories(),
+            ),
         ]
     }
 
@@ -185,8 +198,8 @@
     }
 
     /// How many faults of each kind fell in a span of each never.
-    pub fn coverage(&self, cases: &[(&'static str, Cases)]) -> BTreeMap<String, [usize; 12]> {
-        let mut table: BTreeMap<String, [usize; 12]> = BTreeMap::new();
+    pub fn coverage(&self, cases: &[(&'static str, Cases)]) -> BTreeMap<String, [usize; JUDGED]> {
+        let mut table: BTreeMap<String, [usize; JUDGED]> = BTreeMap::new();
         for (never, (_, cases)) in cases.iter().enumerate() {
             let merged = cases.merged();
             for fault in self.fleet.iter().filter(|one| one.what == "fault") {
@@ -217,6 +230,47 @@
         tries
     }
 
+    /// Exercised by more than one call.
+    fn document_history(&self) -> Cases {
+        let mut cases = Cases::default();
+        if self.operators.len() < 2 {
+            return cases;
+        }
+        let all_lost = self.fleet.iter().rfind(|one| one.what == "all-lost");
+        let judgement = judge_document(&self.operators, all_lost.map(|one| one.at));
+        let starts = self.operators.iter().map(|one| one.start);
+        let span = (
+            starts.clone().fold(f64::MAX, f64::min),
+            starts.fold(f64::MIN, f64::max),
+        );
+        cases.case(span, judgement == Judgement::Linearizable, || {
+            format!("{judgement:?} of {:?}", self.operators)
+        });
+        cases
+    }
+
+    /// Exercised by every key that was answered or ran.
+    fn key_histories(&self) -> Cases {
+        let mut cases = Cases::default();
+        let runs = self.runs();
+        let tries = self.attempts();
+        let keys: BTreeSet<&str> = runs.keys().chain(tries.keys()).copied().collect();
+        for key in keys {
+            let ran = runs.get(key).map_or(&[][..], Vec::as_slice);
+            let list = tries.get(key).map_or(&[][..], Vec::as_slice);
+            if ran.is_empty() && list.iter().all(|one| one.status != 200) {
+                continue;
+            }
+            let judgement = judge_key(ran, list);
+            let from = list.iter().map(|one| one.start).fold(f64::MAX, f64::min);
+            let to = list.iter().map(|one| one.end).fold(f64::MIN, f64::max);
+            cases.case((from, to), judgement == Judgement::Linearizable, || {
+                format!("{key}: {judgement:?}, ran at {ran:?}")
+            });
+        }
+        cases
+    }
+
     /// Exercised by every key that was sent more than once.
     fn runs_twice(&self) -> Cases {
         let mut cases = Cases::default();
@@ -742,6 +796,7 @@
             callers: vec![],
             origins: vec![],
             fleet: vec![],
+            operators: vec![],
             rates: [("s".to_string(), 10.0)].into(),
             keeps: [("e".to_string(), 5)].into(),
         }
@@ -794,7 +849,7 @@
                 .iter()
                 .all(|(_, verdict)| *verdict == Verdict::NotExercised)
         );
-        assert_eq!(empty().verdicts().len(), 12);
+        assert_eq!(empty().verdicts().len(), JUDGED);
     }
 
     fn broken(checker: &Checker, at: usize) -> bool {
@@ -1005,7 +1060,7 @@
         ];
         assert_eq!(
             one.coverage(&one.cases())["i"],
-            [1, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0]
+            [1, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1]
         );
     }
 }
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -17,6 +17,8 @@
     pub edges: Vec<Node>,
     pub origins: Vec<Node>,
     record: Recorder,
+    /// Calls on the document, for their history.
+    operators: Recorder,
 }
 
 /// An address nothing listens on now, and that was not given out before. From
@@ -129,16 +131,64 @@
     body: &str,
     expect: Option<u64>,
 ) -> Result<(u16, serde_json::Value)> {
+    operator_call(to, method, path, body, expect).map(|answer| (answer.status, answer.body))
+}
+
+/// A control node's answer to an operator.
+struct OperatorReply {
+    status: u16,
+    /// The version in its `ETag`.
+    version: Option<u64>,
+    body: serde_json::Value,
+}
+
+fn operator_call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    expect: Option<u64>,
+) -> Result<OperatorReply> {
     let mut request = direct(method, &format!("http://{to}/.otterslip/v1/{path}"))
         .timeout(Duration::from_secs(16));
     if let Some(version) = expect {
         request = request.header("If-Match", format!("\"{version}\""));
     }
     let answer = request.text(body).send()?;
-    Ok((
-        answer.status().as_u16(),
-        serde_json::from_str(&answer.text_utf8()?).unwrap_or_default(),
-    ))
+    let tag = answer
+        .headers()
+        .get("ETag")
+        .and_then(|tag| tag.to_str().ok());
+    let version = tag.and_then(|tag| tag.trim_matches('"').parse().ok());
+    Ok(OperatorReply {
+        status: answer.status().as_u16(),
+        version,
+        body: serde_json::from_str(&answer.text_utf8()?).unwrap_or_default(),
+    })
+}
+
+/// A put of the document as its history has it; none if it had no effect.
+fn put_seen(text: &str, answer: Option<&OperatorReply>) -> Option<DocumentOperation> {
+    let put = |version| DocumentOperation::Put {
+        version,
+        content: document_digest(text),
+    };
+    match answer {
+        Some(answer) if answer.status == 200 => Some(put(answer.version)),
+        Some(answer) if answer.status == 409 => {
+            let version = answer.body["version"].as_u64()?;
+            Some(DocumentOperation::Raced { version })
+        }
+        Some(answer) if answer.status == 400 => None,
+        _ => Some(put(None)),
+    }
+}
+
+/// A read of the document as its history has it; none if it told nothing.
+fn read_seen(answer: &OperatorReply) -> Option<DocumentOperation> {
+    let version = answer.version.filter(|_| answer.status == 200)?;
+    let content = document_digest(&answer.body.to_string());
+    Some(DocumentOperation::Read { version, content })
 }
 
 impl Fleet {
@@ -215,12 +265,14 @@
             }
         }
         let record = Recorder::open(&folder.join("fleet.jsonl"))?;
+        let operators = Recorder::open(&folder.join("operators.jsonl"))?;
         Ok(Fleet {
             folder: folder.into(),
             control,
             edges,
             origins,
             record,
+            operators,
         })
     }
 
@@ -325,7 +377,11 @@
     ) -> Result<(u16, serde_json::Value)> {
         let mut last = anyhow!("no control node");
         for node in &self.control {
-            match http_if_match(node.http, method, path, body, expect) {
+            let told = match path {
+                "configuration" => self.call_document(node.http, method, body, expect),
+                _ => http_if_match(node.http, method, path, body, expect),
+            };
+            match told {
                 Ok(told) => return Ok(told),
                 Err(error) => last = error,
             }
@@ -333,6 +389,31 @@
         Err(last)
     }
 
+    /// An operator's call on the document, recorded for its history.
+    pub fn call_document(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        body: &str,
+        expect: Option<u64>,
+    ) -> Result<(u16, serde_json::Value)> {
+        let start = wall();
+        let answer = operator_call(to, method, "configuration", body, expect);
+        let operation = match method {
+            "PUT" => put_seen(body, answer.as_ref().ok()),
+            _ => answer.as_ref().ok().and_then(read_seen),
+        };
+        if let Some(operation) = operation {
+            let lost = matches!(operation, DocumentOperation::Put { version: None, .. });
+            self.operators.put(&OperatorRecord {
+                start,
+                end: (!lost).then(wall),
+                operation,
+            });
+        }
+        answer.map(|answer| (answer.status, answer.body))
+    }
+
     /// Says that no fleet was here before, once the realm has a name.
     pub fn open_ledger(&self) -> Result<()> {
         let mut realm = String::new();
--- /dev/null
+++ b/stand-ins/src/history.rs
@@ -0,0 +1,332 @@
+//! Linearizability of histories, judged item by item.
+//!
+//! A history holds calls with the times they began and ended. It is
+//! linearizable if each call can be given one moment between the two at which
+//! it took effect, so that all of them in that order are what a single copy of
+//! the item would have answered. A call whose outcome is unknown may have taken
+//! effect at any time after it began, or never.
+//!
+//! The search is the one of Wing and Gong with the memory of Lowe: positions
+//! (which calls took effect, and the item's state) are tried once each.
+
+use crate::prelude::*;
+
+/// An item as a single copy would behave.
+pub trait Model {
+    type State: Clone + Default + Eq + std::hash::Hash;
+    type Operation;
+
+    /// The state after the operation, if it can have its outcome in this one.
+    fn apply(state: &Self::State, operation: &Self::Operation) -> Option<Self::State>;
+}
+
+/// One call of a history.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Timed<O> {
+    pub start: f64,
+    /// None: the outcome is unknown.
+    pub end: Option<f64>,
+    pub operation: O,
+}
+
+/// What came of judging one item's history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Judgement {
+    Linearizable,
+    /// No order explains it; the index of the earliest call that none of the
+    /// longest orders got past.
+    Violated(usize),
+    /// Too many orders to try them all.
+    Undecided,
+}
+
+/// Positions tried for one item at most.
+const MOST_POSITIONS: usize = 200_000;
+
+/// Which calls of a history took effect, as bits.
+type Effects = Vec<u64>;
+
+fn took_effect(effects: &Effects, call: usize) -> bool {
+    effects[call / 64] >> (call % 64) & 1 == 1
+}
+
+fn with_effect(effects: &Effects, call: usize) -> Effects {
+    let mut effects = effects.clone();
+    effects[call / 64] |= 1 << (call % 64);
+    effects
+}
+
+/// Judges the calls on one item, in any order given.
+pub fn judge<M: Model>(calls: &[Timed<M::Operation>]) -> Judgement {
+    let none: Effects = vec![0; calls.len().div_ceil(64)];
+    let mut stack = vec![(none, M::State::default())];
+    let mut tried = HashSet::new();
+    let mut furthest = (0, 0);
+    while let Some(position) = stack.pop() {
+        if !tried.insert(position.clone()) {
+            continue;
+        }
+        if tried.len() > MOST_POSITIONS {
+            return Judgement::Undecided;
+        }
+        let (effects, state) = position;
+        let open = |call: &usize| !took_effect(&effects, *call);
+        // Whatever took effect next did so before the earliest open end.
+        let first_end = (0..calls.len())
+            .filter(open)
+            .filter_map(|call| calls[call].end.map(|end| (end, call)))
+            .min_by(|one, other| one.0.total_cmp(&other.0));
+        let Some((first_end, waiting)) = first_end else {
+            return Judgement::Linearizable;
+        };
+        let count: u32 = effects.iter().map(|word| word.count_ones()).sum();
+        furthest = furthest.max((count, waiting));
+        for call in (0..calls.len()).filter(open) {
+            if calls[call].start <= first_end
+                && let Some(next) = M::apply(&state, &calls[call].operation)
+            {
+                stack.push((with_effect(&effects, call), next));
+            }
+        }
+    }
+    Judgement::Violated(furthest.1)
+}
+
+/// A named item to which operators give revisions: the highest holds.
+pub struct RevisedItem;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum RevisedOperation {
+    /// Confirmed, or of unknown outcome. `content` none: a removal.
+    Put {
+        revision: u64,
+        content: Option<String>,
+    },
+    /// Refused since this revision stands with another content.
+    Conflict {
+        revision: u64,
+        content: Option<String>,
+    },
+    /// Refused for another reason: no effect in any state.
+    Refused,
+    /// What was read; none: nobody put it yet.
+    Read(Option<(u64, Option<String>)>),
+}
+
+impl Model for RevisedItem {
+    type State = Option<(u64, Option<String>)>;
+    type Operation = RevisedOperation;
+
+    fn apply(state: &Self::State, operation: &RevisedOperation) -> Option<Self::State> {
+        let unchanged = || Some(state.clone());
+        match operation {
+            RevisedOperation::Put { revision, content } => match state {
+                // Older ones have no effect and are confirmed.
+                Some((standing, _)) if standing > revision => unchanged(),
+                Some((standing, known)) if standing == revision => {
+                    (known == content).then(unchanged).flatten()
+                }
+                _ => Some(Some((*revision, content.clone()))),
+            },
+            RevisedOperation::Conflict { revision, content } => {
+                let conflicts = state
+                    .as_ref()
+                    .is_some_and(|(standing, known)| standing == revision && known != content);
+                conflicts.then(unchanged).flatten()
+            }
+            RevisedOperation::Refused => unchanged(),
+            RevisedOperation::Read(found) => (found == state).then(unchanged).flatten(),
+        }
+    }
+}
+
+/// The document, to which the product gives versions.
+pub struct VersionedDocument;
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct DocumentState {
+    version: DocumentVersion,
+    content: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum DocumentVersion {
+    Known(u64),
+    /// Of a put whose answer was lost: above this.
+    Above(u64),
+}
+
+impl Default for DocumentVersion {
+    fn default() -> DocumentVersion {
+        DocumentVersion::Known(0)
+    }
+}
+
+impl DocumentVersion {
+    fn least(self) -> u64 {
+        match self {
+            DocumentVersion::Known(version) => version,
+            DocumentVersion::Above(version) => version + 1,
+        }
+    }
+
+    fn may_be(self, version: u64) -> bool {
+        match self {
+            DocumentVersion::Known(known) => known == version,
+            DocumentVersion::Above(low) => low < version,
+        }
+    }
+}
+
+/// What an operator did with the document.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum DocumentOperation {
+    /// `version` none: the outcome is unknown.
+    Put {
+        version: Option<u64>,
+        content: String,
+    },
+    /// Refused since this version stands and not the expected one.
+    Raced {
+        version: u64,
+    },
+    Read {
+        version: u64,
+        content: String,
+    },
+}
+
+impl Model for VersionedDocument {
+    type State = DocumentState;
+    type Operation = DocumentOperation;
+
+    fn apply(state: &DocumentState, operation: &DocumentOperation) -> Option<DocumentState> {
+        let pinned = |version: u64| DocumentState {
+            version: DocumentVersion::Known(version),
+            content: state.content.clone(),
+        };
+        match operation {
+            DocumentOperation::Put { version, content } => {
+                let version = match version {
+                    Some(version) if *version <= state.version.least() => return None,
+                    Some(version) => DocumentVersion::Known(*version),
+                    None => DocumentVersion::Above(state.version.least()),
+                };
+                let content = content.clone();
+                Some(DocumentState { version, content })
+            }
+            DocumentOperation::Raced { version } => {
+                state.version.may_be(*version).then(|| pinned(*version))
+            }
+            DocumentOperation::Read { version, content } => {
+                let same = state.version.may_be(*version) && state.content == *content;
+                same.then(|| pinned(*version))
+            }
+        }
+    }
+}
+
+/// An operation key: it runs once, and all who are answered hear of that run.
+pub struct KeyedOperation;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum KeyedCall {
+    /// An origin ran it.
+    Run,
+    /// A caller was given its answer, which tells the content's version.
+    Answered(Option<u64>),
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub enum KeyedState {
+    #[default]
+    NotRun,
+    /// Nobody heard of it yet.
+    Run,
+    Answered(Option<u64>),
+}
+
+impl Model for KeyedOperation {
+    type State = KeyedState;
+    type Operation = KeyedCall;
+
+    fn apply(state: &KeyedState, operation: &KeyedCall) -> Option<KeyedState> {
+        match (state, operation) {
+            (KeyedState::NotRun, KeyedCall::Run) => Some(KeyedState::Run),
+            (KeyedState::Run, KeyedCall::Answered(version)) => Some(KeyedState::Answered(*version)),
+            (KeyedState::Answered(known), KeyedCall::Answered(version)) if known == version => {
+                Some(state.clone())
+            }
+            _ => None,
+        }
+    }
+}
+
+/// What tells one document from another, however it is spaced; empty for none.
+pub fn document_digest(text: &str) -> String {
+    if text.is_empty() {
+        return String::new();
+    }
+    let canonical = serde_json::from_str::<serde_json::Value>(text)
+        .map_or_else(|_| text.to_string(), |document| document.to_string());
+    let digest: [u8; 32] = Sha256::digest(canonical).into();
+    digest[..8]
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+/// A call on the document as an operator's tool saw it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OperatorRecord {
+    pub start: f64,
+    /// None: no answer came, or one that does not tell the outcome.
+    pub end: Option<f64>,
+    pub operation: DocumentOperation,
+}
+
+impl OperatorRecord {
+    fn timed(&self) -> Timed<DocumentOperation> {
+        Timed {
+            start: self.start,
+            end: self.end,
+            operation: self.operation.clone(),
+        }
+    }
+}
+
+/// The document's history since everything was last lost, if it was: calls
+/// begun before that are of unknown outcome.
+pub fn judge_document(records: &[OperatorRecord], all_lost: Option<f64>) -> Judgement {
+    let from = all_lost.unwrap_or(f64::MIN);
+    let crossing = |record: &OperatorRecord| record.start < from;
+    let calls: Vec<_> = records
+        .iter()
+        .filter(|record| record.end.is_none_or(|end| end >= from))
+        .map(|record| Timed {
+            end: record.end.filter(|_| !crossing(record)),
+            ..record.timed()
+        })
+        .collect();
+    judge::<VersionedDocument>(&calls)
+}
+
+/// The history of one operation key: origins' calls and callers' answers.
+/// Attempts without an answer bind nothing: they may have run it or not.
+pub fn judge_key(runs: &[f64], attempts: &[&CallerRecord]) -> Judgement {
+    let ran = runs.iter().map(|at| Timed {
+        start: *at,
+        end: Some(*at),
+        operation: KeyedCall::Run,
+    });
+    let answered = attempts
+        .iter()
+        .filter(|one| one.status == 200)
+        .map(|one| Timed {
+            start: one.start,
+            end: Some(one.end),
+            operation: KeyedCall::Answered(one.version),
+        });
+    let calls: Vec<_> = ran.chain(answered).collect();
+    judge::<KeyedOperation>(&calls)
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod dice;
 pub mod flags;
 pub mod fleet;
+pub mod history;
 pub mod origin;
 pub mod prelude;
 pub mod record;
--- a/stand-ins/src/prelude.rs
+++ b/stand-ins/src/prelude.rs
@@ -1,9 +1,12 @@
 pub use crate::caller::{CallerPlan, Traffic};
-pub use crate::checker::{Checker, Verdict};
+pub use crate::checker::{Checker, JUDGED, Verdict};
 pub use crate::deployment::Deployment;
 pub use crate::dice::Dice;
 pub use crate::flags::{Flags, direct};
 pub use crate::fleet::{Fleet, Node};
+pub use crate::history::{
+    DocumentOperation, Judgement, OperatorRecord, document_digest, judge_document, judge_key,
+};
 pub use crate::origin::StandInOrigin;
 pub use crate::record::*;
 pub use crate::schema_check::SchemaCheck;
--- /dev/null
+++ b/stand-ins/tests/history.rs
@@ -0,0 +1,242 @@
+//! The history checker: what it accepts, and that it sees bad histories.
+use stand_ins::history::*;
+use stand_ins::prelude::*;
+
+fn timed<O>(start: f64, end: f64, operation: O) -> Timed<O> {
+    Timed {
+        start,
+        end: Some(end),
+        operation,
+    }
+}
+
+fn unknown<O>(start: f64, operation: O) -> Timed<O> {
+    Timed {
+        start,
+        end: None,
+        operation,
+    }
+}
+
+fn put(revision: u64, content: &str) -> RevisedOperation {
+    RevisedOperation::Put {
+        revision,
+        content: Some(content.into()),
+    }
+}
+
+fn conflict(revision: u64, content: &str) -> RevisedOperation {
+    RevisedOperation::Conflict {
+        revision,
+        content: Some(content.into()),
+    }
+}
+
+fn read(revision: u64, content: &str) -> RevisedOperation {
+    RevisedOperation::Read(Some((revision, Some(content.into()))))
+}
+
+fn revised(calls: &[Timed<RevisedOperation>]) -> Judgement {
+    judge::<RevisedItem>(calls)
+}
+
+#[test]
+fn the_highest_revision_holds_and_older_and_equal_ones_change_nothing() {
+    let calls = [
+        timed(0.0, 1.0, put(2, "b")),
+        timed(2.0, 3.0, put(1, "a")),
+        timed(4.0, 5.0, put(2, "b")),
+        timed(6.0, 7.0, conflict(2, "c")),
+        timed(8.0, 9.0, read(2, "b")),
+    ];
+    assert_eq!(revised(&calls), Judgement::Linearizable);
+    assert_eq!(revised(&[]), Judgement::Linearizable);
+}
+
+#[test]
+fn one_revision_with_two_contents_is_never_confirmed_twice() {
+    let calls = [timed(0.0, 9.0, put(1, "a")), timed(0.0, 9.0, put(1, "b"))];
+    assert!(matches!(revised(&calls), Judgement::Violated(_)));
+    // A newer revision in between hides which of the two came first.
+    let calls = [
+        timed(0.0, 9.0, put(1, "a")),
+        timed(1.0, 2.0, put(2, "c")),
+        timed(3.0, 4.0, put(1, "b")),
+    ];
+    assert_eq!(revised(&calls), Judgement::Linearizable);
+}
+
+#[test]
+fn a_confirmed_put_is_not_lost_and_a_read_is_not_old() {
+    let lost = [
+        timed(0.0, 1.0, put(1, "a")),
+        timed(2.0, 3.0, RevisedOperation::Read(None)),
+    ];
+    assert_eq!(revised(&lost), Judgement::Violated(1));
+    let back = [
+        timed(0.0, 1.0, put(1, "a")),
+        timed(0.0, 9.0, put(2, "b")),
+        timed(2.0, 3.0, read(2, "b")),
+        timed(4.0, 5.0, read(1, "a")),
+    ];
+    assert_eq!(revised(&back), Judgement::Violated(3));
+}
+
+#[test]
+fn a_conflict_without_a_standing_one_is_seen() {
+    let calls = [
+        timed(0.0, 1.0, put(1, "a")),
+        timed(2.0, 3.0, conflict(1, "a")),
+    ];
+    assert_eq!(revised(&calls), Judgement::Violated(1));
+}
+
+#[test]
+fn an_unknown_outcome_may_fall_either_way_but_not_both() {
+    let late = [
+        unknown(0.0, put(2, "b")),
+        timed(1.0, 2.0, put(1, "a")),
+        timed(3.0, 4.0, read(1, "a")),
+        timed(5.0, 6.0, read(2, "b")),
+    ];
+    assert_eq!(revised(&late), Judgement::Linearizable);
+    assert_eq!(revised(&late[..3]), Judgement::Linearizable, "never");
+    let both = [
+        unknown(0.0, put(2, "b")),
+        timed(1.0, 2.0, read(2, "b")),
+        timed(3.0, 4.0, put(1, "a")),
+        timed(5.0, 6.0, read(1, "a")),
+    ];
+    assert_eq!(revised(&both), Judgement::Violated(3));
+    let early = [timed(0.0, 1.0, read(1, "a")), unknown(2.0, put(1, "a"))];
+    assert_eq!(revised(&early), Judgement::Violated(0), "before it began");
+}
+
+fn record(start: f64, end: Option<f64>, operation: DocumentOperation) -> OperatorRecord {
+    OperatorRecord {
+        start,
+        end,
+        operation,
+    }
+}
+
+fn document(version: Option<u64>, content: &str) -> DocumentOperation {
+    DocumentOperation::Put {
+        version,
+        content: content.into(),
+    }
+}
+
+fn seen(version: u64, content: &str) -> DocumentOperation {
+    DocumentOperation::Read {
+        version,
+        content: content.into(),
+    }
+}
+
+#[test]
+fn versions_of_the_document_rise_and_a_lost_answer_binds_nothing() {
+    let good = [
+        record(0.0, Some(1.0), document(Some(3), "a")),
+        record(2.0, None, document(None, "b")),
+        record(3.0, Some(4.0), seen(3, "a")),
+        record(5.0, Some(6.0), seen(7, "b")),
+        record(7.0, Some(8.0), DocumentOperation::Raced { version: 7 }),
+    ];
+    assert_eq!(judge_document(&good, None), Judgement::Linearizable);
+    let older = record(9.0, Some(10.0), seen(3, "a"));
+    let older = [good.as_slice(), &[older]].concat();
+    assert_eq!(judge_document(&older, None), Judgement::Violated(5));
+    let other = record(9.0, Some(10.0), seen(7, "c"));
+    let other = [good.as_slice(), &[other]].concat();
+    assert_eq!(judge_document(&other, None), Judgement::Violated(5));
+    let same_version = record(9.0, Some(10.0), document(Some(7), "d"));
+    let same_version = [good.as_slice(), &[same_version]].concat();
+    assert_eq!(judge_document(&same_version, None), Judgement::Violated(5));
+}
+
+#[test]
+fn what_was_confirmed_before_everything_was_lost_is_not_asked_for() {
+    let calls = [
+        record(0.0, Some(1.0), document(Some(3), "a")),
+        record(5.0, Some(6.0), document(Some(1), "b")),
+    ];
+    assert_eq!(judge_document(&calls, None), Judgement::Violated(1));
+    assert_eq!(judge_document(&calls, Some(3.0)), Judgement::Linearizable);
+}
+
+fn answer(start: f64, end: f64, version: u64) -> CallerRecord {
+    CallerRecord {
+        start,
+        end,
+        status: 200,
+        version: Some(version),
+        ..CallerRecord::default()
+    }
+}
+
+#[test]
+fn a_key_runs_once_and_all_hear_of_that_run() {
+    let (first, again) = (answer(0.0, 2.0, 5), answer(3.0, 4.0, 5));
+    let refused = CallerRecord {
+        status: 503,
+        ..answer(0.0, 0.5, 0)
+    };
+    let all = [&refused, &first, &again];
+    assert_eq!(judge_key(&[1.0], &all), Judgement::Linearizable);
+    assert_eq!(judge_key(&[1.0], &[]), Judgement::Linearizable);
+    let violated = |runs: &[f64], attempts: &[&CallerRecord]| {
+        matches!(judge_key(runs, attempts), Judgement::Violated(_))
+    };
+    assert!(violated(&[1.0, 3.5], &[]), "it ran twice");
+    assert!(violated(&[2.5], &[&first]), "answered before it ran");
+    assert!(violated(&[], &[&first]), "answered without a run");
+    let other = answer(3.0, 4.0, 6);
+    assert!(violated(&[1.0], &[&first, &other]), "another answer");
+}
+
+#[test]
+fn too_many_orders_are_said_to_be_undecided() {
+    let mut calls: Vec<_> = (0..24).map(|at| unknown(0.0, put(at + 1, "a"))).collect();
+    calls.push(timed(1.0, 2.0, read(99, "a")));
+    let judged = revised(&calls);
+    // Only the highest of those that took effect shows: still every subset is
+    // a position of its own.
+    assert_eq!(judged, Judgement::Undecided);
+}
+
+#[test]
+fn the_checker_reports_histories_that_are_not_linearizable() {
+    let mut checker = Checker {
+        callers: vec![],
+        origins: vec![],
+        fleet: vec![],
+        operators: vec![
+            record(0.0, Some(1.0), document(Some(3), "a")),
+            record(2.0, Some(3.0), seen(3, "a")),
+        ],
+        rates: BTreeMap::new(),
+        keeps: BTreeMap::new(),
+    };
+    let verdict = |checker: &Checker, at: usize| checker.verdicts().remove(at).1;
+    assert_eq!(verdict(&checker, 12), Verdict::Held(1));
+    assert_eq!(verdict(&checker, 13), Verdict::NotExercised);
+    checker.operators.push(record(4.0, Some(5.0), seen(2, "b")));
+    assert!(matches!(verdict(&checker, 12), Verdict::Broken(_)));
+    let key = Some("k".to_string());
+    checker.callers.push(CallerRecord {
+        operation: key.clone(),
+        ..answer(0.0, 2.0, 5)
+    });
+    checker.origins.push(OriginRecord {
+        at: 1.0,
+        operation: key.clone(),
+        ..OriginRecord::default()
+    });
+    assert_eq!(verdict(&checker, 13), Verdict::Held(1));
+    checker.callers.push(CallerRecord {
+        operation: key,
+        ..answer(3.0, 4.0, 6)
+    });
+    assert!(matches!(verdict(&checker, 13), Verdict::Broken(_)));
+}
