--- a/control-plane/tests/replication/model/node.rs
+++ b/control-plane/tests/replication/model/node.rs
@@ -206,8 +206,8 @@
     fn go_by(&mut self, version: u64, members: Vec<Peer>) {
         self.membership_version = version;
         let before = std::mem::replace(&mut self.members, members);
-        for slot in 0..before.len() {
-            let (old, new) = (before[slot], self.members[slot]);
+        let moved = before.into_iter().zip(self.members.clone());
+        for (slot, (old, new)) in moved.enumerate() {
             if old == new {
                 continue;
             }
