--- a/control-plane/tests/replication/model/node.rs
+++ b/control-plane/tests/replication/model/node.rs
@@ -206,8 +206,8 @@
     fn go_by(&mut self, version: u64, members: Vec<Peer>) {
         self.membership_version = version;
         let before = std::mem::replace(&mut self.members, members);
-        let changes: Vec<(Peer, Peer)> = before.into_iter().zip(self.members.clone()).collect();
-        for (slot, (old, new)) in changes.into_iter().enumerate() {
+        let moved = before.into_iter().zip(self.members.clone());
+        for (slot, (old, new)) in moved.enumerate() {
             if old == new {
                 continue;
             }
--- a/segment-log/src/power_loss_tests.rs
+++ b/segment-log/src/power_loss_tests.rs
@@ -47,7 +47,7 @@
 
     fn content(&self, file: usize) -> Vec<u8> {
         let file = &self.files[file];
-        [&[file.synced.clone()], &file.unsynced[..]]
+        [std::slice::from_ref(&file.synced), &file.unsynced[..]]
             .concat()
             .concat()
     }
@@ -348,8 +348,7 @@
         synced <= known && known <= appended,
         "{known} of {synced} synced and {appended} appended: {disk:?}"
     );
-    let disk = folder.model().disk.clone();
-    disk
+    folder.model().disk.clone()
 }
 
 proptest! {
