Slots move by agreement: offered at SIGTERM, after 2 s of silence, one after another

Cause: a slot passed to an empty node only after 5 s of silence and only if exactly one was silent, so a replaced machine was not full again within the 4 s after which the next loss may come; a member that left on purpose took its disk along without a word; two lost at once were never replaced; and a member that was replaced while cut off never took part again.

Ruled out: a copy to the newcomer before the table changes (a second way to fill a disk, for 0.3 s in which the old one counts as lost anyway); 1.5 s of silence (0.2 s of margin to a slow start).

Change: a member that gets SIGTERM offers its slot to the leader of the table, which names a waiting newcomer; the leaving one stops for good and sends what its disk holds to its direct successor. Silence of 2 s, counted by a node that did not stand still itself. The next change waits until the last newcomer was met with a full disk. One that was removed ends and starts over as an empty node, never with a slot of its own. One that is about to end still counts among those that promise. Spares and `retire` in the simulator.

--- a/control-plane/src/control_part/changes.rs
+++ b/control-plane/src/control_part/changes.rs
@@ -278,6 +278,7 @@
             }
             Change::Refound { after } => self.refound(after),
             Change::JoinRequest { peer, founding } => self.assign_slot(now, peer, founding),
+            Change::OfferSlot { member } => self.assign_offered_slot(now, member),
             Change::Claim(claim) if !left.is_zero() && !Ledger::tells(leader, &claim) => {
                 wait.told = Outcome::Closed { left }
             }
--- a/control-plane/src/control_part/membership.rs
+++ b/control-plane/src/control_part/membership.rs
@@ -2,8 +2,43 @@
 
 use super::*;
 
-/// A slot not heard of for this long may go to an empty node.
-const LOST: Duration = Duration::from_secs(5);
+/// A slot not heard of for this long may go to an empty node that asks for one.
+/// A process that is only started again is back before, and one that was wrongly
+/// replaced comes back as an empty node.
+const LOST: Duration = Duration::from_secs(2);
+
+/// Since when this node hears the others without a pause of its own: one that
+/// was frozen has heard nobody for long, and that is no fault of theirs.
+#[derive(Debug, Default)]
+pub(super) struct Watch {
+    ticked: Option<Duration>,
+    since: Duration,
+}
+
+impl Watch {
+    pub(super) fn tick(&mut self, now: Duration) {
+        if !self.unbroken(now) {
+            self.since = now;
+        }
+        self.ticked = Some(now);
+    }
+
+    /// About the present time.
+    fn last_tick(&self) -> Duration {
+        self.ticked.unwrap_or_default()
+    }
+
+    /// Whether the last tick was as lately as it should be.
+    fn unbroken(&self, now: Duration) -> bool {
+        self.ticked
+            .is_some_and(|ticked| now < ticked + lease::CONTROL_PEER)
+    }
+
+    /// Whether one last heard of at this time has been silent for long enough.
+    pub(super) fn lost(&self, now: Duration, heard: Duration) -> bool {
+        self.unbroken(now) && now >= heard.max(self.since) + LOST
+    }
+}
 
 impl ControlPart {
     /// The slot that this life of a peer holds by our table.
@@ -30,6 +65,18 @@
                 self.handle_membership(now, table);
                 None
             }
+            Message::SlotOfferReply(reply) => {
+                self.handle_slot_offer_reply(now, &reply);
+                None
+            }
+            Message::SlotState(state) => {
+                self.handle_slot_state(now, from, state);
+                None
+            }
+            Message::SlotStateReceived(received) => {
+                self.handle_slot_state_received(&received);
+                None
+            }
             _ if self.removed => None,
             other if self.slot == NO_SLOT => {
                 self.heard_without_slot(now, from, &other);
@@ -131,6 +178,7 @@
                 .for_each(|leader| leader.go_by(version));
             return;
         }
+        self.table_since = self.watch.last_tick();
         let before = std::mem::replace(&mut self.places, places.clone());
         for slot in 0..before.len().max(places.len()) {
             let (old, new) = (before.get(slot), places.get(slot));
@@ -267,6 +315,11 @@
         slot: Option<u8>,
     ) {
         (self.membership_version, self.places) = (version, places);
+        if self.slot != NO_SLOT && slot.is_none() {
+            // It may have been met by others, who then retired this life.
+            return self.mark_removed();
+        }
+        self.table_since = now;
         // Who was met by the older table may sit elsewhere by this one: that
         // retires nobody.
         self.peers.clear();
@@ -395,22 +448,43 @@
         }
     }
 
-    /// The slot not heard of for long enough, if that is exactly one.
-    pub(super) fn lost_slot(&self, now: Duration, leader: &PartitionLeader) -> Option<u8> {
-        let since = leader.active_since?;
-        let heard = |slot: &u8| {
-            *slot == self.slot
-                || now
-                    < self
-                        .peers
-                        .get(slot)
-                        .map_or(since, |peer| peer.heard.max(since))
-                        + LOST
+    /// The first of the slots not heard of for long enough.
+    fn lost_slot(&self, now: Duration) -> Option<u8> {
+        self.others().find(|slot| self.is_lost(now, *slot))
+    }
+
+    /// Whether a slot was silent for so long that it may go to another. One that
+    /// was not met yet counts from when the table named it.
+    fn is_lost(&self, now: Duration, slot: u8) -> bool {
+        let heard = self.peers.get(&slot).map(|peer| peer.heard);
+        self.watch.lost(now, heard.unwrap_or(self.table_since))
+    }
+
+    /// Whether the last change of the table is done: it has settled, and every
+    /// member was met with a disk that was refilled, or is lost. What was acknowledged by the table before then lies on a
+    /// majority by this one.
+    pub(super) fn membership_is_calm(&self, now: Duration) -> bool {
+        let refilled = |slot: u8| self.peers.get(&slot).is_some_and(|peer| !peer.blank);
+        self.table_has_settled()
+            && self
+                .others()
+                .all(|slot| refilled(slot) || self.is_lost(now, slot))
+    }
+
+    /// Whether the table that this leader goes by is the last one written, and
+    /// every live edge knows it.
+    pub(super) fn table_has_settled(&self) -> bool {
+        let Some(leader) = self
+            .leaders
+            .get(&PLACES)
+            .filter(|leader| leader.settled() >= leader.version)
+        else {
+            return false;
         };
-        let lost: Vec<u8> = (0..self.places.len() as u8)
-            .filter(|slot| !heard(slot))
-            .collect();
-        (lost.len() == 1).then(|| lost[0])
+        leader
+            .rows
+            .get("places")
+            .is_none_or(|row| row.version <= self.membership_version)
     }
 
     /// A slot was heard with this life; an earlier one is retired.
@@ -440,23 +514,14 @@
     }
 
     /// Puts a peer in its own or in a lost slot's place, or a founding one in a
-    /// new slot, once the last move has settled. A lost or a new slot also
-    /// pending_replies until the last newcomer was refilled: what was acknowledged by the
-    /// table before lies on a majority of this one only then.
+    /// new slot, once the last change has settled. A lost or a new slot also
+    /// waits until the last newcomer was refilled.
     pub(super) fn assign_slot(&mut self, now: Duration, peer: Peer, founding: bool) {
-        let Some(leader) = self
-            .leaders
-            .get(&PLACES)
-            .filter(|leader| leader.settled() >= leader.version)
-        else {
+        if self.places.iter().any(|known| known.names(&peer)) {
             return;
-        };
-        if self.places.iter().any(|known| known.names(&peer))
-            || leader
-                .rows
-                .get("places")
-                .is_some_and(|row| row.version > self.membership_version)
-        {
+        }
+        self.newcomer = Some(Newcomer { peer, asked: now });
+        if !self.table_has_settled() {
             return;
         }
         // A new disk at a place that holds a slot asks for that slot.
@@ -465,13 +530,8 @@
             .iter()
             .position(|known| known.address == peer.address)
             .map(|at| at as u8);
-        let blank = |slot: &u8| {
-            self.peers
-                .get(slot)
-                .is_some_and(|peer| peer.blank && peer.near(now))
-        };
-        let whole = !self.others().any(|slot| blank(&slot));
-        let all = || {
+        let lost = || self.lost_slot(now).filter(|_| self.membership_is_calm(now));
+        let all_full = || {
             self.others().all(|slot| {
                 self.peers
                     .get(&slot)
@@ -479,14 +539,19 @@
             })
         };
         let mut places = self.places.clone();
-        if let Some(slot) = own.or_else(|| self.lost_slot(now, leader).filter(|_| whole)) {
+        if let Some(slot) = own.or_else(lost) {
             places[usize::from(slot)] = peer;
-        } else if founding && places.len() < SLOTS_MOST && all() {
+        } else if founding && places.len() < SLOTS_MOST && all_full() {
             places.push(Peer::new(peer.address, 0));
         } else {
             return;
         }
-        let leader = self.leaders.get_mut(&PLACES).expect("just seen");
-        leader.put("places".into(), Value::Places(places));
+        self.put_table(places);
+    }
+
+    /// Writes a table to follow the one that is in force. Its version.
+    pub(super) fn put_table(&mut self, places: Vec<Peer>) -> Option<u64> {
+        let leader = self.leaders.get_mut(&PLACES)?;
+        Some(leader.put("places".into(), Value::Places(places)))
     }
 }
--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -4,6 +4,8 @@
 use crate::prelude::*;
 use changes::{OperatorCall, PendingReply};
 use duties::PlannedFrom;
+use membership::Watch;
+use slot_handover::{Handover, Newcomer};
 
 mod changes;
 mod duties;
@@ -11,8 +13,11 @@
 mod membership;
 mod realm;
 mod replication;
+mod slot_handover;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod tests_membership;
 
 /// A control node without its I/O. Invariants:
 /// - A reply that speaks for the disk leaves only once all that was stored
@@ -83,6 +88,14 @@
     /// Whether we were last seen to own the list of origins.
     lists: bool,
     warned: Option<Duration>,
+    /// Since when other members are heard without a pause of our own.
+    watch: Watch,
+    /// When the table that is gone by was first seen.
+    table_since: Duration,
+    /// The empty node that last asked for a slot here, as leader of the table.
+    newcomer: Option<Newcomer>,
+    /// What became of our slot after a warning.
+    handover: Handover,
     out: Vec<Output>,
 }
 
@@ -119,9 +132,14 @@
         seeds: Vec<SocketAddr>,
         replica: Replica,
         blank: bool,
-        bootstrap: Option<Bootstrap>,
+        mut bootstrap: Option<Bootstrap>,
         run: u64,
     ) -> ControlPart {
+        // Who knows a table was there after the founding, whatever its settings
+        // still say: one that was removed gets no slot of its own.
+        if let Some(bootstrap) = bootstrap.as_mut().filter(|_| replica.table().is_some()) {
+            bootstrap.founding = false;
+        }
         let table_of_seeds = || {
             if bootstrap.is_some() {
                 vec![]
@@ -180,6 +198,10 @@
             fresh,
             lists: false,
             warned: None,
+            watch: Watch::default(),
+            table_since: Duration::ZERO,
+            newcomer: None,
+            handover: Handover::default(),
             out: Vec::new(),
         };
         if blank {
@@ -260,6 +282,8 @@
         for peer in self.sessions.tick(now) {
             self.note(Event::SessionLapsed, peer.to_string());
         }
+        self.watch.tick(now);
+        self.tick_handover(now);
         if self.removed {
             return;
         }
@@ -297,6 +321,20 @@
         self.send_operator_calls(now);
     }
 
+    /// After a warning the others take the partitions and a newcomer the slot;
+    /// then, with all operators answered, nothing is left to do. One that was
+    /// removed ends at once: it starts over with an empty disk.
+    fn may_end(&self, now: Duration) -> bool {
+        let over = match self.warned {
+            Some(since) => {
+                let led = !self.leaders.is_empty() && now < since + HAND_OVER;
+                !led && self.handover_over(now, since)
+            }
+            None => self.removed && self.synced >= self.serial,
+        };
+        over && self.operator_calls.is_empty()
+    }
+
     fn beat(&self, now: Duration, to: u8) -> Heartbeat {
         let got = self.peers.get(&to).map_or(0, |peer| peer.got);
         let seen = self.sessions.known(now).then(|| self.sessions.since(got));
@@ -380,12 +418,7 @@
                     until: now + lease::CONTROL,
                     ready,
                 }));
-                // After a warning the others take the slices; then, with all
-                // operators answered, nothing is left to do.
-                let over = self
-                    .warned
-                    .is_some_and(|since| self.leaders.is_empty() || now >= since + HAND_OVER);
-                if over && self.operator_calls.is_empty() {
+                if self.may_end(now) {
                     self.out.push(Output::Ended);
                 }
             }
@@ -410,6 +443,7 @@
             Input::Operator { id, ask } => self.operator(now, id, ask),
             Input::ShutdownRequested => {
                 self.warned.get_or_insert(now);
+                self.offer_slot(now);
             }
             Input::ClientRequest { .. } | Input::Called { .. } | Input::Watched { .. } => {}
         }
--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -20,12 +20,13 @@
     }
 
     pub(super) fn take_slices(&mut self, now: Duration) {
-        let met = self.others().filter(|slot| {
+        // One that is about to end takes no partition, but it still promises.
+        let promising = self.others().filter(|slot| {
             self.peers
                 .get(slot)
-                .is_some_and(|peer| peer.full && peer.near(now))
+                .is_some_and(|peer| !peer.blank && peer.near(now))
         });
-        if met.count() + 1 < self.quorum().most() {
+        if promising.count() + 1 < self.quorum().most() {
             return;
         }
         for slice in 0..SLICES {
@@ -252,7 +253,7 @@
     }
 
     /// Our blank disk got all that it needs to count.
-    fn finish_recovery(&mut self, now: Duration, merged: Merged) {
+    pub(super) fn finish_recovery(&mut self, now: Duration, merged: Merged) {
         self.recovery = None;
         self.sessions.begin(now);
         self.store(&Record::Recovered {
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -76,6 +76,13 @@
     },
 }
 
+impl Record {
+    /// As it stands in the log.
+    pub fn bytes(&self) -> Vec<u8> {
+        bincode::serialize(self).expect("records serialize")
+    }
+}
+
 impl Replica {
     pub fn blank(life: u64) -> Replica {
         Replica {
@@ -85,6 +92,15 @@
         }
     }
 
+    /// What a removed disk starts over with: a new life, which holds nothing, and
+    /// the table that told of the removal.
+    pub fn renewed(&self, life: u64) -> Replica {
+        Replica {
+            membership_version: self.table(),
+            ..Replica::blank(life)
+        }
+    }
+
     /// Reads a log back. None if it holds no disk number: the disk is blank.
     pub fn replay(records: &[Vec<u8>]) -> Result<Option<Replica>> {
         let mut replica = Replica::blank(0);
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -63,6 +63,13 @@
     /// table. Who thought to hold one and is not in it, is struck. Version 0 is
     /// the founding table; there is one, made by the first seed.
     MembershipTable { version: u64, places: Vec<Peer> }
+    /// To a leaving member that offered its slot.
+    SlotOfferReply { answer: SlotOfferAnswer }
+    /// All that the disk of a removed member ever acknowledged, to its direct
+    /// successor by the table `version`: it acknowledges nothing any more.
+    SlotState { version: u64, lost: u64, retired: Vec<u64>, held: Vec<PartitionSnapshot> }
+    /// The successor's disk is full.
+    SlotStateReceived { version: u64 }
 
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
@@ -110,6 +117,18 @@
     CallDone { service: String, epoch: u64, serial: u64, result: CallResult, took: Duration }
 }
 
+/// What becomes of the slot that a leaving member offered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SlotOfferAnswer {
+    /// No empty node waits for a slot.
+    NoNewcomer,
+    /// One waits; another change of the table must be over first.
+    Later,
+    /// The table `version`, which comes directly after the one by which the
+    /// asker holds the slot, names `successor` in its place.
+    Assigned { version: u64, successor: Peer },
+}
+
 /// A realm is the state since the control plane was last founded on blank
 /// disks, or went on after a majority of them was lost. The upper half counts,
 /// the lower tells two of one count apart. An edge that meets a newer realm
@@ -300,6 +319,11 @@
         peer: Peer,
         founding: bool,
     },
+    /// The asker is about to end: its slot goes to an empty node that waits for
+    /// one, if there is one.
+    OfferSlot {
+        member: Peer,
+    },
     /// Acknowledged rows may be lost: name a new realm after this one.
     Refound {
         after: u64,
--- a/programs/src/control_node.rs
+++ b/programs/src/control_node.rs
@@ -3,8 +3,9 @@
 /// Runs a control node until it has handed over.
 pub fn run_control_node(startup: Startup) -> Result<()> {
     let folder = startup.data.clone().context("data folder")?.join("log");
-    let (log, records) = open(&folder)?;
+    let (mut log, records) = open(&folder)?;
     let (replica, blank) = match Replica::replay(&records)? {
+        Some(replica) if replica.removed => (start_over(&mut log, &replica)?, true),
         Some(replica) => (replica, false),
         None => (Replica::blank(new_life()?), true),
     };
@@ -32,6 +33,16 @@
     host.run(Box::new(part))
 }
 
+/// The slot of this disk went to another node while it was away, so what it holds
+/// counts for nothing: it goes on as an empty one, which may be given a slot.
+fn start_over(log: &mut SegmentLog, removed: &Replica) -> Result<Replica> {
+    let renewed = removed.renewed(new_life()?);
+    let image = Record::Image(Box::new(renewed.clone()));
+    log.image(&image.bytes())?;
+    log.sync()?;
+    Ok(renewed)
+}
+
 /// A log that is corrupt before its tail is set aside: this disk then counts
 /// as blank and is refilled by the others.
 fn open(folder: &Path) -> Result<(SegmentLog, Vec<Vec<u8>>)> {
--- a/simulate-fleet/src/fault.rs
+++ b/simulate-fleet/src/fault.rs
@@ -16,6 +16,8 @@
     Pause(Place, Duration),
     /// SIGTERM; the node is started again once it has ended.
     Restart(Place),
+    /// SIGTERM; the node is gone for good once it has ended, or its time is over.
+    Retire(Place),
     /// Killed, and its disk is gone.
     Wipe(Place),
     /// The disk refuses writes from now on.
@@ -98,6 +100,7 @@
             Fault::Start(_) => "start",
             Fault::Pause(..) => "pause",
             Fault::Restart(_) => "restart",
+            Fault::Retire(_) => "retire",
             Fault::Wipe(_) => "wipe",
             Fault::DiskFull(_) => "disk-full",
             Fault::Cut(..) => "cut",
@@ -139,6 +142,7 @@
             Fault::Kill(place)
             | Fault::Pause(place, _)
             | Fault::Restart(place)
+            | Fault::Retire(place)
             | Fault::Isolate(place) => {
                 let what = if matches!(place, Place::Control(_)) {
                     "control"
@@ -174,6 +178,7 @@
         matches!(
             self,
             Restart(_)
+                | Retire(_)
                 | Leave(_)
                 | Content
                 | Purge(_)
--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod prelude;
 #[cfg(test)]
 mod scenarios;
+#[cfg(test)]
+mod scenarios_membership;
 pub mod schedule;
 pub mod script;
 pub mod shrink;
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// A fleet of another number of control nodes, whose table is gathered.
-fn of(control: usize, seed: u64, span: u64, faults: Vec<(u64, Fault)>) -> WorldPlan {
+pub(crate) fn of(control: usize, seed: u64, span: u64, faults: Vec<(u64, Fault)>) -> WorldPlan {
     let faults = faults
         .into_iter()
         .map(|(at, fault)| (Duration::from_millis(at), fault))
@@ -14,13 +14,13 @@
     }
 }
 
-fn run(plan: WorldPlan) -> Report {
+pub(crate) fn run(plan: WorldPlan) -> Report {
     let mut world = World::new(plan);
     world.trace = std::env::var("TRACE").is_ok();
     world.run()
 }
 
-fn count(report: &Report, what: &str) -> usize {
+pub(crate) fn count(report: &Report, what: &str) -> usize {
     report
         .checker
         .fleet
@@ -187,7 +187,7 @@
 }
 
 /// Fails on a broken never; those named must have been exercised.
-fn judge(report: &Report, exercised: &[usize]) {
+pub(crate) fn judge(report: &Report, exercised: &[usize]) {
     for (at, (never, verdict)) in report.checker.verdicts().into_iter().enumerate() {
         assert!(
             !matches!(verdict, Verdict::Broken(_)),
@@ -234,7 +234,7 @@
 const CONTROL: [Place; 3] = [Place::Control(0), Place::Control(1), Place::Control(2)];
 
 /// Share of errands that began within a span (in seconds) and were served.
-fn served_within(report: &Report, from: f64, to: f64) -> f64 {
+pub(crate) fn served_within(report: &Report, from: f64, to: f64) -> f64 {
     let calls: Vec<_> = report
         .checker
         .callers
--- /dev/null
+++ b/simulate-fleet/src/scenarios_membership.rs
@@ -0,0 +1,403 @@
+//! Changes of membership, with a further loss at every step of them. A machine
+//! counts as lost until `CATCH_UP` after its own or its successor's start; from
+//! then on the next one may go.
+
+use crate::prelude::*;
+use crate::scenarios::{count, judge, of, run, served_within};
+
+/// The users' `catch_up_s`, in milliseconds.
+const CATCH_UP: u64 = 4_000;
+const SIZES: [usize; 4] = [3, 4, 5, 8];
+
+/// Machines that may be lost at once.
+fn tolerated(control: usize) -> usize {
+    if control < 5 { 1 } else { 2 }
+}
+
+fn spare(control: usize, number: usize) -> Place {
+    Place::Control(control + number)
+}
+
+fn fleet(control: usize, seed: u64, span: u64, faults: Vec<(u64, Fault)>) -> WorldPlan {
+    WorldPlan {
+        spares: 3,
+        ..of(control, seed, span, faults)
+    }
+}
+
+/// When a node's disk first counted after this moment, in milliseconds.
+fn refilled(report: &Report, place: Place, after: u64) -> Option<u64> {
+    let first = report.membership.iter().find(|(at, who, event)| {
+        *event == Event::DiskRefilled && *who == place && at.as_millis() as u64 >= after
+    });
+    first.map(|(at, _, _)| at.as_millis() as u64)
+}
+
+/// No never is broken, every change and read after the last loss is answered,
+/// and callers are served.
+fn judge_after(report: &Report, what: &str, from: f64, to: f64, configured: usize) {
+    judge(report, &[6]);
+    assert_eq!(count(report, "configured"), configured, "{what}");
+    let served = served_within(report, from, to);
+    assert!(served > 0.98, "{what}: {served} served");
+}
+
+/// A machine is gone for good and an empty one starts a second later; once
+/// that has had its time, as many more as may be lost go for good.
+#[test]
+fn after_an_unplanned_replacement_the_next_loss_finds_a_majority() {
+    for control in SIZES {
+        for lost in 0..3 {
+            let start = 9_000;
+            let next = start + CATCH_UP;
+            let mut faults = vec![
+                (8_000, Fault::Kill(Place::Control(lost))),
+                (start, Fault::Start(spare(control, 0))),
+                (14_000, Fault::Configure),
+                (22_000, Fault::ReadBack),
+            ];
+            for more in 1..=tolerated(control) {
+                faults.push((next, Fault::Kill(Place::Control((lost + more) % control))));
+            }
+            let report = run(fleet(control, lost as u64 + 1, 30, faults));
+            let what = format!("{control} slots, {lost} lost");
+            let full = refilled(&report, spare(control, 0), start);
+            assert!(full.is_some_and(|at| at < next), "{what}: full at {full:?}");
+            judge_after(&report, &what, 17.0, 29.0, 2);
+        }
+    }
+}
+
+/// Of five and eight, two machines go at the same moment: one after the other
+/// is replaced, and two more may go.
+#[test]
+fn two_lost_at_once_are_replaced_one_after_the_other() {
+    for control in [5, 8] {
+        for lost in [0, 2] {
+            let (start, second) = (9_000, lost + 1);
+            let next = start + CATCH_UP;
+            let report = run(fleet(
+                control,
+                lost as u64 + 1,
+                30,
+                vec![
+                    (8_000, Fault::Kill(Place::Control(lost))),
+                    (8_000, Fault::Kill(Place::Control(second))),
+                    (start, Fault::Start(spare(control, 0))),
+                    (start, Fault::Start(spare(control, 1))),
+                    (next, Fault::Kill(Place::Control((lost + 2) % control))),
+                    (next, Fault::Kill(Place::Control((lost + 3) % control))),
+                    (14_000, Fault::Configure),
+                    (22_000, Fault::ReadBack),
+                ],
+            ));
+            let what = format!("{control} slots, {lost} and {second} lost");
+            for number in 0..2 {
+                let full = refilled(&report, spare(control, number), start);
+                assert!(full.is_some_and(|at| at < next), "{what}: full at {full:?}");
+            }
+            judge_after(&report, &what, 17.0, 29.0, 2);
+        }
+    }
+}
+
+/// Planned: the new machine first, then SIGTERM. The leaving one counts as
+/// lost no longer than until its successor has had its time.
+#[test]
+fn a_leaving_member_hands_its_slot_to_a_waiting_newcomer() {
+    for control in SIZES {
+        for leaving in 0..3 {
+            let (start, warned) = (8_000, 10_000);
+            let next = start + CATCH_UP;
+            let mut faults = vec![
+                (start, Fault::Start(spare(control, 0))),
+                (warned, Fault::Retire(Place::Control(leaving))),
+                (13_500, Fault::Configure),
+                (22_000, Fault::ReadBack),
+            ];
+            for more in 1..=tolerated(control) {
+                faults.push((
+                    next,
+                    Fault::Kill(Place::Control((leaving + more) % control)),
+                ));
+            }
+            let report = run(fleet(control, leaving as u64 + 1, 30, faults));
+            let what = format!("{control} slots, {leaving} leaving");
+            let full = refilled(&report, spare(control, 0), start);
+            assert!(
+                full.is_some_and(|at| at < warned + 1_500),
+                "{what}: full at {full:?}"
+            );
+            judge_after(&report, &what, 17.0, 29.0, 2);
+        }
+    }
+}
+
+/// The newcomer has had its time before SIGTERM comes, so the leaving machine
+/// never counts as lost, and others are lost (cut off or killed) around that
+/// very moment: what the leaving one holds must not go with it.
+#[test]
+fn a_leaving_member_hands_over_while_as_many_as_may_be_are_lost() {
+    for control in SIZES {
+        for (seed, shift) in [0, 100, 300, 700, 1_500].into_iter().enumerate() {
+            for early in [false, true] {
+                for cut in [false, true] {
+                    let (start, warned) = (8_000, 8_000 + CATCH_UP);
+                    let at = if early {
+                        warned - shift
+                    } else {
+                        warned + shift
+                    };
+                    let leaving = seed % 3;
+                    let mut faults = vec![
+                        (start, Fault::Start(spare(control, 0))),
+                        (warned - 20, Fault::Configure),
+                        (warned, Fault::Retire(Place::Control(leaving))),
+                        // Callers were served before it; operators ask any node.
+                        (18_200, Fault::Heal),
+                        (18_500, Fault::Configure),
+                        (24_000, Fault::ReadBack),
+                    ];
+                    for more in 1..=tolerated(control) {
+                        let other = Place::Control((leaving + more) % control);
+                        let loss = if cut {
+                            Fault::Isolate(other)
+                        } else {
+                            Fault::Kill(other)
+                        };
+                        faults.push((at, loss));
+                    }
+                    let report = run(fleet(control, seed as u64 + 1, 30, faults));
+                    let what = format!("{control} slots, {leaving} leaving, others lost at {at}");
+                    // An order under way at a machine that is killed is not answered.
+                    let unknown = count(&report, "configure-unknown");
+                    assert!(unknown <= 1, "{what}");
+                    judge_after(&report, &what, 15.0, 18.0, 3 - unknown);
+                    let last = report
+                        .checker
+                        .fleet
+                        .iter()
+                        .rfind(|one| one.what == "configured");
+                    assert!(last.is_some_and(|one| one.at > 18.4), "{what}");
+                }
+            }
+        }
+    }
+}
+
+/// One that is only restarted keeps its slot, and is back as soon as ever.
+#[test]
+fn a_restarted_member_keeps_its_slot() {
+    for control in SIZES {
+        let faults = (0..control)
+            .map(|slot| {
+                let at = 8_000 + slot as u64 * 3_000;
+                (at, Fault::Restart(Place::Control(slot)))
+            })
+            .chain([(34_000, Fault::Configure), (37_000, Fault::ReadBack)])
+            .collect();
+        let report = run(fleet(control, 1, 40, faults));
+        judge_after(&report, &control.to_string(), 8.0, 39.0, 2);
+        assert!(!report.notes.contains_key(&Event::MemberRemoved));
+        let replaced = report
+            .membership
+            .iter()
+            .filter(|(at, _, event)| {
+                *event == Event::MemberReplaced && *at > Duration::from_secs(8)
+            })
+            .count();
+        assert_eq!(replaced, 0, "{control} slots");
+    }
+}
+
+/// Two machines of the core are replaced one right after the other.
+#[test]
+fn two_planned_replacements_in_a_row_leave_room_for_the_next_loss() {
+    for control in SIZES {
+        let mut faults = vec![
+            (8_000, Fault::Start(spare(control, 0))),
+            (9_000, Fault::Retire(Place::Control(0))),
+            (9_500, Fault::Configure),
+            (12_000, Fault::Start(spare(control, 1))),
+            (13_000, Fault::Retire(Place::Control(1))),
+            (13_200, Fault::Configure),
+            (18_500, Fault::Configure),
+            (22_000, Fault::ReadBack),
+        ];
+        for more in 0..tolerated(control) {
+            faults.push((16_000, Fault::Kill(Place::Control(control - 1 - more))));
+        }
+        let report = run(fleet(control, 3, 30, faults));
+        judge_after(&report, &control.to_string(), 20.0, 29.0, 4);
+    }
+}
+
+/// The newcomer is lost at each step of its taking over, and another one comes.
+#[test]
+fn a_newcomer_lost_at_any_step_is_replaced_by_the_next() {
+    for control in SIZES {
+        for step in (0..1_500).step_by(150) {
+            let leaving = Place::Control((step / 150) as usize % 3);
+            let report = run(fleet(
+                control,
+                step + 1,
+                30,
+                vec![
+                    (8_000, Fault::Start(spare(control, 0))),
+                    (9_980, Fault::Configure),
+                    (10_000, Fault::Retire(leaving)),
+                    (10_010 + step, Fault::Wipe(spare(control, 0))),
+                    (13_000, Fault::Start(spare(control, 1))),
+                    (18_000, Fault::Configure),
+                    (22_000, Fault::ReadBack),
+                ],
+            ));
+            let what = format!("{control} slots, the newcomer lost after {step} ms");
+            let full = refilled(&report, spare(control, 1), 13_000);
+            assert!(
+                full.is_some_and(|at| at < 13_000 + CATCH_UP),
+                "{what}: full at {full:?}"
+            );
+            judge_after(&report, &what, 20.0, 29.0, 3);
+        }
+    }
+}
+
+/// The machine that is to be replaced is cut off, not dead: it keeps its disk
+/// and comes back when its slot is another's. It then is an empty node that
+/// waits, and takes the slot of the next that leaves.
+#[test]
+fn a_replaced_member_that_was_only_cut_off_comes_back_as_a_newcomer() {
+    for control in SIZES {
+        for slot in 0..3 {
+            let cut = Place::Control(slot);
+            let leaving = Place::Control((slot + 1) % 3);
+            let report = run(fleet(
+                control,
+                slot as u64 + 1,
+                35,
+                vec![
+                    (8_000, Fault::Isolate(cut)),
+                    (9_000, Fault::Start(spare(control, 0))),
+                    (15_000, Fault::Heal),
+                    (16_000, Fault::Configure),
+                    (18_000, Fault::Retire(leaving)),
+                    (21_000, Fault::Kill(Place::Control((slot + 2) % 3))),
+                    (23_000, Fault::Configure),
+                    (27_000, Fault::ReadBack),
+                ],
+            ));
+            let what = format!("{control} slots, {slot} cut off");
+            let full = refilled(&report, cut, 15_000);
+            assert!(full.is_some_and(|at| at < 20_000), "{what}: {full:?}");
+            judge_after(&report, &what, 25.0, 34.0, 3);
+            assert_eq!(
+                report.notes.get(&Event::MemberRemoved),
+                Some(&2),
+                "{what}: the one cut off and the one that left"
+            );
+        }
+    }
+}
+
+/// Right after an acknowledgement a disk is wiped, at every moment of a
+/// replacement from when the newcomer has had its time: nothing is missing.
+#[test]
+fn a_disk_wiped_right_after_a_replacement_takes_nothing_along() {
+    for control in SIZES {
+        for planned in [false, true] {
+            for (seed, more) in [0, 200, 600, 1_200].into_iter().enumerate() {
+                let leaving = seed % 3;
+                let end = if planned {
+                    Fault::Retire(Place::Control(leaving))
+                } else {
+                    Fault::Kill(Place::Control(leaving))
+                };
+                let first = (leaving + 1) % control;
+                let report = run(fleet(
+                    control,
+                    seed as u64 + 1,
+                    40,
+                    vec![
+                        (8_000, Fault::Start(spare(control, 0))),
+                        (9_000, end),
+                        (
+                            8_000 + CATCH_UP + more,
+                            Fault::Trap(Moment::Configured, Loss::Disks(first, tolerated(control))),
+                        ),
+                        (8_010 + CATCH_UP + more, Fault::Configure),
+                        (24_000, Fault::ReadBack),
+                        (26_000, Fault::Configure),
+                    ],
+                ));
+                let what = format!("{control} slots, planned: {planned}, {more} ms later");
+                judge(&report, &[1, 12]);
+                assert_eq!(count(&report, "read-back"), 1, "{what}");
+                assert_eq!(count(&report, "configured"), 3, "{what}");
+                assert_eq!(report.notes.get(&Event::RealmFounded), Some(&1), "{what}");
+            }
+        }
+    }
+}
+
+/// From a loss until each slot has a full disk again, by kind of loss; with
+/// `--nocapture` the lines of the table in docs/figures.md.
+#[test]
+fn redundancy_is_short_for_less_than_the_time_to_catch_up() {
+    let lost = Place::Control(1);
+    for control in SIZES {
+        let new = spare(control, 0);
+        let kinds: [(&str, Place, u64, u64, [(u64, Fault); 2]); 5] = [
+            (
+                "a disk wiped, back after 1 s",
+                lost,
+                10_000,
+                11_000,
+                [(10_000, Fault::Wipe(lost)), (11_000, Fault::Start(lost))],
+            ),
+            (
+                "gone for good, an empty one 1 s later",
+                new,
+                10_000,
+                11_000,
+                [(10_000, Fault::Kill(lost)), (11_000, Fault::Start(new))],
+            ),
+            (
+                "gone for good, an empty one at once",
+                new,
+                10_000,
+                10_000,
+                [(10_000, Fault::Kill(lost)), (10_000, Fault::Start(new))],
+            ),
+            (
+                "planned: an empty one, SIGTERM 1 s later",
+                new,
+                10_000,
+                9_000,
+                [(9_000, Fault::Start(new)), (10_000, Fault::Retire(lost))],
+            ),
+            (
+                "cut off while an empty one waits",
+                new,
+                10_000,
+                9_000,
+                [(9_000, Fault::Start(new)), (10_000, Fault::Isolate(lost))],
+            ),
+        ];
+        for (what, who, loss, start, faults) in kinds {
+            let mut spans = Vec::new();
+            for seed in 1..=8 {
+                let report = run(fleet(control, seed, 20, faults.to_vec()));
+                judge(&report, &[]);
+                let full = refilled(&report, who, loss).expect(what);
+                assert!(
+                    full < loss.max(start) + CATCH_UP,
+                    "{control} {what}: {full}"
+                );
+                spans.push(full - loss);
+            }
+            spans.sort_unstable();
+            println!("| {control} | {what} | {} | {} |", spans[4], spans[7]);
+        }
+    }
+}
--- a/simulate-fleet/src/script.rs
+++ b/simulate-fleet/src/script.rs
@@ -87,6 +87,7 @@
                     Fault::Kill(to)
                     | Fault::Start(to)
                     | Fault::Restart(to)
+                    | Fault::Retire(to)
                     | Fault::Wipe(to)
                     | Fault::DiskFull(to)
                     | Fault::Isolate(to) => set("to", node(to).into()),
@@ -178,6 +179,7 @@
             "kill" => node(&Fault::Kill, say),
             "start" => node(&Fault::Start, say),
             "restart" => node(&Fault::Restart, say),
+            "retire" => node(&Fault::Retire, say),
             "wipe" => node(&Fault::Wipe, say),
             "disk-full" => node(&Fault::DiskFull, say),
             "isolate" => node(&Fault::Isolate, say),
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -21,6 +21,17 @@
         }
     }
 
+    /// As a control node's program does at its start.
+    fn renew_if_removed(&mut self, replica: Replica, life: u64) -> Replica {
+        if !replica.removed {
+            return replica;
+        }
+        let renewed = replica.renewed(life);
+        let image = Record::Image(Box::new(renewed.clone()));
+        self.synced = vec![image.bytes()];
+        renewed
+    }
+
     pub fn lose_power(&mut self) {
         self.pending.clear();
         self.busy_until = Duration::ZERO;
@@ -52,6 +63,8 @@
     /// Version of the table it was last seen live with, in this run.
     pub in_force: u64,
     pub ending: bool,
+    /// It was told to end and is not started again.
+    pub retiring: bool,
     pub duties: Vec<String>,
     /// The whole fleet starts for the first time with it.
     pub founding: bool,
@@ -75,6 +88,7 @@
             image: None,
             in_force: 0,
             ending: false,
+            retiring: false,
             duties: Vec::new(),
             founding: false,
         }
@@ -106,11 +120,13 @@
         self.in_force = 0;
         self.began = now;
         self.paused = Duration::ZERO;
+        self.retiring = false;
         (self.fence, self.ready, self.image, self.ending) = (Duration::ZERO, false, None, false);
         self.part = Some(match self.place {
             Place::Control(_) => {
                 let known = Replica::replay(&self.disk.synced).expect("synced records read back");
-                let blank = known.is_none();
+                let known = known.map(|replica| self.disk.renew_if_removed(replica, life));
+                let blank = known.as_ref().is_none_or(|replica| replica.life == life);
                 let gather = gather.map(|span| Bootstrap::new(self.founding, span));
                 let part = ControlPart::new(
                     self.peer.address,
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -19,6 +19,8 @@
     pub late: bool,
     /// How the first seed ends as it fixes the table; it is back a second later.
     pub founder: FounderEnd,
+    /// Empty control nodes at addresses of their own, not started by themselves.
+    pub spares: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +53,7 @@
             gather: false,
             late: false,
             founder: FounderEnd::Lives,
+            spares: 1,
         }
     }
 }
@@ -86,6 +89,8 @@
     pub steps: u64,
     pub notes: BTreeMap<Event, usize>,
     pub log_bytes: usize,
+    /// When which control node told of a change of its membership or disk.
+    pub membership: Vec<(Duration, Place, Event)>,
     /// Copies handed out, by edge.
     pub copies: Vec<u64>,
 }
@@ -131,6 +136,7 @@
     pub(crate) steps: u64,
     pub(crate) copies: Vec<u64>,
     pub(crate) notes: BTreeMap<Event, usize>,
+    pub(crate) membership: Vec<(Duration, Place, Event)>,
     pub trace: bool,
 }
 
@@ -247,6 +253,14 @@
     },
 }
 
+/// Events that are kept with their time.
+const MEMBERSHIP_EVENTS: [Event; 4] = [
+    Event::DiskBlank,
+    Event::DiskRefilled,
+    Event::MemberReplaced,
+    Event::MemberRemoved,
+];
+
 pub(crate) const CALLER_PATIENCE: Duration = Duration::from_secs(12);
 
 impl World {
@@ -281,6 +295,7 @@
             steps: 0,
             copies: vec![0; plan.deployment.edges],
             notes: BTreeMap::new(),
+            membership: Vec::new(),
             trace: false,
             plan,
         };
@@ -303,12 +318,13 @@
             self.nodes
                 .push(SimNode::new(Place::Edge(at), address(2, at), zone(at)));
         }
-        // An empty control node in another place, not started by itself.
-        self.nodes.push(SimNode::new(
-            Place::Control(self.plan.control),
-            address(1, self.plan.control),
-            zone(self.plan.control),
-        ));
+        for spare in self.plan.control..self.plan.control + self.plan.spares {
+            self.nodes.push(SimNode::new(
+                Place::Control(spare),
+                address(1, spare),
+                zone(spare),
+            ));
+        }
         self.by_address = self
             .nodes
             .iter()
@@ -340,7 +356,7 @@
             let drift = self.plan.drift;
             self.nodes[node].drift = self.dice.roll(2 * drift + 1) as i64 - drift as i64;
         }
-        for node in 0..self.nodes.len() - 1 {
+        for node in 0..self.first_spare() {
             self.nodes[node].founding = true;
             if self.plan.late && node + 1 == self.plan.control {
                 self.push(
@@ -384,6 +400,11 @@
         Duration::from_micros(low + self.dice.roll(high - low))
     }
 
+    /// The first of the nodes that are not started by themselves.
+    pub(crate) fn first_spare(&self) -> usize {
+        self.nodes.len() - self.plan.spares
+    }
+
     pub(crate) fn edges(&self) -> std::ops::Range<usize> {
         self.plan.control..self.plan.control + self.plan.deployment.edges
     }
@@ -434,6 +455,7 @@
             steps: self.steps,
             notes: self.notes,
             log_bytes,
+            membership: self.membership,
             copies: self.copies,
         }
     }
@@ -604,6 +626,10 @@
                     );
                 }
                 *self.notes.entry(event).or_default() += 1;
+                if MEMBERSHIP_EVENTS.contains(&event) {
+                    self.membership
+                        .push((self.now, self.nodes[node].place, event));
+                }
             }
             Output::Show(Shown::Fence { until, ready }) => {
                 (self.nodes[node].fence, self.nodes[node].ready) = (until, ready)
@@ -612,6 +638,9 @@
             Output::Show(Shown::Duties(list)) => self.duties_shown(node, list),
             Output::Show(Shown::Configuration(table)) => self.nodes[node].image = Some(table),
             Output::Ended => {
+                if self.nodes[node].retiring {
+                    return self.kill(node);
+                }
                 if !std::mem::replace(&mut self.nodes[node].ending, true) {
                     // Calls already read are answered; then the platform
                     // starts it again.
@@ -657,7 +686,7 @@
         };
         match loss {
             Loss::Power => {
-                for node in 0..self.nodes.len() - 1 {
+                for node in 0..self.first_spare() {
                     self.kill(node);
                     self.after(
                         Duration::from_secs(3),
@@ -682,7 +711,7 @@
                     } else {
                         self.kill(node);
                     }
-                    if wiped || ran || node + 1 < self.nodes.len() {
+                    if wiped || ran || node < self.first_spare() {
                         self.after(
                             Duration::from_secs(3),
                             Happening::Fault(Fault::Start(place)),
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -2,6 +2,8 @@
 
 /// How long the first seed collects founding control nodes.
 const GATHER: Duration = Duration::from_millis(500);
+/// From SIGTERM to the end of a process by its platform.
+const GRACE: Duration = Duration::from_secs(6);
 
 /// What is done to the fleet.
 impl World {
@@ -27,7 +29,9 @@
 
     pub(crate) fn at(&self, place: Place) -> usize {
         match place {
-            Place::Control(slot) if slot == self.plan.control => self.nodes.len() - 1,
+            Place::Control(slot) if slot >= self.plan.control => {
+                self.first_spare() + slot - self.plan.control
+            }
             Place::Control(slot) => slot,
             Place::Edge(at) => self.plan.control + at,
         }
@@ -105,7 +109,7 @@
     }
 
     fn lose_all(&mut self) {
-        for node in 0..self.nodes.len() - 1 {
+        for node in 0..self.first_spare() {
             self.kill(node);
             self.nodes[node].disk = Disk::default();
             self.nodes[node].founding = true;
@@ -202,6 +206,14 @@
                     self.step(node, Input::ShutdownRequested);
                 }
             }
+            Fault::Retire(place) => {
+                let node = self.at(place);
+                if self.nodes[node].part.is_some() {
+                    self.nodes[node].retiring = true;
+                    self.after(GRACE, Happening::Fault(Fault::Kill(place)));
+                    self.step(node, Input::ShutdownRequested);
+                }
+            }
             Fault::Wipe(place) => {
                 let node = self.at(place);
                 self.kill(node);
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -55,7 +55,7 @@
         // An operator's tool takes the next control node if one is down.
         let Some(node) = (0..self.plan.control)
             .map(|more| (node + more) % self.plan.control)
-            .chain([self.nodes.len() - 1])
+            .chain(self.first_spare()..self.nodes.len())
             .find(|node| self.nodes[*node].part.is_some() && self.nodes[*node].ready)
         else {
             if tries < 20 {
