--- a/control-plane/src/control_part/contact.rs
+++ b/control-plane/src/control_part/contact.rs
@@ -40,17 +40,22 @@
 
     /// Whether this node may lead a partition.
     pub(super) fn may_lead(&self, now: Duration) -> bool {
-        self.is_full(self.slot) && self.is_full_majority(self.contacts(now))
+        self.is_full(self.slot) && self.is_promising_majority(self.contacts(now))
     }
 
-    /// Whether these slots make a majority of full disks, as far as known here.
-    /// A blank disk neither promises nor keeps anything. Of a slot that is not
-    /// in contact with us the best is assumed.
-    fn is_full_majority(&self, slots: SlotSet) -> bool {
-        let full = slots.iter().filter(|slot| self.is_full(*slot)).count();
-        full >= self.quorum().most()
+    /// Whether these slots make a majority of disks that promise and keep, as
+    /// far as known here; one that is about to end still does. Of a slot that
+    /// is not in contact with us the best is assumed.
+    fn is_promising_majority(&self, slots: SlotSet) -> bool {
+        let promises = |slot: &u8| match self.peers.get(slot) {
+            _ if *slot == self.slot => self.able(),
+            Some(peer) => !peer.blank,
+            None => true,
+        };
+        slots.iter().filter(promises).count() >= self.quorum().most()
     }
 
+    /// Whether the disk of a slot is full and its node goes on.
     fn is_full(&self, slot: u8) -> bool {
         if slot == self.slot {
             return self.able() && self.warned.is_none();
@@ -66,7 +71,8 @@
             if *slot == self.slot {
                 return self.may_lead(now);
             }
-            let may_lead = |peer: &PeerStatus| peer.full && self.is_full_majority(peer.contacts);
+            let may_lead =
+                |peer: &PeerStatus| peer.full && self.is_promising_majority(peer.contacts);
             heard.contains(*slot) && self.peers.get(slot).is_some_and(may_lead)
         });
         eligible.collect()
--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -248,7 +248,7 @@
     }
 
     /// Our blank disk got all that it needs to count.
-    fn finish_recovery(&mut self, now: Duration, merged: Merged) {
+    pub(super) fn finish_recovery(&mut self, now: Duration, merged: Merged) {
         self.recovery = None;
         self.sessions.begin(now);
         self.store(&Record::Recovered {
--- a/programs/src/control_node.rs
+++ b/programs/src/control_node.rs
@@ -3,8 +3,9 @@
 /// Runs a control node until it has handed over.
 pub fn run_control_node(startup: Startup) -> Result<()> {
     let folder = startup.data.clone().context("data folder")?.join("log");
-    let loaded = open(&folder)?;
+    let mut loaded = open(&folder)?;
     let (replica, blank) = match read_back(&folder, &loaded.records) {
+        Some(replica) if replica.removed => (start_over(&mut loaded.log, &replica)?, true),
         Some(replica) => (replica, false),
         None => (Replica::blank(new_life()?), true),
     };
@@ -39,6 +40,16 @@
     }
 }
 
+/// The slot of this disk went to another node while it was away, so what it holds
+/// counts for nothing: it goes on as an empty one, which may be given a slot.
+fn start_over(log: &mut SegmentLog, removed: &Replica) -> Result<Replica> {
+    let renewed = removed.renewed(new_life()?);
+    let image = Record::Image(Box::new(renewed.clone()));
+    log.image(&image.bytes())?;
+    log.sync()?;
+    Ok(renewed)
+}
+
 /// A log of ours that is damaged before its tail is set aside: this disk then
 /// counts as blank and is refilled by the others. Whatever else does not read
 /// is left as it is, and the process ends.
--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -7,6 +7,8 @@
 #[cfg(test)]
 mod scenarios;
 #[cfg(test)]
+mod scenarios_membership;
+#[cfg(test)]
 mod scenarios_orders;
 pub mod schedule;
 pub mod script;
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -21,6 +21,8 @@
     pub founder: FounderEnd,
     /// What operators order by items.
     pub orders: Vec<ItemOrder>,
+    /// Empty control nodes at addresses of their own, not started by themselves.
+    pub spares: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,6 +56,7 @@
             late: false,
             founder: FounderEnd::Lives,
             orders: Vec::new(),
+            spares: 1,
         }
     }
 }
@@ -89,6 +92,8 @@
     pub steps: u64,
     pub notes: BTreeMap<Event, usize>,
     pub log_bytes: usize,
+    /// When which control node told of a change of its membership or disk.
+    pub membership: Vec<(Duration, Place, Event)>,
     /// Copies handed out, by edge.
     pub copies: Vec<u64>,
     pub orders: Vec<OrderRecord>,
@@ -137,6 +142,7 @@
     pub(crate) copies: Vec<u64>,
     pub(crate) orders: Vec<OrderRecord>,
     pub(crate) notes: BTreeMap<Event, usize>,
+    pub(crate) membership: Vec<(Duration, Place, Event)>,
     pub trace: bool,
 }
 
@@ -272,6 +278,14 @@
     },
 }
 
+/// Events that are kept with their time.
+const MEMBERSHIP_EVENTS: [Event; 4] = [
+    Event::DiskBlank,
+    Event::DiskRefilled,
+    Event::MemberReplaced,
+    Event::MemberRemoved,
+];
+
 pub(crate) const CALLER_PATIENCE: Duration = Duration::from_secs(12);
 
 impl World {
@@ -308,6 +322,7 @@
             copies: vec![0; plan.deployment.edges],
             orders: Vec::new(),
             notes: BTreeMap::new(),
+            membership: Vec::new(),
             trace: false,
             plan,
         };
@@ -330,12 +345,13 @@
             self.nodes
                 .push(SimNode::new(Place::Edge(at), address(2, at), zone(at)));
         }
-        // An empty control node in another place, not started by itself.
-        self.nodes.push(SimNode::new(
-            Place::Control(self.plan.control),
-            address(1, self.plan.control),
-            zone(self.plan.control),
-        ));
+        for spare in self.plan.control..self.plan.control + self.plan.spares {
+            self.nodes.push(SimNode::new(
+                Place::Control(spare),
+                address(1, spare),
+                zone(spare),
+            ));
+        }
         self.by_address = self
             .nodes
             .iter()
@@ -367,7 +383,7 @@
             let drift = self.plan.drift;
             self.nodes[node].drift = self.dice.roll(2 * drift + 1) as i64 - drift as i64;
         }
-        for node in 0..self.nodes.len() - 1 {
+        for node in 0..self.first_spare() {
             self.nodes[node].founding = Founding::FirstStart;
             if self.plan.late && node + 1 == self.plan.control {
                 self.push(
@@ -412,6 +428,11 @@
         Duration::from_micros(low + self.dice.roll(high - low))
     }
 
+    /// The first of the nodes that are not started by themselves.
+    pub(crate) fn first_spare(&self) -> usize {
+        self.nodes.len() - self.plan.spares
+    }
+
     pub(crate) fn edges(&self) -> std::ops::Range<usize> {
         self.plan.control..self.plan.control + self.plan.deployment.edges
     }
@@ -466,6 +487,7 @@
             steps: self.steps,
             notes: self.notes,
             log_bytes,
+            membership: self.membership,
             copies: self.copies,
             orders: self.orders,
         }
@@ -639,6 +661,10 @@
                     );
                 }
                 *self.notes.entry(event).or_default() += 1;
+                if MEMBERSHIP_EVENTS.contains(&event) {
+                    self.membership
+                        .push((self.now, self.nodes[node].place, event));
+                }
             }
             Output::Show(Shown::Fence { until, ready }) => {
                 (self.nodes[node].fence, self.nodes[node].ready) = (until, ready)
@@ -647,6 +673,9 @@
             Output::Show(Shown::Duties(list)) => self.duties_shown(node, list),
             Output::Show(Shown::Configuration(table)) => self.nodes[node].image = Some(table),
             Output::Ended => {
+                if self.nodes[node].retiring {
+                    return self.kill(node);
+                }
                 if !std::mem::replace(&mut self.nodes[node].ending, true) {
                     // Calls already read are answered; then the platform
                     // starts it again.
@@ -692,7 +721,7 @@
         };
         match loss {
             Loss::Power => {
-                for node in 0..self.nodes.len() - 1 {
+                for node in 0..self.first_spare() {
                     self.kill(node);
                     self.after(
                         Duration::from_secs(3),
@@ -717,7 +746,7 @@
                     } else {
                         self.kill(node);
                     }
-                    if wiped || ran || node + 1 < self.nodes.len() {
+                    if wiped || ran || node < self.first_spare() {
                         self.after(
                             Duration::from_secs(3),
                             Happening::Fault(Fault::Start(place)),
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -55,7 +55,7 @@
         // An operator's tool takes the next control node if one is down.
         let Some(node) = (0..self.plan.control)
             .map(|more| (node + more) % self.plan.control)
-            .chain([self.nodes.len() - 1])
+            .chain(self.first_spare()..self.nodes.len())
             .find(|node| self.nodes[*node].part.is_some() && self.nodes[*node].ready)
         else {
             if tries < 20 {
@@ -129,7 +129,7 @@
         );
     }
 
-    fn note_question(&mut self, node: usize, asked: Asked) {
+    pub(crate) fn note_question(&mut self, node: usize, asked: Asked) {
         let start = self.seconds();
         let question = Question { node, asked, start };
         self.asked.insert(self.serial, question);
@@ -139,7 +139,7 @@
     pub(crate) fn record_operator(&mut self, question: &Question, outcome: &Outcome) {
         let (operation, known) = match (&question.asked, outcome) {
             (Asked::Configure { .. }, Outcome::Findings(_)) => return,
-            (Asked::Configure { .. }, Outcome::Raced { version }) => {
+            (Asked::Configure { .. }, Outcome::Raced { version, .. }) => {
                 (DocumentOperation::Raced { version: *version }, true)
             }
             (Asked::Configure { text, .. }, outcome) => {
@@ -291,6 +291,11 @@
             Outcome::Findings(_) => self.record("invalid-refused", "", marker, marker == 999),
             // Unknown: the marker may be in force, so it stays in later documents.
             Outcome::Lost => self.record("configure-unknown", "", marker, true),
+            // Nothing was done, and so nothing comes into force.
+            Outcome::NoMajority => {
+                self.markers.retain(|known| *known != marker);
+                self.record("no-majority", "", marker, true);
+            }
             Outcome::Raced { .. } => {
                 self.markers.retain(|known| *known != marker);
                 self.record("raced", "", marker, race);
--- a/simulate-fleet/src/world_orders.rs
+++ b/simulate-fleet/src/world_orders.rs
@@ -85,7 +85,7 @@
         }
         self.serial += 1;
         let id = self.serial;
-        self.asked.insert(id, (node, Asked::Order { order }));
+        self.note_question(node, Asked::Order { order });
         self.after(PATIENCE, Happening::OrderUnanswered { id });
         let slice = CONFIGURATION;
         let ask = OperatorAsk::Change { slice, change };
