--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -2,17 +2,23 @@
 //! duty it is.
 
 use crate::prelude::*;
-use changes::{OperatorCall, PendingReply};
+use changes::{OperatorCall, PendingReply, RELAY_IDS, Relay};
 use duties::PlannedFrom;
+use membership::Watch;
+use slot_handover::{Handover, Newcomer};
 
 mod changes;
+mod contact;
 mod duties;
 mod edge_sessions;
 mod membership;
 mod realm;
 mod replication;
+mod slot_handover;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod tests_membership;
 
 /// A control node without its I/O. Invariants:
 /// - A reply that speaks for the disk leaves only once all that was stored
@@ -49,8 +55,14 @@
     /// The replica's, and what was met while the disk was blank.
     retired: VecDeque<u64>,
     sessions: Sessions,
+    news_replies: NewsReplies,
     pending_replies: Vec<PendingReply>,
     operator_calls: BTreeMap<u64, OperatorCall>,
+    /// Changes passed on for other members, by the id under which that was done.
+    relays: BTreeMap<u64, Relay>,
+    next_relay: u64,
+    /// Since when no majority is in contact with us.
+    cut_off: Option<Duration>,
     finished_since: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
     swept: Duration,
     /// Until then unknown operations are not run: acknowledged ones may be lost.
@@ -83,6 +95,14 @@
     /// Whether we were last seen to own the list of origins.
     lists: bool,
     warned: Option<Duration>,
+    /// Since when other members are heard without a pause of our own.
+    watch: Watch,
+    /// When the table that is gone by was first seen.
+    table_since: Duration,
+    /// The empty node that last asked for a slot here, as leader of the table.
+    newcomer: Option<Newcomer>,
+    /// What became of our slot after a warning.
+    handover: Handover,
     out: Vec<Output>,
 }
 
@@ -95,13 +115,36 @@
     full: bool,
     blank: bool,
     heard: Duration,
+    /// Slots that it hears, those that hear it too, and those of them for
+    /// which it vouches.
+    hears: SlotSet,
+    contacts: SlotSet,
+    vouched: SlotSet,
     /// The state of our table of sessions up to which it has it.
     got: u64,
 }
 
 impl PeerStatus {
+    /// Of a life that was not heard yet.
+    fn unheard(life: u64) -> PeerStatus {
+        PeerStatus {
+            life,
+            full: false,
+            blank: true,
+            heard: Duration::ZERO,
+            hears: SlotSet::default(),
+            contacts: SlotSet::default(),
+            vouched: SlotSet::default(),
+            got: 0,
+        }
+    }
+
+    fn heard_within(&self, now: Duration, span: Duration) -> bool {
+        now < self.heard + span
+    }
+
     fn near(&self, now: Duration) -> bool {
-        now < self.heard + lease::CONTROL_PEER
+        self.heard_within(now, lease::CONTROL_PEER)
     }
 }
 
@@ -119,9 +162,14 @@
         seeds: Vec<SocketAddr>,
         replica: Replica,
         blank: bool,
-        bootstrap: Option<Bootstrap>,
+        mut bootstrap: Option<Bootstrap>,
         run: u64,
     ) -> ControlPart {
+        // Who knows a table was there after the founding, whatever its settings
+        // still say: one that was removed gets no slot of its own.
+        if let Some(bootstrap) = bootstrap.as_mut().filter(|_| replica.table().is_some()) {
+            bootstrap.founding = false;
+        }
         let table_of_seeds = || {
             if bootstrap.is_some() {
                 vec![]
@@ -161,8 +209,12 @@
             superseded: BTreeMap::new(),
             peers: BTreeMap::new(),
             sessions: Sessions::new(run),
+            news_replies: NewsReplies::default(),
             pending_replies: Vec::new(),
             operator_calls: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            next_relay: run | RELAY_IDS,
+            cut_off: None,
             finished_since: BTreeMap::new(),
             swept: Duration::ZERO,
             closed: Duration::ZERO,
@@ -180,6 +232,10 @@
             fresh,
             lists: false,
             warned: None,
+            watch: Watch::default(),
+            table_since: Duration::ZERO,
+            newcomer: None,
+            handover: Handover::default(),
             out: Vec::new(),
         };
         if blank {
@@ -191,6 +247,17 @@
         part
     }
 
+    /// How long the log on disk is already, and the image that it begins with:
+    /// a node that is often restarted must write an image as soon as one that
+    /// is not.
+    pub fn with_log(self, log_bytes: usize, image_bytes: usize) -> ControlPart {
+        ControlPart {
+            log_bytes: self.log_bytes + log_bytes,
+            image_bytes,
+            ..self
+        }
+    }
+
     pub fn me(&self) -> Peer {
         Peer::new(self.address, self.replica.life)
     }
@@ -260,6 +327,8 @@
         for peer in self.sessions.tick(now) {
             self.note(Event::SessionLapsed, peer.to_string());
         }
+        self.watch.tick(now);
+        self.tick_handover(now);
         if self.removed {
             return;
         }
@@ -290,11 +359,27 @@
             self.out
                 .push(Output::Show(Shown::Acknowledged { version, text }));
         }
-        self.show_lists();
+        self.watch_contact(now);
+        self.show_lists(now);
         self.recollect(now);
         self.write_table();
         self.plan_duties(now);
         self.send_operator_calls(now);
+        self.relays.retain(|_, relay| now < relay.until);
+    }
+
+    /// After a warning the others take the partitions and a newcomer the slot;
+    /// then, with all operators answered, nothing is left to do. One that was
+    /// removed ends at once: it starts over with an empty disk.
+    fn may_end(&self, now: Duration) -> bool {
+        let over = match self.warned {
+            Some(since) => {
+                let led = !self.leaders.is_empty() && now < since + HAND_OVER;
+                !led && self.handover_over(now, since)
+            }
+            None => self.removed && self.synced >= self.serial,
+        };
+        over && self.operator_calls.is_empty()
     }
 
     fn beat(&self, now: Duration, to: u8) -> Heartbeat {
@@ -307,6 +392,9 @@
             membership_version: self.membership_version,
             closed: self.closed.saturating_sub(now),
             lost: self.lost(),
+            hears: self.hears(now, lease::CONTROL_PEER),
+            contacts: self.contacts(now),
+            vouched: self.vouched(now),
             got: self.sessions.got(to),
             seen,
         }
@@ -375,17 +463,12 @@
             Input::Tick => {
                 tick = true;
                 self.tick(now);
-                let ready = self.able() && self.warned.is_none();
+                let ready = self.able() && self.warned.is_none() && self.reaches_majority(now);
                 self.out.push(Output::Show(Shown::Fence {
                     until: now + lease::CONTROL,
                     ready,
                 }));
-                // After a warning the others take the slices; then, with all
-                // operators answered, nothing is left to do.
-                let over = self
-                    .warned
-                    .is_some_and(|since| self.leaders.is_empty() || now >= since + HAND_OVER);
-                if over && self.operator_calls.is_empty() {
+                if self.may_end(now) {
                     self.out.push(Output::Ended);
                 }
             }
@@ -410,6 +493,7 @@
             Input::Operator { id, ask } => self.operator(now, id, ask),
             Input::ShutdownRequested => {
                 self.warned.get_or_insert(now);
+                self.offer_slot(now);
             }
             Input::ClientRequest { .. } | Input::Called { .. } | Input::Watched { .. } => {}
         }
--- a/control-plane/src/replica_recovery.rs
+++ b/control-plane/src/replica_recovery.rs
@@ -9,7 +9,7 @@
 ///
 /// If all others answered and fewer are full, a majority was lost, and what is
 /// left is taken. Until then it pending_replies: one that is full may be slow.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ReplicaRecovery {
     slot: u8,
     quorum: Quorum,
@@ -23,7 +23,7 @@
 /// A whole disk's content takes this long over a slow way.
 const AGAIN: Duration = Duration::from_millis(600);
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Got {
     /// Its disk is full, by whichever table.
     full: bool,
@@ -158,6 +158,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 0,
+                    asker: 1,
                     round: 0,
                     full: true,
                     lost: 0,
@@ -170,6 +171,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 0,
+                    asker: 1,
                     round: 0,
                     full: true,
                     lost: 0,
@@ -182,6 +184,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 2,
+                    asker: 1,
                     round: 0,
                     full: true,
                     lost: 0,
@@ -194,6 +197,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 2,
+                    asker: 1,
                     round: 0,
                     full: true,
                     lost: 0,
@@ -207,6 +211,7 @@
             recovery
                 .heard(SnapshotReply {
                     slot: 0,
+                    asker: 1,
                     round: 1,
                     full: true,
                     lost: 0,
@@ -218,6 +223,7 @@
         let merged = recovery
             .heard(SnapshotReply {
                 slot: 2,
+                asker: 1,
                 round: 1,
                 full: true,
                 lost: 0,
@@ -252,6 +258,7 @@
         }];
         SnapshotReply {
             slot,
+            asker: 1,
             round,
             full,
             lost: 0,
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -19,6 +19,8 @@
     Ended = 102, Info;
     LinkBroken = 110, Debug;
     FrameRefused = 111, Warn;
+    MessageRefused = 112, Warn;
+    QueueFull = 113, Warn;
     SliceTaken = 200, Info;
     SliceLost = 201, Warn;
     DiskBlank = 210, Warn;
@@ -34,6 +36,7 @@
     SessionOpened = 220, Info;
     SessionLapsed = 221, Warn;
     SessionLeft = 222, Info;
+    LogRefused = 224, Error;
     DutyRevoked = 230, Info;
     DutyGranted = 231, Info;
     ConfigurationPut = 240, Info;
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -27,8 +27,10 @@
     /// by its last beat (`got`: the state of its table here); `membership_version` is the version of the table
     /// of places I go by; for `closed` no unknown operation may be claimed;
     /// what was acknowledged in the realm `lost` may be lost (0: none was).
-    /// `blank`: the disk was not refilled yet.
-    Heartbeat { slot: u8, full: bool, blank: bool, membership_version: u64, closed: Duration, lost: u64, got: u64, seen: Option<SessionsDelta> }
+    /// `blank`: the disk was not refilled yet. `hears`: slots whose heartbeats
+    /// come here; `contacts`: those of them that hear us too; `vouched`: those
+    /// of them that may lead partitions.
+    Heartbeat { slot: u8, full: bool, blank: bool, membership_version: u64, closed: Duration, lost: u64, hears: SlotSet, contacts: SlotSet, vouched: SlotSet, got: u64, seen: Option<SessionsDelta> }
     /// A blank disk asks for all another holds. The first round only makes
     /// the others forget the earlier disk's acknowledgements; what the
     /// second brings counts. `membership_version`: the table the sender goes by; who goes
@@ -36,7 +38,9 @@
     SnapshotRequest { slot: u8, round: u8, membership_version: u64 }
     /// `full`: the disk holds all that it ever acknowledged. `membership_version`: the
     /// table that edges are shown here.
-    SnapshotReply { slot: u8, round: u8, full: bool, lost: u64, membership_version: u64, held: Vec<PartitionSnapshot> }
+    /// `asker`: the life of the disk that asked; a later disk of its slot starts
+    /// again with round 0, and what was told to the earlier one counts for nothing.
+    SnapshotReply { slot: u8, asker: u64, round: u8, full: bool, lost: u64, membership_version: u64, held: Vec<PartitionSnapshot> }
     /// Take a slice: promise to heed no lower epoch.
     PrepareRequest { slice: u8, epoch: u64, membership_version: u64 }
     /// `retired`: lives of slots that count for nothing any more.
@@ -52,8 +56,9 @@
     AppendGap { slice: u8, epoch: u64, round: u64 }
     /// A higher epoch was promised.
     StaleEpoch { slice: u8, epoch: u64, promised: u64 }
-    /// A change on its way to the slice's owner; answered to `asker`.
-    ChangeRequest { asker: SocketAddr, id: u64, slice: u8, ask: Change }
+    /// A change on its way to the leader of its partition; answered to
+    /// `asker`. `hops`: how many control nodes passed it on.
+    ChangeRequest { asker: SocketAddr, id: u64, slice: u8, hops: u8, ask: Change }
     ChangeReply { id: u64, told: Outcome }
 
     /// An empty control node without a slot asks for one that is lost, or
@@ -63,14 +68,22 @@
     /// table. Who thought to hold one and is not in it, is struck. Version 0 is
     /// the founding table; there is one, made by the first seed.
     MembershipTable { version: u64, places: Vec<Peer> }
+    /// To a leaving member that offered its slot.
+    SlotOfferReply { answer: SlotOfferAnswer }
+    /// All that the disk of a removed member ever acknowledged, to its direct
+    /// successor by the table `version`: it acknowledges nothing any more.
+    SlotState { version: u64, lost: u64, retired: Vec<u64>, held: Vec<PartitionSnapshot> }
+    /// The successor's disk is full.
+    SlotStateReceived { version: u64 }
 
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
     /// `heard`: the last mark of this control node, none before the first.
     RenewRequest { sent: Duration, heard: Option<Mark>, realm: u64, recalled: bool, vector: Vec<u64>, zone: String, ring: String, strength: u32, draining: bool, usage: Usage, found: Vec<OriginFound> }
     /// To the life that sent the renewal, with its own time of sending.
-    /// `recall`: acknowledged operations may be lost; tell those you know.
-    RenewReply { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: Vec<News> }
+    /// `recall`: acknowledged operations may be lost; tell those you know. `news` stands
+    /// last: it is encoded once for all who are told the same.
+    RenewReply { life: u64, mark: Mark, sent: Duration, realm: u64, recall: bool, news: SharedNews }
     /// Tell all rows you know of this slice: more than its owner does.
     RecallRequest { slice: u8 }
     RecallReply { slice: u8, version: u64, rows: Vec<(String, Row)> }
@@ -110,6 +123,18 @@
     CallDone { service: String, epoch: u64, serial: u64, result: CallResult, took: Duration }
 }
 
+/// What becomes of the slot that a leaving member offered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SlotOfferAnswer {
+    /// No empty node waits for a slot.
+    NoNewcomer,
+    /// One waits; another change of the table must be over first.
+    Later,
+    /// The table `version`, which comes directly after the one by which the
+    /// asker holds the slot, names `successor` in its place.
+    Assigned { version: u64, successor: Peer },
+}
+
 /// A realm is the state since the control plane was last founded on blank
 /// disks, or went on after a majority of them was lost. The upper half counts,
 /// the lower tells two of one count apart. An edge that meets a newer realm
@@ -272,10 +297,10 @@
     },
     GetConfiguration,
     /// Sets or removes named parts, whole or not at all; one that is not newer
-    /// than what is known under its name has no effect.
+    /// than what is known under its name has no effect. Name, revision and
+    /// content make a repeat harmless.
     PutItems {
         items: Vec<Item>,
-        change: u64,
     },
     AddPurge {
         purge: Purge,
@@ -300,6 +325,11 @@
         peer: Peer,
         founding: bool,
     },
+    /// The asker is about to end: its slot goes to an empty node that waits for
+    /// one, if there is one.
+    OfferSlot {
+        member: Peer,
+    },
     /// Acknowledged rows may be lost: name a new realm after this one.
     Refound {
         after: u64,
@@ -326,9 +356,12 @@
     Settled {
         version: u64,
     },
-    /// Another change came first; this version is in force.
+    /// Another change came first; this version is in force. Whether a change
+    /// made to replace a version below `complete_after` was applied earlier is
+    /// not known any more.
     Raced {
         version: u64,
+        complete_after: u64,
     },
     Configuration {
         version: u64,
@@ -349,10 +382,19 @@
     Recorded,
     /// No owner could be asked in time: it may or may not have happened.
     Lost,
+    /// The node that was asked is not in contact with a majority: nothing was
+    /// done, and nothing can be said.
+    NoMajority,
     /// What was acknowledged may be lost: unknown keys are not run for so long.
     Closed {
         left: Duration,
     },
+    /// A revision was accepted before with another content. Nothing of the
+    /// call took effect; the findings name the items.
+    Conflict(Vec<Finding>),
+    /// A revision is so old that it is not known any more whether it was
+    /// accepted. The call has no effect now; the findings name the items.
+    RevisionForgotten(Vec<Finding>),
 }
 
 /// Ties a put to what the owner knew when it said MISS.
--- a/simulate-fleet/src/fault.rs
+++ b/simulate-fleet/src/fault.rs
@@ -16,6 +16,8 @@
     Pause(Place, Duration),
     /// SIGTERM; the node is started again once it has ended.
     Restart(Place),
+    /// SIGTERM; the node is gone for good once it has ended, or its time is over.
+    Retire(Place),
     /// Killed, and its disk is gone.
     Wipe(Place),
     /// The disk refuses writes from now on.
@@ -32,8 +34,6 @@
     CutOff(Place, CutScope, Duration),
     /// The connections between two nodes are reset: what is under way is lost.
     Reset(Place, Place),
-    /// SIGTERM; the node is not started again by itself.
-    Remove(Place),
     /// Nodes that start from now on are told the seeds in another order, and
     /// others among them, as far as they found no table.
     TurnSeeds,
@@ -150,6 +150,7 @@
             Fault::Start(_) => "start",
             Fault::Pause(..) => "pause",
             Fault::Restart(_) => "restart",
+            Fault::Retire(_) => "retire",
             Fault::Wipe(_) => "wipe",
             Fault::DiskFull(_) => "disk-full",
             Fault::Slow(..) => "slow",
@@ -158,7 +159,6 @@
             Fault::Cut(..) => "cut",
             Fault::CutOff(..) => "cut-off",
             Fault::Reset(..) => "reset",
-            Fault::Remove(_) => "remove",
             Fault::TurnSeeds => "turn-seeds",
             Fault::LoseAnswers(_) => "lose-answers",
             Fault::Isolate(_) => "isolate",
@@ -202,7 +202,7 @@
             | Fault::Pause(place, _)
             | Fault::Slow(place, _)
             | Fault::Restart(place)
-            | Fault::Remove(place)
+            | Fault::Retire(place)
             | Fault::Isolate(place) => {
                 let what = if matches!(place, Place::Control(_)) {
                     "control"
@@ -251,6 +251,7 @@
         matches!(
             self,
             Restart(_)
+                | Retire(_)
                 | Leave(_)
                 | Content
                 | Purge(_)
@@ -258,7 +259,6 @@
                 | ConfigureInvalid
                 | PutItem
                 | TurnSeeds
-                | Remove(_)
                 | Grow(_)
                 | Race(_)
                 | ReadBack
--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -6,6 +6,10 @@
 pub mod prelude;
 #[cfg(test)]
 mod scenarios;
+#[cfg(test)]
+mod scenarios_membership;
+#[cfg(test)]
+mod scenarios_orders;
 pub mod schedule;
 mod schedule_core;
 pub mod script;
@@ -13,6 +17,7 @@
 pub mod sim_node;
 pub mod sim_origin;
 pub mod world;
+mod world_answers;
 mod world_callers;
 mod world_faults;
 mod world_network;
--- a/simulate-fleet/src/schedule_core.rs
+++ b/simulate-fleet/src/schedule_core.rs
@@ -200,7 +200,7 @@
         let later = at + 500 + self.dice.roll(6_000);
         if self.dice.chance(50) {
             self.put(at, Fault::Start(new));
-            self.put(later, Fault::Remove(old));
+            self.put(later, Fault::Retire(old));
         } else {
             self.put(at, Fault::Kill(old));
             self.put(later, Fault::Start(new));
--- a/simulate-fleet/src/script.rs
+++ b/simulate-fleet/src/script.rs
@@ -90,7 +90,7 @@
                     Fault::Kill(to)
                     | Fault::Start(to)
                     | Fault::Restart(to)
-                    | Fault::Remove(to)
+                    | Fault::Retire(to)
                     | Fault::Wipe(to)
                     | Fault::DiskFull(to)
                     | Fault::Isolate(to) => set("to", node(to).into()),
@@ -207,6 +207,7 @@
             "kill" => node(&Fault::Kill, say),
             "start" => node(&Fault::Start, say),
             "restart" => node(&Fault::Restart, say),
+            "retire" => node(&Fault::Retire, say),
             "wipe" => node(&Fault::Wipe, say),
             "disk-full" => node(&Fault::DiskFull, say),
             "isolate" => node(&Fault::Isolate, say),
@@ -238,7 +239,6 @@
                 }
                 node(&|place| Fault::Reset(place, other.unwrap_or(place)), say)
             }
-            "remove" => node(&Fault::Remove, say),
             "turn-seeds" => Some(Fault::TurnSeeds),
             "put-item" => Some(Fault::PutItem),
             "cut" => {
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -25,6 +25,17 @@
         }
     }
 
+    /// As a control node's program does at its start.
+    fn renew_if_removed(&mut self, replica: Replica, life: u64) -> Replica {
+        if !replica.removed {
+            return replica;
+        }
+        let renewed = replica.renewed(life);
+        let image = Record::Image(Box::new(renewed.clone()));
+        self.synced = vec![image.bytes()];
+        renewed
+    }
+
     pub fn lose_power(&mut self) {
         self.pending.clear();
         self.busy_until = Duration::ZERO;
@@ -53,8 +64,6 @@
     pub slow_until: Duration,
     /// When the step now running is done.
     pub busy_until: Duration,
-    /// It is not started again when it has ended.
-    pub leaves: bool,
     pub disk: Disk,
     pub fence: Duration,
     pub ready: bool,
@@ -62,6 +71,8 @@
     /// Version of the table it was last seen live with, in this run.
     pub in_force: u64,
     pub ending: bool,
+    /// It was told to end and is not started again.
+    pub retiring: bool,
     pub duties: Vec<String>,
     /// What its settings say of the fleet's founding.
     pub founding: Founding,
@@ -102,13 +113,13 @@
             paused: Duration::ZERO,
             slow_until: Duration::ZERO,
             busy_until: Duration::ZERO,
-            leaves: false,
             disk: Disk::default(),
             fence: Duration::ZERO,
             ready: false,
             image: None,
             in_force: 0,
             ending: false,
+            retiring: false,
             duties: Vec::new(),
             founding: Founding::Never,
         }
@@ -139,12 +150,13 @@
         self.duties.clear();
         self.in_force = 0;
         self.began = now;
-        self.leaves = false;
+        self.retiring = false;
         (self.fence, self.ready, self.image, self.ending) = (Duration::ZERO, false, None, false);
         self.part = Some(match self.place {
             Place::Control(_) => {
                 let known = Replica::replay(&self.disk.synced).expect("synced records read back");
-                let blank = known.is_none();
+                let known = known.map(|replica| self.disk.renew_if_removed(replica, life));
+                let blank = known.as_ref().is_none_or(|replica| replica.life == life);
                 let gather = gather.map(|span| self.founding.bootstrap(span));
                 let part = ControlPart::new(
                     self.peer.address,
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -6,6 +6,8 @@
 const FIRST_START: Duration = Duration::from_secs(5);
 /// A fault that lasts is recorded again at this interval, and at its end.
 const FAULT_GOES_ON: Duration = Duration::from_secs(4);
+/// From SIGTERM to the end of a process by its platform.
+const GRACE: Duration = Duration::from_secs(6);
 
 /// What is done to the fleet.
 impl World {
@@ -31,7 +33,9 @@
 
     pub(crate) fn at(&self, place: Place) -> usize {
         match place {
-            Place::Control(slot) if slot == self.plan.control => self.nodes.len() - 1,
+            Place::Control(slot) if slot >= self.plan.control => {
+                self.first_spare() + slot - self.plan.control
+            }
             Place::Control(slot) => slot,
             Place::Edge(at) => self.plan.control + at,
         }
@@ -81,7 +85,7 @@
         let asked: Vec<u64> = self
             .asked
             .iter()
-            .filter(|(_, (at, _))| *at == node)
+            .filter(|(_, question)| question.node == node)
             .map(|(id, _)| *id)
             .collect();
         asked
@@ -114,18 +118,15 @@
         unanswered
             .into_iter()
             .for_each(|id| self.caller_ends(id, None));
-        let leaves = self.nodes[node].leaves;
         self.nodes[node].kill();
         self.lose_unread(node);
         let subject = self.nodes[node].peer.address.to_string();
         self.record("restarted", &subject, 0, true);
-        if !leaves {
-            self.start(node);
-        }
+        self.start(node);
     }
 
     fn lose_all(&mut self) {
-        for node in 0..self.nodes.len() - 1 {
+        for node in 0..self.first_spare() {
             self.kill(node);
             self.nodes[node].disk = Disk::default();
             self.nodes[node].founding = Founding::AfterTotalLoss;
@@ -179,7 +180,7 @@
     /// Operators who still wait to read back what nobody knows any more.
     fn forget_read_backs(&mut self) {
         let read_back = |order: &Order| matches!(order.asked, Asked::ReadBack { .. });
-        self.asked.retain(|_, (_, order)| !read_back(order));
+        self.asked.retain(|_, question| !read_back(&question.order));
         self.queue
             .retain(|_, what| !matches!(what, Happening::Ask { order, .. } if read_back(order)));
     }
@@ -248,6 +249,14 @@
                     self.step(node, Input::ShutdownRequested);
                 }
             }
+            Fault::Retire(place) => {
+                let node = self.at(place);
+                if self.nodes[node].part.is_some() {
+                    self.nodes[node].retiring = true;
+                    self.after(GRACE, Happening::Fault(Fault::Kill(place)));
+                    self.step(node, Input::ShutdownRequested);
+                }
+            }
             Fault::Wipe(place) => {
                 let node = self.at(place);
                 self.kill(node);
@@ -284,11 +293,6 @@
                 let node = self.at(place);
                 self.nodes[node].disk.slow_until = self.now + span;
             }
-            Fault::Remove(place) => {
-                let node = self.at(place);
-                self.nodes[node].leaves = true;
-                self.fault(Fault::Restart(place));
-            }
             Fault::TurnSeeds => self.seeds_turned += 1,
             Fault::LoseAnswers(span) => self.answers_lost_until = self.now + span,
             Fault::PutItem => self.put_item(),
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -56,7 +56,7 @@
         // An operator's tool takes the next control node if one is down.
         let Some(node) = (0..self.plan.control)
             .map(|more| (node + more) % self.plan.control)
-            .chain([self.nodes.len() - 1])
+            .chain(self.first_spare()..self.nodes.len())
             .find(|node| self.nodes[*node].part.is_some() && self.nodes[*node].ready)
         else {
             if tries < 20 {
@@ -105,11 +105,12 @@
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
             Asked::PutItem { item } => {
                 let items = vec![item.clone()];
-                (CONFIGURATION, Change::PutItems { items, change })
+                (CONFIGURATION, Change::PutItems { items })
             }
+            Asked::Order { order } => return self.send_order(*order),
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
-                self.asked.insert(self.serial, (node, order));
+                self.note_question(node, order);
                 return self.step(
                     node,
                     Input::Operator {
@@ -124,7 +125,7 @@
         };
         self.serial += 1;
         let id = self.serial;
-        self.asked.insert(id, (node, order));
+        self.note_question(node, order);
         self.step(
             node,
             Input::Operator {
@@ -134,10 +135,52 @@
         );
     }
 
+    pub(crate) fn note_question(&mut self, node: usize, order: impl Into<Order>) {
+        let order = order.into();
+        let start = self.seconds();
+        let question = Question { node, order, start };
+        self.asked.insert(self.serial, question);
+    }
+
+    /// Notes a call on the document with what came of it, for its history.
+    pub(crate) fn record_operator(&mut self, question: &Question, outcome: &Outcome) {
+        let (operation, known) = match (&question.order.asked, outcome) {
+            (Asked::Configure { .. }, Outcome::Findings(_)) => return,
+            (Asked::Configure { .. }, Outcome::Raced { version, .. }) => {
+                (DocumentOperation::Raced { version: *version }, true)
+            }
+            (Asked::Configure { text, .. }, outcome) => {
+                let version = match outcome {
+                    Outcome::Settled { version } => Some(*version),
+                    _ => None,
+                };
+                let content = document_digest(text);
+                let put = DocumentOperation::Put { version, content };
+                (put, version.is_some())
+            }
+            (Asked::ReadBack { .. }, Outcome::Configuration { version, text }) => {
+                let content = document_digest(text);
+                let version = *version;
+                (DocumentOperation::Read { version, content }, true)
+            }
+            _ => return,
+        };
+        let end = known.then(|| self.seconds());
+        self.operators.push(OperatorRecord {
+            start: question.start,
+            end,
+            operation,
+        });
+    }
+
     pub(crate) fn operator_told(&mut self, id: u64, answer: OperatorAnswer) {
-        let Some((node, order)) = self.asked.remove(&id) else {
+        let Some(question) = self.asked.remove(&id) else {
             return;
         };
+        if let OperatorAnswer::Outcome(outcome) = &answer {
+            self.record_operator(&question, outcome);
+        }
+        let Question { node, order, .. } = question;
         let outcome = match answer {
             OperatorAnswer::Outcome(outcome) => outcome,
             OperatorAnswer::State(state) => {
@@ -162,8 +205,10 @@
         self.judge_again(&order, &outcome);
         let asked = order.asked;
         let settled = matches!(outcome, Outcome::Settled { .. });
-        if let (Asked::Origins { .. }, Outcome::Settled { version } | Outcome::Raced { version }) =
-            (&asked, &outcome)
+        if let (
+            Asked::Origins { .. },
+            Outcome::Settled { version } | Outcome::Raced { version, .. },
+        ) = (&asked, &outcome)
         {
             self.origins_at = *version;
         }
@@ -199,6 +244,7 @@
                     self.acknowledged_at(version, item.revision);
                 }
             }
+            Asked::Order { order } => self.order_told(order, outcome),
             Asked::ReadBack {
                 expect: (version, text),
             } => {
@@ -264,6 +310,11 @@
             Outcome::Findings(_) => self.record("invalid-refused", "", marker, marker == 999),
             // Unknown: the marker may be in force, so it stays in later documents.
             Outcome::Lost => self.record("configure-unknown", "", marker, true),
+            // Nothing was done, and so nothing comes into force.
+            Outcome::NoMajority => {
+                self.markers.retain(|known| *known != marker);
+                self.record("no-majority", "", marker, true);
+            }
             Outcome::Raced { .. } => {
                 self.markers.retain(|known| *known != marker);
                 self.record("raced", "", marker, race);
--- a/simulate-fleet/src/world_orders.rs
+++ b/simulate-fleet/src/world_orders.rs
@@ -1,81 +1,115 @@
-//! Answers to operators that are lost, and orders that are sent again.
+//! Operators who set items: their answers may be lost, and then the same order
+//! is sent again to the next control node.
+
 use crate::prelude::*;
 
-/// Of a hundred answers so many are lost while answers are lost at all.
-const ANSWERS_LOST: u64 = 60;
-const ITEM_NAME: &str = "note";
+/// One operator's order: an item under a revision, with a content.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ItemOrder {
+    pub at: Duration,
+    /// The control node that is asked first.
+    pub node: usize,
+    pub name: String,
+    pub revision: u64,
+    /// Tells contents apart.
+    pub content: u32,
+    /// So many answers do not reach the operator.
+    pub answers_lost: u32,
+}
 
-impl World {
-    /// Sets the named item under its next revision, with a text of its own.
-    pub(crate) fn put_item(&mut self) {
-        self.item_revision += 1;
-        let revision = self.item_revision;
-        let group = self.plan.deployment.services[1].name;
-        let path = format!("/note/{revision}");
-        let entry = json!({
-            "name": ITEM_NAME, "path": path, "methods": ["POST"],
-            "group": group, "rank": 0, "kind": "keyed",
-        });
-        let text: Arc<str> = entry.to_string().into();
+/// What became of an order.
+#[derive(Debug, Clone)]
+pub struct OrderRecord {
+    pub order: ItemOrder,
+    pub tries: u32,
+    /// The answer that ended it; none if it was sent until the end.
+    pub outcome: Option<Outcome>,
+    pub ended: Duration,
+}
+
+/// An operator without an answer sends again after this.
+const AGAIN: Duration = Duration::from_millis(250);
+/// An operator waits this long for one node.
+const PATIENCE: Duration = Duration::from_millis(3500);
+
+impl ItemOrder {
+    fn change(&self) -> Change {
+        let text: Arc<str> = json!({
+            "service": self.name, "rate": 1 + self.content, "concurrency": 2, "proof": "named",
+        })
+        .to_string()
+        .into();
         let item = Item {
-            kind: ItemKind::Entry,
-            name: ITEM_NAME.into(),
-            revision,
-            source: text.clone(),
-            text: Some(text),
+            kind: ItemKind::Group,
+            name: self.name.clone(),
+            revision: self.revision,
+            text: Some(text.clone()),
+            source: text,
         };
-        let node = self.dice.roll(self.plan.control as u64) as usize;
-        self.ask(node, Asked::PutItem { item }, 0);
+        Change::PutItems { items: vec![item] }
     }
+}
 
-    pub(crate) fn answer_is_lost(&mut self, order: &Order) -> bool {
-        let changes = matches!(
-            order.asked,
-            Asked::Configure { .. }
-                | Asked::Purge { .. }
-                | Asked::Origins { .. }
-                | Asked::PutItem { .. }
-        );
-        changes && self.now < self.answers_lost_until && self.dice.chance(ANSWERS_LOST)
+impl World {
+    /// Puts the plan's orders on the timetable.
+    pub(crate) fn schedule_orders(&mut self) {
+        for (order, at) in self
+            .plan
+            .orders
+            .iter()
+            .map(|one| one.at)
+            .enumerate()
+            .collect::<Vec<_>>()
+        {
+            let record = OrderRecord {
+                order: self.plan.orders[order].clone(),
+                tries: 0,
+                outcome: None,
+                ended: Duration::ZERO,
+            };
+            self.orders.push(record);
+            self.push(at, Happening::SendOrder { order });
+        }
     }
 
-    /// The operator heard nothing: the same order goes to another node.
-    pub(crate) fn send_again(&mut self, node: usize, order: Order, outcome: &Outcome) {
-        let settled = order.settled || matches!(outcome, Outcome::Settled { .. });
-        let span = self.micros(100_000, 1_500_000);
-        let again = Happening::Ask {
-            node: (node + 1) % self.plan.control,
-            order: Order { settled, ..order },
-            tries: 0,
-        };
-        self.after(span, again);
+    pub(crate) fn send_order(&mut self, order: usize) {
+        let record = &mut self.orders[order];
+        if record.outcome.is_some() {
+            return;
+        }
+        let node = (record.order.node + record.tries as usize) % self.plan.control;
+        record.tries += 1;
+        let change = record.order.change();
+        if self.nodes[node].part.is_none() {
+            return self.after(AGAIN, Happening::SendOrder { order });
+        }
+        self.serial += 1;
+        let id = self.serial;
+        self.note_question(node, Asked::Order { order });
+        self.after(PATIENCE, Happening::OrderUnanswered { id });
+        let slice = CONFIGURATION;
+        let ask = OperatorAsk::Change { slice, change };
+        self.step(node, Input::Operator { id, ask });
     }
 
-    /// An order that was settled is never refused when it comes again.
-    pub(crate) fn judge_again(&mut self, order: &Order, outcome: &Outcome) {
-        if !order.settled || matches!(outcome, Outcome::Lost) {
-            return;
+    /// The operator gives this try up and goes to the next node.
+    pub(crate) fn order_unanswered(&mut self, id: u64) {
+        if self.asked.contains_key(&id) {
+            self.operator_told(id, OperatorAnswer::Outcome(Outcome::Lost));
         }
-        let good = matches!(outcome, Outcome::Settled { .. });
-        let subject = match &order.asked {
-            Asked::Configure { .. } => "configuration",
-            Asked::Purge { .. } => "purge",
-            Asked::Origins { .. } => "origins",
-            Asked::PutItem { .. } => "item",
-            Asked::ReadBack { .. } | Asked::OpenLedger { .. } => return,
-        };
-        self.record("order-again", subject, 0, good);
     }
 
-    /// Everything was lost: what was settled then is known to nobody.
-    pub(crate) fn forget_settled_orders(&mut self) {
-        let waiting = self.asked.values_mut().map(|(_, order)| order);
-        let queued = self.queue.values_mut().filter_map(|what| match what {
-            Happening::Ask { order, .. } => Some(order),
-            _ => None,
-        });
-        for order in waiting.chain(queued) {
-            order.settled = false;
+    pub(crate) fn order_told(&mut self, order: usize, outcome: Outcome) {
+        let now = self.now;
+        let record = &mut self.orders[order];
+        let lost = record.order.answers_lost > 0;
+        if lost {
+            record.order.answers_lost -= 1;
+        }
+        if lost || outcome == Outcome::Lost {
+            return self.after(AGAIN, Happening::SendOrder { order });
         }
+        record.outcome = Some(outcome);
+        record.ended = now;
     }
 }
