--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -5,6 +5,17 @@
 /// Without a loss for this long, a leader's pauses start short again.
 const STALE_EPOCH_CALM: Duration = Duration::from_secs(10);
 
+/// Of a request whose rows are held already, maybe with later ones over them:
+/// a whole state that comes late must not take those away.
+fn without_rows(request: AppendRequest) -> AppendRequest {
+    AppendRequest {
+        whole: false,
+        rows: vec![],
+        drops: vec![],
+        ..request
+    }
+}
+
 impl ControlPart {
     pub(super) fn take_slices(&mut self, now: Duration) {
         if !self.may_lead(now) {
@@ -99,11 +110,13 @@
         }
         let published = held.image.published;
         let current = held.image.epoch == epoch && held.promised == epoch;
-        let same = current && held.image.version == to;
-        // It was overtaken by a later one of its epoch, or came twice: taken
-        // again, it would undo what was acknowledged since.
-        let outdated = current && held.image.version > to;
-        if !outdated && (keep.whole || !same || keep.published > published) {
+        // Taken again, rows of a request that was overtaken or came twice would
+        // undo what was acknowledged since.
+        let is_held = current && held.image.version >= to;
+        if !is_held {
+            self.store(&Record::Appended { keep });
+        } else if keep.published > published {
+            let keep = without_rows(keep);
             self.store(&Record::Appended { keep });
         }
         let held = self.replica.held(slice);
