--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -257,6 +257,8 @@
     pub(crate) change: Option<u64>,
     /// It was settled, but the answer was lost.
     pub(crate) settled: bool,
+    /// When it was first sent.
+    pub(crate) start: Option<f64>,
 }
 
 impl From<Asked> for Order {
@@ -265,6 +267,7 @@
             asked,
             change: None,
             settled: false,
+            start: None,
         }
     }
 }
--- a/simulate-fleet/src/world_callers.rs
+++ b/simulate-fleet/src/world_callers.rs
@@ -237,8 +237,13 @@
     /// Whether an entry is there, at an edge that says anything on it: a keyed
     /// entry without a key answers 400, no entry 404.
     fn entry_at(&self, node: usize, marker: u64) -> Option<bool> {
+        self.shows(node, &format!("/marker/{marker}"))
+    }
+
+    /// The same of any keyed entry, by its path.
+    pub(crate) fn shows(&self, node: usize, path: &str) -> Option<bool> {
         let told = self
-            .arrive(node, "POST", &format!("/marker/{marker}"), None)
+            .arrive(node, "POST", path, None)
             .err()
             .map_or(0, |refusal| refusal.status);
         [(400, true), (404, false)]
