--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -3,12 +3,14 @@
 
 use crate::prelude::*;
 use changes::{OperatorCall, PendingReply, RELAY_IDS, Relay};
+use disk_failure::DiskFailure;
 use duties::PlannedFrom;
 use membership::Watch;
 use slot_handover::{Handover, Newcomer};
 
 mod changes;
 mod contact;
+mod disk_failure;
 mod duties;
 mod edge_sessions;
 mod membership;
@@ -42,7 +44,8 @@
     removed: bool,
     replica: Replica,
     recovery: Option<ReplicaRecovery>,
-    failed: bool,
+    /// A write failed: the disk counts for nothing until all is on it again.
+    failed: Option<DiskFailure>,
     serial: u64,
     synced: u64,
     unsynced: VecDeque<(u64, SocketAddr, Message)>,
@@ -199,7 +202,7 @@
                 .then(|| ReplicaRecovery::new(slot, slots, version)),
             retired: replica.retired.clone(),
             replica,
-            failed: false,
+            failed: None,
             serial: 0,
             synced: 0,
             unsynced: VecDeque::new(),
@@ -300,27 +303,36 @@
         let bytes = bincode::serialize(record).expect("records serialize");
         self.serial += 1;
         self.log_bytes += bytes.len();
-        self.out.push(Output::Store {
-            serial: self.serial,
-            record: bytes,
-        });
-        self.replica.apply(record);
-        self.see_places();
-        if self.log_bytes > LOG_BYTES.max(2 * self.image_bytes) {
-            let image = bincode::serialize(&Record::Image(Box::new(self.replica.clone())))
-                .expect("records serialize");
-            self.image_bytes = image.len();
-            self.log_bytes = 0;
-            self.serial += 1;
-            self.out.push(Output::StoreImage {
+        // A disk that refused a write takes no more until it takes everything.
+        if self.failed.is_none() {
+            self.out.push(Output::Store {
                 serial: self.serial,
-                record: image,
+                record: bytes,
             });
         }
+        self.replica.apply(record);
+        self.see_places();
+        if self.failed.is_none() && self.log_bytes > LOG_BYTES.max(2 * self.image_bytes) {
+            self.store_image();
+        }
+    }
+
+    /// Writes the whole replica anew; the serial under which that is done.
+    fn store_image(&mut self) -> u64 {
+        let image = bincode::serialize(&Record::Image(Box::new(self.replica.clone())))
+            .expect("records serialize");
+        self.image_bytes = image.len();
+        self.log_bytes = 0;
+        self.serial += 1;
+        self.out.push(Output::StoreImage {
+            serial: self.serial,
+            record: image,
+        });
+        self.serial
     }
 
     fn able(&self) -> bool {
-        self.replica.full && !self.failed && !self.removed && self.slot != NO_SLOT
+        self.replica.full && self.failed.is_none() && !self.removed && self.slot != NO_SLOT
     }
 
     fn tick(&mut self, now: Duration) {
@@ -359,6 +371,7 @@
             self.out
                 .push(Output::Show(Shown::Acknowledged { version, text }));
         }
+        self.restore_disk(now);
         self.watch_contact(now);
         self.show_lists(now);
         self.recollect(now);
@@ -388,7 +401,7 @@
         Heartbeat {
             slot: self.slot,
             full: self.able() && self.warned.is_none(),
-            blank: !self.replica.full,
+            blank: !self.replica.full || self.failed.is_some(),
             membership_version: self.membership_version,
             closed: self.closed.saturating_sub(now),
             lost: self.lost(),
@@ -474,6 +487,7 @@
             }
             Input::Heard { from, message } => self.heard(now, from, message),
             Input::Stored { serial } => {
+                self.finish_restoring(now, serial);
                 self.synced = self.synced.max(serial);
                 while self
                     .unsynced
@@ -484,12 +498,7 @@
                     self.tell(to, message);
                 }
             }
-            Input::StoreFailed => {
-                self.failed = true;
-                self.leaders.clear();
-                self.pending_replies.clear();
-                self.note(Event::DiskFailed, format!("slot {}", self.slot));
-            }
+            Input::StoreFailed => self.handle_store_failure(now),
             Input::Operator { id, ask } => self.operator(now, id, ask),
             Input::ShutdownRequested => {
                 self.warned.get_or_insert(now);
--- a/control-plane/src/control_part/slot_handover.rs
+++ b/control-plane/src/control_part/slot_handover.rs
@@ -151,7 +151,7 @@
             return;
         };
         let due = sent.is_none_or(|sent| now >= sent + STATE_AGAIN);
-        if !self.removed || !self.replica.full || self.failed || !due {
+        if !self.removed || !self.replica.full || self.failed.is_some() || !due {
             return;
         }
         self.handover = Handover::Assigned {
@@ -199,7 +199,7 @@
     /// Also one that was removed a moment ago: the answer to its offer may still
     /// be on its way.
     fn has_slot_to_offer(&self) -> bool {
-        self.slot != NO_SLOT && self.replica.full && !self.failed
+        self.slot != NO_SLOT && self.replica.full && self.failed.is_none()
     }
 
     /// Whether nothing is left to do for the slot of a node that was warned.
--- a/control-plane/tests/cluster/mod.rs
+++ b/control-plane/tests/faults/cluster.rs
@@ -15,6 +15,7 @@
     Tick,
     Deliver { from: Peer, message: Box<Message> },
     Synced { serial: u64, record: Vec<u8> },
+    StoreFailed,
 }
 
 struct Scheduled {
@@ -28,6 +29,8 @@
     part: ControlPart,
     run: u64,
     disk: Vec<Vec<u8>>,
+    /// It refuses writes.
+    full: bool,
 }
 
 /// A call of an operator: where and when it was made, and its answer.
@@ -78,7 +81,12 @@
             let image = control_plane::Record::Image(Box::new(replica.clone()));
             let disk = vec![bincode::serialize(&image).expect("records serialize")];
             let part = Cluster::part(node, size, replica, 1);
-            cluster.nodes.push(Node { part, run: 1, disk });
+            cluster.nodes.push(Node {
+                part,
+                run: 1,
+                disk,
+                full: false,
+            });
             cluster.schedule(
                 Duration::from_millis(7 * node as u64),
                 node,
@@ -151,6 +159,11 @@
         self.cuts.clear();
     }
 
+    /// From now on the node's disk refuses writes, or takes them again.
+    pub fn set_disk_full(&mut self, node: usize, full: bool) {
+        self.nodes[node].full = full;
+    }
+
     /// The process ends and starts again with what its disk holds.
     pub fn restart(&mut self, node: usize) {
         let size = self.size();
@@ -210,6 +223,7 @@
                 from,
                 message: *message,
             },
+            Happening::StoreFailed => Input::StoreFailed,
             Happening::Synced { serial, record } => {
                 self.nodes[node].disk.push(record);
                 Input::Stored { serial }
@@ -223,6 +237,9 @@
         for output in self.nodes[node].part.step(self.now, input) {
             match output {
                 Output::Tell { to, message } => self.deliver(node, from, to, message),
+                Output::Store { .. } | Output::StoreImage { .. } if self.nodes[node].full => {
+                    self.schedule(SYNC, node, Happening::StoreFailed);
+                }
                 Output::Store { serial, record } | Output::StoreImage { serial, record } => {
                     self.schedule(SYNC, node, Happening::Synced { serial, record });
                 }
--- a/control-plane/tests/cut_off.rs
+++ b/control-plane/tests/faults/cut_off.rs
@@ -1,9 +1,7 @@
 //! A control node that is cut off neither hands out what may be old nor confirms nor refuses anything, and the
 //! majority goes on without it.
 
-mod cluster;
-
-use cluster::{Cluster, address, put_entry, put_group, revision_of};
+use crate::cluster::{Cluster, address, put_entry, put_group, revision_of};
 use kernel::prelude::*;
 
 /// A node that noticed the cut answers within the same step.
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -36,6 +36,7 @@
     SessionOpened = 220, Info;
     SessionLapsed = 221, Warn;
     SessionLeft = 222, Info;
+    DiskRestored = 223, Info;
     LogRefused = 224, Error;
     DutyRevoked = 230, Info;
     DutyGranted = 231, Info;
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -79,13 +79,6 @@
     }
 }
 
-/// Where a part's records go. The file counts only once synced.
-pub trait Store: Send {
-    fn append(&mut self, record: &[u8]) -> Result<()>;
-    fn image(&mut self, record: &[u8]) -> Result<()>;
-    fn sync(&mut self) -> Result<()>;
-}
-
 /// Drives one part: sockets, disk, ticks and calls sit out here.
 pub struct Host {
     pub me: Peer,
@@ -105,11 +98,6 @@
 /// latest, together.
 const FLUSH_STEPS: u32 = 32;
 
-enum Stored {
-    Append(u64, Vec<u8>),
-    Image(u64, Vec<u8>),
-}
-
 impl Host {
     pub fn run(mut self, mut part: Box<dyn Part>) -> Result<()> {
         let (give, take) = flume::unbounded::<Input>();
@@ -140,7 +128,7 @@
         let store = self
             .store
             .take()
-            .map(|store| Host::keep(store, give.clone()));
+            .map(|store| store::keep(store, give.clone()));
         Host::watch_signal(&give, self.startup.grace())?;
         let tick = self.tick;
         note(
@@ -181,10 +169,10 @@
                         }
                     }
                     Output::Store { serial, record } => {
-                        self.put(&store, Stored::Append(serial, record))
+                        self.put(&store, Unstored::Append(serial, record))
                     }
                     Output::StoreImage { serial, record } => {
-                        self.put(&store, Stored::Image(serial, record))
+                        self.put(&store, Unstored::Image(serial, record))
                     }
                     Output::Answer { id, .. } | Output::OperatorAnswer { id, .. } => {
                         port.answer(id, output)
@@ -243,41 +231,12 @@
         });
     }
 
-    fn put(&self, store: &Option<Sender<Stored>>, what: Stored) {
+    fn put(&self, store: &Option<Sender<Unstored>>, what: Unstored) {
         if let Some(store) = store {
             let _ = store.send(what);
         }
     }
 
-    /// One sync serves all records that waited for the one before.
-    fn keep(mut store: Box<dyn Store>, give: Sender<Input>) -> Sender<Stored> {
-        let (put, take) = flume::unbounded::<Stored>();
-        thread::spawn(move || {
-            while let Ok(first) = take.recv() {
-                let mut last = 0;
-                let mut good = true;
-                for record in std::iter::once(first).chain(take.drain()) {
-                    let done = match record {
-                        Stored::Append(serial, record) => (serial, store.append(&record)),
-                        Stored::Image(serial, record) => (serial, store.image(&record)),
-                    };
-                    last = done.0;
-                    good &= done.1.is_ok();
-                }
-                good &= store.sync().is_ok();
-                let input = if good {
-                    Input::Stored { serial: last }
-                } else {
-                    Input::StoreFailed
-                };
-                if give.send(input).is_err() || !good {
-                    return;
-                }
-            }
-        });
-        put
-    }
-
     /// The first warning goes to the part; after the grace time the process
     /// ends regardless.
     fn watch_signal(give: &Sender<Input>, grace: Duration) -> Result<()> {
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod shared_news;
 pub mod slot_set;
 pub mod startup;
+pub mod store;
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -17,7 +17,7 @@
     Stored {
         serial: u64,
     },
-    /// The disk refuses writes.
+    /// A write or sync failed. Nothing is stored until a whole image is.
     StoreFailed,
     ClientRequest {
         id: u64,
--- a/segment-log/src/folder.rs
+++ b/segment-log/src/folder.rs
@@ -4,7 +4,9 @@
 
 /// What is written counts after `sync_file`; that a file was made, renamed or
 /// removed counts after `sync`.
-pub trait Folder: Send {
+pub trait Folder: Send + Sized {
+    /// The same folder, with nothing known of it.
+    fn again(&self) -> io::Result<Self>;
     fn path(&self) -> &Path;
     fn names(&self) -> io::Result<Vec<String>>;
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
@@ -60,6 +62,10 @@
 }
 
 impl Folder for DiskFolder {
+    fn again(&self) -> io::Result<DiskFolder> {
+        DiskFolder::open(&self.path)
+    }
+
     fn path(&self) -> &Path {
         &self.path
     }
--- a/segment-log/src/power_loss_tests.rs
+++ b/segment-log/src/power_loss_tests.rs
@@ -145,6 +145,10 @@
 }
 
 impl Folder for ModelFolder {
+    fn again(&self) -> io::Result<ModelFolder> {
+        Ok(self.clone())
+    }
+
     fn path(&self) -> &Path {
         Path::new("model")
     }
--- a/segment-log/src/segment_log.rs
+++ b/segment-log/src/segment_log.rs
@@ -166,6 +166,11 @@
         Ok(self.write_image(record)?)
     }
 
+    fn reopen(&mut self) -> Result<()> {
+        *self = SegmentLog::open_in(self.folder.again()?)?.log;
+        Ok(())
+    }
+
     fn sync(&mut self) -> Result<()> {
         self.flush()?;
         Ok(self.folder.sync_file(&segment(self.number))?)
