--- a/control-plane/tests/replication/model/node.rs
+++ b/control-plane/tests/replication/model/node.rs
@@ -592,6 +592,9 @@
     }
 
     fn handle_snapshot(&mut self, reply: SnapshotReply) -> Vec<Envelope> {
+        if reply.asker != self.replica.life {
+            return vec![];
+        }
         if !self.keeps(Safeguard::SecondRecoveryRound) {
             return self.take_first_answers(reply);
         }
