--- a/simulate-fleet/src/lib.rs
+++ b/simulate-fleet/src/lib.rs
@@ -11,12 +11,15 @@
 #[cfg(test)]
 mod scenarios_orders;
 pub mod schedule;
+mod schedule_core;
 pub mod script;
 pub mod shrink;
 pub mod sim_node;
 pub mod sim_origin;
 pub mod world;
+mod world_answers;
 mod world_callers;
 mod world_faults;
+mod world_network;
 mod world_operators;
 mod world_orders;
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -110,7 +110,14 @@
     pub(crate) nodes: Vec<SimNode>,
     pub(crate) by_address: HashMap<SocketAddr, usize>,
     pub(crate) origins: Vec<SimOrigin>,
-    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// From whom nothing gets to whom, and until when.
+    pub(crate) cuts: BTreeMap<(usize, usize), Duration>,
+    /// Until then answers to operators are lost.
+    pub(crate) answers_lost_until: Duration,
+    /// Revision of the item that operators set.
+    pub(crate) item_revision: u64,
+    /// By how many places the seeds that nodes are told have turned.
+    pub(crate) seeds_turned: usize,
     pub(crate) weather: (u64, u64, u64),
     pub(crate) version: u64,
     /// In every document from now on; those taken out again are `removed`.
@@ -144,6 +151,8 @@
     pub(crate) notes: BTreeMap<Event, usize>,
     pub(crate) membership: Vec<(Duration, Place, Event)>,
     pub trace: bool,
+    /// Messages between control nodes are printed, too.
+    pub trace_messages: bool,
 }
 
 pub(crate) enum Happening {
@@ -197,6 +206,8 @@
         id: u64,
     },
     Fault(Fault),
+    /// A fault of this kind still lasts, or ends now.
+    FaultGoesOn(String),
     LookAtMarkers,
     /// Who was away at `since` must be ready by now.
     LookReady {
@@ -209,7 +220,7 @@
     },
     Ask {
         node: usize,
-        asked: Asked,
+        order: Order,
         tries: u32,
     },
     SendOrder {
@@ -238,11 +249,31 @@
     pub(crate) record: CallerRecord,
 }
 
+/// An order of an operator, who may send it more than once.
+#[derive(Debug, Clone)]
+pub(crate) struct Order {
+    pub(crate) asked: Asked,
+    /// Names the order; the same each time it is sent.
+    pub(crate) change: Option<u64>,
+    /// It was settled, but the answer was lost.
+    pub(crate) settled: bool,
+}
+
+impl From<Asked> for Order {
+    fn from(asked: Asked) -> Order {
+        Order {
+            asked,
+            change: None,
+            settled: false,
+        }
+    }
+}
+
 /// An operator's call under way.
 pub(crate) struct Question {
     /// The node that was asked.
     pub(crate) node: usize,
-    pub(crate) asked: Asked,
+    pub(crate) order: Order,
     /// When.
     pub(crate) start: f64,
 }
@@ -268,6 +299,9 @@
     ReadBack {
         expect: (u64, String),
     },
+    PutItem {
+        item: Item,
+    },
     /// The realm is asked for first.
     OpenLedger {
         realm: Option<u64>,
@@ -298,7 +332,10 @@
             nodes: Vec::new(),
             by_address: HashMap::new(),
             origins: Vec::new(),
-            cuts: BTreeSet::new(),
+            cuts: BTreeMap::new(),
+            answers_lost_until: Duration::ZERO,
+            item_revision: 0,
+            seeds_turned: 0,
             weather: (0, 0, 0),
             version: 1,
             markers: Vec::new(),
@@ -324,6 +361,7 @@
             notes: BTreeMap::new(),
             membership: Vec::new(),
             trace: false,
+            trace_messages: false,
             plan,
         };
         world.lay_out();
@@ -401,7 +439,7 @@
             at(1700),
             Happening::Ask {
                 node: 0,
-                asked: Asked::OpenLedger { realm: None },
+                order: Asked::OpenLedger { realm: None }.into(),
                 tries: 0,
             },
         );
@@ -513,10 +551,10 @@
 
     pub(crate) fn happen(&mut self, serial: u64, what: Happening) {
         if let Some(node) = self.owner(&what) {
-            let paused = self.nodes[node].paused;
-            if self.now < paused {
+            let held = self.held_until(node, &what);
+            if self.now < held {
                 // It will see this when it goes on, in the old order.
-                self.queue.insert((paused, serial), what);
+                self.queue.insert((held, serial), what);
                 return;
             }
         }
@@ -534,6 +572,7 @@
                 self.step(node, Input::Tick);
             }
             Happening::Deliver { to, from, message } if alive => {
+                self.trace_message(to, from, &message);
                 self.step(to, Input::Heard { from, message })
             }
             Happening::Synced { node, serial, .. } if alive => {
@@ -570,18 +609,31 @@
             Happening::CallerAgain(task) => self.caller_calls(task),
             Happening::CallerGivesUp { id } => self.caller_ends(id, None),
             Happening::Fault(fault) => self.fault(fault),
+            Happening::FaultGoesOn(kind) => self.record("fault", &kind, 0, false),
             Happening::LookAtMarkers => self.look_at_markers(),
             Happening::LookReady { since } => self.look_ready(since),
             Happening::Restarted { node, run } => self.restarted(node, run),
-            Happening::Ask { node, asked, tries } => self.ask(node, asked, tries),
+            Happening::Ask { node, order, tries } => self.ask(node, order, tries),
             Happening::SendOrder { order } => self.send_order(order),
             Happening::OrderUnanswered { id } => self.order_unanswered(id),
             _ => {}
         }
     }
 
+    fn trace_message(&self, to: usize, from: Peer, message: &Message) {
+        let to = self.nodes[to].place;
+        let sender = self.by_address.get(&from.address);
+        let from = sender.map(|node| self.nodes[*node].place);
+        if self.trace_messages
+            && let (Place::Control(_), Some(Place::Control(_))) = (to, from)
+        {
+            println!("{:9.4} {from:?} to {to:?}: {message:?}", self.seconds());
+        }
+    }
+
     pub(crate) fn step(&mut self, node: usize, input: Input) {
         self.steps += 1;
+        self.take_time(node);
         let clock = self.nodes[node].clock(self.now);
         let Some(part) = self.nodes[node].part.as_mut() else {
             return;
@@ -772,10 +824,7 @@
             return self.after(Duration::ZERO, Happening::Deliver { to, from, message });
         }
         let (lost, doubled, late) = self.weather;
-        if message.name() == self.plan.mute
-            || self.cuts.contains(&(node, to))
-            || self.dice.chance(lost)
-        {
+        if message.name() == self.plan.mute || self.is_cut(node, to) || self.dice.chance(lost) {
             return;
         }
         let copies = if self.dice.chance(doubled) { 2 } else { 1 };
@@ -801,14 +850,14 @@
         if self.nodes[node].disk.full {
             return self.step(node, Input::StoreFailed);
         }
-        let took = self.micros(500, 6_000);
+        let took = self.sync_takes(node);
         let disk = &mut self.nodes[node].disk;
         disk.pending.push_back((serial, image, record));
         let unwritten = self.plan.founder == FounderEnd::Unwritten
             && self.founder_ends(node, FounderEnd::Unwritten);
         let disk = &mut self.nodes[node].disk;
         // One sync serves all that came while the one before was running.
-        let done = disk.busy_until.max(self.now) + took;
+        let done = (disk.busy_until.max(self.now) + took).max(disk.stalled_until);
         disk.busy_until = self.now + took;
         self.push(done, Happening::Synced { node, run, serial });
         if unwritten {
