--- a/simulate-fleet/src/world_orders.rs
+++ b/simulate-fleet/src/world_orders.rs
@@ -73,7 +73,7 @@
         ItemRecord {
             name: name.clone(),
             start: at.as_secs_f64(),
-            end: known.then(|| self.ended.as_secs_f64()),
+            end: known.then_some(self.ended.as_secs_f64()),
             operation,
         }
     }
