--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -186,7 +186,9 @@
             .position(|peer| peer.address == address)
             .map_or(NO_SLOT, |at| at as u8);
         let slots = places.len();
+        // Who knows a table was there before, or follows one who was.
         let fresh = blank
+            && places.is_empty()
             && bootstrap
                 .as_ref()
                 .is_some_and(|bootstrap| bootstrap.first_start);
--- a/simulate-fleet/src/world_orders.rs
+++ b/simulate-fleet/src/world_orders.rs
@@ -135,7 +135,7 @@
         if lost {
             record.order.answers_lost -= 1;
         }
-        if lost || outcome == Outcome::Lost {
+        if lost || matches!(outcome, Outcome::Lost | Outcome::NoMajority) {
             return self.after(AGAIN, Happening::SendOrder { order });
         }
         record.outcome = Some(outcome);
