A moved disk's state is for its own slot; who was just met is not silent

Change: the state names its slot, and only that slot's new holder takes it; the first message of a peer counts as heard; who has a slot to ask for is no newcomer.

--- a/control-plane/src/control_part/membership.rs
+++ b/control-plane/src/control_part/membership.rs
@@ -455,14 +455,14 @@
 
     /// Whether a slot was silent for so long that it may go to another. One that
     /// was not met yet counts from when the table named it.
-    fn is_lost(&self, now: Duration, slot: u8) -> bool {
+    pub(super) fn is_lost(&self, now: Duration, slot: u8) -> bool {
         let heard = self.peers.get(&slot).map(|peer| peer.heard);
         self.watch.lost(now, heard.unwrap_or(self.table_since))
     }
 
     /// Whether the last change of the table is done: it has settled, and every
-    /// member was met with a disk that was refilled, or is lost. What was acknowledged by the table before then lies on a
-    /// majority by this one.
+    /// member was met with a disk that was refilled, or is lost. What was
+    /// acknowledged by the table before then lies on a majority by this one.
     pub(super) fn membership_is_calm(&self, now: Duration) -> bool {
         let refilled = |slot: u8| self.peers.get(&slot).is_some_and(|peer| !peer.blank);
         self.table_has_settled()
@@ -489,22 +489,17 @@
 
     /// A slot was heard with this life; an earlier one is retired.
     pub(super) fn meet(&mut self, slot: u8, life: u64) {
-        let known = self.peers.entry(slot).or_insert(PeerStatus {
+        let met = PeerStatus {
             life,
             full: false,
             blank: true,
-            heard: Duration::ZERO,
+            heard: self.watch.last_tick(),
             got: 0,
-        });
+        };
+        let known = self.peers.entry(slot).or_insert(met);
         if known.life != life {
             let earlier = known.life;
-            *known = PeerStatus {
-                life,
-                full: false,
-                blank: true,
-                heard: Duration::ZERO,
-                got: 0,
-            };
+            *known = met;
             for leader in self.leaders.values_mut() {
                 leader.forget(slot);
             }
@@ -520,16 +515,18 @@
         if self.places.iter().any(|known| known.names(&peer)) {
             return;
         }
-        self.newcomer = Some(Newcomer { peer, asked: now });
-        if !self.table_has_settled() {
-            return;
-        }
         // A new disk at a place that holds a slot asks for that slot.
         let own = self
             .places
             .iter()
             .position(|known| known.address == peer.address)
             .map(|at| at as u8);
+        if own.is_none() {
+            self.newcomer = Some(Newcomer { peer, asked: now });
+        }
+        if !self.table_has_settled() {
+            return;
+        }
         let lost = || self.lost_slot(now).filter(|_| self.membership_is_calm(now));
         let all_full = || {
             self.others().all(|slot| {
--- a/control-plane/src/control_part/slot_handover.rs
+++ b/control-plane/src/control_part/slot_handover.rs
@@ -160,6 +160,7 @@
         };
         let state = SlotState {
             version,
+            slot: self.slot,
             lost: self.lost(),
             retired: self.retired_lives(),
             held: self.replica.copy_out(),
@@ -170,10 +171,12 @@
 
     /// The disk of our slot, as the member before us left it. It counts only if
     /// no other held the slot between: the table that first named us is the one
-    /// that followed the sender's.
+    /// that followed the sender's,
+    /// and gave us the sender's slot.
     pub(super) fn handle_slot_state(&mut self, now: Duration, from: Peer, state: SlotState) {
         let version = state.version;
-        if self.recovery.is_some() && self.membership_version == version {
+        let direct = self.membership_version == version && self.slot == state.slot;
+        if self.recovery.is_some() && direct {
             for life in &state.retired {
                 self.retire(*life);
             }
--- a/control-plane/src/control_part/tests_membership.rs
+++ b/control-plane/src/control_part/tests_membership.rs
@@ -169,11 +169,12 @@
     );
 }
 
-fn state(version: u64) -> SlotState {
+fn state(version: u64, slot: u8) -> SlotState {
     let mut replica = Replica::blank(life(0));
     replica.slices[usize::from(PURGES)].promised = 7;
     SlotState {
         version,
+        slot,
         lost: 0,
         retired: vec![77],
         held: replica.copy_out(),
@@ -188,13 +189,14 @@
         node.hear(50, 1, moved());
         node
     };
-    for other in [VERSION - 1, VERSION + 1] {
+    for (version, slot) in [(VERSION - 1, 0), (VERSION + 1, 0), (VERSION, 1)] {
         let mut node = newcomer();
-        let told = node.hear(100, 0, state(other));
-        assert!(told.is_empty() && !node.part.replica.full, "{other}");
+        let told = node.hear(100, 0, state(version, slot));
+        assert!(told.is_empty(), "version {version}, slot {slot}");
+        assert!(!node.part.replica.full, "version {version}, slot {slot}");
     }
     let mut node = newcomer();
-    let told = node.hear(100, 0, state(VERSION));
+    let told = node.hear(100, 0, state(VERSION, 0));
     assert!(node.part.replica.full);
     assert!(matches!(told.as_slice(), [Message::SlotStateReceived(_)]));
     assert_eq!(node.part.replica.held(PURGES).promised, 7);
@@ -204,7 +206,7 @@
         "it says what its predecessor would have said"
     );
     // Sent again: it is told again, and nothing is taken twice.
-    assert_eq!(node.hear(200, 0, state(VERSION)).len(), 1);
+    assert_eq!(node.hear(200, 0, state(VERSION, 0)).len(), 1);
 }
 
 #[test]
@@ -243,3 +245,21 @@
     watch.tick(at(9_000));
     assert!(!watch.lost(at(9_010), at(900)), "it has just begun to hear");
 }
+
+#[test]
+fn one_that_was_just_met_by_any_message_is_not_silent() {
+    let mut node = Node::start(0, true);
+    for tick in 0..40 {
+        node.step(tick * 100, Input::Tick);
+        node.beat(tick * 100 + 10, 1);
+    }
+    let now = Duration::from_millis(3_950);
+    assert!(node.part.is_lost(now, 2), "nobody has met it");
+    let request = SnapshotRequest {
+        slot: 2,
+        round: 0,
+        membership_version: 0,
+    };
+    node.hear(3_940, 2, request);
+    assert!(!node.part.is_lost(now, 2), "it asks for what it lacks");
+}
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -66,8 +66,9 @@
     /// To a leaving member that offered its slot.
     SlotOfferReply { answer: SlotOfferAnswer }
     /// All that the disk of a removed member ever acknowledged, to its direct
-    /// successor by the table `version`: it acknowledges nothing any more.
-    SlotState { version: u64, lost: u64, retired: Vec<u64>, held: Vec<PartitionSnapshot> }
+    /// successor in this slot by the table `version`: it acknowledges nothing any
+    /// more.
+    SlotState { version: u64, slot: u8, lost: u64, retired: Vec<u64>, held: Vec<PartitionSnapshot> }
     /// The successor's disk is full.
     SlotStateReceived { version: u64 }
 
