--- a/control-plane/src/control_part/membership.rs
+++ b/control-plane/src/control_part/membership.rs
@@ -147,6 +147,10 @@
             full: heartbeat.full,
             blank: heartbeat.blank,
             heard: now,
+            met: now,
+            hears: heartbeat.hears,
+            contacts: heartbeat.contacts,
+            vouched: heartbeat.vouched,
             got: heartbeat.got,
         };
         self.peers.insert(slot, status);
@@ -260,12 +264,7 @@
             self.pending_replies.clear();
             // Nobody answers those who asked here any more: at once, not when
             // they lose patience.
-            for id in std::mem::take(&mut self.operator_calls).into_keys() {
-                self.out.push(Output::OperatorAnswer {
-                    id,
-                    answer: OperatorAnswer::Outcome(Outcome::Lost),
-                });
-            }
+            self.give_up_operator_calls();
             self.note(Event::MemberRemoved, format!("slot {}", self.slot));
         }
     }
@@ -399,7 +398,8 @@
         // To the owner, through our own door; nobody pending_replies for it.
         let ask = ChangeRequest {
             asker: self.address,
-            id: 0,
+            id: changes::NOBODY_WAITS,
+            hops: 0,
             slice: PLACES,
             ask: Change::JoinRequest {
                 peer: from,
@@ -456,8 +456,8 @@
     /// Whether a slot was silent for so long that it may go to another. One that
     /// was not met yet counts from when the table named it.
     pub(super) fn is_lost(&self, now: Duration, slot: u8) -> bool {
-        let heard = self.peers.get(&slot).map(|peer| peer.heard);
-        self.watch.lost(now, heard.unwrap_or(self.table_since))
+        let met = self.peers.get(&slot).map(|peer| peer.met);
+        self.watch.lost(now, met.unwrap_or(self.table_since))
     }
 
     /// Whether the last change of the table is done: it has settled, and every
@@ -490,11 +490,8 @@
     /// A slot was heard with this life; an earlier one is retired.
     pub(super) fn meet(&mut self, slot: u8, life: u64) {
         let met = PeerStatus {
-            life,
-            full: false,
-            blank: true,
-            heard: self.watch.last_tick(),
-            got: 0,
+            met: self.watch.last_tick(),
+            ..PeerStatus::unheard(life)
         };
         let known = self.peers.entry(slot).or_insert(met);
         if known.life != life {
--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -2,12 +2,13 @@
 //! duty it is.
 
 use crate::prelude::*;
-use changes::{OperatorCall, PendingReply};
+use changes::{OperatorCall, PendingReply, RELAY_IDS, Relay};
 use duties::PlannedFrom;
 use membership::Watch;
 use slot_handover::{Handover, Newcomer};
 
 mod changes;
+mod contact;
 mod duties;
 mod edge_sessions;
 mod membership;
@@ -54,8 +55,14 @@
     /// The replica's, and what was met while the disk was blank.
     retired: VecDeque<u64>,
     sessions: Sessions,
+    news_replies: NewsReplies,
     pending_replies: Vec<PendingReply>,
     operator_calls: BTreeMap<u64, OperatorCall>,
+    /// Changes passed on for other members, by the id under which that was done.
+    relays: BTreeMap<u64, Relay>,
+    next_relay: u64,
+    /// Since when no majority is in contact with us.
+    cut_off: Option<Duration>,
     finished_since: BTreeMap<u8, HashMap<String, (u64, Duration)>>,
     swept: Duration,
     /// Until then unknown operations are not run: acknowledged ones may be lost.
@@ -108,13 +115,39 @@
     full: bool,
     blank: bool,
     heard: Duration,
+    /// When it was last met: by a heartbeat, or first by any other message.
+    met: Duration,
+    /// Slots that it hears, those that hear it too, and those of them for
+    /// which it vouches.
+    hears: SlotSet,
+    contacts: SlotSet,
+    vouched: SlotSet,
     /// The state of our table of sessions up to which it has it.
     got: u64,
 }
 
 impl PeerStatus {
+    /// Of a life that was not heard yet.
+    fn unheard(life: u64) -> PeerStatus {
+        PeerStatus {
+            life,
+            full: false,
+            blank: true,
+            heard: Duration::ZERO,
+            met: Duration::ZERO,
+            hears: SlotSet::default(),
+            contacts: SlotSet::default(),
+            vouched: SlotSet::default(),
+            got: 0,
+        }
+    }
+
+    fn heard_within(&self, now: Duration, span: Duration) -> bool {
+        now < self.heard + span
+    }
+
     fn near(&self, now: Duration) -> bool {
-        now < self.heard + lease::CONTROL_PEER
+        self.heard_within(now, lease::CONTROL_PEER)
     }
 }
 
@@ -135,10 +168,9 @@
         mut bootstrap: Option<Bootstrap>,
         run: u64,
     ) -> ControlPart {
-        // Who knows a table was there after the founding, whatever its settings
-        // still say: one that was removed gets no slot of its own.
+        // One that was removed gets no slot of its own and opens no ledger.
         if let Some(bootstrap) = bootstrap.as_mut().filter(|_| replica.table().is_some()) {
-            bootstrap.founding = false;
+            bootstrap.end_founding();
         }
         let table_of_seeds = || {
             if bootstrap.is_some() {
@@ -156,7 +188,7 @@
         let fresh = blank
             && bootstrap
                 .as_ref()
-                .is_some_and(|bootstrap| bootstrap.founding);
+                .is_some_and(|bootstrap| bootstrap.first_start);
         let mut part = ControlPart {
             slot,
             address,
@@ -179,8 +211,12 @@
             superseded: BTreeMap::new(),
             peers: BTreeMap::new(),
             sessions: Sessions::new(run),
+            news_replies: NewsReplies::default(),
             pending_replies: Vec::new(),
             operator_calls: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            next_relay: run | RELAY_IDS,
+            cut_off: None,
             finished_since: BTreeMap::new(),
             swept: Duration::ZERO,
             closed: Duration::ZERO,
@@ -213,6 +249,17 @@
         part
     }
 
+    /// How long the log on disk is already, and the image that it begins with:
+    /// a node that is often restarted must write an image as soon as one that
+    /// is not.
+    pub fn with_log(self, log_bytes: usize, image_bytes: usize) -> ControlPart {
+        ControlPart {
+            log_bytes: self.log_bytes + log_bytes,
+            image_bytes,
+            ..self
+        }
+    }
+
     pub fn me(&self) -> Peer {
         Peer::new(self.address, self.replica.life)
     }
@@ -314,11 +361,13 @@
             self.out
                 .push(Output::Show(Shown::Acknowledged { version, text }));
         }
-        self.show_lists();
+        self.watch_contact(now);
+        self.show_lists(now);
         self.recollect(now);
         self.write_table();
         self.plan_duties(now);
         self.send_operator_calls(now);
+        self.relays.retain(|_, relay| now < relay.until);
     }
 
     /// After a warning the others take the partitions and a newcomer the slot;
@@ -345,6 +394,9 @@
             membership_version: self.membership_version,
             closed: self.closed.saturating_sub(now),
             lost: self.lost(),
+            hears: self.hears(now, lease::CONTROL_PEER),
+            contacts: self.contacts(now),
+            vouched: self.vouched(now),
             got: self.sessions.got(to),
             seen,
         }
@@ -413,7 +465,7 @@
             Input::Tick => {
                 tick = true;
                 self.tick(now);
-                let ready = self.able() && self.warned.is_none();
+                let ready = self.able() && self.warned.is_none() && self.reaches_majority(now);
                 self.out.push(Output::Show(Shown::Fence {
                     until: now + lease::CONTROL,
                     ready,
--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -6,27 +6,8 @@
 const STALE_EPOCH_CALM: Duration = Duration::from_secs(10);
 
 impl ControlPart {
-    /// The slot that shall own a slice: by weight over the live, full slots.
-    pub(super) fn chosen(&self, now: Duration, slice: u8) -> Option<u8> {
-        let name = format!("slice/{slice}");
-        let live = |slot: &u8| match self.peers.get(slot) {
-            _ if *slot == self.slot => self.able() && self.warned.is_none(),
-            Some(peer) => peer.full && peer.near(now),
-            None => false,
-        };
-        (0..self.places.len() as u8)
-            .filter(live)
-            .max_by_key(|slot| Peer::new(self.address(*slot), 0).weight(&name))
-    }
-
     pub(super) fn take_slices(&mut self, now: Duration) {
-        // One that is about to end takes no partition, but it still promises.
-        let promising = self.others().filter(|slot| {
-            self.peers
-                .get(slot)
-                .is_some_and(|peer| !peer.blank && peer.near(now))
-        });
-        if promising.count() + 1 < self.quorum().most() {
+        if !self.may_lead(now) {
             return;
         }
         for slice in 0..SLICES {
@@ -47,6 +28,9 @@
             let highest = met.max(self.replica.held(slice).promised);
             let epoch =
                 (highest / SLOTS_MOST as u64 + 1) * SLOTS_MOST as u64 + u64::from(self.slot);
+            // On our own disk before others are asked: an epoch that others
+            // promised and we forgot over a restart would be taken twice.
+            self.store(&Record::Promise { slice, epoch });
             self.leaders.insert(
                 slice,
                 PartitionLeader::new(slice, epoch, self.places.len(), self.membership_version),
@@ -114,8 +98,12 @@
             );
         }
         let published = held.image.published;
-        let same = held.image.epoch == epoch && held.image.version >= to && held.promised == epoch;
-        if keep.whole || !same || keep.published > published {
+        let current = held.image.epoch == epoch && held.promised == epoch;
+        let same = current && held.image.version == to;
+        // It was overtaken by a later one of its epoch, or came twice: taken
+        // again, it would undo what was acknowledged since.
+        let outdated = current && held.image.version > to;
+        if !outdated && (keep.whole || !same || keep.published > published) {
             self.store(&Record::Appended { keep });
         }
         let held = self.replica.held(slice);
@@ -212,7 +200,10 @@
             });
         }
         for (to, message) in told {
-            self.tell(to, message);
+            match message {
+                Message::PrepareRequest(_) => self.tell_synced(to, message),
+                _ => self.tell(to, message),
+            }
         }
     }
 
@@ -236,6 +227,7 @@
         };
         let reply = SnapshotReply {
             slot: self.slot,
+            asker: from.life,
             round: request.round,
             full,
             lost: self.lost(),
@@ -246,6 +238,9 @@
     }
 
     pub(super) fn handle_snapshot_reply(&mut self, now: Duration, reply: SnapshotReply) {
+        if reply.asker != self.replica.life {
+            return; // To an earlier disk of this slot, which acknowledged since.
+        }
         let merged = self.recovery.as_mut().and_then(|one| one.heard(reply));
         if let Some(merged) = merged {
             self.finish_recovery(now, merged);
--- a/control-plane/src/control_part/slot_handover.rs
+++ b/control-plane/src/control_part/slot_handover.rs
@@ -66,6 +66,7 @@
             return;
         };
         let offer = ChangeRequest {
+            hops: 0,
             asker: self.address,
             id: 0,
             slice: PLACES,
--- a/control-plane/src/control_part/tests.rs
+++ b/control-plane/src/control_part/tests.rs
@@ -6,6 +6,11 @@
     SocketAddr::from(([127, 0, 0, 1], 100 + slot))
 }
 
+/// All slots that there may be.
+fn everybody() -> SlotSet {
+    (0..SLOTS_MOST as u8).collect()
+}
+
 /// Slot 0 with a full disk that syncs at once; the peers are scripted.
 struct Script {
     part: ControlPart,
@@ -71,6 +76,9 @@
             1,
             life,
             Heartbeat {
+                hears: everybody(),
+                contacts: everybody(),
+                vouched: SlotSet::default(),
                 slot: 1,
                 full: true,
                 blank: false,
@@ -157,6 +165,7 @@
         1,
         11,
         ChangeRequest {
+            hops: 0,
             asker: address(1),
             id: 7,
             slice,
@@ -216,6 +225,9 @@
                 let mut said = VecDeque::new();
                 for slot in 1..5 {
                     let beat = Heartbeat {
+                        hears: everybody(),
+                        contacts: everybody(),
+                        vouched: SlotSet::default(),
                         slot: slot as u8,
                         full: true,
                         blank: false,
@@ -294,6 +306,7 @@
                 1,
                 11,
                 ChangeRequest {
+                    hops: 0,
                     asker: address(1),
                     id: 7,
                     slice,
@@ -485,6 +498,9 @@
         100,
         2,
         Heartbeat {
+            hears: everybody(),
+            contacts: everybody(),
+            vouched: SlotSet::default(),
             slot: 2,
             full: true,
             blank: false,
@@ -498,3 +514,59 @@
     late.step(900, Input::Tick);
     assert!(late.part.places.is_empty());
 }
+
+fn purge_rows(versions: std::ops::RangeInclusive<u64>) -> Vec<(String, Row)> {
+    versions
+        .map(|version| {
+            let purge = Purge::default();
+            let change = version;
+            let value = Value::Purge { purge, change };
+            (format!("purge/{version}"), Row { version, value })
+        })
+        .collect()
+}
+
+/// Within an epoch a replica is complete up to its version: a whole image that
+/// comes late, over rows that were acknowledged since, takes none of them away.
+#[test]
+fn a_whole_image_that_comes_late_takes_no_later_row_away() {
+    let mut script = Script::new();
+    script.beat(10, 11);
+    let whole = AppendRequest {
+        slice: PURGES,
+        epoch: 17,
+        membership_version: 0,
+        round: 1,
+        whole: true,
+        from: 0,
+        to: 1,
+        rows: purge_rows(1..=1),
+        drops: vec![],
+        published: 0,
+    };
+    script.hear(20, 1, 11, whole.clone());
+    let next = AppendRequest {
+        whole: false,
+        round: 2,
+        from: 1,
+        to: 2,
+        rows: purge_rows(2..=2),
+        ..whole.clone()
+    };
+    script.hear(30, 1, 11, next);
+    script.hear(40, 1, 11, whole);
+    let prepare = PrepareRequest {
+        slice: PURGES,
+        epoch: 34,
+        membership_version: 0,
+    };
+    let held = script
+        .hear(50, 1, 11, prepare)
+        .into_iter()
+        .find_map(|(_, message)| match message {
+            Message::PrepareReply(reply) => Some(reply.image),
+            _ => None,
+        })
+        .expect("the epoch is promised");
+    assert_eq!((held.version, held.rows.len()), (2, 2));
+}
--- a/control-plane/src/control_part/tests_membership.rs
+++ b/control-plane/src/control_part/tests_membership.rs
@@ -75,6 +75,9 @@
 
     fn beat(&mut self, ms: u64, slot: u16) {
         let beat = Heartbeat {
+            hears: everybody(),
+            contacts: everybody(),
+            vouched: SlotSet::default(),
             slot: slot as u8,
             full: true,
             blank: false,
@@ -263,3 +266,8 @@
     node.hear(3_940, 2, request);
     assert!(!node.part.is_lost(now, 2), "it asks for what it lacks");
 }
+
+/// All slots that there may be.
+fn everybody() -> SlotSet {
+    (0..SLOTS_MOST as u8).collect()
+}
--- a/simulate-fleet/src/scenarios_membership.rs
+++ b/simulate-fleet/src/scenarios_membership.rs
@@ -342,12 +342,16 @@
 
 /// From a loss until each slot has a full disk again, by kind of loss; with
 /// `--nocapture` the lines of the table in docs/figures.md.
+/// Its name, whose disk is to be full again, when it is lost and when what
+/// replaces it starts (both in ms), and what happens.
+type KindOfLoss = (&'static str, Place, u64, u64, [(u64, Fault); 2]);
+
 #[test]
 fn redundancy_is_short_for_less_than_the_time_to_catch_up() {
     let lost = Place::Control(1);
     for control in SIZES {
         let new = spare(control, 0);
-        let kinds: [(&str, Place, u64, u64, [(u64, Fault); 2]); 5] = [
+        let kinds: [KindOfLoss; 5] = [
             (
                 "a disk wiped, back after 1 s",
                 lost,
--- a/simulate-fleet/src/sim_node.rs
+++ b/simulate-fleet/src/sim_node.rs
@@ -8,6 +8,10 @@
     pub full: bool,
     /// When the sync now running is done.
     pub busy_until: Duration,
+    /// No sync ends before.
+    pub stalled_until: Duration,
+    /// Until then each sync takes long.
+    pub slow_until: Duration,
 }
 
 impl Disk {
@@ -56,6 +60,10 @@
     pub offset: Duration,
     pub drift: i64,
     pub paused: Duration,
+    /// Until then each step takes long.
+    pub slow_until: Duration,
+    /// When the step now running is done.
+    pub busy_until: Duration,
     pub disk: Disk,
     pub fence: Duration,
     pub ready: bool,
@@ -66,8 +74,29 @@
     /// It was told to end and is not started again.
     pub retiring: bool,
     pub duties: Vec<String>,
-    /// The whole fleet starts for the first time with it.
-    pub founding: bool,
+    /// What its settings say of the fleet's founding.
+    pub founding: Founding,
+}
+
+/// Whether a node's settings let it found the table of slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Founding {
+    /// A fleet is there: the node asks for its table.
+    Never,
+    /// The whole fleet starts for the first time.
+    FirstStart,
+    /// Operators start the whole fleet again after everything was lost.
+    AfterTotalLoss,
+}
+
+impl Founding {
+    fn bootstrap(self, span: Duration) -> Bootstrap {
+        match self {
+            Founding::Never => Bootstrap::new(false, span),
+            Founding::FirstStart => Bootstrap::new(true, span),
+            Founding::AfterTotalLoss => Bootstrap::refounding(span),
+        }
+    }
 }
 
 impl SimNode {
@@ -82,6 +111,8 @@
             offset: Duration::ZERO,
             drift: 0,
             paused: Duration::ZERO,
+            slow_until: Duration::ZERO,
+            busy_until: Duration::ZERO,
             disk: Disk::default(),
             fence: Duration::ZERO,
             ready: false,
@@ -90,7 +121,7 @@
             ending: false,
             retiring: false,
             duties: Vec::new(),
-            founding: false,
+            founding: Founding::Never,
         }
     }
 
@@ -119,7 +150,6 @@
         self.duties.clear();
         self.in_force = 0;
         self.began = now;
-        self.paused = Duration::ZERO;
         self.retiring = false;
         (self.fence, self.ready, self.image, self.ending) = (Duration::ZERO, false, None, false);
         self.part = Some(match self.place {
@@ -127,7 +157,7 @@
                 let known = Replica::replay(&self.disk.synced).expect("synced records read back");
                 let known = known.map(|replica| self.disk.renew_if_removed(replica, life));
                 let blank = known.as_ref().is_none_or(|replica| replica.life == life);
-                let gather = gather.map(|span| Bootstrap::new(self.founding, span));
+                let gather = gather.map(|span| self.founding.bootstrap(span));
                 let part = ControlPart::new(
                     self.peer.address,
                     seeds.to_vec(),
@@ -155,9 +185,13 @@
         });
     }
 
+    /// What is sent to it from now on is lost, not held as by a paused process.
     pub fn kill(&mut self) {
         self.part = None;
         self.run += 1;
+        self.paused = Duration::ZERO;
+        self.slow_until = Duration::ZERO;
+        self.busy_until = Duration::ZERO;
         self.disk.lose_power();
     }
 }
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -2,6 +2,10 @@
 
 /// How long the first seed collects founding control nodes.
 const GATHER: Duration = Duration::from_millis(500);
+/// Who starts later does not start with the whole fleet for the first time.
+const FIRST_START: Duration = Duration::from_secs(5);
+/// A fault that lasts is recorded again at this interval, and at its end.
+const FAULT_GOES_ON: Duration = Duration::from_secs(4);
 /// From SIGTERM to the end of a process by its platform.
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -37,11 +41,22 @@
         }
     }
 
+    /// What a node's settings name as seeds. Who may found the table goes by
+    /// the first ones, and so does a fleet whose seeds are the table.
+    fn seeds(&self, node: usize) -> Vec<SocketAddr> {
+        let fixed = !self.plan.gather || self.nodes[node].founding != Founding::Never;
+        let turned = if fixed { 0 } else { self.seeds_turned };
+        let control = self.plan.control;
+        (0..control.min(3))
+            .map(|seed| self.nodes[(seed + turned) % control].peer.address)
+            .collect()
+    }
+
     pub(crate) fn start(&mut self, node: usize) {
-        let seeds: Vec<SocketAddr> = self.nodes[..self.plan.control.min(3)]
-            .iter()
-            .map(|node| node.peer.address)
-            .collect();
+        if self.now > FIRST_START && self.nodes[node].founding == Founding::FirstStart {
+            self.nodes[node].founding = Founding::Never;
+        }
+        let seeds = self.seeds(node);
         let life = self.dice.roll(u64::MAX >> 12) + 1;
         self.nodes[node].offset = self.micros(0, 1 << 40);
         let gather = self.plan.gather.then_some(GATHER);
@@ -56,6 +71,7 @@
             return;
         }
         self.nodes[node].kill();
+        self.lose_unread(node);
         let subject = self.nodes[node].peer.address.to_string();
         self.record("killed", &subject, 0, true);
         let lost: Vec<u64> = self
@@ -69,7 +85,7 @@
         let asked: Vec<u64> = self
             .asked
             .iter()
-            .filter(|(_, (at, _))| *at == node)
+            .filter(|(_, question)| question.node == node)
             .map(|(id, _)| *id)
             .collect();
         asked
@@ -103,6 +119,7 @@
             .into_iter()
             .for_each(|id| self.caller_ends(id, None));
         self.nodes[node].kill();
+        self.lose_unread(node);
         let subject = self.nodes[node].peer.address.to_string();
         self.record("restarted", &subject, 0, true);
         self.start(node);
@@ -112,7 +129,7 @@
         for node in 0..self.first_spare() {
             self.kill(node);
             self.nodes[node].disk = Disk::default();
-            self.nodes[node].founding = true;
+            self.nodes[node].founding = Founding::AfterTotalLoss;
             self.after(
                 Duration::from_secs(3),
                 Happening::Fault(Fault::Start(self.nodes[node].place)),
@@ -135,6 +152,8 @@
             return;
         }
         self.record("all-lost", "", 0, true);
+        self.forget_read_backs();
+        self.forget_settled_orders();
         // The fleet is founded anew.
         let again = if self.plan.gather {
             self.plan.control
@@ -145,7 +164,7 @@
             let runs = self.nodes[node].part.is_some();
             self.nodes[node].kill();
             self.nodes[node].disk = Disk::default();
-            self.nodes[node].founding = true;
+            self.nodes[node].founding = Founding::AfterTotalLoss;
             if runs {
                 self.start(node);
             }
@@ -158,6 +177,29 @@
         self.after(Duration::from_secs(4), Happening::Fault(Fault::Configure));
     }
 
+    /// Operators who still wait to read back what nobody knows any more.
+    fn forget_read_backs(&mut self) {
+        let read_back = |order: &Order| matches!(order.asked, Asked::ReadBack { .. });
+        self.asked.retain(|_, question| !read_back(&question.order));
+        self.queue
+            .retain(|_, what| !matches!(what, Happening::Ask { order, .. } if read_back(order)));
+    }
+
+    /// What is asked within the span of a fault is judged as disturbed by it.
+    fn record_span(&mut self, fault: &Fault) {
+        let Some(span) = fault.span() else {
+            return;
+        };
+        let mut at = FAULT_GOES_ON;
+        while at < span {
+            self.after(at, Happening::FaultGoesOn(fault.kind()));
+            at += FAULT_GOES_ON;
+        }
+        if span > FAULT_GOES_ON {
+            self.after(span, Happening::FaultGoesOn(fault.kind()));
+        }
+    }
+
     pub(crate) fn fault(&mut self, fault: Fault) {
         if self.trace {
             println!("{:9.4} FAULT {fault:?}", self.seconds());
@@ -181,6 +223,7 @@
         {
             self.record("fault", &fault.kind(), 0, fault.planned());
         }
+        self.record_span(&fault);
         match fault {
             Fault::Kill(place) => {
                 self.kill(self.at(place));
@@ -218,21 +261,41 @@
                 let node = self.at(place);
                 self.kill(node);
                 self.nodes[node].disk = Disk::default();
-                self.nodes[node].founding = false;
+                self.nodes[node].founding = Founding::Never;
                 self.see_all_lost();
             }
             Fault::DiskFull(place) => {
                 let node = self.at(place);
                 self.nodes[node].disk.full = true;
             }
-            Fault::Cut(from, to) => drop(self.cuts.insert((self.at(from), self.at(to)))),
+            Fault::Cut(from, to) => self.cut(self.at(from), self.at(to), Duration::MAX),
             Fault::Isolate(place) => {
                 let node = self.at(place);
                 for other in 0..self.nodes.len() {
-                    self.cuts.insert((node, other));
-                    self.cuts.insert((other, node));
+                    self.cut(node, other, Duration::MAX);
+                    self.cut(other, node, Duration::MAX);
                 }
             }
+            Fault::CutOff(place, scope, span) => self.cut_off(self.at(place), scope, span),
+            Fault::Reset(one, other) => self.reset(self.at(one), self.at(other)),
+            Fault::Slow(place, span) => {
+                let node = self.at(place);
+                self.nodes[node].slow_until = self.now + span;
+                // As with a pause: callers may give up on it.
+                let subject = self.nodes[node].peer.address.to_string();
+                self.record("killed", &subject, 1, true);
+            }
+            Fault::StallDisk(place, span) => {
+                let node = self.at(place);
+                self.nodes[node].disk.stalled_until = self.now + span;
+            }
+            Fault::SlowDisk(place, span) => {
+                let node = self.at(place);
+                self.nodes[node].disk.slow_until = self.now + span;
+            }
+            Fault::TurnSeeds => self.seeds_turned += 1,
+            Fault::LoseAnswers(span) => self.answers_lost_until = self.now + span,
+            Fault::PutItem => self.put_item(),
             Fault::Heal => self.cuts.clear(),
             Fault::Weather {
                 lost,
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -51,7 +51,8 @@
         }
     }
 
-    pub(crate) fn ask(&mut self, node: usize, mut asked: Asked, tries: u32) {
+    pub(crate) fn ask(&mut self, node: usize, order: impl Into<Order>, tries: u32) {
+        let mut order = order.into();
         // An operator's tool takes the next control node if one is down.
         let Some(node) = (0..self.plan.control)
             .map(|more| (node + more) % self.plan.control)
@@ -63,20 +64,21 @@
                     Duration::from_secs(1),
                     Happening::Ask {
                         node,
-                        asked,
+                        order,
                         tries: tries + 1,
                     },
                 );
-            } else if let Asked::Configure { marker, .. } = asked {
+            } else if let Asked::Configure { marker, .. } = order.asked {
                 self.changing.remove(&marker);
             }
             return;
         };
-        if let Asked::Origins { at, .. } = &mut asked {
+        if let Asked::Origins { at, .. } = &mut order.asked {
             *at = self.seconds();
         }
-        let change = self.dice.roll(u64::MAX >> 12);
-        let (slice, change) = match &asked {
+        let drawn = self.dice.roll(u64::MAX >> 12);
+        let change = *order.change.get_or_insert(drawn);
+        let (slice, change) = match &order.asked {
             Asked::Configure { text, expect, .. } => (
                 CONFIGURATION,
                 Change::PutConfiguration {
@@ -101,9 +103,14 @@
                 },
             ),
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
+            Asked::PutItem { item } => {
+                let items = vec![item.clone()];
+                (CONFIGURATION, Change::PutItems { items })
+            }
+            Asked::Order { order } => return self.send_order(*order),
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
-                self.asked.insert(self.serial, (node, asked));
+                self.note_question(node, order);
                 return self.step(
                     node,
                     Input::Operator {
@@ -118,7 +125,7 @@
         };
         self.serial += 1;
         let id = self.serial;
-        self.asked.insert(id, (node, asked));
+        self.note_question(node, order);
         self.step(
             node,
             Input::Operator {
@@ -128,10 +135,52 @@
         );
     }
 
+    pub(crate) fn note_question(&mut self, node: usize, order: impl Into<Order>) {
+        let order = order.into();
+        let start = self.seconds();
+        let question = Question { node, order, start };
+        self.asked.insert(self.serial, question);
+    }
+
+    /// Notes a call on the document with what came of it, for its history.
+    pub(crate) fn record_operator(&mut self, question: &Question, outcome: &Outcome) {
+        let (operation, known) = match (&question.order.asked, outcome) {
+            (Asked::Configure { .. }, Outcome::Findings(_)) => return,
+            (Asked::Configure { .. }, Outcome::Raced { version, .. }) => {
+                (DocumentOperation::Raced { version: *version }, true)
+            }
+            (Asked::Configure { text, .. }, outcome) => {
+                let version = match outcome {
+                    Outcome::Settled { version } => Some(*version),
+                    _ => None,
+                };
+                let content = document_digest(text);
+                let put = DocumentOperation::Put { version, content };
+                (put, version.is_some())
+            }
+            (Asked::ReadBack { .. }, Outcome::Configuration { version, text }) => {
+                let content = document_digest(text);
+                let version = *version;
+                (DocumentOperation::Read { version, content }, true)
+            }
+            _ => return,
+        };
+        let end = known.then(|| self.seconds());
+        self.operators.push(OperatorRecord {
+            start: question.start,
+            end,
+            operation,
+        });
+    }
+
     pub(crate) fn operator_told(&mut self, id: u64, answer: OperatorAnswer) {
-        let Some((_, asked)) = self.asked.remove(&id) else {
+        let Some(question) = self.asked.remove(&id) else {
             return;
         };
+        if let OperatorAnswer::Outcome(outcome) = &answer {
+            self.record_operator(&question, outcome);
+        }
+        let Question { node, order, .. } = question;
         let outcome = match answer {
             OperatorAnswer::Outcome(outcome) => outcome,
             OperatorAnswer::State(state) => {
@@ -144,15 +193,22 @@
                     Duration::from_millis(50),
                     Happening::Ask {
                         node: 0,
-                        asked: next,
+                        order: next.into(),
                         tries: 0,
                     },
                 );
             }
         };
+        if self.answer_is_lost(&order) {
+            return self.send_again(node, order, &outcome);
+        }
+        self.judge_again(&order, &outcome);
+        let asked = order.asked;
         let settled = matches!(outcome, Outcome::Settled { .. });
-        if let (Asked::Origins { .. }, Outcome::Settled { version } | Outcome::Raced { version }) =
-            (&asked, &outcome)
+        if let (
+            Asked::Origins { .. },
+            Outcome::Settled { version } | Outcome::Raced { version, .. },
+        ) = (&asked, &outcome)
         {
             self.origins_at = *version;
         }
@@ -178,11 +234,17 @@
                 Duration::from_millis(50),
                 Happening::Ask {
                     node: 1,
-                    asked: Asked::OpenLedger { realm: None },
+                    order: Asked::OpenLedger { realm: None }.into(),
                     tries: 0,
                 },
             ),
             Asked::OpenLedger { .. } => {}
+            Asked::PutItem { item } => {
+                if let Outcome::Settled { version } = outcome {
+                    self.acknowledged_at(version, item.revision);
+                }
+            }
+            Asked::Order { order } => self.order_told(order, outcome),
             Asked::ReadBack {
                 expect: (version, text),
             } => {
@@ -203,6 +265,20 @@
         }
     }
 
+    /// A version is in force everywhere: every live edge has it by now.
+    fn acknowledged_at(&mut self, version: u64, number: u64) {
+        self.record("acknowledged", "", version, true);
+        for node in self.edges() {
+            if !self.nodes[node].live(self.now) {
+                continue;
+            }
+            let image = self.nodes[node].image.as_ref();
+            let known = image.map_or(0, |image| image.version);
+            let subject = format!("{:?}", self.nodes[node].place);
+            self.record("at-ack", &subject, number, known >= version);
+        }
+    }
+
     fn configured(
         &mut self,
         outcome: Outcome,
@@ -214,25 +290,13 @@
         match outcome {
             Outcome::Settled { version } => {
                 self.record("configured", "", marker, true);
-                self.record("acknowledged", "", version, true);
                 without
                     .into_iter()
                     .for_each(|gone| self.record("removed", "", gone, true));
-                // In force everywhere: every live edge has it by now.
-                for node in self.edges() {
-                    let known = self.nodes[node]
-                        .image
-                        .as_ref()
-                        .map_or(0, |image| image.version);
-                    if self.nodes[node].live(self.now) {
-                        self.fleet.push(FleetRecord {
-                            at: self.seconds(),
-                            what: "at-ack".into(),
-                            subject: format!("{:?}", self.nodes[node].place),
-                            number: marker,
-                            good: known >= version,
-                        });
-                    }
+                self.acknowledged_at(version, marker);
+                // Sent before everything was lost, and settled after it.
+                if !self.markers.contains(&marker) {
+                    self.markers.push(marker);
                 }
                 self.spring(Moment::Configured);
                 if self
@@ -246,6 +310,11 @@
             Outcome::Findings(_) => self.record("invalid-refused", "", marker, marker == 999),
             // Unknown: the marker may be in force, so it stays in later documents.
             Outcome::Lost => self.record("configure-unknown", "", marker, true),
+            // Nothing was done, and so nothing comes into force.
+            Outcome::NoMajority => {
+                self.markers.retain(|known| *known != marker);
+                self.record("no-majority", "", marker, true);
+            }
             Outcome::Raced { .. } => {
                 self.markers.retain(|known| *known != marker);
                 self.record("raced", "", marker, race);
