A slot whose earlier disk was retired is no longer taken for silent

Cause: when another member reported a life as retired, the peer's entry was dropped, and with it when it was last met; a slot then counted as silent since the last change of the table.

Change: when a slot's holder was last met is kept beside its entry.

--- a/control-plane/src/control_part/membership.rs
+++ b/control-plane/src/control_part/membership.rs
@@ -147,7 +147,6 @@
             full: heartbeat.full,
             blank: heartbeat.blank,
             heard: now,
-            met: now,
             hears: heartbeat.hears,
             contacts: heartbeat.contacts,
             vouched: heartbeat.vouched,
@@ -193,6 +192,7 @@
             let to = new.map_or(String::new(), Peer::to_string);
             self.note(Event::MemberReplaced, format!("slot {slot}{was} to {to}"));
             let at = slot as u8;
+            self.met.remove(&at);
             self.sessions.forget_slot(at);
             let Some(peer) = self.peers.remove(&at) else {
                 continue;
@@ -322,6 +322,7 @@
         // Who was met by the older table may sit elsewhere by this one: that
         // retires nobody.
         self.peers.clear();
+        self.met.clear();
         self.retired = self.replica.retired.clone();
         self.slot = slot.unwrap_or(NO_SLOT);
         let blank = slot.filter(|_| !self.replica.full);
@@ -456,7 +457,7 @@
     /// Whether a slot was silent for so long that it may go to another. One that
     /// was not met yet counts from when the table named it.
     pub(super) fn is_lost(&self, now: Duration, slot: u8) -> bool {
-        let met = self.peers.get(&slot).map(|peer| peer.met);
+        let met = self.met.get(&slot).copied();
         self.watch.lost(now, met.unwrap_or(self.table_since))
     }
 
@@ -489,14 +490,14 @@
 
     /// A slot was heard with this life; an earlier one is retired.
     pub(super) fn meet(&mut self, slot: u8, life: u64) {
-        let met = PeerStatus {
-            met: self.watch.last_tick(),
-            ..PeerStatus::unheard(life)
-        };
-        let known = self.peers.entry(slot).or_insert(met);
+        self.met.insert(slot, self.watch.last_tick());
+        let known = self
+            .peers
+            .entry(slot)
+            .or_insert_with(|| PeerStatus::unheard(life));
         if known.life != life {
             let earlier = known.life;
-            *known = met;
+            *known = PeerStatus::unheard(life);
             for leader in self.leaders.values_mut() {
                 leader.forget(slot);
             }
--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -100,6 +100,9 @@
     warned: Option<Duration>,
     /// Since when other members are heard without a pause of our own.
     watch: Watch,
+    /// When any message last came from whoever holds a slot, also when what its
+    /// disk said counts for nothing any more.
+    met: BTreeMap<u8, Duration>,
     /// When the table that is gone by was first seen.
     table_since: Duration,
     /// The empty node that last asked for a slot here, as leader of the table.
@@ -118,8 +121,6 @@
     full: bool,
     blank: bool,
     heard: Duration,
-    /// When it was last met: by a heartbeat, or first by any other message.
-    met: Duration,
     /// Slots that it hears, those that hear it too, and those of them for
     /// which it vouches.
     hears: SlotSet,
@@ -137,7 +138,6 @@
             full: false,
             blank: true,
             heard: Duration::ZERO,
-            met: Duration::ZERO,
             hears: SlotSet::default(),
             contacts: SlotSet::default(),
             vouched: SlotSet::default(),
@@ -238,6 +238,7 @@
             lists: false,
             warned: None,
             watch: Watch::default(),
+            met: BTreeMap::new(),
             table_since: Duration::ZERO,
             newcomer: None,
             handover: Handover::default(),
--- a/control-plane/src/control_part/tests_membership.rs
+++ b/control-plane/src/control_part/tests_membership.rs
@@ -267,6 +267,20 @@
     assert!(!node.part.is_lost(now, 2), "it asks for what it lacks");
 }
 
+/// A disk wiped, and back within two seconds: another told that its earlier life
+/// is retired, and its slot went to a node that waited.
+#[test]
+fn a_life_that_another_retired_was_met_no_earlier_for_that() {
+    let mut node = Node::start(0, true);
+    for tick in 0..40 {
+        node.step(tick * 100, Input::Tick);
+        node.beat(tick * 100 + 10, 1);
+        node.beat(tick * 100 + 10, 2);
+    }
+    node.part.note_retired(&[life(2)]);
+    assert!(!node.part.is_lost(Duration::from_millis(3_950), 2));
+}
+
 /// All slots that there may be.
 fn everybody() -> SlotSet {
     (0..SLOTS_MOST as u8).collect()
