--- a/control-plane/src/bootstrap.rs
+++ b/control-plane/src/bootstrap.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// This node knows a table: it was there after the founding, whatever its
+    /// settings still say.
+    pub fn end_founding(&mut self) {
+        (self.founding, self.first_start) = (false, false);
+    }
+
     /// A founding node asked for a slot.
     pub fn enlist(&mut self, address: SocketAddr) {
         self.enlisted.insert(address);
--- a/control-plane/src/control_part/membership.rs
+++ b/control-plane/src/control_part/membership.rs
@@ -192,6 +192,7 @@
             let to = new.map_or(String::new(), Peer::to_string);
             self.note(Event::MemberReplaced, format!("slot {slot}{was} to {to}"));
             let at = slot as u8;
+            self.met.remove(&at);
             self.sessions.forget_slot(at);
             let Some(peer) = self.peers.remove(&at) else {
                 continue;
@@ -321,6 +322,7 @@
         // Who was met by the older table may sit elsewhere by this one: that
         // retires nobody.
         self.peers.clear();
+        self.met.clear();
         self.retired = self.replica.retired.clone();
         self.slot = slot.unwrap_or(NO_SLOT);
         let blank = slot.filter(|_| !self.replica.full);
@@ -454,14 +456,14 @@
 
     /// Whether a slot was silent for so long that it may go to another. One that
     /// was not met yet counts from when the table named it.
-    fn is_lost(&self, now: Duration, slot: u8) -> bool {
-        let heard = self.peers.get(&slot).map(|peer| peer.heard);
-        self.watch.lost(now, heard.unwrap_or(self.table_since))
+    pub(super) fn is_lost(&self, now: Duration, slot: u8) -> bool {
+        let met = self.met.get(&slot).copied();
+        self.watch.lost(now, met.unwrap_or(self.table_since))
     }
 
     /// Whether the last change of the table is done: it has settled, and every
-    /// member was met with a disk that was refilled, or is lost. What was acknowledged by the table before then lies on a
-    /// majority by this one.
+    /// member was met with a disk that was refilled, or is lost. What was
+    /// acknowledged by the table before then lies on a majority by this one.
     pub(super) fn membership_is_calm(&self, now: Duration) -> bool {
         let refilled = |slot: u8| self.peers.get(&slot).is_some_and(|peer| !peer.blank);
         self.table_has_settled()
@@ -488,6 +490,7 @@
 
     /// A slot was heard with this life; an earlier one is retired.
     pub(super) fn meet(&mut self, slot: u8, life: u64) {
+        self.met.insert(slot, self.watch.last_tick());
         let known = self
             .peers
             .entry(slot)
@@ -510,16 +513,18 @@
         if self.places.iter().any(|known| known.names(&peer)) {
             return;
         }
-        self.newcomer = Some(Newcomer { peer, asked: now });
-        if !self.table_has_settled() {
-            return;
-        }
         // A new disk at a place that holds a slot asks for that slot.
         let own = self
             .places
             .iter()
             .position(|known| known.address == peer.address)
             .map(|at| at as u8);
+        if own.is_none() {
+            self.newcomer = Some(Newcomer { peer, asked: now });
+        }
+        if !self.table_has_settled() {
+            return;
+        }
         let lost = || self.lost_slot(now).filter(|_| self.membership_is_calm(now));
         let all_full = || {
             self.others().all(|slot| {
--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -100,6 +100,9 @@
     warned: Option<Duration>,
     /// Since when other members are heard without a pause of our own.
     watch: Watch,
+    /// When any message last came from whoever holds a slot, also when what its
+    /// disk said counts for nothing any more.
+    met: BTreeMap<u8, Duration>,
     /// When the table that is gone by was first seen.
     table_since: Duration,
     /// The empty node that last asked for a slot here, as leader of the table.
@@ -168,10 +171,9 @@
         mut bootstrap: Option<Bootstrap>,
         run: u64,
     ) -> ControlPart {
-        // Who knows a table was there after the founding, whatever its settings
-        // still say: one that was removed gets no slot of its own.
+        // One that was removed gets no slot of its own and opens no ledger.
         if let Some(bootstrap) = bootstrap.as_mut().filter(|_| replica.table().is_some()) {
-            bootstrap.founding = false;
+            bootstrap.end_founding();
         }
         let table_of_seeds = || {
             if bootstrap.is_some() {
@@ -238,6 +240,7 @@
             lists: false,
             warned: None,
             watch: Watch::default(),
+            met: BTreeMap::new(),
             table_since: Duration::ZERO,
             newcomer: None,
             handover: Handover::default(),
