--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -4,7 +4,7 @@
 /// the log is read back. Invariants, per slice:
 /// - `promised` never goes down, and nothing under a lower epoch is taken.
 /// - `image` is complete up to `image.version` under `image.epoch`.
-/// - `shown` is, for the news slices, the whole slice as it was at
+/// - `shown` is, for the news slices, all rows for edges as they were at
 ///   `image.published`. Rows that came after it wait in `tail`, by the version
 ///   up to which each message made the image complete: what is published in
 ///   between is not shown, since a later row may hide an earlier one of its key
@@ -76,6 +76,13 @@
     },
 }
 
+impl Record {
+    /// As it stands in the log.
+    pub fn bytes(&self) -> Vec<u8> {
+        bincode::serialize(self).expect("records serialize")
+    }
+}
+
 impl Replica {
     pub fn blank(life: u64) -> Replica {
         Replica {
@@ -85,6 +92,15 @@
         }
     }
 
+    /// What a removed disk starts over with: a new life, which holds nothing, and
+    /// the table that told of the removal.
+    pub fn renewed(&self, life: u64) -> Replica {
+        Replica {
+            membership_version: self.table(),
+            ..Replica::blank(life)
+        }
+    }
+
     /// Reads a log back. None if it holds no disk number: the disk is blank.
     pub fn replay(records: &[Vec<u8>]) -> Result<Option<Replica>> {
         let mut replica = Replica::blank(0);
@@ -273,6 +289,9 @@
             self.tail.pop_front_if(|(version, _)| *version <= published)
         {
             for (key, row) in rows {
+                if !row.value.for_edges() {
+                    continue;
+                }
                 if self
                     .shown
                     .get(&key)
--- a/control-plane/tests/leader_epoch.rs
+++ b/control-plane/tests/leader_epoch.rs
@@ -14,7 +14,11 @@
 }
 
 fn heartbeat() -> Input {
+    let everybody: SlotSet = (0..SLOTS_MOST as u8).collect();
     let heartbeat = Heartbeat {
+        hears: everybody,
+        contacts: everybody,
+        vouched: SlotSet::default(),
         slot: 1,
         full: true,
         blank: false,
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -68,6 +68,13 @@
     /// table. Who thought to hold one and is not in it, is struck. Version 0 is
     /// the founding table; there is one, made by the first seed.
     MembershipTable { version: u64, places: Vec<Peer> }
+    /// To a leaving member that offered its slot.
+    SlotOfferReply { answer: SlotOfferAnswer }
+    /// All that the disk of a removed member ever acknowledged, to its direct
+    /// successor by the table `version`: it acknowledges nothing any more.
+    SlotState { version: u64, lost: u64, retired: Vec<u64>, held: Vec<PartitionSnapshot> }
+    /// The successor's disk is full.
+    SlotStateReceived { version: u64 }
 
     // Between edges and control nodes.
     /// `recalled`: in this realm, nothing of an earlier one is left to tell.
@@ -116,6 +123,18 @@
     CallDone { service: String, epoch: u64, serial: u64, result: CallResult, took: Duration }
 }
 
+/// What becomes of the slot that a leaving member offered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SlotOfferAnswer {
+    /// No empty node waits for a slot.
+    NoNewcomer,
+    /// One waits; another change of the table must be over first.
+    Later,
+    /// The table `version`, which comes directly after the one by which the
+    /// asker holds the slot, names `successor` in its place.
+    Assigned { version: u64, successor: Peer },
+}
+
 /// A realm is the state since the control plane was last founded on blank
 /// disks, or went on after a majority of them was lost. The upper half counts,
 /// the lower tells two of one count apart. An edge that meets a newer realm
@@ -278,10 +297,10 @@
     },
     GetConfiguration,
     /// Sets or removes named parts, whole or not at all; one that is not newer
-    /// than what is known under its name has no effect.
+    /// than what is known under its name has no effect. Name, revision and
+    /// content make a repeat harmless.
     PutItems {
         items: Vec<Item>,
-        change: u64,
     },
     AddPurge {
         purge: Purge,
@@ -306,6 +325,11 @@
         peer: Peer,
         founding: bool,
     },
+    /// The asker is about to end: its slot goes to an empty node that waits for
+    /// one, if there is one.
+    OfferSlot {
+        member: Peer,
+    },
     /// Acknowledged rows may be lost: name a new realm after this one.
     Refound {
         after: u64,
@@ -332,9 +356,12 @@
     Settled {
         version: u64,
     },
-    /// Another change came first; this version is in force.
+    /// Another change came first; this version is in force. Whether a change
+    /// made to replace a version below `complete_after` was applied earlier is
+    /// not known any more.
     Raced {
         version: u64,
+        complete_after: u64,
     },
     Configuration {
         version: u64,
@@ -362,6 +389,12 @@
     Closed {
         left: Duration,
     },
+    /// A revision was accepted before with another content. Nothing of the
+    /// call took effect; the findings name the items.
+    Conflict(Vec<Finding>),
+    /// A revision is so old that it is not known any more whether it was
+    /// accepted. The call has no effect now; the findings name the items.
+    RevisionForgotten(Vec<Finding>),
 }
 
 /// Ties a put to what the owner knew when it said MISS.
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -19,6 +19,10 @@
     pub late: bool,
     /// How the first seed ends as it fixes the table; it is back a second later.
     pub founder: FounderEnd,
+    /// What operators order by items.
+    pub orders: Vec<ItemOrder>,
+    /// Empty control nodes at addresses of their own, not started by themselves.
+    pub spares: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +55,8 @@
             gather: false,
             late: false,
             founder: FounderEnd::Lives,
+            orders: Vec::new(),
+            spares: 1,
         }
     }
 }
@@ -86,8 +92,11 @@
     pub steps: u64,
     pub notes: BTreeMap<Event, usize>,
     pub log_bytes: usize,
+    /// When which control node told of a change of its membership or disk.
+    pub membership: Vec<(Duration, Place, Event)>,
     /// Copies handed out, by edge.
     pub copies: Vec<u64>,
+    pub orders: Vec<OrderRecord>,
 }
 
 /// The fleet, its network, its origins, callers and operators, in virtual
@@ -122,15 +131,18 @@
     pub(crate) founder_ended: bool,
     /// Connections that stand: node, run, origin.
     pub(crate) watches: BTreeSet<(usize, u64, usize)>,
-    /// With the node that was asked.
-    pub(crate) asked: BTreeMap<u64, (usize, Asked)>,
+    /// Operators' calls under way.
+    pub(crate) asked: BTreeMap<u64, Question>,
     pub(crate) errands: BTreeMap<u64, Asking>,
     pub(crate) callers: Vec<CallerRecord>,
     pub(crate) calls: Vec<OriginRecord>,
     pub(crate) fleet: Vec<FleetRecord>,
+    pub(crate) operators: Vec<OperatorRecord>,
     pub(crate) steps: u64,
     pub(crate) copies: Vec<u64>,
+    pub(crate) orders: Vec<OrderRecord>,
     pub(crate) notes: BTreeMap<Event, usize>,
+    pub(crate) membership: Vec<(Duration, Place, Event)>,
     pub trace: bool,
 }
 
@@ -200,6 +212,12 @@
         asked: Asked,
         tries: u32,
     },
+    SendOrder {
+        order: usize,
+    },
+    OrderUnanswered {
+        id: u64,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -220,6 +238,15 @@
     pub(crate) record: CallerRecord,
 }
 
+/// An operator's call under way.
+pub(crate) struct Question {
+    /// The node that was asked.
+    pub(crate) node: usize,
+    pub(crate) asked: Asked,
+    /// When.
+    pub(crate) start: f64,
+}
+
 /// What an operator waits for.
 #[derive(Debug, Clone)]
 pub(crate) enum Asked {
@@ -245,8 +272,20 @@
     OpenLedger {
         realm: Option<u64>,
     },
+    /// The place of the order among those of the plan.
+    Order {
+        order: usize,
+    },
 }
 
+/// Events that are kept with their time.
+const MEMBERSHIP_EVENTS: [Event; 4] = [
+    Event::DiskBlank,
+    Event::DiskRefilled,
+    Event::MemberReplaced,
+    Event::MemberRemoved,
+];
+
 pub(crate) const CALLER_PATIENCE: Duration = Duration::from_secs(12);
 
 impl World {
@@ -278,9 +317,12 @@
             callers: Vec::new(),
             calls: Vec::new(),
             fleet: Vec::new(),
+            operators: Vec::new(),
             steps: 0,
             copies: vec![0; plan.deployment.edges],
+            orders: Vec::new(),
             notes: BTreeMap::new(),
+            membership: Vec::new(),
             trace: false,
             plan,
         };
@@ -303,12 +345,13 @@
             self.nodes
                 .push(SimNode::new(Place::Edge(at), address(2, at), zone(at)));
         }
-        // An empty control node in another place, not started by itself.
-        self.nodes.push(SimNode::new(
-            Place::Control(self.plan.control),
-            address(1, self.plan.control),
-            zone(self.plan.control),
-        ));
+        for spare in self.plan.control..self.plan.control + self.plan.spares {
+            self.nodes.push(SimNode::new(
+                Place::Control(spare),
+                address(1, spare),
+                zone(spare),
+            ));
+        }
         self.by_address = self
             .nodes
             .iter()
@@ -340,8 +383,8 @@
             let drift = self.plan.drift;
             self.nodes[node].drift = self.dice.roll(2 * drift + 1) as i64 - drift as i64;
         }
-        for node in 0..self.nodes.len() - 1 {
-            self.nodes[node].founding = true;
+        for node in 0..self.first_spare() {
+            self.nodes[node].founding = Founding::FirstStart;
             if self.plan.late && node + 1 == self.plan.control {
                 self.push(
                     Duration::from_millis(4_500),
@@ -362,6 +405,7 @@
                 tries: 0,
             },
         );
+        self.schedule_orders();
         for (when, fault) in self.plan.faults.clone() {
             self.push(when, Happening::Fault(fault));
         }
@@ -384,6 +428,11 @@
         Duration::from_micros(low + self.dice.roll(high - low))
     }
 
+    /// The first of the nodes that are not started by themselves.
+    pub(crate) fn first_spare(&self) -> usize {
+        self.nodes.len() - self.plan.spares
+    }
+
     pub(crate) fn edges(&self) -> std::ops::Range<usize> {
         self.plan.control..self.plan.control + self.plan.deployment.edges
     }
@@ -415,6 +464,9 @@
             self.now = at;
             self.happen(serial, what);
         }
+        for question in std::mem::take(&mut self.asked).into_values() {
+            self.record_operator(&question, &Outcome::Lost);
+        }
         let (rates, keeps) = (self.plan.deployment.rates(), self.plan.deployment.keeps());
         let log_bytes = self
             .nodes
@@ -426,6 +478,7 @@
             callers: self.callers,
             origins: self.calls,
             fleet: self.fleet,
+            operators: self.operators,
             rates,
             keeps,
         };
@@ -434,7 +487,9 @@
             steps: self.steps,
             notes: self.notes,
             log_bytes,
+            membership: self.membership,
             copies: self.copies,
+            orders: self.orders,
         }
     }
 
@@ -518,6 +573,8 @@
             Happening::LookReady { since } => self.look_ready(since),
             Happening::Restarted { node, run } => self.restarted(node, run),
             Happening::Ask { node, asked, tries } => self.ask(node, asked, tries),
+            Happening::SendOrder { order } => self.send_order(order),
+            Happening::OrderUnanswered { id } => self.order_unanswered(id),
             _ => {}
         }
     }
@@ -604,6 +661,10 @@
                     );
                 }
                 *self.notes.entry(event).or_default() += 1;
+                if MEMBERSHIP_EVENTS.contains(&event) {
+                    self.membership
+                        .push((self.now, self.nodes[node].place, event));
+                }
             }
             Output::Show(Shown::Fence { until, ready }) => {
                 (self.nodes[node].fence, self.nodes[node].ready) = (until, ready)
@@ -612,6 +673,9 @@
             Output::Show(Shown::Duties(list)) => self.duties_shown(node, list),
             Output::Show(Shown::Configuration(table)) => self.nodes[node].image = Some(table),
             Output::Ended => {
+                if self.nodes[node].retiring {
+                    return self.kill(node);
+                }
                 if !std::mem::replace(&mut self.nodes[node].ending, true) {
                     // Calls already read are answered; then the platform
                     // starts it again.
@@ -657,7 +721,7 @@
         };
         match loss {
             Loss::Power => {
-                for node in 0..self.nodes.len() - 1 {
+                for node in 0..self.first_spare() {
                     self.kill(node);
                     self.after(
                         Duration::from_secs(3),
@@ -682,7 +746,7 @@
                     } else {
                         self.kill(node);
                     }
-                    if wiped || ran || node + 1 < self.nodes.len() {
+                    if wiped || ran || node < self.first_spare() {
                         self.after(
                             Duration::from_secs(3),
                             Happening::Fault(Fault::Start(place)),
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -2,6 +2,8 @@
 
 /// How long the first seed collects founding control nodes.
 const GATHER: Duration = Duration::from_millis(500);
+/// From SIGTERM to the end of a process by its platform.
+const GRACE: Duration = Duration::from_secs(6);
 
 /// What is done to the fleet.
 impl World {
@@ -27,7 +29,9 @@
 
     pub(crate) fn at(&self, place: Place) -> usize {
         match place {
-            Place::Control(slot) if slot == self.plan.control => self.nodes.len() - 1,
+            Place::Control(slot) if slot >= self.plan.control => {
+                self.first_spare() + slot - self.plan.control
+            }
             Place::Control(slot) => slot,
             Place::Edge(at) => self.plan.control + at,
         }
@@ -65,7 +69,7 @@
         let asked: Vec<u64> = self
             .asked
             .iter()
-            .filter(|(_, (at, _))| *at == node)
+            .filter(|(_, question)| question.node == node)
             .map(|(id, _)| *id)
             .collect();
         asked
@@ -105,10 +109,10 @@
     }
 
     fn lose_all(&mut self) {
-        for node in 0..self.nodes.len() - 1 {
+        for node in 0..self.first_spare() {
             self.kill(node);
             self.nodes[node].disk = Disk::default();
-            self.nodes[node].founding = true;
+            self.nodes[node].founding = Founding::AfterTotalLoss;
             self.after(
                 Duration::from_secs(3),
                 Happening::Fault(Fault::Start(self.nodes[node].place)),
@@ -131,6 +135,7 @@
             return;
         }
         self.record("all-lost", "", 0, true);
+        self.forget_read_backs();
         // The fleet is founded anew.
         let again = if self.plan.gather {
             self.plan.control
@@ -141,7 +146,7 @@
             let runs = self.nodes[node].part.is_some();
             self.nodes[node].kill();
             self.nodes[node].disk = Disk::default();
-            self.nodes[node].founding = true;
+            self.nodes[node].founding = Founding::AfterTotalLoss;
             if runs {
                 self.start(node);
             }
@@ -154,6 +159,14 @@
         self.after(Duration::from_secs(4), Happening::Fault(Fault::Configure));
     }
 
+    /// Operators who still wait to read back what nobody knows any more.
+    fn forget_read_backs(&mut self) {
+        let read_back = |asked: &Asked| matches!(asked, Asked::ReadBack { .. });
+        self.asked.retain(|_, question| !read_back(&question.asked));
+        self.queue
+            .retain(|_, what| !matches!(what, Happening::Ask { asked, .. } if read_back(asked)));
+    }
+
     pub(crate) fn fault(&mut self, fault: Fault) {
         if self.trace {
             println!("{:9.4} FAULT {fault:?}", self.seconds());
@@ -202,11 +215,19 @@
                     self.step(node, Input::ShutdownRequested);
                 }
             }
+            Fault::Retire(place) => {
+                let node = self.at(place);
+                if self.nodes[node].part.is_some() {
+                    self.nodes[node].retiring = true;
+                    self.after(GRACE, Happening::Fault(Fault::Kill(place)));
+                    self.step(node, Input::ShutdownRequested);
+                }
+            }
             Fault::Wipe(place) => {
                 let node = self.at(place);
                 self.kill(node);
                 self.nodes[node].disk = Disk::default();
-                self.nodes[node].founding = false;
+                self.nodes[node].founding = Founding::Never;
                 self.see_all_lost();
             }
             Fault::DiskFull(place) => {
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -55,7 +55,7 @@
         // An operator's tool takes the next control node if one is down.
         let Some(node) = (0..self.plan.control)
             .map(|more| (node + more) % self.plan.control)
-            .chain([self.nodes.len() - 1])
+            .chain(self.first_spare()..self.nodes.len())
             .find(|node| self.nodes[*node].part.is_some() && self.nodes[*node].ready)
         else {
             if tries < 20 {
@@ -101,9 +101,10 @@
                 },
             ),
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
+            Asked::Order { order } => return self.send_order(*order),
             Asked::OpenLedger { realm: None } => {
                 self.serial += 1;
-                self.asked.insert(self.serial, (node, asked));
+                self.note_question(node, asked);
                 return self.step(
                     node,
                     Input::Operator {
@@ -118,7 +119,7 @@
         };
         self.serial += 1;
         let id = self.serial;
-        self.asked.insert(id, (node, asked));
+        self.note_question(node, asked);
         self.step(
             node,
             Input::Operator {
@@ -128,10 +129,51 @@
         );
     }
 
+    pub(crate) fn note_question(&mut self, node: usize, asked: Asked) {
+        let start = self.seconds();
+        let question = Question { node, asked, start };
+        self.asked.insert(self.serial, question);
+    }
+
+    /// Notes a call on the document with what came of it, for its history.
+    pub(crate) fn record_operator(&mut self, question: &Question, outcome: &Outcome) {
+        let (operation, known) = match (&question.asked, outcome) {
+            (Asked::Configure { .. }, Outcome::Findings(_)) => return,
+            (Asked::Configure { .. }, Outcome::Raced { version, .. }) => {
+                (DocumentOperation::Raced { version: *version }, true)
+            }
+            (Asked::Configure { text, .. }, outcome) => {
+                let version = match outcome {
+                    Outcome::Settled { version } => Some(*version),
+                    _ => None,
+                };
+                let content = document_digest(text);
+                let put = DocumentOperation::Put { version, content };
+                (put, version.is_some())
+            }
+            (Asked::ReadBack { .. }, Outcome::Configuration { version, text }) => {
+                let content = document_digest(text);
+                let version = *version;
+                (DocumentOperation::Read { version, content }, true)
+            }
+            _ => return,
+        };
+        let end = known.then(|| self.seconds());
+        self.operators.push(OperatorRecord {
+            start: question.start,
+            end,
+            operation,
+        });
+    }
+
     pub(crate) fn operator_told(&mut self, id: u64, answer: OperatorAnswer) {
-        let Some((_, asked)) = self.asked.remove(&id) else {
+        let Some(question) = self.asked.remove(&id) else {
             return;
         };
+        if let OperatorAnswer::Outcome(outcome) = &answer {
+            self.record_operator(&question, outcome);
+        }
+        let asked = question.asked;
         let outcome = match answer {
             OperatorAnswer::Outcome(outcome) => outcome,
             OperatorAnswer::State(state) => {
@@ -151,8 +193,10 @@
             }
         };
         let settled = matches!(outcome, Outcome::Settled { .. });
-        if let (Asked::Origins { .. }, Outcome::Settled { version } | Outcome::Raced { version }) =
-            (&asked, &outcome)
+        if let (
+            Asked::Origins { .. },
+            Outcome::Settled { version } | Outcome::Raced { version, .. },
+        ) = (&asked, &outcome)
         {
             self.origins_at = *version;
         }
@@ -183,6 +227,7 @@
                 },
             ),
             Asked::OpenLedger { .. } => {}
+            Asked::Order { order } => self.order_told(order, outcome),
             Asked::ReadBack {
                 expect: (version, text),
             } => {
@@ -246,6 +291,11 @@
             Outcome::Findings(_) => self.record("invalid-refused", "", marker, marker == 999),
             // Unknown: the marker may be in force, so it stays in later documents.
             Outcome::Lost => self.record("configure-unknown", "", marker, true),
+            // Nothing was done, and so nothing comes into force.
+            Outcome::NoMajority => {
+                self.markers.retain(|known| *known != marker);
+                self.record("no-majority", "", marker, true);
+            }
             Outcome::Raced { .. } => {
                 self.markers.retain(|known| *known != marker);
                 self.record("raced", "", marker, race);
