--- a/control-plane/src/control_part/changes/cluster.rs
+++ b/control-plane/src/control_part/changes/cluster.rs
@@ -14,7 +14,7 @@
 
 enum Happening {
     Tick { run: u64 },
-    Heard { from: Peer, message: Message },
+    Heard { from: Peer, message: Box<Message> },
     Synced { run: u64, serial: u64 },
 }
 
@@ -160,6 +160,7 @@
                 self.step(slot, Input::Stored { serial });
             }
             Happening::Heard { from, message } => {
+                let message = *message;
                 self.step(slot, Input::Heard { from, message });
             }
             Happening::Tick { .. } | Happening::Synced { .. } => {}
@@ -209,6 +210,7 @@
         if cut || lost {
             return;
         }
+        let message = Box::new(message);
         let heard = Happening::Heard { from, message };
         self.push(self.now + DELAY, to, heard);
     }
