--- a/programs/tests/whole_path.rs
+++ b/programs/tests/whole_path.rs
@@ -584,8 +584,12 @@
     // A broken store blocks nothing.
     for slot in 0..3 {
         let store = path.fleet.folder.join(format!("data-{slot}/history"));
-        fs::remove_dir_all(&store).unwrap();
-        fs::write(&store, "broken").unwrap();
+        // The thread that keeps the history may still be writing there.
+        let broken = Fleet::wait(LONG, &mut || {
+            let _ = fs::remove_dir_all(&store);
+            fs::write(&store, "broken").is_ok()
+        });
+        assert!(broken, "{}", store.display());
     }
     let text = path.fleet.folder.join("again.json");
     fs::write(&text, &before).unwrap();
