Who may lead is worked out once a tick, not once for each partition

Cause: read again: take_slices asked for the eligible members anew for each of the 20 partitions, in each tick. Change: it is worked out once before the loop; what a leader stores in it changes nothing that it hangs on. Behaviour unchanged.

--- a/control-plane/src/control_part/contact.rs
+++ b/control-plane/src/control_part/contact.rs
@@ -85,7 +85,7 @@
 
     /// All members that may lead. Who is in contact with us is judged by
     /// itself alone; for others, who is in contact with us vouches.
-    fn eligible(&self, now: Duration) -> SlotSet {
+    pub(super) fn eligible(&self, now: Duration) -> SlotSet {
         let contacts = self.contacts(now);
         let vouched = contacts
             .iter()
@@ -100,9 +100,14 @@
     /// The slot that shall lead a partition: by weight over those that may.
     /// None while nobody may, as far as known here.
     pub(super) fn chosen(&self, now: Duration, slice: u8) -> Option<u8> {
+        self.chosen_among(self.eligible(now), slice)
+    }
+
+    /// The same, for who asks for several partitions at once.
+    pub(super) fn chosen_among(&self, eligible: SlotSet, slice: u8) -> Option<u8> {
         let name = format!("slice/{slice}");
         let known = |slot: &u8| usize::from(*slot) < self.places.len();
-        let eligible = self.eligible(now).iter().filter(known);
+        let eligible = eligible.iter().filter(known);
         eligible.max_by_key(|slot| Peer::new(self.address(*slot), 0).weight(&name))
     }
 
--- a/control-plane/src/control_part/replication.rs
+++ b/control-plane/src/control_part/replication.rs
@@ -21,8 +21,9 @@
         if !self.may_lead(now) {
             return;
         }
+        let eligible = self.eligible(now);
         for slice in 0..SLICES {
-            if self.chosen(now, slice) != Some(self.slot) {
+            if self.chosen_among(eligible, slice) != Some(self.slot) {
                 if self
                     .leaders
                     .get(&slice)
