--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -29,7 +29,12 @@
     idle_time: Duration::from_secs(60),
     pipeline: 16,
     answer_bytes: 16 * 1024 * 1024,
+    send_bytes_s: None,
 };
+/// Answers take at most this part of the machine's link: the rest is for
+/// leases, copies and what else nodes say to each other.
+const SEND_PART: f64 = 0.8;
+const BYTES_IN_MEGABIT: f64 = 125_000.0;
 /// Only the platform calls the second face, to ask whether callers may come.
 const READY_FACE: usize = 1;
 
@@ -71,7 +76,14 @@
             calls: Mutex::default(),
             bounds: Mutex::default(),
         });
-        let line = HttpLine::open(listeners, LIMITS, taker.clone())?;
+        let limits = Limits {
+            send_bytes_s: port
+                .startup
+                .link_mbps
+                .map(|link| link * BYTES_IN_MEGABIT * SEND_PART),
+            ..LIMITS
+        };
+        let line = HttpLine::open(listeners, limits, taker.clone())?;
         let _ = taker.line.set(line);
         self.taker = Some(taker);
         Ok(())
--- a/http-line/src/held.rs
+++ b/http-line/src/held.rs
@@ -11,6 +11,8 @@
     pub hup: bool,
     /// The last write was not taken whole.
     pub blocked: bool,
+    /// It waits for its turn to write.
+    pub paced: bool,
     /// Asked to be told when it can be written.
     pub writes: bool,
     /// The earliest tick at which it comes up in the timers.
@@ -40,6 +42,7 @@
             unread: false,
             hup: false,
             blocked: false,
+            paced: false,
             writes: false,
             armed: None,
             busy: false,
--- a/http-line/src/lib.rs
+++ b/http-line/src/lib.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod line;
 mod outgoing;
+mod pacer;
 mod pool;
 pub mod prelude;
 mod served;
--- a/http-line/src/limits.rs
+++ b/http-line/src/limits.rs
@@ -13,6 +13,9 @@
     pub pipeline: usize,
     /// Most bytes of a called one's answer.
     pub answer_bytes: usize,
+    /// Bytes a second written to all served ones together, from the start of
+    /// the line on; none: as many as the sockets take.
+    pub send_bytes_s: Option<f64>,
 }
 
 impl Default for Limits {
@@ -24,6 +27,7 @@
             idle_time: Duration::from_secs(60),
             pipeline: 16,
             answer_bytes: 64 * 1024 * 1024,
+            send_bytes_s: None,
         }
     }
 }
--- a/http-line/src/line.rs
+++ b/http-line/src/line.rs
@@ -19,6 +19,7 @@
     shared: Arc<Shared>,
     taker: Arc<dyn Taker>,
     limits: Limits,
+    pacer: Pacer,
     scratch: Vec<u8>,
     again: Vec<usize>,
     touched: Vec<usize>,
@@ -79,6 +80,7 @@
             orders,
             shared: shared.clone(),
             taker,
+            pacer: Pacer::new(limits.send_bytes_s, now),
             limits,
             scratch: vec![0; SCRATCH],
             again: Vec::new(),
@@ -121,6 +123,7 @@
             for token in std::mem::take(&mut self.again) {
                 self.pump(token);
             }
+            self.give_turns();
             for event in &events {
                 let token = event.token().0;
                 if token < self.listeners.len() {
@@ -144,6 +147,16 @@
         }
     }
 
+    /// Connections that were held back write on, each in its turn.
+    fn give_turns(&mut self) {
+        while let Some(token) = self.pacer.next(self.now) {
+            if let Some(held) = self.held.get_mut(&token) {
+                held.paced = false;
+                self.pump(token);
+            }
+        }
+    }
+
     /// Until the next due time; entries out of date are put right first.
     fn wait(&mut self) -> Option<Duration> {
         if !self.again.is_empty() {
@@ -169,7 +182,11 @@
             }
         }
         let first = self.timers.first().map(|(tick, _)| self.timers.at(tick));
-        let next = first.into_iter().chain(self.refused).min()?;
+        let next = first
+            .into_iter()
+            .chain(self.refused)
+            .chain(self.pacer.due())
+            .min()?;
         Some(next.saturating_duration_since(Instant::now()))
     }
 
@@ -512,13 +529,19 @@
         };
         let mut found = Vec::new();
         for _ in 0..ROUNDS {
-            if !served.out.is_empty() && !held.blocked {
-                let (size, end) = served.out.write(&mut held.stream);
+            if !served.out.is_empty() && !held.blocked && !held.paced {
+                let turn = self.pacer.turn(self.now);
+                let (size, end, spent) = Line::write_turn(served, &mut held.stream, turn);
                 if size > 0 {
                     served.wrote(self.now);
+                    self.pacer.wrote(size);
                 }
                 match end {
                     Ok(()) => {}
+                    Err(e) if e.kind() == ErrorKind::WouldBlock && spent => {
+                        held.paced = true;
+                        self.pacer.wait(token);
+                    }
                     Err(e) if e.kind() == ErrorKind::WouldBlock => held.blocked = true,
                     Err(_) => return false,
                 }
@@ -561,7 +584,7 @@
                 return self.pump_linger(held);
             }
             let more = held.unread && served.wants_read(&self.limits);
-            if !more && (served.out.is_empty() || held.blocked) {
+            if !more && (served.out.is_empty() || held.blocked || held.paced) {
                 return true;
             }
         }
@@ -569,6 +592,25 @@
         true
     }
 
+    /// Writes at most `turn` bytes: how many were taken, how it ended, and
+    /// whether the turn was used up.
+    fn write_turn(
+        served: &mut Served,
+        stream: &mut TcpStream,
+        turn: usize,
+    ) -> (usize, io::Result<()>, bool) {
+        if turn >= served.out.left() {
+            let (size, end) = served.out.write(stream);
+            return (size, end, false);
+        }
+        let mut limited = Limited {
+            sink: stream,
+            left: turn,
+        };
+        let (size, end) = served.out.write(&mut limited);
+        (size, end, limited.left == 0)
+    }
+
     fn pump_linger(&mut self, held: &mut Held) -> bool {
         let Side::Linger { left, .. } = &mut held.side else {
             return true;
--- a/http-line/src/prelude.rs
+++ b/http-line/src/prelude.rs
@@ -4,6 +4,7 @@
 pub(crate) use crate::held::{Held, Side};
 pub(crate) use crate::http_line::{Order, Shared};
 pub(crate) use crate::line::Line;
+pub(crate) use crate::pacer::{Limited, Pacer};
 pub(crate) use crate::pool::Pool;
 pub(crate) use crate::timers::Timers;
 pub use crate::{
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -27,6 +27,9 @@
     pub ready: Option<SocketAddr>,
     /// Memory this process may use; sizes follow from it.
     pub memory_bytes: Option<u64>,
+    /// The machine's link, in megabits a second: answers are paced to a part of
+    /// it. None: they are not paced.
+    pub link_mbps: Option<f64>,
     /// Descriptors this process may open.
     pub descriptors: Option<u64>,
     /// Control nodes to begin with. Without `gather_ms` the three that hold the
