--- a/data-plane/src/edge_part/mod.rs
+++ b/data-plane/src/edge_part/mod.rs
@@ -35,6 +35,7 @@
     /// When the realm was entered.
     entered: Duration,
     leases: Leases,
+    link_delay: LinkDelay,
     next_renew: Duration,
     live: bool,
     table: Option<Arc<EntryTable>>,
@@ -123,6 +124,7 @@
             recalling: false,
             entered: Duration::ZERO,
             leases: Leases::default(),
+            link_delay: LinkDelay::default(),
             next_renew: Duration::ZERO,
             live: false,
             table: None,
--- a/data-plane/src/edge_part/renewal.rs
+++ b/data-plane/src/edge_part/renewal.rs
@@ -75,6 +75,12 @@
         if Realm::older(renewed.realm, self.realm) && renewed.realm != 0 {
             return; // It has not heard of the new realm yet.
         }
+        if renewed.news.is_empty() {
+            let delay =
+                self.link_delay
+                    .measured(now, from.address, now.saturating_sub(renewed.sent));
+            self.out.push(Output::Show(Shown::LinkDelay(delay)));
+        }
         self.marks.insert(from.address, renewed.mark);
         let before = std::mem::replace(&mut self.recalling, renewed.recall);
         let recall = renewed.recall && !before;
--- a/data-plane/src/lib.rs
+++ b/data-plane/src/lib.rs
@@ -9,6 +9,7 @@
 mod job;
 mod leases;
 mod line_face;
+mod link_delay;
 mod near_cache;
 mod own_share;
 mod own_words;
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -31,9 +31,8 @@
     answer_bytes: 16 * 1024 * 1024,
     send_bytes_s: None,
 };
-/// Answers take at most this part of the machine's link: the rest is for
-/// leases, copies and what else nodes say to each other.
-const SEND_PART: f64 = 0.8;
+/// Who is turned away for a full link comes back after this, to any edge.
+const LINK_FULL: Duration = Duration::from_millis(50);
 const BYTES_IN_MEGABIT: f64 = 125_000.0;
 /// Only the platform calls the second face, to ask whether callers may come.
 const READY_FACE: usize = 1;
@@ -77,10 +76,7 @@
             bounds: Mutex::default(),
         });
         let limits = Limits {
-            send_bytes_s: port
-                .startup
-                .link_mbps
-                .map(|link| link * BYTES_IN_MEGABIT * SEND_PART),
+            send_bytes_s: port.startup.link_mbps.map(|link| link * BYTES_IN_MEGABIT),
             ..LIMITS
         };
         let line = HttpLine::open(listeners, limits, taker.clone())?;
@@ -123,6 +119,12 @@
         line.call(out);
     }
 
+    fn link_delay(&self, delay: Duration) {
+        if let Some(line) = self.line() {
+            line.link_delay(delay);
+        }
+    }
+
     fn warn(&self) {
         if let Some(line) = self.line() {
             line.drain();
@@ -192,6 +194,18 @@
         }
     }
 
+    /// Turns a request for content away at once if the answers before it take
+    /// the link for longer than it can wait: other edges may be free.
+    fn link_full(&self, request: &ClientRequest) -> Option<Refusal> {
+        let entry = request.entry();
+        let aim = entry.aim_ms.map_or(entry.deadline(), Duration::from_millis);
+        let full = entry.kind == Kind::Cached && self.line.wait().backlog() > aim;
+        full.then(|| {
+            let why = "the link of this edge is full";
+            Refusal::not_run(429, "link_full", why).back(LINK_FULL)
+        })
+    }
+
     fn errand(self: &Arc<Self>, line: u64, asked: Asked) {
         let image = (**self.port.image.load()).clone();
         self.heed_bounds(&image);
@@ -220,6 +234,10 @@
         let Some(errand) = errand_of(arrival) else {
             return;
         };
+        if let Some(refusal) = self.link_full(&errand) {
+            let answer = Answer::Refusal(refusal);
+            return self.tell(line, self.dialect.tell(&errand.headers, &answer));
+        }
         let keyed = errand.entry().kind == Kind::Keyed;
         let headers = errand.headers.clone();
         let errand = Mutex::new(Some(errand));
--- a/data-plane/src/prelude.rs
+++ b/data-plane/src/prelude.rs
@@ -7,6 +7,7 @@
 pub use crate::gate::Gate;
 pub use crate::job::{Fetch, Job, Stage};
 pub use crate::leases::Leases;
+pub use crate::link_delay::LinkDelay;
 pub use crate::near_cache::{KeptCopy, NearCache, NearLookup};
 pub use crate::own_share::OwnShare;
 pub use crate::own_words::OwnWords;
--- a/http-line/src/held.rs
+++ b/http-line/src/held.rs
@@ -11,6 +11,8 @@
     pub hup: bool,
     /// The last write was not taken whole.
     pub blocked: bool,
+    /// Bytes of answers that it has still to write.
+    pub queued: usize,
     /// It waits for its turn to write.
     pub paced: bool,
     /// Asked to be told when it can be written.
@@ -42,6 +44,7 @@
             unread: false,
             hup: false,
             blocked: false,
+            queued: 0,
             paced: false,
             writes: false,
             armed: None,
--- a/http-line/src/http_line.rs
+++ b/http-line/src/http_line.rs
@@ -18,6 +18,8 @@
     pub calls: AtomicU64,
     pub open: AtomicU64,
     pub busy: AtomicUsize,
+    /// What the answers not written yet take on the link, in microseconds.
+    pub backlog_us: AtomicU64,
 }
 
 pub enum Order {
@@ -25,6 +27,7 @@
     Call(Box<Call>, Instant),
     DropCall(u64),
     Limits(Limits),
+    LinkDelay(Duration),
     Drain,
     Close,
 }
@@ -75,6 +78,17 @@
         self.order(Order::Limits(limits));
     }
 
+    /// Small messages are so late on the machine's link.
+    pub fn link_delay(&self, delay: Duration) {
+        self.order(Order::LinkDelay(delay));
+    }
+
+    /// How long the link takes for the answers that are not written yet, where
+    /// its width is known.
+    pub fn backlog(&self) -> Duration {
+        Duration::from_micros(self.shared.backlog_us.load(Ordering::Relaxed))
+    }
+
     /// Idle connections are closed, others after what they were asked so far;
     /// new ones are served one request.
     pub fn drain(&self) {
--- a/http-line/src/limits.rs
+++ b/http-line/src/limits.rs
@@ -13,8 +13,8 @@
     pub pipeline: usize,
     /// Most bytes of a called one's answer.
     pub answer_bytes: usize,
-    /// Bytes a second written to all served ones together, from the start of
-    /// the line on; none: as many as the sockets take.
+    /// The width of the machine's link in bytes a second, from the start of the
+    /// line on: answers are paced to a part of it. None: they are not paced.
     pub send_bytes_s: Option<f64>,
 }
 
--- a/http-line/src/line.rs
+++ b/http-line/src/line.rs
@@ -20,6 +20,8 @@
     taker: Arc<dyn Taker>,
     limits: Limits,
     pacer: Pacer,
+    /// Bytes of answers that are not written yet.
+    queued: usize,
     scratch: Vec<u8>,
     again: Vec<usize>,
     touched: Vec<usize>,
@@ -67,6 +69,7 @@
             calls: AtomicU64::new(0),
             open: AtomicU64::new(0),
             busy: AtomicUsize::new(0),
+            backlog_us: AtomicU64::new(0),
         });
         let now = Instant::now();
         let line = Line {
@@ -81,6 +84,7 @@
             shared: shared.clone(),
             taker,
             pacer: Pacer::new(limits.send_bytes_s, now),
+            queued: 0,
             limits,
             scratch: vec![0; SCRATCH],
             again: Vec::new(),
@@ -263,6 +267,9 @@
                         self.limits = limits;
                         self.touch_all();
                     }
+                    Order::LinkDelay(delay) => {
+                        self.pacer.measured(Instant::now(), delay);
+                    }
                     Order::Drain => {
                         self.drained = true;
                         for held in self.held.values_mut() {
@@ -512,7 +519,20 @@
         self.came(ended);
     }
 
+    /// Counts what the connection has still to write.
+    fn count_queued(&mut self, held: &mut Held, left: usize) {
+        self.queued = self.queued + left - std::mem::replace(&mut held.queued, left);
+        let rate = self.pacer.rate().unwrap_or(f64::INFINITY);
+        let span = Duration::from_secs_f64(self.queued as f64 / rate);
+        let micros = span.as_micros() as u64;
+        self.shared.backlog_us.store(micros, Ordering::Relaxed);
+    }
+
     fn settle(&mut self, held: &mut Held) {
+        if let Side::Served { served, .. } = &held.side {
+            let left = served.out.left();
+            self.count_queued(held, left);
+        }
         let busy = matches!(&held.side, Side::Served { served, .. } if served.busy());
         if busy != held.busy {
             held.busy = busy;
@@ -713,7 +733,8 @@
     }
 
     /// The connection ends here; its socket closes with it.
-    fn end(&mut self, token: usize, held: Held) {
+    fn end(&mut self, token: usize, mut held: Held) {
+        self.count_queued(&mut held, 0);
         self.shared.open.fetch_sub(1, Ordering::Relaxed);
         if held.busy {
             self.shared.busy.fetch_sub(1, Ordering::SeqCst);
--- a/http-line/src/pacer.rs
+++ b/http-line/src/pacer.rs
@@ -2,11 +2,17 @@
 
 /// Paces what is written to all served connections together, so that a narrow
 /// link's own queue stays short and other traffic of the machine (leases, above
-/// all) is not held up behind answers. Invariant: within any span, no more is
-/// written than `rate` times the span plus `BURST`.
+/// all) is not held up behind answers. The rate follows the delay that others
+/// measure on the link: it falls while that is long and rises slowly while it is
+/// not, since what else the link carries, and in which direction, is not known
+/// here. Invariant: within any span, no more is written than the link's width
+/// times the span plus `BURST`.
 pub struct Pacer {
-    /// Bytes a second; none: nothing is held back.
-    rate: Option<f64>,
+    /// The link's width in bytes a second; none: nothing is held back.
+    link: Option<f64>,
+    /// The part of it that answers may take now.
+    part: f64,
+    next_cut: Instant,
     tokens: f64,
     filled: Instant,
     /// Connections that wait for their turn, in order.
@@ -17,19 +23,49 @@
 const BURST: f64 = 32.0 * 1024.0;
 /// Written to one connection before the next has its turn.
 const TURN_BYTES: usize = 8 * 1024;
+/// Bounds of the part, and the one begun with.
+const LEAST_PART: f64 = 0.2;
+const FIRST_PART: f64 = 0.8;
+const MOST_PART: f64 = 0.95;
+/// A longer delay than this is a queue that answers have a part in.
+const LONG_DELAY: Duration = Duration::from_millis(40);
+/// The part is cut at most once in this time: a cut shows only then.
+const CUT_PAUSE: Duration = Duration::from_millis(200);
+const CUT: f64 = 0.8;
+/// Added with each measurement of a short delay.
+const RISE: f64 = 0.01;
 
 impl Pacer {
-    pub fn new(rate: Option<f64>, now: Instant) -> Pacer {
+    /// `link` in bytes a second.
+    pub fn new(link: Option<f64>, now: Instant) -> Pacer {
         Pacer {
-            rate: rate.filter(|rate| *rate > 0.0),
+            link: link.filter(|link| *link > 0.0),
+            part: FIRST_PART,
+            next_cut: now,
             tokens: BURST,
             filled: now,
             waiting: VecDeque::new(),
         }
     }
 
+    /// Bytes a second that answers may take now.
+    pub fn rate(&self) -> Option<f64> {
+        self.link.map(|link| link * self.part)
+    }
+
+    /// Small messages were so late on the link, as measured now.
+    pub fn measured(&mut self, now: Instant, delay: Duration) {
+        self.refill(now);
+        if delay <= LONG_DELAY {
+            self.part = (self.part + RISE).min(MOST_PART);
+        } else if now >= self.next_cut {
+            self.part = (self.part * CUT).max(LEAST_PART);
+            self.next_cut = now + CUT_PAUSE;
+        }
+    }
+
     fn refill(&mut self, now: Instant) {
-        let Some(rate) = self.rate else { return };
+        let Some(rate) = self.rate() else { return };
         let span = now.saturating_duration_since(self.filled).as_secs_f64();
         self.tokens = (self.tokens + span * rate).min(BURST);
         self.filled = now;
@@ -37,7 +73,7 @@
 
     /// Bytes that one connection may write now.
     pub fn turn(&mut self, now: Instant) -> usize {
-        if self.rate.is_none() {
+        if self.link.is_none() {
             return usize::MAX;
         }
         self.refill(now);
@@ -48,7 +84,7 @@
     }
 
     pub fn wrote(&mut self, size: usize) {
-        if self.rate.is_some() {
+        if self.link.is_some() {
             self.tokens -= size as f64;
         }
     }
@@ -61,7 +97,7 @@
     /// The next connection whose turn it is.
     pub fn next(&mut self, now: Instant) -> Option<usize> {
         self.refill(now);
-        if self.rate.is_some() && self.tokens < 1.0 {
+        if self.link.is_some() && self.tokens < 1.0 {
             return None;
         }
         self.waiting.pop_front()
@@ -69,7 +105,7 @@
 
     /// When the first that waits may write.
     pub fn due(&self) -> Option<Instant> {
-        let rate = self.rate?;
+        let rate = self.rate()?;
         self.waiting.front()?;
         let missing = (1.0 - self.tokens).max(0.0);
         Some(self.filled + Duration::from_secs_f64(missing / rate))
--- a/kernel/src/face.rs
+++ b/kernel/src/face.rs
@@ -9,6 +9,9 @@
     /// Makes a call; `Input::Called` follows.
     fn call(&self, id: u64, call: Call);
 
+    /// Small messages are so late on this machine's link.
+    fn link_delay(&self, _delay: Duration) {}
+
     /// The process ends soon: no new sessions are begun.
     fn warn(&self) {}
 
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -188,6 +188,7 @@
                         port.fence.store(until.as_nanos() as u64, Ordering::Release);
                     }
                     Output::Show(Shown::Duties(list)) => port.duties.store(Arc::new(list)),
+                    Output::Show(Shown::LinkDelay(delay)) => self.face.link_delay(delay),
                     Output::Show(Shown::Acknowledged { version, text }) => {
                         if let Some(history) = &self.history {
                             let _ = history.try_send((version, text));
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -97,6 +97,8 @@
     },
     /// The duties held now, by name.
     Duties(Vec<String>),
+    /// Small messages are so late on this machine's link.
+    LinkDelay(Duration),
 }
 
 /// A caller's request, read in full.
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -725,7 +725,7 @@
             Output::Show(Shown::Fence { until, ready }) => {
                 (self.nodes[node].fence, self.nodes[node].ready) = (until, ready)
             }
-            Output::Show(Shown::Acknowledged { .. }) => {}
+            Output::Show(Shown::Acknowledged { .. } | Shown::LinkDelay(_)) => {}
             Output::Show(Shown::Duties(list)) => self.duties_shown(node, list),
             Output::Show(Shown::Configuration(table)) => self.nodes[node].image = Some(table),
             Output::Ended => {
