--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -18,6 +18,7 @@
     calls: Mutex<HashMap<u64, Call>>,
     /// Itself, for answers that come later.
     me: Weak<LineTaker>,
+    answer_sizes: AnswerSizes,
     /// The callers' bounds last set.
     bounds: Mutex<Option<Arc<Bounds>>>,
 }
@@ -31,6 +32,8 @@
     answer_bytes: 16 * 1024 * 1024,
     send_bytes_s: None,
 };
+/// Routes whose answers are larger, as a rule, wait for the link, in bytes.
+const LARGE_ANSWER: f64 = 16.0 * 1024.0;
 /// Who is turned away for a full link comes back after this, to any edge.
 const LINK_FULL: Duration = Duration::from_millis(50);
 const BYTES_IN_MEGABIT: f64 = 125_000.0;
@@ -73,6 +76,7 @@
             plug_ins: PlugIn::of(self.program),
             line: OnceLock::new(),
             calls: Mutex::default(),
+            answer_sizes: AnswerSizes::default(),
             bounds: Mutex::default(),
         });
         let limits = Limits {
@@ -194,12 +198,14 @@
         }
     }
 
-    /// Turns a request for content away at once if the answers before it take
-    /// the link for longer than it can wait: other edges may be free.
+    /// Turns a request for a large answer away at once if the answers before it
+    /// take the link for longer than it can wait: other edges may be free. Small
+    /// ones are written before large ones, so the link is never full for them.
     fn link_full(&self, request: &ClientRequest) -> Option<Refusal> {
         let entry = request.entry();
         let aim = entry.aim_ms.map_or(entry.deadline(), Duration::from_millis);
-        let full = entry.kind == Kind::Cached && self.line.wait().backlog() > aim;
+        let large = self.answer_sizes.expected(&entry.name) > LARGE_ANSWER;
+        let full = large && self.line.wait().backlog() > aim;
         full.then(|| {
             let why = "the link of this edge is full";
             Refusal::not_run(429, "link_full", why).back(LINK_FULL)
@@ -239,6 +245,7 @@
             return self.tell(line, self.dialect.tell(&errand.headers, &answer));
         }
         let keyed = errand.entry().kind == Kind::Keyed;
+        let route = errand.entry().name.clone();
         let headers = errand.headers.clone();
         let errand = Mutex::new(Some(errand));
         let taker = self.clone();
@@ -255,7 +262,11 @@
                 Output::Answer { answer, .. } => answer,
                 _ => return,
             };
-            taker.tell(line, taker.dialect.tell(&headers, &answer));
+            let words = taker.dialect.tell(&headers, &answer);
+            if matches!(answer, Answer::Reply { .. }) {
+                taker.answer_sizes.saw(&route, words.body.len());
+            }
+            taker.tell(line, words);
         };
         let take = |id| Input::ClientRequest {
             id,
--- a/http-line/src/line.rs
+++ b/http-line/src/line.rs
@@ -560,7 +560,7 @@
                     Ok(()) => {}
                     Err(e) if e.kind() == ErrorKind::WouldBlock && spent => {
                         held.paced = true;
-                        self.pacer.wait(token);
+                        self.pacer.wait(token, served.out.left());
                     }
                     Err(e) if e.kind() == ErrorKind::WouldBlock => held.blocked = true,
                     Err(_) => return false,
--- a/http-line/src/pacer.rs
+++ b/http-line/src/pacer.rs
@@ -15,7 +15,9 @@
     next_cut: Instant,
     tokens: f64,
     filled: Instant,
-    /// Connections that wait for their turn, in order.
+    /// Connections that wait for their turn, in order: those that are done with
+    /// few more turns go first, so that a small answer waits for no large one.
+    nearly_done: VecDeque<usize>,
     waiting: VecDeque<usize>,
 }
 
@@ -23,6 +25,8 @@
 const BURST: f64 = 32.0 * 1024.0;
 /// Written to one connection before the next has its turn.
 const TURN_BYTES: usize = 8 * 1024;
+/// What is left of an answer that is served before larger ones.
+const SMALL_BYTES: usize = 2 * TURN_BYTES;
 /// Bounds of the part, and the one begun with.
 const LEAST_PART: f64 = 0.2;
 const FIRST_PART: f64 = 0.8;
@@ -44,6 +48,7 @@
             next_cut: now,
             tokens: BURST,
             filled: now,
+            nearly_done: VecDeque::new(),
             waiting: VecDeque::new(),
         }
     }
@@ -89,9 +94,17 @@
         }
     }
 
-    /// The connection has more to write when its turn comes again.
-    pub fn wait(&mut self, token: usize) {
-        self.waiting.push_back(token);
+    /// The connection has so many bytes more to write when its turn comes again.
+    pub fn wait(&mut self, token: usize, left: usize) {
+        if left <= SMALL_BYTES {
+            self.nearly_done.push_back(token);
+        } else {
+            self.waiting.push_back(token);
+        }
+    }
+
+    fn first(&self) -> Option<&usize> {
+        self.nearly_done.front().or(self.waiting.front())
     }
 
     /// The next connection whose turn it is.
@@ -100,13 +113,15 @@
         if self.link.is_some() && self.tokens < 1.0 {
             return None;
         }
-        self.waiting.pop_front()
+        self.nearly_done
+            .pop_front()
+            .or_else(|| self.waiting.pop_front())
     }
 
     /// When the first that waits may write.
     pub fn due(&self) -> Option<Instant> {
         let rate = self.rate()?;
-        self.waiting.front()?;
+        self.first()?;
         let missing = (1.0 - self.tokens).max(0.0);
         Some(self.filled + Duration::from_secs_f64(missing / rate))
     }
