An ending edge gives back what waits; a list of origins is acknowledged by a majority

LOST: a request that was read before SIGTERM and still waited when the grace time ended was closed without an answer (deadlines of 8 to 12 s, 6 s of grace). Change: half of the grace time after a warning every request that was not sent is refused with the time to come back, and later ones at once; calls under way and answers being written have the rest. DRAIN: the reader of the platform's list waited until a list was in force at every live edge before it read the next one, up to 0.8 s and more with an edge that lapses; a 429 cost 1 s; a connection could take 1 s to stand and then carry the request. Test: a_list_of_origins_is_acknowledged_on_a_majority_while_an_edge_is_slow_to_apply_it; with Settled, as before, no answer in 1 s.

--- a/control-plane/src/control_part/changes.rs
+++ b/control-plane/src/control_part/changes.rs
@@ -44,6 +44,13 @@
         self.told = Outcome::Settled { version };
     }
 
+    /// Acknowledges as soon as the version is on a majority of disks instead.
+    fn acknowledge_commit(&mut self) {
+        if self.settle > 0 {
+            self.commit = std::mem::take(&mut self.settle);
+        }
+    }
+
     /// Refuses for what stands: only once that is on a majority of disks and
     /// the leader is confirmed, since one that was superseded may not know what
     /// was accepted after it.
@@ -395,6 +402,7 @@
                 list,
                 expect,
                 change,
+                acknowledge,
             } => {
                 let value = Value::Origins { list, change };
                 if let Some(version) =
@@ -402,6 +410,9 @@
                 {
                     self.note(Event::OriginsPut, format!("version {version}"));
                 }
+                if acknowledge == Acknowledge::Committed {
+                    wait.acknowledge_commit();
+                }
             }
             Change::OpenLedger { realm } if realm != self.realm => {
                 let text = format!("the realm is {} now", Realm::name(self.realm));
--- a/control-plane/src/control_part/changes/cluster.rs
+++ b/control-plane/src/control_part/changes/cluster.rs
@@ -94,6 +94,33 @@
         self.nodes[slot].disk.clear();
     }
 
+    /// For so long an edge renews with all nodes and applies no news.
+    pub fn renew_without_applying(&mut self, span: Duration) {
+        let until = self.now + span;
+        let edge = Peer::new(address(SLOTS + 1), 77);
+        while self.now < until {
+            let renew = RenewRequest {
+                sent: self.now,
+                heard: None,
+                realm: 0,
+                recalled: true,
+                vector: vec![0; NEWS.into()],
+                zone: "z".into(),
+                ring: "z".into(),
+                strength: 1,
+                draining: false,
+                usage: Usage::default(),
+                found: vec![],
+            };
+            for slot in 0..SLOTS {
+                let message = renew.clone().into();
+                let from = edge;
+                self.step(slot, Input::Heard { from, message });
+            }
+            self.run_for(lease::EDGE_TICK);
+        }
+    }
+
     /// Another node than this one.
     pub fn other(&self, slot: usize) -> usize {
         (slot + 1) % SLOTS
--- a/control-plane/src/control_part/changes/tests.rs
+++ b/control-plane/src/control_part/changes/tests.rs
@@ -46,6 +46,7 @@
         list: Arc::new(vec![origin]),
         expect,
         change,
+        acknowledge: Acknowledge::Settled,
     }
 }
 
@@ -287,3 +288,43 @@
     let bytes = bincode::serialized_size(&applied).unwrap();
     assert!(bytes <= 16 + 16 * APPLIED_CHANGES as u64, "{bytes}");
 }
+
+/// The platform's list is read again only once the last one was acknowledged. An
+/// edge that is slow to apply it must not hold that up: an origin that leaves
+/// meanwhile would be heard of too late.
+#[test]
+fn a_list_of_origins_is_acknowledged_on_a_majority_while_an_edge_is_slow_to_apply_it() {
+    const SLOW: Duration = Duration::from_secs(1);
+    for (acknowledge, within) in [
+        (Acknowledge::Settled, false),
+        (Acknowledge::Committed, true),
+    ] {
+        let mut cluster = Cluster::new();
+        cluster.renew_without_applying(SLOW);
+        let Change::PutOrigins {
+            list,
+            expect,
+            change,
+            ..
+        } = origins("o", Some(0), 5)
+        else {
+            unreachable!()
+        };
+        let put = Change::PutOrigins {
+            list,
+            expect,
+            change,
+            acknowledge,
+        };
+        cluster.ask(0, 1, ORIGINS, put);
+        cluster.renew_without_applying(SLOW);
+        assert_eq!(
+            cluster.answers.contains_key(&1),
+            within,
+            "{acknowledge:?} within {SLOW:?}"
+        );
+        // The edge lapses: then it holds up nothing.
+        cluster.run_for(PATIENT);
+        assert_settled(&cluster.answers[&1], "in the end");
+    }
+}
--- a/control-plane/src/control_part/tests.rs
+++ b/control-plane/src/control_part/tests.rs
@@ -158,6 +158,7 @@
             list: Arc::default(),
             expect: None,
             change: 5,
+            acknowledge: Acknowledge::Settled,
         },
     };
     let told = script.hear(
@@ -299,6 +300,7 @@
                     list: Arc::default(),
                     expect: None,
                     change: 5,
+                    acknowledge: Acknowledge::Settled,
                 },
             };
             let told = script.hear(
--- a/control-plane/src/operator_face.rs
+++ b/control-plane/src/operator_face.rs
@@ -316,6 +316,7 @@
         list: Arc::new(origins),
         expect,
         change,
+        acknowledge: Acknowledge::Settled,
     };
     Ok(acknowledged(ask(port, ORIGINS, &change)))
 }
--- a/data-plane/src/edge_part/mod.rs
+++ b/data-plane/src/edge_part/mod.rs
@@ -54,6 +54,8 @@
     wants: BTreeMap<u16, (SocketAddr, u32)>,
     gates: BTreeMap<String, Gate>,
     extra_tries: usize,
+    /// From a warning to the end of the process at the latest.
+    grace: Duration,
     /// What is sent by ourselves while a gate says nothing.
     shares: BTreeMap<String, OwnShare>,
     jobs: BTreeMap<u64, Job>,
@@ -92,6 +94,8 @@
 const WANTS: u32 = 4;
 /// Near copies take this part of what owned copies may take, beside them.
 const NEAR_PART: u64 = 2;
+/// Where nothing is said of it.
+const GRACE: Duration = Duration::from_secs(20);
 const EXTRA_TRIES: usize = 3;
 /// A gate that says nothing for this long is done without.
 const SILENT: Duration = Duration::from_millis(250);
@@ -139,6 +143,7 @@
             wants: BTreeMap::new(),
             gates: BTreeMap::new(),
             extra_tries: EXTRA_TRIES,
+            grace: GRACE,
             shares: BTreeMap::new(),
             jobs: BTreeMap::new(),
             questions: HashMap::new(),
@@ -163,6 +168,11 @@
         }
     }
 
+    /// How long the process goes on after a warning at most.
+    pub fn with_grace(self, grace: Duration) -> EdgePart {
+        EdgePart { grace, ..self }
+    }
+
     /// An id for one question or call, unlike all before in this life.
     fn draw_id(&mut self) -> u64 {
         self.last_id = self.last_id.wrapping_add(1);
@@ -226,6 +236,7 @@
             .for_each(|id| self.fall_back_or_say(now, id));
         overdue.into_iter().for_each(|id| self.overdue(now, id));
         self.replace_stalled_leaders(now);
+        self.refuse_waiting_before_end(now);
         let due: Vec<u64> = self
             .loose
             .iter()
--- a/data-plane/src/edge_part/requests.rs
+++ b/data-plane/src/edge_part/requests.rs
@@ -8,13 +8,12 @@
         self.usage.errands += 1;
         let mut job = Job::new(now, errand);
         if !self.is_live(now) {
-            let keyed = job.errand.entry().kind == Kind::Keyed;
-            let outcome = if keyed {
-                RunState::Unknown
-            } else {
-                RunState::NotRun
-            };
-            return self.answer(now, id, &job, Answer::Refusal(Refusal::fenced(outcome)));
+            let refusal = Refusal::fenced(job.untried_outcome());
+            return self.answer(now, id, &job, Answer::Refusal(refusal));
+        }
+        if self.hands_back(now) {
+            let refusal = Refusal::ending(job.untried_outcome());
+            return self.answer(now, id, &job, Answer::Refusal(refusal));
         }
         let entry = job.errand.entry();
         if entry.kind == Kind::Cached && !job.errand.personal() && job.errand.method == "GET" {
@@ -70,12 +69,7 @@
             self.give_up(now, id, refusal);
             return None;
         }
-        // Of an operation that was not looked up nothing can be said.
-        let outcome = if job.errand.entry().kind == Kind::Keyed {
-            RunState::Unknown
-        } else {
-            RunState::NotRun
-        };
+        let outcome = job.untried_outcome();
         Some(
             Refusal::new(
                 429,
@@ -315,6 +309,39 @@
         }
     }
 
+    /// Whether the process ends so soon that what was not sent goes elsewhere:
+    /// the second half of the grace time is for calls under way and for answers
+    /// to be written.
+    fn hands_back(&self, now: Duration) -> bool {
+        self.warned
+            .is_some_and(|since| now >= since + self.grace / 2)
+    }
+
+    /// Everything that was read gets an answer before the process ends: what
+    /// still waits is given up in time to be told so. Calls under way go on.
+    pub(super) fn refuse_waiting_before_end(&mut self, now: Duration) {
+        if !self.hands_back(now) {
+            return;
+        }
+        let waits = |job: &Job| {
+            matches!(
+                job.stage,
+                Stage::Claiming | Stage::Getting { .. } | Stage::Following | Stage::Knocking
+            )
+        };
+        let waiting: Vec<u64> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| waits(job))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            if self.jobs.contains_key(&id) {
+                self.overdue(now, id);
+            }
+        }
+    }
+
     /// An owner that does not answer even a repeated question, or has no copy
     /// for half the time, is done without, as in the paper: who cannot get the
     /// copy goes to the origin.
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -131,6 +131,15 @@
         self.calls < self.most_calls() && now < self.deadline
     }
 
+    /// What can be said before anything was done for it: of an operation that
+    /// was not looked up, nothing.
+    pub fn untried_outcome(&self) -> RunState {
+        match self.errand.entry().kind {
+            Kind::Keyed => RunState::Unknown,
+            _ => RunState::NotRun,
+        }
+    }
+
     pub fn outcome(&self) -> RunState {
         if self.sent {
             RunState::Unknown
--- a/http-line/src/called.rs
+++ b/http-line/src/called.rs
@@ -40,7 +40,9 @@
 /// Echoed ids and requests of a connection's last calls that are remembered.
 const CARRIED: usize = 64;
 const UNUSED: Duration = Duration::from_secs(8);
-const CONNECT: Duration = Duration::from_secs(1);
+/// A connection that does not stand by then is given up: what is called was
+/// chosen from a list that gets old.
+const CONNECT: Duration = Duration::from_millis(500);
 
 impl Called {
     pub fn new(to: SocketAddr) -> Called {
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -329,6 +329,7 @@
         list: Arc<Vec<Origin>>,
         expect: Option<u64>,
         change: u64,
+        acknowledge: Acknowledge,
     },
     /// All rows of a news slice, confirmed at a majority.
     List,
@@ -358,6 +359,15 @@
     Record(Claim, Option<Arc<Reply>>),
 }
 
+/// When a change is acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Acknowledge {
+    /// On a majority of disks: it will be in force.
+    Committed,
+    /// In force at every live edge.
+    Settled,
+}
+
 /// An errand's hold on an operation key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Claim {
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -241,6 +241,8 @@
 
 /// A node that lost its lease mostly has it back, or another one serves.
 const FENCED: Duration = Duration::from_millis(300);
+/// Others are there already when a node ends by plan.
+const ENDING: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -287,6 +289,13 @@
         refusal.idle().back(FENCED)
     }
 
+    /// The process ends: another node serves it at once.
+    pub fn ending(outcome: RunState) -> Refusal {
+        let why = "this node ends; another serves";
+        let refusal = Refusal::new(503, "ending", outcome, why);
+        refusal.idle().back(ENDING)
+    }
+
     /// When to come back; each dialect rounds up, so no one comes too early.
     pub fn back(mut self, after: Duration) -> Refusal {
         self.retry_after_s = Some(after.as_secs_f64());
--- a/programs/src/edge_node.rs
+++ b/programs/src/edge_node.rs
@@ -21,7 +21,8 @@
         startup.gather_ms.is_some(),
         bytes,
     )
-    .with_extra_tries(startup.extra_tries);
+    .with_extra_tries(startup.extra_tries)
+    .with_grace(startup.grace());
     let face = Box::new(LineFace::new("edge-node", dialect));
     let host = Host {
         me,
--- a/simulate-fleet/src/capacity.rs
+++ b/simulate-fleet/src/capacity.rs
@@ -379,6 +379,7 @@
                 list: Arc::new(Capacity::origins()),
                 expect: None,
                 change,
+                acknowledge: Acknowledge::Settled,
             },
         )?;
         fleet.run_to(fleet.now.max(SETTLED) + Duration::from_secs(3));
--- a/simulate-fleet/src/world_operators.rs
+++ b/simulate-fleet/src/world_operators.rs
@@ -100,6 +100,7 @@
                     list: Arc::new(list.clone()),
                     expect: Some(self.origins_at),
                     change,
+                    acknowledge: Acknowledge::Settled,
                 },
             ),
             Asked::ReadBack { .. } => (CONFIGURATION, Change::GetConfiguration),
