--- a/data-plane/src/edge_part/requests.rs
+++ b/data-plane/src/edge_part/requests.rs
@@ -89,6 +89,7 @@
         job.round += 1;
         job.asked = now;
         job.again = match job.stage {
+            Stage::Getting { .. } if job.round > 1 => now + OWNER_SILENT,
             Stage::Getting { .. } => now + repeat_span(job.round),
             _ => now + AGAIN,
         };
@@ -346,7 +347,8 @@
     /// for half the time, is done without, as in the paper: who cannot get the
     /// copy goes to the origin.
     pub(super) fn fall_back_or_say(&mut self, now: Duration, id: u64) {
-        let Some(job) = self.jobs.get(&id) else {
+        let live = self.is_live(now);
+        let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         let half = job.began + (job.deadline - job.began) / 2;
@@ -361,10 +363,13 @@
             {
                 self.fetch_without_owner(now, id)
             }
+            Stage::Getting { .. } if now < job.asked + repeat_span(job.round) => {
+                job.again = job.asked + repeat_span(job.round);
+            }
             Stage::Recording { .. } | Stage::Releasing { .. } | Stage::Claiming => {
                 self.say(now, id)
             }
-            _ if self.is_live(now) => self.say(now, id),
+            _ if live => self.say(now, id),
             _ => {}
         }
     }
--- a/data-plane/tests/cache_tokens.rs
+++ b/data-plane/tests/cache_tokens.rs
@@ -55,3 +55,41 @@
     let next = token(&owner.take_out()).expect("the second fetches now");
     assert_ne!(next.serial, current.serial);
 }
+
+fn copies(out: &[(SocketAddr, Message)]) -> usize {
+    out.iter()
+        .filter(|(_, message)| matches!(message, Message::Copy(_)))
+        .count()
+}
+
+/// A question is repeated because its answer has not come yet, mostly since the
+/// link is full: before, each repeat put one more whole copy into that queue.
+#[test]
+fn a_repeated_question_is_told_that_its_copy_is_on_the_way() {
+    let mut owner = CacheOwner::new(1 << 20);
+    owner.get(at(0), asker(1), get(1), 7, 0);
+    let token = token(&owner.take_out()).expect("the first is told to fetch");
+    for _ in 0..3 {
+        owner.get(at(50), asker(2), get(2), 7, 0);
+    }
+    let queued = owner.take_out();
+    assert_eq!(copies(&queued), 0);
+    assert_eq!(queued.len(), 2, "each repeat is told that it waits");
+    let reply = Reply {
+        status: 200,
+        ..Reply::default()
+    };
+    let key = KEY;
+    let put = Put { key, token, reply };
+    assert!(owner.put(at(100), put, 7, &PurgeBook::default()));
+    assert_eq!(copies(&owner.take_out()), 1);
+    let mut sent = 0;
+    for now in (200..4000).step_by(200) {
+        owner.tick(at(now), &|_| 7, 0);
+        owner.get(at(now), asker(2), get(2), 7, 0);
+        sent += copies(&owner.take_out());
+    }
+    assert_eq!(sent, 1, "in four seconds once more, for one that was lost");
+    owner.get(at(4000), asker(3), get(3), 7, 0);
+    assert_eq!(copies(&owner.take_out()), 1, "others are not held back");
+}
--- /dev/null
+++ b/data-plane/tests/ending.rs
@@ -0,0 +1,91 @@
+//! What an edge that is told to end does with requests.
+mod edge;
+use data_plane::prelude::*;
+use edge::*;
+
+const GRACE_MS: u64 = 6000;
+
+fn renew(edge: &mut EdgePart, now: u64) {
+    for seed in [1, 2] {
+        let renewed = RenewReply {
+            life: 5,
+            mark: Mark::default(),
+            sent: at(now),
+            realm: 0,
+            recall: false,
+            news: SharedNews::default(),
+        };
+        heard(edge, now, seed, renewed);
+    }
+}
+
+/// Everything that was read is answered before the process is killed, with time
+/// left for the answers to be written: before, what waited for a copy, a permit
+/// or the ledger waited on until the process was gone.
+#[test]
+fn whatever_waits_is_given_back_in_the_first_half_of_the_grace_time() {
+    let mut edge = live(1000).with_grace(at(GRACE_MS));
+    news(&mut edge, 1000, &[origin(50)], true);
+    let urls = [("/copy", "GET"), ("/low", "GET"), ("/k", "POST")];
+    for id in 0..30u64 {
+        let (url, method) = urls[id as usize % 3];
+        let mut errand = errand(url, method);
+        errand.patience = Some(at(12_000));
+        edge.step(at(1000), Input::ClientRequest { id, errand });
+    }
+    edge.step(at(1100), Input::ShutdownRequested);
+    let mut told = Vec::new();
+    let mut last = 0;
+    for now in (1150..1100 + GRACE_MS).step_by(50) {
+        renew(&mut edge, now);
+        let out = answers(edge.step(at(now), Input::Tick));
+        if !out.is_empty() {
+            last = now;
+        }
+        told.extend(out);
+    }
+    let mut ids: Vec<u64> = told.iter().map(|(id, ..)| *id).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, (0..30).collect::<Vec<u64>>(), "each once");
+    assert!(last <= 1100 + GRACE_MS / 2 + 50, "the last at {last}");
+}
+
+#[test]
+fn a_request_that_comes_late_in_the_grace_time_is_refused_at_once_and_a_call_goes_on() {
+    let mut edge = live(1000).with_grace(at(GRACE_MS));
+    news(&mut edge, 1000, &[origin(50)], false);
+    let once = errand("/once", "POST");
+    let begun = edge.step(
+        at(1000),
+        Input::ClientRequest {
+            id: 1,
+            errand: once,
+        },
+    );
+    let out = heard(
+        &mut edge,
+        1010,
+        GATE,
+        permit(question(&begun), origin(50), 1005),
+    );
+    let call = question(&out);
+    edge.step(at(1100), Input::ShutdownRequested);
+    let late = 1100 + GRACE_MS / 2 + 100;
+    for now in (1150..=late).step_by(50) {
+        renew(&mut edge, now);
+        let told = answers(edge.step(at(now), Input::Tick));
+        assert!(told.is_empty(), "its origin is at work: {told:?}");
+    }
+    let errand = errand("/low", "GET");
+    let told = answers(edge.step(at(late), Input::ClientRequest { id: 2, errand }));
+    assert_eq!(told, [(2, 503, "ending".to_string(), RunState::NotRun)]);
+    let result = CallBack::Good(Reply::default());
+    let out = edge.step(at(late + 10), Input::Called { id: call, result });
+    assert!(out.iter().any(|output| matches!(
+        output,
+        Output::Answer {
+            id: 1,
+            answer: Answer::Reply { .. }
+        }
+    )));
+}
--- /dev/null
+++ b/data-plane/tests/near_copies.rs
@@ -0,0 +1,440 @@
+//! Copies that an edge keeps, and the one question for all that wait.
+mod edge;
+use data_plane::prelude::*;
+use edge::*;
+use std::collections::BTreeMap;
+
+const KEEP_MS: u64 = 4000;
+/// How long a caller waits.
+const PATIENCE_MS: u64 = 2500;
+
+fn key() -> CacheKey {
+    Job::cache_key(&errand("/copy", "GET"))
+}
+
+fn begin(edge: &mut EdgePart, now: u64, id: u64) -> Vec<Output> {
+    let mut errand = errand("/copy", "GET");
+    errand.patience = Some(at(PATIENCE_MS));
+    edge.step(at(now), Input::ClientRequest { id, errand })
+}
+
+fn reply(text: &str) -> Reply {
+    Reply {
+        status: 200,
+        body: Arc::new(text.as_bytes().to_vec()),
+        ..Reply::default()
+    }
+}
+
+/// A copy as the owner hands it out, its fetch just begun.
+fn copy(id: u64, text: &str, age: u64) -> Copy {
+    Copy {
+        id,
+        key: key(),
+        wait: at(1000),
+        copy: CopyOut {
+            reply: reply(text),
+            purged: 0,
+            age: at(age),
+            fresh: at((KEEP_MS / 2).saturating_sub(age)),
+            left: at(KEEP_MS - age),
+            held: at(0),
+        },
+    }
+}
+
+fn gets(out: &[Output]) -> Vec<u64> {
+    let one = |output: &Output| match output {
+        Output::Tell {
+            message: Message::Get(get),
+            ..
+        } => Some(get.id),
+        _ => None,
+    };
+    out.iter().filter_map(one).collect()
+}
+
+fn permits_asked(out: &[Output]) -> usize {
+    let one = |output: &&Output| {
+        matches!(
+            output,
+            Output::Tell {
+                message: Message::PermitRequest(_),
+                ..
+            }
+        )
+    };
+    out.iter().filter(one).count()
+}
+
+/// Whom the outputs answer, and with what body.
+fn served(out: &[Output]) -> BTreeMap<u64, String> {
+    let one = |output: &Output| match output {
+        Output::Answer {
+            id,
+            answer: Answer::Reply { reply, .. },
+        } => Some((*id, String::from_utf8_lossy(&reply.body).into_owned())),
+        _ => None,
+    };
+    out.iter().filter_map(one).collect()
+}
+
+/// Renewals, so that the edge stays live.
+fn renew(edge: &mut EdgePart, now: u64) {
+    for seed in [1, 2] {
+        let renewed = RenewReply {
+            life: 5,
+            mark: Mark::default(),
+            sent: at(now),
+            realm: 0,
+            recall: false,
+            news: SharedNews::default(),
+        };
+        heard(edge, now, seed, renewed);
+    }
+}
+
+/// Steps of 50 ms with renewals; everything that comes out.
+fn run(edge: &mut EdgePart, from: u64, to: u64) -> Vec<Output> {
+    let mut out = Vec::new();
+    for now in (from..=to).step_by(50) {
+        renew(edge, now);
+        out.extend(edge.step(at(now), Input::Tick));
+    }
+    out
+}
+
+fn ready() -> EdgePart {
+    let mut edge = live(1000);
+    news(&mut edge, 1000, &[origin(50)], true);
+    edge
+}
+
+/// An edge that has a copy since 1000.
+fn filled() -> EdgePart {
+    let mut edge = ready();
+    let question = question(&begin(&mut edge, 1000, 1));
+    heard(&mut edge, 1000, OWNER, copy(question, "a", 0));
+    edge
+}
+
+#[test]
+fn many_requests_for_a_key_are_one_question_and_all_get_its_copy() {
+    let mut edge = ready();
+    let mut asked = Vec::new();
+    for id in 0..100 {
+        asked.extend(gets(&begin(&mut edge, 1000, id)));
+    }
+    assert_eq!(asked.len(), 1);
+    let out = heard(&mut edge, 1020, OWNER, copy(asked[0], "a", 0));
+    assert_eq!(served(&out).len(), 100);
+    let out = begin(&mut edge, 1030, 200);
+    assert!(gets(&out).is_empty());
+    assert_eq!(served(&out)[&200], "a", "from the near copy");
+}
+
+#[test]
+fn after_the_minor_expiry_one_asks_and_the_others_are_served_what_is_there() {
+    let mut edge = filled();
+    run(&mut edge, 1000, 3000);
+    assert_eq!(gets(&begin(&mut edge, 3000, 2)).len(), 1);
+    for id in 3..20 {
+        let out = begin(&mut edge, 3001, id);
+        assert!(gets(&out).is_empty());
+        assert_eq!(served(&out)[&id], "a");
+    }
+}
+
+#[test]
+fn no_copy_is_served_past_its_keep_time_even_if_its_owner_is_silent() {
+    let mut edge = filled();
+    run(&mut edge, 1000, 1000 + KEEP_MS);
+    let out = begin(&mut edge, 1000 + KEEP_MS, 2);
+    assert!(served(&out).is_empty());
+    assert_eq!(gets(&out).len(), 1);
+}
+
+#[test]
+fn a_purge_that_is_known_here_reaches_near_copies() {
+    let mut edge = filled();
+    let purge = Purge {
+        url: Some("/copy".into()),
+        ..Purge::default()
+    };
+    let value = Value::Purge { purge, change: 1 };
+    let row = Row { version: 2, value };
+    let renewed = RenewReply {
+        life: 5,
+        mark: Mark::default(),
+        sent: at(1100),
+        realm: 0,
+        recall: false,
+        news: vec![News {
+            slice: PURGES,
+            version: 2,
+            rows: vec![("p".into(), row)],
+        }]
+        .into(),
+    };
+    heard(&mut edge, 1100, 1, renewed);
+    let out = begin(&mut edge, 1100, 2);
+    assert!(served(&out).is_empty());
+    // The owner's answer was on its way: it does not know the purge.
+    let out = heard(&mut edge, 1110, OWNER, copy(gets(&out)[0], "a", 100));
+    assert!(served(&out).is_empty());
+    assert_eq!(gets(&out).len(), 1, "asked again");
+}
+
+#[test]
+fn a_near_copy_does_not_give_way_to_an_older_one() {
+    let mut edge = filled();
+    run(&mut edge, 1000, 3000);
+    let asked = gets(&begin(&mut edge, 3000, 2));
+    // Fetched 3 s ago, so a second before the one that is kept.
+    heard(&mut edge, 3010, OWNER, copy(asked[0], "older", 3010));
+    let out = begin(&mut edge, 3020, 3);
+    assert!(!served(&out).values().any(|body| body == "older"));
+}
+
+/// Before, a silent owner held requests for half of their deadline, and each
+/// repeat of a question was answered with one more copy.
+#[test]
+fn a_silent_owner_is_done_without_and_one_that_says_it_is_under_way_is_not() {
+    let mut edge = ready();
+    begin(&mut edge, 1000, 1);
+    let out = run(&mut edge, 1050, 1550);
+    assert_eq!(
+        permits_asked(&out[..]).min(1),
+        1,
+        "fetched without the owner"
+    );
+
+    let mut edge = ready();
+    let asked = question(&begin(&mut edge, 1000, 1));
+    let mut repeats = 0;
+    for now in (1050..2200).step_by(50) {
+        renew(&mut edge, now);
+        let out = edge.step(at(now), Input::Tick);
+        repeats += gets(&out).len();
+        assert_eq!(permits_asked(&out), 0, "at {now}");
+        heard(&mut edge, now, OWNER, GetQueued { id: asked });
+    }
+    assert!(repeats <= 4, "{repeats} repeats in 1.2 s");
+}
+
+#[test]
+fn a_silent_owner_costs_nothing_where_a_near_copy_is_there() {
+    let mut edge = filled();
+    run(&mut edge, 1000, 3000);
+    begin(&mut edge, 3000, 2);
+    let out = run(&mut edge, 3050, 3600);
+    assert_eq!(served(&out)[&2], "a");
+}
+
+#[test]
+fn who_follows_one_that_is_turned_away_is_told_so_at_once() {
+    let mut edge = ready();
+    let asked = question(&begin(&mut edge, 1000, 1));
+    for id in 2..10 {
+        begin(&mut edge, 1000, id);
+    }
+    let out = heard(
+        &mut edge,
+        1010,
+        OWNER,
+        NoCopy {
+            id: asked,
+            key: key(),
+        },
+    );
+    let refused = PermitRefused {
+        id: question(&out),
+        reason: AwayReason::Busy,
+        back: at(100),
+    };
+    let told = answers(heard(&mut edge, 1020, GATE, refused));
+    assert_eq!(told.len(), 9);
+    assert!(told.iter().all(|(_, status, _, _)| *status == 429));
+}
+
+#[test]
+fn who_follows_one_whose_call_fails_asks_itself() {
+    let mut edge = ready();
+    let asked = question(&begin(&mut edge, 1000, 1));
+    begin(&mut edge, 1000, 2);
+    let token = Token {
+        serial: 1,
+        epoch: 1,
+        purged: 0,
+    };
+    let miss = Miss {
+        id: asked,
+        key: key(),
+        token,
+    };
+    let out = heard(&mut edge, 1010, OWNER, miss);
+    let out = heard(
+        &mut edge,
+        1020,
+        GATE,
+        permit(question(&out), origin(50), 1015),
+    );
+    let call = question(&out);
+    // For long without an answer: the second does not wait for it.
+    let mut out = Vec::new();
+    for now in (1050..3100).step_by(50) {
+        renew(&mut edge, now);
+        out.extend(edge.step(at(now), Input::Tick));
+    }
+    assert_eq!(gets(&out).len().min(1), 1, "the second asks");
+    let result = CallBack::Good(reply("late"));
+    let out = edge.step(at(3100), Input::Called { id: call, result });
+    assert_eq!(served(&out)[&1], "late");
+}
+
+/// What an origin answers to the one that fetches is for all, and is put.
+#[test]
+fn what_is_fetched_serves_all_that_wait_and_is_put_to_the_owner() {
+    let mut edge = ready();
+    let asked = question(&begin(&mut edge, 1000, 1));
+    for id in 2..10 {
+        begin(&mut edge, 1000, id);
+    }
+    let token = Token {
+        serial: 1,
+        epoch: 1,
+        purged: 0,
+    };
+    let miss = Miss {
+        id: asked,
+        key: key(),
+        token,
+    };
+    let out = heard(&mut edge, 1010, OWNER, miss);
+    let ask = permit(question(&out), origin(50), 1015);
+    let call = question(&heard(&mut edge, 1020, GATE, ask));
+    let result = CallBack::Good(reply("x"));
+    let out = edge.step(at(1100), Input::Called { id: call, result });
+    assert_eq!(served(&out).len(), 9);
+    let puts = out.iter().filter(|output| {
+        matches!(
+            output,
+            Output::Tell {
+                message: Message::Put(_),
+                ..
+            }
+        )
+    });
+    assert_eq!(puts.count(), 1);
+}
+
+/// Small numbers that hang on a seed alone.
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, most: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1);
+        (self.0 >> 33) % most
+    }
+}
+
+/// An owner of one object that changes, asked by one edge over a slow and lossy
+/// way, with purges: whatever happens, each request is answered once, no copy is
+/// served past its keep time and none that a purge known here reaches.
+#[test]
+fn over_many_seeds_every_request_is_answered_once_and_no_copy_is_too_old() {
+    for seed in 0..300 {
+        let mut dice = Dice(seed);
+        let mut edge = ready();
+        let (mut version, mut purges) = (0u64, 0u64);
+        // When each version was replaced.
+        let mut replaced: BTreeMap<u64, u64> = BTreeMap::new();
+        let mut purged_at: BTreeMap<u64, u64> = BTreeMap::new();
+        let mut waiting: BTreeMap<u64, u64> = BTreeMap::new();
+        let mut coming: Vec<(u64, Message)> = Vec::new();
+        let mut next = 1;
+        for now in (1000..16_000).step_by(10) {
+            let mut out = Vec::new();
+            if now % 50 == 0 {
+                renew(&mut edge, now);
+                out.extend(edge.step(at(now), Input::Tick));
+            }
+            if dice.below(200) == 0 {
+                replaced.insert(version, now);
+                version += 1;
+            }
+            if dice.below(400) == 0 {
+                purges += 1;
+                purged_at.insert(version, now);
+                let purge = Purge {
+                    url: Some("/copy".into()),
+                    ..Purge::default()
+                };
+                let change = purges;
+                let value = Value::Purge { purge, change };
+                let row = Row {
+                    version: purges,
+                    value,
+                };
+                let renewed = RenewReply {
+                    life: 5,
+                    mark: Mark::default(),
+                    sent: at(now),
+                    realm: 0,
+                    recall: false,
+                    news: vec![News {
+                        slice: PURGES,
+                        version: purges,
+                        rows: vec![(format!("p{purges}"), row)],
+                    }]
+                    .into(),
+                };
+                out.extend(heard(&mut edge, now, 1, renewed));
+            }
+            if now < 13_000 && dice.below(4) == 0 {
+                waiting.insert(next, now);
+                out.extend(begin(&mut edge, now, next));
+                next += 1;
+            }
+            let due: Vec<Message> = {
+                let (due, later) = coming.drain(..).partition(|(at, _)| *at <= now);
+                coming = later;
+                let due: Vec<(u64, Message)> = due;
+                due.into_iter().map(|(_, message)| message).collect()
+            };
+            for message in due {
+                out.extend(heard(&mut edge, now, OWNER, message));
+            }
+            for output in out {
+                match output {
+                    Output::Tell {
+                        message: Message::Get(get),
+                        ..
+                    } if dice.below(5) > 0 => {
+                        let mut answer = copy(get.id, &version.to_string(), 0);
+                        answer.copy.purged = purges;
+                        coming.push((now + dice.below(600), answer.into()));
+                    }
+                    Output::Answer { id, answer } => {
+                        let began = waiting.remove(&id).expect("answered once");
+                        if let Answer::Reply { reply, .. } = answer {
+                            let body = String::from_utf8_lossy(&reply.body).into_owned();
+                            let served: u64 = body.parse().unwrap();
+                            let what = format!("seed {seed}, at {now}");
+                            if let Some(gone) = replaced.get(&served) {
+                                assert!(now <= gone + KEEP_MS + 10, "{what}: too old");
+                            }
+                            let newer = purged_at.range(served + 1..).map(|(_, at)| *at).min();
+                            if let Some(purged) = newer {
+                                assert!(now <= purged.max(began), "{what}: purged");
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let left: Vec<u64> = waiting.keys().copied().collect();
+        assert!(left.is_empty(), "seed {seed}: {left:?} without an answer");
+    }
+}
--- a/http-line/src/pacer.rs
+++ b/http-line/src/pacer.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 use crate::prelude::*;
 
 /// Paces what is written to all served connections together, so that a narrow
