--- /dev/null
+++ b/data-plane/tests/hot_keys.rs
@@ -0,0 +1,312 @@
+//! A crowd on a few keys whose owner has a narrow link, which it shares with its
+//! leases: many edges in virtual time, each with a link of so many bytes a second.
+mod edge;
+use data_plane::prelude::*;
+use edge::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const EDGES: usize = 24;
+const LINK_BYTES_S: f64 = 1_000_000.0;
+const OBJECT_BYTES: usize = 24_000;
+const KEYS: u64 = 4;
+/// Requests a second at each edge.
+const REQUESTS_S: u64 = 20;
+const SPAN_MS: u64 = 20_000;
+const AIM_MS: u64 = 800;
+/// Requests that count: before, the first copies go out.
+const COUNTED_MS: std::ops::Range<u64> = 9_000..SPAN_MS - AIM_MS;
+const PATIENCE_MS: u64 = 8_000;
+const ORIGIN_MS: u64 = 100;
+const WAY_MS: u64 = 1;
+/// Larger messages wait behind small ones, as on a node's own links.
+const URGENT_BYTES: usize = 4096;
+
+fn edge_address(at: usize) -> SocketAddr {
+    address(1000 + at as u16)
+}
+
+fn route_table() -> Arc<EntryTable> {
+    let key = BASE64.encode([1; 32]);
+    let text = format!(
+        r#"{{"groups":[{{"service":"slow","rate":9,"concurrency":9,"key":"{key}"}}],
+        "entries":[{{"name":"copy","path":"/","group":"slow","rank":9,"kind":"cached","cache_ttl_s":40}}]}}"#
+    );
+    Arc::new(EntryTable::new(1, Configuration::read(&text).unwrap()))
+}
+
+fn request(image: &Arc<EntryTable>, key: u64) -> ClientRequest {
+    let url = format!("/{key}");
+    let entry = image.find("h", &url, "GET").unwrap();
+    ClientRequest {
+        method: "GET".into(),
+        host: "h".into(),
+        url,
+        headers: vec![],
+        body: Arc::default(),
+        caller: String::new(),
+        operation: None,
+        patience: Some(at(PATIENCE_MS)),
+        name: None,
+        service: image.document.entries[entry].group.clone(),
+        image: image.clone(),
+        entry,
+    }
+}
+
+enum Happening {
+    Tick(usize),
+    Request(usize),
+    Heard(usize, Peer, Message),
+    Called(usize, u64),
+}
+
+/// When a link is free again: for what is urgent, and for all.
+#[derive(Clone, Copy, Default)]
+struct Link {
+    urgent_until: f64,
+    until: f64,
+}
+
+impl Link {
+    /// When the last byte has passed.
+    fn carry(&mut self, now: f64, bytes: usize) -> f64 {
+        let takes = bytes as f64 / LINK_BYTES_S * 1000.0;
+        if bytes <= URGENT_BYTES {
+            self.urgent_until = self.urgent_until.max(now) + takes;
+            self.until = self.until.max(now) + takes;
+            // One piece of a large message may be under way.
+            let piece = 16.0 * 1024.0 / LINK_BYTES_S * 1000.0;
+            let behind = (self.until - self.urgent_until).clamp(0.0, piece);
+            return self.urgent_until + behind;
+        }
+        self.until = self.until.max(self.urgent_until).max(now) + takes;
+        self.until
+    }
+}
+
+struct Fleet {
+    edges: Vec<EdgePart>,
+    links: Vec<Link>,
+    queue: BTreeMap<(u64, u64), Happening>,
+    serial: u64,
+    began: BTreeMap<u64, u64>,
+    in_aim: u64,
+    asked: u64,
+    fencings: u64,
+    /// Bytes of copies that the owner said.
+    owner_bytes: usize,
+}
+
+impl Fleet {
+    fn push(&mut self, at: u64, event: Happening) {
+        self.serial += 1;
+        self.queue.insert((at, self.serial), event);
+    }
+
+    fn answered(&mut self, now: u64, edge: usize, id: u64, answer: &Answer) {
+        let Some(began) = self.began.remove(&id) else {
+            return;
+        };
+        let Answer::Reply { reply, .. } = answer else {
+            return;
+        };
+        let done = self.links[edge].carry(now as f64, reply.body.len());
+        let counts = COUNTED_MS.contains(&began);
+        self.in_aim += u64::from(counts && done <= (began + AIM_MS) as f64);
+    }
+
+    fn tell(&mut self, now: u64, edge: usize, to: SocketAddr, message: Message) {
+        let from = Peer::new(edge_address(edge), edge as u64 + 1);
+        let bytes = bincode::serialized_size(&message).unwrap() as usize;
+        if edge == 0 && matches!(message, Message::Copy(_)) {
+            self.owner_bytes += bytes;
+        }
+        let left = self.links[edge].carry(now as f64, bytes) as u64 + WAY_MS;
+        match message {
+            Message::RenewRequest(renew) => {
+                let reply = RenewReply {
+                    life: edge as u64 + 1,
+                    mark: Mark::default(),
+                    sent: renew.sent,
+                    realm: 0,
+                    recall: false,
+                    news: SharedNews::default(),
+                };
+                let came = self.links[edge].carry(left as f64, 200) as u64 + WAY_MS;
+                self.push(came, Happening::Heard(edge, Peer::new(to, 1), reply.into()));
+            }
+            Message::PermitRequest(ask) => {
+                let permit = Permit {
+                    id: ask.id,
+                    service: ask.service,
+                    epoch: 1,
+                    serial: ask.id,
+                    origin: origin(50),
+                    sent: ask.sent,
+                    held: at(0),
+                    takes: at(ORIGIN_MS),
+                };
+                let came = self.links[edge].carry(left as f64, 200) as u64 + WAY_MS;
+                self.push(
+                    came,
+                    Happening::Heard(edge, Peer::new(to, 1), permit.into()),
+                );
+            }
+            message => {
+                let Some(there) = (0..EDGES).find(|at| edge_address(*at) == to) else {
+                    return;
+                };
+                let came = match there == edge {
+                    true => now,
+                    false => self.links[there].carry(left as f64, bytes) as u64,
+                };
+                self.push(came, Happening::Heard(there, from, message));
+            }
+        }
+    }
+
+    fn take(&mut self, now: u64, edge: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Tell { to, message } => self.tell(now, edge, to, message),
+                Output::Answer { id, answer } => self.answered(now, edge, id, &answer),
+                Output::Call { id, .. } => {
+                    let came = (now + ORIGIN_MS) as f64;
+                    let came = self.links[edge].carry(came, OBJECT_BYTES) as u64;
+                    self.push(came, Happening::Called(edge, id));
+                }
+                Output::Note {
+                    event: Event::Fenced,
+                    ..
+                } => self.fencings += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Edge 0 owns all keys.
+    fn news(life: u64) -> RenewReply {
+        let duty = |name: String, peer: Peer| {
+            let holder = Some(peer);
+            let duty = Duty {
+                epoch: 1,
+                holder,
+                last: None,
+            };
+            let value = Value::Duty(duty);
+            (name, Row { version: 1, value })
+        };
+        let owner = Peer::new(edge_address(0), 1);
+        let mut duties = vec![duty(gate_duty("slow"), Peer::new(address(GATE), 1))];
+        duties.extend((0..CACHE_SLICES).map(|slice| duty(cache_duty("", slice), owner)));
+        let list = Arc::new(vec![origin(50)]);
+        let value = Value::Origins { list, change: 1 };
+        let origins = ("origins".to_string(), Row { version: 1, value });
+        let news = |slice, rows| News {
+            slice,
+            version: 1,
+            rows,
+        };
+        RenewReply {
+            life,
+            mark: Mark::default(),
+            sent: at(0),
+            realm: 0,
+            recall: false,
+            news: vec![news(ORIGINS, vec![origins]), news(DUTIES, duties)].into(),
+        }
+    }
+
+    fn run(seed: u64) -> Fleet {
+        let edge = |index: usize| {
+            let me = Peer::new(edge_address(index), index as u64 + 1);
+            let seeds = vec![address(1), address(2), address(3)];
+            EdgePart::new(me, Spot::default(), seeds, false, 1 << 24)
+        };
+        let mut fleet = Fleet {
+            edges: (0..EDGES).map(edge).collect(),
+            links: vec![Link::default(); EDGES],
+            queue: BTreeMap::new(),
+            serial: 0,
+            began: BTreeMap::new(),
+            in_aim: 0,
+            asked: 0,
+            fencings: 0,
+            owner_bytes: 0,
+        };
+        let mut dice = seed;
+        let mut below = move |most: u64| {
+            dice = dice.wrapping_mul(6364136223846793005).wrapping_add(1);
+            (dice >> 33) % most
+        };
+        for index in 0..EDGES {
+            for seed in [1, 2] {
+                let message = Fleet::news(index as u64 + 1).into();
+                let heard = Happening::Heard(index, Peer::new(address(seed), 1), message);
+                fleet.push(0, heard);
+            }
+            fleet.push(below(50), Happening::Tick(index));
+            fleet.push(100 + below(50), Happening::Request(index));
+        }
+        let image = route_table();
+        let mut next = 0;
+        while let Some(((now, _), event)) = fleet.queue.pop_first() {
+            if now > SPAN_MS {
+                break;
+            }
+            let (index, input) = match event {
+                Happening::Tick(index) => {
+                    fleet.push(now + 50, Happening::Tick(index));
+                    (index, Input::Tick)
+                }
+                Happening::Request(index) => {
+                    let pause = 2000 / REQUESTS_S;
+                    fleet.push(now + 1 + below(pause), Happening::Request(index));
+                    next += 1;
+                    fleet.began.insert(next, now);
+                    fleet.asked += u64::from(COUNTED_MS.contains(&now));
+                    let errand = request(&image, below(KEYS));
+                    (index, Input::ClientRequest { id: next, errand })
+                }
+                Happening::Heard(index, from, message) => (index, Input::Heard { from, message }),
+                Happening::Called(index, id) => {
+                    let reply = Reply {
+                        status: 200,
+                        body: Arc::new(vec![1; OBJECT_BYTES]),
+                        ..Reply::default()
+                    };
+                    let result = CallBack::Good(reply);
+                    (index, Input::Called { id, result })
+                }
+            };
+            let out = fleet.edges[index].step(at(now), input);
+            fleet.take(now, index, out);
+        }
+        fleet
+    }
+}
+
+/// Before near copies and with a copy for each repeat: 0 of 100 in aim, and the
+/// owner fenced by turns.
+#[test]
+fn a_crowd_on_a_few_keys_does_not_fill_the_link_of_their_owner() {
+    for seed in 0..10 {
+        let fleet = Fleet::run(seed);
+        let share = fleet.in_aim as f64 / fleet.asked as f64;
+        println!(
+            "seed {seed}: {share:.3} of {} in aim, {} fencings, owner said {} KB of copies",
+            fleet.asked,
+            fleet.fencings,
+            fleet.owner_bytes / 1024
+        );
+        assert!(share >= 0.95, "seed {seed}: {share:.3} in aim");
+        assert_eq!(fleet.fencings, 0, "seed {seed}");
+        let first_copies = EDGES * KEYS as usize * OBJECT_BYTES;
+        assert!(
+            fleet.owner_bytes < 3 * first_copies,
+            "seed {seed}: {} bytes of copies",
+            fleet.owner_bytes
+        );
+    }
+}
