--- a/data-plane/tests/hot_keys.rs
+++ b/data-plane/tests/hot_keys.rs
@@ -57,7 +57,7 @@
 enum Happening {
     Tick(usize),
     Request(usize),
-    Heard(usize, Peer, Message),
+    Heard(usize, Peer, Box<Message>),
     Called(usize, u64),
 }
 
@@ -134,7 +134,10 @@
                     news: SharedNews::default(),
                 };
                 let came = self.links[edge].carry(left as f64, 200) as u64 + WAY_MS;
-                self.push(came, Happening::Heard(edge, Peer::new(to, 1), reply.into()));
+                self.push(
+                    came,
+                    Happening::Heard(edge, Peer::new(to, 1), Box::new(reply.into())),
+                );
             }
             Message::PermitRequest(ask) => {
                 let permit = Permit {
@@ -150,7 +153,7 @@
                 let came = self.links[edge].carry(left as f64, 200) as u64 + WAY_MS;
                 self.push(
                     came,
-                    Happening::Heard(edge, Peer::new(to, 1), permit.into()),
+                    Happening::Heard(edge, Peer::new(to, 1), Box::new(permit.into())),
                 );
             }
             message => {
@@ -161,7 +164,7 @@
                     true => now,
                     false => self.links[there].carry(left as f64, bytes) as u64,
                 };
-                self.push(came, Happening::Heard(there, from, message));
+                self.push(came, Happening::Heard(there, from, Box::new(message)));
             }
         }
     }
@@ -242,7 +245,7 @@
         };
         for index in 0..EDGES {
             for seed in [1, 2] {
-                let message = Fleet::news(index as u64 + 1).into();
+                let message = Box::new(Fleet::news(index as u64 + 1).into());
                 let heard = Happening::Heard(index, Peer::new(address(seed), 1), message);
                 fleet.push(0, heard);
             }
@@ -269,7 +272,10 @@
                     let errand = request(&image, below(KEYS));
                     (index, Input::ClientRequest { id: next, errand })
                 }
-                Happening::Heard(index, from, message) => (index, Input::Heard { from, message }),
+                Happening::Heard(index, from, message) => {
+                    let message = *message;
+                    (index, Input::Heard { from, message })
+                }
                 Happening::Called(index, id) => {
                     let reply = Reply {
                         status: 200,
