--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 use crate::prelude::*;
 
 /// What one disk holds. All changes go through `apply`, on the path and when
@@ -325,97 +328,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::prelude::*;
-
-    fn keep(from: u64, to: u64, published: u64) -> AppendRequest {
-        let purge = Purge {
-            entry: Some(format!("e{to}")),
-            ..Purge::default()
-        };
-        let row = Row {
-            version: to,
-            value: Value::Purge { purge, change: to },
-        };
-        let rows = vec![("k".to_string(), row)];
-        AppendRequest {
-            slice: PURGES,
-            epoch: 3,
-            membership_version: 0,
-            round: 1,
-            whole: from == 0,
-            from,
-            to,
-            rows,
-            drops: vec![],
-            published,
-            base: None,
-        }
-    }
-
-    #[test]
-    fn a_row_is_shown_only_once_published_and_a_newer_one_does_not_hide_it() {
-        let mut replica = Replica::blank(1);
-        replica.apply(&Record::Appended {
-            keep: keep(0, 1, 0),
-        });
-        assert!(replica.news(&[0; 4]).is_empty());
-        // Publishing 1 and adding 2 over it come in one message.
-        replica.apply(&Record::Appended {
-            keep: keep(1, 2, 1),
-        });
-        let news = replica.news(&[0; 4]);
-        assert_eq!((news[0].version, news[0].rows[0].1.version), (1, 1));
-        assert!(replica.news(&[0, 1, 0, 0]).is_empty());
-    }
-
-    /// Once, a row that a lagging disk never got was claimed to be shown by it:
-    /// the edge missed that its duty had been revoked, and two held it.
-    #[test]
-    fn what_a_later_row_hides_is_not_claimed_to_be_shown() {
-        let mut replica = Replica::blank(1);
-        replica.apply(&Record::Appended {
-            keep: keep(0, 1, 1),
-        });
-        // Rows 2 and 3 were published; row 4 of the same key went over them.
-        replica.apply(&Record::Appended {
-            keep: keep(1, 4, 3),
-        });
-        assert!(replica.news(&[0, 1]).is_empty(), "3 is not known here");
-        replica.apply(&Record::Appended {
-            keep: AppendRequest {
-                rows: vec![],
-                ..keep(4, 4, 4)
-            },
-        });
-        let news = replica.news(&[0, 1]);
-        assert_eq!((news[0].version, news[0].rows[0].1.version), (4, 4));
-    }
-
-    #[test]
-    fn the_log_reads_back_to_the_same_state_and_without_a_number_it_is_blank() {
-        let mut replica = Replica::blank(0);
-        let records = [
-            Record::Life { life: 9 },
-            Record::Promise {
-                slice: PURGES,
-                epoch: 3,
-            },
-            Record::Appended {
-                keep: keep(0, 1, 0),
-            },
-        ];
-        let bytes: Vec<Vec<u8>> = records
-            .iter()
-            .map(|record| bincode::serialize(record).unwrap())
-            .collect();
-        records.iter().for_each(|record| replica.apply(record));
-        assert_eq!(Replica::replay(&bytes).unwrap(), Some(replica.clone()));
-        let image = bincode::serialize(&Record::Image(Box::new(replica.clone()))).unwrap();
-        assert_eq!(Replica::replay(&[image]).unwrap(), Some(replica));
-        assert_eq!(Replica::replay(&[]).unwrap(), None);
-        assert!(Replica::replay(&[vec![250, 1, 2]]).is_err());
-    }
-}
--- /dev/null
+++ b/data-plane/src/cache_owner/tests.rs
@@ -0,0 +1,321 @@
+//! Tests of `cache_owner`.
+use crate::prelude::*;
+
+const KEY: CacheKey = [1; 32];
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn from(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn get(id: u64) -> Get {
+    Get {
+        id,
+        key: KEY,
+        entry: "e".into(),
+        host: "h".into(),
+        url: "/u".into(),
+        keep: at(10_000),
+        wait: at(3000),
+        spare: false,
+    }
+}
+
+fn reply(text: &str) -> Reply {
+    Reply {
+        status: 200,
+        body: Arc::new(text.into()),
+        ..Reply::default()
+    }
+}
+
+/// What the owner says to one get: "copy TEXT", "miss", "wait".
+fn ask(owner: &mut CacheOwner, now: u64, id: u64) -> (String, Option<Token>) {
+    owner.get(at(now), from(1), get(id), 7, 0);
+    match owner.take_out().pop() {
+        None => ("wait".into(), None),
+        Some((_, Message::Copy(copy))) => (
+            format!("copy {}", String::from_utf8_lossy(&copy.copy.reply.body)),
+            None,
+        ),
+        Some((_, Message::Miss(miss))) => ("miss".into(), Some(miss.token)),
+        Some((_, other)) => (other.name().into(), None),
+    }
+}
+
+fn filled(now: u64) -> CacheOwner {
+    let mut owner = CacheOwner::new(1 << 20);
+    let token = ask(&mut owner, now, 1).1.unwrap();
+    assert!(owner.put(
+        at(now),
+        Put {
+            key: KEY,
+            token,
+            reply: reply("a")
+        },
+        7,
+        &PurgeBook::default()
+    ));
+    owner
+}
+
+#[test]
+fn one_refresher_a_delta_and_a_put_resets_both_expiries() {
+    let mut owner = filled(0);
+    assert_eq!(ask(&mut owner, 4999, 2).0, "copy a");
+    let token = ask(&mut owner, 5000, 3).1.unwrap();
+    for id in 4..50 {
+        assert_eq!(ask(&mut owner, 5001, id).0, "copy a");
+    }
+    owner.put(
+        at(5100),
+        Put {
+            key: KEY,
+            token,
+            reply: reply("b"),
+        },
+        7,
+        &PurgeBook::default(),
+    );
+    assert_eq!(ask(&mut owner, 10_050, 50).0, "copy b");
+    assert_eq!(ask(&mut owner, 10_100, 51).0, "miss");
+}
+
+#[test]
+fn without_a_put_the_copy_ends_with_its_keep_time_from_the_start_of_the_fetch() {
+    let mut owner = CacheOwner::new(1 << 20);
+    let token = ask(&mut owner, 0, 1).1.unwrap();
+    owner.put(
+        at(1500),
+        Put {
+            key: KEY,
+            token,
+            reply: reply("a"),
+        },
+        7,
+        &PurgeBook::default(),
+    );
+    assert_eq!(ask(&mut owner, 6500, 2).0, "miss");
+    assert_eq!(ask(&mut owner, 9999, 3).0, "copy a");
+    // Major has passed: no copy any more; the refresher of 6500 stalled.
+    assert_eq!(ask(&mut owner, 10_000, 4).0, "miss");
+}
+
+#[test]
+fn a_cold_key_has_one_refresher_and_the_next_when_it_fails_or_stalls() {
+    let mut owner = CacheOwner::new(1 << 20);
+    let first = ask(&mut owner, 0, 1).1.unwrap();
+    for id in 2..6 {
+        assert_eq!(ask(&mut owner, 10, id).0, "wait");
+    }
+    owner.give_up(at(100), KEY, first, 7, 0, false);
+    let out = owner.take_out();
+    assert!(
+        matches!(out.as_slice(), [(_, Message::Miss(Miss { id: 2, .. }))]),
+        "{out:?}"
+    );
+    owner.tick(at(2099), &|_| 7, 0);
+    assert!(owner.take_out().is_empty());
+    owner.tick(at(2100), &|_| 7, 0);
+    let out = owner.take_out();
+    let [(_, Message::Miss(Miss { id: 3, token, .. }))] = out.as_slice() else {
+        panic!("{out:?}")
+    };
+    owner.put(
+        at(2200),
+        Put {
+            key: KEY,
+            token: *token,
+            reply: reply("c"),
+        },
+        7,
+        &PurgeBook::default(),
+    );
+    assert_eq!(
+        owner.take_out().len(),
+        2,
+        "the two that still wait get the copy"
+    );
+}
+
+#[test]
+fn a_late_put_is_dropped_after_a_purge_a_move_or_a_newer_put() {
+    let purge = Purge {
+        url: Some("/u".into()),
+        ..Purge::default()
+    };
+    let mut book = PurgeBook::default();
+    book.learn(
+        Duration::ZERO,
+        1,
+        &[(
+            "p".into(),
+            Row {
+                version: 1,
+                value: Value::Purge {
+                    purge: purge.clone(),
+                    change: 1,
+                },
+            },
+        )],
+    );
+    let mut owner = filled(0);
+    let token = ask(&mut owner, 5000, 2).1.unwrap();
+    owner.purge(&purge);
+    assert!(!owner.put(
+        at(5100),
+        Put {
+            key: KEY,
+            token,
+            reply: reply("old")
+        },
+        7,
+        &book
+    ));
+    assert_eq!(
+        ask(&mut owner, 5200, 3).0,
+        "miss",
+        "the purged copy is gone and the late one was not taken"
+    );
+
+    let mut owner = filled(0);
+    let token = ask(&mut owner, 5000, 2).1.unwrap();
+    assert!(!owner.put(
+        at(5100),
+        Put {
+            key: KEY,
+            token,
+            reply: reply("old")
+        },
+        8,
+        &PurgeBook::default()
+    ));
+
+    let mut owner = filled(0);
+    let slow = ask(&mut owner, 5000, 2).1.unwrap();
+    // It stalls (its minor extension is over), another refreshes.
+    let quick = ask(&mut owner, 10_000, 3).1.unwrap();
+    owner.put(
+        at(10_100),
+        Put {
+            key: KEY,
+            token: quick,
+            reply: reply("new"),
+        },
+        7,
+        &PurgeBook::default(),
+    );
+    assert!(!owner.put(
+        at(10_200),
+        Put {
+            key: KEY,
+            token: slow,
+            reply: reply("old")
+        },
+        7,
+        &PurgeBook::default()
+    ));
+    assert_eq!(ask(&mut owner, 10_300, 4).0, "copy new");
+}
+
+#[test]
+fn what_may_not_be_shared_is_not_held_and_nobody_waits_for_it() {
+    let mut owner = CacheOwner::new(1 << 20);
+    let token = ask(&mut owner, 0, 1).1.unwrap();
+    assert_eq!(ask(&mut owner, 1, 2).0, "wait");
+    owner.give_up(at(10), KEY, token, 7, 0, true);
+    assert!(matches!(
+        owner.take_out().as_slice(),
+        [(_, Message::NoCopy(NoCopy { id: 2, .. }))]
+    ));
+    assert_eq!(ask(&mut owner, 11, 3).0, "NoCopy");
+    assert_eq!(ask(&mut owner, 5010, 4).0, "miss");
+}
+
+#[test]
+fn memory_is_bounded_and_the_longest_unasked_go_first() {
+    let mut owner = CacheOwner::new(20_000);
+    for round in 0..100u8 {
+        let key = [round; 32];
+        owner.get(at(round.into()), from(1), Get { key, ..get(1) }, 7, 0);
+        let Some((_, Message::Miss(miss))) = owner.take_out().pop() else {
+            panic!()
+        };
+        owner.put(
+            at(round.into()),
+            Put {
+                key,
+                token: miss.token,
+                reply: reply(&"x".repeat(488)),
+            },
+            7,
+            &PurgeBook::default(),
+        );
+        assert!(owner.bytes <= 20_000);
+    }
+    assert!(owner.keys[&[99; 32]].held.is_some() && owner.keys[&[0; 32]].held.is_none());
+    owner.clear();
+    assert_eq!(owner.bytes, 0);
+}
+
+#[test]
+fn a_moved_slice_takes_its_copies_along_with_expiries_and_purges() {
+    let mut owner = filled(0);
+    owner.keep_slices(at(2000), 3, &|_| false);
+    assert_eq!(owner.bytes, 0);
+    let copies = owner.hand(at(2100), cache_slice(&KEY));
+    assert_eq!(
+        (
+            copies.len(),
+            copies[0].age,
+            copies[0].minor,
+            copies[0].major,
+            copies[0].purged
+        ),
+        (1, at(2100), at(2900), at(7900), 3)
+    );
+    // Its clock is its own; the way there counts against the copy.
+    let mut next = CacheOwner::new(1 << 20);
+    assert_eq!(
+        next.take_over(at(50_000), at(100), copies.clone(), &PurgeBook::default()),
+        1
+    );
+    assert_eq!(ask(&mut next, 52_799, 1).0, "copy a");
+    assert_eq!(ask(&mut next, 52_800, 2).0, "miss");
+    assert_eq!(ask(&mut next, 57_799, 3).0, "copy a");
+    next.tick(at(57_800), &|_| 7, 0);
+    assert!(next.keys[&KEY].held.is_none());
+    // Too long on the way: over before it came.
+    let mut late = CacheOwner::new(1 << 20);
+    assert_eq!(
+        late.take_over(at(50_000), at(7900), copies.clone(), &PurgeBook::default()),
+        0
+    );
+    // A purge that the last holder did not know yet.
+    let purge = Purge {
+        url: Some("/u".into()),
+        ..Purge::default()
+    };
+    let mut book = PurgeBook::default();
+    book.learn(
+        Duration::ZERO,
+        4,
+        &[(
+            "p".into(),
+            Row {
+                version: 4,
+                value: Value::Purge { purge, change: 1 },
+            },
+        )],
+    );
+    let mut next = CacheOwner::new(1 << 20);
+    assert_eq!(next.take_over(at(50_000), at(100), copies, &book), 0);
+    // Set aside too long, it is gone.
+    let mut owner = filled(0);
+    owner.keep_slices(at(2000), 3, &|_| false);
+    owner.tick(at(5000), &|_| 7, 0);
+    assert!(owner.hand(at(5000), cache_slice(&KEY)).is_empty() && !owner.has_aside());
+}
--- /dev/null
+++ b/data-plane/src/own_share/tests.rs
@@ -0,0 +1,125 @@
+//! Tests of `own_share`.
+use crate::prelude::*;
+
+fn origin(port: u16, zone: &str) -> Origin {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    Origin {
+        address,
+        service: "s".into(),
+        instance: format!("i{port}"),
+        leaving: false,
+        zone: zone.into(),
+        region: "r".into(),
+        capacity: 32,
+        cold_ms: 0,
+    }
+}
+
+fn group(proof: Proof, total_rate: Option<f64>) -> Group {
+    Group {
+        service: "s".into(),
+        rate: 9999.0,
+        concurrency: 99,
+        key: String::new(),
+        proof,
+        total_rate,
+        sessions: None,
+        probe: None,
+        keeps_keys: false,
+    }
+}
+
+#[test]
+fn all_edges_shares_and_the_gates_part_stay_within_the_whole_rate() {
+    let spot = Spot {
+        zone: "a".into(),
+        region: "r".into(),
+        ring: String::new(),
+        strength: 1,
+    };
+    let origins = [origin(1, "a"), origin(2, "b")];
+    let mut share = OwnShare::default();
+    let mut given = 0;
+    for ms in (0..5000).step_by(10) {
+        given += usize::from(
+            share
+                .pick(
+                    Duration::from_millis(ms),
+                    &group(Proof::Named, Some(300.0)),
+                    &origins,
+                    &spot,
+                    10,
+                    &|_| 0,
+                )
+                .is_some(),
+        );
+    }
+    // 300 a second, a tenth of it, by ten: 3 a second, and a tenth more.
+    assert!((15..=17).contains(&given), "{given}");
+    assert!(
+        share
+            .pick(
+                Duration::from_secs(9),
+                &group(Proof::Seal, None),
+                &origins,
+                &spot,
+                10,
+                &|_| 0
+            )
+            .is_none(),
+        "nobody has shown who it is"
+    );
+}
+
+#[test]
+fn the_nearest_goes_first_and_what_failed_or_is_full_is_left_alone() {
+    let spot = Spot {
+        zone: "b".into(),
+        region: "r".into(),
+        ring: String::new(),
+        strength: 1,
+    };
+    let origins = [
+        origin(1, "a"),
+        origin(2, "b"),
+        Origin {
+            leaving: true,
+            ..origin(3, "b")
+        },
+    ];
+    let mut share = OwnShare::default();
+    let named = group(Proof::Named, None);
+    let now = Duration::from_secs(1);
+    let port = |origin: Option<Origin>| origin.map(|origin| origin.address.port());
+    assert_eq!(
+        port(share.pick(now, &named, &origins, &spot, 4, &|_| 0)),
+        Some(2)
+    );
+    assert_eq!(
+        port(share.pick(
+            now,
+            &named,
+            &origins,
+            &spot,
+            4,
+            &|address| if address.port() == 2 { 8 } else { 0 }
+        )),
+        Some(1)
+    );
+    share.failed(now, origins[1].address);
+    assert_eq!(
+        port(share.pick(now, &named, &origins, &spot, 4, &|_| 0)),
+        Some(1)
+    );
+    assert_eq!(
+        port(share.pick(
+            now + Duration::from_secs(2),
+            &named,
+            &origins,
+            &spot,
+            4,
+            &|_| 0
+        )),
+        Some(2)
+    );
+}
--- a/data-plane/src/purge_book.rs
+++ b/data-plane/src/purge_book.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 use crate::prelude::*;
 
 /// The purges an edge knows. Invariant: `applied` is the version of the last
@@ -56,58 +59,3 @@
             .map(|(learned, _)| *learned)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::prelude::*;
-
-    fn row(version: u64, prefix: &str) -> (String, Row) {
-        let purge = Purge {
-            prefix: Some(prefix.into()),
-            ..Purge::default()
-        };
-        (
-            format!("{version}"),
-            Row {
-                version,
-                value: Value::Purge {
-                    purge,
-                    change: version,
-                },
-            },
-        )
-    }
-
-    fn name(url: &str) -> CopyName<'_> {
-        CopyName {
-            entry: "e",
-            host: "h",
-            url,
-            tags: Some(&[]),
-        }
-    }
-
-    #[test]
-    fn a_copy_is_clear_of_purges_known_when_its_fetch_began_and_of_no_later_one() {
-        let mut book = PurgeBook::default();
-        book.learn(Duration::ZERO, 2, &[row(1, "/a"), row(2, "/b")]);
-        assert!(!book.clear(0, name("/a/1")));
-        assert!(book.clear(1, name("/a/1")));
-        assert!(!book.clear(1, name("/b/1")));
-        assert!(book.clear(2, name("/b/1")));
-    }
-
-    #[test]
-    fn an_edge_that_missed_more_purges_than_are_kept_drops_everything_older() {
-        let mut book = PurgeBook::default();
-        assert!(!book.learn(Duration::ZERO, 1, &[row(1, "/a")]).1);
-        let (_, missed) = book.learn(
-            Duration::ZERO,
-            PURGES_KEPT + 5,
-            &[row(PURGES_KEPT + 5, "/z")],
-        );
-        assert!(missed);
-        assert!(!book.clear(4, name("/other")));
-        assert!(book.clear(5, name("/other")));
-    }
-}
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 use crate::prelude::*;
 
 /// A process's place. From a JSON file (`--startup`) and flags; a flag goes
@@ -269,75 +272,3 @@
         Ok(())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::prelude::*;
-
-    #[test]
-    fn every_finding_is_reported_at_once() {
-        let words = [
-            "--mesh",
-            "nowhere",
-            "--seeds",
-            "127.0.0.1:1,127.0.0.1:1,127.0.0.1:2",
-            "--odd",
-        ];
-        let flags = pico_args::Arguments::from_vec(words.iter().map(|word| word.into()).collect());
-        let found = Startup::read(flags, true).unwrap_err();
-        let places: Vec<&str> = found.iter().map(|finding| finding.place.as_str()).collect();
-        assert_eq!(
-            places,
-            ["--mesh", "--odd", "mesh", "http", "zone", "seeds", "data"]
-        );
-    }
-
-    #[test]
-    fn fewer_seeds_than_three_do_only_where_the_table_is_asked_for() {
-        let read = |more: &[&str]| {
-            let words = [
-                &[
-                    "--mesh",
-                    "127.0.0.1:1",
-                    "--http",
-                    "127.0.0.1:2",
-                    "--zone",
-                    "a",
-                    "--data",
-                    "d",
-                ],
-                more,
-            ]
-            .concat();
-            Startup::read(
-                pico_args::Arguments::from_vec(words.iter().map(|word| word.into()).collect()),
-                true,
-            )
-        };
-        let found = read(&["--seeds", "127.0.0.1:1"]).unwrap_err();
-        assert_eq!(found.len(), 1, "{found:?}");
-        let startup = read(&[
-            "--seeds",
-            "127.0.0.1:1",
-            "--gather-ms",
-            "1500",
-            "--founding",
-            "true",
-        ])
-        .unwrap();
-        assert!(startup.founding && startup.gather_span() == Some(Duration::from_millis(1500)));
-        let again = [
-            "--seeds",
-            "127.0.0.1:1",
-            "--gather-ms",
-            "1",
-            "--refounding",
-            "true",
-        ];
-        let startup = read(&again).unwrap();
-        assert!(startup.refounding && !startup.founding);
-        let both = [&again[..], &["--founding", "true"]].concat();
-        let found = read(&both).unwrap_err();
-        assert_eq!(found.len(), 1, "{found:?}");
-    }
-}
