--- a/data-plane/tests/near_copies.rs
+++ b/data-plane/tests/near_copies.rs
@@ -152,6 +152,9 @@
     let out = begin(&mut edge, 1000 + KEEP_MS, 2);
     assert!(served(&out).is_empty());
     assert_eq!(gets(&out).len(), 1);
+    // Nor while another asks for it, when an older one would do.
+    let out = begin(&mut edge, 1000 + KEEP_MS, 3);
+    assert!(served(&out).is_empty());
 }
 
 #[test]
@@ -192,8 +195,9 @@
     let asked = gets(&begin(&mut edge, 3000, 2));
     // Fetched 3 s ago, so a second before the one that is kept.
     heard(&mut edge, 3010, OWNER, copy(asked[0], "older", 3010));
-    let out = begin(&mut edge, 3020, 3);
-    assert!(!served(&out).values().any(|body| body == "older"));
+    begin(&mut edge, 3020, 3);
+    let out = begin(&mut edge, 3030, 4);
+    assert_eq!(served(&out)[&4], "a", "while another asks");
 }
 
 /// Before, a silent owner held requests for half of their deadline, and each
