At the warning to end, calls under way are given all the time that is left

Change: Output::ExtendCall at the warning for each call under way; http-line moves the call's end, never back. Tests: at_the_warning_calls_under_way_are_given..., a_call_that_is_given_more_time_is_not_given_up_before.

--- a/data-plane/src/edge_part/calls.rs
+++ b/data-plane/src/edge_part/calls.rs
@@ -59,6 +59,19 @@
         self.out.push(Output::Call { id: question, call });
     }
 
+    /// Calls under way are given all the time that is left: after a warning no
+    /// origin at work is given up.
+    pub(super) fn extend_calls(&mut self, now: Duration) {
+        let calls = self.jobs.values().filter_map(|job| match job.stage {
+            Stage::Calling { .. } => Some(Output::ExtendCall {
+                id: job.question,
+                limit: job.left(now),
+            }),
+            _ => None,
+        });
+        self.out.extend(calls);
+    }
+
     pub(super) fn in_line(&mut self, now: Duration, question: u64) {
         let asker = self.asker(question);
         if let Some(job) = asker.and_then(|id| self.jobs.get_mut(&id)) {
--- a/data-plane/src/edge_part/mod.rs
+++ b/data-plane/src/edge_part/mod.rs
@@ -313,6 +313,7 @@
             }
             Input::ShutdownRequested => {
                 self.warned.get_or_insert(now);
+                self.extend_calls(now);
                 self.check_live(now);
                 self.renew(now);
             }
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -123,6 +123,12 @@
         line.call(out);
     }
 
+    fn extend_call(&self, id: u64, limit: Duration) {
+        if let Some(line) = self.line() {
+            line.extend_call(id, limit);
+        }
+    }
+
     fn link_delay(&self, delay: Duration) {
         if let Some(line) = self.line() {
             line.link_delay(delay);
--- a/data-plane/tests/ending.rs
+++ b/data-plane/tests/ending.rs
@@ -115,3 +115,22 @@
         assert_eq!(limit, Some(expected), "warned: {warned}");
     }
 }
+
+/// The same for calls that were begun before the warning.
+#[test]
+fn at_the_warning_calls_under_way_are_given_all_the_time_that_is_left() {
+    const PATIENCE_MS: u64 = 4000;
+    let mut edge = live(1000).with_grace(at(GRACE_MS));
+    news(&mut edge, 1000, &[origin(50)], false);
+    let mut errand = errand("/low", "GET");
+    errand.patience = Some(at(PATIENCE_MS));
+    let begun = edge.step(at(1000), Input::ClientRequest { id: 1, errand });
+    let permit = permit(question(&begun), origin(50), 1005);
+    let call = question(&heard(&mut edge, 1010, GATE, permit));
+    let out = edge.step(at(1500), Input::ShutdownRequested);
+    let extended = out.iter().find_map(|output| match output {
+        Output::ExtendCall { id, limit } => Some((*id, *limit)),
+        _ => None,
+    });
+    assert_eq!(extended, Some((call, at(PATIENCE_MS - 500))));
+}
--- a/http-line/src/called.rs
+++ b/http-line/src/called.rs
@@ -132,6 +132,13 @@
         echo.into_iter().chain(request)
     }
 
+    /// The running call is not given up before this time.
+    pub fn extend(&mut self, end: Instant) {
+        if let Some(run) = &mut self.running {
+            run.end = run.end.max(end);
+        }
+    }
+
     /// No call is under way.
     pub fn idle(&self) -> bool {
         self.running.is_none()
--- a/http-line/src/http_line.rs
+++ b/http-line/src/http_line.rs
@@ -28,6 +28,7 @@
     Tell(u64, Told),
     Call(Box<Call>, Instant),
     DropCall(u64),
+    ExtendCall(u64, Instant),
     Limits(Limits),
     LinkDelay(Duration),
     Drain,
@@ -77,6 +78,12 @@
         self.order(Order::DropCall(id));
     }
 
+    /// The call, if it is under way, is given up after this time from now and no
+    /// sooner.
+    pub fn extend_call(&self, id: u64, limit: Duration) {
+        self.order(Order::ExtendCall(id, Instant::now() + limit));
+    }
+
     pub fn set_limits(&self, limits: Limits) {
         self.order(Order::Limits(limits));
     }
--- a/http-line/src/line.rs
+++ b/http-line/src/line.rs
@@ -268,6 +268,14 @@
                             self.cut(token);
                         }
                     }
+                    Order::ExtendCall(id, end) => {
+                        let token = self.calls.get(&id);
+                        if let Some(held) = token.and_then(|token| self.held.get_mut(token))
+                            && let Side::Called(called) = &mut held.side
+                        {
+                            called.extend(end);
+                        }
+                    }
                     Order::Limits(limits) => {
                         self.limits = limits;
                         self.touch_all();
--- a/http-line/tests/loopback.rs
+++ b/http-line/tests/loopback.rs
@@ -193,6 +193,23 @@
     assert!(peer.read(&mut answer).unwrap() > 0);
 }
 
+#[test]
+fn a_call_that_is_given_more_time_is_not_given_up_before() {
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = other.local_addr().unwrap();
+    let rig = Rig::new(Limits::default());
+    rig.http.call(Call {
+        limit: Duration::from_millis(300),
+        ..call(1, at, "/")
+    });
+    let mut peer = other.accept().unwrap().0;
+    rig.http.extend_call(1, Duration::from_secs(5));
+    rig.http.extend_call(7, Duration::from_secs(5));
+    std::thread::sleep(Duration::from_millis(600));
+    serve(&mut peer, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+    assert_eq!(body(rig.came()), (1, "a".into()));
+}
+
 #[test]
 fn what_called_ones_do() {
     let rig = Rig::new(Limits::default());
--- a/kernel/src/face.rs
+++ b/kernel/src/face.rs
@@ -9,6 +9,9 @@
     /// Makes a call; `Input::Called` follows.
     fn call(&self, id: u64, call: Call);
 
+    /// The call under way gets this much time from now.
+    fn extend_call(&self, _id: u64, _limit: Duration) {}
+
     /// Small messages are so late on this machine's link.
     fn link_delay(&self, _delay: Duration) {}
 
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -79,6 +79,11 @@
     },
     /// What threads beside the part may read.
     Show(Shown),
+    /// The call under way gets this much time from now.
+    ExtendCall {
+        id: u64,
+        limit: Duration,
+    },
     /// Nothing is left to do after a warning.
     Ended,
 }
--- a/simulate-fleet/src/capacity.rs
+++ b/simulate-fleet/src/capacity.rs
@@ -215,7 +215,11 @@
                 self.answers.insert(id, (self.now, answer));
             }
             Output::Show(Shown::Fence { until, .. }) => self.nodes[node].until = until,
-            Output::Answer { .. } | Output::Note { .. } | Output::Show(_) | Output::Ended => {}
+            Output::Answer { .. }
+            | Output::Note { .. }
+            | Output::Show(_)
+            | Output::ExtendCall { .. }
+            | Output::Ended => {}
         }
     }
 
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -725,7 +725,8 @@
             Output::Show(Shown::Fence { until, ready }) => {
                 (self.nodes[node].fence, self.nodes[node].ready) = (until, ready)
             }
-            Output::Show(Shown::Acknowledged { .. } | Shown::LinkDelay(_)) => {}
+            Output::Show(Shown::Acknowledged { .. } | Shown::LinkDelay(_))
+            | Output::ExtendCall { .. } => {}
             Output::Show(Shown::Duties(list)) => self.duties_shown(node, list),
             Output::Show(Shown::Configuration(table)) => self.nodes[node].image = Some(table),
             Output::Ended => {
