--- a/data-plane/tests/edge/mod.rs
+++ b/data-plane/tests/edge/mod.rs
@@ -67,6 +67,21 @@
     edge
 }
 
+/// Renewals with two control nodes, so that an edge of life 5 stays live.
+pub fn renew(edge: &mut EdgePart, now: u64) {
+    for seed in [1, 2] {
+        let renewed = RenewReply {
+            life: 5,
+            mark: Mark::default(),
+            sent: at(now),
+            realm: 0,
+            recall: false,
+            news: SharedNews::default(),
+        };
+        heard(edge, now, seed, renewed);
+    }
+}
+
 pub fn errand(url: &str, method: &str) -> ClientRequest {
     let image = table();
     let entry = image.find("h", url, method).unwrap();
--- a/data-plane/tests/ending.rs
+++ b/data-plane/tests/ending.rs
@@ -5,20 +5,6 @@
 
 const GRACE_MS: u64 = 6000;
 
-fn renew(edge: &mut EdgePart, now: u64) {
-    for seed in [1, 2] {
-        let renewed = RenewReply {
-            life: 5,
-            mark: Mark::default(),
-            sent: at(now),
-            realm: 0,
-            recall: false,
-            news: SharedNews::default(),
-        };
-        heard(edge, now, seed, renewed);
-    }
-}
-
 /// Everything that was read is answered before the process is killed, with time
 /// left for the answers to be written: before, what waited for a copy, a permit
 /// or the ledger waited on until the process was gone.
--- a/data-plane/tests/near_copies.rs
+++ b/data-plane/tests/near_copies.rs
@@ -79,21 +79,6 @@
     out.iter().filter_map(one).collect()
 }
 
-/// Renewals, so that the edge stays live.
-fn renew(edge: &mut EdgePart, now: u64) {
-    for seed in [1, 2] {
-        let renewed = RenewReply {
-            life: 5,
-            mark: Mark::default(),
-            sent: at(now),
-            realm: 0,
-            recall: false,
-            news: SharedNews::default(),
-        };
-        heard(edge, now, seed, renewed);
-    }
-}
-
 /// Steps of 50 ms with renewals; everything that comes out.
 fn run(edge: &mut EdgePart, from: u64, to: u64) -> Vec<Output> {
     let mut out = Vec::new();
