A reply's size and the span of a minor expiry are worked out in one place each

Both caches summed a reply's headers and body, and the near cache's minor expiry for what was fetched here repeated the owner's δ (half of the keep time), so a change of one would have missed the other. Reply::bytes and minor_span serve both; nothing else changed.

--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -71,6 +71,12 @@
 /// Counted for each copy beside its body and headers.
 const COPY_BYTES: u64 = 512;
 
+/// For how long a copy is served before it is refreshed: the paper's δ, of the
+/// keep time Δ.
+pub fn minor_span(keep: Duration) -> Duration {
+    keep / 2
+}
+
 impl Slot {
     fn new(now: Duration, entry: String, host: String, url: String, keep: Duration) -> Slot {
         let (tokens, waits) = (Vec::new(), Vec::new());
@@ -98,7 +104,7 @@
     }
 
     fn delta(&self) -> Duration {
-        self.keep / 2
+        minor_span(self.keep)
     }
 
     /// Lets go of the copy; what it took is free again.
@@ -110,13 +116,7 @@
 
     fn bytes(&self) -> u64 {
         let Some(held) = &self.held else { return 0 };
-        let heads: usize = held
-            .reply
-            .headers
-            .iter()
-            .map(|(name, value)| name.len() + value.len())
-            .sum();
-        (held.reply.body.len() + heads + self.url.len()) as u64 + COPY_BYTES
+        (held.reply.bytes() + self.url.len()) as u64 + COPY_BYTES
     }
 }
 
--- a/data-plane/src/edge_part/cached.rs
+++ b/data-plane/src/edge_part/cached.rs
@@ -4,7 +4,7 @@
 //! follow it (`Coalescer`). What it gets is kept (`NearCache`) and serves them
 //! all. An owner that says nothing is done without after `OWNER_SILENT`.
 use super::{EdgePart, PURGE_GRACE};
-use crate::cache_owner::STALL;
+use crate::cache_owner::{STALL, minor_span};
 use crate::job::{keepable, shareable};
 use crate::prelude::*;
 
@@ -161,7 +161,7 @@
                 name: self.jobs[&id].copy_name(&reply),
                 reply: &reply,
                 began: fetch.began,
-                minor: (now + keep / 2).min(major),
+                minor: (now + minor_span(keep)).min(major),
                 major,
             };
             self.near.put(now, key, kept);
--- a/data-plane/src/near_cache.rs
+++ b/data-plane/src/near_cache.rs
@@ -62,14 +62,8 @@
 
 impl NearCopy {
     fn bytes(&self) -> u64 {
-        let headers: usize = self
-            .reply
-            .headers
-            .iter()
-            .map(|(name, value)| name.len() + value.len())
-            .sum();
         let names = self.entry.len() + self.host.len() + self.url.len();
-        (self.reply.body.len() + headers + names) as u64 + COPY_BYTES
+        (self.reply.bytes() + names) as u64 + COPY_BYTES
     }
 
     fn name(&self) -> CopyName<'_> {
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -195,6 +195,14 @@
     pub tags: Vec<String>,
 }
 
+impl Reply {
+    /// Bytes of its headers and body.
+    pub fn bytes(&self) -> usize {
+        let header = |(name, value): &(String, String)| name.len() + value.len();
+        self.body.len() + self.headers.iter().map(header).sum::<usize>()
+    }
+}
+
 /// What a purge reaches. `entry` alone: all copies of the entry. (Travels as
 /// `bincode` too, which allows no field to be left out.)
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, Validate)]
