GONE: sight: closes are reported, abandoned work is watched and counted

No change of what is done for requests. The line reports a caller's close also where it reads nothing; the edge counts callers that left (E341) and calls begun or kept for them (E342, Usage::abandoned). The loopback test of pipelined answers now also expects the two reports for a caller that has shut its writing side; its answers are written as before.

--- a/control-plane/src/control_part/mod.rs
+++ b/control-plane/src/control_part/mod.rs
@@ -509,7 +509,10 @@
                 self.warned.get_or_insert(now);
                 self.offer_slot(now);
             }
-            Input::ClientRequest { .. } | Input::Called { .. } | Input::Watched { .. } => {}
+            Input::ClientRequest { .. }
+            | Input::CallerLeft { .. }
+            | Input::Called { .. }
+            | Input::Watched { .. } => {}
         }
         if self.able() {
             self.finish_step(now, tick);
--- a/data-plane/src/edge_part/mod.rs
+++ b/data-plane/src/edge_part/mod.rs
@@ -2,6 +2,7 @@
 mod assignments;
 mod cached;
 mod calls;
+mod departures;
 mod operations;
 mod renewal;
 mod requests;
@@ -67,6 +68,7 @@
     /// The number of the last id drawn here.
     last_id: u64,
     usage: Usage,
+    abandoned_work: AbandonedWork,
     warned: Option<Duration>,
     left: bool,
     out: Vec<Output>,
@@ -153,6 +155,7 @@
             // questions may still be on their way.
             last_id: me.life.wrapping_mul(SPREAD),
             usage: Usage::default(),
+            abandoned_work: AbandonedWork::default(),
             warned: None,
             left: false,
             out: Vec::new(),
@@ -250,6 +253,7 @@
             let (round, change) = (loose.round, loose.change.clone());
             self.ask(id, round, change);
         }
+        self.check_abandoned_work(now);
         self.check_ended(now);
     }
 
@@ -303,7 +307,11 @@
             Input::Tick => self.tick(now),
             Input::Heard { from, message } => self.heard(now, from, message),
             Input::ClientRequest { id, errand } => self.begin(now, id, errand),
-            Input::Called { id, result } => self.called(now, id, result),
+            Input::CallerLeft { id } => self.caller_left(now, id),
+            Input::Called { id, result } => {
+                self.abandoned_work.call_ended(id);
+                self.called(now, id, result);
+            }
             Input::Watched { address, open } => {
                 self.gates
                     .values_mut()
@@ -324,6 +332,7 @@
             Input::Stored { .. } | Input::StoreFailed => {}
         }
         self.flush_duties();
+        self.watch_calls(now);
         std::mem::take(&mut self.out)
     }
 }
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -75,6 +75,22 @@
     },
 }
 
+impl Stage {
+    /// What the request waits for, for the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Stage::Claiming => "waits for its claim",
+            Stage::Getting { spare: false, .. } => "waits for the cache owner",
+            Stage::Getting { spare: true, .. } => "waits for a spare copy",
+            Stage::Following => "waits for another request",
+            Stage::Knocking => "waits for a permit",
+            Stage::Calling { .. } => "waits for its origin",
+            Stage::Recording { .. } => "waits for its record",
+            Stage::Releasing { .. } => "waits for the release of its claim",
+        }
+    }
+}
+
 impl Job {
     pub fn new(now: Duration, errand: ClientRequest) -> Job {
         Job {
--- a/data-plane/src/lib.rs
+++ b/data-plane/src/lib.rs
@@ -1,4 +1,5 @@
 //! The data plane: filters, cache owners, gates, calls to origins.
+mod abandoned_work;
 mod answer_sizes;
 mod cache_owner;
 mod call_result;
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -16,6 +16,8 @@
     plug_ins: Vec<&'static PlugIn>,
     line: OnceLock<HttpLine>,
     calls: Mutex<HashMap<u64, Call>>,
+    /// Requests that are not answered, by their places on the line.
+    requests: Mutex<HashMap<u64, u64>>,
     /// Itself, for answers that come later.
     me: Weak<LineTaker>,
     answer_sizes: AnswerSizes,
@@ -76,6 +78,7 @@
             plug_ins: PlugIn::of(self.program),
             line: OnceLock::new(),
             calls: Mutex::default(),
+            requests: Mutex::default(),
             answer_sizes: AnswerSizes::default(),
             bounds: Mutex::default(),
         });
@@ -224,6 +227,12 @@
         })
     }
 
+    /// The request at this place, if it is not answered; it is forgotten.
+    fn request_at(&self, line: u64) -> Option<u64> {
+        let mut requests = self.requests.lock().expect("no holder panics");
+        requests.remove(&line)
+    }
+
     fn errand(self: &Arc<Self>, line: u64, asked: Asked) {
         let image = (**self.port.image.load()).clone();
         self.heed_bounds(&image);
@@ -262,6 +271,7 @@
         let errand = Mutex::new(Some(errand));
         let taker = self.clone();
         let then = move |output: Output| {
+            taker.request_at(line);
             let answer = match output {
                 // The process may have stood still since the part answered: a
                 // copy is only as good as the lease.
@@ -280,13 +290,17 @@
             }
             taker.tell(line, words);
         };
-        let take = |id| Input::ClientRequest {
-            id,
-            errand: errand
-                .lock()
-                .expect("no holder panics")
-                .take()
-                .expect("made once"),
+        let take = |id| {
+            let mut requests = self.requests.lock().expect("no holder panics");
+            requests.insert(line, id);
+            Input::ClientRequest {
+                id,
+                errand: errand
+                    .lock()
+                    .expect("no holder panics")
+                    .take()
+                    .expect("made once"),
+            }
         };
         self.port.begin(&take, Box::new(then));
     }
@@ -322,7 +336,11 @@
         let _ = self.port.give.send(Input::Called { id, result });
     }
 
-    fn gone(&self, _: u64) {}
+    fn gone(&self, line: u64) {
+        if let Some(id) = self.request_at(line) {
+            let _ = self.port.give.send(Input::CallerLeft { id });
+        }
+    }
 
     fn refused(&self, status: u16, why: &str) -> http_line::Told {
         let code = match status {
--- a/http-line/src/line.rs
+++ b/http-line/src/line.rs
@@ -597,6 +597,7 @@
                 match held.stream.read(&mut self.scratch) {
                     Ok(0) => {
                         held.unread = false;
+                        held.hup = true;
                         served.eof();
                     }
                     Ok(size) => {
@@ -616,6 +617,12 @@
             for (place, asked) in found.drain(..) {
                 self.taker.asked(Line::named(token, place), *face, asked);
             }
+            // Also seen on a connection that is not read from.
+            if held.hup {
+                for place in served.caller_left() {
+                    self.taker.gone(Line::named(token, place));
+                }
+            }
             if served.finished() {
                 if served.clean() && !held.unread {
                     return false;
--- a/http-line/src/served.rs
+++ b/http-line/src/served.rs
@@ -34,9 +34,18 @@
     old: bool,
     /// Refused by us: nobody was asked.
     own: bool,
+    /// That its caller has left was reported.
+    left: bool,
     told: Option<Told>,
 }
 
+impl Slot {
+    /// It was handed out, has no answer, and its caller was not reported as gone.
+    fn is_awaited(&self) -> bool {
+        !self.own && !self.left && self.told.is_none()
+    }
+}
+
 /// Answers waiting for the reader, in bytes, before no more is read from it.
 const BACKLOG: usize = 64 * 1024;
 
@@ -229,6 +238,7 @@
                 close: head.close,
                 old: head.old,
                 own: false,
+                left: false,
                 told: None,
             });
             self.last |= head.close;
@@ -263,6 +273,7 @@
             close: true,
             old: false,
             own: true,
+            left: false,
             told: Some(told),
         });
         self.next += 1;
@@ -299,7 +310,7 @@
         slot.told = Some(told);
         if let Some(at) = self.slots.iter().position(|slot| slot.close) {
             let dropped = self.slots.drain(at + 1..);
-            gone.extend(dropped.filter(|slot| !slot.own).map(|slot| slot.place));
+            gone.extend(dropped.filter(Slot::is_awaited).map(|slot| slot.place));
         }
         if self.out.is_empty() {
             self.moved = now;
@@ -467,11 +478,23 @@
     pub fn unanswered(&mut self) -> Vec<u64> {
         self.slots
             .drain(..)
-            .filter(|slot| !slot.own)
+            .filter(Slot::is_awaited)
             .map(|slot| slot.place)
             .collect()
     }
 
+    /// The caller has ended its side of the connection: the places whose answers
+    /// nobody waits for any more, each once.
+    pub fn caller_left(&mut self) -> Vec<u64> {
+        let awaited = self.slots.iter_mut().filter(|slot| slot.is_awaited());
+        awaited
+            .map(|slot| {
+                slot.left = true;
+                slot.place
+            })
+            .collect()
+    }
+
     /// When `late` is to be asked.
     pub fn due(&self, limits: &Limits) -> Option<Instant> {
         if !self.out.is_empty() {
--- a/http-line/src/taker.rs
+++ b/http-line/src/taker.rs
@@ -6,8 +6,11 @@
     /// twice; `face` is the index of the listener.
     fn asked(&self, line: u64, face: usize, asked: Asked);
     fn came(&self, id: u64, came: Came);
-    /// An asked whose connection ended, or will end, before its answer; what
-    /// is told for it from now on is left out.
+    /// Nobody waits for this answer any more: the caller has closed its
+    /// connection, or that ends before the answer. Comes once at most, and never
+    /// after the answer was told. A caller that only shut its writing side looks
+    /// the same until something is written to it: what is told for it is still
+    /// written if the connection stands.
     fn gone(&self, line: u64);
     /// The answer to what cannot be read as a request; its connection ends.
     fn refused(&self, status: u16, why: &str) -> Told {
--- a/http-line/tests/loopback.rs
+++ b/http-line/tests/loopback.rs
@@ -58,10 +58,13 @@
     peer.write_all("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\nConnection: close\r\n\r\n".as_bytes()).unwrap();
     peer.shutdown(Shutdown::Write).unwrap();
     let ((a, _), (b, _)) = (rig.asked(), rig.asked());
+    // A caller that ends its writing may have left. The answers are still written.
+    assert_eq!((rig.gone(), rig.gone()), (a, b));
     rig.http.tell(b, told("b"));
     assert!(rig.events.is_empty());
     rig.http.tell(a, told("a"));
     let (c, asked) = rig.asked();
+    assert_eq!(rig.gone(), c);
     assert_eq!(
         (asked.target.as_str(), asked.peer),
         ("/c", peer.local_addr().unwrap())
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -54,6 +54,8 @@
     OriginProven = 330, Info;
     OriginAside = 331, Warn;
     AnswerRefused = 340, Warn;
+    CallerLeft = 341, Debug;
+    AbandonedWork = 342, Error;
 }
 
 /// Writes one event to the log.
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -353,6 +353,10 @@
     pub calls: u64,
     pub extra: u64,
     pub pending: u64,
+    /// Callers that left before their answer.
+    pub left: u64,
+    /// Calls begun, or kept under way, for callers that had left; must stay 0.
+    pub abandoned: u64,
 }
 
 /// Rows of one slice after what the edge's vector says, up to `version`.
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -23,6 +23,11 @@
         id: u64,
         errand: ClientRequest,
     },
+    /// The caller of this request has closed its connection: nobody waits for
+    /// the answer any more.
+    CallerLeft {
+        id: u64,
+    },
     Called {
         id: u64,
         result: CallBack,
