--- a/http-line/src/served.rs
+++ b/http-line/src/served.rs
@@ -40,9 +40,10 @@
 }
 
 impl Slot {
-    /// It was handed out, has no answer, and its caller was not reported as gone.
+    /// It was handed out, no answer was written, and its caller was not reported
+    /// as gone.
     fn is_awaited(&self) -> bool {
-        !self.own && !self.left && self.told.is_none()
+        !self.own && !self.left
     }
 }
 
--- a/http-line/src/taker.rs
+++ b/http-line/src/taker.rs
@@ -7,8 +7,8 @@
     fn asked(&self, line: u64, face: usize, asked: Asked);
     fn came(&self, id: u64, came: Came);
     /// Nobody waits for this answer any more: the caller has closed its
-    /// connection, or that ends before the answer. Comes once at most, and never
-    /// after the answer was told. A caller that only shut its writing side looks
+    /// connection, or that ends before the answer is written. Comes once at most
+    /// for a request. A caller that only shut its writing side looks
     /// the same until something is written to it: what is told for it is still
     /// written if the connection stands.
     fn gone(&self, line: u64);
--- a/http-line/tests/loopback_faults.rs
+++ b/http-line/tests/loopback_faults.rs
@@ -265,3 +265,75 @@
     assert!(all.ends_with("\r\n\r\nown"), "{all}");
     assert_eq!(all.matches("HTTP/1.1").count(), 1);
 }
+
+/// A close is reported at once, whatever the connection is doing.
+fn reported_as_gone(limits: Limits, requests: &str, half: bool) {
+    let rig = Rig::new(limits);
+    let mut peer = rig.peer();
+    peer.write_all(requests.as_bytes()).unwrap();
+    let (line, _) = rig.asked();
+    if half {
+        peer.shutdown(std::net::Shutdown::Write).unwrap();
+    } else {
+        drop(peer);
+    }
+    assert_eq!(rig.gone(), line, "{requests:?}");
+}
+
+#[test]
+fn the_close_of_a_waiting_caller_is_reported() {
+    for half in [false, true] {
+        reported_as_gone(Limits::default(), "GET /a HTTP/1.1\r\n\r\n", half);
+    }
+}
+
+/// Nothing is read behind a request that ends its connection.
+#[test]
+fn the_close_behind_a_last_request_is_reported() {
+    for half in [false, true] {
+        let last = "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n";
+        reported_as_gone(Limits::default(), last, half);
+    }
+}
+
+/// Nothing is read from a caller that has asked for so much already.
+#[test]
+fn the_close_behind_requests_that_are_not_read_yet_is_reported() {
+    let limits = Limits {
+        pipeline: 1,
+        ..Limits::default()
+    };
+    for half in [false, true] {
+        let two = "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
+        reported_as_gone(limits.clone(), two, half);
+    }
+}
+
+#[test]
+fn the_close_of_a_caller_is_reported_while_the_line_is_drained_and_stopped() {
+    let rig = Rig::new(Limits::default());
+    let mut peer = rig.peer();
+    peer.write_all(b"GET /a HTTP/1.1\r\n\r\n").unwrap();
+    let (line, _) = rig.asked();
+    rig.http.drain();
+    rig.http.stop();
+    drop(peer);
+    assert_eq!(rig.gone(), line);
+}
+
+#[test]
+fn a_reset_is_reported_and_an_answered_request_is_not() {
+    let rig = Rig::new(Limits::default());
+    let mut peer = rig.peer();
+    peer.write_all(b"GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+        .unwrap();
+    let ((a, _), (b, _)) = (rig.asked(), rig.asked());
+    rig.http.tell(a, told("a"));
+    let mut answer = [0; 64];
+    peer.read_exact(&mut answer[..30]).unwrap();
+    reset(&peer);
+    drop(peer);
+    assert_eq!(rig.gone(), b);
+    thread::sleep(QUIET);
+    assert!(rig.events.is_empty(), "reported twice, or though answered");
+}
