--- a/data-plane/src/cache_owner/tests.rs
+++ b/data-plane/src/cache_owner/tests.rs
@@ -319,3 +319,37 @@
     owner.tick(at(5000), &|_| 7, 0);
     assert!(owner.hand(at(5000), cache_slice(&KEY)).is_empty() && !owner.has_aside());
 }
+
+/// A copy is sent to nobody who took the question back, and whose refresher
+/// fails passes over them.
+#[test]
+fn a_withdrawn_question_is_neither_answered_nor_made_a_refresher() {
+    for fails in [false, true] {
+        let mut owner = CacheOwner::new(1 << 20);
+        let token = ask(&mut owner, 0, 1).1.unwrap();
+        for id in 2..=4 {
+            assert_eq!(ask(&mut owner, 10, id).0, "wait");
+        }
+        owner.withdraw(from(1), &KEY, 2);
+        owner.withdraw(from(2), &KEY, 3);
+        owner.withdraw(from(1), &[9; 32], 4);
+        let book = PurgeBook::default();
+        if fails {
+            owner.give_up(at(20), KEY, token, 7, 0, false);
+        } else {
+            let put = Put {
+                key: KEY,
+                token,
+                reply: reply("a"),
+            };
+            assert!(owner.put(at(20), put, 7, &book));
+        }
+        let answered = |(_, message)| match message {
+            Message::Copy(copy) => copy.id,
+            Message::Miss(miss) => miss.id,
+            other => panic!("{other:?}"),
+        };
+        let told: Vec<u64> = owner.take_out().into_iter().map(answered).collect();
+        assert_eq!(told, if fails { vec![3] } else { vec![3, 4] });
+    }
+}
--- a/data-plane/src/gate/tests.rs
+++ b/data-plane/src/gate/tests.rs
@@ -514,3 +514,98 @@
     run.step(5, &mut ends);
     assert_eq!(run.given.len(), 1);
 }
+
+/// A gate with one origin of two places, in use from now on.
+fn gate_of_two_places() -> Gate {
+    let mut gate = Gate::new(at(0), "s", 1, 3);
+    let named = Group {
+        proof: Proof::Named,
+        ..group(1000.0, 2)
+    };
+    gate.update(at(0), &named, &[origin(1)]);
+    gate
+}
+
+fn permits(gate: &mut Gate) -> Vec<Permit> {
+    let one = |(_, message)| match message {
+        Message::Permit(permit) => Some(permit),
+        _ => None,
+    };
+    said(gate).into_iter().filter_map(one).collect()
+}
+
+fn ended(permit: &Permit, result: CallResult) -> CallDone {
+    CallDone {
+        service: "s".into(),
+        epoch: permit.epoch,
+        serial: permit.serial,
+        result,
+        took: at(100),
+    }
+}
+
+#[test]
+fn a_withdrawn_question_is_not_granted_and_the_next_has_its_turn() {
+    let mut gate = gate_of_two_places();
+    for id in 1..=4 {
+        gate.knock(at(1000), origin(9).address, knock(id, 1, 5000, false));
+    }
+    let given = permits(&mut gate);
+    assert_eq!(given.iter().map(|one| one.id).collect::<Vec<_>>(), [1, 2]);
+    gate.withdraw(at(1010), origin(8).address, 3);
+    gate.withdraw(at(1010), origin(9).address, 3);
+    gate.withdraw(at(1010), origin(9).address, 3);
+    gate.done(at(1100), ended(&given[0], CallResult::Good));
+    let next = permits(&mut gate);
+    assert_eq!(next.iter().map(|one| one.id).collect::<Vec<_>>(), [4]);
+}
+
+/// The origin may not have seen yet that the call was broken off, and it did
+/// nothing wrong.
+#[test]
+fn the_place_of_a_cancelled_call_is_free_a_moment_later_and_judges_no_origin() {
+    let mut gate = gate_of_two_places();
+    for id in 1..=3 {
+        gate.knock(at(1000), origin(9).address, knock(id, 1, 5000, false));
+    }
+    let given = permits(&mut gate);
+    assert_eq!(given.len(), 2);
+    gate.done(at(1100), ended(&given[0], CallResult::Cancelled));
+    assert!(
+        permits(&mut gate).is_empty(),
+        "its place is not free at once"
+    );
+    gate.done(at(1105), ended(&given[0], CallResult::Cancelled));
+    gate.pump(at(1100 + 40));
+    let next = permits(&mut gate);
+    assert_eq!(next.iter().map(|one| one.id).collect::<Vec<_>>(), [3]);
+    let found = gate.found(at(1141));
+    assert_eq!(found[0].calls, 2, "counted once more, not twice");
+    assert_ne!(found[0].condition, OriginCondition::Aside);
+}
+
+/// However many give up, no more calls reach the origins than their rate allows:
+/// a call that was broken off counts.
+#[test]
+fn cancelled_calls_count_for_the_rate() {
+    let mut gate = gate_of_two_places();
+    let limited = Group {
+        proof: Proof::Named,
+        total_rate: Some(20.0),
+        ..group(1000.0, 32)
+    };
+    gate.update(at(0), &limited, &[origin(1)]);
+    let mut sent = 0;
+    for ms in (0..5000).step_by(5) {
+        gate.knock(at(1000 + ms), origin(9).address, knock(ms, 1, 300, false));
+        for permit in permits(&mut gate) {
+            sent += 1;
+            let cancelled = ended(&permit, CallResult::Cancelled);
+            gate.done(at(1000 + ms + 1), cancelled);
+        }
+    }
+    assert!(
+        (60..=115).contains(&sent),
+        "{sent} calls in 5 s at 20 a second"
+    );
+}
--- a/data-plane/tests/departures.rs
+++ b/data-plane/tests/departures.rs
@@ -360,3 +360,242 @@
         model.end()?;
     }
 }
+
+fn withdrawn(out: &[Output]) -> Vec<u64> {
+    let one = |output: &Output| match output {
+        Output::Tell { message, .. } => match message {
+            Message::PermitWithdrawn(withdrawn) => Some(withdrawn.id),
+            Message::GetWithdrawn(withdrawn) => Some(withdrawn.id),
+            _ => None,
+        },
+        _ => None,
+    };
+    out.iter().filter_map(one).collect()
+}
+
+fn begin(edge: &mut EdgePart, id: u64, url: &str, method: &str) -> Vec<Output> {
+    let errand = errand(url, method);
+    edge.step(at(START_MS), Input::ClientRequest { id, errand })
+}
+
+fn ready_edge() -> EdgePart {
+    let mut edge = live(START_MS);
+    news(&mut edge, START_MS, &[origin(50)], true);
+    edge
+}
+
+/// The call of the request, begun by a permit.
+fn called(edge: &mut EdgePart, begun: &[Output]) -> u64 {
+    let out = heard(edge, 1010, GATE, permit(question(begun), origin(50), 1005));
+    question(&out)
+}
+
+fn call_results(out: &[Output]) -> Vec<CallResult> {
+    let one = |output: &Output| match output {
+        Output::Tell {
+            message: Message::CallDone(done),
+            ..
+        } => Some(done.result),
+        _ => None,
+    };
+    out.iter().filter_map(one).collect()
+}
+
+fn cancelled(out: &[Output]) -> Vec<u64> {
+    let one = |output: &Output| match output {
+        Output::CancelCall { id } => Some(*id),
+        _ => None,
+    };
+    out.iter().filter_map(one).collect()
+}
+
+#[test]
+fn a_wait_for_a_permit_is_taken_back_and_a_permit_on_its_way_is_given_back() {
+    let mut edge = ready_edge();
+    let asked = question(&begin(&mut edge, 1, "/low", "GET"));
+    let out = edge.step(at(1300), Input::CallerLeft { id: 1 });
+    assert_eq!(withdrawn(&out), [asked]);
+    let left = (1, 503, "caller_left".to_string(), RunState::NotRun);
+    assert_eq!(answers(out), [left]);
+    let out = heard(&mut edge, 1301, GATE, permit(asked, origin(50), 1299));
+    assert_eq!(call_results(&out), [CallResult::Unused]);
+}
+
+#[test]
+fn a_call_that_may_be_repeated_is_broken_off_at_once() {
+    let mut edge = ready_edge();
+    let begun = begin(&mut edge, 1, "/low", "GET");
+    let call = called(&mut edge, &begun);
+    let out = edge.step(at(1300), Input::CallerLeft { id: 1 });
+    assert_eq!(cancelled(&out), [call]);
+    assert_eq!(call_results(&out), [CallResult::Cancelled]);
+    // It may have run: a caller that still reads is not told that it did not.
+    let left = (1, 503, "caller_left".to_string(), RunState::Unknown);
+    assert_eq!(answers(out), [left]);
+    let again = edge.step(at(1310), Input::CallerLeft { id: 1 });
+    assert!(again.is_empty(), "{again:?}");
+}
+
+/// Its outcome is recorded, and the next who asks gets it.
+#[test]
+fn an_operation_that_may_have_run_goes_on_until_it_is_recorded() {
+    let mut edge = ready_edge();
+    let claim = question(&begin(&mut edge, 1, "/k", "POST"));
+    let claimed = told(&mut edge, 1005, claim, Outcome::Claimed);
+    let call = called(&mut edge, &claimed);
+    let out = edge.step(at(1300), Input::CallerLeft { id: 1 });
+    assert!(cancelled(&out).is_empty() && answers(out).is_empty());
+    let result = CallBack::Good(reply(200));
+    let out = edge.step(at(1400), Input::Called { id: call, result });
+    assert!(matches!(asked(&out)[..], [Change::Record(_, Some(_))]));
+}
+
+/// Nothing was sent under its claim: the next who asks may run it at once.
+#[test]
+fn a_claim_of_an_operation_that_was_not_sent_is_given_back() {
+    for claimed_before in [false, true] {
+        let mut edge = ready_edge();
+        let claim = question(&begin(&mut edge, 1, "/k", "POST"));
+        let mut out = Vec::new();
+        if !claimed_before {
+            out.extend(edge.step(at(1002), Input::CallerLeft { id: 1 }));
+        }
+        out.extend(told(&mut edge, 1005, claim, Outcome::Claimed));
+        if claimed_before {
+            out.extend(edge.step(at(1010), Input::CallerLeft { id: 1 }));
+        }
+        let released = |change: &Change| matches!(change, Change::Release(_));
+        assert_eq!(asked(&out).iter().filter(|one| released(one)).count(), 1);
+        assert!(asked(&out).last().is_some_and(released));
+    }
+}
+
+/// What may run once only and was sent goes on; one that the origin did not take
+/// is not sent again.
+#[test]
+fn what_may_run_once_is_neither_broken_off_nor_sent_again() {
+    let mut edge = ready_edge();
+    let begun = begin(&mut edge, 1, "/once", "POST");
+    let call = called(&mut edge, &begun);
+    let out = edge.step(at(1300), Input::CallerLeft { id: 1 });
+    assert!(cancelled(&out).is_empty() && answers(out).is_empty());
+    let result = CallBack::NotRun;
+    let out = edge.step(at(1400), Input::Called { id: call, result });
+    let asks = |output: &Output| {
+        let Output::Tell { message, .. } = output else {
+            return false;
+        };
+        matches!(message, Message::PermitRequest(_))
+    };
+    assert!(!out.iter().any(asks));
+    let left = (1, 503, "caller_left".to_string(), RunState::NotRun);
+    assert_eq!(answers(out), [left]);
+}
+
+/// A leader whose caller has left asks on for its followers, and no longer.
+#[test]
+fn who_asks_for_others_goes_on_until_the_last_of_them_has_left() {
+    let mut edge = ready_edge();
+    let get = question(&begin(&mut edge, 1, "/copy", "GET"));
+    for id in 2..=3 {
+        begin(&mut edge, id, "/copy", "GET");
+    }
+    for (id, ms) in [(1, 1100), (3, 1110)] {
+        let out = edge.step(at(ms), Input::CallerLeft { id });
+        assert!(withdrawn(&out).is_empty(), "request 2 waits for the copy");
+    }
+    let out = edge.step(at(1120), Input::CallerLeft { id: 2 });
+    assert_eq!(withdrawn(&out), [get]);
+    let mut ended: Vec<u64> = answers(out).into_iter().map(|(id, ..)| id).collect();
+    ended.sort_unstable();
+    assert_eq!(ended, [1, 2]);
+}
+
+/// The owner counts on its refresher: others wait for the copy there.
+#[test]
+fn the_refresher_of_a_cache_owner_goes_on() {
+    let mut edge = ready_edge();
+    let get = question(&begin(&mut edge, 1, "/copy", "GET"));
+    let token = Token {
+        serial: 1,
+        epoch: 1,
+        purged: 0,
+    };
+    let key = Job::cache_key(&errand("/copy", "GET"));
+    let out = heard(
+        &mut edge,
+        1005,
+        OWNER,
+        Miss {
+            id: get,
+            key,
+            token,
+        },
+    );
+    let asked = question(&out);
+    let out = edge.step(at(1050), Input::CallerLeft { id: 1 });
+    assert!(withdrawn(&out).is_empty());
+    let out = heard(&mut edge, 1060, GATE, permit(asked, origin(50), 1059));
+    let call = question(&out);
+    let result = CallBack::Good(reply(200));
+    let out = edge.step(at(1100), Input::Called { id: call, result });
+    let puts = |output: &Output| {
+        let Output::Tell { message, .. } = output else {
+            return false;
+        };
+        matches!(message, Message::Put(_))
+    };
+    assert!(out.iter().any(puts));
+}
+
+/// The same class with other words: who goes on without an owner that says
+/// nothing takes its question back, and no copy is sent for it later.
+#[test]
+fn who_does_without_a_silent_owner_takes_its_question_back() {
+    let mut edge = ready_edge();
+    let get = question(&begin(&mut edge, 1, "/copy", "GET"));
+    let mut taken_back = Vec::new();
+    for now in (1050..3000).step_by(50) {
+        renew(&mut edge, now);
+        taken_back.extend(withdrawn(&edge.step(at(now), Input::Tick)));
+        if !taken_back.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(taken_back, [get]);
+}
+
+/// The check itself: it counts what it is there for, once each, and nothing else.
+#[test]
+fn the_check_of_abandoned_work_sees_calls_begun_and_kept_for_nobody() {
+    let (before, left, after) = (at(10), at(20), at(30));
+    let late = left + at(SOON_MS);
+    let nobody_pending = |_: u64| false;
+    let purposes = [
+        (CallPurpose::Caller, true, true),
+        (CallPurpose::RunOnce, true, false),
+        (CallPurpose::Copy, true, false),
+        (CallPurpose::SharedCopy, false, false),
+    ];
+    for (purpose, counts_begun, counts_kept) in purposes {
+        let mut check = AbandonedWork::default();
+        check.caller_left(left, 1);
+        assert_eq!(check.call_begun(after, 7, 2, purpose), None, "not its own");
+        let begun = check.call_begun(after, 8, 1, purpose);
+        assert_eq!(begun.is_some(), counts_begun, "{purpose:?}");
+
+        let mut check = AbandonedWork::default();
+        assert_eq!(check.call_begun(before, 8, 1, purpose), None);
+        check.caller_left(left, 1);
+        assert!(check.overdue(after, &nobody_pending).is_empty());
+        let kept = check.overdue(late, &nobody_pending);
+        assert_eq!(kept.len(), usize::from(counts_kept), "{purpose:?}");
+        assert!(check.overdue(late, &nobody_pending).is_empty(), "once");
+
+        let mut check = AbandonedWork::default();
+        check.call_begun(before, 8, 1, purpose);
+        check.caller_left(left, 1);
+        check.call_ended(8);
+        assert!(check.overdue(late, &nobody_pending).is_empty());
+    }
+}
--- a/data-plane/tests/request_faults.rs
+++ b/data-plane/tests/request_faults.rs
@@ -43,6 +43,8 @@
     Silence(u64),
     /// The process is asked to end.
     Shutdown,
+    /// The caller closes its connection.
+    CallerLeft,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -89,6 +91,7 @@
         2 => prop_oneof![Just(50u64), Just(250), Just(5_000)].prop_map(Step::Wait),
         1 => prop_oneof![Just(250u64), Just(700)].prop_map(Step::Silence),
         1 => Just(Step::Shutdown),
+        1 => Just(Step::CallerLeft),
     ]
 }
 
@@ -113,6 +116,7 @@
     ledger: Vec<u64>,
     calls: Vec<CallMade>,
     answered: bool,
+    left: bool,
 }
 
 fn earlier(ids: &[u64], back: usize) -> Option<u64> {
@@ -131,6 +135,7 @@
             ledger: Vec::new(),
             calls: Vec::new(),
             answered: false,
+            left: false,
         };
         let (url, method) = match sort {
             Sort::Repeatable => ("/low", "GET"),
@@ -200,6 +205,10 @@
                 self.now += ms;
                 self.edge.step(at(self.now), Input::Tick)
             }
+            Step::CallerLeft => {
+                self.left = true;
+                self.edge.step(at(now), Input::CallerLeft { id: REQUEST })
+            }
             Step::Shutdown => self.edge.step(at(now), Input::ShutdownRequested),
             Step::Wait(ms) => {
                 self.now += ms;
@@ -263,6 +272,12 @@
                     _ => {}
                 },
                 Output::Call { id, .. } => self.call_leaves(id)?,
+                Output::CancelCall { .. } => {
+                    prop_assert!(self.left && self.sort == Sort::Repeatable);
+                }
+                Output::Note { event, text } => {
+                    prop_assert!(event != Event::AbandonedWork, "{}", text);
+                }
                 Output::Answer { id, answer } => {
                     prop_assert_eq!(id, REQUEST);
                     self.answer(answer)?;
@@ -275,6 +290,7 @@
 
     fn call_leaves(&mut self, id: u64) -> Result<(), TestCaseError> {
         prop_assert!(!self.answered, "called after its answer");
+        prop_assert!(!self.left, "called after its caller left");
         prop_assert!(self.calls.iter().all(|call| call.id != id), "an id twice");
         prop_assert!(self.calls.len() < CALLS, "more calls than it may make");
         if self.sort != Sort::Repeatable {
