--- a/data-plane/src/cache_owner.rs
+++ b/data-plane/src/cache_owner.rs
@@ -216,6 +216,13 @@
         }
     }
 
+    /// None of these edges waits for a copy any more.
+    pub fn forget_askers(&mut self, gone: &HashSet<SocketAddr>) {
+        for slot in self.keys.values_mut() {
+            slot.waits.retain(|wait| !gone.contains(&wait.from));
+        }
+    }
+
     fn issue(
         now: Duration,
         slot: &mut Slot,
--- a/data-plane/src/edge_part/assignments.rs
+++ b/data-plane/src/edge_part/assignments.rs
@@ -103,6 +103,31 @@
         self.tell_underway(now, table);
     }
 
+    /// Nothing is kept for edges whose sessions have ended: neither places in line
+    /// for permits nor waits for copies.
+    pub(super) fn forget_gone_askers(&mut self, now: Duration) {
+        let Some(Row {
+            value: Value::Roll { members, gone, .. },
+            ..
+        }) = self.known[usize::from(DUTIES)].get("roll")
+        else {
+            return;
+        };
+        let back = |peer: &Peer| members.iter().any(|member| member.address == peer.address);
+        let gone: HashSet<SocketAddr> = gone
+            .iter()
+            .filter(|peer| !back(peer))
+            .map(|peer| peer.address)
+            .collect();
+        if gone.is_empty() {
+            return;
+        }
+        self.cache.forget_askers(&gone);
+        for gate in self.gates.values_mut() {
+            gate.forget_askers(now, &gone);
+        }
+    }
+
     /// Asks last holders for copies, a few times.
     pub(super) fn ask_wants(&mut self, now: Duration) {
         self.wants.retain(|_, (_, asked)| *asked < WANTS);
--- a/data-plane/src/edge_part/renewal.rs
+++ b/data-plane/src/edge_part/renewal.rs
@@ -197,6 +197,9 @@
         if [CONFIGURATION, ORIGINS, DUTIES].contains(&news.slice) {
             self.sync_duties(now);
         }
+        if news.slice == DUTIES {
+            self.forget_gone_askers(now);
+        }
     }
 
     /// The parts as they stand now, made one table. What was acknowledged fits
--- a/data-plane/src/gate/mod.rs
+++ b/data-plane/src/gate/mod.rs
@@ -323,6 +323,15 @@
         }
     }
 
+    /// None of these edges waits for a permit any more.
+    pub fn forget_askers(&mut self, now: Duration, gone: &HashSet<SocketAddr>) {
+        let before = self.waits.len();
+        self.waits.retain(|wait| !gone.contains(&wait.from));
+        if self.waits.len() < before {
+            self.pump_soon(now);
+        }
+    }
+
     /// Looks at those who wait, but if they are many only so often: each look
     /// goes over all of them.
     fn pump_soon(&mut self, now: Duration) {
--- a/data-plane/src/gate/tests.rs
+++ b/data-plane/src/gate/tests.rs
@@ -609,3 +609,17 @@
         "{sent} calls in 5 s at 20 a second"
     );
 }
+
+#[test]
+fn edges_that_are_gone_have_no_place_in_line() {
+    let mut gate = gate_of_two_places();
+    for (id, port) in [(1, 8), (2, 8), (3, 9), (4, 8)] {
+        let ask = knock(id, 1, 5000, false);
+        gate.knock(at(1000), origin(port).address, ask);
+    }
+    let given = permits(&mut gate);
+    gate.forget_askers(at(1010), &HashSet::from([origin(9).address]));
+    gate.done(at(1100), ended(&given[0], CallResult::Good));
+    let next = permits(&mut gate);
+    assert_eq!(next.iter().map(|one| one.id).collect::<Vec<_>>(), [4]);
+}
--- a/data-plane/tests/departures.rs
+++ b/data-plane/tests/departures.rs
@@ -599,3 +599,100 @@
         assert!(check.overdue(late, &nobody_pending).is_empty());
     }
 }
+
+/// An edge that died has no place in line at the gate that this edge holds.
+#[test]
+fn a_gate_forgets_what_a_gone_edge_asked_for() {
+    const GONE: u16 = 60;
+    let mut edge = live(START_MS);
+    let row = |value| Row { version: 1, value };
+    let me = Peer::new(address(9), 5);
+    let duty = Duty {
+        epoch: 1,
+        holder: Some(me),
+        last: None,
+    };
+    let list = Arc::new(Vec::new());
+    let roll = |members: Vec<Peer>, gone| Value::Roll {
+        members,
+        gone,
+        complete: true,
+    };
+    let dead = Peer::new(address(GONE), 1);
+    let mut learn = |edge: &mut EdgePart, version, rows: Vec<(String, Row)>, slice| {
+        let news = News {
+            slice,
+            version,
+            rows,
+        };
+        let renewed = RenewReply {
+            life: 5,
+            mark: Mark::default(),
+            sent: at(START_MS),
+            realm: 0,
+            recall: false,
+            news: vec![news].into(),
+        };
+        heard(edge, START_MS, 1, renewed);
+    };
+    let text = table().document.clone();
+    let configuration = Value::Configuration {
+        text: serde_json::to_string(&text).unwrap().into(),
+        change: 1,
+    };
+    let origins = Value::Origins { list, change: 1 };
+    learn(
+        &mut edge,
+        1,
+        vec![("configuration".into(), row(configuration))],
+        CONFIGURATION,
+    );
+    learn(
+        &mut edge,
+        1,
+        vec![("origins".into(), row(origins))],
+        ORIGINS,
+    );
+    let duties = vec![
+        (gate_duty("slow"), row(Value::Duty(duty))),
+        ("roll".into(), row(roll(vec![me, dead], vec![]))),
+    ];
+    learn(&mut edge, 1, duties, DUTIES);
+    let ask = PermitRequest {
+        service: "slow".into(),
+        id: 1,
+        rank: 1,
+        wait: at(5000),
+        sent: at(START_MS),
+        extra: false,
+        call: at(1000),
+        aim: at(1000),
+        zone: String::new(),
+        region: String::new(),
+        avoid: vec![],
+    };
+    heard(&mut edge, START_MS, GONE, ask);
+    learn(
+        &mut edge,
+        2,
+        vec![(
+            "roll".into(),
+            Row {
+                version: 2,
+                value: roll(vec![me], vec![dead]),
+            },
+        )],
+        DUTIES,
+    );
+    let mut told = Vec::new();
+    for now in (START_MS + 50..START_MS + 3000).step_by(50) {
+        renew(&mut edge, now);
+        told.extend(edge.step(at(now), Input::Tick));
+    }
+    let to_dead =
+        |output: &&Output| matches!(output, Output::Tell { to, .. } if *to == address(GONE));
+    assert_eq!(
+        told.iter().find(to_dead).map(|one| format!("{one:?}")),
+        None
+    );
+}
