--- a/data-plane/tests/departures.rs
+++ b/data-plane/tests/departures.rs
@@ -619,7 +619,7 @@
         complete: true,
     };
     let dead = Peer::new(address(GONE), 1);
-    let mut learn = |edge: &mut EdgePart, version, rows: Vec<(String, Row)>, slice| {
+    let learn = |edge: &mut EdgePart, version, rows: Vec<(String, Row)>, slice| {
         let news = News {
             slice,
             version,
