GONE: a soak of real processes under overlapping troubles, with callers that leave

stand_ins::soak and the program soak: control nodes and edges as processes, origins behind relays that cut, reset and lose answers; callers stay, close, shut their writing side, close behind a last request or behind pipelined ones. Judged from outside (nothing sent on over 0.5 s after, repeatable calls ended), by E342 in the logs and by the state's figures.

--- /dev/null
+++ b/programs/tests/soak.rs
@@ -0,0 +1,30 @@
+//! The short form of the soak: real processes, callers that leave, overlapping
+//! troubles. The long form is the program `soak`.
+use stand_ins::prelude::*;
+use stand_ins::soak::{Soak, SoakPlan};
+
+const SPAN: Duration = Duration::from_secs(12);
+/// Below this, too little happened to be a soak.
+const LEAST_LEFT: usize = 50;
+
+#[test]
+fn no_work_goes_on_for_callers_that_have_left_a_fleet_of_processes() {
+    for seed in [1, 2] {
+        let name = format!("otterslip-soak-{}-{seed}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        let plan = SoakPlan {
+            seed,
+            span: SPAN,
+            folder: folder.clone(),
+        };
+        let verdict = Soak::run(plan).unwrap();
+        assert!(
+            verdict.broken.is_empty(),
+            "seed {seed}: {:#?}",
+            verdict.broken
+        );
+        assert!(verdict.left > LEAST_LEFT, "seed {seed}: {verdict}");
+        assert!(verdict.sent_before > 0, "seed {seed}: {verdict}");
+        let _ = fs::remove_dir_all(folder);
+    }
+}
--- /dev/null
+++ b/stand-ins/src/bin/soak.rs
@@ -0,0 +1,47 @@
+//! Soaks a fleet of real processes; see `stand_ins::soak`.
+use stand_ins::prelude::*;
+use stand_ins::soak::{Soak, SoakPlan, SoakVerdict};
+
+const HELP: &str = "soaks a fleet of real processes on loopback under random, overlapping troubles
+
+--seeds N       runs, one after the other (default 1)
+--first N       the first seed (default 1)
+--seconds N     of each run (default 20)
+--folder DIR    for data and logs, a folder in it for each seed; must not exist
+
+Callers leave in every manner while nodes are killed and stopped and origins are
+cut off, reset and lose answers. Exit code 1 if work goes on for callers that
+have left; the logs of a broken run stay.";
+
+fn main() -> Result<()> {
+    let mut flags = Flags::gather("soak", HELP);
+    let seeds = flags.take("--seeds", Some(1u64)).unwrap_or(1);
+    let first = flags.take("--first", Some(1u64)).unwrap_or(1);
+    let seconds = flags.take("--seconds", Some(20u64)).unwrap_or(20);
+    let folder = flags.take::<String>("--folder", None).map(PathBuf::from);
+    if folder.as_ref().is_some_and(|folder| folder.exists()) {
+        flags.found("--folder", "exists already");
+    }
+    flags.finish();
+    let folder = folder.context("folder")?;
+    let mut sum = SoakVerdict::default();
+    for seed in first..first + seeds {
+        let plan = SoakPlan {
+            seed,
+            span: Duration::from_secs(seconds),
+            folder: folder.join(format!("seed-{seed}")),
+        };
+        let runs_in = plan.folder.clone();
+        let verdict = Soak::run(plan)?;
+        println!("seed {seed}: {verdict}");
+        for line in verdict.broken.iter().take(10) {
+            println!("  {line}");
+        }
+        if verdict.broken.is_empty() {
+            fs::remove_dir_all(runs_in)?;
+        }
+        sum.add(verdict);
+    }
+    println!("{seeds} seeds: {sum}");
+    std::process::exit(i32::from(!sum.broken.is_empty()));
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod prelude;
 pub mod record;
 pub mod schema_check;
+pub mod soak;
