--- a/http-line/tests/loopback_faults.rs
+++ b/http-line/tests/loopback_faults.rs
@@ -337,3 +337,58 @@
     thread::sleep(QUIET);
     assert!(rig.events.is_empty(), "reported twice, or though answered");
 }
+
+/// No connections are open any more.
+fn all_closed(http: &HttpLine) -> bool {
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(2) {
+        if http.usage().open == 0 {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    false
+}
+
+/// A large answer on a narrow link would be written for ten seconds more.
+#[test]
+fn a_paced_answer_is_not_written_on_for_a_caller_that_has_left() {
+    for reads in [false, true] {
+        let rig = Rig::new(Limits {
+            send_bytes_s: Some(100_000.0),
+            ..Limits::default()
+        });
+        let mut peer = rig.peer();
+        peer.write_all(b"GET /a HTTP/1.1\r\n\r\n").unwrap();
+        let (line, _) = rig.asked();
+        rig.http.tell(line, told(&"x".repeat(1_000_000)));
+        if reads {
+            peer.read_exact(&mut [0; 20_000]).unwrap();
+        }
+        drop(peer);
+        assert!(all_closed(&rig.http), "reads: {reads}");
+    }
+}
+
+/// The origin sees the end of a dropped call, sent or still being connected, and
+/// nothing comes of it.
+#[test]
+fn an_origin_sees_the_end_of_a_dropped_call() {
+    let rig = Rig::new(Limits::default());
+    let (listener, at) = listener();
+    rig.call(1, at, "/a");
+    let mut origin = accept(&listener);
+    read_head(&mut origin);
+    rig.http.drop_call(1);
+    assert!(
+        origin.read(&mut [0; 8]).is_err(),
+        "a reset, not half an end"
+    );
+
+    rig.call(2, at, "/b");
+    rig.http.drop_call(2);
+    assert!(all_closed(&rig.http));
+    rig.http.drop_call(3);
+    thread::sleep(QUIET);
+    assert!(rig.events.is_empty(), "nothing comes of dropped calls");
+}
