--- a/control-plane/src/ledger.rs
+++ b/control-plane/src/ledger.rs
@@ -7,10 +7,10 @@
 impl Ledger {
     pub fn claim(leader: &mut PartitionLeader, claim: Claim) -> (u64, Outcome) {
         if let Some((version, known)) = Ledger::known(leader, &claim) {
-            let own = (known.by, known.errand) == (claim.by, claim.errand);
+            let own = (known.by, known.request) == (claim.by, claim.request);
             match known.state {
                 OperationState::Running if own => return (version, Outcome::Claimed),
-                // The errand gave up before this claim came through.
+                // The request gave up before this claim came through.
                 OperationState::Released if own => return (version, Outcome::Released),
                 OperationState::Released => {}
                 state => {
@@ -44,7 +44,7 @@
             Outcome::Recorded
         };
         if let Some((version, known)) = Ledger::known(leader, &claim) {
-            let own = (known.by, known.errand) == (claim.by, claim.errand);
+            let own = (known.by, known.request) == (claim.by, claim.request);
             let open = matches!(
                 known.state,
                 OperationState::Running | OperationState::Unknown
@@ -53,7 +53,7 @@
                 return (version, told);
             }
             if !own && release {
-                return (version, told); // Nothing of this errand is held.
+                return (version, told); // Nothing of this request is held.
             }
             if !own && known.state != OperationState::Released || own && !open {
                 return (version, Outcome::Lost);
@@ -84,14 +84,14 @@
             operation,
             print,
             by,
-            errand,
+            request,
         } = claim;
         leader.put(
             operation,
             Value::Operation(Operation {
                 print,
                 by,
-                errand,
+                request,
                 state,
             }),
         )
@@ -102,13 +102,13 @@
 mod tests {
     use crate::prelude::*;
 
-    fn claim(errand: u64, print: u8) -> Claim {
+    fn claim(request: u64, print: u8) -> Claim {
         let by = Peer::new(SocketAddr::from(([127, 0, 0, 1], 1)), 1);
         Claim {
             operation: "s/k".into(),
             print: [print; 32],
             by,
-            errand,
+            request,
         }
     }
 
@@ -199,7 +199,7 @@
         assert_eq!(
             Ledger::claim(&mut leader, claim(1, 0)).1,
             taken(true, OperationState::Unknown),
-            "nor by its own errand"
+            "nor by its own request"
         );
         assert_eq!(
             Ledger::finish(&mut leader, claim(1, 0), done()).1,
--- a/control-plane/tests/takeover.rs
+++ b/control-plane/tests/takeover.rs
@@ -27,7 +27,7 @@
     Value::Operation(Operation {
         print: [0; 32],
         by: Peer::new(SocketAddr::from(([127, 0, 0, 1], 9)), 1),
-        errand: version,
+        request: version,
         state: OperationState::Done(Arc::new(reply)),
     })
 }
--- a/data-plane/src/caller_face.rs
+++ b/data-plane/src/caller_face.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
-/// The errand of an arrival that passed all filters.
-pub fn errand_of(arrival: Arrival) -> Option<ClientRequest> {
+/// The request of an arrival that passed all filters.
+pub fn client_request_of(arrival: Arrival) -> Option<ClientRequest> {
     let caller = header(&arrival.headers, "authorization")
         .unwrap_or_default()
         .to_string();
--- a/data-plane/src/edge_part/assignments.rs
+++ b/data-plane/src/edge_part/assignments.rs
@@ -322,7 +322,7 @@
                 body: Arc::default(),
                 operation: None,
                 name: None,
-                errand: id,
+                request: id,
                 key,
                 proof: Proof::Seal,
                 limit: PROBE_LIMIT,
--- a/data-plane/src/edge_part/cached.rs
+++ b/data-plane/src/edge_part/cached.rs
@@ -28,7 +28,7 @@
     /// fresh one, or any while another request asks the owner for it.
     pub(super) fn near_answer(&mut self, now: Duration, job: &Job) -> Option<Answer> {
         let key = job.key?;
-        let keep = job.errand.entry().keep();
+        let keep = job.request.entry().keep();
         match self.near.look_up(now, &key, keep) {
             NearLookup::Fresh { reply, age } => Some(Answer::copy(reply, age)),
             NearLookup::Stale { reply, age } if self.coalescer.is_led(&key) => {
@@ -42,7 +42,10 @@
     /// origin does not answer.
     pub(super) fn last_resort(&mut self, now: Duration, id: u64) -> Option<Answer> {
         let job = self.jobs.get(&id)?;
-        match self.near.look_up(now, &job.key?, job.errand.entry().keep()) {
+        match self
+            .near
+            .look_up(now, &job.key?, job.request.entry().keep())
+        {
             NearLookup::Fresh { reply, age } | NearLookup::Stale { reply, age } => {
                 Some(Answer::copy(reply, age))
             }
@@ -132,7 +135,7 @@
             purged: 0,
         });
         let owner = job.token.take();
-        let keep = job.errand.entry().keep();
+        let keep = job.request.entry().keep();
         let private = !shareable(&reply);
         let shared = !private && keepable(reply.status);
         if let Some((owner, token)) = owner {
--- a/data-plane/src/edge_part/calls.rs
+++ b/data-plane/src/edge_part/calls.rs
@@ -13,7 +13,7 @@
         let asker = self.answered(permit.id).filter(|id| {
             let job = &self.jobs[id];
             matches!(job.stage, Stage::Knocking)
-                && job.errand.service == permit.service
+                && job.request.service == permit.service
                 && now < job.deadline
         });
         let Some(id) = asker.filter(|_| fresh && live && listed) else {
@@ -38,7 +38,7 @@
         self.go(now, id, permit);
     }
 
-    /// The errand's call leaves, under an id of its own.
+    /// The request's call leaves, under an id of its own.
     pub(super) fn go(&mut self, now: Duration, id: u64, permit: Permit) {
         let question = self.next_question(now, id);
         let ending = self.warned.is_some();
@@ -90,7 +90,7 @@
         if !self.is_live(now) {
             return;
         }
-        let service = job.errand.service.clone();
+        let service = job.request.service.clone();
         let under = |address: SocketAddr| {
             let there = |job: &&Job| matches!(&job.stage, Stage::Calling { permit, .. } if permit.origin.address == address);
             self.jobs.values().filter(there).count()
@@ -105,7 +105,7 @@
         let share = self.shares.entry(service.clone()).or_default();
         let Some(origin) = share.pick(
             now,
-            job.errand.group(),
+            job.request.group(),
             &self.origins,
             &self.spot,
             edges,
--- a/data-plane/src/edge_part/departures.rs
+++ b/data-plane/src/edge_part/departures.rs
@@ -14,7 +14,7 @@
             return;
         };
         job.caller_left = true;
-        let text = format!("request {id} {} {}", job.errand.service, job.stage.name());
+        let text = format!("request {id} {} {}", job.request.service, job.stage.name());
         self.usage.left += 1;
         self.abandoned_work.caller_left(now, id);
         self.note(Event::CallerLeft, text);
@@ -87,7 +87,7 @@
         let id = job.question;
         match (&job.stage, job.key) {
             (Stage::Knocking, _) => {
-                let service = job.errand.service.clone();
+                let service = job.request.service.clone();
                 self.tell(holder, PermitWithdrawn { service, id });
             }
             (Stage::Getting { .. }, Some(key)) => self.tell(holder, GetWithdrawn { key, id }),
@@ -113,8 +113,8 @@
         let mut found = Vec::new();
         for output in &self.out {
             match output {
-                Output::Call { id, call } if call.errand & OWN_IDS == 0 => {
-                    let (request, purpose) = (call.errand, call.purpose);
+                Output::Call { id, call } if call.request & OWN_IDS == 0 => {
+                    let (request, purpose) = (call.request, call.purpose);
                     let violation = self.abandoned_work.call_begun(now, *id, request, purpose);
                     found.extend(violation);
                 }
--- a/data-plane/src/edge_part/mod.rs
+++ b/data-plane/src/edge_part/mod.rs
@@ -81,7 +81,7 @@
 }
 
 const AGAIN: Duration = Duration::from_millis(200);
-/// An errand whose deadline passed gets this much more to tell the ledger.
+/// A request whose deadline passed gets this much more to tell the ledger.
 const LATE: Duration = Duration::from_secs(1);
 /// A warned edge waits this long for its duties to be taken.
 const HAND_OVER: Duration = Duration::from_secs(5);
@@ -317,7 +317,7 @@
         match input {
             Input::Tick => self.tick(now),
             Input::Heard { from, message } => self.heard(now, from, message),
-            Input::ClientRequest { id, errand } => self.begin(now, id, errand),
+            Input::ClientRequest { id, request } => self.begin(now, id, request),
             Input::CallerLeft { id } => self.caller_left(now, id),
             Input::Called { id, result } => {
                 self.abandoned_work.call_ended(id);
--- a/data-plane/src/edge_part/requests.rs
+++ b/data-plane/src/edge_part/requests.rs
@@ -4,9 +4,9 @@
 use crate::prelude::*;
 
 impl EdgePart {
-    pub(super) fn begin(&mut self, now: Duration, id: u64, errand: ClientRequest) {
+    pub(super) fn begin(&mut self, now: Duration, id: u64, request: ClientRequest) {
         self.usage.errands += 1;
-        let mut job = Job::new(now, errand);
+        let mut job = Job::new(now, request);
         if !self.is_live(now) {
             let refusal = Refusal::fenced(job.untried_outcome());
             return self.answer(now, id, &job, Answer::Refusal(refusal));
@@ -15,9 +15,9 @@
             let refusal = Refusal::ending(job.untried_outcome());
             return self.answer(now, id, &job, Answer::Refusal(refusal));
         }
-        let entry = job.errand.entry();
-        if entry.kind == Kind::Cached && !job.errand.personal() && job.errand.method == "GET" {
-            job.key = Some(Job::cache_key(&job.errand));
+        let entry = job.request.entry();
+        if entry.kind == Kind::Cached && !job.request.personal() && job.request.method == "GET" {
+            job.key = Some(Job::cache_key(&job.request));
             if let Some(answer) = self.near_answer(now, &job) {
                 self.usage.near += 1;
                 return self.answer(now, id, &job, answer);
@@ -26,10 +26,10 @@
         if let Some(refusal) = self.crowded(now, &job) {
             return self.answer(now, id, &job, Answer::Refusal(refusal));
         }
-        match (job.errand.entry().kind, job.key) {
+        match (job.request.entry().kind, job.key) {
             (_, Some(key)) => job.stage = self.join_group(now, id, key),
             (Kind::Keyed, None) => {
-                job.claim = Some(Job::claim_of(&job.errand, self.me, id));
+                job.claim = Some(Job::claim_of(&job.request, self.me, id));
                 job.stage = Stage::Claiming;
             }
             _ => {}
@@ -39,15 +39,15 @@
         self.say(now, id);
     }
 
-    /// Each pending errand holds a thread of the HTTP side: a slow service must
+    /// Each pending request holds a thread of the HTTP side: a slow service must
     /// not take them all. Over its bound, the lowest rank goes first: this
-    /// errand, or one that waits for a permit and is told so at once.
+    /// request, or one that waits for a permit and is told so at once.
     pub(super) fn crowded(&mut self, now: Duration, job: &Job) -> Option<Refusal> {
-        let service = &job.errand.service;
+        let service = &job.request.service;
         let peers = self
             .jobs
             .iter()
-            .filter(|(_, known)| known.errand.service == *service);
+            .filter(|(_, known)| known.request.service == *service);
         if peers.clone().count() < PENDING {
             return None;
         }
@@ -58,9 +58,9 @@
             )
         });
         let lowest = waiting
-            .min_by_key(|(id, known)| (known.errand.entry().rank, std::cmp::Reverse(**id)))
-            .map(|(id, known)| (*id, known.errand.entry().rank));
-        if let Some((id, _)) = lowest.filter(|(_, rank)| *rank < job.errand.entry().rank) {
+            .min_by_key(|(id, known)| (known.request.entry().rank, std::cmp::Reverse(**id)))
+            .map(|(id, known)| (*id, known.request.entry().rank));
+        if let Some((id, _)) = lowest.filter(|(_, rank)| *rank < job.request.entry().rank) {
             let refusal = self.jobs[&id].refuse(
                 429,
                 "over_capacity",
@@ -112,13 +112,13 @@
             }
             Stage::Getting { spare, .. } => {
                 let key = job.key.expect("cached");
-                let entry = job.errand.entry();
+                let entry = job.request.entry();
                 let get = Get {
                     id: question,
                     key,
                     entry: entry.name.clone(),
-                    host: job.errand.home().into(),
-                    url: job.errand.url.clone(),
+                    host: job.request.home().into(),
+                    url: job.request.url.clone(),
                     keep: entry.keep(),
                     wait: left,
                     spare: *spare,
@@ -135,8 +135,8 @@
                 }
             }
             Stage::Knocking => {
-                let entry = job.errand.entry();
-                let service = job.errand.service.clone();
+                let entry = job.request.entry();
+                let service = job.request.service.clone();
                 let gate = gate_duty(&service);
                 let (extra, call) = (job.calls > 0, job.call_limit(now, Duration::ZERO));
                 let (zone, region) = (self.spot.zone.clone(), self.spot.region.clone());
@@ -220,7 +220,7 @@
         }
     }
 
-    /// The errand is given up. What was claimed is released or recorded
+    /// The request is given up. What was claimed is released or recorded
     /// first; a refresher looks for a spare copy first.
     pub(super) fn give_up(&mut self, now: Duration, id: u64, refusal: Refusal) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/data-plane/src/filter.rs
+++ b/data-plane/src/filter.rs
@@ -1,6 +1,6 @@
 use crate::prelude::*;
 
-/// A request on its way in, before it is an errand.
+/// A request on its way in, before it has passed the filters.
 #[derive(Debug, Clone)]
 pub struct Arrival {
     pub method: String,
@@ -12,7 +12,7 @@
     pub operation: Option<String>,
     /// How long the caller waits, if it said so.
     pub patience: Option<Duration>,
-    /// What the caller calls its errand, if it does.
+    /// What the caller calls its request, if it does.
     pub name: Option<String>,
     pub live: bool,
     pub image: Option<Arc<EntryTable>>,
--- a/data-plane/src/gate/mod.rs
+++ b/data-plane/src/gate/mod.rs
@@ -115,7 +115,7 @@
 /// A call whose end nobody told is counted for this much longer than its limit.
 const UNTOLD: Duration = Duration::from_secs(1);
 const ASIDE: Duration = Duration::from_millis(500);
-/// One that turned an errand away is left alone this long.
+/// One that turned a request away is left alone this long.
 const FULL: Duration = Duration::from_millis(100);
 /// The origin of a call that was broken off sees that by then.
 const CANCEL_SEEN: Duration = Duration::from_millis(30);
@@ -473,7 +473,7 @@
 
     /// The origin that may be called and will answer first, as far as can be
     /// told: by the share of its places in use, what calls take there and the
-    /// way. One that failed this errand already is the last choice. Where an
+    /// way. One that failed this request already is the last choice. Where an
     /// origin has many places the nearer goes first while half of them are free:
     /// its answers are large.
     fn pick(&self, now: Duration, wait: &Wait) -> Option<SocketAddr> {
@@ -746,7 +746,7 @@
     }
 }
 
-/// A call that often fits into an errand's time is short.
+/// A call that often fits into a request's time is short.
 const SHORT: f64 = 4.0;
 /// An origin with so many places serves what is shared.
 const MANY: f64 = 8.0;
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -1,12 +1,12 @@
 use crate::prelude::*;
 
-/// An errand being run. Invariants:
-/// - `errand.image` is the one configuration this errand ever sees.
-/// - `sent` is set before a call may reach an origin; a keyed errand is never
+/// A request being run. Invariants:
+/// - `request.image` is the one configuration this request ever sees.
+/// - `sent` is set before a call may reach an origin; a keyed request is never
 ///   called again after it, and "not run" is never said after it.
-/// - A keyed errand calls only while its claim is held.
+/// - A keyed request calls only while its claim is held.
 pub struct Job {
-    pub errand: ClientRequest,
+    pub request: ClientRequest,
     pub began: Duration,
     pub deadline: Duration,
     /// Answered by then, it is worth most.
@@ -44,7 +44,7 @@
 
 /// Sessions with one origin from here, if its group does not say.
 const SESSIONS: usize = 256;
-/// Calls for one errand, the first included.
+/// Calls for one request, the first included.
 pub const CALLS: u32 = 3;
 
 /// What is known of a shared answer before it is there: when its fetch began
@@ -104,18 +104,18 @@
 }
 
 impl Job {
-    pub fn new(now: Duration, errand: ClientRequest) -> Job {
+    pub fn new(now: Duration, request: ClientRequest) -> Job {
         Job {
             began: now,
             deadline: now
-                + errand.patience.map_or(errand.entry().deadline(), |span| {
-                    span.min(errand.entry().deadline())
+                + request.patience.map_or(request.entry().deadline(), |span| {
+                    span.min(request.entry().deadline())
                 }),
             aim: now
-                + errand
+                + request
                     .entry()
                     .aim_ms
-                    .map_or(errand.entry().deadline(), Duration::from_millis),
+                    .map_or(request.entry().deadline(), Duration::from_millis),
             stage: Stage::Knocking,
             question: 0,
             asked_of: None,
@@ -134,7 +134,7 @@
             token: None,
             fetch: None,
             refusal: None,
-            errand,
+            request,
         }
     }
 
@@ -144,16 +144,16 @@
 
     /// May be called again after it was sent.
     pub fn repeatable(&self) -> bool {
-        match self.errand.entry().kind {
+        match self.request.entry().kind {
             Kind::Cached | Kind::Repeatable => true,
-            Kind::Plain => ["GET", "HEAD"].contains(&self.errand.method.as_str()),
+            Kind::Plain => ["GET", "HEAD"].contains(&self.request.method.as_str()),
             Kind::Keyed | Kind::Once => false,
         }
     }
 
     /// Origins it may be sent to.
     pub fn most_calls(&self) -> u32 {
-        self.errand.entry().attempts.unwrap_or(CALLS)
+        self.request.entry().attempts.unwrap_or(CALLS)
     }
 
     /// Whether one more origin may be asked, and time is left for it.
@@ -164,7 +164,7 @@
     /// What can be said before anything was done for it: of an operation that
     /// was not looked up, nothing.
     pub fn untried_outcome(&self) -> RunState {
-        match self.errand.entry().kind {
+        match self.request.entry().kind {
             Kind::Keyed => RunState::Unknown,
             _ => RunState::NotRun,
         }
@@ -186,44 +186,44 @@
     }
 
     /// Entry, service and URL: what tells requests apart.
-    pub fn cache_key(errand: &ClientRequest) -> CacheKey {
+    pub fn cache_key(request: &ClientRequest) -> CacheKey {
         hash_of(&[
-            errand.entry().name.as_bytes(),
-            errand.home().as_bytes(),
-            errand.service.as_bytes(),
-            errand.url.as_bytes(),
+            request.entry().name.as_bytes(),
+            request.home().as_bytes(),
+            request.service.as_bytes(),
+            request.url.as_bytes(),
         ])
     }
 
     pub fn copy_name<'a>(&'a self, reply: &'a Reply) -> CopyName<'a> {
         CopyName {
-            entry: &self.errand.entry().name,
-            host: self.errand.home(),
-            url: &self.errand.url,
+            entry: &self.request.entry().name,
+            host: self.request.home(),
+            url: &self.request.url,
             tags: Some(&reply.tags),
         }
     }
 
-    pub fn claim_of(errand: &ClientRequest, by: Peer, id: u64) -> Claim {
+    pub fn claim_of(request: &ClientRequest, by: Peer, id: u64) -> Claim {
         // Neither entry nor service: a changed configuration makes no new
         // operation of a repeat.
         let print = hash_of(&[
-            errand.caller.as_bytes(),
-            errand.home().as_bytes(),
-            errand.method.as_bytes(),
-            errand.url.as_bytes(),
-            &errand.body,
+            request.caller.as_bytes(),
+            request.home().as_bytes(),
+            request.method.as_bytes(),
+            request.url.as_bytes(),
+            &request.body,
         ]);
         let operation = format!(
             "{}/{}",
-            errand.home(),
-            errand.operation_key().unwrap_or_default()
+            request.home(),
+            request.operation_key().unwrap_or_default()
         );
         Claim {
             operation,
             print,
             by,
-            errand: id,
+            request: id,
         }
     }
 
@@ -264,31 +264,31 @@
             "trailer",
             "accept-encoding",
         ];
-        let errand = &self.errand;
+        let request = &self.request;
         let goes = |name: &str| {
             !OURS.contains(&name) && !name.starts_with("otterslip-") && name != "x-forwarded-host"
         };
-        let headers = errand
+        let headers = request
             .headers
             .iter()
             .filter(|(name, _)| goes(&name.to_ascii_lowercase()) && self.key.is_none());
         Call {
             origin,
-            method: errand.method.clone(),
-            url: errand.url.clone(),
-            host: errand.host.clone(),
+            method: request.method.clone(),
+            url: request.url.clone(),
+            host: request.host.clone(),
             headers: headers.cloned().collect(),
-            body: errand.body.clone(),
+            body: request.body.clone(),
             operation: self
                 .claim
                 .as_ref()
-                .and(errand.operation_key().map(Into::into)),
-            name: errand.name.clone(),
-            errand: id,
-            key: errand.group().key.clone(),
-            proof: errand.group().proof,
+                .and(request.operation_key().map(Into::into)),
+            name: request.name.clone(),
+            request: id,
+            key: request.group().key.clone(),
+            proof: request.group().proof,
             limit: self.call_limit(now, takes),
-            sessions: errand
+            sessions: request
                 .group()
                 .sessions
                 .map_or(SESSIONS, |most| most as usize),
--- a/data-plane/src/lib.rs
+++ b/data-plane/src/lib.rs
@@ -20,7 +20,7 @@
 mod room;
 mod seal;
 pub use call_result::judge_call;
-pub use caller_face::errand_of;
+pub use caller_face::client_request_of;
 pub use edge_part::EdgePart;
 pub use line_face::LineFace;
 pub use own_words::OwnWords;
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// The face of an edge: callers come in and calls to origins go out over one
-/// HTTP line, in the words of one dialect. Invariant: every errand read is
+/// HTTP line, in the words of one dialect. Invariant: every request read is
 /// answered once, unless its session ended before.
 pub struct LineFace {
     program: &'static str,
@@ -118,7 +118,7 @@
             headers,
             body: call.body.clone(),
             limit: call.limit,
-            request: Some(call.errand),
+            request: Some(call.request),
             echo,
             sessions: call.sessions,
         };
@@ -208,7 +208,7 @@
         );
     }
 
-    fn heed_bounds(&self, image: &Option<Arc<EntryTable>>) {
+    fn apply_bounds(&self, image: &Option<Arc<EntryTable>>) {
         let Some(bounds) = image.as_ref().and_then(|image| image.bounds.clone()) else {
             return;
         };
@@ -243,7 +243,7 @@
     fn is_unwanted(&self, call: &Call) -> bool {
         let alone = matches!(call.purpose, CallPurpose::Caller | CallPurpose::RunOnce);
         let departed = self.departed.lock().expect("no holder panics");
-        alone && departed.contains(&call.errand)
+        alone && departed.contains(&call.request)
     }
 
     /// The request at this place is answered.
@@ -260,9 +260,9 @@
         requests.remove(&line)
     }
 
-    fn errand(self: &Arc<Self>, line: u64, asked: Asked) {
+    fn client_request(self: &Arc<Self>, line: u64, asked: Asked) {
         let image = (**self.port.image.load()).clone();
-        self.heed_bounds(&image);
+        self.apply_bounds(&image);
         let mut arrival = Arrival {
             method: asked.method,
             host: header(&asked.headers, "host")
@@ -285,17 +285,17 @@
                     .tell(&arrival.headers, &Answer::Refusal(refusal)),
             );
         }
-        let Some(errand) = errand_of(arrival) else {
+        let Some(request) = client_request_of(arrival) else {
             return;
         };
-        if let Some(refusal) = self.link_full(&errand) {
+        if let Some(refusal) = self.link_full(&request) {
             let answer = Answer::Refusal(refusal);
-            return self.tell(line, self.dialect.tell(&errand.headers, &answer));
+            return self.tell(line, self.dialect.tell(&request.headers, &answer));
         }
-        let keyed = errand.entry().kind == Kind::Keyed;
-        let route = errand.entry().name.clone();
-        let headers = errand.headers.clone();
-        let errand = Mutex::new(Some(errand));
+        let keyed = request.entry().kind == Kind::Keyed;
+        let route = request.entry().name.clone();
+        let headers = request.headers.clone();
+        let request = Mutex::new(Some(request));
         let taker = self.clone();
         let then = move |output: Output| {
             taker.answered(line, &output);
@@ -322,7 +322,7 @@
             requests.insert(line, id);
             Input::ClientRequest {
                 id,
-                errand: errand
+                request: request
                     .lock()
                     .expect("no holder panics")
                     .take()
@@ -351,7 +351,7 @@
         }
         // The taker is shared by its own answers.
         if let Some(taker) = self.me.upgrade() {
-            taker.errand(line, asked);
+            taker.client_request(line, asked);
         }
     }
 
--- a/data-plane/src/own_words.rs
+++ b/data-plane/src/own_words.rs
@@ -19,7 +19,7 @@
 const INSTANCE: &str = "otterslip-instance";
 /// The status of an instance that was not the one named, and ran nothing.
 const MISDIRECTED: u16 = 421;
-/// Of an origin's answer that it did not run the errand.
+/// Of an origin's answer that it did not run the request.
 const NOT_RUN: &str = "otterslip-not-run";
 
 impl Dialect for OwnWords {
@@ -40,7 +40,7 @@
             ("Host".to_string(), call.origin.address.to_string()),
             ("otterslip-service".into(), call.origin.service.clone()),
             (INSTANCE.into(), call.origin.instance.clone()),
-            (ERRAND.into(), call.errand.to_string()),
+            (ERRAND.into(), call.request.to_string()),
             ("x-forwarded-host".into(), call.host.clone()),
         ];
         headers.extend(
@@ -56,13 +56,13 @@
     }
 
     fn judge(&self, call: &Call, status: u16, headers: &[(String, String)], body: &[u8]) -> Judged {
-        let errand = call.errand.to_string();
+        let request = call.request.to_string();
         match call.proof {
             Proof::Named => {
                 // Before all else: an answer to another call proves nothing of
                 // this one.
-                if header(headers, ERRAND) != Some(errand.as_str()) {
-                    return Judged::Bad("the answer is to another errand".into());
+                if header(headers, ERRAND) != Some(request.as_str()) {
+                    return Judged::Bad("the answer is to another request".into());
                 }
                 if status == MISDIRECTED {
                     return Judged::Stranger;
@@ -80,7 +80,7 @@
                     service: &call.origin.service,
                     instance: &call.origin.instance,
                     operation: call.operation.as_deref().unwrap_or(""),
-                    errand: &errand,
+                    request: &request,
                     body,
                 };
                 if let Err(error) = seal.check(headers, &call.key) {
--- a/data-plane/src/seal.rs
+++ b/data-plane/src/seal.rs
@@ -11,7 +11,7 @@
     pub service: &'a str,
     pub instance: &'a str,
     pub operation: &'a str,
-    pub errand: &'a str,
+    pub request: &'a str,
     pub body: &'a [u8],
 }
 
@@ -39,7 +39,7 @@
             self.method,
             self.target,
             self.operation,
-            self.errand,
+            self.request,
             self.params()
         )
     }
@@ -101,7 +101,7 @@
             service: "book",
             instance: "b1",
             operation: "k1",
-            errand: "9",
+            request: "9",
             body: b"done",
         };
         let headers = seal.sign(&key);
@@ -132,7 +132,7 @@
                 ..seal.clone()
             },
             Seal {
-                errand: "8",
+                request: "8",
                 ..seal.clone()
             },
             Seal {
--- a/data-plane/tests/call_result.rs
+++ b/data-plane/tests/call_result.rs
@@ -23,7 +23,7 @@
         body: Arc::default(),
         operation: None,
         name: None,
-        errand: ERRAND,
+        request: ERRAND,
         key: String::new(),
         proof,
         limit: Duration::from_secs(1),
@@ -114,7 +114,7 @@
         service: "s",
         instance: "i1",
         operation: "",
-        errand: "9",
+        request: "9",
         body: b"x",
     };
     let came = |body: &[u8]| Came::Reply {
--- a/data-plane/tests/crossed_answers.rs
+++ b/data-plane/tests/crossed_answers.rs
@@ -10,7 +10,7 @@
         at(now),
         Input::ClientRequest {
             id,
-            errand: errand(url, method),
+            request: client_request(url, method),
         },
     )
 }
@@ -95,7 +95,7 @@
     let mut edge = live(1000);
     news(&mut edge, 1000, &[], true);
     let first = question(&begin(&mut edge, 1000, 1, "/copy", "GET"));
-    let key = Job::cache_key(&errand("/copy", "GET"));
+    let key = Job::cache_key(&client_request("/copy", "GET"));
     let copy = |id, left| Copy {
         id,
         key,
--- a/data-plane/tests/departures.rs
+++ b/data-plane/tests/departures.rs
@@ -150,8 +150,9 @@
                 };
                 self.requests.insert(id, request);
                 let (url, method) = sort.words();
-                let errand = errand(url, method);
-                self.edge.step(at(now), Input::ClientRequest { id, errand })
+                let request = client_request(url, method);
+                self.edge
+                    .step(at(now), Input::ClientRequest { id, request })
             }
             Step::Leaves(which) => {
                 let waiting = |(id, request): (&u64, &Request)| {
@@ -224,7 +225,7 @@
     }
 
     fn owner_says(&mut self, id: u64, kept: Kept) -> Vec<Output> {
-        let key = Job::cache_key(&errand("/copy", "GET"));
+        let key = Job::cache_key(&client_request("/copy", "GET"));
         let message: Message = match kept {
             Kept::Copy => {
                 let copy = CopyOut {
@@ -268,13 +269,13 @@
                     _ => {}
                 },
                 Output::Call { id, call } => {
-                    let request = &self.requests[&call.errand];
+                    let request = &self.requests[&call.request];
                     prop_assert!(
                         !request.left || request.sort == Sort::Cached,
                         "a call is begun for a caller that has left: {:?}",
                         request.sort
                     );
-                    self.calls.push((id, call.errand));
+                    self.calls.push((id, call.request));
                 }
                 Output::CancelCall { id } => {
                     let request = self.calls.iter().find(|(call, _)| *call == id);
@@ -374,8 +375,8 @@
 }
 
 fn begin(edge: &mut EdgePart, id: u64, url: &str, method: &str) -> Vec<Output> {
-    let errand = errand(url, method);
-    edge.step(at(START_MS), Input::ClientRequest { id, errand })
+    let request = client_request(url, method);
+    edge.step(at(START_MS), Input::ClientRequest { id, request })
 }
 
 fn ready_edge() -> EdgePart {
@@ -521,7 +522,7 @@
         epoch: 1,
         purged: 0,
     };
-    let key = Job::cache_key(&errand("/copy", "GET"));
+    let key = Job::cache_key(&client_request("/copy", "GET"));
     let out = heard(
         &mut edge,
         1005,
--- a/data-plane/tests/edge/mod.rs
+++ b/data-plane/tests/edge/mod.rs
@@ -82,7 +82,7 @@
     }
 }
 
-pub fn errand(url: &str, method: &str) -> ClientRequest {
+pub fn client_request(url: &str, method: &str) -> ClientRequest {
     let image = table();
     let entry = image.find("h", url, method).unwrap();
     let headers = vec![("operation-key".to_string(), "key".to_string())];
--- a/data-plane/tests/edge_part.rs
+++ b/data-plane/tests/edge_part.rs
@@ -12,7 +12,7 @@
                 at(1100),
                 Input::ClientRequest {
                     id,
-                    errand: errand("/low", "GET")
+                    request: client_request("/low", "GET")
                 }
             ))
             .is_empty()
@@ -22,7 +22,7 @@
         at(1100),
         Input::ClientRequest {
             id: 300,
-            errand: errand("/low", "GET"),
+            request: client_request("/low", "GET"),
         },
     ));
     assert_eq!(
@@ -33,7 +33,7 @@
         at(1100),
         Input::ClientRequest {
             id: 301,
-            errand: errand("/high", "GET"),
+            request: client_request("/high", "GET"),
         },
     ));
     assert_eq!(
@@ -46,7 +46,7 @@
             at(1100),
             Input::ClientRequest {
                 id: 302,
-                errand: errand("/quick", "GET")
+                request: client_request("/quick", "GET")
             }
         ))
         .is_empty()
@@ -61,7 +61,7 @@
             at(now),
             Input::ClientRequest {
                 id,
-                errand: errand(url, method),
+                request: client_request(url, method),
             },
         ))
     };
@@ -101,7 +101,7 @@
             at(2500),
             Input::ClientRequest {
                 id: 1,
-                errand: errand("/quick", "GET"),
+                request: client_request("/quick", "GET"),
             },
         ));
         assert_eq!(told.len(), 1, "life {life}, seed {seed}");
@@ -226,7 +226,7 @@
         at(1200),
         Input::ClientRequest {
             id: 1,
-            errand: errand("/quick", "GET"),
+            request: client_request("/quick", "GET"),
         },
     ));
     assert_eq!(told.len(), 1, "one renewal of the new three is no majority");
@@ -242,7 +242,7 @@
             at(1400),
             Input::ClientRequest {
                 id: 2,
-                errand: errand("/quick", "GET")
+                request: client_request("/quick", "GET")
             }
         ))
         .is_empty()
@@ -257,7 +257,7 @@
         at(1000),
         Input::ClientRequest {
             id: 1,
-            errand: errand("/k", "POST"),
+            request: client_request("/k", "POST"),
         },
     );
     assert!(matches!(asked(&out).as_slice(), [Change::Claim(_)]));
@@ -293,7 +293,7 @@
         at(1000),
         Input::ClientRequest {
             id: 1,
-            errand: errand("/k", "POST"),
+            request: client_request("/k", "POST"),
         },
     );
     let out = told(&mut edge, 1010, question(&out), Outcome::Claimed);
--- a/data-plane/tests/ending.rs
+++ b/data-plane/tests/ending.rs
@@ -15,9 +15,9 @@
     let urls = [("/copy", "GET"), ("/low", "GET"), ("/k", "POST")];
     for id in 0..30u64 {
         let (url, method) = urls[id as usize % 3];
-        let mut errand = errand(url, method);
-        errand.patience = Some(at(12_000));
-        edge.step(at(1000), Input::ClientRequest { id, errand });
+        let mut request = client_request(url, method);
+        request.patience = Some(at(12_000));
+        edge.step(at(1000), Input::ClientRequest { id, request });
     }
     edge.step(at(1100), Input::ShutdownRequested);
     let mut told = Vec::new();
@@ -40,12 +40,12 @@
 fn a_request_that_comes_late_in_the_grace_time_is_refused_at_once_and_a_call_goes_on() {
     let mut edge = live(1000).with_grace(at(GRACE_MS));
     news(&mut edge, 1000, &[origin(50)], false);
-    let once = errand("/once", "POST");
+    let once = client_request("/once", "POST");
     let begun = edge.step(
         at(1000),
         Input::ClientRequest {
             id: 1,
-            errand: once,
+            request: once,
         },
     );
     let out = heard(
@@ -62,8 +62,8 @@
         let told = answers(edge.step(at(now), Input::Tick));
         assert!(told.is_empty(), "its origin is at work: {told:?}");
     }
-    let errand = errand("/low", "GET");
-    let told = answers(edge.step(at(late), Input::ClientRequest { id: 2, errand }));
+    let request = client_request("/low", "GET");
+    let told = answers(edge.step(at(late), Input::ClientRequest { id: 2, request }));
     assert_eq!(told, [(2, 503, "ending".to_string(), RunState::NotRun)]);
     let result = CallBack::Good(Reply::default());
     let out = edge.step(at(late + 10), Input::Called { id: call, result });
@@ -87,9 +87,9 @@
         if warned {
             edge.step(at(1000), Input::ShutdownRequested);
         }
-        let mut errand = errand("/low", "GET");
-        errand.patience = Some(at(PATIENCE_MS));
-        let begun = edge.step(at(1000), Input::ClientRequest { id: 1, errand });
+        let mut request = client_request("/low", "GET");
+        request.patience = Some(at(PATIENCE_MS));
+        let begun = edge.step(at(1000), Input::ClientRequest { id: 1, request });
         let permit = permit(question(&begun), origin(50), 1005);
         let out = heard(&mut edge, 1010, GATE, permit);
         let limit = out.iter().find_map(|output| match output {
@@ -108,9 +108,9 @@
     const PATIENCE_MS: u64 = 4000;
     let mut edge = live(1000).with_grace(at(GRACE_MS));
     news(&mut edge, 1000, &[origin(50)], false);
-    let mut errand = errand("/low", "GET");
-    errand.patience = Some(at(PATIENCE_MS));
-    let begun = edge.step(at(1000), Input::ClientRequest { id: 1, errand });
+    let mut request = client_request("/low", "GET");
+    request.patience = Some(at(PATIENCE_MS));
+    let begun = edge.step(at(1000), Input::ClientRequest { id: 1, request });
     let permit = permit(question(&begun), origin(50), 1005);
     let call = question(&heard(&mut edge, 1010, GATE, permit));
     let out = edge.step(at(1500), Input::ShutdownRequested);
--- a/data-plane/tests/hot_keys.rs
+++ b/data-plane/tests/hot_keys.rs
@@ -35,7 +35,7 @@
     Arc::new(EntryTable::new(1, Configuration::read(&text).unwrap()))
 }
 
-fn request(image: &Arc<EntryTable>, key: u64) -> ClientRequest {
+fn client_request(image: &Arc<EntryTable>, key: u64) -> ClientRequest {
     let url = format!("/{key}");
     let entry = image.find("h", &url, "GET").unwrap();
     ClientRequest {
@@ -269,8 +269,8 @@
                     next += 1;
                     fleet.began.insert(next, now);
                     fleet.asked += u64::from(COUNTED_MS.contains(&now));
-                    let errand = request(&image, below(KEYS));
-                    (index, Input::ClientRequest { id: next, errand })
+                    let request = client_request(&image, below(KEYS));
+                    (index, Input::ClientRequest { id: next, request })
                 }
                 Happening::Heard(index, from, message) => {
                     let message = *message;
--- a/data-plane/tests/near_copies.rs
+++ b/data-plane/tests/near_copies.rs
@@ -9,13 +9,13 @@
 const PATIENCE_MS: u64 = 2500;
 
 fn key() -> CacheKey {
-    Job::cache_key(&errand("/copy", "GET"))
+    Job::cache_key(&client_request("/copy", "GET"))
 }
 
 fn begin(edge: &mut EdgePart, now: u64, id: u64) -> Vec<Output> {
-    let mut errand = errand("/copy", "GET");
-    errand.patience = Some(at(PATIENCE_MS));
-    edge.step(at(now), Input::ClientRequest { id, errand })
+    let mut request = client_request("/copy", "GET");
+    request.patience = Some(at(PATIENCE_MS));
+    edge.step(at(now), Input::ClientRequest { id, request })
 }
 
 fn reply(text: &str) -> Reply {
@@ -288,9 +288,9 @@
     const PENDING: u64 = 256;
     let mut edge = ready();
     let request = |edge: &mut EdgePart, now: u64, id: u64, url: &str, patience: u64| {
-        let mut errand = errand(url, "GET");
-        errand.patience = Some(at(patience));
-        edge.step(at(now), Input::ClientRequest { id, errand })
+        let mut request = client_request(url, "GET");
+        request.patience = Some(at(patience));
+        edge.step(at(now), Input::ClientRequest { id, request })
     };
     request(&mut edge, 1000, 0, "/copy-low", 500);
     request(&mut edge, 1000, 1, "/copy-low", 5000);
--- a/data-plane/tests/own_words.rs
+++ b/data-plane/tests/own_words.rs
@@ -24,7 +24,7 @@
         body,
         operation: None,
         name: None,
-        errand: 9,
+        request: 9,
         key,
         proof,
         limit: Duration::from_secs(1),
@@ -67,12 +67,12 @@
         ),
         (&other, 500, "so may a failure of another instance"),
         (&good[1..], 200, "an instance that is not named"),
-        (&good[..1], 421, "a refusal that names no errand"),
+        (&good[..1], 421, "a refusal that names no request"),
         (&[], 421, "a refusal that names nothing"),
         (
             &[("otterslip-instance", "i1"), ("otterslip-errand", "8")],
             421,
-            "the refusal of another errand",
+            "the refusal of another request",
         ),
     ] {
         assert!(matches!(told(headers, status), Judged::Bad(_)), "{why}");
--- a/data-plane/tests/request_faults.rs
+++ b/data-plane/tests/request_faults.rs
@@ -143,12 +143,12 @@
             Sort::Post => ("/post", "POST"),
             Sort::Keyed => ("/k", "POST"),
         };
-        let errand = errand(url, method);
+        let request = client_request(url, method);
         let out = model.edge.step(
             at(1000),
             Input::ClientRequest {
                 id: REQUEST,
-                errand,
+                request,
             },
         );
         model.judge(out)?;
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -56,7 +56,7 @@
     #[default]
     Seal,
     /// Each call names the instance it is meant for; another one refuses it,
-    /// and the answer names the errand.
+    /// and the answer names the request.
     Named,
 }
 
@@ -137,7 +137,7 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[validate(nested)]
     pub split: Vec<Share>,
-    /// Origins that one errand may be sent to, at most.
+    /// Origins that one request may be sent to, at most.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[validate(range(min = 1, max = 100))]
     pub attempts: Option<u32>,
@@ -156,12 +156,12 @@
         5000
     }
 
-    /// Whether an errand of this method is the entry's.
+    /// Whether a request of this method is the entry's.
     pub fn takes(&self, method: &str) -> bool {
         self.methods.is_empty() || self.methods.iter().any(|known| known == method)
     }
 
-    /// The group of one errand: by weight, and alike for one key, so that an
+    /// The group of one request: by weight, and alike for one key, so that an
     /// object has one source and a repeat meets the same service.
     pub fn aim_at(&self, key: &[u8]) -> &str {
         let whole: f64 = self.split.iter().map(|share| share.weight).sum();
--- a/kernel/src/dialect.rs
+++ b/kernel/src/dialect.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// The words in which callers and origins are spoken to. It only translates:
-/// what an errand is worth, where it goes and what is remembered of it is
+/// what a request is worth, where it goes and what is remembered of it is
 /// decided elsewhere.
 pub trait Dialect: Send + Sync {
     /// How long the caller says it will wait.
@@ -10,7 +10,7 @@
     /// The key under which the caller's operation runs once.
     fn operation<'a>(&self, headers: &'a [(String, String)]) -> Option<&'a str>;
 
-    /// What the caller calls its errand, if it does: it goes on to the origin.
+    /// What the caller calls its request, if it does: it goes on to the origin.
     fn name<'a>(&self, headers: &'a [(String, String)]) -> Option<&'a str>;
 
     /// The headers of a call in order, `Host` among them, and the header that
@@ -20,7 +20,7 @@
     /// What an answer to `call` is, after it was read whole.
     fn judge(&self, call: &Call, status: u16, headers: &[(String, String)], body: &[u8]) -> Judged;
 
-    /// What the caller of an errand with these headers is told: a reply's own
+    /// What the caller of a request with these headers is told: a reply's own
     /// headers are in it already, a refusal becomes what callers understand.
     fn tell(&self, asked: &[(String, String)], answer: &Answer) -> TellWords;
 }
--- a/kernel/src/entry_table.rs
+++ b/kernel/src/entry_table.rs
@@ -30,7 +30,7 @@
         EntryTable { bounds, ..self }
     }
 
-    /// The entry with the longest path that is the errand's path or a whole
+    /// The entry with the longest path that is the request's path or a whole
     /// part of its start; of two alike the one that names the host.
     pub fn find(&self, host: &str, url: &str, method: &str) -> Option<usize> {
         let path = url.split(['?', '#']).next().unwrap_or(url);
--- a/kernel/src/lease.rs
+++ b/kernel/src/lease.rs
@@ -26,7 +26,7 @@
 /// How long a control node counts another as live without a word from it.
 pub const CONTROL_PEER: Duration = Duration::from_millis(450);
 /// A permit is good for this long from its granting: a leaving origin gets no
-/// errand later than this after the gate dropped it. Also the arrival jitter
+/// request later than this after the gate dropped it. Also the arrival jitter
 /// in the rate bound: 5.2 s of rate fit into any 5 s window (104 %), the rest
 /// up to 110 % is the bucket's burst.
 pub const PERMIT: Duration = Duration::from_millis(200);
--- a/kernel/src/message.rs
+++ b/kernel/src/message.rs
@@ -436,13 +436,13 @@
     Settled,
 }
 
-/// An errand's hold on an operation key.
+/// A request's hold on an operation key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Claim {
     pub operation: String,
     pub print: CacheKey,
     pub by: Peer,
-    pub errand: u64,
+    pub request: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -21,7 +21,7 @@
     StoreFailed,
     ClientRequest {
         id: u64,
-        errand: ClientRequest,
+        request: ClientRequest,
     },
     /// The caller of this request has closed its connection: nobody waits for
     /// the answer any more.
@@ -125,7 +125,7 @@
     pub headers: Vec<(String, String)>,
     pub body: Arc<Vec<u8>>,
     pub caller: String,
-    /// The image this errand keeps for its life.
+    /// The image this request keeps for its life.
     pub image: Arc<EntryTable>,
     /// Index of the matched entry in the image.
     pub entry: usize,
@@ -189,7 +189,7 @@
     pub operation: Option<String>,
     pub name: Option<String>,
     /// Binds the answer to this one call.
-    pub errand: u64,
+    pub request: u64,
     pub key: String,
     pub proof: Proof,
     pub limit: Duration,
@@ -227,7 +227,7 @@
     Bad(String),
 }
 
-/// What an errand ends with.
+/// What a request ends with.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
     Reply { reply: Reply, age: Option<Duration> },
@@ -251,7 +251,7 @@
     pub status: u16,
     pub code: String,
     pub outcome: RunState,
-    /// Nothing was sent for this very errand and nothing will be, whatever
+    /// Nothing was sent for this very request and nothing will be, whatever
     /// became of others with its key.
     #[serde(skip)]
     pub idle: bool,
@@ -303,7 +303,7 @@
         Refusal::new(status, code, RunState::Unknown, text)
     }
 
-    /// The same, of an errand for which nothing was sent.
+    /// The same, of a request for which nothing was sent.
     pub fn idle(self) -> Refusal {
         Refusal { idle: true, ..self }
     }
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -168,9 +168,9 @@
 pub struct Operation {
     /// Hash over caller, entry, method, target and body.
     pub print: CacheKey,
-    /// The edge and its errand that hold the claim.
+    /// The edge and its request that hold the claim.
     pub by: Peer,
-    pub errand: u64,
+    pub request: u64,
     pub state: OperationState,
 }
 
--- a/programs/tests/whole_path.rs
+++ b/programs/tests/whole_path.rs
@@ -106,7 +106,7 @@
             .unwrap_or_else(|error| panic!("{method} {path} {status}: {error}; {told}"));
     }
 
-    /// A caller's errand: status, headers, body.
+    /// A caller's request: status, headers, body.
     fn call(
         &self,
         edge: usize,
--- a/simulate-fleet/src/fault.rs
+++ b/simulate-fleet/src/fault.rs
@@ -116,7 +116,7 @@
 pub enum Moment {
     Configured,
     Purged,
-    /// A keyed errand was answered with success.
+    /// A keyed request was answered with success.
     Booked,
 }
 
--- a/simulate-fleet/src/prelude.rs
+++ b/simulate-fleet/src/prelude.rs
@@ -11,6 +11,6 @@
 pub use crate::world_orders::{ItemOrder, OrderRecord};
 pub use control_plane::{Bootstrap, ControlPart, Record, Replica};
 pub use data_plane::prelude::{Arrival, chain};
-pub use data_plane::{EdgePart, errand_of};
+pub use data_plane::{EdgePart, client_request_of};
 pub use stand_ins::deployment::Mix;
 pub use stand_ins::prelude::*;
--- a/simulate-fleet/src/sim_origin.rs
+++ b/simulate-fleet/src/sim_origin.rs
@@ -81,7 +81,7 @@
             service: self.service.clone(),
             instance: self.instance.clone(),
             path: call.url.clone(),
-            errand: call.errand.to_string(),
+            request: call.request.to_string(),
             operation: call.operation.clone(),
             probe: call.url.starts_with("/.well-known/"),
         };
--- a/simulate-fleet/src/world_callers.rs
+++ b/simulate-fleet/src/world_callers.rs
@@ -110,7 +110,7 @@
             task.operation.as_deref(),
         ) {
             Err(refusal) => self.caller_ends(id, Some(Answer::Refusal(refusal))),
-            Ok(errand) => self.step(node, Input::ClientRequest { id, errand }),
+            Ok(request) => self.step(node, Input::ClientRequest { id, request }),
         }
     }
 
@@ -147,7 +147,7 @@
         };
         match chain(&mut arrival) {
             Some(refusal) => Err(refusal),
-            None => errand_of(arrival)
+            None => client_request_of(arrival)
                 .ok_or_else(|| Refusal::not_run(500, "filters", "an unmatched arrival passed")),
         }
     }
@@ -157,7 +157,7 @@
         let keyed = self
             .errands
             .get(&id)
-            .is_some_and(|errand| errand.task.operation.is_some());
+            .is_some_and(|request| request.task.operation.is_some());
         let copy = matches!(answer, Answer::Reply { age: Some(_), .. });
         let answer = if copy && !keyed && !self.nodes[node].live(self.now) {
             Answer::Refusal(Refusal::fenced(RunState::NotRun))
@@ -169,12 +169,12 @@
 
     /// Nothing leaves for a caller alone after its close was read.
     pub(crate) fn see_departed(&mut self, call: &Call) {
-        let Some(left) = self.departures.get(&call.errand) else {
+        let Some(left) = self.departures.get(&call.request) else {
             return;
         };
         let since = self.now - *left;
         if matches!(call.purpose, CallPurpose::Caller | CallPurpose::RunOnce) {
-            let subject = format!("request {} sent {since:?} after", call.errand);
+            let subject = format!("request {} sent {since:?} after", call.request);
             self.record("abandoned-work", &subject, 0, since <= CALL_LEAVES);
         }
     }
--- a/simulate-fleet/src/world_faults.rs
+++ b/simulate-fleet/src/world_faults.rs
@@ -77,7 +77,7 @@
         let lost: Vec<u64> = self
             .errands
             .iter()
-            .filter(|(_, errand)| errand.node == node)
+            .filter(|(_, request)| request.node == node)
             .map(|(id, _)| *id)
             .collect();
         lost.into_iter().for_each(|id| self.caller_ends(id, None));
--- a/stand-ins/src/bin/run-fleet.rs
+++ b/stand-ins/src/bin/run-fleet.rs
@@ -720,7 +720,7 @@
             checker.origins.iter().filter(|call| call.probe).count()
         );
         println!(
-            "origin calls per cached errand: {:.3}",
+            "origin calls per cached request: {:.3}",
             fetched as f64 / cached.max(1) as f64
         );
         for (rank, (good, all)) in checker.shares() {
--- a/stand-ins/src/bin/stand-in-caller.rs
+++ b/stand-ins/src/bin/stand-in-caller.rs
@@ -3,7 +3,7 @@
 const HELP: &str = "stand-ins for callers
 
 --plan FILE --record FILE     traffic as the plan says
---edge IP:PORT --path PATH [--method GET] [--operation KEY]     one errand, shown";
+--edge IP:PORT --path PATH [--method GET] [--operation KEY]     one request, shown";
 
 fn main() -> Result<()> {
     let mut flags = Flags::gather("stand-in-caller", HELP);
--- a/stand-ins/src/caller.rs
+++ b/stand-ins/src/caller.rs
@@ -175,7 +175,7 @@
     }
 }
 
-/// One errand, and whether what came back is the answer to it.
+/// One request, and whether what came back is the answer to it.
 pub fn call_edge(
     mix: &crate::deployment::Mix,
     path: &str,
--- a/stand-ins/src/checker.rs
+++ b/stand-ins/src/checker.rs
@@ -352,7 +352,7 @@
             .collect()
     }
 
-    /// Judged by when an errand began: an answer that was on its way when the
+    /// Judged by when a request began: an answer that was on its way when the
     /// bound passed was asked for before it.
     fn served_after_purge(&self) -> Cases {
         let mut cases = Cases::default();
@@ -591,7 +591,7 @@
                 .iter()
                 .filter(|call| call.service == *service && !call.probe)
             {
-                if known.insert(&call.errand) {
+                if known.insert(&call.request) {
                     firsts.push(call.at)
                 } else {
                     extras.push(call.at)
@@ -848,12 +848,12 @@
             instance: "i".into(),
             address: "a".into(),
             operation: operation.map(Into::into),
-            errand: format!("{at}"),
+            request: format!("{at}"),
             ..Default::default()
         }
     }
 
-    fn errand(start: f64, status: u16, outcome: &str) -> CallerRecord {
+    fn request(start: f64, status: u16, outcome: &str) -> CallerRecord {
         CallerRecord {
             start,
             end: start + 1.0,
@@ -897,23 +897,23 @@
         one.origins = vec![call(1.0, Some("k")), call(9.0, Some("k"))];
         assert!(broken(&one, 0));
         let mut one = empty();
-        one.callers = vec![errand(1.0, 503, "not_run")];
+        one.callers = vec![request(1.0, 503, "not_run")];
         assert_eq!(verdict(&one, 1), Verdict::Held(1));
         one.origins = vec![call(5.0, Some("k"))];
         assert!(broken(&one, 1));
-        one.callers.push(errand(4.5, 200, ""));
+        one.callers.push(request(4.5, 200, ""));
         assert_eq!(verdict(&one, 1), Verdict::Held(1), "the later attempt ran");
         let mut one = empty();
         one.callers = vec![CallerRecord {
             fits: false,
-            ..errand(1.0, 200, "")
+            ..request(1.0, 200, "")
         }];
         assert!(broken(&one, 2));
         let mut one = empty();
         one.callers = vec![CallerRecord {
             version: Some(1),
             path: "i/1".into(),
-            ..errand(9.0, 200, "")
+            ..request(9.0, 200, "")
         }];
         one.fleet = vec![event(6.0, "purged", 2, true)];
         assert!(broken(&one, 3));
@@ -1001,12 +1001,12 @@
         let tries = |firsts: u32, extras: u32| {
             let mut one = empty();
             let first = |at: u32| OriginRecord {
-                errand: format!("first {at}"),
+                request: format!("first {at}"),
                 ..call(f64::from(at) * 0.01, None)
             };
             one.origins = (0..firsts).map(first).collect();
             one.origins.extend((0..extras).map(|at| OriginRecord {
-                errand: "first 0".into(),
+                request: "first 0".into(),
                 ..call(2.0 + f64::from(at) * 0.1, None)
             }));
             verdict(&one, 8)
@@ -1029,10 +1029,10 @@
         let mut one = empty();
         let refused = |code: &str| CallerRecord {
             code: code.into(),
-            ..errand(5.0, 503, "not_run")
+            ..request(5.0, 503, "not_run")
         };
         one.fleet = vec![event(4.0, "fault", 0, true)];
-        one.callers = vec![refused("over_capacity"), errand(5.0, 200, "")];
+        one.callers = vec![refused("over_capacity"), request(5.0, 200, "")];
         assert_eq!(verdict(&one, 10), Verdict::Held(2));
         one.callers = vec![refused("fenced")];
         assert!(broken(&one, 10));
@@ -1044,7 +1044,7 @@
         );
         one.callers = vec![CallerRecord {
             dropped: true,
-            ..errand(5.0, 0, "")
+            ..request(5.0, 0, "")
         }];
         assert!(broken(&one, 10), "no answer at all is a drop all the same");
         one.fleet.push(FleetRecord {
@@ -1060,12 +1060,12 @@
         let other = |start: f64, status: u16, code: &str| CallerRecord {
             entry: "f".into(),
             code: code.into(),
-            ..errand(start, status, "")
+            ..request(start, status, "")
         };
         one.fleet = vec![event(1.0, "returned", 0, true)];
         one.callers = vec![
-            errand(3.0, 200, ""),
-            errand(20.0, 200, ""),
+            request(3.0, 200, ""),
+            request(20.0, 200, ""),
             other(4.0, 200, ""),
         ];
         assert_eq!(verdict(&one, 11), Verdict::Held(2));
@@ -1082,7 +1082,7 @@
         );
         one.callers[2] = other(86.0, 200, "");
         assert!(broken(&one, 11));
-        one.callers = vec![errand(3.0, 200, "")];
+        one.callers = vec![request(3.0, 200, "")];
         one.fleet.push(event(16.0, "ready-again", 0, false));
         assert!(broken(&one, 11));
     }
@@ -1090,7 +1090,7 @@
     #[test]
     fn faults_are_counted_for_the_nevers_in_whose_cases_they_fell() {
         let mut one = empty();
-        one.callers = vec![errand(1.0, 200, ""), errand(8.0, 200, "")];
+        one.callers = vec![request(1.0, 200, ""), request(8.0, 200, "")];
         one.fleet = vec![
             event(8.5, "fault", 0, false),
             event(12.0, "fault", 0, false),
--- a/stand-ins/src/origin.rs
+++ b/stand-ins/src/origin.rs
@@ -74,7 +74,7 @@
             return rouille::Response::text("set");
         }
         let head = |name: &str| request.header(name).unwrap_or_default().to_string();
-        let (errand, operation) = (
+        let (request_id, operation) = (
             head("otterslip-errand"),
             request.header("operation-key").map(Into::into),
         );
@@ -91,7 +91,7 @@
                 service: self.service.clone(),
                 instance: self.instance.clone(),
                 path: request.raw_url().into(),
-                errand: errand.clone(),
+                request: request_id.clone(),
                 operation: operation.clone(),
                 probe,
             });
@@ -122,7 +122,7 @@
         self.sealed(
             request,
             &fault,
-            &errand,
+            &request_id,
             operation.as_deref().unwrap_or(""),
             text,
         )
@@ -132,7 +132,7 @@
         &self,
         request: &rouille::Request,
         fault: &str,
-        errand: &str,
+        request_id: &str,
         operation: &str,
         text: String,
     ) -> rouille::Response {
@@ -149,7 +149,7 @@
             service: &self.service,
             instance: &self.instance,
             operation,
-            errand,
+            request: request_id,
             body: text.as_bytes(),
         };
         let stranger = SigningKey::from_bytes(&[99; 32]);
--- a/stand-ins/src/record.rs
+++ b/stand-ins/src/record.rs
@@ -8,12 +8,12 @@
     pub service: String,
     pub instance: String,
     pub path: String,
-    pub errand: String,
+    pub request: String,
     pub operation: Option<String>,
     pub probe: bool,
 }
 
-/// One errand as a caller saw it. `status` 0: no answer came.
+/// One request as a caller saw it. `status` 0: no answer came.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct CallerRecord {
     pub start: f64,
