GONE, review: a call that an edge holds back judges no origin and is no try

Found by reading the mend again: the face refuses calls of callers that have left, and of a lease that is over; the gate took that for an origin that cannot be reached and set it aside for half a second. Now Withheld: the permit goes back unused. Tests: a_withheld_call_gives_its_permit_back_unused; the drawn sequences know it and count no try for it.

--- a/data-plane/src/edge_part/assignments.rs
+++ b/data-plane/src/edge_part/assignments.rs
@@ -340,6 +340,7 @@
         let (good, why) = match result {
             CallBack::Good(reply) => (reply.status == 200, format!("status {}", reply.status)),
             CallBack::Refused => (false, "refused".into()),
+            CallBack::Withheld => (false, "withheld".into()),
             CallBack::NotRun | CallBack::Stranger => (false, "another, or not willing".into()),
             CallBack::Bad(why) => (false, why),
         };
--- a/data-plane/src/edge_part/calls.rs
+++ b/data-plane/src/edge_part/calls.rs
@@ -177,7 +177,8 @@
             return;
         };
         let (permit, took) = (permit.clone(), now - *since);
-        if permit.epoch == 0 && !matches!(result, CallBack::Good(_)) {
+        let judged = !matches!(result, CallBack::Good(_) | CallBack::Withheld);
+        if permit.epoch == 0 && judged {
             self.shares
                 .entry(permit.service.clone())
                 .or_default()
@@ -185,6 +186,7 @@
         }
         let told = match &result {
             CallBack::Good(_) => CallResult::Good,
+            CallBack::Withheld => CallResult::Unused,
             CallBack::Refused => CallResult::Refused,
             CallBack::NotRun => CallResult::NotRun,
             CallBack::Stranger => CallResult::Stranger,
@@ -200,6 +202,14 @@
                 self.set_stage(now, id, Stage::Knocking);
             }
             CallBack::Good(reply) => self.good(now, id, reply),
+            CallBack::Withheld => {
+                let job = self.jobs.get_mut(&id).expect("just seen");
+                job.sent = job.ran;
+                // It was no try.
+                job.calls -= 1;
+                let why = "the call was withheld";
+                self.try_again(now, id, true, 503, "no_origin", why);
+            }
             CallBack::Refused | CallBack::NotRun | CallBack::Stranger => {
                 let job = self.jobs.get_mut(&id).expect("just seen");
                 // It did not run this time; an earlier call may have.
--- a/data-plane/src/line_face.rs
+++ b/data-plane/src/line_face.rs
@@ -105,7 +105,7 @@
         if !taker.port.live() || taker.is_unwanted(&call) {
             let _ = taker.port.give.send(Input::Called {
                 id,
-                result: CallBack::Refused,
+                result: CallBack::Withheld,
             });
             return;
         }
--- a/data-plane/tests/departures.rs
+++ b/data-plane/tests/departures.rs
@@ -697,3 +697,25 @@
         None
     );
 }
+
+/// A call that the edge itself held back says nothing of its origin, and is no
+/// try.
+#[test]
+fn a_withheld_call_gives_its_permit_back_unused() {
+    let mut edge = ready_edge();
+    let mut asked = begin(&mut edge, 1, "/low", "GET");
+    for _ in 0..5 {
+        let call = called(&mut edge, &asked);
+        let result = CallBack::Withheld;
+        asked = edge.step(at(1020), Input::Called { id: call, result });
+        assert_eq!(call_results(&asked), [CallResult::Unused]);
+    }
+    let begun = begin(&mut edge, 2, "/once", "POST");
+    let call = called(&mut edge, &begun);
+    edge.step(at(1015), Input::CallerLeft { id: 2 });
+    let result = CallBack::Withheld;
+    let out = edge.step(at(1020), Input::Called { id: call, result });
+    assert_eq!(call_results(&out), [CallResult::Unused]);
+    let left = (2, 503, "caller_left".to_string(), RunState::NotRun);
+    assert_eq!(answers(out), [left]);
+}
--- a/kernel/src/part.rs
+++ b/kernel/src/part.rs
@@ -217,7 +217,10 @@
 #[derive(Debug, Clone)]
 pub enum CallBack {
     Good(Reply),
-    /// Nothing was sent.
+    /// Nothing was sent, by our own decision: the lease is over, or the caller has
+    /// left. It says nothing of the origin.
+    Withheld,
+    /// Nothing was sent: the origin could not be reached.
     Refused,
     /// The origin says that it did not run it (it is full, or leaves).
     NotRun,
--- a/simulate-fleet/src/world.rs
+++ b/simulate-fleet/src/world.rs
@@ -937,7 +937,7 @@
     pub(crate) fn call(&mut self, node: usize, run: u64, id: u64, call: &Call) {
         self.see_departed(call);
         let (span, result) = if !self.nodes[node].live(self.now) {
-            (Duration::ZERO, CallBack::Refused)
+            (Duration::ZERO, CallBack::Withheld)
         } else {
             let at = self.seconds();
             let origin = self
