--- a/data-plane/tests/departures.rs
+++ b/data-plane/tests/departures.rs
@@ -719,3 +719,23 @@
     let left = (2, 503, "caller_left".to_string(), RunState::NotRun);
     assert_eq!(answers(out), [left]);
 }
+
+/// An operation that runs elsewhere: nobody is left to be told of its end.
+#[test]
+fn a_claim_that_another_holds_is_not_asked_for_on() {
+    let mut edge = ready_edge();
+    let claim = question(&begin(&mut edge, 1, "/k", "POST"));
+    edge.step(at(1002), Input::CallerLeft { id: 1 });
+    let running = Outcome::Taken {
+        same: true,
+        state: OperationState::Running,
+    };
+    let mut out = told(&mut edge, 1005, claim, running);
+    for now in (1050..3000).step_by(50) {
+        renew(&mut edge, now);
+        out.extend(edge.step(at(now), Input::Tick));
+    }
+    let claims = |change: &Change| matches!(change, Change::Claim(_));
+    assert!(!asked(&out).iter().any(claims));
+    assert_eq!(answers(out).len(), 1);
+}
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -20,6 +20,29 @@
 }
 
 impl Port {
+    /// Inputs for the part go to `give`. Not live until a fence is set.
+    pub fn new(give: Sender<Input>, startup: Startup) -> Result<Port> {
+        Ok(Port {
+            give,
+            began: Instant::now(),
+            // Not where an earlier run began: its late answers fit no call of ours.
+            serial: AtomicU64::new(new_life()? >> 1),
+            waits: Mutex::default(),
+            image: ArcSwap::from_pointee(None),
+            fence: AtomicU64::new(0),
+            ready: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
+            duties: ArcSwap::default(),
+            startup,
+        })
+    }
+
+    /// The lease stands until then; `ready`: callers may come.
+    pub fn set_fence(&self, until: Duration, ready: bool) {
+        self.ready.store(ready, Ordering::Release);
+        self.fence.store(until.as_nanos() as u64, Ordering::Release);
+    }
+
     pub fn now(&self) -> Duration {
         self.began.elapsed()
     }
@@ -105,19 +128,7 @@
         let listener =
             TcpListener::bind(mesh).with_context(|| format!("cannot listen on {mesh}"))?;
         let links = Links::open(self.me, listener, give.clone())?;
-        let port = Arc::new(Port {
-            give: give.clone(),
-            began: Instant::now(),
-            // Not where an earlier run began: its late answers fit no call of ours.
-            serial: AtomicU64::new(new_life()? >> 1),
-            waits: Mutex::default(),
-            image: ArcSwap::from_pointee(None),
-            fence: AtomicU64::new(0),
-            ready: AtomicBool::new(false),
-            ending: AtomicBool::new(false),
-            duties: ArcSwap::default(),
-            startup: self.startup.clone(),
-        });
+        let port = Arc::new(Port::new(give.clone(), self.startup.clone())?);
         self.face.open(&port)?;
         for source in
             inventory::iter::<SourcePlugIn>().filter(|source| source.program == self.program)
@@ -186,8 +197,7 @@
                     }
                     Output::Note { event, text } => note(event, &text),
                     Output::Show(Shown::Fence { until, ready }) => {
-                        port.ready.store(ready, Ordering::Release);
-                        port.fence.store(until.as_nanos() as u64, Ordering::Release);
+                        port.set_fence(until, ready);
                     }
                     Output::Show(Shown::Duties(list)) => port.duties.store(Arc::new(list)),
                     Output::Show(Shown::LinkDelay(delay)) => self.face.link_delay(delay),
