--- a/data-plane/src/filter.rs
+++ b/data-plane/src/filter.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 use crate::prelude::*;
 
 /// A request on its way in, before it has passed the filters.
@@ -178,84 +181,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::prelude::*;
-
-    fn arrival(method: &str, url: &str, headers: &[(&str, &str)], live: bool) -> Arrival {
-        let key = BASE64.encode([1; 32]);
-        let text = format!(
-            r#"{{"groups":[{{"service":"s","rate":9,"concurrency":9,"key":"{key}"}}],"entries":[
-            {{"name":"p","path":"/p","group":"s","rank":1,"kind":"plain"}},
-            {{"name":"k","path":"/k","methods":["POST"],"group":"s","rank":1,"kind":"keyed"}}]}}"#
-        );
-        let image = Arc::new(EntryTable::new(1, Configuration::read(&text).unwrap()));
-        let headers: Vec<(String, String)> = headers
-            .iter()
-            .map(|(name, value)| (name.to_string(), value.to_string()))
-            .collect();
-        let operation = header(&headers, "operation-key").map(Into::into);
-        Arrival {
-            method: method.into(),
-            host: "h".into(),
-            url: url.into(),
-            headers,
-            body: Arc::default(),
-            operation,
-            patience: None,
-            name: None,
-            live,
-            image: Some(image),
-            entry: None,
-        }
-    }
-
-    #[test]
-    fn each_filter_answers_for_itself_and_a_good_request_passes_all() {
-        let long = "x".repeat(129);
-        let told = |mut arrival: Arrival| {
-            chain(&mut arrival).map(|refusal| (refusal.status, refusal.code, refusal.outcome))
-        };
-        let not_run = |status, code: &str| Some((status, code.to_string(), RunState::NotRun));
-        assert_eq!(told(arrival("GET", "/p/1", &[], true)), None);
-        assert_eq!(
-            told(arrival("POST", "/k", &[("Operation-Key", "a-1")], true)),
-            None
-        );
-        assert_eq!(
-            told(arrival("GET", &format!("/{}", "x".repeat(2048)), &[], true)),
-            not_run(414, "url_too_long")
-        );
-        assert_eq!(
-            told(arrival("GET", "p", &[], true)),
-            not_run(400, "url_malformed")
-        );
-        assert_eq!(
-            told(arrival("GET", "/p", &[("a", &"x".repeat(16400))], true)),
-            not_run(431, "headers_too_large")
-        );
-        assert_eq!(
-            told(arrival("GET", "/none", &[], true)),
-            not_run(404, "no_entry")
-        );
-        assert_eq!(
-            told(arrival("POST", "/k", &[], true)),
-            not_run(400, "operation_key_missing")
-        );
-        assert_eq!(
-            told(arrival("POST", "/k", &[("operation-key", &long)], true)),
-            not_run(400, "operation_key_malformed")
-        );
-        assert_eq!(
-            told(arrival("GET", "/p", &[], false)),
-            not_run(503, "fenced")
-        );
-        assert_eq!(
-            told(arrival("GET", "/none", &[], false)),
-            not_run(503, "fenced")
-        );
-        let keyed = told(arrival("POST", "/k", &[("operation-key", "a")], false));
-        assert_eq!(keyed, Some((503, "fenced".into(), RunState::Unknown)));
-    }
-}
--- /dev/null
+++ b/http-line/src/head/tests.rs
@@ -0,0 +1,127 @@
+//! Tests of `head`.
+use super::*;
+
+fn asked(lines: &str) -> std::result::Result<AskedHead, Refused> {
+    Head::asked(format!("POST /a?b HTTP/1.1\r\nHost: h\r\n{lines}\r\n").as_bytes())
+}
+
+#[test]
+fn reads_a_head() {
+    let head = asked(
+        "Content-Length: 05\r\nX: \t\u{e9} y \r\ncontent-length: 5\r\nConnection: a, Close\r\n",
+    )
+    .unwrap();
+    assert_eq!(
+        (head.method.as_str(), head.target.as_str()),
+        ("POST", "/a?b")
+    );
+    assert_eq!((head.framing, head.close), (Framing::Length(5), true));
+    let pair = |name: &str, value: &str| (name.to_string(), value.to_string());
+    let want = [
+        pair("Host", "h"),
+        pair("Content-Length", "5"),
+        pair("X", "\u{e9} y"),
+        pair("Connection", "a, Close"),
+    ];
+    assert_eq!(head.headers, want);
+    assert!(Head::asked(b"GET / HTTP/1.0\r\n\r\n").unwrap().close);
+    assert!(
+        !Head::asked(b"GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n")
+            .unwrap()
+            .close
+    );
+    assert_eq!(Head::end(b"a\r\nb\r\n\r\nc", 0), Some(8));
+    assert_eq!(Head::end(b"a\r\nb\r\n\r\nc", 7), Some(8));
+    assert_eq!(Head::end(b"a\r\nb\r\n\r", 0), None);
+    assert_eq!(Head::end(b"a\n\nb", 0), Some(3));
+}
+
+#[test]
+fn refuses_what_others_may_read_otherwise() {
+    for lines in [
+        "Content-Length: 1\r\nContent-Length: 2\r\n",
+        "Content-Length: 1, 1\r\n",
+        "Content-Length: +1\r\n",
+        "Content-Length: \r\n",
+        "Content-Length: 1 1\r\n",
+        "Content-Length: 99999999999999999999\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding:\r\n chunked\r\n",
+        "Transfer-Encoding : chunked\r\n",
+        "A: b\r\n c\r\n",
+        "A: b\rc\r\n",
+        "A: b\nC: d\r\n",
+        "A: b\0\r\n",
+        "A\r\n",
+        ": b\r\n",
+        "A b: c\r\n",
+        "Host: i\r\n",
+        "Transfer-Encoding: \u{b}chunked\r\n",
+    ] {
+        assert_eq!(asked(lines).err().map(|e| e.0), Some(400), "{lines:?}");
+    }
+    for head in [
+        "GET /\r\n\r\n",
+        "GET / HTTP/2.0\r\n\r\n",
+        "GET /a b HTTP/1.1\r\n\r\n",
+        "G\u{e9} / HTTP/1.1\r\n\r\n",
+        "GET /\u{e9} HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1 \r\n\r\n",
+        "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+    ] {
+        assert_eq!(
+            Head::asked(head.as_bytes()).err().map(|e| e.0),
+            Some(400),
+            "{head:?}"
+        );
+    }
+    assert_eq!(
+        Head::asked(b"GET / HTTP/1.1\r\nA: \xff\r\n\r\n")
+            .err()
+            .map(|e| e.0),
+        Some(400)
+    );
+    assert_eq!(asked(&"A: b\r\n".repeat(101)).err().map(|e| e.0), Some(431));
+}
+
+#[test]
+fn knows_where_an_answer_ends() {
+    let framing = |head: &str, bare| Head::answer(head.as_bytes(), bare).map(|head| head.framing);
+    assert_eq!(
+        framing("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", false),
+        Ok(Framing::Length(3))
+    );
+    assert_eq!(
+        framing("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", true),
+        Ok(Framing::Length(0))
+    );
+    assert_eq!(
+        framing("HTTP/1.1 304 \r\nContent-Length: 3\r\n\r\n", false),
+        Ok(Framing::Length(0))
+    );
+    assert_eq!(
+        framing("HTTP/1.1 200\r\nTransfer-Encoding: Chunked\r\n\r\n", false),
+        Ok(Framing::Chunked)
+    );
+    assert_eq!(
+        framing("HTTP/1.0 200 OK\r\n\r\n", false),
+        Ok(Framing::UntilClose)
+    );
+    assert_eq!(
+        framing("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", false),
+        Ok(Framing::UntilClose)
+    );
+    assert!(framing("HTTP/1.1 200 OK\r\n\r\n", false).is_err());
+    assert!(
+        framing(
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            false
+        )
+        .is_err()
+    );
+    assert!(framing("SSH-2.0 x\r\n\r\n", false).is_err());
+}
--- a/kernel/src/quorum.rs
+++ b/kernel/src/quorum.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 /// How many of the slots of the control plane it takes. Invariants, of any
 /// sets of slots of one table:
 /// - two of `most` share a slot: what one set of disks holds, the next owner
@@ -25,82 +28,3 @@
         self.slots - self.slots.min(self.most()) + 1
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::prelude::*;
-
-    /// Every set of so many of the slots, as bits.
-    fn sets(slots: usize, size: usize) -> Vec<u32> {
-        (0..1u32 << slots)
-            .filter(|set| set.count_ones() as usize == size)
-            .collect()
-    }
-
-    fn all_meet(one: &[u32], other: &[u32]) -> bool {
-        one.iter()
-            .all(|first| other.iter().all(|second| first & second != 0))
-    }
-
-    #[test]
-    fn most_meets_most_and_rest_meets_most_and_none_is_larger_than_needed() {
-        for slots in 1..=8 {
-            let quorum = Quorum::new(slots);
-            let (most, rest) = (sets(slots, quorum.most()), sets(slots, quorum.rest()));
-            assert!(all_meet(&most, &most) && all_meet(&rest, &most), "{slots}");
-            let (fewer, less) = (
-                sets(slots, quorum.most() - 1),
-                sets(slots, quorum.rest() - 1),
-            );
-            assert!(
-                !all_meet(&fewer, &fewer) && !all_meet(&less, &most),
-                "{slots}"
-            );
-        }
-        let known =
-            [3, 4, 5, 8].map(|slots| (Quorum::new(slots).most(), Quorum::new(slots).rest()));
-        assert_eq!(known, [(2, 2), (3, 2), (3, 3), (5, 4)]);
-    }
-
-    /// One slot more at a time: who still goes by the smaller table and who
-    /// goes by the larger one share a disk, and a newcomer that was refilled
-    /// from `rest` of the larger one asked somebody of every majority and of
-    /// every live edge of the smaller one.
-    #[test]
-    fn tables_that_differ_by_one_slot_meet() {
-        for slots in 1..8 {
-            let (small, large) = (Quorum::new(slots), Quorum::new(slots + 1));
-            assert!(all_meet(
-                &sets(slots, small.most()),
-                &sets(slots + 1, large.most())
-            ));
-            assert!(all_meet(
-                &sets(slots, small.most()),
-                &sets(slots, large.rest().min(slots))
-            ));
-            assert!(all_meet(
-                &sets(slots, small.rest()),
-                &sets(slots, large.rest().min(slots))
-            ));
-        }
-    }
-
-    /// A blank disk in the place of one of `most` asks `rest` of the others:
-    /// one of them is another of that majority.
-    #[test]
-    fn rest_of_the_others_holds_what_a_majority_with_the_lost_disk_held() {
-        for slots in 2..=8 {
-            let quorum = Quorum::new(slots);
-            let others = sets(slots, quorum.rest())
-                .into_iter()
-                .filter(|set| set & 1 == 0)
-                .collect::<Vec<_>>();
-            let without: Vec<u32> = sets(slots, quorum.most())
-                .into_iter()
-                .filter(|set| set & 1 == 1)
-                .map(|set| set & !1)
-                .collect();
-            assert!(all_meet(&others, &without), "{slots}");
-        }
-    }
-}
