Readable code: stages and methods of requests by their standard names

AwaitingPermit, AwaitingCopy, AwaitingClaim; request_permit, send_call, call_without_permit, permit_refused, permit_queued, handle_duty_message.

--- a/data-plane/src/edge_part/assignments.rs
+++ b/data-plane/src/edge_part/assignments.rs
@@ -222,7 +222,7 @@
         }
     }
 
-    pub(super) fn heed_duty(&mut self, now: Duration, from: Peer, message: Message) {
+    pub(super) fn handle_duty_message(&mut self, now: Duration, from: Peer, message: Message) {
         if !self.is_live(now) {
             return;
         }
@@ -258,12 +258,12 @@
                     self.cache.give_up(now, key, token, *epoch, purged, private);
                 }
             }
-            Message::PermitRequest(knock) => match self.gates.get_mut(&knock.service) {
-                Some(gate) => gate.knock(now, from.address, knock),
+            Message::PermitRequest(request) => match self.gates.get_mut(&request.service) {
+                Some(gate) => gate.request_permit(now, from.address, request),
                 None => self.tell(
                     from.address,
                     PermitRefused {
-                        id: knock.id,
+                        id: request.id,
                         reason: AwayReason::NotHere,
                         back: AGAIN,
                     },
--- a/data-plane/src/edge_part/cached.rs
+++ b/data-plane/src/edge_part/cached.rs
@@ -58,13 +58,13 @@
         if let Some(copy) = self.last_resort(now, id) {
             return self.end(now, id, copy);
         }
-        self.set_stage(now, id, Stage::Knocking);
+        self.set_stage(now, id, Stage::AwaitingPermit);
     }
 
     /// The stage of a request that misses the key here.
     pub(super) fn join_group(&mut self, now: Duration, id: u64, key: CacheKey) -> Stage {
         match self.coalescer.join(key, id) {
-            GroupRole::Leader => Stage::Getting {
+            GroupRole::Leader => Stage::AwaitingCopy {
                 since: now,
                 spare: false,
             },
@@ -74,7 +74,7 @@
 
     /// The request asks for its group from now on.
     pub(super) fn lead_group(&mut self, now: Duration, id: u64) {
-        let stage = Stage::Getting {
+        let stage = Stage::AwaitingCopy {
             since: now,
             spare: false,
         };
@@ -192,7 +192,7 @@
     pub(super) fn getting(&self, id: u64, key: CacheKey) -> Option<(Duration, bool)> {
         match self.jobs.get(&id) {
             Some(Job {
-                stage: Stage::Getting { since, spare },
+                stage: Stage::AwaitingCopy { since, spare },
                 key: Some(mine),
                 ..
             }) if *mine == key => Some((*since, *spare)),
@@ -216,7 +216,7 @@
         let job = &self.jobs[&id];
         let way = (now - since).saturating_sub(copy.held);
         if way >= copy.left || !self.book.clear(copy.purged, job.copy_name(&copy.reply)) {
-            return self.set_stage(now, id, Stage::Getting { since: now, spare });
+            return self.set_stage(now, id, Stage::AwaitingCopy { since: now, spare });
         }
         let kept = KeptCopy {
             name: job.copy_name(&copy.reply),
@@ -255,7 +255,7 @@
             );
         };
         self.jobs.get_mut(&id).expect("just seen").token = held;
-        self.set_stage(now, id, Stage::Knocking);
+        self.set_stage(now, id, Stage::AwaitingPermit);
     }
 
     pub(super) fn no_copy(&mut self, now: Duration, no_copy: NoCopy) {
@@ -268,7 +268,7 @@
         if spare {
             self.end_spare(now, id);
         } else {
-            self.set_stage(now, id, Stage::Knocking);
+            self.set_stage(now, id, Stage::AwaitingPermit);
         }
     }
 
--- a/data-plane/src/edge_part/calls.rs
+++ b/data-plane/src/edge_part/calls.rs
@@ -12,7 +12,7 @@
             .any(|origin| *origin == permit.origin && !origin.leaving);
         let asker = self.answered(permit.id).filter(|id| {
             let job = &self.jobs[id];
-            matches!(job.stage, Stage::Knocking)
+            matches!(job.stage, Stage::AwaitingPermit)
                 && job.request.service == permit.service
                 && now < job.deadline
         });
@@ -35,11 +35,11 @@
             }
             return;
         };
-        self.go(now, id, permit);
+        self.send_call(now, id, permit);
     }
 
     /// The request's call leaves, under an id of its own.
-    pub(super) fn go(&mut self, now: Duration, id: u64, permit: Permit) {
+    pub(super) fn send_call(&mut self, now: Duration, id: u64, permit: Permit) {
         let question = self.next_question(now, id);
         let ending = self.warned.is_some();
         let purpose = self.jobs.get(&id).map(|job| self.call_purpose(job));
@@ -73,7 +73,7 @@
         self.out.extend(calls);
     }
 
-    pub(super) fn in_line(&mut self, now: Duration, question: u64) {
+    pub(super) fn permit_queued(&mut self, now: Duration, question: u64) {
         let asker = self.asker(question);
         if let Some(job) = asker.and_then(|id| self.jobs.get_mut(&id)) {
             job.heard = now;
@@ -81,9 +81,9 @@
     }
 
     /// Calls without a permit, within our own share, where the gate is silent.
-    pub(super) fn go_alone(&mut self, now: Duration, id: u64) {
+    pub(super) fn call_without_permit(&mut self, now: Duration, id: u64) {
         let Some(job) = self.jobs.get(&id).filter(|job| {
-            job.calls == 0 && now < job.deadline && matches!(job.stage, Stage::Knocking)
+            job.calls == 0 && now < job.deadline && matches!(job.stage, Stage::AwaitingPermit)
         }) else {
             return;
         };
@@ -123,20 +123,20 @@
             held: Duration::ZERO,
             takes: Duration::ZERO,
         };
-        self.go(now, id, permit);
+        self.send_call(now, id, permit);
     }
 
-    pub(super) fn away(&mut self, now: Duration, away: PermitRefused) {
+    pub(super) fn permit_refused(&mut self, now: Duration, away: PermitRefused) {
         let Some(id) = self.answered(away.id) else {
             return;
         };
         let job = &self.jobs[&id];
-        if !matches!(job.stage, Stage::Knocking) {
+        if !matches!(job.stage, Stage::AwaitingPermit) {
             return;
         }
         if away.reason == AwayReason::NotHere {
             // Between two holders.
-            return self.go_alone(now, id);
+            return self.call_without_permit(now, id);
         }
         let refusal = match away.reason {
             AwayReason::Busy => job.refuse(
@@ -199,7 +199,7 @@
                 job.ran = true;
                 job.failed.push(permit.origin.address);
                 job.failure = Some(reply);
-                self.set_stage(now, id, Stage::Knocking);
+                self.set_stage(now, id, Stage::AwaitingPermit);
             }
             CallBack::Good(reply) => self.good(now, id, reply),
             CallBack::Withheld => {
@@ -277,7 +277,7 @@
         let job = &self.jobs[&id];
         let refusal = job.refuse(status, code, text);
         if may && job.has_try(now) {
-            self.set_stage(now, id, Stage::Knocking);
+            self.set_stage(now, id, Stage::AwaitingPermit);
         } else {
             self.give_up(now, id, refusal);
         }
--- a/data-plane/src/edge_part/departures.rs
+++ b/data-plane/src/edge_part/departures.rs
@@ -38,7 +38,7 @@
         }
         let job = &self.jobs[&id];
         match &job.stage {
-            Stage::Getting { .. } | Stage::Following | Stage::Knocking => {
+            Stage::AwaitingCopy { .. } | Stage::Following | Stage::AwaitingPermit => {
                 self.end_abandoned(now, id)
             }
             Stage::Calling { permit, since } => {
@@ -51,7 +51,7 @@
                 }
             }
             // A claim that is under way is released once it is known to be held.
-            Stage::Claiming => {}
+            Stage::AwaitingClaim => {}
             // The ledger must hear how it ended.
             Stage::Recording { .. } | Stage::Releasing { .. } => {}
         }
@@ -86,11 +86,11 @@
         };
         let id = job.question;
         match (&job.stage, job.key) {
-            (Stage::Knocking, _) => {
+            (Stage::AwaitingPermit, _) => {
                 let service = job.request.service.clone();
                 self.tell(holder, PermitWithdrawn { service, id });
             }
-            (Stage::Getting { .. }, Some(key)) => self.tell(holder, GetWithdrawn { key, id }),
+            (Stage::AwaitingCopy { .. }, Some(key)) => self.tell(holder, GetWithdrawn { key, id }),
             _ => {}
         }
     }
--- a/data-plane/src/edge_part/mod.rs
+++ b/data-plane/src/edge_part/mod.rs
@@ -247,7 +247,7 @@
         }
         again
             .into_iter()
-            .for_each(|id| self.fall_back_or_say(now, id));
+            .for_each(|id| self.fall_back_or_ask_again(now, id));
         overdue.into_iter().for_each(|id| self.overdue(now, id));
         self.replace_stalled_leaders(now);
         self.refuse_waiting_before_end(now);
@@ -305,9 +305,9 @@
             Message::GetQueued(queued) => self.get_queued(now, queued),
             Message::NoCopy(no_copy) => self.no_copy(now, no_copy),
             Message::Permit(permit) => self.permit(now, from, permit),
-            Message::PermitRefused(away) => self.away(now, away),
-            Message::PermitQueued(line) => self.in_line(now, line.id),
-            other => self.heed_duty(now, from, other),
+            Message::PermitRefused(away) => self.permit_refused(now, away),
+            Message::PermitQueued(line) => self.permit_queued(now, line.id),
+            other => self.handle_duty_message(now, from, other),
         }
     }
 }
--- a/data-plane/src/edge_part/operations.rs
+++ b/data-plane/src/edge_part/operations.rs
@@ -52,8 +52,10 @@
         };
         let job = &self.jobs[&id];
         match (&job.stage, told) {
-            (Stage::Claiming, Outcome::Claimed) => self.set_stage(now, id, Stage::Knocking),
-            (Stage::Claiming, Outcome::Taken { same: false, .. }) => {
+            (Stage::AwaitingClaim, Outcome::Claimed) => {
+                self.set_stage(now, id, Stage::AwaitingPermit)
+            }
+            (Stage::AwaitingClaim, Outcome::Taken { same: false, .. }) => {
                 let refusal = Refusal::not_run(
                     422,
                     "operation_key_reused",
@@ -62,7 +64,7 @@
                 self.end(now, id, Answer::Refusal(refusal));
             }
             (
-                Stage::Claiming,
+                Stage::AwaitingClaim,
                 Outcome::Taken {
                     state: OperationState::Done(reply),
                     ..
@@ -78,7 +80,7 @@
                 );
             }
             (
-                Stage::Claiming,
+                Stage::AwaitingClaim,
                 Outcome::Taken {
                     state: OperationState::Unknown,
                     ..
@@ -93,19 +95,21 @@
                 refusal.retry_after_s = None;
                 self.end(now, id, Answer::Refusal(refusal));
             }
-            (Stage::Claiming, Outcome::Closed { left }) => {
+            (Stage::AwaitingClaim, Outcome::Closed { left }) => {
                 let refusal = Refusal::unknown(503, "ledger_recovering", "acknowledged operations may be lost; none that is not known is run for a minute").idle();
                 self.end(now, id, Answer::Refusal(refusal.back(left)));
             }
             // Who was asked is cut off: the next is asked at once, each once.
             (
-                Stage::Claiming | Stage::Recording { .. } | Stage::Releasing { .. },
+                Stage::AwaitingClaim | Stage::Recording { .. } | Stage::Releasing { .. },
                 Outcome::NoMajority,
-            ) if job.round < self.seeds.len() => self.say(now, id),
+            ) if job.round < self.seeds.len() => self.send_question(now, id),
             // Runs elsewhere: nobody is left to be told of it.
-            (Stage::Claiming, Outcome::Taken { .. }) if job.caller_left => self.overdue(now, id),
+            (Stage::AwaitingClaim, Outcome::Taken { .. }) if job.caller_left => {
+                self.overdue(now, id)
+            }
             // Runs elsewhere: asked again in a moment, until the deadline.
-            (Stage::Claiming, Outcome::Taken { .. }) => {}
+            (Stage::AwaitingClaim, Outcome::Taken { .. }) => {}
             (Stage::Recording { answer, .. }, Outcome::Recorded) => {
                 let answer = answer.clone();
                 self.end(now, id, answer);
--- a/data-plane/src/edge_part/requests.rs
+++ b/data-plane/src/edge_part/requests.rs
@@ -30,13 +30,13 @@
             (_, Some(key)) => job.stage = self.join_group(now, id, key),
             (Kind::Keyed, None) => {
                 job.claim = Some(Job::claim_of(&job.request, self.me, id));
-                job.stage = Stage::Claiming;
+                job.stage = Stage::AwaitingClaim;
             }
             _ => {}
         }
         self.jobs.insert(id, job);
         self.next_question(now, id);
-        self.say(now, id);
+        self.send_question(now, id);
     }
 
     /// Each pending request holds a thread of the HTTP side: a slow service must
@@ -54,7 +54,7 @@
         let waiting = peers.filter(|(_, known)| {
             matches!(
                 known.stage,
-                Stage::Knocking | Stage::Following | Stage::Getting { spare: false, .. }
+                Stage::AwaitingPermit | Stage::Following | Stage::AwaitingCopy { spare: false, .. }
             )
         });
         let lowest = waiting
@@ -82,15 +82,15 @@
     }
 
     /// Says the message of a job's stage, for the first time or again.
-    pub(super) fn say(&mut self, now: Duration, id: u64) {
+    pub(super) fn send_question(&mut self, now: Duration, id: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         job.round += 1;
         job.asked = now;
         job.again = match job.stage {
-            Stage::Getting { .. } if job.round > 1 => now + OWNER_SILENT,
-            Stage::Getting { .. } => now + repeat_span(job.round),
+            Stage::AwaitingCopy { .. } if job.round > 1 => now + OWNER_SILENT,
+            Stage::AwaitingCopy { .. } => now + repeat_span(job.round),
             _ => now + AGAIN,
         };
         let (round, left) = (job.round, job.deadline.saturating_sub(now));
@@ -98,7 +98,7 @@
         job.asked_of = None;
         let mut asked_of = None;
         match &job.stage {
-            Stage::Claiming => {
+            Stage::AwaitingClaim => {
                 let claim = job.claim.clone().expect("keyed");
                 self.ask(question, round, Change::Claim(claim));
             }
@@ -110,7 +110,7 @@
                 let change = Change::Release(job.claim.clone().expect("keyed"));
                 self.ask(question, round, change);
             }
-            Stage::Getting { spare, .. } => {
+            Stage::AwaitingCopy { spare, .. } => {
                 let key = job.key.expect("cached");
                 let entry = job.request.entry();
                 let get = Get {
@@ -130,17 +130,17 @@
                         self.tell(holder, get);
                     }
                     // Nobody hands out copies of it now: fetch it ourselves.
-                    None if !spare => self.set_stage(now, id, Stage::Knocking),
+                    None if !spare => self.set_stage(now, id, Stage::AwaitingPermit),
                     None => {}
                 }
             }
-            Stage::Knocking => {
+            Stage::AwaitingPermit => {
                 let entry = job.request.entry();
                 let service = job.request.service.clone();
                 let gate = gate_duty(&service);
                 let (extra, call) = (job.calls > 0, job.call_limit(now, Duration::ZERO));
                 let (zone, region) = (self.spot.zone.clone(), self.spot.region.clone());
-                let knock = PermitRequest {
+                let permit_request = PermitRequest {
                     service,
                     id: question,
                     rank: entry.rank,
@@ -156,9 +156,9 @@
                 match self.holder(&gate) {
                     Some(holder) => {
                         asked_of = Some(holder);
-                        self.tell(holder, knock);
+                        self.tell(holder, permit_request);
                     }
-                    None => self.go_alone(now, id),
+                    None => self.call_without_permit(now, id),
                 }
             }
             Stage::Following | Stage::Calling { .. } => {}
@@ -179,7 +179,7 @@
             self.remember(now, &claim, reply);
         }
         if let Some(job) = self.jobs.get_mut(&id) {
-            if job.key.is_some() && matches!(stage, Stage::Knocking) {
+            if job.key.is_some() && matches!(stage, Stage::AwaitingPermit) {
                 let purged = job
                     .token
                     .map_or(self.book.applied, |(_, token)| token.purged);
@@ -189,7 +189,7 @@
             job.heard = now;
             job.round = 0;
             self.next_question(now, id);
-            self.say(now, id);
+            self.send_question(now, id);
         }
     }
 
@@ -243,7 +243,7 @@
             return self.set_stage(
                 now,
                 id,
-                Stage::Getting {
+                Stage::AwaitingCopy {
                     since: now,
                     spare: true,
                 },
@@ -270,7 +270,7 @@
         };
         let late = now >= job.deadline + LATE;
         match &job.stage {
-            Stage::Claiming => {
+            Stage::AwaitingClaim => {
                 let running = job.round > 1;
                 let change = Change::Release(job.claim.clone().expect("keyed"));
                 let refusal = if running {
@@ -285,12 +285,12 @@
                 self.tell_later(now, change);
                 self.end(now, id, Answer::Refusal(refusal));
             }
-            Stage::Getting { spare: true, .. } => self.end_spare(now, id),
-            Stage::Getting { .. } | Stage::Following => {
+            Stage::AwaitingCopy { spare: true, .. } => self.end_spare(now, id),
+            Stage::AwaitingCopy { .. } | Stage::Following => {
                 let refusal = job.refuse(503, "no_copy", "no copy came in time");
                 self.end(now, id, Answer::Refusal(refusal));
             }
-            Stage::Knocking => {
+            Stage::AwaitingPermit => {
                 let refusal = job.refuse(
                     429,
                     "over_capacity",
@@ -343,7 +343,10 @@
         let waits = |job: &Job| {
             matches!(
                 job.stage,
-                Stage::Claiming | Stage::Getting { .. } | Stage::Following | Stage::Knocking
+                Stage::AwaitingClaim
+                    | Stage::AwaitingCopy { .. }
+                    | Stage::Following
+                    | Stage::AwaitingPermit
             )
         };
         let waiting: Vec<u64> = self
@@ -362,30 +365,32 @@
     /// An owner that does not answer even a repeated question, or has no copy
     /// for half the time, is done without, as in the paper: who cannot get the
     /// copy goes to the origin.
-    pub(super) fn fall_back_or_say(&mut self, now: Duration, id: u64) {
+    pub(super) fn fall_back_or_ask_again(&mut self, now: Duration, id: u64) {
         let live = self.is_live(now);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         let half = job.began + (job.deadline - job.began) / 2;
         match job.stage {
-            Stage::Knocking if now >= job.heard + SILENT => {
-                self.go_alone(now, id);
-                self.say(now, id);
+            Stage::AwaitingPermit if now >= job.heard + SILENT => {
+                self.call_without_permit(now, id);
+                self.send_question(now, id);
             }
-            Stage::Getting { spare: false, .. } if now >= half => self.fetch_without_owner(now, id),
-            Stage::Getting { spare: false, .. }
+            Stage::AwaitingCopy { spare: false, .. } if now >= half => {
+                self.fetch_without_owner(now, id)
+            }
+            Stage::AwaitingCopy { spare: false, .. }
                 if job.round > 1 && job.heard < job.asked && now >= job.asked + OWNER_SILENT =>
             {
                 self.fetch_without_owner(now, id)
             }
-            Stage::Getting { .. } if now < job.asked + repeat_span(job.round) => {
+            Stage::AwaitingCopy { .. } if now < job.asked + repeat_span(job.round) => {
                 job.again = job.asked + repeat_span(job.round);
             }
-            Stage::Recording { .. } | Stage::Releasing { .. } | Stage::Claiming => {
-                self.say(now, id)
+            Stage::Recording { .. } | Stage::Releasing { .. } | Stage::AwaitingClaim => {
+                self.send_question(now, id)
             }
-            _ if live => self.say(now, id),
+            _ if live => self.send_question(now, id),
             _ => {}
         }
     }
--- a/data-plane/src/gate/mod.rs
+++ b/data-plane/src/gate/mod.rs
@@ -266,7 +266,7 @@
         places - self.calls.len() as f64 - 1.0 >= needed.floor().max(0.0)
     }
 
-    pub fn knock(&mut self, now: Duration, from: SocketAddr, knock: PermitRequest) {
+    pub fn request_permit(&mut self, now: Duration, from: SocketAddr, request: PermitRequest) {
         let PermitRequest {
             id,
             rank,
@@ -279,7 +279,7 @@
             region,
             avoid,
             ..
-        } = knock;
+        } = request;
         if let Some(known) = self
             .waits
             .iter_mut()
--- a/data-plane/src/gate/tests.rs
+++ b/data-plane/src/gate/tests.rs
@@ -32,7 +32,7 @@
     }
 }
 
-fn knock(id: u64, rank: u32, wait: u64, extra: bool) -> PermitRequest {
+fn permit_request(id: u64, rank: u32, wait: u64, extra: bool) -> PermitRequest {
     PermitRequest {
         service: "s".into(),
         id,
@@ -61,7 +61,7 @@
     let mut gate = Gate::new(at(0), "s", 1, 3);
     gate.update(at(0), &group(100.0, 9), &[origin(1)]);
     for ms in [400, 600] {
-        gate.knock(at(ms), origin(9).address, knock(1, 1, 5000, false));
+        gate.request_permit(at(ms), origin(9).address, permit_request(1, 1, 5000, false));
         assert!(
             matches!(gate.take_out().as_slice(), [(to, Message::PermitQueued(PermitQueued { id: 1 }))] if *to == origin(9).address),
             "nothing is proven yet"
@@ -86,12 +86,12 @@
         // 4 a second of the high rank, 14 of the low one, where 16 fit.
         if id % 25 == 0 || id % 7 == 1 {
             let aim = if id % 2 == 0 { at(100) } else { at(800) };
-            run.gate.knock(
+            run.gate.request_permit(
                 at(run.now),
                 origin(9).address,
                 PermitRequest {
                     aim,
-                    ..knock(id, u32::from(id % 25 == 0) * 8 + 1, 2000, false)
+                    ..permit_request(id, u32::from(id % 25 == 0) * 8 + 1, 2000, false)
                 },
             );
         }
@@ -124,7 +124,7 @@
     let mut calls = vec![];
     for id in 0..2000u64 {
         let now = at(id * 5);
-        gate.knock(now, origin(9).address, knock(id, 1, 60_000, false));
+        gate.request_permit(now, origin(9).address, permit_request(id, 1, 60_000, false));
         if id % 20 == 0 {
             calls.push(id * 5);
             gate.done(
@@ -235,17 +235,20 @@
     let mut ends = vec![];
     let mut first = Run::new(0, 1, 20.0, 50);
     for id in 0..2000 {
-        first.gate.knock(
+        first.gate.request_permit(
             at(first.now),
             origin(9).address,
-            knock(id, 1, 60_000, false),
+            permit_request(id, 1, 60_000, false),
         );
         first.step(5, &mut ends);
     }
     let mut next = Run::new(first.now + 100, 3, 20.0, 50);
     for id in 0..2000 {
-        next.gate
-            .knock(at(next.now), origin(9).address, knock(id, 1, 60_000, false));
+        next.gate.request_permit(
+            at(next.now),
+            origin(9).address,
+            permit_request(id, 1, 60_000, false),
+        );
         next.step(5, &mut ends);
     }
     let calls = [first.calls, next.calls].concat();
@@ -263,10 +266,10 @@
     // 33 a second are asked where 20 may be called, half of high rank.
     for id in 0..6000u64 {
         if id % 3 == 0 {
-            run.gate.knock(
+            run.gate.request_permit(
                 at(run.now),
                 origin(9).address,
-                knock(id, if id % 6 == 0 { 9 } else { 1 }, 2000, false),
+                permit_request(id, if id % 6 == 0 { 9 } else { 1 }, 2000, false),
             );
         }
         run.step(5, &mut ends);
@@ -297,10 +300,10 @@
     let mut ends = vec![];
     let mut run = Run::new(0, 1, 1000.0, 2);
     for id in 0..3000u64 {
-        run.gate.knock(
+        run.gate.request_permit(
             at(run.now),
             origin(9).address,
-            knock(id, if id % 50 == 0 { 9 } else { 1 }, 2000, false),
+            permit_request(id, if id % 50 == 0 { 9 } else { 1 }, 2000, false),
         );
         run.step(400, &mut ends);
         assert!(run.gate.calls.len() <= 2);
@@ -323,10 +326,10 @@
         // 3 a second of the high rank, 30 of the low one.
         let high = id % 33 == 0;
         if high || id % 3 == 1 {
-            run.gate.knock(
+            run.gate.request_permit(
                 at(run.now),
                 origin(9).address,
-                knock(id, if high { 9 } else { 1 }, 1500, false),
+                permit_request(id, if high { 9 } else { 1 }, 1500, false),
             );
         }
         run.step(if id < 500 { 10 } else { 2000 }, &mut ends);
@@ -361,8 +364,11 @@
         let mut ends = vec![];
         let mut run = Run::new(0, 1, rate, 50);
         for id in 0..6000 {
-            run.gate
-                .knock(at(run.now), origin(9).address, knock(id, 1, 60_000, false));
+            run.gate.request_permit(
+                at(run.now),
+                origin(9).address,
+                permit_request(id, 1, 60_000, false),
+            );
             run.step(5, &mut ends);
         }
         // Each may be used up to a `PERMIT` late.
@@ -380,10 +386,10 @@
     let mut run = Run::new(0, 1, 1000.0, 500);
     let mut ends = vec![];
     for id in 0..1000u64 {
-        run.gate.knock(
+        run.gate.request_permit(
             at(run.now),
             origin(9).address,
-            knock(id, 1, 2000, id % 2 == 0),
+            permit_request(id, 1, 2000, id % 2 == 0),
         );
         run.step(5, &mut ends);
         let gate = &run.gate;
@@ -406,7 +412,11 @@
     assert!(gate.probes(at(350)).is_empty(), "no connection stands yet");
     gate.watched(at(2), origin(1).address, true);
     gate.watched(at(2), origin(2).address, true);
-    gate.knock(at(400), origin(9).address, knock(1, 1, 5000, false));
+    gate.request_permit(
+        at(400),
+        origin(9).address,
+        permit_request(1, 1, 5000, false),
+    );
     assert!(said(&mut gate).is_empty(), "nothing is proven");
     let probes = gate.probes(at(500));
     assert_eq!(probes.len(), 2);
@@ -420,7 +430,7 @@
     assert_eq!(permit.origin, probes[1]);
     // The connection ends: the next process there must show itself first.
     gate.watched(at(600), origin(2).address, false);
-    gate.knock(at(610), origin(9).address, knock(3, 1, 100, false));
+    gate.request_permit(at(610), origin(9).address, permit_request(3, 1, 100, false));
     assert!(said(&mut gate).is_empty());
     gate.watched(at(620), origin(2).address, true);
     let probe = gate.probes(at(650)).remove(0);
@@ -430,7 +440,11 @@
         [(_, Message::Permit(_))]
     ));
     // The proof ages; without a newer one no more permits.
-    gate.knock(at(2700), origin(9).address, knock(2, 1, 5000, false));
+    gate.request_permit(
+        at(2700),
+        origin(9).address,
+        permit_request(2, 1, 5000, false),
+    );
     assert!(said(&mut gate).is_empty());
     // Listed under another instance it must be proven again.
     let other = Origin {
@@ -452,7 +466,11 @@
     gate.watched(at(0), origin(1).address, true);
     let probe = gate.probes(at(400)).remove(0);
     gate.probed(at(400), &probe, false);
-    gate.knock(at(410), origin(9).address, knock(1, 1, 5000, false));
+    gate.request_permit(
+        at(410),
+        origin(9).address,
+        permit_request(1, 1, 5000, false),
+    );
     assert!(matches!(
         said(&mut gate).as_slice(),
         [(
@@ -473,7 +491,11 @@
             ..origin(1)
         }],
     );
-    gate.knock(at(1002), origin(9).address, knock(2, 1, 5000, false));
+    gate.request_permit(
+        at(1002),
+        origin(9).address,
+        permit_request(2, 1, 5000, false),
+    );
     assert!(
         !said(&mut gate)
             .iter()
@@ -496,7 +518,7 @@
     );
     let mut ends = vec![];
     run.gate
-        .knock(at(10), origin(9).address, knock(1, 1, 5000, false));
+        .request_permit(at(10), origin(9).address, permit_request(1, 1, 5000, false));
     for _ in 0..60 {
         run.step(5, &mut ends);
     }
@@ -548,7 +570,11 @@
 fn a_withdrawn_question_is_not_granted_and_the_next_has_its_turn() {
     let mut gate = gate_of_two_places();
     for id in 1..=4 {
-        gate.knock(at(1000), origin(9).address, knock(id, 1, 5000, false));
+        gate.request_permit(
+            at(1000),
+            origin(9).address,
+            permit_request(id, 1, 5000, false),
+        );
     }
     let given = permits(&mut gate);
     assert_eq!(given.iter().map(|one| one.id).collect::<Vec<_>>(), [1, 2]);
@@ -566,7 +592,11 @@
 fn the_place_of_a_cancelled_call_is_free_a_moment_later_and_judges_no_origin() {
     let mut gate = gate_of_two_places();
     for id in 1..=3 {
-        gate.knock(at(1000), origin(9).address, knock(id, 1, 5000, false));
+        gate.request_permit(
+            at(1000),
+            origin(9).address,
+            permit_request(id, 1, 5000, false),
+        );
     }
     let given = permits(&mut gate);
     assert_eq!(given.len(), 2);
@@ -597,7 +627,11 @@
     gate.update(at(0), &limited, &[origin(1)]);
     let mut sent = 0;
     for ms in (0..5000).step_by(5) {
-        gate.knock(at(1000 + ms), origin(9).address, knock(ms, 1, 300, false));
+        gate.request_permit(
+            at(1000 + ms),
+            origin(9).address,
+            permit_request(ms, 1, 300, false),
+        );
         for permit in permits(&mut gate) {
             sent += 1;
             let cancelled = ended(&permit, CallResult::Cancelled);
@@ -614,8 +648,8 @@
 fn edges_that_are_gone_have_no_place_in_line() {
     let mut gate = gate_of_two_places();
     for (id, port) in [(1, 8), (2, 8), (3, 9), (4, 8)] {
-        let ask = knock(id, 1, 5000, false);
-        gate.knock(at(1000), origin(port).address, ask);
+        let ask = permit_request(id, 1, 5000, false);
+        gate.request_permit(at(1000), origin(port).address, ask);
     }
     let given = permits(&mut gate);
     gate.forget_askers(at(1010), &HashSet::from([origin(9).address]));
--- a/data-plane/src/job.rs
+++ b/data-plane/src/job.rs
@@ -57,14 +57,14 @@
 
 #[derive(Debug, Clone)]
 pub enum Stage {
-    Claiming,
-    Getting {
+    AwaitingClaim,
+    AwaitingCopy {
         since: Duration,
         spare: bool,
     },
     /// Another request here asks for the same copy.
     Following,
-    Knocking,
+    AwaitingPermit,
     Calling {
         permit: Permit,
         since: Duration,
@@ -84,18 +84,18 @@
     pub fn begins_work(&self) -> bool {
         matches!(
             self,
-            Stage::Claiming | Stage::Getting { .. } | Stage::Knocking
+            Stage::AwaitingClaim | Stage::AwaitingCopy { .. } | Stage::AwaitingPermit
         )
     }
 
     /// What the request waits for, for the log.
     pub fn name(&self) -> &'static str {
         match self {
-            Stage::Claiming => "waits for its claim",
-            Stage::Getting { spare: false, .. } => "waits for the cache owner",
-            Stage::Getting { spare: true, .. } => "waits for a spare copy",
+            Stage::AwaitingClaim => "waits for its claim",
+            Stage::AwaitingCopy { spare: false, .. } => "waits for the cache owner",
+            Stage::AwaitingCopy { spare: true, .. } => "waits for a spare copy",
             Stage::Following => "waits for another request",
-            Stage::Knocking => "waits for a permit",
+            Stage::AwaitingPermit => "waits for a permit",
             Stage::Calling { .. } => "waits for its origin",
             Stage::Recording { .. } => "waits for its record",
             Stage::Releasing { .. } => "waits for the release of its claim",
@@ -116,7 +116,7 @@
                     .entry()
                     .aim_ms
                     .map_or(request.entry().deadline(), Duration::from_millis),
-            stage: Stage::Knocking,
+            stage: Stage::AwaitingPermit,
             question: 0,
             asked_of: None,
             caller_left: false,
--- a/data-plane/tests/edge_part.rs
+++ b/data-plane/tests/edge_part.rs
@@ -298,13 +298,16 @@
     );
     let out = told(&mut edge, 1010, question(&out), Outcome::Claimed);
     let asked_for = question(&out);
-    let knock = |edge: &mut EdgePart, permit: Permit| heard(edge, 1300, GATE, permit);
+    let permitted = |edge: &mut EdgePart, permit: Permit| heard(edge, 1300, GATE, permit);
     let called = |out: &[Output]| {
         out.iter()
             .any(|output| matches!(output, Output::Call { .. }))
     };
     assert!(
-        !called(&knock(&mut edge, permit(asked_for, listed.clone(), 1010))),
+        !called(&permitted(
+            &mut edge,
+            permit(asked_for, listed.clone(), 1010)
+        )),
         "a permit that was too long on the way lapses"
     );
     let left = Origin {
@@ -312,10 +315,10 @@
         ..listed.clone()
     };
     assert!(
-        !called(&knock(&mut edge, permit(asked_for, left, 1290))),
+        !called(&permitted(&mut edge, permit(asked_for, left, 1290))),
         "nor is an origin called that is not listed so (any more)"
     );
-    let out = knock(&mut edge, permit(asked_for, listed, 1290));
+    let out = permitted(&mut edge, permit(asked_for, listed, 1290));
     assert!(called(&out));
     let out = edge.step(
         at(1400),
