--- a/simulate-fleet/src/world_callers.rs
+++ b/simulate-fleet/src/world_callers.rs
@@ -199,16 +199,20 @@
             self.after(span, Happening::CloseRead { node, run, id });
         }
         if task.operation.is_some() && self.now + CALLER_PATIENCE < self.plan.span {
-            let zone = Some(self.nodes[node].zone.clone());
-            let again = Task {
-                zone,
-                tries: task.tries + 1,
-                ..task
-            };
-            self.after(Duration::from_millis(300), Happening::CallerAgain(again));
+            self.ask_again_elsewhere(node, task, Duration::from_millis(300));
         }
     }
 
+    /// The same operation comes again, not to the zone of this node.
+    fn ask_again_elsewhere(&mut self, node: usize, task: Task, wait: Duration) {
+        let again = Task {
+            zone: Some(self.nodes[node].zone.clone()),
+            tries: task.tries + 1,
+            ..task
+        };
+        self.after(wait, Happening::CallerAgain(again));
+    }
+
     pub(crate) fn caller_ends(&mut self, id: u64, answer: Option<Answer>) {
         let Some(Asking {
             node,
@@ -271,15 +275,7 @@
             };
             let wait = Duration::from_millis(100 + self.dice.roll(spread));
             if again && self.now + wait < task.first + Duration::from_millis(REPEAT) {
-                let zone = Some(self.nodes[node].zone.clone());
-                self.after(
-                    wait,
-                    Happening::CallerAgain(Task {
-                        zone,
-                        tries: task.tries + 1,
-                        ..task
-                    }),
-                );
+                self.ask_again_elsewhere(node, task, wait);
             }
         }
         self.callers.push(record);
