Two tests of cancelled calls could not fail: they now ask for the reset itself, in time

Found by removing the line's part: a read that ran out of patience, or the call's own limit, passed for the reset. Stricter than before; seen failing without the safeguard.

--- a/data-plane/tests/line_face.rs
+++ b/data-plane/tests/line_face.rs
@@ -118,7 +118,10 @@
     session.set_read_timeout(Some(WAIT)).unwrap();
     session.read_exact(&mut [0; 4]).unwrap();
     rig.face.cancel_call(7);
+    // Far before the call's own limit.
+    session.set_read_timeout(Some(QUIET * 2)).unwrap();
     let mut rest = Vec::new();
-    assert!(session.read_to_end(&mut rest).is_err(), "it is reset");
+    let end = session.read_to_end(&mut rest).unwrap_err();
+    assert_eq!(end.kind(), std::io::ErrorKind::ConnectionReset);
     assert!(rig.inputs.recv_timeout(QUIET).is_err());
 }
--- a/http-line/tests/loopback_faults.rs
+++ b/http-line/tests/loopback_faults.rs
@@ -380,10 +380,10 @@
     let mut origin = accept(&listener);
     read_head(&mut origin);
     rig.http.drop_call(1);
-    assert!(
-        origin.read(&mut [0; 8]).is_err(),
-        "a reset, not half an end"
-    );
+    // Far before the call's own limit.
+    origin.set_read_timeout(Some(QUIET * 2)).unwrap();
+    let end = origin.read(&mut [0; 8]).unwrap_err();
+    assert_eq!(end.kind(), ErrorKind::ConnectionReset, "not half an end");
 
     rig.call(2, at, "/b");
     rig.http.drop_call(2);
