--- a/data-plane/src/gate/mod.rs
+++ b/data-plane/src/gate/mod.rs
@@ -316,17 +316,18 @@
     /// Who asked does not wait for a permit any more; one that was given is told
     /// of as unused.
     pub fn withdraw(&mut self, now: Duration, from: SocketAddr, id: u64) {
-        let before = self.waits.len();
-        self.waits.retain(|wait| (wait.from, wait.id) != (from, id));
-        if self.waits.len() < before {
-            self.pump_soon(now);
-        }
+        self.drop_waits(now, &|wait| (wait.from, wait.id) == (from, id));
     }
 
     /// None of these edges waits for a permit any more.
     pub fn forget_askers(&mut self, now: Duration, gone: &HashSet<SocketAddr>) {
+        self.drop_waits(now, &|wait| gone.contains(&wait.from));
+    }
+
+    /// Who stood behind these may have its turn.
+    fn drop_waits(&mut self, now: Duration, dropped: &dyn Fn(&Wait) -> bool) {
         let before = self.waits.len();
-        self.waits.retain(|wait| !gone.contains(&wait.from));
+        self.waits.retain(|wait| !dropped(wait));
         if self.waits.len() < before {
             self.pump_soon(now);
         }
--- a/stand-ins/src/soak/mod.rs
+++ b/stand-ins/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod troubles;
 mod verdict;
 
+use crate::fleet::free_address;
 use crate::prelude::*;
 pub use leaver::{Departure, Leaver, Manner, RequestSort};
 pub use relay::{Passage, Relay, RelayMode};
@@ -71,7 +72,7 @@
         let stop = Arc::new(AtomicBool::new(false));
         let (mut relays, mut origins) = (Vec::new(), Vec::new());
         for node in &mut fleet.origins {
-            let relay = Relay::new(fleet_address()?, stop.clone())?;
+            let relay = Relay::new(free_address()?, stop.clone())?;
             let instance = node.name.trim_start_matches("origin-").to_string();
             let key = Deployment::key_of(&node.zone);
             let mut origin = StandInOrigin::new(node.http, &node.zone, &instance, key);
@@ -208,7 +209,3 @@
         Ok(verdict)
     }
 }
-
-fn fleet_address() -> Result<SocketAddr> {
-    crate::fleet::free_address()
-}
