--- a/review/harness/src/case.rs
+++ b/review/harness/src/case.rs
@@ -79,8 +79,9 @@
 fn prepare(temporary: &PathBuf, trouble: bool, record: &Record) -> io::Result<Case> {
     std::fs::create_dir_all(temporary)?;
     let machines = 3;
-    let (net, base) = fleet::choose_net(machines)?;
-    let addresses = (0..machines).map(|machine| fleet::stand_in_address(net, 2 + machine as u8));
+    let (net, base) = fleet::choose_net(machines + 1)?;
+    // One more than is started at first.
+    let addresses = (0..=machines).map(|machine| fleet::stand_in_address(net, 2 + machine as u8));
     let platform = Platform::start(addresses.collect::<io::Result<_>>()?)?;
     let addresses = platform.addresses.clone();
     let root = std::env::current_dir()?;
@@ -96,6 +97,13 @@
 }
 
 impl Case {
+    /// A client.
+    pub fn asker(&self) -> Asker {
+        Asker {
+            record: self.record.clone(),
+        }
+    }
+
     /// A request of a client; the answer is recorded.
     pub fn ask(
         &self,
@@ -105,21 +113,36 @@
         target: &str,
         extra: &[(&str, &str)],
     ) -> io::Result<Response> {
-        let mut headers = vec![
-            ("Host", HOST),
-            ("Request-Id", id),
-            ("Deadline-Ms", "2000"),
-        ];
+        self.asker().ask(edge, id, method, target, extra)
+    }
+}
+
+#[derive(Clone)]
+pub struct Asker {
+    record: Record,
+}
+
+impl Asker {
+    pub fn ask(
+        &self,
+        edge: SocketAddr,
+        id: &str,
+        method: &str,
+        target: &str,
+        extra: &[(&str, &str)],
+    ) -> io::Result<Response> {
+        let mut headers = vec![("Host", HOST), ("Request-Id", id), ("Deadline-Ms", "2000")];
         headers.extend(extra);
         let answer = http::call(edge, method, target, &headers, &[], Duration::from_secs(3));
+        let key = extra.first().map_or("", |(_, value)| value);
         self.record.say(match &answer {
             Ok(answer) => format!(
-                "client: {method} {target} id {id} at {edge}: {} stamp {} {}",
+                "client: {method} {target} {key} id {id} at {edge}: {} stamp {} {}",
                 answer.status,
                 answer.header("Origin-Signature").unwrap_or("-"),
                 answer.text()
             ),
-            Err(error) => format!("client: {method} {target} id {id} at {edge}: {error}"),
+            Err(error) => format!("client: {method} {target} {key} id {id} at {edge}: {error}"),
         });
         answer
     }
--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -54,6 +54,10 @@
     base: u16,
     zones: Vec<String>,
     pub machines: usize,
+    /// Machines whose addresses are named as seeds.
+    pub seeds: Vec<usize>,
+    /// Machines that the operator knows of.
+    pub known: Vec<usize>,
     processes: Vec<Process>,
     platform: Vec<SocketAddr>,
     record: Record,
@@ -122,6 +126,8 @@
             base,
             zones: zones.iter().map(|zone| zone.to_string()).collect(),
             machines,
+            seeds: (0..machines.min(3)).collect(),
+            known: (0..machines).collect(),
             processes: Vec::new(),
             platform,
             record: record.clone(),
@@ -151,8 +157,10 @@
         let name = format!("{}-{machine}", role.name());
         let data = self.folder.join(&name);
         fs::create_dir_all(&data)?;
-        let seeds: Vec<String> = (0..self.machines.min(3))
-            .map(|seed| format!("\"{}\"", self.control_plane(seed)))
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{}\"", self.control_plane(*seed)))
             .collect();
         let zone = &self.zones[machine % self.zones.len()];
         let text = format!(
@@ -374,9 +382,9 @@
         limit: Duration,
     ) -> Option<Response> {
         let until = Instant::now() + limit;
-        let mut machine = first;
+        let mut turn = first;
         while Instant::now() < until {
-            let address = self.control_plane(machine % self.machines);
+            let address = self.control_plane(self.known[turn % self.known.len()]);
             self.record.say(format!("operator: {method} {path} to {address}: {body}"));
             let headers = [("Content-Type", "application/json")];
             let answer = http::call(
@@ -396,7 +404,7 @@
                 Ok(answer) => self.record.say(format!("operator: {}", answer.status)),
                 Err(error) => self.record.say(format!("operator: no answer: {error}")),
             }
-            machine += 1;
+            turn += 1;
             thread::sleep(Duration::from_millis(150));
         }
         None
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case: `review-case NAME FOLDER`, from the project's root. Exit codes: 0 the rule held, 1 it was broken,
 //! 2 the case could not run. With TROUBLE=0 in the environment the disruption is left out.
 mod case;
+mod first_start;
 mod fleet;
 mod http;
 mod origin;
@@ -20,6 +21,7 @@
     };
     let run = match name.as_str() {
         "stale-copy" => stale_copy::run,
+        "first-start" => first_start::run,
         "stale-reader" => stale_reader::run,
         _ => {
             eprintln!("no such case: {name}");
