--- a/review/harness/src/stale_reader.rs
+++ b/review/harness/src/stale_reader.rs
@@ -21,6 +21,8 @@
 /// Of the old ones, at 0.45 of them.
 const REPLACED: usize = 4;
 const HALF_GAP: Duration = Duration::from_millis(500);
+/// From the start of the release to that of the stopped machine.
+const RELEASE_LEAD: Duration = Duration::from_millis(1700);
 const NOBODY: usize = usize::MAX;
 
 pub fn run(case: &mut Case) -> Verdict {
@@ -156,6 +158,7 @@
             thread::sleep(HALF_GAP);
         }
     });
+    thread::sleep(RELEASE_LEAD);
     if case.trouble {
         // The stopped machine starts again, and with it its part as reader of the list comes back.
         stage.returning.store(reader, Ordering::SeqCst);
