--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -55,6 +55,7 @@
     ConfigurationPut = 240, Info;
     OriginsPut = 241, Info;
     HistoryFailed = 242, Warn;
+    OriginsOutdated = 244, Info;
     OperationAbandoned = 250, Warn;
     LedgerOpened = 251, Info;
     Live = 300, Info;
