ACKS: no bulk message takes the room of urgent ones in the links' queues

Cause: a bulk message larger than all bounds was taken and counted in the bytes of both classes.

Change: each class has bytes of its own (4 MB urgent, 12 MB bulk).

--- a/kernel/src/link/queue.rs
+++ b/kernel/src/link/queue.rs
@@ -11,10 +11,10 @@
     pub peer_urgent: usize,
     /// Bulk bytes for one peer.
     pub peer_bulk: usize,
-    /// Of all peers together; what is shared counts once.
+    /// Urgent bytes of all peers together; what is shared counts once.
+    pub process_urgent: usize,
+    /// Bulk bytes of all peers together; what is shared counts once.
     pub process_bulk: usize,
-    /// Of both classes: what is urgent still fits when bulk has filled its part.
-    pub process: usize,
 }
 
 impl Default for QueueLimits {
@@ -22,18 +22,20 @@
         QueueLimits {
             peer_urgent: 512 * 1024,
             peer_bulk: 4 * 1024 * 1024,
+            process_urgent: 4 * 1024 * 1024,
             process_bulk: 12 * 1024 * 1024,
-            process: 16 * 1024 * 1024,
         }
     }
 }
 
-/// The queues of all peers.
+/// The queues of all peers. Invariant: each class has bytes of its own, so that no
+/// bulk message, however large, takes room from what is urgent.
 #[derive(Debug)]
 pub struct Outbox {
     limits: QueueLimits,
     peers: HashMap<SocketAddr, PeerQueue>,
-    bytes: ProcessBytes,
+    urgent_bytes: ProcessBytes,
+    bulk_bytes: ProcessBytes,
     /// Who was given something since the event loop last looked.
     ready: Vec<SocketAddr>,
 }
@@ -56,7 +58,8 @@
         Outbox {
             limits,
             peers: HashMap::new(),
-            bytes: ProcessBytes::default(),
+            urgent_bytes: ProcessBytes::default(),
+            bulk_bytes: ProcessBytes::default(),
             ready: Vec::new(),
         }
     }
@@ -65,15 +68,22 @@
     pub fn push(&mut self, to: SocketAddr, priority: Priority, message: EncodedMessage) -> bool {
         let limits = self.limits;
         let queue = self.peers.entry(to).or_default();
-        let waiting = self.bytes.total();
-        let room = match priority {
-            Priority::Urgent => queue.urgent_bytes < limits.peer_urgent && waiting < limits.process,
-            Priority::Bulk => queue.bulk_bytes < limits.peer_bulk && waiting < limits.process_bulk,
+        let (process, has_room) = match priority {
+            Priority::Urgent => {
+                let has_room = queue.urgent_bytes < limits.peer_urgent
+                    && self.urgent_bytes.total < limits.process_urgent;
+                (&mut self.urgent_bytes, has_room)
+            }
+            Priority::Bulk => {
+                let has_room = queue.bulk_bytes < limits.peer_bulk
+                    && self.bulk_bytes.total < limits.process_bulk;
+                (&mut self.bulk_bytes, has_room)
+            }
         };
-        if !room {
+        if !has_room {
             return false;
         }
-        self.bytes.add(&message);
+        process.add(&message);
         queue.push(priority, message);
         if !queue.ready {
             queue.ready = true;
@@ -105,7 +115,7 @@
 
     /// Bytes that wait for all peers together.
     pub fn bytes(&self) -> usize {
-        self.bytes.total()
+        self.urgent_bytes.total + self.bulk_bytes.total
     }
 
     /// Appends frames for this peer, what is urgent first, until `out` has
@@ -117,13 +127,13 @@
         while out.len() < enough {
             if let Some(message) = queue.pop_urgent() {
                 message.write_whole(out);
-                self.bytes.remove(&message);
+                self.urgent_bytes.remove(&message);
             } else if queue.bulk.is_empty() {
                 return;
             } else if let Some(message) = queue.pop_expired() {
-                self.bytes.remove(&message);
+                self.bulk_bytes.remove(&message);
             } else if let Some(message) = queue.take_chunk(out) {
-                self.bytes.remove(&message);
+                self.bulk_bytes.remove(&message);
             }
         }
     }
@@ -135,18 +145,19 @@
             && queue.bulk_taken > 0
             && let Some(message) = queue.pop_bulk()
         {
-            self.bytes.remove(&message);
+            self.bulk_bytes.remove(&message);
         }
     }
 
     /// Nothing is left for this peer.
     pub fn forget(&mut self, to: SocketAddr) {
         if let Some(queue) = self.peers.remove(&to) {
-            queue
-                .urgent
-                .iter()
-                .chain(&queue.bulk)
-                .for_each(|message| self.bytes.remove(message));
+            for message in &queue.urgent {
+                self.urgent_bytes.remove(message);
+            }
+            for message in &queue.bulk {
+                self.bulk_bytes.remove(message);
+            }
         }
     }
 }
@@ -210,10 +221,6 @@
 }
 
 impl ProcessBytes {
-    fn total(&self) -> usize {
-        self.total
-    }
-
     fn add(&mut self, message: &EncodedMessage) {
         self.total += message.own_len();
         if let Some(shared) = message.shared() {
--- a/kernel/tests/links.rs
+++ b/kernel/tests/links.rs
@@ -306,7 +306,7 @@
 fn process_queue_is_bounded_and_urgent_still_fits() {
     let limits = QueueLimits {
         process_bulk: 1_000_000,
-        process: 1_100_000,
+        process_urgent: 100_000,
         ..QueueLimits::default()
     };
     let node = Node::start_with(limits);
@@ -328,6 +328,27 @@
     assert_eq!(node.links.counters().dropped_urgent.get(), 0);
 }
 
+/// Regression: one bulk message larger than all bounds (the snapshots of a control
+/// node's partitions) took the room of urgent messages to every peer: no heartbeat
+/// and no renewal left until it was sent.
+#[test]
+fn bulk_message_larger_than_all_bounds_leaves_room_for_urgent_ones() {
+    let node = Node::start();
+    let slow = listen();
+    let small = socket2::SockRef::from(&slow);
+    small.set_recv_buffer_size(16 * 1024).unwrap();
+    let huge = 20 * 1024 * 1024;
+    node.links.send(slow.local_addr().unwrap(), &bulk(0, huge));
+    assert!(node.links.queued_bytes() >= huge);
+    let other = Node::start();
+    for id in 0..100 {
+        node.links.send(slow.local_addr().unwrap(), &urgent(id));
+        node.send(other.me.address, urgent(id));
+    }
+    assert_eq!(node.links.counters().dropped_urgent.get(), 0);
+    assert_eq!(other.receive(), (node.me, urgent(0)));
+}
+
 #[test]
 fn returned_peer_is_reconnected_with_backoff() {
     let node = Node::start();
@@ -400,7 +421,6 @@
     let limits = QueueLimits {
         peer_bulk: 64 * 1024 * 1024,
         process_bulk: 64 * 1024 * 1024,
-        process: 64 * 1024 * 1024,
         ..QueueLimits::default()
     };
     let (one, other) = (Node::start_with(limits), Node::start());
