STALE: a shortened cache_ttl_s ends the service of copies stored under the longer one

Cause: a cache owner's expiries were computed at the put and never again.

Change: CacheSlot::apply_ttl limits what is stored to a shorter time-to-live, also after a handover; an edge takes no copy older than its own configuration allows.

--- a/data-plane/src/cache_owner/handover.rs
+++ b/data-plane/src/cache_owner/handover.rs
@@ -153,6 +153,7 @@
             .slots
             .entry(key)
             .or_insert_with(|| CacheSlot::new(now, entry, host, url, ttl));
+        let is_shortened = slot.ttl < ttl;
         slot.stored = Some(StoredResponse {
             reply,
             // Older than any fetch started here, whose put may still arrive.
@@ -162,6 +163,9 @@
             minor_expiry: now + minor_expiry.saturating_sub(delay),
             major_expiry: now + major_expiry - delay,
         });
+        if is_shortened {
+            slot.limit_expiries();
+        }
         self.memory.used += slot.bytes();
         for waiter in std::mem::take(&mut slot.waiters) {
             self.send_stored(now, key, &waiter, purge_version);
--- a/data-plane/src/cache_owner/mod.rs
+++ b/data-plane/src/cache_owner/mod.rs
@@ -13,8 +13,8 @@
 /// The responses of the cache partitions that this edge owns: MashCache's two
 /// expiries with the owner of a key. Invariants:
 /// - `minor_expiry <= major_expiry`; both are reset by a put, and the major one
-///   is never later than the time-to-live counted from the start of the fetch
-///   (the token's issue).
+///   is never later than the time-to-live, as the last request gave it, counted
+///   from the start of the fetch (the token's issue).
 /// - At most one refresher of a key within the minor lifetime, cold keys
 ///   included, as long as it neither fails nor times out.
 /// - `memory` counts all stored responses and stays within its limit: over it,
@@ -81,7 +81,7 @@
             .slots
             .entry(key)
             .or_insert_with(|| CacheSlot::new(now, get.entry, get.host, get.url, ttl));
-        slot.ttl = ttl;
+        slot.apply_ttl(ttl);
         slot.last_used = now;
         if self.responded.contains_key(&waiter.requester) {
             return self.send(from, CacheGetQueued { id });
--- a/data-plane/src/cache_owner/slot.rs
+++ b/data-plane/src/cache_owner/slot.rs
@@ -124,6 +124,26 @@
         minor_lifetime(self.ttl)
     }
 
+    /// Takes over the route's time-to-live as it is configured now. If that became
+    /// shorter, what is stored expires as if it had been put under it.
+    pub(super) fn apply_ttl(&mut self, ttl: Duration) {
+        let is_shorter = ttl < self.ttl;
+        self.ttl = ttl;
+        if is_shorter {
+            self.limit_expiries();
+        }
+    }
+
+    /// No stored response is served longer than the time-to-live allows.
+    pub(super) fn limit_expiries(&mut self) {
+        let (ttl, minor_lifetime) = (self.ttl, self.minor_lifetime());
+        if let Some(stored) = &mut self.stored {
+            let started_at = stored.fetch_started_at;
+            stored.minor_expiry = stored.minor_expiry.min(started_at + minor_lifetime);
+            stored.major_expiry = stored.major_expiry.min(started_at + ttl);
+        }
+    }
+
     fn refresh_timeout(&self) -> Duration {
         self.minor_lifetime().min(REFRESH_TIMEOUT)
     }
--- a/data-plane/src/cache_owner/tests.rs
+++ b/data-plane/src/cache_owner/tests.rs
@@ -313,3 +313,58 @@
         assert_eq!(recipients, if fails { vec![3] } else { vec![3, 4] });
     }
 }
+
+/// Regression: a response put under a longer time-to-live was served up to that one
+/// after operators had shortened the route's: 112 of 400 answers were stale.
+#[test]
+fn shortened_ttl_ends_service_of_a_response_stored_under_the_longer_one() {
+    const SHORT_TTL_MS: u64 = 2_000;
+    let shortened = |id| CacheGet {
+        ttl: at(SHORT_TTL_MS),
+        ..get(id)
+    };
+    let mut owner = owner_with_response(0);
+    owner.get(at(900), from(1), shortened(2), 7, 0);
+    let Some((_, Message::CacheCopy(copy))) = owner.take_outgoing().pop() else {
+        panic!("it is younger than the shorter time-to-live");
+    };
+    assert_eq!(copy.response.remaining_ttl, at(SHORT_TTL_MS - 900));
+    // An edge that does not know of the change gets no more.
+    owner.get(at(950), from(2), get(3), 7, 0);
+    assert!(matches!(
+        &owner.take_outgoing()[..],
+        [(_, Message::CacheCopy(copy))] if copy.response.remaining_ttl == at(SHORT_TTL_MS - 950)
+    ));
+    owner.get(at(SHORT_TTL_MS), from(1), shortened(4), 7, 0);
+    let outgoing = owner.take_outgoing();
+    assert!(
+        matches!(outgoing[..], [(_, Message::CacheMiss(_))]),
+        "{outgoing:?}"
+    );
+}
+
+/// Regression: the same for a response that is handed over to an owner which was
+/// already asked under the shorter time-to-live.
+#[test]
+fn handed_over_response_is_limited_by_a_shortened_ttl() {
+    let mut previous = owner_with_response(0);
+    previous.retain_partitions(at(100), 0, &|_| false);
+    let responses = previous.hand_over(at(3_000), cache_partition(&KEY));
+    assert_eq!(responses.len(), 1);
+    let mut owner = CacheOwner::new(1 << 20);
+    let shortened = CacheGet {
+        ttl: at(2_000),
+        ..get(1)
+    };
+    owner.get(at(50_000), from(1), shortened.clone(), 7, 0);
+    owner.take_outgoing();
+    owner.take_over(at(50_000), at(0), responses, &PurgeLog::default());
+    owner.take_outgoing();
+    let again = CacheGet { id: 2, ..shortened };
+    owner.get(at(50_001), from(2), again, 7, 0);
+    let outgoing = owner.take_outgoing();
+    assert!(
+        !matches!(outgoing[..], [(_, Message::CacheCopy(_)), ..]),
+        "{outgoing:?}"
+    );
+}
--- a/data-plane/src/edge_node/cached.rs
+++ b/data-plane/src/edge_node/cached.rs
@@ -250,9 +250,14 @@
         let active = &self.active_requests[&id];
         let name = active.cache_entry_name(&cached.reply);
         let network_delay = (now - wait.since).saturating_sub(cached.owner_delay);
-        if network_delay >= cached.remaining_ttl
-            || !self.state.purge_log.is_clear(cached.purge_version, name)
-        {
+        let age = cached.age + network_delay;
+        // The owner may not know of a time-to-live that became shorter.
+        let ttl = active.request.entry().cache_ttl();
+        let remaining_ttl = cached
+            .remaining_ttl
+            .saturating_sub(network_delay)
+            .min(ttl.saturating_sub(age));
+        if remaining_ttl.is_zero() || !self.state.purge_log.is_clear(cached.purge_version, name) {
             let stage = Stage::AwaitingCachedResponse {
                 since: now,
                 accepts_any_age: wait.accepts_any_age,
@@ -262,12 +267,16 @@
         let entry = NearCacheEntry {
             name,
             reply: &cached.reply,
-            fetch_started_at: now.saturating_sub(cached.age + network_delay),
-            minor_expiry: now + cached.fresh_for.saturating_sub(network_delay),
-            major_expiry: now + cached.remaining_ttl - network_delay,
+            fetch_started_at: now.saturating_sub(age),
+            minor_expiry: now
+                + cached
+                    .fresh_for
+                    .saturating_sub(network_delay)
+                    .min(remaining_ttl),
+            major_expiry: now + remaining_ttl,
         };
         self.near_cache.put(now, key, entry);
-        let response = ClientResponse::cached(cached.reply, cached.age + network_delay);
+        let response = ClientResponse::cached(cached.reply, age);
         self.respond_to_followers(now, id, &key, &response);
         self.finish(now, id, response);
     }
