--- a/control-plane/src/control_node/mod.rs
+++ b/control-plane/src/control_node/mod.rs
@@ -191,6 +191,12 @@
         }
     }
 
+    /// Sets how long outcomes of operations are retained.
+    pub fn with_operation_retention(mut self, retention: Duration) -> ControlNode {
+        self.finished_operations.retention = retention;
+        self
+    }
+
     /// The node's address and incarnation.
     pub fn me(&self) -> Peer {
         Peer::new(self.address, self.replica.incarnation)
--- a/control-plane/src/control_node/operation_expiry.rs
+++ b/control-plane/src/control_node/operation_expiry.rs
@@ -1,10 +1,15 @@
 //! Ends of operations in the ledger: abandoned ones become unknown, finished ones are dropped after their retention.
 
+#[cfg(test)]
+mod tests;
+
 use super::*;
 
 /// When finished operations were first found by this leader, by partition and key.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct FinishedOperations {
+    /// How long they are retained.
+    pub(super) retention: Duration,
     by_partition: BTreeMap<u8, HashMap<String, FinishedOperation>>,
 }
 
@@ -15,6 +20,15 @@
     since: Duration,
 }
 
+impl Default for FinishedOperations {
+    fn default() -> FinishedOperations {
+        FinishedOperations {
+            retention: lease::OPERATION_RETENTION,
+            by_partition: BTreeMap::new(),
+        }
+    }
+}
+
 impl FinishedOperations {
     /// Forgets a partition: its operations are retained for their full time under a new leader.
     pub(super) fn forget(&mut self, partition: u8) {
@@ -38,7 +52,7 @@
             if known.version != row.version {
                 *known = first_found;
             }
-            if now >= known.since + lease::OPERATION_RETENTION {
+            if now >= known.since + self.retention {
                 expired.push(key.clone());
             }
         }
--- /dev/null
+++ b/control-plane/src/control_node/operation_expiry/tests.rs
@@ -0,0 +1,50 @@
+//! Tests of the retention of finished operations.
+use super::*;
+
+/// As at the grown sites: keyed requests a second, and bytes of a response.
+const OPERATIONS_PER_SECOND: u64 = 180;
+const RESPONSE_BYTES: usize = 1_500;
+
+fn finished(number: u64) -> Value {
+    let reply = Reply {
+        status: 200,
+        body: Arc::new(vec![0; RESPONSE_BYTES]),
+        ..Reply::default()
+    };
+    Value::Operation(Operation {
+        fingerprint: Default::default(),
+        claimant: Peer::new(([127, 0, 0, 1], 1).into(), 1),
+        request: number,
+        state: OperationState::Done(Arc::new(reply)),
+    })
+}
+
+/// Regression: outcomes were retained for 180 s whatever the deployment's window for
+/// repeats, so control processes went over their memory in 200 s of ordinary traffic.
+#[test]
+fn finished_operations_are_dropped_after_the_retention_of_the_settings() {
+    let retention = Duration::from_secs(90);
+    let mut operations = FinishedOperations {
+        retention,
+        ..FinishedOperations::default()
+    };
+    let mut leader = PartitionLeader::new(PUBLISHED_PARTITIONS, 1, 1, 0);
+    let mut most = 0;
+    for second in 0..200 {
+        for number in 0..OPERATIONS_PER_SECOND {
+            let number = second * OPERATIONS_PER_SECOND + number;
+            leader.put(format!("k-{number}"), finished(number));
+        }
+        let now = Duration::from_secs(second);
+        let expired = operations.take_expired(now, &leader);
+        for key in &expired {
+            leader.remove_row(key);
+        }
+        if now < retention {
+            assert!(expired.is_empty(), "dropped at {now:?}");
+        }
+        most = most.max(leader.rows.len() as u64);
+    }
+    let bound = OPERATIONS_PER_SECOND * (retention.as_secs() + SWEEP_INTERVAL.as_secs());
+    assert!(most <= bound, "{most} operations of {bound}");
+}
--- a/data-plane/src/edge_node/ledger_changes.rs
+++ b/data-plane/src/edge_node/ledger_changes.rs
@@ -54,8 +54,8 @@
             .get(&id)
             .and_then(|active| active.claim.clone());
         let Some(claim) = claim else { return };
-        let is_expired =
-            |oldest: &CompletedOperation| now >= oldest.completed_at + lease::OPERATION_RETENTION;
+        let retention = self.operation_retention;
+        let is_expired = |oldest: &CompletedOperation| now >= oldest.completed_at + retention;
         while self.completed_operations.front().is_some_and(is_expired)
             || self.completed_operations.len() >= MAX_COMPLETED_OPERATIONS
         {
--- a/data-plane/src/edge_node/mod.rs
+++ b/data-plane/src/edge_node/mod.rs
@@ -42,6 +42,8 @@
     next_renewal: Duration,
     live: bool,
     completed_operations: VecDeque<CompletedOperation>,
+    /// How long they are remembered.
+    operation_retention: Duration,
     recall_requested: bool,
 
     cache_owner: CacheOwner,
@@ -130,6 +132,7 @@
             next_renewal: Duration::ZERO,
             live: false,
             completed_operations: VecDeque::new(),
+            operation_retention: lease::OPERATION_RETENTION,
             recall_requested: false,
             cache_owner: CacheOwner::new(cache_bytes),
             near_cache: NearCache::new(cache_bytes / NEAR_CACHE_DIVISOR),
@@ -172,6 +175,14 @@
         }
     }
 
+    /// Sets how long outcomes of operations are remembered.
+    pub fn with_operation_retention(self, retention: Duration) -> EdgeNode {
+        EdgeNode {
+            operation_retention: retention,
+            ..self
+        }
+    }
+
     /// An id for one message or call, different from all before in this incarnation.
     fn next_id(&mut self) -> u64 {
         self.last_id = self.last_id.wrapping_add(1);
--- a/kernel/src/lease.rs
+++ b/kernel/src/lease.rs
@@ -34,7 +34,7 @@
 /// up to 110 % is the bucket's burst.
 pub const PERMIT_VALIDITY: Duration = Duration::from_millis(200);
 /// Outcomes of operation keys stand for this long after they were recorded,
-/// in full again after a change of owner.
+/// in full again after a change of owner, unless the settings say otherwise.
 pub const OPERATION_RETENTION: Duration = Duration::from_secs(180);
 /// An origin is only called while its last verified answer is this young.
 pub const ORIGIN_PROOF_VALIDITY: Duration = Duration::from_secs(2);
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -55,6 +55,9 @@
     pub data: Option<PathBuf>,
     /// How long a warned process goes on before it ends regardless.
     pub grace_ms: Option<u64>,
+    /// How long outcomes of operations are retained (default 180 s): as long as a
+    /// repeat may come. Memory of control nodes and edges grows with it.
+    pub operation_retention_ms: Option<u64>,
     /// Edges: memory for cached responses, in bytes.
     pub cache_bytes: Option<u64>,
     /// The log level: error, warn, info or debug.
@@ -263,6 +266,12 @@
         Duration::from_millis(self.grace_ms.unwrap_or(DEFAULT_GRACE_MS))
     }
 
+    /// How long outcomes of operations are retained.
+    pub fn operation_retention(&self) -> Duration {
+        self.operation_retention_ms
+            .map_or(lease::OPERATION_RETENTION, Duration::from_millis)
+    }
+
     /// Logs to standard error, one event a line.
     pub fn log(&self) -> Result<(), LoggerError> {
         let level = self
--- a/programs/src/control_node.rs
+++ b/programs/src/control_node.rs
@@ -19,7 +19,8 @@
         startup.gather_span().map(|span| bootstrap(&startup, span)),
         new_incarnation()?,
     )
-    .with_log(loaded.log_bytes, loaded.snapshot_bytes);
+    .with_log(loaded.log_bytes, loaded.snapshot_bytes)
+    .with_operation_retention(startup.operation_retention());
     let history = Some(History::spawn_writer(
         startup.data.clone().context("data folder")?,
     ));
