CONFIG: as many control nodes as may be lost are succeeded where they leave no majority

Cause: a table changes by a majority of the old one only; two of four are none, so empty nodes never get the slots.

Change: where exactly as many members as are tolerated are silent for 3 s, the others are no majority of an even table and as many empty nodes ask, the lowest survivor writes the table that names those; survivors that go by it acknowledge nothing by the earlier one, and newcomers are recovered from all of them. Versions count successions in their upper half.

--- a/control-plane/src/control_node/contact.rs
+++ b/control-plane/src/control_node/contact.rs
@@ -65,6 +65,12 @@
         now < self.last_heartbeat + timeout
     }
 
+    /// Whether it is connected in both directions with a full disk, and hears none of these slots either.
+    pub(super) fn lacks(&self, now: Duration, slots: &[u8]) -> bool {
+        let hears_none = slots.iter().all(|slot| !self.heard_slots.contains(*slot));
+        self.is_connected(now) && !self.blank && hears_none
+    }
+
     /// Whether its heartbeats have not timed out.
     pub(super) fn is_connected(&self, now: Duration) -> bool {
         self.sent_heartbeat_within(now, lease::CONTROL_PEER_TIMEOUT)
--- a/control-plane/src/control_node/contact_watch.rs
+++ b/control-plane/src/control_node/contact_watch.rs
@@ -35,7 +35,17 @@
 
     /// Whether a member with its last contact at this time has timed out.
     pub(super) fn is_lost(&self, now: Duration, last_contact: Duration) -> bool {
+        self.is_silent(now, last_contact, MEMBER_LOSS_TIMEOUT)
+    }
+
+    /// The same after a timeout of the caller's.
+    pub(super) fn is_silent(
+        &self,
+        now: Duration,
+        last_contact: Duration,
+        timeout: Duration,
+    ) -> bool {
         let silent_since = last_contact.max(self.unpaused_since);
-        self.is_unpaused(now) && now >= silent_since + MEMBER_LOSS_TIMEOUT
+        self.is_unpaused(now) && now >= silent_since + timeout
     }
 }
--- a/control-plane/src/control_node/joining.rs
+++ b/control-plane/src/control_node/joining.rs
@@ -97,6 +97,7 @@
         if self.removed {
             return;
         }
+        self.note_succession_joiner(from, founding);
         // To the leader of the table, by way of this node's own changes.
         let change = Change::JoinRequest {
             peer: from,
--- a/control-plane/src/control_node/mod.rs
+++ b/control-plane/src/control_node/mod.rs
@@ -13,6 +13,7 @@
 use relays::Relays;
 use slot_handover::ShutdownState;
 use stale_epochs::StaleEpochs;
+use succession::Succession;
 
 mod assignments;
 mod changes;
@@ -36,6 +37,7 @@
 mod slot_assignment;
 mod slot_handover;
 mod stale_epochs;
+mod succession;
 #[cfg(test)]
 mod tests;
 #[cfg(test)]
@@ -100,6 +102,7 @@
     departed_since: BTreeMap<Peer, Duration>,
     assignments: AssignmentState,
     shutdown: ShutdownState,
+    succession: Succession,
     /// Outputs of the current step.
     outputs: Vec<Output>,
 }
@@ -171,6 +174,7 @@
             departed_since: BTreeMap::new(),
             assignments: AssignmentState::default(),
             shutdown: ShutdownState::default(),
+            succession: Succession::default(),
             outputs: Vec::new(),
         }
     }
@@ -266,6 +270,7 @@
             return self.request_slot(now);
         }
         self.send_heartbeats(now);
+        self.succeed_lost_members(now);
         self.tick_recovery(now);
         if self.can_vote() {
             self.campaign(now);
--- a/control-plane/src/control_node/recovery.rs
+++ b/control-plane/src/control_node/recovery.rs
@@ -42,7 +42,9 @@
             return self.membership_version;
         }
         let table = self.replica.published_table();
-        table.map_or(0, |table| table.version)
+        let published = table.map_or(0, |table| table.version);
+        // Whoever an edge might renew with by a table before a succession is lost for longer than a lease lasts.
+        published.max(last_succession(self.membership_version))
     }
 
     /// Another disk sent what it holds.
--- /dev/null
+++ b/control-plane/src/control_node/succession.rs
@@ -0,0 +1,135 @@
+//! A table that follows one whose majority was lost for good.
+//!
+//! Of an even table of twice as many members as the deployment tolerates to lose, the survivors of such a loss make no
+//! majority: they can neither change a row nor the table. But they hold all that was acknowledged, since any of its
+//! majorities includes one of them, and without them the others can commit nothing either. So once the lost members
+//! have been silent for longer than every lease lasts, and as many empty nodes request slots, the lowest surviving slot
+//! writes a table that names those in their places. Each survivor stores it before it goes by it, and from then on
+//! acknowledges nothing by the earlier one. The successors are recovered from all survivors that go by it, and only
+//! then there is a majority again.
+//!
+//! Assumption: empty nodes request slots only in place of members that were removed for good. Were the lost members
+//! cut off instead, with as many empty nodes on their side, they could do the same: that would be more losses at once
+//! than the deployment tolerates.
+
+#[cfg(test)]
+mod tests;
+
+use super::*;
+
+/// Members are silent for this long before others succeed them: longer than edges' leases, sessions and the time
+/// after which a single lost member is replaced by a majority.
+const SUCCESSION_TIMEOUT: Duration = Duration::from_secs(3);
+/// An empty node that requested a slot within this time waits for one.
+const JOINER_TIMEOUT: Duration = Duration::from_secs(1);
+/// What is needed to succeed lost members.
+#[derive(Debug, Default)]
+pub(super) struct Succession {
+    /// Members that may be lost at once; none: no members are succeeded without a majority.
+    tolerated_losses: usize,
+    /// Empty nodes that requested a slot, and when they last did.
+    joiners: BTreeMap<Peer, Duration>,
+}
+
+impl Succession {
+    fn note_joiner(&mut self, now: Duration, peer: Peer) {
+        self.joiners
+            .retain(|_, requested_at| now < *requested_at + JOINER_TIMEOUT);
+        self.joiners.insert(peer, now);
+    }
+
+    fn waiting_joiners(&self, now: Duration) -> Vec<Peer> {
+        let is_waiting = |requested_at: &Duration| now < *requested_at + JOINER_TIMEOUT;
+        let waiting = self.joiners.iter();
+        waiting
+            .filter(|(_, requested_at)| is_waiting(requested_at))
+            .map(|(peer, _)| *peer)
+            .collect()
+    }
+}
+
+impl ControlNode {
+    /// Sets how many members may be lost at once.
+    pub fn with_tolerated_losses(mut self, members: usize) -> ControlNode {
+        self.succession.tolerated_losses = members;
+        self
+    }
+
+    /// An empty node elsewhere requests a slot.
+    pub(super) fn note_succession_joiner(&mut self, peer: Peer, founding: bool) {
+        let holds_address = slot_at(&self.members, peer.address).is_some();
+        if !founding && !holds_address {
+            let now = self.contact_watch.last_tick();
+            self.succession.note_joiner(now, peer);
+        }
+    }
+
+    /// As the lowest surviving slot: gives the slots of members that were lost for good to empty nodes, if no majority
+    /// is left that could.
+    pub(super) fn succeed_lost_members(&mut self, now: Duration) {
+        let Some(members) = self.succeeding_members(now) else {
+            return;
+        };
+        let table = MembershipTable {
+            version: next_succession(self.membership_version),
+            members,
+        };
+        self.store(&Record::MembershipTable {
+            version: table.version,
+            members: table.members.clone(),
+        });
+        let text = format!("version {}", table.version);
+        self.log_event(Event::LostMembersSucceeded, text);
+        self.adopt_table(table.clone());
+        for slot in self.other_slots() {
+            self.send_after_sync(self.address(slot), table.clone());
+        }
+    }
+
+    /// The members with those that are lost replaced, if they are to be.
+    fn succeeding_members(&self, now: Duration) -> Option<Vec<Peer>> {
+        let lost = self.lost_without_majority(now)?;
+        let survivors_agree = self.surviving_slots(&lost).all(|slot| {
+            slot == self.slot
+                || self
+                    .peers
+                    .get(&slot)
+                    .is_some_and(|peer| peer.lacks(now, &lost))
+        });
+        let is_lowest = self.surviving_slots(&lost).next() == Some(self.slot);
+        let joiners = self.succession.waiting_joiners(now);
+        if !self.can_vote() || !survivors_agree || !is_lowest || joiners.len() != lost.len() {
+            return None;
+        }
+        let mut members = self.members.clone();
+        for (slot, joiner) in lost.into_iter().zip(joiners) {
+            members[usize::from(slot)] = joiner;
+        }
+        Some(members)
+    }
+
+    /// Slots without a message for long, if they are as many as may be lost and the others make no majority.
+    fn lost_without_majority(&self, now: Duration) -> Option<Vec<u8>> {
+        let tolerated = self.succession.tolerated_losses;
+        if self.slot == NO_SLOT || tolerated == 0 || self.members.len() != 2 * tolerated {
+            return None;
+        }
+        let lost: Vec<u8> = self
+            .other_slots()
+            .filter(|slot| self.is_slot_silent(now, *slot))
+            .collect();
+        (lost.len() == tolerated).then_some(lost)
+    }
+
+    fn is_slot_silent(&self, now: Duration, slot: u8) -> bool {
+        let last_message = self.last_messages.get(&slot).copied();
+        let last_contact = last_message.unwrap_or(self.table_adopted_at);
+        self.contact_watch
+            .is_silent(now, last_contact, SUCCESSION_TIMEOUT)
+    }
+
+    fn surviving_slots(&self, lost: &[u8]) -> impl Iterator<Item = u8> {
+        let slots = 0..self.members.len() as u8;
+        slots.filter(|slot| !lost.contains(slot))
+    }
+}
--- a/control-plane/src/lib.rs
+++ b/control-plane/src/lib.rs
@@ -13,6 +13,7 @@
 mod replica;
 mod replica_recovery;
 mod sessions;
+mod succession_version;
 mod update_replies;
 pub use bootstrap::Bootstrap;
 pub use control_node::ControlNode;
--- a/control-plane/src/prelude.rs
+++ b/control-plane/src/prelude.rs
@@ -11,6 +11,7 @@
 };
 pub use crate::replica_recovery::{RecoveredState, ReplicaRecovery};
 pub use crate::sessions::{SessionStanding, Sessions};
+pub use crate::succession_version::{last_succession, next_succession};
 pub use crate::update_replies::UpdateReplies;
 pub use kernel::prelude::*;
 pub use serde_json::value::RawValue;
--- a/control-plane/tests/replication/exhaustive.rs
+++ b/control-plane/tests/replication/exhaustive.rs
@@ -169,6 +169,49 @@
         })
 }
 
+/// Two of four members are lost for good while one of them writes; the survivors and two outsiders succeed them, and
+/// the first of these, recovered from the survivors, leads. The lost ones may still be heard by the survivors.
+fn two_of_four_succeeded(disabled: Option<Safeguard>) -> Cluster {
+    Cluster::of_four_with_two_outsiders(disabled)
+        .established(&[(3, LEDGER)])
+        .with_blocked_links(&[(4, 2), (4, 3), (4, 5), (5, 0), (5, 1), (5, 2), (5, 3)])
+        .with(Budget {
+            elections: vec![(4, LEDGER)],
+            writes: vec![(3, LEDGER)],
+            successions: vec![0],
+            ..Budget::default()
+        })
+}
+
+/// A row of a lost leader reached one survivor, who restarts while the lost members are succeeded.
+fn survivor_restarts_during_succession(disabled: Option<Safeguard>) -> Cluster {
+    Cluster::of_four_with_two_outsiders(disabled)
+        .established(&[(3, LEDGER)])
+        .written(3, LEDGER, &[1, 2])
+        .with_blocked_links(&[(4, 5), (5, 0), (5, 1), (2, 0), (2, 1), (3, 0), (3, 1)])
+        .with(Budget {
+            elections: vec![(4, LEDGER)],
+            successions: vec![0],
+            crashes: vec![1],
+            retries: vec![4],
+            ..Budget::default()
+        })
+}
+
+/// Lost members that were merely away come back: the earlier leader writes and reaches the survivors, while a successor
+/// leads with the other one.
+fn earlier_leader_after_succession(disabled: Option<Safeguard>) -> Cluster {
+    Cluster::of_four_with_two_outsiders(disabled)
+        .established(&[(3, LEDGER)])
+        .succeeded(0)
+        .with_blocked_links(&[(4, 1), (5, 1), (3, 0), (2, 0), (4, 2), (4, 3)])
+        .with(Budget {
+            elections: vec![(4, LEDGER)],
+            writes: vec![(3, LEDGER)],
+            ..Budget::default()
+        })
+}
+
 type Scenario = fn(Option<Safeguard>) -> Cluster;
 
 /// All states of the scenario satisfy the invariants; prints how many there are.
@@ -288,3 +331,26 @@
     let disabled = Safeguard::MembershipVersionFences;
     finds("leading by an old table", leading_by_an_old_table, disabled);
 }
+
+/// Regression: two of four control nodes that were lost for good left no majority, and nothing could be read or changed
+/// any more. Whoever succeeds them holds all that was acknowledged.
+#[test]
+fn successors_of_two_lost_members_hold_what_was_acknowledged() {
+    holds("two of four succeeded", two_of_four_succeeded);
+}
+
+#[test]
+fn earlier_leader_commits_nothing_after_succession() {
+    let name = "earlier leader after succession";
+    holds(name, earlier_leader_after_succession);
+    let disabled = Safeguard::SurvivorAbandonsEarlierTable;
+    finds(name, earlier_leader_after_succession, disabled);
+}
+
+#[test]
+fn succession_survives_restart_of_a_survivor() {
+    holds(
+        "a survivor restarts during succession",
+        survivor_restarts_during_succession,
+    );
+}
--- a/control-plane/tests/replication/model/cluster.rs
+++ b/control-plane/tests/replication/model/cluster.rs
@@ -37,6 +37,10 @@
     JoinTable {
         from: usize,
     },
+    /// The lowest survivor gives the slots of two lost members to the outsiders.
+    Succeed {
+        node: usize,
+    },
     /// Time passes at this node: it retries what has no reply.
     Retry {
         node: usize,
@@ -53,6 +57,7 @@
     pub crashes: Vec<usize>,
     pub wipes: Vec<usize>,
     pub replacements: Vec<usize>,
+    pub successions: Vec<usize>,
     pub retries: Vec<usize>,
 }
 
@@ -83,6 +88,8 @@
 
 /// The slot that the outsider gets.
 const REPLACED_SLOT: usize = 1;
+/// Slots whose members are lost for good in a succession.
+const LOST_SLOTS: [usize; 2] = [2, 3];
 /// Incarnations of wiped disks follow those of the first ones.
 const WIPED_INCARNATION: u64 = 100;
 
@@ -104,6 +111,13 @@
         }
     }
 
+    /// Four members of which two may be lost for good, and two outsiders.
+    pub fn of_four_with_two_outsiders(disabled: Option<Safeguard>) -> Cluster {
+        let mut cluster = Cluster::new(4, disabled);
+        cluster.nodes.push(Hashed::new(Node::outsider(5, disabled)));
+        cluster
+    }
+
     fn outsider(&self) -> usize {
         self.nodes.len() - 1
     }
@@ -174,6 +188,26 @@
         self
     }
 
+    /// The same after this survivor gave the lost members' slots to the outsiders, who were recovered; the lost members
+    /// heard nothing of it.
+    pub fn succeeded(mut self, survivor: usize) -> Cluster {
+        self = self.with(Budget {
+            successions: vec![survivor],
+            ..Budget::default()
+        });
+        self.apply(Action::Succeed { node: survivor });
+        let arrives =
+            |from: usize, to: usize| !LOST_SLOTS.contains(&from) && !LOST_SLOTS.contains(&to);
+        self.deliver_all(&arrives);
+        for outsider in self.nodes.len() - LOST_SLOTS.len()..self.nodes.len() {
+            // A survivor may have had its first request before the table.
+            self.run(outsider, Node::retry);
+            self.deliver_all(&arrives);
+            assert!(self.nodes[outsider].can_vote(), "{outsider} is recovered");
+        }
+        self
+    }
+
     /// The same with these nodes cut off from each other.
     pub fn with_blocked_links(mut self, blocked_links: &[(usize, usize)]) -> Cluster {
         let both = blocked_links
@@ -265,6 +299,11 @@
                     .map(|from| Action::JoinTable { from }),
             );
         }
+        for node in distinct(&budget.successions) {
+            if self.nodes[node].can_vote() {
+                actions.push(Action::Succeed { node });
+            }
+        }
         let retries = distinct(&budget.retries).into_iter();
         actions.extend(retries.map(|node| Action::Retry { node }));
         actions
@@ -324,6 +363,15 @@
                 };
                 self.run(self.outsider(), |node| node.join_table(version, members));
             }
+            Action::Succeed { node } => {
+                self.spend(|budget| &mut budget.successions, node);
+                let mut members = self.nodes[node].members.clone();
+                let outsiders = self.nodes.len() - LOST_SLOTS.len();
+                for (at, slot) in LOST_SLOTS.into_iter().enumerate() {
+                    members[slot] = self.nodes[outsiders + at].me();
+                }
+                self.run(node, |node| node.succeed(members));
+            }
             Action::Retry { node } => {
                 self.spend(|budget| &mut budget.retries, node);
                 self.run(node, Node::retry);
--- a/control-plane/tests/replication/model/node.rs
+++ b/control-plane/tests/replication/model/node.rs
@@ -39,6 +39,8 @@
     disk: Option<Replica>,
     pub membership_version: u64,
     pub members: Vec<Peer>,
+    /// Of the table before, if they still count: only without a safeguard.
+    earlier_members: Vec<Peer>,
     /// Disks last met, by slot.
     incarnations: BTreeMap<u8, u64>,
     retired: VecDeque<u64>,
@@ -119,6 +121,7 @@
             disk: None,
             membership_version: 0,
             members: vec![],
+            earlier_members: vec![],
             incarnations: BTreeMap::new(),
             retired: VecDeque::new(),
             leaders: BTreeMap::new(),
@@ -150,8 +153,13 @@
     }
 
     fn slot_of(&self, peer: &Peer) -> Option<u8> {
-        let at = self.members.iter().position(|member| member.matches(peer));
-        at.map(|at| at as u8)
+        let members = self.members.iter();
+        let at = members.clone().position(|member| member.matches(peer));
+        let in_earlier = || {
+            let earlier = self.earlier_members.iter();
+            earlier.clone().position(|member| member.matches(peer))
+        };
+        at.or_else(in_earlier).map(|at| at as u8)
     }
 
     pub fn slot(&self) -> Option<u8> {
@@ -205,9 +213,12 @@
     fn adopt_table(&mut self, version: u64, members: Vec<Peer>) {
         self.membership_version = version;
         let before = std::mem::replace(&mut self.members, members);
+        if !self.has(Safeguard::SurvivorAbandonsEarlierTable) {
+            self.earlier_members = before.clone();
+        }
         let moved = before.into_iter().zip(self.members.clone());
         for (slot, (old, new)) in moved.enumerate() {
-            if old == new {
+            if old == new || !self.has(Safeguard::SurvivorAbandonsEarlierTable) {
                 continue;
             }
             if let Some(incarnation) = self.incarnations.remove(&(slot as u8))
@@ -392,6 +403,26 @@
         self.begin_recovery()
     }
 
+    /// Gives slots of lost members to others without a majority (`ControlNode::succeed_lost_members`).
+    pub fn succeed(&mut self, members: Vec<Peer>) -> Vec<Envelope> {
+        let table = MembershipTable {
+            version: next_succession(self.membership_version),
+            members,
+        };
+        self.store(&Record::MembershipTable {
+            version: table.version,
+            members: table.members.clone(),
+        });
+        self.adopt_table(table.version, table.members.clone());
+        let others = self
+            .members
+            .iter()
+            .filter(|peer| peer.address != self.address);
+        others
+            .map(|peer| self.envelope(peer.address, table.clone()))
+            .collect()
+    }
+
     /// What the leaders send now (`ControlNode::flush_leaders`).
     fn flush(&mut self, tick: bool) -> Vec<Envelope> {
         if !self.can_vote() {
@@ -459,7 +490,7 @@
         let Some(slot) = self.slot_of(&from).filter(|_| !retired) else {
             return vec![];
         };
-        if Some(slot) != self.slot() {
+        if Some(slot) != self.slot() && self.has(Safeguard::SurvivorAbandonsEarlierTable) {
             self.on_member_contact(slot, from.incarnation);
         }
         match message {
@@ -488,7 +519,9 @@
             Message::SnapshotRequest(request) => request.membership_version,
             _ => return false,
         };
-        version < self.membership_version && self.has(Safeguard::MembershipVersionFences)
+        version < self.membership_version
+            && self.has(Safeguard::MembershipVersionFences)
+            && self.has(Safeguard::SurvivorAbandonsEarlierTable)
     }
 
     fn handle_table(&mut self, table: MembershipTable) -> Vec<Envelope> {
@@ -498,6 +531,10 @@
                 members: table.members.clone(),
             });
             self.adopt_table(table.version, table.members);
+        } else if self.members.is_empty()
+            && table.members.iter().any(|peer| peer.matches(&self.me()))
+        {
+            return self.join_table(table.version, table.members);
         }
         vec![]
     }
@@ -614,7 +651,7 @@
             membership_version: if founding {
                 self.membership_version
             } else {
-                shown
+                shown.max(last_succession(self.membership_version))
             },
             partitions: if counts {
                 self.replica.snapshot()
--- a/control-plane/tests/replication/model/safeguard.rs
+++ b/control-plane/tests/replication/model/safeguard.rs
@@ -30,4 +30,6 @@
     MembershipVersionFences,
     /// A joiner counts only once it was recovered by the new table's members.
     LearnerDoesNotCount,
+    /// A survivor that goes by the table of a succession acknowledges nothing by the earlier one.
+    SurvivorAbandonsEarlierTable,
 }
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -50,6 +50,7 @@
     SessionClosed = 222, Info;
     DiskRestored = 223, Info;
     LogRefused = 224, Error;
+    LostMembersSucceeded = 225, Warn;
     AssignmentRevoked = 230, Info;
     AssignmentGranted = 231, Info;
     ConfigurationPut = 240, Info;
--- a/kernel/src/startup.rs
+++ b/kernel/src/startup.rs
@@ -51,6 +51,9 @@
     /// How long the first seed collects founding control nodes before it fixes
     /// the table of slots. Edges: that the seeds are not that table.
     pub gather_ms: Option<u64>,
+    /// Control nodes: how many of them may be lost at once, for good. Where those left then make no majority, empty
+    /// ones take the places of the lost (default 0: never).
+    pub tolerated_losses: Option<u32>,
     /// Control nodes only.
     pub data: Option<PathBuf>,
     /// How long a warned process goes on before it ends regardless.
--- a/programs/src/control_node.rs
+++ b/programs/src/control_node.rs
@@ -20,7 +20,8 @@
         new_incarnation()?,
     )
     .with_log(loaded.log_bytes, loaded.snapshot_bytes)
-    .with_operation_retention(startup.operation_retention());
+    .with_operation_retention(startup.operation_retention())
+    .with_tolerated_losses(startup.tolerated_losses.unwrap_or(0) as usize);
     let history = Some(History::spawn_writer(
         startup.data.clone().context("data folder")?,
     ));
