Soak: a process that runs is not started a second time

Cause: in the scenario with kills two series may end the same edge at once (SIGTERM by one, SIGKILL by the other); each started it again, the second process could not listen and ended, and the run was said to be broken (Fault).

Change: Machines::start does nothing for a process that runs.

--- a/stand-ins/src/platform_soak/machines.rs
+++ b/stand-ins/src/platform_soak/machines.rs
@@ -151,12 +151,18 @@
         Ok(())
     }
 
-    /// Starts a process; `bootstrap` at the first start of the whole system only.
+    /// Starts a process, unless it runs: two series may have ended the same one.
+    /// `bootstrap` at the first start of the whole system only.
     ///
     /// # Errors
     ///
     /// It could not be started.
     pub(super) fn start(&self, machine: usize, role: ProcessRole, bootstrap: bool) -> Result<()> {
+        let mut processes = self.processes.lock().expect("no holder panics");
+        let known = processes.get_mut(&(machine, role));
+        if known.is_some_and(|child| matches!(child.try_wait(), Ok(None))) {
+            return Ok(());
+        }
         let settings = self.write_settings(machine, role, bootstrap)?;
         let log = OpenOptions::new()
             .create(true)
@@ -175,7 +181,6 @@
             .spawn()
             .with_context(|| self.program.display().to_string())?;
         self.record(machine, role, ProcessEventKind::Started);
-        let mut processes = self.processes.lock().expect("no holder panics");
         processes.insert((machine, role), child);
         Ok(())
     }
