LOST: half-open connections are accepted before a finishing listener closes

Cause: the packet filter on the listener dropped every packet, so also the last one of a handshake that was under way: the client took itself for connected, its request was dropped, and the close of the listener reset it.

Change: the filter drops only the first packet of a handshake; the listener accepts for 20 ms more, then closes.

--- a/http-line/src/event_loop.rs
+++ b/http-line/src/event_loop.rs
@@ -45,6 +45,8 @@
     touched: Vec<usize>,
     /// Accepting failed; it is tried again at this time.
     accept_retry_at: Option<Instant>,
+    /// The event loop finishes; its listeners are closed at this time.
+    listeners_close_at: Option<Instant>,
     draining: bool,
     /// Nobody is accepted any more, and connections end as they become idle.
     finishing: bool,
@@ -101,6 +103,7 @@
             ready: Vec::new(),
             touched: Vec::new(),
             accept_retry_at: None,
+            listeners_close_at: None,
             draining: false,
             finishing: false,
             now,
@@ -145,7 +148,7 @@
     /// Whether it finishes and no connection of a client is left.
     fn has_finished(&self) -> bool {
         let is_call = |connection: &Connection| matches!(connection.role, Role::Client(_));
-        self.finishing && self.connections.values().all(is_call)
+        self.finishing && self.listeners.is_empty() && self.connections.values().all(is_call)
     }
 
     fn handle_event(&mut self, event: &Event) {
--- a/http-line/src/event_loop/accept.rs
+++ b/http-line/src/event_loop/accept.rs
@@ -5,8 +5,19 @@
 /// After an accept failed, for example for want of file descriptors, none is
 /// tried for this time.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
-/// The packet filter's instruction to keep so many bytes of a packet.
+/// Instructions of the packet filter: return the bytes of a packet to keep, load a
+/// byte, mask it, compare it.
 const BPF_RETURN: u16 = 0x06;
+const BPF_LOAD_BYTE: u16 = 0x30;
+const BPF_AND: u16 = 0x54;
+const BPF_JUMP_IF_EQUAL: u16 = 0x15;
+/// Of a TCP header.
+const TCP_FLAGS_OFFSET: u32 = 13;
+const TCP_SYN: u32 = 0x02;
+const TCP_ACK: u32 = 0x10;
+/// Connections that were half open when the first packets of others began to be
+/// dropped are accepted for this long.
+const HALF_OPEN_TIME: Duration = Duration::from_millis(20);
 /// A client that acknowledges nothing for this time counts as disconnected.
 pub(super) const SERVER_TCP_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -37,9 +48,15 @@
 /// and the close of the listener would be reset. A client tries again until the
 /// listener is closed, and is refused then.
 fn admit_nobody(listener: &TcpListener) {
+    let drop_first_packets = [
+        socket2::SockFilter::new(BPF_LOAD_BYTE, 0, 0, TCP_FLAGS_OFFSET),
+        socket2::SockFilter::new(BPF_AND, 0, 0, TCP_SYN | TCP_ACK),
+        socket2::SockFilter::new(BPF_JUMP_IF_EQUAL, 0, 1, TCP_SYN),
+        socket2::SockFilter::new(BPF_RETURN, 0, 0, 0),
+        socket2::SockFilter::new(BPF_RETURN, 0, 0, u32::MAX),
+    ];
     // Where there are no filters, the backlog is accepted all the same.
-    let drop_all = socket2::SockFilter::new(BPF_RETURN, 0, 0, 0);
-    let _ = socket2::SockRef::from(listener).attach_filter(&[drop_all]);
+    let _ = socket2::SockRef::from(listener).attach_filter(&drop_first_packets);
 }
 
 impl EventLoop {
@@ -88,13 +105,21 @@
         self.arm_timer(token);
     }
 
-    /// Accepts what waits, and nobody after that.
-    pub(super) fn close_listeners(&mut self) {
-        for listener in 0..self.listeners.len() {
-            admit_nobody(&self.listeners[listener]);
-            self.accept(listener);
+    /// Accepts what waits or is half open, and nobody after that.
+    pub(super) fn stop_accepting(&mut self) {
+        self.listeners.iter().for_each(admit_nobody);
+        self.listeners_close_at = Some(Instant::now() + HALF_OPEN_TIME);
+    }
+
+    /// Closes the listeners once their time is over.
+    pub(super) fn close_due_listeners(&mut self) {
+        if self.listeners_close_at.is_some_and(|at| at <= self.now) {
+            self.listeners_close_at = None;
+            for listener in 0..self.listeners.len() {
+                self.accept(listener);
+            }
+            self.listeners.clear();
         }
-        self.listeners.clear();
     }
 
     /// Accepts again once the backoff is over.
--- a/http-line/src/event_loop/commands.rs
+++ b/http-line/src/event_loop/commands.rs
@@ -41,7 +41,7 @@
     fn begin_finish(&mut self) {
         self.finishing = true;
         self.draining = true;
-        self.close_listeners();
+        self.stop_accepting();
         self.touch_servers(ServerConnection::finish);
         self.read_before_close();
     }
--- a/http-line/src/event_loop/timers.rs
+++ b/http-line/src/event_loop/timers.rs
@@ -15,6 +15,7 @@
             .map(|timer| self.timers.time_of(timer.tick))
             .into_iter()
             .chain(self.accept_retry_at)
+            .chain(self.listeners_close_at)
             .chain(self.pacer.due())
             .min()?;
         Some(due.saturating_duration_since(Instant::now()))
@@ -68,6 +69,7 @@
             }
         }
         self.retry_accept();
+        self.close_due_listeners();
     }
 
     fn time_out(&mut self, token: usize) {
