--- a/control-plane/src/control_node/slot_handover.rs
+++ b/control-plane/src/control_node/slot_handover.rs
@@ -11,7 +11,7 @@
 /// A node that is to end waits this long for others to lead its partitions.
 const LEADER_HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
 /// An empty node that requested a slot within this time is there and waits.
-const JOINER_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const JOINER_TIMEOUT: Duration = Duration::from_secs(1);
 /// A leader of the table that is newer than this may not have heard of a joiner that waits.
 const JOINER_DISCOVERY_TIME: Duration = Duration::from_millis(400);
 /// Operators' calls in flight here are replied to before the slot is offered, if that takes no longer.
--- a/control-plane/src/control_node/succession.rs
+++ b/control-plane/src/control_node/succession.rs
@@ -15,13 +15,12 @@
 #[cfg(test)]
 mod tests;
 
+use super::slot_handover::JOINER_TIMEOUT;
 use super::*;
 
 /// Members are silent for this long before others succeed them: longer than edges' leases, sessions and the time
 /// after which a single lost member is replaced by a majority.
 const SUCCESSION_TIMEOUT: Duration = Duration::from_secs(3);
-/// An empty node that requested a slot within this time waits for one.
-const JOINER_TIMEOUT: Duration = Duration::from_secs(1);
 /// What is needed to succeed lost members.
 #[derive(Debug, Default)]
 pub(super) struct Succession {
