E102 and E341 tell what a shutdown left and how old a cancelled call was

Nothing in the log distinguished responses cut at the exit, responses in a closing socket and requests discarded after an idle close (hypotheses of docs/incidents/shutdown-on-full-links.md). E102 now carries busy connections, unsent bytes and their time on the link, and discarded bytes; E341 the age of the call. No behaviour changes.

--- a/data-plane/src/edge_node/client_disconnects.rs
+++ b/data-plane/src/edge_node/client_disconnects.rs
@@ -15,7 +15,11 @@
         };
         active.client_disconnected = true;
         let service = &active.request.service;
-        let text = format!("request {id} {service} {}", active.stage.description());
+        let mut text = format!("request {id} {service} {}", active.stage.description());
+        if let Stage::Calling { sent_at, .. } = &active.stage {
+            let age = now.saturating_sub(*sent_at);
+            text += &format!(", called {} ms ago", age.as_millis());
+        }
         self.usage.client_disconnects += 1;
         self.abandoned_work.client_disconnected(now, id);
         self.log_event(Event::ClientDisconnected, text);
--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -134,6 +134,19 @@
         }
     }
 
+    fn open_work_probe(&self) -> Option<OpenWorkProbe> {
+        let event_loop = self.event_loop()?.clone();
+        Some(Arc::new(move || {
+            let open = event_loop.open_work();
+            OpenWork {
+                busy_connections: open.busy_connections,
+                unsent_bytes: open.unsent_bytes,
+                send_backlog: open.send_backlog,
+                discarded_bytes: open.discarded_bytes,
+            }
+        }))
+    }
+
     fn is_done(&self) -> bool {
         self.event_loop().is_none_or(EventLoopHandle::is_finished)
     }
--- a/http-line/src/event_loop.rs
+++ b/http-line/src/event_loop.rs
@@ -87,7 +87,9 @@
             calls: AtomicU64::new(0),
             open: AtomicU64::new(0),
             busy: AtomicUsize::new(0),
+            unsent_bytes: AtomicUsize::new(0),
             backlog_us: AtomicU64::new(0),
+            discarded_bytes: AtomicU64::new(0),
             finished: AtomicBool::new(false),
         });
         let now = Instant::now();
@@ -235,6 +237,8 @@
     fn count_unsent(&mut self, connection: &mut Connection, remaining: usize) {
         let counted = std::mem::replace(&mut connection.unsent_bytes, remaining);
         self.unsent_bytes = self.unsent_bytes + remaining - counted;
+        let shared_count = &self.shared.unsent_bytes;
+        shared_count.store(self.unsent_bytes, Ordering::Relaxed);
         let rate = self.pacer.rate().unwrap_or(f64::INFINITY);
         let backlog = Duration::from_secs_f64(self.unsent_bytes as f64 / rate);
         let backlog_us = backlog.as_micros() as u64;
--- a/http-line/src/event_loop/server_io.rs
+++ b/http-line/src/event_loop/server_io.rs
@@ -183,6 +183,8 @@
                 Ok(0) => return false,
                 Ok(size) if size >= *remaining => return false,
                 Ok(size) => {
+                    let discarded = &self.shared.discarded_bytes;
+                    discarded.fetch_add(size as u64, Ordering::Relaxed);
                     *remaining -= size;
                     connection.readable = size == self.read_buffer.len() || connection.read_closed;
                 }
--- a/http-line/src/event_loop_handle.rs
+++ b/http-line/src/event_loop_handle.rs
@@ -27,8 +27,12 @@
     pub(crate) busy: AtomicUsize,
     /// True after `Finish`, once no client connection is left.
     pub(crate) finished: AtomicBool,
+    /// Number of response bytes not written yet, over all connections.
+    pub(crate) unsent_bytes: AtomicUsize,
     /// Time that the link needs for the unsent responses, in microseconds.
     pub(crate) backlog_us: AtomicU64,
+    /// Number of input bytes discarded after the sending side was shut down.
+    pub(crate) discarded_bytes: AtomicU64,
 }
 
 /// A command from a handle to the event loop.
@@ -176,6 +180,16 @@
         self.shared.busy.load(Ordering::SeqCst) == 0
     }
 
+    /// Responses and connections that are not completed now.
+    pub fn open_work(&self) -> OpenWork {
+        OpenWork {
+            busy_connections: self.shared.busy.load(Ordering::SeqCst),
+            unsent_bytes: self.shared.unsent_bytes.load(Ordering::Relaxed),
+            send_backlog: self.send_backlog(),
+            discarded_bytes: self.shared.discarded_bytes.load(Ordering::Relaxed),
+        }
+    }
+
     /// Current values of the counters.
     pub fn usage(&self) -> Usage {
         let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
--- a/http-line/src/lib.rs
+++ b/http-line/src/lib.rs
@@ -39,4 +39,4 @@
 pub use response::Response;
 pub use send_queue::{SendQueue, WriteProgress};
 pub use server_connection::{FINISH_IDLE_TIME, PipelinedRequest, ServerConnection};
-pub use usage::Usage;
+pub use usage::{OpenWork, Usage};
--- a/http-line/src/prelude.rs
+++ b/http-line/src/prelude.rs
@@ -10,7 +10,7 @@
 pub(crate) use crate::timers::Timers;
 pub use crate::{
     Body, Call, ClientConnection, EventLoopHandle, ExchangeError, ExchangeOutcome,
-    FINISH_IDLE_TIME, FinishedExchange, Handler, InvalidCall, Limits, PipelinedRequest,
+    FINISH_IDLE_TIME, FinishedExchange, Handler, InvalidCall, Limits, OpenWork, PipelinedRequest,
     ReceivedResponse, Request, Response, SendQueue, ServerConnection, Usage, WriteProgress,
 };
 pub use std::cmp::Reverse;
--- a/http-line/src/usage.rs
+++ b/http-line/src/usage.rs
@@ -1,5 +1,7 @@
 //! Counters of an event loop.
 
+use crate::prelude::*;
+
 /// Counters since the start of the event loop, and the gauge `open`.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Usage {
@@ -14,3 +16,17 @@
     /// Number of connections currently open, both accepted and opened.
     pub open: u64,
 }
+
+/// Responses and connections of clients that are not completed.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct OpenWork {
+    /// Number of client connections on which a request is being read, or a response is
+    /// awaited or unsent.
+    pub busy_connections: usize,
+    /// Number of response bytes that are not written to a socket yet.
+    pub unsent_bytes: usize,
+    /// Time that the link needs for them; zero if its bandwidth is not known.
+    pub send_backlog: Duration,
+    /// Number of input bytes discarded on connections whose sending side was shut down.
+    pub discarded_bytes: u64,
+}
--- a/kernel/src/frontend.rs
+++ b/kernel/src/frontend.rs
@@ -20,6 +20,37 @@
     Start(Box<dyn std::error::Error + Send + Sync>),
 }
 
+/// Work for clients that a frontend has not completed.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct OpenWork {
+    /// Number of client connections on which a request is being read, or a response is
+    /// awaited or unsent.
+    pub busy_connections: usize,
+    /// Number of response bytes that are not written to a socket yet.
+    pub unsent_bytes: usize,
+    /// Time that the link needs for them; zero if its bandwidth is not known.
+    pub send_backlog: Duration,
+    /// Number of bytes that clients sent after their connections were shut down for
+    /// sending; they were discarded.
+    pub discarded_bytes: u64,
+}
+
+impl fmt::Display for OpenWork {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            out,
+            "{} busy connections, {} unsent bytes ({} ms on the link), {} bytes discarded",
+            self.busy_connections,
+            self.unsent_bytes,
+            self.send_backlog.as_millis(),
+            self.discarded_bytes,
+        )
+    }
+}
+
+/// Reports the open work of a frontend, from any thread.
+pub type OpenWorkProbe = Arc<dyn Fn() -> OpenWork + Send + Sync>;
+
 /// The interface of a process to clients, operators, the platform and origins: it sends
 /// their requests to the state machine through the port, and makes the state machine's
 /// calls to origins.
@@ -47,6 +78,11 @@
     /// pending.
     fn finish(&self) {}
 
+    /// Returns the probe of the open work of a frontend that was opened, if it has one.
+    fn open_work_probe(&self) -> Option<OpenWorkProbe> {
+        None
+    }
+
     /// Returns true if, after `finish`, all client connections are closed.
     fn is_done(&self) -> bool;
 }
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -65,6 +65,7 @@
     store: Option<Sender<PendingWrite>>,
     /// Number of inputs handled since the last flush.
     unflushed: u32,
+    open_work: Option<OpenWorkProbe>,
 }
 
 impl NodeHost {
@@ -73,7 +74,7 @@
         let mut running = self.start()?;
         running.drive(state_machine);
         running.links.drain(FINAL_DRAIN_TIMEOUT);
-        log_event(Event::Ended, "shutdown complete");
+        log_end("shutdown complete", running.open_work.as_ref());
         Ok(())
     }
 
@@ -97,7 +98,13 @@
             .store
             .take()
             .map(|store| store::spawn_writer(store, input_sender.clone()));
-        watch_signals(&input_sender, self.startup.grace_period()).map_err(HostError::Signals)?;
+        let open_work = self.frontend.open_work_probe();
+        watch_signals(
+            &input_sender,
+            self.startup.grace_period(),
+            open_work.clone(),
+        )
+        .map_err(HostError::Signals)?;
         let text = format!(
             "{} {} mesh {mesh} http {:?}",
             self.program, self.local_peer, self.startup.http
@@ -112,6 +119,7 @@
             port,
             store,
             unflushed: 0,
+            open_work,
         })
     }
 
@@ -239,7 +247,11 @@
 
 /// Reports the first termination signal to the state machine, and exits the process
 /// after the grace period in any case.
-fn watch_signals(inputs: &Sender<Input>, grace_period: Duration) -> std::io::Result<()> {
+fn watch_signals(
+    inputs: &Sender<Input>,
+    grace_period: Duration,
+    open_work: Option<OpenWorkProbe>,
+) -> std::io::Result<()> {
     let mut signals = signal_hook::iterator::Signals::new([
         signal_hook::consts::SIGTERM,
         signal_hook::consts::SIGINT,
@@ -255,9 +267,17 @@
             log_event(Event::ShutdownRequested, &text);
             let _ = inputs.send(Input::ShutdownRequested);
             thread::sleep(grace_period);
-            log_event(Event::Ended, "grace period expired");
+            log_end("grace period expired", open_work.as_ref());
             std::process::exit(1);
         }
     });
     Ok(())
 }
+
+/// Logs the end of the process and the work for clients that it leaves.
+fn log_end(reason: &str, open_work: Option<&OpenWorkProbe>) {
+    match open_work {
+        Some(open_work) => log_event(Event::Ended, &format!("{reason}: {}", open_work())),
+        None => log_event(Event::Ended, reason),
+    }
+}
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -24,7 +24,7 @@
 pub use crate::event::{Event, log_event};
 pub use crate::finding::{Finding, exit_with_findings};
 pub use crate::frame;
-pub use crate::frontend::{Frontend, FrontendError};
+pub use crate::frontend::{Frontend, FrontendError, OpenWork, OpenWorkProbe};
 pub use crate::host::{HostError, NodeHost};
 pub use crate::items::Items;
 pub use crate::items_change::{ItemsChange, ItemsRejection};
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod flags;
 pub mod fleet;
 pub mod history;
+pub mod narrow_link;
 pub mod origin;
 pub mod platform_soak;
 pub mod prelude;
--- a/stand-ins/src/origin.rs
+++ b/stand-ins/src/origin.rs
@@ -5,7 +5,7 @@
 const SLOW_FACTOR: u32 = 60;
 /// Seed of a signing key that belongs to no service.
 const FOREIGN_KEY: [u8; 32] = [99; 32];
-/// Size of the filler in each body, in bytes.
+/// Default size of the filler in each body, in bytes.
 pub(crate) const FILL_BYTES: usize = 400;
 
 /// Stand-in for an origin: responds to any path with a signed body that echoes
@@ -29,6 +29,8 @@
     /// Active fault: "", "slow", "short", "unsigned", "foreign-key",
     /// "other-request", "lose-answer", "status-500".
     pub fault: Mutex<String>,
+    /// Size of the filler in each body, in bytes.
+    pub fill_bytes: usize,
     /// True if the responses may not be cached.
     pub private: bool,
     /// Number of calls so far, including health checks.
@@ -54,6 +56,7 @@
             content: None,
             record: None,
             fault: Mutex::default(),
+            fill_bytes: FILL_BYTES,
             private: false,
             calls: AtomicU64::new(0),
             runs: Mutex::default(),
@@ -117,7 +120,7 @@
             "operation": operation,
             "caller": request.header("authorization"),
             "sent": String::from_utf8_lossy(&body),
-            "fill": "x".repeat(FILL_BYTES),
+            "fill": "x".repeat(self.fill_bytes),
         });
         let operation = operation.unwrap_or("");
         self.signed_response(request, &fault, request_id, operation, text.to_string())
