--- a/http-line/tests/loopback.rs
+++ b/http-line/tests/loopback.rs
@@ -2,6 +2,7 @@
 mod harness;
 use harness::*;
 use http_line::prelude::*;
+use stand_ins::narrow_link::{LinkProperties, NarrowLink};
 use std::net::{Shutdown, TcpListener};
 
 #[test]
@@ -410,3 +411,36 @@
         count += 1;
     }
 }
+
+/// Guards against requests without an answer: one that crosses the close of an idle
+/// connection, on a link with a long delay, is read after the connection was shut down.
+#[test]
+fn request_that_crosses_the_close_of_an_idle_connection_is_answered() {
+    const LINK_DELAY: Duration = Duration::from_millis(400);
+    let harness = Harness::new(Limits::default());
+    let link = NarrowLink::new(
+        harness.address,
+        LinkProperties {
+            bytes_per_second: 1_000_000.0,
+            delay: LINK_DELAY,
+        },
+    );
+    let mut peer = link.connect().unwrap();
+    peer.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+    peer.write_all(b"GET /now HTTP/1.1\r\n\r\n").unwrap();
+    assert_reads(
+        &mut peer,
+        "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 4\r\n\r\n/now",
+    );
+    std::thread::sleep(FINISH_IDLE_TIME);
+    harness.http.drain();
+    harness.http.finish();
+    // The connection is closed by the time that the request arrives.
+    std::thread::sleep(FINISH_IDLE_TIME - LINK_DELAY / 2);
+    peer.write_all(b"GET /now HTTP/1.1\r\n\r\n").unwrap();
+    let answer = read_to_end(&mut peer);
+    assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+    assert!(answer.contains("Connection: close"), "{answer:?}");
+    drop(peer);
+    wait_until_finished(&harness);
+}
--- a/programs/tests/shutdown_on_full_link.rs
+++ b/programs/tests/shutdown_on_full_link.rs
@@ -227,6 +227,8 @@
     for client in clients {
         report.add(client.join().unwrap());
     }
+    let log = fs::read_to_string(narrow.fleet.folder.join("edge-0.log")).unwrap();
+    println!("{}", log.lines().last().unwrap_or_default());
     println!("the edge ended {ended_after:?} after SIGTERM: {report:?}");
     assert!(report.responses > 0, "{report:?}");
     assert!(report.truncated.is_empty(), "{report:?}");
