LOST: a request that crosses the close of an idle connection is answered with 408

Cause: a finishing event loop shut down the sending side of idle connections and discarded what still came; on a full link a request is on its way for longer than the slack. Evidence: both connections closed 0.2 s after ShutdownComplete, before the process ended, while the inbound link was full. Change: an idle connection is ended with 408 and Connection: close, which answers the request that may be in transit (RFC 9110, 15.5.9); that request is discarded when it arrives and never runs, as 408 promises.

--- a/http-line/src/event_loop/server_io.rs
+++ b/http-line/src/event_loop/server_io.rs
@@ -30,12 +30,15 @@
             self.report_disconnect(token, connection);
             let Role::Server {
                 connection: server, ..
-            } = &connection.role
+            } = &mut connection.role
             else {
                 return true;
             };
             let reads_more = connection.readable && server.wants_read(&self.limits);
-            if server.is_finished() || (server.is_idle_at_finish(self.now) && !reads_more) {
+            if server.is_idle_at_finish(self.now) && !reads_more {
+                server.reject_request_in_transit();
+            }
+            if server.is_finished() {
                 return self.begin_linger(connection);
             }
             let writes_more = !server.output.is_empty()
--- a/http-line/src/server_connection.rs
+++ b/http-line/src/server_connection.rs
@@ -236,7 +236,17 @@
 
     /// Returns true if the connection is finishing and no request arrived in time.
     pub fn is_idle_at_finish(&self, now: Instant) -> bool {
-        self.finishing && !self.is_busy() && now >= self.last_progress + FINISH_IDLE_TIME
+        self.finishing
+            && !self.closing
+            && !self.is_busy()
+            && now >= self.last_progress + FINISH_IDLE_TIME
+    }
+
+    /// Ends an idle connection with a response to the request that may be in transit:
+    /// it is discarded when it arrives. Without one, a client whose request crosses the
+    /// close would get no response (RFC 9110, section 15.5.9).
+    pub fn reject_request_in_transit(&mut self) {
+        self.reject(408, "the connection was closed before the request came");
     }
 
     /// Limits a connection accepted while draining to one request.
