LOST: responses are bounded by the time in which the link can send them

Cause: nothing compared the bytes still to be written with the time to the exit. Unbounded responses were queued, all of them progressed in turns and none was completed, and the pacer had lowered its rate to a fifth for delays of the other direction of the link. Change: a large response that may be repeated has a time by which the link must have sent it and all before it (the client's deadline, the exit, at most half a grace period), with a quarter more for small responses that pass it; otherwise the client gets a rejection at once. The response with the fewest remaining bytes is written first. During a shutdown the full rate is used.

--- a/data-plane/src/http_frontend/handler.rs
+++ b/data-plane/src/http_frontend/handler.rs
@@ -21,6 +21,8 @@
     /// A reference to this handler, for responses that are written later.
     weak_self: Weak<ConnectionHandler>,
     response_sizes: ResponseSizes,
+    /// The time by which all responses must be sent, once a shutdown was requested.
+    exit_at: OnceLock<Instant>,
     /// The limits for clients' requests that were last applied.
     bounds: Mutex<Option<Arc<Bounds>>>,
 }
@@ -31,6 +33,8 @@
 /// The retry delay reported to a client that is rejected because the link is full. The
 /// client may retry at any edge.
 const LINK_FULL_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Time before the exit of the process by which all responses must be sent.
+const EXIT_MARGIN: Duration = Duration::from_millis(200);
 /// The index of the listener for the platform's readiness checks.
 const READINESS_LISTENER: usize = 1;
 /// The prefix of the paths that plug-ins serve.
@@ -52,6 +56,7 @@
             requests: Mutex::default(),
             disconnected: Mutex::default(),
             response_sizes: ResponseSizes::default(),
+            exit_at: OnceLock::new(),
             bounds: Mutex::default(),
         })
     }
@@ -85,17 +90,7 @@
     }
 
     fn respond(&self, exchange: u64, response: HttpResponse) {
-        let HttpResponse {
-            status,
-            headers,
-            body,
-        } = response;
-        let response = http_line::Response {
-            status,
-            headers,
-            body: body.into(),
-            close: false,
-        };
+        let response = into_response(response);
         self.event_loop.wait().respond(exchange, response);
     }
 
@@ -208,9 +203,14 @@
 
     /// Passes the request to the state machine. The response is written later.
     fn submit(self: &Arc<Self>, exchange: u64, request: ClientRequest) {
+        let timeout = request.entry().deadline();
+        let timeout = request
+            .timeout
+            .map_or(timeout, |client| client.min(timeout));
         let pending = PendingResponse {
             exchange,
-            is_keyed: request.entry().kind == Kind::Keyed,
+            kind: request.entry().kind,
+            deadline: Instant::now() + timeout,
             route: request.entry().name.clone(),
             headers: request.headers.clone(),
         };
@@ -241,24 +241,69 @@
         // The process may have been suspended since the state machine responded, and a
         // cached response may be served only while the lease is valid.
         let is_cached = matches!(response, ClientResponse::Reply { age: Some(_), .. });
-        let response = if is_cached && !pending.is_keyed && !self.port.live() {
+        let is_keyed = pending.kind == Kind::Keyed;
+        let response = if is_cached && !is_keyed && !self.port.live() {
             ClientResponse::Rejection(Rejection::fenced(RunState::NotRun))
         } else {
             response
         };
         let written = self.protocol.client_response(&pending.headers, &response);
-        if matches!(response, ClientResponse::Reply { .. }) {
-            self.response_sizes
-                .record(&pending.route, written.body.len());
+        let is_reply = matches!(response, ClientResponse::Reply { .. });
+        let body_bytes = written.body.len();
+        if is_reply {
+            self.response_sizes.record(&pending.route, body_bytes);
+        }
+        let mut response = into_response(written);
+        if is_reply && body_bytes as f64 > LARGE_RESPONSE_BYTES {
+            response.send_limit = self.send_limit(pending);
         }
-        self.respond(pending.exchange, written);
+        self.event_loop.wait().respond(pending.exchange, response);
+    }
+
+    /// Returns the limit for sending a large response, if the request may be repeated: a
+    /// response that the link cannot send in time would arrive too late or be truncated
+    /// when the process exits, and another edge may have a free link.
+    fn send_limit(&self, pending: &PendingResponse) -> Option<http_line::SendLimit> {
+        let run_state = match pending.kind {
+            Kind::Cached => RunState::NotRun,
+            Kind::Repeatable => RunState::Unknown,
+            Kind::Keyed | Kind::Plain | Kind::Once => return None,
+        };
+        let exit_at = self.exit_at.get().copied();
+        let latest_exit_at = Instant::now() + self.port.startup.grace_period() / 2;
+        let text = "the link of this edge cannot send the response in time";
+        let rejection = Rejection::new(503, "link_full", run_state, text)
+            .with_retry_after(LINK_FULL_RETRY_AFTER);
+        let rejection = ClientResponse::Rejection(rejection);
+        let otherwise = self.protocol.client_response(&pending.headers, &rejection);
+        Some(http_line::SendLimit {
+            deadline: exit_at.unwrap_or(latest_exit_at).min(pending.deadline),
+            otherwise: Box::new(into_response(otherwise)),
+        })
+    }
+
+    /// Records that the process exits within the grace period.
+    pub(super) fn prepare_shutdown(&self) {
+        let time_left = self.port.startup.grace_period().saturating_sub(EXIT_MARGIN);
+        let _ = self.exit_at.set(Instant::now() + time_left);
+    }
+}
+
+fn into_response(response: HttpResponse) -> http_line::Response {
+    http_line::Response {
+        status: response.status,
+        headers: response.headers,
+        body: response.body.into(),
+        ..http_line::Response::default()
     }
 }
 
 /// The data needed to write the response to a request.
 struct PendingResponse {
     exchange: u64,
-    is_keyed: bool,
+    kind: Kind,
+    /// The time at which the client stops waiting.
+    deadline: Instant,
     /// The name of the route.
     route: String,
     /// The headers of the request.
@@ -313,10 +358,8 @@
         let rejection = ClientResponse::Rejection(Rejection::not_run(status, code, reason));
         let response = self.protocol.client_response(&[], &rejection);
         http_line::Response {
-            status: response.status,
-            headers: response.headers,
-            body: response.body.into(),
             close: true,
+            ..into_response(response)
         }
     }
 }
--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -123,7 +123,8 @@
     }
 
     fn prepare_shutdown(&self) {
-        if let Some(event_loop) = self.event_loop() {
+        if let (Some(handler), Some(event_loop)) = (&self.handler, self.event_loop()) {
+            handler.prepare_shutdown();
             event_loop.drain();
         }
     }
--- a/http-line/src/event_loop.rs
+++ b/http-line/src/event_loop.rs
@@ -215,15 +215,13 @@
 
     /// Updates the numbers of unsent bytes and busy connections.
     fn update_counts(&mut self, connection: &mut Connection) {
-        let mut busy = false;
-        if let Role::Server {
-            connection: server, ..
-        } = &connection.role
-        {
-            busy = server.is_busy();
-            let remaining = server.output.remaining();
-            self.count_unsent(connection, remaining);
-        }
+        let (busy, remaining) = match &connection.role {
+            Role::Server {
+                connection: server, ..
+            } => (server.is_busy(), server.output.remaining()),
+            Role::Linger { .. } | Role::Client(_) => (false, 0),
+        };
+        self.count_unsent(connection, remaining);
         if busy != connection.busy {
             connection.busy = busy;
             match busy {
@@ -239,9 +237,8 @@
         self.unsent_bytes = self.unsent_bytes + remaining - counted;
         let shared_count = &self.shared.unsent_bytes;
         shared_count.store(self.unsent_bytes, Ordering::Relaxed);
-        let rate = self.pacer.rate().unwrap_or(f64::INFINITY);
-        let backlog = Duration::from_secs_f64(self.unsent_bytes as f64 / rate);
-        let backlog_us = backlog.as_micros() as u64;
+        let backlog = self.pacer.time_to_send(self.unsent_bytes);
+        let backlog_us = backlog.unwrap_or_default().as_micros() as u64;
         self.shared.backlog_us.store(backlog_us, Ordering::Relaxed);
     }
 
--- a/http-line/src/event_loop/commands.rs
+++ b/http-line/src/event_loop/commands.rs
@@ -3,6 +3,10 @@
 use super::*;
 use crate::request_id::{sequence_of, token_of};
 
+/// Factor on the time to send a response: small responses that are queued later are sent
+/// earlier.
+const SEND_TIME_FACTOR: f64 = 1.25;
+
 impl EventLoop {
     /// Runs all queued commands. Returns false if the event loop is to end.
     pub(super) fn run_commands(&mut self) -> bool {
@@ -25,6 +29,7 @@
                     }
                     Command::Drain => {
                         self.draining = true;
+                        self.pacer.use_full_rate();
                         self.change_server_connections(ServerConnection::drain);
                     }
                     Command::Finish => self.begin_finish(),
@@ -41,6 +46,7 @@
     fn begin_finish(&mut self) {
         self.finishing = true;
         self.draining = true;
+        self.pacer.use_full_rate();
         self.stop_accepting();
         self.change_server_connections(ServerConnection::finish);
         self.read_before_close();
@@ -71,16 +77,21 @@
 
     fn respond(&mut self, id: u64, response: Response) {
         let token = token_of(id);
-        let Some(Connection {
-            role: Role::Server {
-                connection: server, ..
-            },
-            ..
-        }) = self.connections.get_mut(&token)
-        else {
+        let response = self.response_in_time(response);
+        let Some(mut connection) = self.connections.remove(&token) else {
             return;
         };
-        let dropped = server.respond(sequence_of(id), response, self.now);
+        let mut dropped = Vec::new();
+        if let Role::Server {
+            connection: server, ..
+        } = &mut connection.role
+        {
+            dropped = server.respond(sequence_of(id), response, self.now);
+            // Counted at once: the next response may be limited.
+            let remaining = server.output.remaining();
+            self.count_unsent(&mut connection, remaining);
+        }
+        self.connections.insert(token, connection);
         if self.changed_connections.last() != Some(&token) {
             self.changed_connections.push(token);
         }
@@ -89,6 +100,23 @@
         }
     }
 
+    /// Returns the response, or its replacement if the link cannot send it in time.
+    fn response_in_time(&self, mut response: Response) -> Response {
+        let Some(limit) = response.send_limit.take() else {
+            return response;
+        };
+        let bytes = self.unsent_bytes + response.body.len();
+        let send_time = self.pacer.time_to_send(bytes);
+        let is_late = |time: Duration| self.now + time.mul_f64(SEND_TIME_FACTOR) > limit.deadline;
+        match send_time.is_some_and(is_late) {
+            true => Response {
+                send_limit: None,
+                ..*limit.otherwise
+            },
+            false => response,
+        }
+    }
+
     fn cancel_call(&mut self, id: u64) {
         if let Some(token) = self.calls.remove(&id) {
             if let Some(connection) = self.connections.get(&token) {
--- a/http-line/src/handler.rs
+++ b/http-line/src/handler.rs
@@ -25,6 +25,7 @@
             headers,
             body: reason.as_bytes().to_vec().into(),
             close: true,
+            send_limit: None,
         }
     }
 }
--- a/http-line/src/lib.rs
+++ b/http-line/src/lib.rs
@@ -36,7 +36,7 @@
 pub use handler::Handler;
 pub use limits::Limits;
 pub use request::Request;
-pub use response::Response;
+pub use response::{Response, SendLimit};
 pub use send_queue::{SendQueue, WriteProgress};
 pub use server_connection::{FINISH_IDLE_TIME, PipelinedRequest, ServerConnection};
 pub use usage::{OpenWork, Usage};
--- a/http-line/src/pacer.rs
+++ b/http-line/src/pacer.rs
@@ -25,12 +25,24 @@
     /// them.
     tokens: f64,
     refilled: Instant,
-    /// Queued connections with at most `NEARLY_DONE_QUANTA` quanta left to write, in
-    /// order. They are served first, so that small responses do not wait behind
-    /// large ones.
-    nearly_done: VecDeque<usize>,
-    /// All other queued connections, in order.
-    waiting: VecDeque<usize>,
+    /// True if the rate no longer follows the measured delay.
+    uses_full_rate: bool,
+    /// The queued connections. The one with the fewest bytes left to write is served
+    /// first, so that as many responses as possible are complete at any time, and small
+    /// ones do not wait behind large ones.
+    queue: BTreeSet<QueuedConnection>,
+    /// Number of connections queued so far.
+    queued_count: u64,
+}
+
+/// A connection in the queue, ordered by its remaining bytes.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QueuedConnection {
+    remaining: usize,
+    /// Connections with equally many bytes are served in the order in which they were
+    /// queued.
+    order: u64,
+    token: usize,
 }
 
 /// Transmission time of one quantum on the link.
@@ -41,8 +53,6 @@
 const MAX_QUANTUM_BYTES: usize = 256 * 1024;
 /// Number of quanta that may be written in one burst after an idle period.
 const BURST_QUANTA: usize = 4;
-/// A response with at most this number of quanta left is served before larger ones.
-const NEARLY_DONE_QUANTA: usize = 2;
 /// Lower bound of the fraction of the bandwidth that responses may use.
 const MIN_FRACTION: f64 = 0.2;
 /// Initial fraction of the bandwidth that responses may use.
@@ -75,8 +85,9 @@
             next_decrease: now,
             tokens: (BURST_QUANTA * quantum) as f64,
             refilled: now,
-            nearly_done: VecDeque::new(),
-            waiting: VecDeque::new(),
+            uses_full_rate: false,
+            queue: BTreeSet::new(),
+            queued_count: 0,
         }
     }
 
@@ -85,8 +96,25 @@
         self.bandwidth.map(|bandwidth| bandwidth * self.fraction)
     }
 
+    /// Time that the link needs for this number of bytes at the current rate; `None` if
+    /// its bandwidth is not known.
+    pub(crate) fn time_to_send(&self, bytes: usize) -> Option<Duration> {
+        let rate = self.rate()?;
+        Some(Duration::from_secs_f64(bytes as f64 / rate))
+    }
+
+    /// Uses the maximum rate from now on. During a shutdown, unsent responses are more
+    /// important than a short delay of the machine's other traffic.
+    pub(crate) fn use_full_rate(&mut self) {
+        self.uses_full_rate = true;
+        self.fraction = MAX_FRACTION;
+    }
+
     /// Adapts the rate to the measured delay of small messages on the link.
     pub(crate) fn record_delay(&mut self, now: Instant, delay: Duration) {
+        if self.uses_full_rate {
+            return;
+        }
         self.refill(now);
         if delay <= LONG_DELAY {
             self.fraction = (self.fraction + INCREASE_STEP).min(MAX_FRACTION);
@@ -129,15 +157,12 @@
 
     /// Queues a connection that has `remaining` bytes to write.
     pub(crate) fn enqueue(&mut self, token: usize, remaining: usize) {
-        if remaining <= NEARLY_DONE_QUANTA * self.quantum {
-            self.nearly_done.push_back(token);
-        } else {
-            self.waiting.push_back(token);
-        }
-    }
-
-    fn has_queued(&self) -> bool {
-        !self.nearly_done.is_empty() || !self.waiting.is_empty()
+        self.queued_count += 1;
+        self.queue.insert(QueuedConnection {
+            remaining,
+            order: self.queued_count,
+            token,
+        });
     }
 
     /// Removes and returns the next queued connection, if anything may be written now.
@@ -146,15 +171,13 @@
         if self.bandwidth.is_some() && self.tokens < 1.0 {
             return None;
         }
-        self.nearly_done
-            .pop_front()
-            .or_else(|| self.waiting.pop_front())
+        self.queue.pop_first().map(|queued| queued.token)
     }
 
     /// Time at which the first queued connection may write.
     pub(crate) fn due(&self) -> Option<Instant> {
         let rate = self.rate()?;
-        if !self.has_queued() {
+        if self.queue.is_empty() {
             return None;
         }
         let missing = (1.0 - self.tokens).max(0.0);
--- a/http-line/src/pacer/tests.rs
+++ b/http-line/src/pacer/tests.rs
@@ -83,6 +83,45 @@
     assert_eq!(pacer.dequeue(now), Some(0), "then in order");
 }
 
+/// Guards against a full link on which all responses progress and none is completed.
+#[test]
+fn started_response_is_completed_before_others_of_its_size() {
+    let mut now = Instant::now();
+    let mut pacer = Pacer::new(Some(BANDWIDTH), now);
+    let mut remaining = [100_000_usize; 20];
+    for (token, bytes) in remaining.iter().enumerate() {
+        pacer.enqueue(token, *bytes);
+    }
+    for _ in 0..100 {
+        now += STEP;
+        while let Some(token) = pacer.dequeue(now) {
+            let size = pacer.allowance(now).min(remaining[token]);
+            pacer.spend(size);
+            remaining[token] -= size;
+            if remaining[token] > 0 {
+                pacer.enqueue(token, remaining[token]);
+            }
+        }
+    }
+    let started = remaining.iter().filter(|bytes| **bytes < 100_000);
+    let incomplete = started.filter(|bytes| **bytes > 0).count();
+    assert!(incomplete <= 1, "{remaining:?}");
+    assert!(remaining.iter().filter(|bytes| **bytes == 0).count() >= 7);
+}
+
+#[test]
+fn full_rate_ignores_the_delay() {
+    let now = Instant::now();
+    let mut pacer = Pacer::new(Some(BANDWIDTH), now);
+    pacer.use_full_rate();
+    for second in 1..20 {
+        pacer.record_delay(now + Duration::from_secs(second), Duration::from_secs(1));
+    }
+    assert_eq!(pacer.rate(), Some(BANDWIDTH * MAX_FRACTION));
+    let second = pacer.time_to_send((BANDWIDTH * MAX_FRACTION) as usize);
+    assert_eq!(second, Some(Duration::from_secs(1)));
+}
+
 #[test]
 fn unknown_bandwidth_is_not_paced() {
     let now = Instant::now();
--- a/http-line/src/prelude.rs
+++ b/http-line/src/prelude.rs
@@ -11,11 +11,12 @@
 pub use crate::{
     Body, Call, ClientConnection, EventLoopHandle, ExchangeError, ExchangeOutcome,
     FINISH_IDLE_TIME, FinishedExchange, Handler, InvalidCall, Limits, OpenWork, PipelinedRequest,
-    ReceivedResponse, Request, Response, SendQueue, ServerConnection, Usage, WriteProgress,
+    ReceivedResponse, Request, Response, SendLimit, SendQueue, ServerConnection, Usage,
+    WriteProgress,
 };
 pub use std::cmp::Reverse;
 pub use std::collections::hash_map::DefaultHasher;
-pub use std::collections::{BinaryHeap, HashMap, VecDeque};
+pub use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 pub use std::hash::{Hash, Hasher};
 pub use std::io::{self, ErrorKind, IoSlice, Read, Write};
 pub use std::net::SocketAddr;
--- a/http-line/src/response.rs
+++ b/http-line/src/response.rs
@@ -15,4 +15,15 @@
     pub body: Body,
     /// True if the connection is closed after this response.
     pub close: bool,
+    /// Replaces the response if the link cannot send it in time.
+    pub send_limit: Option<SendLimit>,
+}
+
+/// Limit of the time at which a response must have been sent.
+#[derive(Debug, Clone)]
+pub struct SendLimit {
+    /// Time by which the link must have sent the response and all unsent bytes.
+    pub deadline: Instant,
+    /// Response that is sent if the link cannot; its own limit is ignored.
+    pub otherwise: Box<Response>,
 }
--- a/http-line/src/server_connection/tests.rs
+++ b/http-line/src/server_connection/tests.rs
@@ -71,6 +71,7 @@
             headers: Vec::new(),
             body: body.as_bytes().to_vec().into(),
             close,
+            send_limit: None,
         };
         let dropped = self.connection.respond(sequence, response, self.now);
         self.dropped.extend(dropped);
--- a/http-line/tests/harness/mod.rs
+++ b/http-line/tests/harness/mod.rs
@@ -122,6 +122,7 @@
         headers: vec![("X".into(), "y".into())],
         body: text.as_bytes().to_vec().into(),
         close: false,
+        send_limit: None,
     }
 }
 
--- a/http-line/tests/loopback.rs
+++ b/http-line/tests/loopback.rs
@@ -279,6 +279,50 @@
     wait_until_finished(&harness);
 }
 
+/// Guards against responses that are cut off at the exit of the process: a response that
+/// the link cannot send in time is replaced, and those before it are complete.
+#[test]
+fn response_that_cannot_be_sent_in_time_is_replaced() {
+    const RESPONSES: usize = 8;
+    const RESPONSE_BYTES: usize = 300_000;
+    let harness = Harness::new(Limits {
+        link_bytes_per_second: Some(1_000_000.0),
+        ..Limits::default()
+    });
+    let mut peers: Vec<_> = (0..RESPONSES).map(|_| harness.peer()).collect();
+    let mut ids = Vec::new();
+    for peer in &mut peers {
+        peer.write_all(b"GET /large HTTP/1.1\r\n\r\n").unwrap();
+        ids.push(harness.request().0);
+    }
+    let since = std::time::Instant::now();
+    let deadline = since + Duration::from_secs(1);
+    harness.http.drain();
+    for id in ids {
+        harness.http.respond(
+            id,
+            Response {
+                body: vec![b'l'; RESPONSE_BYTES].into(),
+                send_limit: Some(SendLimit {
+                    deadline,
+                    otherwise: Box::new(response("replaced")),
+                }),
+                ..response("")
+            },
+        );
+    }
+    let texts: Vec<String> = peers.iter_mut().map(read_to_end).collect();
+    let is_replaced = |text: &&String| text.ends_with("\r\n\r\nreplaced");
+    let is_complete = |text: &&String| text.ends_with(&"l".repeat(RESPONSE_BYTES));
+    let complete = texts.iter().filter(is_complete).count();
+    assert_eq!(
+        complete + texts.iter().filter(is_replaced).count(),
+        RESPONSES
+    );
+    assert!((2..=3).contains(&complete), "{complete} in a second");
+    assert!(since.elapsed() < Duration::from_millis(1500));
+}
+
 fn wait_until_finished(harness: &Harness) {
     let deadline = std::time::Instant::now() + EVENT_TIMEOUT;
     while !harness.http.is_finished() {
