LOST: requests and connections that are left shortly before the exit get an answer

Callers saw a connection end without an answer when an edge exited while an origin was still at work, or while the edge had not finished (changes without confirmation keep it from shutting down): the exit reset what was open. Cause: the shutdown had an end for waiting requests, but none for calls, outcomes being recorded and connections. Change: 0.4 s before the exit each request that is left is ended with its own response (502 with outcome unknown for a call under way); a draining event loop finishes by itself 0.2 s before the exit, and then closes idle connections even if they were used shortly before.

--- a/data-plane/src/edge_node/deadlines.rs
+++ b/data-plane/src/edge_node/deadlines.rs
@@ -5,6 +5,9 @@
 /// The text of rejections sent when the ledger does not respond.
 const NO_LEDGER_TEXT: &str = "the ledger could not be reached";
 
+/// Time before the exit of the process at which the last requests are ended.
+const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(400);
+
 impl EdgeNode {
     /// Ends a request whose deadline has passed or that must end before the edge exits.
     pub(super) fn handle_deadline(&mut self, now: Duration, id: u64) {
@@ -28,12 +31,7 @@
                 self.complete_call(now, id, outcome);
             }
             Stage::Recording { .. } if is_grace_over => {
-                let rejection = Rejection::unknown(
-                    503,
-                    "outcome_unrecorded",
-                    "the outcome could not be recorded in time",
-                );
-                self.finish_unrecorded(now, id, rejection);
+                self.finish_unrecorded(now, id, unrecorded_rejection());
             }
             Stage::Releasing { .. } if is_grace_over => {
                 let rejection = Rejection::unknown(503, "no_ledger", NO_LEDGER_TEXT);
@@ -92,6 +90,45 @@
             .is_some_and(|since| now >= since + self.shutdown_grace / 2)
     }
 
+    /// Ends all requests that are left `LAST_RESPONSE_MARGIN` before the process exits, so
+    /// that their clients get a response.
+    pub(super) fn end_all_before_exit(&mut self, now: Duration) {
+        let end_after = self.shutdown_grace.saturating_sub(LAST_RESPONSE_MARGIN);
+        let is_due = |since| now >= since + end_after;
+        if !self.shutdown_requested_at.is_some_and(is_due) {
+            return;
+        }
+        let left: Vec<u64> = self.active_requests.keys().copied().collect();
+        for id in left {
+            self.end_before_exit(now, id);
+        }
+    }
+
+    fn end_before_exit(&mut self, now: Duration, id: u64) {
+        let Some(active) = self.active_requests.get(&id) else {
+            return;
+        };
+        match &active.stage {
+            Stage::Calling { .. } => {
+                let text = "this node ended before a response came from the origin";
+                let rejection = active.reject(502, "ending", text);
+                if self.call_purpose(active) == CallPurpose::Client {
+                    let call = active.exchange.id;
+                    self.outputs.push(Output::CancelCall { id: call });
+                }
+                self.finish_rejected(now, id, rejection);
+            }
+            Stage::Recording { .. } => {
+                self.finish_unrecorded(now, id, unrecorded_rejection());
+            }
+            Stage::Releasing { .. } => {
+                let rejection = Rejection::unknown(503, "no_ledger", NO_LEDGER_TEXT);
+                self.finish_unrecorded(now, id, rejection);
+            }
+            _ => self.handle_deadline(now, id),
+        }
+    }
+
     /// Rejects the requests that still wait shortly before the process exits, so that
     /// every request gets a response. Calls in flight continue.
     pub(super) fn reject_waiting_before_exit(&mut self, now: Duration) {
@@ -111,3 +148,8 @@
         }
     }
 }
+
+fn unrecorded_rejection() -> Rejection {
+    let text = "the outcome could not be recorded in time";
+    Rejection::unknown(503, "outcome_unrecorded", text)
+}
--- a/data-plane/src/edge_node/mod.rs
+++ b/data-plane/src/edge_node/mod.rs
@@ -260,6 +260,7 @@
         self.tick_requests(now);
         self.replace_stalled_leaders(now);
         self.reject_waiting_before_exit(now);
+        self.end_all_before_exit(now);
         self.resend_unconfirmed_changes(now);
         self.check_abandoned_work(now);
         self.finish_shutdown(now);
--- a/data-plane/src/http_frontend/handler.rs
+++ b/data-plane/src/http_frontend/handler.rs
@@ -282,10 +282,11 @@
         })
     }
 
-    /// Records that the process exits within the grace period.
-    pub(super) fn prepare_shutdown(&self) {
+    /// Records that the process exits within the grace period. Returns the time by which
+    /// all responses must be sent.
+    pub(super) fn prepare_shutdown(&self) -> Instant {
         let time_left = self.port.startup.grace_period().saturating_sub(EXIT_MARGIN);
-        let _ = self.exit_at.set(Instant::now() + time_left);
+        *self.exit_at.get_or_init(|| Instant::now() + time_left)
     }
 }
 
--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -124,8 +124,7 @@
 
     fn prepare_shutdown(&self) {
         if let (Some(handler), Some(event_loop)) = (&self.handler, self.event_loop()) {
-            handler.prepare_shutdown();
-            event_loop.drain();
+            event_loop.drain_until(handler.prepare_shutdown());
         }
     }
 
--- a/data-plane/tests/shutdown.rs
+++ b/data-plane/tests/shutdown.rs
@@ -5,6 +5,8 @@
 
 /// The shutdown grace in milliseconds.
 const GRACE_MS: u64 = 6000;
+/// A shutdown grace that is shorter than the deadlines of the requests, in milliseconds.
+const SHORT_GRACE_MS: u64 = 3000;
 
 /// Every request gets a response in time to be written before the process exits.
 /// Regression: requests that waited for a cached response, a permit or the ledger were
@@ -91,6 +93,47 @@
     )));
 }
 
+/// Guards against connections that end without an answer when the process exits: requests
+/// whose origins are still at work then get a response of the edge shortly before.
+#[test]
+fn requests_left_shortly_before_exit_are_answered() {
+    let mut edge = live_edge(1000).with_shutdown_grace(millis(SHORT_GRACE_MS));
+    deliver_updates(&mut edge, 1000, &[origin(50)], false);
+    for (id, url, method) in [(1, "/once", "POST"), (2, "/low", "GET")] {
+        let mut request = client_request(url, method);
+        request.timeout = Some(millis(2 * SHORT_GRACE_MS));
+        let started = edge.handle(millis(1000), Input::ClientRequest { id, request });
+        let permit = permit(last_exchange(&started), origin(50), 1005);
+        let outputs = deliver(&mut edge, 1010, ADMISSION, permit);
+        assert!(
+            outputs
+                .iter()
+                .any(|output| matches!(output, Output::Call { .. }))
+        );
+    }
+    edge.handle(millis(1100), Input::ShutdownRequested);
+    let mut rejections = Vec::new();
+    let mut shutdown_at = None;
+    for now in (1150..1100 + SHORT_GRACE_MS).step_by(50) {
+        renew(&mut edge, now);
+        let outputs = edge.handle(millis(now), Input::Tick);
+        let is_end = |output: &Output| matches!(output, Output::ShutdownComplete);
+        if outputs.iter().any(is_end) {
+            shutdown_at.get_or_insert(now);
+        }
+        for rejection in rejections_in(outputs) {
+            assert!(now + 1000 >= 1100 + SHORT_GRACE_MS, "ended early, at {now}");
+            rejections.push(rejection);
+        }
+    }
+    let ending = |id| (id, 502, "ending".to_string(), RunState::Unknown);
+    assert_eq!(rejections, [ending(1), ending(2)]);
+    assert!(
+        shutdown_at.is_some(),
+        "the edge has shut down before the exit"
+    );
+}
+
 /// Regression: a call sent after the shutdown request timed out after half of the
 /// remaining time, while its origin was still executing it.
 #[test]
--- a/http-line/src/event_loop.rs
+++ b/http-line/src/event_loop.rs
@@ -53,6 +53,9 @@
     /// True once no connections are to be accepted any more and idle connections are
     /// to be closed.
     finishing: bool,
+    /// Time at which a draining event loop finishes, and by which idle connections are
+    /// closed.
+    finish_deadline: Option<Instant>,
     now: Instant,
 }
 
@@ -114,6 +117,7 @@
             listeners_close_at: None,
             draining: false,
             finishing: false,
+            finish_deadline: None,
             now,
         };
         std::thread::Builder::new()
--- a/http-line/src/event_loop/accept.rs
+++ b/http-line/src/event_loop/accept.rs
@@ -99,7 +99,7 @@
             connection.serve_one();
         }
         if self.finishing {
-            connection.finish();
+            connection.finish(self.finish_deadline);
         }
         self.shared.open.fetch_add(1, Ordering::Relaxed);
         let role = Role::Server {
--- a/http-line/src/event_loop/commands.rs
+++ b/http-line/src/event_loop/commands.rs
@@ -27,8 +27,9 @@
                     Command::RecordLinkDelay(delay) => {
                         self.pacer.record_delay(Instant::now(), delay);
                     }
-                    Command::Drain => {
+                    Command::Drain { deadline } => {
                         self.draining = true;
+                        self.finish_deadline = deadline;
                         self.pacer.use_full_rate();
                         self.change_server_connections(ServerConnection::drain);
                     }
@@ -43,12 +44,13 @@
         true
     }
 
-    fn begin_finish(&mut self) {
+    pub(super) fn begin_finish(&mut self) {
         self.finishing = true;
         self.draining = true;
         self.pacer.use_full_rate();
         self.stop_accepting();
-        self.change_server_connections(ServerConnection::finish);
+        let deadline = self.finish_deadline;
+        self.change_server_connections(|server| server.finish(deadline));
         self.read_before_close();
     }
 
--- a/http-line/src/event_loop/server_io.rs
+++ b/http-line/src/event_loop/server_io.rs
@@ -35,7 +35,7 @@
                 return true;
             };
             let reads_more = connection.readable && server.wants_read(&self.limits);
-            if server.is_idle_at_finish(self.now) && !reads_more {
+            if server.is_idle_at_finish(&self.limits, self.now) && !reads_more {
                 server.reject_request_in_transit();
             }
             if server.is_finished() {
--- a/http-line/src/event_loop/timers.rs
+++ b/http-line/src/event_loop/timers.rs
@@ -16,6 +16,7 @@
             .into_iter()
             .chain(self.accept_retry_at)
             .chain(self.listeners_close_at)
+            .chain(self.finish_deadline.filter(|_| !self.finishing))
             .chain(self.pacer.due())
             .min()?;
         Some(due.saturating_duration_since(Instant::now()))
@@ -71,6 +72,10 @@
         }
         self.retry_accept();
         self.close_due_listeners();
+        let is_due = |deadline| deadline <= self.now;
+        if !self.finishing && self.finish_deadline.is_some_and(is_due) {
+            self.begin_finish();
+        }
     }
 
     fn time_out(&mut self, token: usize) {
@@ -81,7 +86,7 @@
         let closes = match &mut connection.role {
             Role::Server {
                 connection: server, ..
-            } if server.is_idle_at_finish(self.now) => {
+            } if server.is_idle_at_finish(&self.limits, self.now) => {
                 connection.readable = true;
                 false
             }
--- a/http-line/src/event_loop_handle.rs
+++ b/http-line/src/event_loop_handle.rs
@@ -56,7 +56,10 @@
     },
     SetLimits(Limits),
     RecordLinkDelay(Duration),
-    Drain,
+    /// Drains, and finishes at the deadline if there is one.
+    Drain {
+        deadline: Option<Instant>,
+    },
     Finish,
     Close,
 }
@@ -153,7 +156,15 @@
     /// Closes connections after the requests read so far, and idle and new
     /// connections after one more request.
     pub fn drain(&self) {
-        self.send(Command::Drain);
+        self.send(Command::Drain { deadline: None });
+    }
+
+    /// Drains until the deadline, and then finishes, if `finish` was not called before.
+    /// Connections that are idle at the deadline are closed even if they were used
+    /// shortly before.
+    pub fn drain_until(&self, deadline: Instant) {
+        let deadline = Some(deadline);
+        self.send(Command::Drain { deadline });
     }
 
     /// Shuts down gracefully. The listeners are closed once their backlog is
--- a/http-line/src/server_connection.rs
+++ b/http-line/src/server_connection.rs
@@ -37,6 +37,8 @@
     draining: bool,
     /// True if the connection is closed once it has been idle for `FINISH_IDLE_TIME`.
     finishing: bool,
+    /// Time by which a finishing connection is closed if it is idle.
+    finish_deadline: Option<Instant>,
     /// True once the client has closed its sending side.
     read_closed: bool,
     /// True if input was discarded without parsing it.
@@ -110,6 +112,7 @@
             last_request_read: false,
             draining: false,
             finishing: false,
+            finish_deadline: None,
             read_closed: false,
             discarded_input: false,
             continue_pending: false,
@@ -228,18 +231,26 @@
     }
 
     /// Makes the next request the last one, and limits the wait for it to
-    /// `FINISH_IDLE_TIME`.
-    pub fn finish(&mut self) {
+    /// `FINISH_IDLE_TIME`, and to the deadline if there is one.
+    pub fn finish(&mut self, deadline: Option<Instant>) {
         self.drain();
         self.finishing = true;
+        self.finish_deadline = deadline;
+    }
+
+    /// Time at which the connection is closed if it stays idle.
+    fn idle_due(&self, limits: &Limits) -> Instant {
+        if !self.finishing {
+            return self.last_progress + limits.idle_timeout;
+        }
+        let idle_due = self.last_progress + limits.idle_timeout.min(FINISH_IDLE_TIME);
+        self.finish_deadline
+            .map_or(idle_due, |deadline| deadline.min(idle_due))
     }
 
     /// Returns true if the connection is finishing and no request arrived in time.
-    pub fn is_idle_at_finish(&self, now: Instant) -> bool {
-        self.finishing
-            && !self.closing
-            && !self.is_busy()
-            && now >= self.last_progress + FINISH_IDLE_TIME
+    pub fn is_idle_at_finish(&self, limits: &Limits, now: Instant) -> bool {
+        self.finishing && !self.closing && !self.is_busy() && now >= self.idle_due(limits)
     }
 
     /// Ends an idle connection with a response to the request that may be in transit:
@@ -300,13 +311,9 @@
         if !self.input.is_empty() {
             return Some(self.request_started + limits.head_timeout);
         }
-        let idle_timeout = match self.finishing {
-            true => limits.idle_timeout.min(FINISH_IDLE_TIME),
-            false => limits.idle_timeout,
-        };
         self.pending_requests
             .is_empty()
-            .then_some(self.last_progress + idle_timeout)
+            .then(|| self.idle_due(limits))
     }
 
     /// Handles a timeout at `due`. Returns true if the connection is to be closed
--- a/http-line/tests/loopback.rs
+++ b/http-line/tests/loopback.rs
@@ -323,6 +323,33 @@
     assert!(since.elapsed() < Duration::from_millis(1500));
 }
 
+/// Guards against connections that are cut off at the exit of the process although
+/// nothing has told the event loop to finish.
+#[test]
+fn draining_loop_finishes_at_its_deadline() {
+    const TIME_TO_DEADLINE: Duration = Duration::from_millis(300);
+    let harness = Harness::new(Limits::default());
+    let mut idle = harness.peer();
+    idle.write_all(b"GET /now HTTP/1.1\r\n\r\n").unwrap();
+    read_head(&mut idle);
+    idle.read_exact(&mut [0; 4]).unwrap();
+    let mut waiting = harness.peer();
+    waiting.write_all(b"GET /a HTTP/1.1\r\n\r\n").unwrap();
+    let (id, _) = harness.request();
+    let since = std::time::Instant::now();
+    harness.http.drain_until(since + TIME_TO_DEADLINE);
+    assert!(read_to_end(&mut idle).starts_with("HTTP/1.1 408 "));
+    assert!(since.elapsed() + Duration::from_millis(50) > TIME_TO_DEADLINE);
+    assert!(
+        since.elapsed() < FINISH_IDLE_TIME,
+        "it was not used for this long"
+    );
+    harness.http.respond(id, response("a"));
+    assert!(read_to_end(&mut waiting).contains("Connection: close"));
+    drop((idle, waiting));
+    wait_until_finished(&harness);
+}
+
 fn wait_until_finished(harness: &Harness) {
     let deadline = std::time::Instant::now() + EVENT_TIMEOUT;
     while !harness.http.is_finished() {
