--- a/kernel/tests/links.rs
+++ b/kernel/tests/links.rs
@@ -1,6 +1,7 @@
 //! Tests of the links' event loop over loopback, with well-behaved and faulty peers.
 use kernel::frame::{CHUNK_BYTES, FrameDecoder};
 use kernel::prelude::*;
+use stand_ins::narrow_link::{LinkProperties, NarrowLink};
 use std::sync::atomic::AtomicU16;
 
 /// Timeout for anything that a test waits for.
@@ -478,3 +479,37 @@
     let found = read_messages(&mut stream, |found| found.len() == 2);
     assert_eq!(found[0], urgent(1), "it did not wait for the complete bulk");
 }
+
+/// Guards against requests that reach origins long after their clients have left: cached
+/// responses sent to many peers at once must not fill the queue of the machine's link,
+/// in which calls and lease renewals would wait.
+#[test]
+fn bulk_to_many_peers_does_not_delay_a_call_on_the_same_link() {
+    const PEERS: u64 = 30;
+    const RESPONSE_BYTES: usize = 120 * 1024;
+    const LINK_BYTES_PER_SECOND: f64 = 1_000_000.0;
+    const MAX_DELAY: Duration = Duration::from_millis(250);
+    let node = Node::start();
+    let properties = LinkProperties {
+        bytes_per_second: LINK_BYTES_PER_SECOND,
+        delay: Duration::ZERO,
+    };
+    let link = Arc::new(NarrowLink::new(node.local_peer.address, properties));
+    let peers: Vec<Node> = (0..PEERS).map(|_| Node::start()).collect();
+    for (id, peer) in (0..PEERS).zip(&peers) {
+        let address = link.address_of(peer.local_peer.address).unwrap();
+        node.send(address, bulk(id, RESPONSE_BYTES));
+    }
+    thread::sleep(Duration::from_millis(500));
+    let origin = listen();
+    let address = link.address_of(origin.local_addr().unwrap()).unwrap();
+    let since = Instant::now();
+    let mut call = TcpStream::connect(address).unwrap();
+    call.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    origin.accept().unwrap().0.read_exact(&mut [0; 18]).unwrap();
+    let delay = since.elapsed();
+    assert!(delay < MAX_DELAY, "the call arrives after {delay:?}");
+    for peer in &peers {
+        peer.receive();
+    }
+}
--- a/stand-ins/src/narrow_link.rs
+++ b/stand-ins/src/narrow_link.rs
@@ -25,7 +25,8 @@
     pub delay: Duration,
 }
 
-/// The link of one machine. Clients connect to the machine with [`NarrowLink::connect`].
+/// The link of one machine. Clients connect to the machine with [`NarrowLink::connect`],
+/// and the machine connects to others through [`NarrowLink::address_of`].
 pub struct NarrowLink {
     machine: SocketAddr,
     to_machine: flume::Sender<Segment>,
@@ -70,11 +71,31 @@
         for stream in [&machine_end, &client_end] {
             socket2::SockRef::from(stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         }
-        let (machine_end, client_end) = (Arc::new(machine_end), Arc::new(client_end));
-        start_reader(machine_end.clone(), client_end.clone(), &self.from_machine);
-        start_reader(client_end, machine_end, &self.to_machine);
+        self.forward(machine_end, client_end);
         Ok(client)
     }
+
+    /// Returns the address at which the machine reaches `peer` through the link.
+    pub fn address_of(self: &Arc<Self>, peer: SocketAddr) -> Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        let link = self.clone();
+        thread::spawn(move || {
+            for machine_end in listener.incoming().map_while(std::io::Result::ok) {
+                if let Ok(peer_end) = TcpStream::connect(peer) {
+                    link.forward(machine_end, peer_end);
+                }
+            }
+        });
+        Ok(address)
+    }
+
+    fn forward(&self, machine_end: TcpStream, other_end: TcpStream) {
+        let (machine_end, other_end) = (Arc::new(machine_end), Arc::new(other_end));
+        start_reader(machine_end.clone(), other_end.clone(), &self.from_machine);
+        start_reader(other_end, machine_end, &self.to_machine);
+    }
 }
 
 /// Starts the thread that delivers the segments of one direction in order.
