GONE: bulk messages to peers share the send rate of the link with responses

Callers' calls reached origins 0.8 s after the callers had left; lease renewals came as late. Cause: only responses to clients were paced. Cached responses for other edges filled the queue of the machine's link, one window for each of up to a hundred sessions, and calls waited in it; what cancels a call waits behind it. Change: the pacer's token bucket is a crate of its own (send-rate), one for the process; http-line paces responses by it, the links bulk messages. Urgent messages and calls are not paced. The measured delay goes to the rate without a detour through the frontend.

--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -21,10 +21,7 @@
     idle_timeout: Duration::from_secs(60),
     max_pipelined_requests: 16,
     max_response_body_bytes: 16 * 1024 * 1024,
-    link_bytes_per_second: None,
 };
-/// Number of bytes in a megabit.
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 impl HttpFrontend {
     /// Creates a closed frontend that serves the plug-ins of `program`.
@@ -64,12 +61,10 @@
     fn open(&mut self, port: &Arc<Port>) -> Result<(), FrontendError> {
         let listeners = listen(port)?;
         let handler = ConnectionHandler::new(port, &self.protocol, PlugIn::of(self.program));
-        let limits = Limits {
-            link_bytes_per_second: port.startup.link_mbps.map(|link| link * BYTES_PER_MEGABIT),
-            ..DEFAULT_LIMITS
-        };
-        let event_loop = EventLoopHandle::open(listeners, limits, handler.clone())
-            .map_err(|error| FrontendError::Start(error.into()))?;
+        let send_rate = port.send_rate.clone();
+        let event_loop =
+            EventLoopHandle::open(listeners, DEFAULT_LIMITS, send_rate, handler.clone())
+                .map_err(|error| FrontendError::Start(error.into()))?;
         let _ = handler.event_loop.set(event_loop);
         self.handler = Some(handler);
         Ok(())
@@ -116,12 +111,6 @@
         }
     }
 
-    fn record_link_delay(&self, delay: Duration) {
-        if let Some(event_loop) = self.event_loop() {
-            event_loop.record_link_delay(delay);
-        }
-    }
-
     fn prepare_shutdown(&self) {
         if let (Some(handler), Some(event_loop)) = (&self.handler, self.event_loop()) {
             event_loop.drain_until(handler.prepare_shutdown());
--- a/http-line/src/event_loop.rs
+++ b/http-line/src/event_loop.rs
@@ -74,6 +74,7 @@
     pub(crate) fn start(
         listeners: Vec<std::net::TcpListener>,
         limits: Limits,
+        send_rate: Option<Arc<SendRate>>,
         handler: Arc<dyn Handler>,
     ) -> io::Result<Arc<Shared>> {
         let poll = Poll::new()?;
@@ -107,7 +108,7 @@
             commands,
             shared: shared.clone(),
             handler,
-            pacer: Pacer::new(limits.link_bytes_per_second, now),
+            pacer: Pacer::new(send_rate),
             unsent_bytes: 0,
             limits,
             read_buffer: vec![0; READ_BUFFER_BYTES],
--- a/http-line/src/event_loop/commands.rs
+++ b/http-line/src/event_loop/commands.rs
@@ -24,9 +24,6 @@
                         self.limits = limits;
                         self.change_server_connections(|_| {});
                     }
-                    Command::RecordLinkDelay(delay) => {
-                        self.pacer.record_delay(Instant::now(), delay);
-                    }
                     Command::Drain { deadline } => {
                         self.draining = true;
                         self.finish_deadline = deadline;
--- a/http-line/src/event_loop_handle.rs
+++ b/http-line/src/event_loop_handle.rs
@@ -55,7 +55,6 @@
         deadline: Instant,
     },
     SetLimits(Limits),
-    RecordLinkDelay(Duration),
     /// Drains, and finishes at the deadline if there is one.
     Drain {
         deadline: Option<Instant>,
@@ -85,13 +84,15 @@
 
 impl EventLoopHandle {
     /// Starts the thread of the event loop. Each request is passed to the handler
-    /// with the index of the listener that accepted its connection.
+    /// with the index of the listener that accepted its connection. Responses are paced
+    /// by the rate of the link, if there is one.
     pub fn open(
         listeners: Vec<TcpListener>,
         limits: Limits,
+        send_rate: Option<Arc<SendRate>>,
         handler: Arc<dyn Handler>,
     ) -> Result<EventLoopHandle, OpenError> {
-        let shared = EventLoop::start(listeners, limits, handler)?;
+        let shared = EventLoop::start(listeners, limits, send_rate, handler)?;
         Ok(EventLoopHandle { shared })
     }
 
@@ -137,16 +138,11 @@
         self.send(Command::ExtendCall { id, deadline });
     }
 
-    /// Replaces the limits, except the bandwidth of the link.
+    /// Replaces the limits.
     pub fn set_limits(&self, limits: Limits) {
         self.send(Command::SetLimits(limits));
     }
 
-    /// Reports the measured delay of small messages on the machine's network link.
-    pub fn record_link_delay(&self, delay: Duration) {
-        self.send(Command::RecordLinkDelay(delay));
-    }
-
     /// Time that the link needs for the unsent responses; zero if its bandwidth is
     /// not known.
     pub fn send_backlog(&self) -> Duration {
--- a/http-line/src/limits.rs
+++ b/http-line/src/limits.rs
@@ -19,10 +19,6 @@
     pub max_pipelined_requests: usize,
     /// Maximum size of the decoded body of a response to a call, in bytes.
     pub max_response_body_bytes: usize,
-    /// Bandwidth of the machine's network link in bytes per second, fixed when
-    /// the event loop is opened. Responses are paced to a fraction of it; they
-    /// are not paced if it is `None`.
-    pub link_bytes_per_second: Option<f64>,
 }
 
 impl Default for Limits {
@@ -34,7 +30,6 @@
             idle_timeout: Duration::from_secs(60),
             max_pipelined_requests: 16,
             max_response_body_bytes: 64 * 1024 * 1024,
-            link_bytes_per_second: None,
         }
     }
 }
--- a/http-line/src/prelude.rs
+++ b/http-line/src/prelude.rs
@@ -14,6 +14,7 @@
     ReceivedResponse, Request, Response, SendLimit, SendQueue, ServerConnection, Usage,
     WriteProgress,
 };
+pub use send_rate::SendRate;
 pub use std::cmp::Reverse;
 pub use std::collections::hash_map::DefaultHasher;
 pub use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
--- a/http-line/tests/harness/mod.rs
+++ b/http-line/tests/harness/mod.rs
@@ -54,6 +54,12 @@
 
 impl Harness {
     pub fn new(limits: Limits) -> Harness {
+        Harness::with_link(limits, None)
+    }
+
+    /// Starts an event loop whose link has this bandwidth in bytes per second.
+    pub fn with_link(limits: Limits, bandwidth: Option<f64>) -> Harness {
+        let send_rate = bandwidth.and_then(|bandwidth| SendRate::new(bandwidth, Instant::now()));
         let (sender, events) = flume::unbounded();
         let listener = EventLoopHandle::listen(([127, 0, 0, 1], 0).into()).unwrap();
         let address = listener.local_addr().unwrap();
@@ -61,7 +67,13 @@
             events: sender,
             http: OnceLock::new(),
         });
-        let http = EventLoopHandle::open(vec![listener], limits, handler.clone()).unwrap();
+        let http = EventLoopHandle::open(
+            vec![listener],
+            limits,
+            send_rate.map(Arc::new),
+            handler.clone(),
+        )
+        .unwrap();
         assert!(handler.http.set(http.clone()).is_ok());
         Harness {
             http,
--- a/http-line/tests/loopback.rs
+++ b/http-line/tests/loopback.rs
@@ -285,10 +285,7 @@
 fn response_that_cannot_be_sent_in_time_is_replaced() {
     const RESPONSES: usize = 8;
     const RESPONSE_BYTES: usize = 300_000;
-    let harness = Harness::new(Limits {
-        link_bytes_per_second: Some(1_000_000.0),
-        ..Limits::default()
-    });
+    let harness = Harness::with_link(Limits::default(), Some(1_000_000.0));
     let mut peers: Vec<_> = (0..RESPONSES).map(|_| harness.peer()).collect();
     let mut ids = Vec::new();
     for peer in &mut peers {
--- a/http-line/tests/loopback_faults.rs
+++ b/http-line/tests/loopback_faults.rs
@@ -386,10 +386,7 @@
 #[test]
 fn paced_response_ends_when_client_disconnects() {
     for reads in [false, true] {
-        let harness = Harness::new(Limits {
-            link_bytes_per_second: Some(100_000.0),
-            ..Limits::default()
-        });
+        let harness = Harness::with_link(Limits::default(), Some(100_000.0));
         let mut peer = harness.peer();
         peer.write_all(b"GET /a HTTP/1.1\r\n\r\n").unwrap();
         let (id, _) = harness.request();
--- a/kernel/src/frontend.rs
+++ b/kernel/src/frontend.rs
@@ -67,9 +67,6 @@
     /// Extends the timeout of a call in flight; the limit is counted from now.
     fn extend_call(&self, _id: u64, _limit: Duration) {}
 
-    /// Reports the measured delay of small messages on this machine's link.
-    fn record_link_delay(&self, _delay: Duration) {}
-
     /// Prepares for shutdown: drains the client connections; no new sessions start.
     fn prepare_shutdown(&self) {}
 
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -89,9 +89,10 @@
             address: mesh,
             source,
         })?;
-        let links = Links::open(self.local_peer, listener, input_sender.clone())
-            .map_err(HostError::Links)?;
         let port = Arc::new(Port::new(input_sender.clone(), self.startup.clone())?);
+        let send_rate = port.send_rate.clone();
+        let links = Links::open(self.local_peer, listener, input_sender.clone(), send_rate)
+            .map_err(HostError::Links)?;
         self.frontend.open(&port)?;
         self.start_sources(&port);
         let store = self
@@ -222,7 +223,11 @@
         match state {
             PublishedState::Fence { until, ready } => self.port.set_fence(until, ready),
             PublishedState::Assignments(names) => self.port.assignments.store(Arc::new(names)),
-            PublishedState::LinkDelay(delay) => self.host.frontend.record_link_delay(delay),
+            PublishedState::LinkDelay(delay) => {
+                if let Some(send_rate) = &self.port.send_rate {
+                    send_rate.record_delay(Instant::now(), delay);
+                }
+            }
             PublishedState::CommittedConfiguration { version, text } => {
                 if let Some(history) = &self.host.history {
                     let _ = history.try_send((version, text));
--- a/kernel/src/link/event_loop.rs
+++ b/kernel/src/link/event_loop.rs
@@ -60,6 +60,9 @@
     unread: Vec<Token>,
     /// Peers with more to write.
     unwritten: Vec<SocketAddr>,
+    /// Peers whose bulk messages wait until the rate of the link permits more, in the
+    /// order in which they are served.
+    paced: VecDeque<SocketAddr>,
     resume_accept_at: Option<Instant>,
     next_token: usize,
     scratch: Vec<u8>,
@@ -91,6 +94,7 @@
             deadlines: BTreeSet::new(),
             unread: Vec::new(),
             unwritten: Vec::new(),
+            paced: VecDeque::new(),
             resume_accept_at: None,
             next_token: FIRST_SESSION,
             scratch: vec![0; SCRATCH_BYTES],
@@ -110,6 +114,7 @@
                     self.handle(event);
                 }
             }
+            self.write_paced();
             self.write_ready();
             self.read_unread();
             self.handle_deadlines();
@@ -122,7 +127,11 @@
             return Some(Duration::ZERO);
         }
         let deadline = self.deadlines.first().map(|(at, _)| *at);
-        let next = deadline.into_iter().chain(self.resume_accept_at).min();
+        let next = deadline
+            .into_iter()
+            .chain(self.resume_accept_at)
+            .chain(self.paced_due())
+            .min();
         next.map(|at| at.saturating_duration_since(Instant::now()))
     }
 
@@ -312,6 +321,28 @@
         }
     }
 
+    /// Time at which the rate of the link permits more bulk, if any waits for it.
+    fn paced_due(&self) -> Option<Instant> {
+        let send_rate = self.shared.send_rate.as_ref()?;
+        (!self.paced.is_empty()).then(|| send_rate.peer_due())
+    }
+
+    /// Writes bulk messages that waited for the rate of the link, one peer after the
+    /// other.
+    fn write_paced(&mut self) {
+        let Some(send_rate) = self.shared.send_rate.clone() else {
+            return;
+        };
+        for _ in 0..self.paced.len() {
+            if send_rate.peer_allowance(self.now) == 0 {
+                return;
+            }
+            if let Some(address) = self.paced.pop_front() {
+                self.send(address);
+            }
+        }
+    }
+
     fn send(&mut self, to: SocketAddr) {
         match self.outbound.get(&to).map(|session| session.state) {
             Some(Connection::Open) => self.write(to),
@@ -378,8 +409,15 @@
         let Some(session) = self.outbound.get_mut(&to) else {
             return;
         };
-        match session.write(to, &self.shared.queues) {
+        let send_rate = self.shared.send_rate.as_deref();
+        match session.write(to, &self.shared.queues, send_rate) {
             Writing::Done => session.state = Connection::Open,
+            Writing::Paced => {
+                session.state = Connection::Open;
+                if !self.paced.contains(&to) {
+                    self.paced.push_back(to);
+                }
+            }
             Writing::Yielded => {
                 session.state = Connection::Open;
                 self.unwritten.push(to);
--- a/kernel/src/link/mod.rs
+++ b/kernel/src/link/mod.rs
@@ -12,6 +12,10 @@
 //! and bulk messages have separate limits: when bulk is dropped because its queue
 //! is full, urgent messages are still accepted.
 //!
+//! Bulk messages to all peers together are paced by the [`SendRate`] of the machine's
+//! link, which responses to clients share: otherwise the bulk of many sessions fills the
+//! queue of the link, and the urgent messages and calls of all others wait in it.
+//!
 //! # Why no receiver depends on the order between the two priorities
 //!
 //! A bulk message may arrive after urgent ones that were sent later. This is safe for
@@ -82,6 +86,8 @@
     queues: Mutex<OutgoingQueues>,
     backlog: Backlog,
     counters: LinkCounters,
+    /// Rate at which bulk messages are sent; `None` if they are not paced.
+    send_rate: Option<Arc<SendRate>>,
 }
 
 impl Shared {
@@ -97,13 +103,16 @@
 }
 
 impl Links {
-    /// Accepts sessions from peers and sends their messages to `inputs`.
+    /// Accepts sessions from peers and sends their messages to `inputs`. Bulk messages are
+    /// sent at the rate of the machine's link, if it is given.
     pub fn open(
         local_peer: Peer,
         listener: TcpListener,
         inputs: Sender<Input>,
+        send_rate: Option<Arc<SendRate>>,
     ) -> std::io::Result<Links> {
-        Links::open_with(local_peer, listener, inputs, QueueLimits::default())
+        let limits = QueueLimits::default();
+        Links::open_with(local_peer, listener, inputs, limits, send_rate)
     }
 
     /// Like [`Links::open`], with other limits of the outgoing queues.
@@ -112,6 +121,7 @@
         listener: TcpListener,
         inputs: Sender<Input>,
         limits: QueueLimits,
+        send_rate: Option<Arc<SendRate>>,
     ) -> std::io::Result<Links> {
         let poll = mio::Poll::new()?;
         let waker = mio::Waker::new(poll.registry(), WAKER)?;
@@ -123,6 +133,7 @@
             queues: Mutex::new(OutgoingQueues::new(limits)),
             backlog: Backlog::default(),
             counters: LinkCounters::default(),
+            send_rate,
         });
         let event_loop = EventLoop::new(poll, listener, shared.clone(), inputs)?;
         thread::Builder::new()
--- a/kernel/src/link/outbound.rs
+++ b/kernel/src/link/outbound.rs
@@ -48,6 +48,8 @@
     Done,
     /// More bytes wait, but other sessions are served first.
     Yielded,
+    /// Bulk messages wait until the rate of the link permits more.
+    Paced,
     /// The socket buffer is full; `progress` is true if any bytes were written.
     Blocked {
         progress: bool,
@@ -101,13 +103,18 @@
         }
     }
 
-    /// Writes the queued messages of this peer, several frames at a time.
-    pub(super) fn write(&mut self, to: SocketAddr, queues: &Mutex<OutgoingQueues>) -> Writing {
+    /// Writes the queued messages of this peer, several frames at a time. Bulk messages
+    /// are limited by the rate of the link.
+    pub(super) fn write(
+        &mut self,
+        to: SocketAddr,
+        queues: &Mutex<OutgoingQueues>,
+        send_rate: Option<&SendRate>,
+    ) -> Writing {
         let mut progress = false;
         for _ in 0..MAX_WRITES {
-            if self.batch.is_empty() {
-                let mut queues = queues.lock().expect("no holder panics");
-                queues.take_frames(to, BATCH_BYTES, &mut self.batch);
+            if self.batch.is_empty() && !self.fill_batch(to, queues, send_rate) {
+                return Writing::Paced;
             }
             if self.batch.is_empty() {
                 return Writing::Done;
@@ -132,4 +139,22 @@
         }
         Writing::Yielded
     }
+
+    /// Takes the next frames of this peer. Returns false if only bulk messages wait and
+    /// the rate of the link does not permit them now.
+    fn fill_batch(
+        &mut self,
+        to: SocketAddr,
+        queues: &Mutex<OutgoingQueues>,
+        send_rate: Option<&SendRate>,
+    ) -> bool {
+        let now = Instant::now();
+        let max_bulk = send_rate.map_or(usize::MAX, |send_rate| send_rate.peer_allowance(now));
+        let mut queues = queues.lock().expect("no holder panics");
+        let bulk_taken = queues.take_frames(to, BATCH_BYTES, max_bulk, &mut self.batch);
+        if let Some(send_rate) = send_rate {
+            send_rate.spend(bulk_taken);
+        }
+        !self.batch.is_empty() || queues.is_empty(to)
+    }
 }
--- a/kernel/src/link/queue.rs
+++ b/kernel/src/link/queue.rs
@@ -119,23 +119,37 @@
     }
 
     /// Appends frames for this peer, urgent messages first, until `out` has
-    /// `enough` bytes or the queue is empty.
-    pub fn take_frames(&mut self, to: SocketAddr, enough: usize, out: &mut Vec<u8>) {
+    /// `enough` bytes, the queue is empty, or `max_bulk` bytes of bulk messages or
+    /// slightly more were taken. Returns the number of these.
+    pub fn take_frames(
+        &mut self,
+        to: SocketAddr,
+        enough: usize,
+        max_bulk: usize,
+        out: &mut Vec<u8>,
+    ) -> usize {
+        let mut bulk_taken = 0;
         let Some(queue) = self.peers.get_mut(&to) else {
-            return;
+            return bulk_taken;
         };
         while out.len() < enough {
             if let Some(message) = queue.pop_urgent() {
                 message.write_unchunked(out);
                 self.urgent_bytes.remove(&message);
-            } else if queue.bulk.is_empty() {
-                return;
+            } else if queue.bulk.is_empty() || bulk_taken >= max_bulk {
+                break;
             } else if let Some(message) = queue.pop_expired() {
                 self.bulk_bytes.remove(&message);
-            } else if let Some(message) = queue.take_chunk(out) {
-                self.bulk_bytes.remove(&message);
+            } else {
+                let start = out.len();
+                let sent = queue.take_chunk(out);
+                bulk_taken += out.len() - start;
+                if let Some(message) = sent {
+                    self.bulk_bytes.remove(&message);
+                }
             }
         }
+        bulk_taken
     }
 
     /// Drops a message of which some chunks were taken, after its session ended:
--- a/kernel/src/port.rs
+++ b/kernel/src/port.rs
@@ -4,6 +4,9 @@
 /// Callback for the output that completes a request.
 type Continuation = Box<dyn FnOnce(Output) + Send>;
 
+/// Number of bytes in a megabit.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 /// State that HTTP threads share with the state machine's thread: they send inputs
 /// and read published state; tables are replaced as a whole.
 pub struct Port {
@@ -23,6 +26,9 @@
     pub ending: AtomicBool,
     /// The assignments owned at present, by name.
     pub assignments: ArcSwap<Vec<String>>,
+    /// Rate of the machine's link, which all large transfers share; `None` if its
+    /// bandwidth is not known.
+    pub send_rate: Option<Arc<SendRate>>,
     /// The process's settings.
     pub startup: Startup,
 }
@@ -31,6 +37,8 @@
     /// Creates a port that sends inputs to `inputs`. The port is not live until
     /// `set_fence` is called. Fails if the operating system provides no random bytes.
     pub fn new(inputs: Sender<Input>, startup: Startup) -> Result<Port, RandomnessError> {
+        let bandwidth = startup.link_mbps.map(|mbps| mbps * BYTES_PER_MEGABIT);
+        let send_rate = bandwidth.and_then(|bandwidth| SendRate::new(bandwidth, Instant::now()));
         Ok(Port {
             inputs,
             started_at: Instant::now(),
@@ -42,6 +50,7 @@
             ready: AtomicBool::new(false),
             ending: AtomicBool::new(false),
             assignments: ArcSwap::default(),
+            send_rate: send_rate.map(Arc::new),
             startup,
         })
     }
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -3,6 +3,7 @@
 pub use base64::Engine as _;
 pub use base64::engine::general_purpose::STANDARD as BASE64;
 pub use flume::{Receiver, Sender};
+pub use send_rate::SendRate;
 pub use serde::{Deserialize, Serialize};
 pub use sha2::{Digest, Sha256};
 pub use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
--- a/kernel/tests/links.rs
+++ b/kernel/tests/links.rs
@@ -32,10 +32,14 @@
     }
 
     fn start_with(limits: QueueLimits) -> Node {
+        Node::start_paced(limits, None)
+    }
+
+    fn start_paced(limits: QueueLimits, send_rate: Option<Arc<SendRate>>) -> Node {
         let listener = listen();
         let local_peer = peer_at(&listener);
         let (sender, inputs) = flume::unbounded();
-        let links = Links::open_with(local_peer, listener, sender, limits).unwrap();
+        let links = Links::open_with(local_peer, listener, sender, limits, send_rate).unwrap();
         Node {
             local_peer,
             links,
@@ -376,7 +380,7 @@
     let listener = listen();
     let local_peer = peer_at(&listener);
     let (sender, inputs) = flume::unbounded();
-    let first = Links::open(local_peer, listener, sender).unwrap();
+    let first = Links::open(local_peer, listener, sender, None).unwrap();
     let mut other = Node {
         local_peer,
         links: first,
@@ -398,7 +402,7 @@
     let restarted = Peer::new(local_peer.address, new_incarnation().unwrap());
     other = Node {
         local_peer: restarted,
-        links: Links::open(restarted, listener, sender).unwrap(),
+        links: Links::open(restarted, listener, sender, None).unwrap(),
         inputs,
     };
     let started_at = Instant::now();
@@ -489,7 +493,8 @@
     const RESPONSE_BYTES: usize = 120 * 1024;
     const LINK_BYTES_PER_SECOND: f64 = 1_000_000.0;
     const MAX_DELAY: Duration = Duration::from_millis(250);
-    let node = Node::start();
+    let send_rate = SendRate::new(LINK_BYTES_PER_SECOND, Instant::now()).map(Arc::new);
+    let node = Node::start_paced(QueueLimits::default(), send_rate);
     let properties = LinkProperties {
         bytes_per_second: LINK_BYTES_PER_SECOND,
         delay: Duration::ZERO,
