Responses are rejected for a full link only if its full rate cannot send them in time

During a shutdown, the case for which the limit is there, both rates are the same. http-line and send-rate: all tests pass.

--- a/http-line/src/event_loop/commands.rs
+++ b/http-line/src/event_loop/commands.rs
@@ -105,7 +105,8 @@
             return response;
         };
         let bytes = self.unsent_bytes + response.body.len();
-        let send_time = self.pacer.time_to_send(bytes);
+        // The current rate may rise again, and does during a shutdown.
+        let send_time = self.pacer.shortest_time_to_send(bytes);
         let is_late = |time: Duration| self.now + time.mul_f64(SEND_TIME_FACTOR) > limit.deadline;
         match send_time.is_some_and(is_late) {
             true => Response {
--- a/http-line/src/pacer.rs
+++ b/http-line/src/pacer.rs
@@ -45,6 +45,13 @@
         Some(send_rate.time_to_send(bytes))
     }
 
+    /// Time that the link needs for this number of bytes at the maximum rate; `None` if
+    /// its bandwidth is not known.
+    pub(crate) fn shortest_time_to_send(&self, bytes: usize) -> Option<Duration> {
+        let send_rate = self.send_rate.as_ref()?;
+        Some(send_rate.shortest_time_to_send(bytes))
+    }
+
     /// Uses the maximum rate from now on.
     pub(crate) fn use_full_rate(&self) {
         if let Some(send_rate) = &self.send_rate {
--- a/http-line/src/response.rs
+++ b/http-line/src/response.rs
@@ -22,7 +22,8 @@
 /// Limit of the time at which a response must have been sent.
 #[derive(Debug, Clone)]
 pub struct SendLimit {
-    /// Time by which the link must have sent the response and all unsent bytes.
+    /// Time by which the link, at its maximum rate, must have sent the response and all
+    /// unsent bytes.
     pub deadline: Instant,
     /// Response that is sent if the link cannot; its own limit is ignored.
     pub otherwise: Box<Response>,
--- a/send-rate/src/lib.rs
+++ b/send-rate/src/lib.rs
@@ -115,6 +115,11 @@
         Duration::from_secs_f64(bytes as f64 / self.bytes_per_second())
     }
 
+    /// Time that the link needs for this number of bytes at the maximum rate.
+    pub fn shortest_time_to_send(&self, bytes: usize) -> Duration {
+        Duration::from_secs_f64(bytes as f64 / (self.bandwidth * MAX_FRACTION))
+    }
+
     /// Adapts the rate to the measured delay of small messages on the link.
     pub fn record_delay(&self, now: Instant, delay: Duration) {
         let mut bucket = self.refill(now);
--- a/send-rate/tests/send_rate.rs
+++ b/send-rate/tests/send_rate.rs
@@ -81,8 +81,9 @@
         rate.record_delay(now + Duration::from_secs(second), Duration::from_secs(1));
     }
     assert_eq!(rate.bytes_per_second(), BANDWIDTH * MAX_FRACTION);
-    let second = rate.time_to_send((BANDWIDTH * MAX_FRACTION) as usize);
-    assert_eq!(second, Duration::from_secs(1));
+    let bytes = (BANDWIDTH * MAX_FRACTION) as usize;
+    assert_eq!(rate.time_to_send(bytes), Duration::from_secs(1));
+    assert_eq!(rate.shortest_time_to_send(bytes), Duration::from_secs(1));
 }
 
 /// During a shutdown, responses to clients must not share the rate with handovers.
