Platform soak: shape narrow, with clients behind narrow links and large responses

The soaks had neither a full link nor large responses. The shape narrow is small with a stand-in link of 8 Mbit/s between the clients and each machine and 100 KB for GET requests of 3 of 20 objects.

--- a/stand-ins/src/bin/platform-soak.rs
+++ b/stand-ins/src/bin/platform-soak.rs
@@ -8,7 +8,7 @@
 --seeds N       number of runs, one after the other (default 1)
 --first N       the first seed (default 1)
 --seconds N     duration of each run (default 20)
---shape NAME    small, hotels or vans (default small)
+--shape NAME    small, narrow, hotels or vans (default small)
 --quiet 1       baseline run without restarts, releases and faults, for comparison
 --keep 1        also keeps the folder of a run without a violation
 --folder DIR    folder for settings, data and logs, with a subfolder for each seed; must not exist
--- a/stand-ins/src/platform_soak/keep_alive_client.rs
+++ b/stand-ins/src/platform_soak/keep_alive_client.rs
@@ -13,7 +13,6 @@
 const DEADLINE: Duration = Duration::from_millis(DEADLINE_MS);
 /// Time allowed beyond the deadline for the transmission of the response.
 const READ_MARGIN: Duration = Duration::from_millis(500);
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum delay for `Retry-After`: a third of the deadline.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(DEADLINE_MS / 3);
 /// Number of retries of an operation.
@@ -228,7 +227,7 @@
                 status: response.status(),
                 service: response
                     .header("Origin-Signature")
-                    .map(|_| String::from_utf8_lossy(&response.body).into_owned()),
+                    .map(|_| service_of(&response.body)),
             },
             None if timed_out => AttemptOutcome::TimedOut,
             None => AttemptOutcome::Ended,
@@ -271,8 +270,7 @@
     }
 
     fn open(&self, machine: usize) -> Option<KeepAliveConnection> {
-        let address = self.context.machines.frontend(machine);
-        let output = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
+        let output = self.context.machines.connect(machine).ok()?;
         output.set_nodelay(true).ok()?;
         output.set_read_timeout(Some(DEADLINE + READ_MARGIN)).ok()?;
         let input = BufReader::new(output.try_clone().ok()?);
@@ -322,3 +320,9 @@
 fn is_timeout(error: &std::io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
 }
+
+/// Returns the service that is named in the first line of a response's body.
+fn service_of(body: &[u8]) -> String {
+    let line = body.split(|byte| *byte == b'\n').next();
+    String::from_utf8_lossy(line.unwrap_or_default()).into_owned()
+}
--- a/stand-ins/src/platform_soak/machines.rs
+++ b/stand-ins/src/platform_soak/machines.rs
@@ -1,6 +1,7 @@
 //! Machines of a fleet: processes on loopback with their settings files.
 use super::observations::{Observations, ProcessEvent, ProcessEventKind};
 use super::shape::FleetShape;
+use crate::narrow_link::{LinkProperties, NarrowLink};
 use crate::prelude::*;
 use std::net::{IpAddr, Ipv4Addr};
 
@@ -58,6 +59,8 @@
     base_port: u16,
     platform_list: SocketAddr,
     processes: Mutex<HashMap<(usize, ProcessRole), Child>>,
+    /// The links through which clients reach the machines; empty if they are not narrow.
+    links: Mutex<HashMap<usize, Arc<NarrowLink>>>,
     /// Machines with a control process, as known to the operators.
     control: Mutex<Vec<usize>>,
     observations: Arc<Observations>,
@@ -78,6 +81,12 @@
 const REGIONS: [&str; 4] = ["coast", "nairobi", "coast", "nairobi"];
 /// Interval at which a stopping process is polled.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Timeout for a client's connection to an edge.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay of a narrow link in addition to its queue.
+const LINK_DELAY: Duration = Duration::from_millis(1);
+/// Number of bytes in a megabit.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Maximum number of seed nodes in the settings.
 const MAX_SEEDS: usize = 3;
 
@@ -103,6 +112,7 @@
             network,
             platform_list,
             processes: Mutex::default(),
+            links: Mutex::default(),
             control: Mutex::new((0..shape.control_machines).collect()),
             observations,
         })
@@ -117,6 +127,25 @@
         SocketAddr::new(self.ip(machine), self.base_port + FRONTEND_PORT)
     }
 
+    /// Opens a connection of a client to the edge of a machine.
+    pub(super) fn connect(&self, machine: usize) -> Result<TcpStream> {
+        let address = self.frontend(machine);
+        if !self.shape.has_narrow_links {
+            return Ok(TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?);
+        }
+        let properties = LinkProperties {
+            bytes_per_second: self.shape.link_mbps * BYTES_PER_MEGABIT,
+            delay: LINK_DELAY,
+        };
+        let mut links = self.links.lock().expect("no holder panics");
+        let link = links
+            .entry(machine)
+            .or_insert_with(|| Arc::new(NarrowLink::new(address, properties)))
+            .clone();
+        drop(links);
+        link.connect()
+    }
+
     /// Returns the address of the readiness check.
     pub(super) fn readiness(&self, machine: usize) -> SocketAddr {
         SocketAddr::new(self.ip(machine), self.base_port)
@@ -304,6 +333,7 @@
         };
         let bounds = self.shape.bounds;
         let zone_index = machine % ZONES.len();
+        let link_mbps = self.shape.link_mbps;
         format!(
             r#"[self_identity]
 node_name = "{role}-{machine}"
@@ -321,7 +351,7 @@
 cpu_cores = 1
 memory_mb = 160
 max_open_files = 3000
-bandwidth_mbps = 100.0
+bandwidth_mbps = {link_mbps:.1}
 disk_mb = 64
 [network]
 internal_port_range = [{inner},{inner_end}]
--- a/stand-ins/src/platform_soak/origin_pool.rs
+++ b/stand-ins/src/platform_soak/origin_pool.rs
@@ -16,6 +16,9 @@
 const LONG_WORK_ONE_IN: u64 = 50;
 const LONG_WORK_MS: u64 = 900;
 
+/// Ends of the targets of large objects; a route has twenty objects.
+const LARGE_OBJECTS: [&str; 3] = ["/object-0", "/object-8", "/object-16"];
+
 /// Running origin.
 struct RunningOrigin {
     listed: ListedInstance,
@@ -185,6 +188,18 @@
         Some(())
     }
 
+    /// Returns the body of a response: the service in the first line, then the filler of
+    /// large objects.
+    fn body(&self, request: &HttpMessage, service: &str) -> String {
+        let is_large = LARGE_OBJECTS
+            .iter()
+            .any(|object| request.target().ends_with(object));
+        if self.shape.filler_bytes == 0 || !request.start_line.starts_with("GET ") || !is_large {
+            return service.into();
+        }
+        format!("{service}\n{}", "x".repeat(self.shape.filler_bytes))
+    }
+
     fn respond(&self, request: &HttpMessage, id: &str, service: &str) -> HttpMessage {
         let request_id = request.header("Request-Id").unwrap_or_default();
         let expected = request.header("Expected-Instance");
@@ -211,7 +226,7 @@
             .with_header("Request-Id", request_id)
             .with_header("Origin-Signature", format!("signed-{request_id}"))
             .with_header("ETag", "\"1\"")
-            .with_body(service)
+            .with_body(self.body(request, service))
     }
 }
 
--- a/stand-ins/src/platform_soak/shape.rs
+++ b/stand-ins/src/platform_soak/shape.rs
@@ -24,6 +24,12 @@
     pub max_routes: usize,
     /// Number of edges that are restarted at the same time.
     pub rolls_at_once: usize,
+    /// Bandwidth of a machine's link in megabits per second, as its settings state it.
+    pub link_mbps: f64,
+    /// True if the clients reach each machine through a stand-in for its link.
+    pub has_narrow_links: bool,
+    /// Size of the filler in responses to GET requests of large objects, in bytes.
+    pub filler_bytes: usize,
     /// Bounds of the rules.
     pub bounds: RuleBounds,
 }
@@ -68,8 +74,11 @@
     min_served_fraction: 0.4,
 };
 
+/// Bandwidth of a link that is never full, in megabits per second.
+const FAST_LINK_MBPS: f64 = 100.0;
+
 /// Known shapes; the loopback network of a run has room for the largest.
-const SHAPES: [FleetShape; 3] = [
+const SHAPES: [FleetShape; 4] = [
     FleetShape {
         name: "small",
         control_machines: 4,
@@ -81,6 +90,25 @@
         initial_routes: 12,
         max_routes: 60,
         rolls_at_once: 1,
+        link_mbps: FAST_LINK_MBPS,
+        has_narrow_links: false,
+        filler_bytes: 0,
+        bounds: BOUNDS,
+    },
+    FleetShape {
+        name: "narrow",
+        control_machines: 4,
+        machines: 8,
+        tolerated: 2,
+        services: 2,
+        origins: 6,
+        clients: 160,
+        initial_routes: 12,
+        max_routes: 60,
+        rolls_at_once: 1,
+        link_mbps: 8.0,
+        has_narrow_links: true,
+        filler_bytes: 100 * 1024,
         bounds: BOUNDS,
     },
     FleetShape {
@@ -94,6 +122,9 @@
         initial_routes: 24,
         max_routes: 400,
         rolls_at_once: 6,
+        link_mbps: FAST_LINK_MBPS,
+        has_narrow_links: false,
+        filler_bytes: 0,
         bounds: BOUNDS,
     },
     FleetShape {
@@ -107,6 +138,9 @@
         initial_routes: 24,
         max_routes: 400,
         rolls_at_once: 8,
+        link_mbps: FAST_LINK_MBPS,
+        has_narrow_links: false,
+        filler_bytes: 0,
         bounds: RuleBounds {
             contact_window: 3.0,
             drain_timeout: 2.0,
