--- a/stand-ins/src/platform_soak/shape.rs
+++ b/stand-ins/src/platform_soak/shape.rs
@@ -77,39 +77,33 @@
 /// Bandwidth of a link that is never full, in megabits per second.
 const FAST_LINK_MBPS: f64 = 100.0;
 
+/// Small fleet.
+const SMALL: FleetShape = FleetShape {
+    name: "small",
+    control_machines: 4,
+    machines: 8,
+    tolerated: 2,
+    services: 2,
+    origins: 6,
+    clients: 160,
+    initial_routes: 12,
+    max_routes: 60,
+    rolls_at_once: 1,
+    link_mbps: FAST_LINK_MBPS,
+    has_narrow_links: false,
+    filler_bytes: 0,
+    bounds: BOUNDS,
+};
+
 /// Known shapes; the loopback network of a run has room for the largest.
 const SHAPES: [FleetShape; 4] = [
-    FleetShape {
-        name: "small",
-        control_machines: 4,
-        machines: 8,
-        tolerated: 2,
-        services: 2,
-        origins: 6,
-        clients: 160,
-        initial_routes: 12,
-        max_routes: 60,
-        rolls_at_once: 1,
-        link_mbps: FAST_LINK_MBPS,
-        has_narrow_links: false,
-        filler_bytes: 0,
-        bounds: BOUNDS,
-    },
+    SMALL,
     FleetShape {
         name: "narrow",
-        control_machines: 4,
-        machines: 8,
-        tolerated: 2,
-        services: 2,
-        origins: 6,
-        clients: 160,
-        initial_routes: 12,
-        max_routes: 60,
-        rolls_at_once: 1,
         link_mbps: 8.0,
         has_narrow_links: true,
         filler_bytes: 100 * 1024,
-        bounds: BOUNDS,
+        ..SMALL
     },
     FleetShape {
         name: "hotels",
