Pacer: small responses overtake a large one only for a bounded time

The order by fewest remaining bytes lets a large response wait as long as smaller ones come, until its connection is closed for lack of progress: a response cut off. Each queued connection now keeps the position of its finish tag (bytes written so far plus its own), so later ones overtake it only until as many bytes as its own were written. Test: large_response_is_completed_in_spite_of_smaller_later_ones fails with the order by remaining bytes (tried on this code) and passes; http-line: all tests pass; shutdown_on_a_full_link passes.

--- a/http-line/src/event_loop.rs
+++ b/http-line/src/event_loop.rs
@@ -275,6 +275,7 @@
     /// closed when it is dropped.
     fn release(&mut self, token: usize, mut connection: Connection) {
         self.count_unsent(&mut connection, 0);
+        self.pacer.complete(token);
         self.shared.open.fetch_sub(1, Ordering::Relaxed);
         if connection.busy {
             self.shared.busy.fetch_sub(1, Ordering::SeqCst);
--- a/http-line/src/event_loop/server_io.rs
+++ b/http-line/src/event_loop/server_io.rs
@@ -70,6 +70,9 @@
             server.record_write(self.now);
             self.pacer.spend(paced.progress.written);
         }
+        if server.output.is_empty() {
+            self.pacer.complete(token);
+        }
         match paced.progress.result {
             Err(error) if error.kind() == ErrorKind::WouldBlock && paced.allowance_spent => {
                 connection.queued_in_pacer = true;
--- a/http-line/src/pacer.rs
+++ b/http-line/src/pacer.rs
@@ -10,21 +10,31 @@
 pub(crate) struct Pacer {
     /// Rate of the link; `None` disables pacing.
     send_rate: Option<Arc<SendRate>>,
-    /// The queued connections. The one with the fewest bytes left to write is served
-    /// first, so that as many responses as possible are complete at any time, and small
-    /// ones do not wait behind large ones.
+    /// The queued connections, in the order in which they are served.
     queue: BTreeSet<QueuedConnection>,
-    /// Number of connections queued so far.
-    queued_count: u64,
+    /// The positions of the connections that are queued or being served.
+    positions: HashMap<usize, QueuePosition>,
+    /// Number of bytes written so far, by all connections.
+    written_bytes: u64,
+    /// Number of positions assigned so far.
+    position_count: u64,
+}
+
+/// The position of a connection in the queue, which it keeps until it has written all its
+/// bytes. The order completes one response after the other, small ones before large
+/// ones; later responses overtake one only until as many bytes as its own were written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct QueuePosition {
+    /// Number of bytes that all connections had written when the connection was queued
+    /// first, plus the number of its own bytes.
+    finish_tag: u64,
+    /// Connections with the same tag are served in the order in which they were queued.
+    order: u64,
 }
 
-/// A connection in the queue, ordered by its remaining bytes.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueuedConnection {
-    remaining: usize,
-    /// Connections with equally many bytes are served in the order in which they were
-    /// queued.
-    order: u64,
+    position: QueuePosition,
     token: usize,
 }
 
@@ -34,7 +44,9 @@
         Pacer {
             send_rate,
             queue: BTreeSet::new(),
-            queued_count: 0,
+            positions: HashMap::new(),
+            written_bytes: 0,
+            position_count: 0,
         }
     }
 
@@ -67,7 +79,8 @@
     }
 
     /// Counts `size` written bytes.
-    pub(crate) fn spend(&self, size: usize) {
+    pub(crate) fn spend(&mut self, size: usize) {
+        self.written_bytes += size as u64;
         if let Some(send_rate) = &self.send_rate {
             send_rate.spend(size);
         }
@@ -75,12 +88,19 @@
 
     /// Queues a connection that has `remaining` bytes to write.
     pub(crate) fn enqueue(&mut self, token: usize, remaining: usize) {
-        self.queued_count += 1;
-        self.queue.insert(QueuedConnection {
-            remaining,
-            order: self.queued_count,
-            token,
+        let position = *self.positions.entry(token).or_insert_with(|| {
+            self.position_count += 1;
+            QueuePosition {
+                finish_tag: self.written_bytes + remaining as u64,
+                order: self.position_count,
+            }
         });
+        self.queue.insert(QueuedConnection { position, token });
+    }
+
+    /// Forgets the position of a connection that has written all its bytes or is closed.
+    pub(crate) fn complete(&mut self, token: usize) {
+        self.positions.remove(&token);
     }
 
     /// Removes and returns the next queued connection, if anything may be written now.
--- a/http-line/src/pacer/tests.rs
+++ b/http-line/src/pacer/tests.rs
@@ -39,6 +39,8 @@
             remaining[token] -= size;
             if remaining[token] > 0 {
                 pacer.enqueue(token, remaining[token]);
+            } else {
+                pacer.complete(token);
             }
         }
     }
@@ -48,10 +50,39 @@
     assert!(remaining.iter().filter(|bytes| **bytes == 0).count() >= 7);
 }
 
+/// Guards against a large response that is never written, and cut off in the end, because
+/// smaller ones come all the time.
+#[test]
+fn large_response_is_completed_in_spite_of_smaller_later_ones() {
+    const LARGE_BYTES: usize = 700_000;
+    const SMALL_BYTES: usize = 50_000;
+    let mut now = Instant::now();
+    let mut pacer = pacer_of(BANDWIDTH, now);
+    let mut remaining = vec![LARGE_BYTES];
+    pacer.enqueue(0, LARGE_BYTES);
+    // For eight seconds, five times as much as the bandwidth.
+    for _ in 0..800 {
+        now += STEP;
+        remaining.push(SMALL_BYTES);
+        pacer.enqueue(remaining.len() - 1, SMALL_BYTES);
+        while let Some(token) = pacer.dequeue(now) {
+            let size = pacer.allowance(now).min(remaining[token]);
+            pacer.spend(size);
+            remaining[token] -= size;
+            if remaining[token] > 0 {
+                pacer.enqueue(token, remaining[token]);
+            } else {
+                pacer.complete(token);
+            }
+        }
+    }
+    assert_eq!(remaining[0], 0, "bytes left of the large response");
+}
+
 #[test]
 fn unknown_bandwidth_is_not_paced() {
     let now = Instant::now();
-    for pacer in [Pacer::new(None), pacer_of(0.0, now)] {
+    for mut pacer in [Pacer::new(None), pacer_of(0.0, now)] {
         pacer.spend(1 << 30);
         assert_eq!(pacer.allowance(now), usize::MAX);
         assert_eq!(pacer.due(), None);
