--- a/data-plane/tests/http_frontend.rs
+++ b/data-plane/tests/http_frontend.rs
@@ -15,17 +15,24 @@
 /// An HTTP frontend whose inputs to the state machine are received by the test.
 struct TestFrontend {
     frontend: HttpFrontend,
+    port: Arc<Port>,
     inputs: flume::Receiver<Input>,
     http: SocketAddr,
 }
 
 impl TestFrontend {
     fn new() -> TestFrontend {
+        TestFrontend::with_link(None)
+    }
+
+    /// Opens a frontend whose link has this bandwidth in megabits per second.
+    fn with_link(link_mbps: Option<f64>) -> TestFrontend {
         let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
         let http = listener.local_addr().unwrap();
         drop(listener);
         let startup = Startup {
             http: Some(http),
+            link_mbps,
             ..Startup::default()
         };
         let (inputs_sender, inputs) = flume::unbounded();
@@ -36,6 +43,7 @@
         frontend.open(&port).unwrap();
         TestFrontend {
             frontend,
+            port,
             inputs,
             http,
         }
@@ -44,10 +52,13 @@
     /// Sends a client's request. Returns its connection, and the request as the state
     /// machine receives it.
     fn send_request(&self) -> (TcpStream, u64, ClientRequest) {
+        self.send_request_to("/low")
+    }
+
+    fn send_request_to(&self, target: &str) -> (TcpStream, u64, ClientRequest) {
         let mut client = TcpStream::connect(self.http).unwrap();
-        client
-            .write_all(b"GET /low HTTP/1.1\r\nHost: h\r\n\r\n")
-            .unwrap();
+        let request = format!("GET {target} HTTP/1.1\r\nHost: h\r\n\r\n");
+        client.write_all(request.as_bytes()).unwrap();
         match self.inputs.recv_timeout(ARRIVAL_TIMEOUT) {
             Ok(Input::ClientRequest { id, request }) => (client, id, request),
             other => panic!("{other:?}"),
@@ -138,3 +149,35 @@
     assert_eq!(end.kind(), std::io::ErrorKind::ConnectionReset);
     assert!(test_frontend.inputs.recv_timeout(QUIET_PERIOD).is_err());
 }
+
+/// Guards against large responses that are cut off at the exit: if the link cannot send
+/// one in time, a request that may be repeated is rejected; any other gets its response,
+/// since it has run.
+#[test]
+fn large_response_is_replaced_only_if_its_request_may_be_repeated() {
+    const LINK_MBPS: f64 = 1.0;
+    const BODY_BYTES: usize = 200_000;
+    let test_frontend = TestFrontend::with_link(Some(LINK_MBPS));
+    // The client of this request sends no timeout: the route's deadline limits it.
+    for (target, is_replaced) in [("/once", false), ("/copy", true)] {
+        let (mut client, id, request) = test_frontend.send_request_to(target);
+        let seconds = BODY_BYTES as f64 / (LINK_MBPS * 125_000.0);
+        let bodies = (request.entry().deadline().as_secs_f64() / seconds).ceil() as usize;
+        let reply = Reply {
+            status: 200,
+            body: Arc::new(vec![b'x'; BODY_BYTES * (bodies + 1)]),
+            ..Reply::default()
+        };
+        let response = ClientResponse::Reply { reply, age: None };
+        let output = Output::ClientResponse { id, response };
+        test_frontend.port.complete(id, output);
+        client.set_read_timeout(Some(ARRIVAL_TIMEOUT)).unwrap();
+        let mut start = [0; 12];
+        client.read_exact(&mut start).unwrap();
+        let expected: &[u8; 12] = match is_replaced {
+            true => b"HTTP/1.1 503",
+            false => b"HTTP/1.1 200",
+        };
+        assert_eq!(&start, expected, "{target}");
+    }
+}
