--- a/stand-ins/src/platform_soak/machines.rs
+++ b/stand-ins/src/platform_soak/machines.rs
@@ -45,7 +45,8 @@
             ProcessSignal::Terminate => ProcessEventKind::Terminated,
             ProcessSignal::Reload => ProcessEventKind::SettingsChanged,
             ProcessSignal::Kill => ProcessEventKind::Killed,
-            ProcessSignal::Suspend | ProcessSignal::Continue => ProcessEventKind::Suspended,
+            ProcessSignal::Suspend => ProcessEventKind::Suspended,
+            ProcessSignal::Continue => ProcessEventKind::Resumed,
         }
     }
 }
--- a/stand-ins/src/platform_soak/observations.rs
+++ b/stand-ins/src/platform_soak/observations.rs
@@ -181,8 +181,10 @@
     KilledAfterGrace,
     /// The process was killed without SIGTERM.
     Killed,
-    /// The process was suspended or resumed.
+    /// The process was suspended.
     Suspended,
+    /// The process was resumed after a suspension.
+    Resumed,
     /// The process exited without a signal from the test.
     Crashed,
 }
--- a/stand-ins/src/platform_soak/verdict/contact.rs
+++ b/stand-ins/src/platform_soak/verdict/contact.rs
@@ -1,5 +1,8 @@
 //! Times at which machines are in contact and the control nodes are settled, as
 //! the users' rules define them.
+#[cfg(test)]
+mod tests;
+
 use super::super::observations::{Interval, ProcessEvent, ProcessEventKind};
 use std::collections::HashMap;
 
@@ -26,18 +29,15 @@
             // A process is absent from its end to its next start, and while it
             // is suspended.
             let from = match event.kind {
-                ProcessEventKind::Started | ProcessEventKind::Suspended => {
+                ProcessEventKind::Started | ProcessEventKind::Resumed => {
                     absent_since.remove(&process).unwrap_or(event.at)
                 }
-                _ => event.at,
+                ProcessEventKind::SettingsChanged => continue,
+                _ => {
+                    absent_since.entry(process).or_insert(event.at);
+                    event.at
+                }
             };
-            if event.kind != ProcessEventKind::Started {
-                absent_since.entry(process).or_insert(event.at);
-            }
-            if event.kind == ProcessEventKind::SettingsChanged {
-                absent_since.remove(&process);
-                continue;
-            }
             record.add(event, Interval { from, to: event.at });
         }
         record
