--- a/http-line/src/pacer.rs
+++ b/http-line/src/pacer.rs
@@ -20,9 +20,9 @@
     position_count: u64,
 }
 
-/// The position of a connection in the queue, which it keeps until it has written all its
-/// bytes. The order completes one response after the other, small ones before large
-/// ones; later responses overtake one only until as many bytes as its own were written.
+/// The position of a connection among those with much to write, which it keeps until it
+/// has written all its bytes. The order completes one response after the other, smaller
+/// ones first; later ones overtake one only until as many bytes as its own were written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct QueuePosition {
     /// Number of bytes that all connections had written when the connection was queued
@@ -32,12 +32,18 @@
     order: u64,
 }
 
+/// A connection in the queue. Those that are nearly done come first, so that small
+/// responses do not wait behind large ones.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueuedConnection {
+    has_much_to_write: bool,
     position: QueuePosition,
     token: usize,
 }
 
+/// A connection with more than this number of quanta left has much to write.
+const NEARLY_DONE_QUANTA: usize = 2;
+
 impl Pacer {
     /// Creates a pacer without queued connections.
     pub(crate) fn new(send_rate: Option<Arc<SendRate>>) -> Pacer {
@@ -95,7 +101,15 @@
                 order: self.position_count,
             }
         });
-        self.queue.insert(QueuedConnection { position, token });
+        let quantum = self
+            .send_rate
+            .as_ref()
+            .map_or(usize::MAX, |send_rate| send_rate.quantum());
+        self.queue.insert(QueuedConnection {
+            has_much_to_write: remaining > quantum.saturating_mul(NEARLY_DONE_QUANTA),
+            position,
+            token,
+        });
     }
 
     /// Forgets the position of a connection that has written all its bytes or is closed.
--- a/http-line/src/pacer/tests.rs
+++ b/http-line/src/pacer/tests.rs
@@ -22,6 +22,20 @@
     assert_eq!(pacer.dequeue(now), Some(0), "then in order");
 }
 
+/// Guards against small responses that are late because large ones were queued long before.
+#[test]
+fn small_response_precedes_large_ones_that_have_waited() {
+    let now = Instant::now();
+    let mut pacer = pacer_of(BANDWIDTH, now);
+    for token in 0..50 {
+        pacer.enqueue(token, 120_000);
+    }
+    pacer.spend(1_000_000);
+    pacer.enqueue(99, 6_000);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(pacer.dequeue(later), Some(99));
+}
+
 /// Guards against a full link on which all responses progress and none is completed.
 #[test]
 fn started_response_is_completed_before_others_of_its_size() {
