--- a/control-plane/src/history/tests.rs
+++ b/control-plane/src/history/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of `history`.
 use crate::prelude::*;
 
+/// Maximum time to wait for the writer.
+const WRITER_TIMEOUT: Duration = Duration::from_secs(10);
+
 #[test]
 fn versions_are_listed_and_diffed_and_broken_store_fails() {
     let data = std::env::temp_dir().join(format!("otterslip-history-{}", std::process::id()));
@@ -23,6 +26,18 @@
     std::fs::write(data.join("history"), "x").unwrap();
     assert!(History::open(&data).is_err());
     let sender = History::spawn_writer(data.clone());
-    assert!(sender.try_send((9, "text".into())).is_ok());
+    let text: Arc<str> = "text".into();
+    let in_use = Arc::downgrade(&text);
+    assert!(sender.try_send((9, text)).is_ok());
+    // The writer drops the text once it has tried to store it. Until then it may create
+    // files in the folder that is removed below.
+    let deadline = Instant::now() + WRITER_TIMEOUT;
+    while in_use.strong_count() > 0 {
+        assert!(
+            Instant::now() < deadline,
+            "the writer has not ended its attempt"
+        );
+        thread::sleep(Duration::from_millis(1));
+    }
     std::fs::remove_dir_all(&data).unwrap();
 }
