--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -70,10 +70,6 @@
         Ok(())
     }
 
-    fn measures_link_delay(&self, startup: &Startup) -> bool {
-        !startup.shield
-    }
-
     fn call(&self, id: u64, call: Call) {
         let (Some(handler), Some(event_loop)) = (&self.handler, self.event_loop()) else {
             return;
--- a/kernel/src/frontend.rs
+++ b/kernel/src/frontend.rs
@@ -58,12 +58,6 @@
     /// Starts to listen and serve; serving ends when the port is ending.
     fn open(&mut self, port: &Arc<Port>) -> Result<(), FrontendError>;
 
-    /// Returns true if the process measures the delay of its machine's link. Only then are
-    /// bulk messages to peers paced: otherwise the rate does not follow the traffic.
-    fn measures_link_delay(&self, _startup: &Startup) -> bool {
-        false
-    }
-
     /// Makes a call to an origin; `Input::CallCompleted` follows.
     fn call(&self, id: u64, call: Call);
 
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -90,9 +90,7 @@
             source,
         })?;
         let port = Arc::new(Port::new(input_sender.clone(), self.startup.clone())?);
-        let measures_delay = self.frontend.measures_link_delay(&self.startup);
-        let send_rate = port.send_rate.clone().filter(|_| measures_delay);
-        let links = Links::open(self.local_peer, listener, input_sender.clone(), send_rate)
+        let links = Links::open(self.local_peer, listener, input_sender.clone(), None)
             .map_err(HostError::Links)?;
         self.frontend.open(&port)?;
         self.start_sources(&port);
--- a/kernel/src/link/mod.rs
+++ b/kernel/src/link/mod.rs
@@ -12,9 +12,9 @@
 //! and bulk messages have separate limits: when bulk is dropped because its queue
 //! is full, urgent messages are still accepted.
 //!
-//! On edges, bulk messages to all peers together are paced by the [`SendRate`] of the
-//! machine's link, which responses to clients share: otherwise the bulk of many sessions fills the
-//! queue of the link, and the urgent messages and calls of all others wait in it.
+//! Bulk messages to all peers together can be paced by the [`SendRate`] of the machine's
+//! link. Without it, the bulk of many sessions may fill the queue of the link, and the
+//! urgent messages and calls of all others wait in it.
 //!
 //! # Why no receiver depends on the order between the two priorities
 //!
