Failing tests of clients that do not behave, and the tools for them

The tests start three control nodes and three edges as processes, with 64 MB, 400 descriptors and bodies of 16 MiB in their settings, and send small crowds (24, 60 and 300 clients) to clients', readiness and operators' ports. Judged: the process lives, its resident memory plus the bytes in its receive queues stays within the settings' memory, its descriptors within the settings' less the 200 that the platform reserves, and an ordinary request of each port is answered while the crowd is still connected. One test runs at a time. Crowds and bounds are those of the settings.

--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod flags;
 pub mod fleet;
 pub mod history;
+pub mod misbehaving_clients;
 pub mod narrow_link;
 pub mod origin;
 pub mod platform_soak;
--- a/stand-ins/src/platform_soak/http_message.rs
+++ b/stand-ins/src/platform_soak/http_message.rs
@@ -3,18 +3,18 @@
 
 /// Request or response.
 #[derive(Debug, Clone, Default)]
-pub(super) struct HttpMessage {
+pub(crate) struct HttpMessage {
     /// Request line or status line.
-    pub(super) start_line: String,
+    pub(crate) start_line: String,
     /// Header names and values.
-    pub(super) headers: Vec<(String, String)>,
+    pub(crate) headers: Vec<(String, String)>,
     /// Body, with the length given by `Content-Length`.
-    pub(super) body: Vec<u8>,
+    pub(crate) body: Vec<u8>,
 }
 
 impl HttpMessage {
     /// Creates a response with this status and no headers.
-    pub(super) fn response(status: u16) -> HttpMessage {
+    pub(crate) fn response(status: u16) -> HttpMessage {
         HttpMessage {
             start_line: format!("HTTP/1.1 {status} X"),
             ..HttpMessage::default()
@@ -22,19 +22,19 @@
     }
 
     /// Adds a header.
-    pub(super) fn with_header(mut self, name: &str, value: impl Into<String>) -> HttpMessage {
+    pub(crate) fn with_header(mut self, name: &str, value: impl Into<String>) -> HttpMessage {
         self.headers.push((name.to_string(), value.into()));
         self
     }
 
     /// Sets the body.
-    pub(super) fn with_body(mut self, body: impl Into<Vec<u8>>) -> HttpMessage {
+    pub(crate) fn with_body(mut self, body: impl Into<Vec<u8>>) -> HttpMessage {
         self.body = body.into();
         self
     }
 
     /// Returns the first value of a header.
-    pub(super) fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         self.headers
             .iter()
             .find(|(header, _)| header.eq_ignore_ascii_case(name))
@@ -43,17 +43,17 @@
 
     /// Returns the second word of the start line, which is the target of a
     /// request.
-    pub(super) fn target(&self) -> &str {
+    pub(crate) fn target(&self) -> &str {
         self.start_line.split(' ').nth(1).unwrap_or_default()
     }
 
     /// Returns the status of a response; 0 if there is none.
-    pub(super) fn status(&self) -> u16 {
+    pub(crate) fn status(&self) -> u16 {
         self.target().parse().unwrap_or(0)
     }
 
     /// Returns true if the sender closes the connection after this message.
-    pub(super) fn closes_connection(&self) -> bool {
+    pub(crate) fn closes_connection(&self) -> bool {
         self.header("connection")
             .is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
@@ -64,7 +64,7 @@
     ///
     /// Returns an error if the connection failed, timed out, or ended within
     /// the message.
-    pub(super) fn read(input: &mut impl BufRead) -> io::Result<Option<HttpMessage>> {
+    pub(crate) fn read(input: &mut impl BufRead) -> io::Result<Option<HttpMessage>> {
         let Some(start_line) = read_line(input)? else {
             return Ok(None);
         };
@@ -95,7 +95,7 @@
     /// # Errors
     ///
     /// Returns an error if the message cannot be written completely.
-    pub(super) fn write(&self, output: &mut impl Write) -> io::Result<()> {
+    pub(crate) fn write(&self, output: &mut impl Write) -> io::Result<()> {
         let mut bytes = format!("{}\r\n", self.start_line).into_bytes();
         for (name, value) in &self.headers {
             bytes.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
--- a/stand-ins/src/platform_soak/machines.rs
+++ b/stand-ins/src/platform_soak/machines.rs
@@ -7,7 +7,7 @@
 
 /// Role of a process of a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(super) enum ProcessRole {
+pub enum ProcessRole {
     /// Serves clients.
     Edge,
     /// Serves operators and keeps the control state.
@@ -271,6 +271,13 @@
         exited
     }
 
+    /// Returns the id of a process that is running.
+    pub(super) fn process_id(&self, machine: usize, role: ProcessRole) -> Option<u32> {
+        let mut processes = self.processes.lock().expect("no holder panics");
+        let child = processes.get_mut(&(machine, role))?;
+        matches!(child.try_wait(), Ok(None)).then(|| child.id())
+    }
+
     /// Records processes that exited without a signal from the test.
     pub(super) fn record_crashes(&self) {
         let mut processes = self.processes.lock().expect("no holder panics");
@@ -350,8 +357,8 @@
 [self_identity.limits]
 cpu_share = 0.25
 cpu_cores = 1
-memory_mb = 160
-max_open_files = 3000
+memory_mb = {memory_mb}
+max_open_files = {max_open_files}
 bandwidth_mbps = {link_mbps:.1}
 disk_mb = 64
 [network]
@@ -402,6 +409,8 @@
 recovery_s = 15
 "#,
             ip = self.ip(machine),
+            memory_mb = self.shape.memory_mb,
+            max_open_files = self.shape.max_open_files,
             zone = ZONES[zone_index],
             region = REGIONS[zone_index],
             data = data.display(),
--- a/stand-ins/src/platform_soak/mod.rs
+++ b/stand-ins/src/platform_soak/mod.rs
@@ -6,13 +6,14 @@
 //! own address. The platform's list, origins, operators and clients are threads
 //! of this process.
 mod balancer;
-mod http_message;
+pub(crate) mod http_message;
 mod instance_list;
 mod keep_alive_client;
 mod machines;
 mod observations;
 mod operators;
 mod origin_pool;
+mod quiet_fleet;
 mod routes;
 mod series;
 mod shape;
@@ -22,10 +23,12 @@
 use balancer::Balancer;
 use instance_list::InstanceList;
 use keep_alive_client::{ClientContext, KeepAliveClient};
+pub use machines::ProcessRole;
 use machines::{Machines, network_of_run};
 pub use observations::*;
 use operators::Operators;
 use origin_pool::OriginPool;
+pub use quiet_fleet::QuietFleet;
 use routes::RouteBook;
 pub use series::Scenario;
 use series::ScenarioRunner;
--- a/stand-ins/src/platform_soak/routes.rs
+++ b/stand-ins/src/platform_soak/routes.rs
@@ -126,7 +126,7 @@
     let mut order = routes_order(versions);
     order["upsert"]["backends"] = json!(backends);
     order["upsert"]["limits"] = json!({
-        "max_header_bytes": 16384, "max_body_bytes": 67_108_864, "header_timeout_s": 3,
+        "max_header_bytes": 16384, "max_body_bytes": shape.max_body_bytes, "header_timeout_s": 3,
         "idle_timeout_s": 15, "revision": 7,
     });
     order.to_string()
--- a/stand-ins/src/platform_soak/shape.rs
+++ b/stand-ins/src/platform_soak/shape.rs
@@ -30,6 +30,12 @@
     pub has_narrow_links: bool,
     /// Size of the filler in responses to GET requests of large objects, in bytes.
     pub filler_bytes: usize,
+    /// Memory limit of a process in megabytes, as its settings state it.
+    pub memory_mb: u64,
+    /// Maximum number of descriptors of a process, as its settings state it.
+    pub max_open_files: u64,
+    /// Maximum size of a request body in bytes, as the configuration states it.
+    pub max_body_bytes: usize,
     /// Bounds of the rules.
     pub bounds: RuleBounds,
 }
@@ -92,6 +98,9 @@
     link_mbps: FAST_LINK_MBPS,
     has_narrow_links: false,
     filler_bytes: 0,
+    memory_mb: 160,
+    max_open_files: 3000,
+    max_body_bytes: 64 * 1024 * 1024,
     bounds: BOUNDS,
 };
 
@@ -118,8 +127,8 @@
         rolls_at_once: 6,
         link_mbps: FAST_LINK_MBPS,
         has_narrow_links: false,
-        filler_bytes: 0,
         bounds: BOUNDS,
+        ..SMALL
     },
     FleetShape {
         name: "vans",
@@ -134,13 +143,13 @@
         rolls_at_once: 8,
         link_mbps: FAST_LINK_MBPS,
         has_narrow_links: false,
-        filler_bytes: 0,
         bounds: RuleBounds {
             contact_window: 3.0,
             drain_timeout: 2.0,
             config_apply: 2.0,
             ..BOUNDS
         },
+        ..SMALL
     },
 ];
 
