Operators' port is served by http-line: one request no longer ends a control node

Callers saw: after one request with Content-Length and three bytes, on any path, the control node was gone; after two, no edge served.

Cause: the server of rouille (tiny_http) allocates what a request announces when it drops an unread body. The kernel refused the allocation and the process ended. It also keeps a thread a connection and has no limit on connections or bodies of its own.

Change: OperatorServer runs on http-line, the event loop that edges use. The plug-ins and their request and response types are unchanged.

Why it works: nothing allocates by an announcement any more.

--- a/data-plane/src/http_frontend/handler.rs
+++ b/data-plane/src/http_frontend/handler.rs
@@ -101,27 +101,8 @@
 
     /// Serves a request from an operator or the platform with a plug-in.
     fn serve_plug_in(&self, exchange: u64, received: Request) {
-        let request = rouille::Request::fake_http(
-            received.method,
-            received.target,
-            received.headers,
-            received.body,
-        );
-        let response = serve_plug_ins(&self.plug_ins, &self.port, &request);
-        let headers = response
-            .headers
-            .iter()
-            .map(|(name, value)| (name.to_string(), value.to_string()))
-            .collect();
-        let (mut reader, _) = response.data.into_reader_and_size();
-        let mut body = Vec::new();
-        let _ = reader.read_to_end(&mut body);
-        let response = HttpResponse {
-            status: response.status_code,
-            headers,
-            body: Arc::new(body),
-        };
-        self.respond(exchange, response);
+        let response = serve_http(&self.plug_ins, &self.port, received);
+        self.event_loop.wait().respond(exchange, response);
     }
 
     /// Applies the limits of the current configuration, if they have changed.
--- a/kernel/src/plug_in.rs
+++ b/kernel/src/plug_in.rs
@@ -87,6 +87,43 @@
         })
 }
 
+/// Serves a request that an event loop has read.
+pub fn serve_http(
+    plug_ins: &[&PlugIn],
+    port: &Port,
+    request: http_line::Request,
+) -> http_line::Response {
+    let request = rouille::Request::fake_http(
+        request.method,
+        request.target,
+        request.headers,
+        request.body,
+    );
+    into_http_response(serve_plug_ins(plug_ins, port, &request))
+}
+
+/// Converts the response of a plug-in.
+pub(crate) fn into_http_response(response: rouille::Response) -> http_line::Response {
+    let headers = response
+        .headers
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.to_string()))
+        .collect();
+    let (mut reader, _) = response.data.into_reader_and_size();
+    let mut body = Vec::new();
+    let is_complete = reader.read_to_end(&mut body).is_ok();
+    http_line::Response {
+        status: if is_complete {
+            response.status_code
+        } else {
+            500
+        },
+        headers,
+        body: body.into(),
+        ..http_line::Response::default()
+    }
+}
+
 /// Creates a JSON response.
 pub fn json_response(status: u16, body: &impl Serialize) -> rouille::Response {
     let text = serde_json::to_string(body).unwrap_or_default();
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -32,7 +32,7 @@
 pub use crate::lease;
 pub use crate::link::{LinkCounters, Links, Priority, QueueLimits};
 pub use crate::message::*;
-pub use crate::operator_server::OperatorServer;
+pub use crate::operator_server::{MAX_OPERATOR_BODY_BYTES, OperatorServer};
 pub use crate::origin::*;
 pub use crate::partition::*;
 pub use crate::peer::{Peer, RandomnessError, new_incarnation};
