Bytes held for clients come out of one budget of the process

Callers saw: 24 bodies of 16 MiB a byte short took 410 MB of an edge with 64 MB, 60 endless chunked ones 518 MB, and a control node 402 and 505 MB; much of it was kept after the clients had gone.

Cause: each connection could hold a body of the largest size, for as long as the time that its size earned; nothing added them up. The allocator kept what large bodies freed.

Change: the crate byte-budget. One budget a process, from its memory (half at an edge, a sixteenth at a control node; an eighth of it is left to bodies up to 64 KiB). Counted: bodies from their first byte until the last holder drops them, at a call too; input that is buffered or may arrive while nothing is read; responses of a connection's own. What does not fit is refused with 503 and Retry-After; before that, bodies that had under 16 KiB in the last second end with 408, the largest first. Input behind unanswered requests that does not fit is discarded, the requests that were read are answered. Bodies over 64 KiB lie in pages of their own (memmap2), which go back at once. Receive buffers of client connections are 32 KiB. A body that cannot fit on the machine is too large (413).

Why it works: bytes that wait are counted where they wait, so refusing does not move them into the receive queue, which is bounded too.

Calls' and requests' bodies are HeldBytes in place of Vec: tests that build them convert; no assertion changed.

--- a/data-plane/src/filter.rs
+++ b/data-plane/src/filter.rs
@@ -16,7 +16,7 @@
     /// All headers as received.
     pub headers: Vec<(String, String)>,
     /// The body.
-    pub body: Arc<Vec<u8>>,
+    pub body: Arc<HeldBytes>,
     /// The operation key, if the request has one in the header that the protocol uses.
     pub operation_key: Option<String>,
     /// The client's timeout, if it sent one.
--- a/data-plane/src/http_frontend/handler.rs
+++ b/data-plane/src/http_frontend/handler.rs
@@ -33,6 +33,8 @@
 /// The retry delay reported to a client that is rejected because the link is full. The
 /// client may retry at any edge.
 const LINK_FULL_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// The retry delay reported to a client for whose request no memory is left.
+const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time before the exit of the process by which all responses must be sent.
 const EXIT_MARGIN: Duration = Duration::from_millis(200);
 /// The index of the listener for the platform's readiness checks.
@@ -335,9 +337,14 @@
             408 => "request_late",
             413 => "body_unreadable",
             431 => "head_too_large",
+            503 => "overloaded",
             _ => "request_malformed",
         };
-        let rejection = ClientResponse::Rejection(Rejection::not_run(status, code, reason));
+        let mut rejection = Rejection::not_run(status, code, reason);
+        if status == 503 {
+            rejection = rejection.with_retry_after(OVERLOADED_RETRY_AFTER);
+        }
+        let rejection = ClientResponse::Rejection(rejection);
         let response = self.protocol.client_response(&[], &rejection);
         http_line::Response {
             close: true,
--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -61,9 +61,12 @@
     fn open(&mut self, port: &Arc<Port>) -> Result<(), FrontendError> {
         let listeners = listen(port)?;
         let handler = ConnectionHandler::new(port, &self.protocol, PlugIn::of(self.program));
-        let send_rate = port.send_rate.clone();
+        let resources = Resources {
+            send_rate: port.send_rate.clone(),
+            byte_budget: Arc::new(resource_limits::edge_byte_budget(&port.startup)),
+        };
         let event_loop =
-            EventLoopHandle::open(listeners, DEFAULT_LIMITS, send_rate, handler.clone())
+            EventLoopHandle::open(listeners, DEFAULT_LIMITS, resources, handler.clone())
                 .map_err(|error| FrontendError::Start(error.into()))?;
         let _ = handler.event_loop.set(event_loop);
         self.handler = Some(handler);
--- a/data-plane/src/prelude.rs
+++ b/data-plane/src/prelude.rs
@@ -19,6 +19,7 @@
 pub use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
 pub use http_line::{
     EventLoopHandle, ExchangeError, ExchangeOutcome, Handler, Limits, ReceivedResponse, Request,
+    Resources,
 };
 pub use kernel::prelude::*;
 pub use std::sync::{OnceLock, Weak};
--- a/http-line/src/body.rs
+++ b/http-line/src/body.rs
@@ -3,9 +3,9 @@
 use crate::prelude::*;
 
 /// A range of shared bytes, written to the socket without an intermediate copy.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Clone)]
 pub struct Body {
-    bytes: Arc<Vec<u8>>,
+    bytes: Arc<dyn AsRef<[u8]> + Send + Sync>,
     range: Range<usize>,
 }
 
@@ -31,7 +31,39 @@
 
     /// The bytes of the body.
     pub fn bytes(&self) -> &[u8] {
-        &self.bytes[self.range.clone()]
+        &(*self.bytes).as_ref()[self.range.clone()]
+    }
+
+    /// Returns true if nothing else holds the bytes.
+    pub fn is_unshared(&self) -> bool {
+        Arc::strong_count(&self.bytes) == 1
+    }
+}
+
+impl Default for Body {
+    fn default() -> Body {
+        Vec::new().into()
+    }
+}
+
+impl PartialEq for Body {
+    fn eq(&self, other: &Body) -> bool {
+        self.bytes() == other.bytes()
+    }
+}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        write!(out, "{} bytes", self.len())
+    }
+}
+
+impl From<Arc<HeldBytes>> for Body {
+    fn from(bytes: Arc<HeldBytes>) -> Body {
+        Body {
+            range: 0..bytes.len(),
+            bytes,
+        }
     }
 }
 
--- a/http-line/src/body_reader.rs
+++ b/http-line/src/body_reader.rs
@@ -17,6 +17,14 @@
     Malformed(&'static str),
     #[error("the body is too large")]
     TooLarge,
+    #[error("no memory is left for the body")]
+    BudgetExceeded,
+}
+
+impl From<BudgetExceeded> for BodyError {
+    fn from(_: BudgetExceeded) -> BodyError {
+        BodyError::BudgetExceeded
+    }
 }
 
 /// Result of feeding one piece of input to a [`BodyReader`].
@@ -32,38 +40,37 @@
 pub(crate) struct BodyReader {
     framing: Framing,
     chunked: ChunkedDecoder,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: HeldBytes,
     limit: usize,
 }
 
-/// Maximum buffer size in bytes that is allocated for a `Content-Length` before
-/// any of the body has been received.
-const INITIAL_CAPACITY_BYTES: usize = 64 * 1024;
-
 impl BodyReader {
-    pub(crate) fn new(framing: Framing, limit: usize) -> Result<BodyReader, BodyError> {
-        let capacity = match framing {
-            Framing::Length(length) if length > limit => return Err(BodyError::TooLarge),
-            Framing::Length(length) => length.min(INITIAL_CAPACITY_BYTES),
-            _ => 0,
-        };
+    /// Creates a reader that appends to the empty `body`.
+    pub(crate) fn new(
+        framing: Framing,
+        limit: usize,
+        body: HeldBytes,
+    ) -> Result<BodyReader, BodyError> {
+        if matches!(framing, Framing::Length(length) if length > limit) {
+            return Err(BodyError::TooLarge);
+        }
         Ok(BodyReader {
             framing,
             chunked: ChunkedDecoder::new(),
-            body: Vec::with_capacity(capacity),
+            body,
             limit,
         })
     }
 
     pub(crate) fn feed(&mut self, input: &[u8]) -> Result<BodyProgress, BodyError> {
         match self.framing {
-            Framing::Length(length) => Ok(self.read_up_to(length, input)),
+            Framing::Length(length) => self.read_up_to(length, input),
             Framing::Chunked => self.chunked.feed(input, &mut self.body, self.limit),
             Framing::UntilClose if input.len() > self.limit - self.body.len() => {
                 Err(BodyError::TooLarge)
             }
             Framing::UntilClose => {
-                self.body.extend_from_slice(input);
+                self.body.push(input, self.limit)?;
                 Ok(BodyProgress {
                     consumed: input.len(),
                     complete: false,
@@ -72,19 +79,13 @@
         }
     }
 
-    /// Grows the buffer by doubling, never beyond the announced length of the body.
-    fn read_up_to(&mut self, length: usize, input: &[u8]) -> BodyProgress {
+    fn read_up_to(&mut self, length: usize, input: &[u8]) -> Result<BodyProgress, BodyError> {
         let consumed = input.len().min(length - self.body.len());
-        let needed = self.body.len() + consumed;
-        if needed > self.body.capacity() {
-            let capacity = (self.body.capacity() * 2).max(needed).min(length);
-            self.body.reserve_exact(capacity - self.body.len());
-        }
-        self.body.extend_from_slice(&input[..consumed]);
-        BodyProgress {
+        self.body.push(&input[..consumed], length)?;
+        Ok(BodyProgress {
             consumed,
             complete: self.body.len() == length,
-        }
+        })
     }
 
     /// Returns true if the body ends where the connection ends.
--- a/http-line/src/call.rs
+++ b/http-line/src/call.rs
@@ -18,7 +18,7 @@
     /// `Content-Length`, `Transfer-Encoding` and `Expect` are omitted.
     pub headers: Vec<(String, String)>,
     /// The body, sent with a `Content-Length`.
-    pub body: Arc<Vec<u8>>,
+    pub body: Arc<HeldBytes>,
     /// Timeout of the entire exchange, counted from `EventLoopHandle::call`.
     pub timeout: Duration,
     /// Identifier of the request that this call is an attempt of, if its response
--- a/http-line/src/chunked_decoder.rs
+++ b/http-line/src/chunked_decoder.rs
@@ -50,14 +50,14 @@
     pub(crate) fn feed(
         &mut self,
         input: &[u8],
-        body: &mut Vec<u8>,
+        body: &mut HeldBytes,
         limit: usize,
     ) -> Result<BodyProgress, BodyError> {
         let mut consumed = 0;
         while self.state != State::Done && consumed < input.len() {
             if let State::Data(remaining) = self.state {
                 let size = remaining.min(input.len() - consumed);
-                body.extend_from_slice(&input[consumed..consumed + size]);
+                body.push(&input[consumed..consumed + size], limit)?;
                 consumed += size;
                 self.state = if size == remaining {
                     State::DataCarriageReturn
--- a/http-line/src/chunked_decoder/tests.rs
+++ b/http-line/src/chunked_decoder/tests.rs
@@ -4,15 +4,15 @@
 /// Decodes the input in pieces of `step` bytes. Returns the body, the number of bytes
 /// consumed and whether the body is complete.
 fn decode(input: &[u8], step: usize) -> Result<(Vec<u8>, usize, bool), BodyError> {
-    let (mut decoder, mut body, mut consumed) = (ChunkedDecoder::new(), Vec::new(), 0);
+    let (mut decoder, mut body, mut consumed) = (ChunkedDecoder::new(), HeldBytes::default(), 0);
     for bytes in input.chunks(step) {
         let progress = decoder.feed(bytes, &mut body, 20)?;
         consumed += progress.consumed;
         if progress.complete {
-            return Ok((body, consumed, true));
+            return Ok((body.into_vec(), consumed, true));
         }
     }
-    Ok((body, consumed, false))
+    Ok((body.into_vec(), consumed, false))
 }
 
 #[test]
--- a/http-line/src/client_connection/reader.rs
+++ b/http-line/src/client_connection/reader.rs
@@ -63,7 +63,9 @@
                 }
             }
             Err(BodyError::Malformed(reason)) => ControlFlow::Break(self.fail(reason)),
-            Err(BodyError::TooLarge) => ControlFlow::Break(self.fail("the response is too large")),
+            Err(BodyError::TooLarge | BodyError::BudgetExceeded) => {
+                ControlFlow::Break(self.fail("the response is too large"))
+            }
         }
     }
 
@@ -92,7 +94,11 @@
                 return ControlFlow::Break(self.fail("invalid response status"));
             }
             Ok(head) if head.status < 200 => {}
-            Ok(head) => match BodyReader::new(head.framing, limits.max_response_body_bytes) {
+            Ok(head) => match BodyReader::new(
+                head.framing,
+                limits.max_response_body_bytes,
+                HeldBytes::default(),
+            ) {
                 Ok(body) => self.response = Some(PartialResponse { head, body }),
                 Err(_) => return ControlFlow::Break(self.fail("the response is too large")),
             },
@@ -132,7 +138,7 @@
                 status: head.status,
                 headers: head.headers,
                 delimited: !body.ends_with_connection(),
-                body: body.body,
+                body: body.body.into_vec(),
             }),
             reusable_for,
         })
--- a/http-line/src/event_loop.rs
+++ b/http-line/src/event_loop.rs
@@ -5,6 +5,7 @@
 mod tests;
 
 mod accept;
+mod admission;
 mod calls;
 mod client_io;
 mod commands;
@@ -36,6 +37,9 @@
     handler: Arc<dyn Handler>,
     limits: Limits,
     pacer: Pacer,
+    byte_budget: Arc<ByteBudget>,
+    /// Time before which no stalled bodies are looked for again.
+    next_eviction: Instant,
     /// Number of response bytes not written yet, over all connections.
     unsent_bytes: usize,
     read_buffer: Vec<u8>,
@@ -74,7 +78,7 @@
     pub(crate) fn start(
         listeners: Vec<std::net::TcpListener>,
         limits: Limits,
-        send_rate: Option<Arc<SendRate>>,
+        resources: Resources,
         handler: Arc<dyn Handler>,
     ) -> io::Result<Arc<Shared>> {
         let poll = Poll::new()?;
@@ -94,6 +98,7 @@
             unsent_bytes: AtomicUsize::new(0),
             backlog_us: AtomicU64::new(0),
             discarded_bytes: AtomicU64::new(0),
+            byte_budget: resources.byte_budget.clone(),
             finished: AtomicBool::new(false),
         });
         let now = Instant::now();
@@ -108,7 +113,9 @@
             commands,
             shared: shared.clone(),
             handler,
-            pacer: Pacer::new(send_rate),
+            pacer: Pacer::new(resources.send_rate),
+            byte_budget: resources.byte_budget,
+            next_eviction: now,
             unsent_bytes: 0,
             limits,
             read_buffer: vec![0; READ_BUFFER_BYTES],
--- a/http-line/src/event_loop/accept.rs
+++ b/http-line/src/event_loop/accept.rs
@@ -1,6 +1,7 @@
 //! Accepting of client connections.
 
 use super::*;
+use crate::server_connection::RECEIVE_BUFFER_BYTES;
 
 /// Delay before the next accept after one has failed, for example because no file
 /// descriptors are left.
@@ -46,6 +47,8 @@
 pub(super) fn set_options(listener: &std::net::TcpListener) -> io::Result<()> {
     let socket = socket2::SockRef::from(listener);
     socket.set_tcp_nodelay(true)?;
+    // Bounds the memory of bytes that have arrived and are not read.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.set_tcp_user_timeout(Some(SERVER_TCP_TIMEOUT))
 }
 
@@ -94,7 +97,8 @@
         if registered.is_err() {
             return;
         }
-        let mut connection = ServerConnection::new(peer, self.handler.clone(), self.now);
+        let mut connection = ServerConnection::new(peer, self.handler.clone(), self.now)
+            .with_byte_budget(&self.byte_budget);
         if self.draining {
             connection.serve_one();
         }
--- a/http-line/src/event_loop/server_io.rs
+++ b/http-line/src/event_loop/server_io.rs
@@ -38,6 +38,7 @@
             if server.is_idle_at_finish(&self.limits, self.now) && !reads_more {
                 server.reject_request_in_transit();
             }
+            server.count_held_memory(&self.limits);
             if server.is_finished() {
                 return self.begin_linger(connection);
             }
@@ -110,6 +111,7 @@
                 // A short read has emptied the socket, unless the end of the stream
                 // follows.
                 connection.readable = size == self.read_buffer.len() || connection.read_closed;
+                self.make_room(server.partial_body_bytes().unwrap_or(0), size);
                 server.feed(&self.read_buffer[..size], &self.limits, self.now, requests);
             }
             Err(error) if error.kind() == ErrorKind::WouldBlock => connection.readable = false,
--- a/http-line/src/event_loop_handle.rs
+++ b/http-line/src/event_loop_handle.rs
@@ -31,6 +31,7 @@
     pub(crate) unsent_bytes: AtomicUsize,
     /// Time that the link needs for the unsent responses, in microseconds.
     pub(crate) backlog_us: AtomicU64,
+    pub(crate) byte_budget: Arc<ByteBudget>,
     /// Number of input bytes discarded after the sending side was shut down.
     pub(crate) discarded_bytes: AtomicU64,
 }
@@ -84,15 +85,17 @@
 
 impl EventLoopHandle {
     /// Starts the thread of the event loop. Each request is passed to the handler
-    /// with the index of the listener that accepted its connection. Responses are paced
-    /// by the rate of the link, if there is one.
+    /// with the index of the listener that accepted its connection. The budget of the
+    /// resources is raised if the largest body does not fit; a body that cannot fit is
+    /// rejected as too large.
     pub fn open(
         listeners: Vec<TcpListener>,
-        limits: Limits,
-        send_rate: Option<Arc<SendRate>>,
+        mut limits: Limits,
+        resources: Resources,
         handler: Arc<dyn Handler>,
     ) -> Result<EventLoopHandle, OpenError> {
-        let shared = EventLoop::start(listeners, limits, send_rate, handler)?;
+        limits.max_body_bytes = resources.byte_budget.fit_body(limits.max_body_bytes);
+        let shared = EventLoop::start(listeners, limits, resources, handler)?;
         Ok(EventLoopHandle { shared })
     }
 
@@ -138,8 +141,9 @@
         self.send(Command::ExtendCall { id, deadline });
     }
 
-    /// Replaces the limits.
-    pub fn set_limits(&self, limits: Limits) {
+    /// Replaces the limits. The largest body is limited as by [`EventLoopHandle::open`].
+    pub fn set_limits(&self, mut limits: Limits) {
+        limits.max_body_bytes = self.shared.byte_budget.fit_body(limits.max_body_bytes);
         self.send(Command::SetLimits(limits));
     }
 
@@ -206,6 +210,8 @@
             reused: read(&self.shared.reused),
             calls: read(&self.shared.calls),
             open: read(&self.shared.open),
+            refused_requests: self.shared.byte_budget.refusals(),
+            held_bytes: self.shared.byte_budget.used() as u64,
         }
     }
 
--- a/http-line/src/prelude.rs
+++ b/http-line/src/prelude.rs
@@ -11,13 +11,15 @@
 pub use crate::{
     Body, Call, ClientConnection, EventLoopHandle, ExchangeError, ExchangeOutcome,
     FINISH_IDLE_TIME, FinishedExchange, Handler, InvalidCall, Limits, OpenWork, PipelinedRequest,
-    ReceivedResponse, Request, Response, SendLimit, SendQueue, ServerConnection, Usage,
+    ReceivedResponse, Request, Resources, Response, SendLimit, SendQueue, ServerConnection, Usage,
     WriteProgress,
 };
+pub use byte_budget::{BudgetExceeded, ByteBudget, HeldBytes, Reservation};
 pub use send_rate::SendRate;
 pub use std::cmp::Reverse;
 pub use std::collections::hash_map::DefaultHasher;
 pub use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+pub use std::fmt;
 pub use std::hash::{Hash, Hasher};
 pub use std::io::{self, ErrorKind, IoSlice, Read, Write};
 pub use std::net::SocketAddr;
--- a/http-line/src/send_queue.rs
+++ b/http-line/src/send_queue.rs
@@ -50,6 +50,12 @@
         self.remaining
     }
 
+    /// Number of bytes still to be written that nothing else holds.
+    pub fn unshared_bytes(&self) -> usize {
+        let unshared = self.chunks.iter().filter(|chunk| chunk.is_unshared());
+        unshared.map(Body::len).sum()
+    }
+
     /// Returns true if everything is written.
     pub fn is_empty(&self) -> bool {
         self.remaining == 0
--- a/http-line/src/server_connection.rs
+++ b/http-line/src/server_connection.rs
@@ -3,10 +3,13 @@
 #[cfg(test)]
 mod tests;
 
+mod held_memory;
 mod reader;
 mod writer;
 
 use crate::prelude::*;
+use held_memory::HeldMemory;
+pub(crate) use held_memory::RECEIVE_BUFFER_BYTES;
 
 /// Protocol state of one client connection, without its socket. Invariants:
 /// - `pending_requests` holds the requests without a written response, oldest first, with
@@ -47,6 +50,8 @@
     continue_pending: bool,
     /// Time at which the first byte of the current request was received.
     request_started: Instant,
+    /// Memory that the connection holds beside the bodies of its requests.
+    held_memory: HeldMemory,
     /// Time of the last progress: a request was read, a response was added while no
     /// bytes were unsent, or bytes were written.
     last_progress: Instant,
@@ -63,6 +68,14 @@
 struct PartialRequest {
     head: RequestHead,
     body: BodyReader,
+    progress: BodyProgressMark,
+}
+
+/// The last time at which enough of a body had arrived since the mark before it.
+#[derive(Debug, Clone, Copy)]
+struct BodyProgressMark {
+    at: Instant,
+    body_bytes: usize,
 }
 
 /// A request whose response is not written yet.
@@ -117,10 +130,17 @@
             discarded_input: false,
             continue_pending: false,
             request_started: now,
+            held_memory: HeldMemory::within(&Resources::default().byte_budget),
             last_progress: now,
         }
     }
 
+    /// Counts what the connection holds against this budget.
+    pub fn with_byte_budget(mut self, budget: &Arc<ByteBudget>) -> ServerConnection {
+        self.held_memory = HeldMemory::within(budget);
+        self
+    }
+
     /// Returns true if reading is paused because too much is in flight.
     fn is_paused(&self, limits: &Limits) -> bool {
         self.pending_requests.len() >= limits.max_pipelined_requests.max(1)
@@ -129,7 +149,8 @@
 
     /// Returns true if the socket is to be read.
     pub fn wants_read(&self, limits: &Limits) -> bool {
-        !self.read_closed && !self.closing && !self.is_paused(limits)
+        let reads_requests = !self.closing && !self.is_paused(limits);
+        !self.read_closed && (reads_requests || self.held_memory.discards_input)
     }
 
     /// Returns true if a request is being read, or a response is awaited or unsent.
--- a/http-line/src/server_connection/reader.rs
+++ b/http-line/src/server_connection/reader.rs
@@ -91,6 +91,8 @@
         match partial.body.feed(&input[*offset..]) {
             Ok(BodyProgress { consumed, complete }) => {
                 *offset += consumed;
+                let body_bytes = partial.body.body.len();
+                partial.progress.update(body_bytes, now);
                 if complete {
                     self.complete_request(now, requests);
                 }
@@ -98,6 +100,7 @@
             }
             Err(BodyError::Malformed(reason)) => self.reject(400, reason),
             Err(BodyError::TooLarge) => self.reject(413, "the body is too large"),
+            Err(BodyError::BudgetExceeded) => self.reject_for_memory(),
         }
         true
     }
@@ -160,12 +163,20 @@
         now: Instant,
         requests: &mut Vec<PipelinedRequest>,
     ) {
-        let Ok(body) = BodyReader::new(head.framing, limits.max_body_bytes) else {
+        let body = HeldBytes::within(&self.held_memory.budget);
+        let Ok(body) = BodyReader::new(head.framing, limits.max_body_bytes, body) else {
             return self.reject(413, "the body is too large");
         };
+        if !self.held_memory.budget.has_room(0, 0) {
+            return self.reject_for_memory();
+        }
         let has_no_body = head.framing == Framing::Length(0);
         self.continue_pending = head.expects_continue && at_end && !has_no_body;
-        self.partial = Some(PartialRequest { head, body });
+        self.partial = Some(PartialRequest {
+            head,
+            body,
+            progress: BodyProgressMark::start(now),
+        });
         self.request_started = now;
         if has_no_body {
             self.complete_request(now, requests);
@@ -176,7 +187,7 @@
 
     /// Adds the current request, now complete, to `requests`.
     fn complete_request(&mut self, now: Instant, requests: &mut Vec<PipelinedRequest>) {
-        let Some(PartialRequest { head, body }) = self.partial.take() else {
+        let Some(PartialRequest { head, body, .. }) = self.partial.take() else {
             return;
         };
         let sequence = self.next_sequence;
@@ -205,6 +216,11 @@
         requests.push(PipelinedRequest { sequence, request });
     }
 
+    fn reject_for_memory(&mut self) {
+        self.held_memory.budget.record_refusal();
+        self.reject(503, "no memory is left for the request");
+    }
+
     /// Queues the response to input that cannot be parsed. Input behind it is
     /// discarded.
     pub(super) fn reject(&mut self, status: u16, reason: &'static str) {
--- a/http-line/src/usage.rs
+++ b/http-line/src/usage.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 
-/// Counters since the start of the event loop, and the gauge `open`.
+/// Counters since the start of the event loop, and the gauges `open` and `held_bytes`.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Usage {
     /// Number of connections accepted from clients.
@@ -15,6 +15,11 @@
     pub calls: u64,
     /// Number of connections currently open, both accepted and opened.
     pub open: u64,
+    /// Number of requests that were refused, or whose body had to yield, because the
+    /// memory for clients was used up.
+    pub refused_requests: u64,
+    /// Number of bytes held for clients, as counted against the budget of the process.
+    pub held_bytes: u64,
 }
 
 /// Responses and connections of clients that are not completed.
--- a/http-line/tests/client_connection.rs
+++ b/http-line/tests/client_connection.rs
@@ -14,9 +14,9 @@
             pair("B", "c"),
         ],
         body: Arc::new(if method == "POST" {
-            b"hi".to_vec()
+            b"hi".to_vec().into()
         } else {
-            Vec::new()
+            HeldBytes::default()
         }),
         timeout: Duration::from_secs(3),
         request: None,
--- a/http-line/tests/client_connection_faults.rs
+++ b/http-line/tests/client_connection_faults.rs
@@ -143,7 +143,7 @@
             method: "POST".into(),
             target: "/".into(),
             headers: Vec::new(),
-            body: Arc::new(b"body".to_vec()),
+            body: Arc::new(b"body".to_vec().into()),
             timeout: Duration::from_secs(1),
             request: None,
             required_response_header: Some(("Request-Id".into(), format!("r{id}"))),
--- a/http-line/tests/harness/mod.rs
+++ b/http-line/tests/harness/mod.rs
@@ -60,6 +60,15 @@
     /// Starts an event loop whose link has this bandwidth in bytes per second.
     pub fn with_link(limits: Limits, bandwidth: Option<f64>) -> Harness {
         let send_rate = bandwidth.and_then(|bandwidth| SendRate::new(bandwidth, Instant::now()));
+        let resources = Resources {
+            send_rate: send_rate.map(Arc::new),
+            ..Resources::default()
+        };
+        Harness::with_resources(limits, resources)
+    }
+
+    /// Starts an event loop with these resources.
+    pub fn with_resources(limits: Limits, resources: Resources) -> Harness {
         let (sender, events) = flume::unbounded();
         let listener = EventLoopHandle::listen(([127, 0, 0, 1], 0).into()).unwrap();
         let address = listener.local_addr().unwrap();
@@ -67,13 +76,8 @@
             events: sender,
             http: OnceLock::new(),
         });
-        let http = EventLoopHandle::open(
-            vec![listener],
-            limits,
-            send_rate.map(Arc::new),
-            handler.clone(),
-        )
-        .unwrap();
+        let http =
+            EventLoopHandle::open(vec![listener], limits, resources, handler.clone()).unwrap();
         assert!(handler.http.set(http.clone()).is_ok());
         Harness {
             http,
--- a/http-line/tests/loopback.rs
+++ b/http-line/tests/loopback.rs
@@ -34,7 +34,7 @@
     caller.http.cancel_call(10);
     caller.http.cancel_call(11);
     assert_eq!(origin.disconnect(), first);
-    let large = Arc::new(vec![b'x'; 900_000]);
+    let large: Arc<HeldBytes> = Arc::new(vec![b'x'; 900_000].into());
     caller.http.call(Call {
         method: "POST".into(),
         body: large.clone(),
--- a/http-line/tests/loopback_faults.rs
+++ b/http-line/tests/loopback_faults.rs
@@ -70,7 +70,7 @@
 /// resets the connection. Returns the origin's listener.
 fn lose_connection(
     harness: &Harness,
-    body: &Arc<Vec<u8>>,
+    body: &Arc<HeldBytes>,
     reads: usize,
     writes: &str,
     resets: bool,
@@ -104,7 +104,7 @@
 
     // Number of bytes that the origin reads before it ends the connection, the request
     // body, and the bytes that the origin writes.
-    let large = Arc::new(vec![b'x'; 8_000_000]);
+    let large: Arc<HeldBytes> = Arc::new(vec![b'x'; 8_000_000].into());
     for (reads, body, writes) in [
         (0, Arc::default(), ""),
         (1, Arc::default(), ""),
--- a/kernel/src/call.rs
+++ b/kernel/src/call.rs
@@ -15,7 +15,7 @@
     /// The client's headers.
     pub headers: Vec<(String, String)>,
     /// The complete body.
-    pub body: Arc<Vec<u8>>,
+    pub body: Arc<HeldBytes>,
     /// The operation key under which the request is executed at most once.
     pub operation_key: Option<String>,
     /// The client's own id of the request.
--- a/kernel/src/client.rs
+++ b/kernel/src/client.rs
@@ -13,7 +13,7 @@
     /// Names and values in order.
     pub headers: Vec<(String, String)>,
     /// The complete body.
-    pub body: Arc<Vec<u8>>,
+    pub body: Arc<HeldBytes>,
     /// The value of the client's `Authorization` header; empty without one.
     pub caller: String,
     /// The configuration in effect for this request until its end.
--- a/kernel/src/operator_server.rs
+++ b/kernel/src/operator_server.rs
@@ -1,6 +1,6 @@
 //! The frontend of a process that serves only operators and the platform.
 use crate::prelude::*;
-use http_line::{EventLoopHandle, ExchangeOutcome, Handler, Limits, Request, Response};
+use http_line::{EventLoopHandle, ExchangeOutcome, Handler, Limits, Request, Resources, Response};
 use std::sync::OnceLock;
 
 /// Maximum size of the body of an operator's request, in bytes.
@@ -56,7 +56,11 @@
             requests,
             event_loop: OnceLock::new(),
         });
-        let event_loop = EventLoopHandle::open(vec![listener], LIMITS, None, handler.clone())
+        let resources = Resources {
+            send_rate: None,
+            byte_budget: Arc::new(resource_limits::operator_byte_budget(&port.startup)),
+        };
+        let event_loop = EventLoopHandle::open(vec![listener], LIMITS, resources, handler.clone())
             .map_err(|error| FrontendError::Start(error.into()))?;
         let _ = handler.event_loop.set(event_loop.clone());
         start_workers(self.program, port, &waiting, &event_loop);
--- a/kernel/src/plug_in.rs
+++ b/kernel/src/plug_in.rs
@@ -97,7 +97,7 @@
         request.method,
         request.target,
         request.headers,
-        request.body,
+        request.body.into_vec(),
     );
     into_http_response(serve_plug_ins(plug_ins, port, &request))
 }
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -2,6 +2,7 @@
 pub use arc_swap::ArcSwap;
 pub use base64::Engine as _;
 pub use base64::engine::general_purpose::STANDARD as BASE64;
+pub use byte_budget::{ByteBudget, HeldBytes};
 pub use flume::{Receiver, Sender};
 pub use send_rate::SendRate;
 pub use serde::{Deserialize, Serialize};
@@ -41,6 +42,7 @@
 pub use crate::protocol::{CallHeaders, HttpResponse, OriginVerdict, ProtocolAdapter};
 pub use crate::purge::*;
 pub use crate::quorum::Quorum;
+pub use crate::resource_limits;
 pub use crate::route_table::RouteTable;
 pub use crate::row::*;
 pub use crate::shared_updates::SharedUpdates;
--- /dev/null
+++ b/kernel/tests/resource_limits.rs
@@ -0,0 +1,23 @@
+//! Tests of the limits of clients.
+use kernel::prelude::*;
+
+const MIB: u64 = 1024 * 1024;
+/// The largest request body that the users' pages allow, in bytes.
+const LARGEST_BODY_BYTES: usize = 64 * MIB as usize;
+
+#[test]
+fn one_largest_body_fits_on_each_machine_and_leaves_memory_for_the_rest() {
+    for memory_mb in [160, 260, 512] {
+        let startup = Startup {
+            memory_bytes: Some(memory_mb * MIB),
+            ..Startup::default()
+        };
+        let budget = resource_limits::edge_byte_budget(&startup);
+        assert_eq!(budget.fit_body(LARGEST_BODY_BYTES), LARGEST_BODY_BYTES);
+        let cache_bytes = memory_mb * MIB / 4;
+        assert!(budget.limit() as u64 + cache_bytes <= memory_mb * MIB * 3 / 4);
+        let operators = resource_limits::operator_byte_budget(&startup);
+        let largest = kernel::operator_server::MAX_OPERATOR_BODY_BYTES;
+        assert_eq!(operators.fit_body(largest), largest);
+    }
+}
--- a/simulate-fleet/src/world_clients.rs
+++ b/simulate-fleet/src/world_clients.rs
@@ -147,7 +147,7 @@
             host: "sim".into(),
             url: path.into(),
             headers,
-            body: Arc::new(operation.unwrap_or("").into()),
+            body: Arc::new(operation.unwrap_or("").as_bytes().to_vec().into()),
             operation_key: operation.map(Into::into),
             timeout: None,
             request_id: None,
