Limits of a configuration are in force before the first request

Callers saw: 413 for a legal body of more than 1 MiB if it was the first request of an edge, again and again until a smaller one came.

Cause: an edge applied the limits of its configuration when it had read a request. Until then the defaults stood, and a request that they reject was never read.

Change: the host tells the frontend the limits when a configuration is published (Frontend::apply_limits).

Unit test: limits_of_the_configuration_apply_to_the_first_request.

--- a/data-plane/src/http_frontend/handler.rs
+++ b/data-plane/src/http_frontend/handler.rs
@@ -107,9 +107,9 @@
         self.event_loop.wait().respond(exchange, response);
     }
 
-    /// Applies the limits of the current configuration, if they have changed.
-    fn apply_bounds(&self, routes: &Option<Arc<RouteTable>>) {
-        let Some(bounds) = routes.as_ref().and_then(|routes| routes.bounds.clone()) else {
+    /// Applies the limits of a configuration, if they have changed.
+    pub(super) fn apply_bounds(&self, routes: &RouteTable) {
+        let Some(bounds) = routes.bounds.clone() else {
             return;
         };
         let mut applied = self.bounds.lock().expect("no holder panics");
@@ -149,7 +149,6 @@
     /// Filters a client's request and passes it to the state machine.
     fn handle_client_request(self: &Arc<Self>, exchange: u64, received: Request) {
         let routes = (**self.port.routes.load()).clone();
-        self.apply_bounds(&routes);
         let mut incoming = self.incoming_request(received, routes);
         if let Some(rejection) = run_filters(&mut incoming) {
             return self.reject(exchange, &incoming.headers, rejection);
--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -114,6 +114,12 @@
         }
     }
 
+    fn apply_limits(&self, routes: &RouteTable) {
+        if let Some(handler) = &self.handler {
+            handler.apply_bounds(routes);
+        }
+    }
+
     fn prepare_shutdown(&self) {
         if let (Some(handler), Some(event_loop)) = (&self.handler, self.event_loop()) {
             event_loop.drain_until(handler.prepare_shutdown());
--- a/data-plane/tests/http_frontend.rs
+++ b/data-plane/tests/http_frontend.rs
@@ -181,3 +181,28 @@
         assert_eq!(&start, expected, "{target}");
     }
 }
+
+/// Guards against limits that are applied only once a request has been read: until then,
+/// one that they allow would be rejected.
+#[test]
+fn limits_of_the_configuration_apply_to_the_first_request() {
+    const BODY_BYTES: usize = 4 * 1024 * 1024;
+    let test_frontend = TestFrontend::new();
+    let bounds = Bounds {
+        head_bytes: 1024,
+        body_bytes: BODY_BYTES as u64,
+        head_ms: 1000,
+        idle_ms: 1000,
+    };
+    let mut routes = RouteTable::new(2, route_table().document.clone());
+    routes.bounds = Some(Arc::new(bounds));
+    test_frontend.frontend.apply_limits(&routes);
+    let mut client = TcpStream::connect(test_frontend.http).unwrap();
+    let head = format!("POST /post HTTP/1.1\r\nHost: h\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    client.write_all(head.as_bytes()).unwrap();
+    client.write_all(&vec![b'x'; BODY_BYTES]).unwrap();
+    match test_frontend.inputs.recv_timeout(ARRIVAL_TIMEOUT) {
+        Ok(Input::ClientRequest { request, .. }) => assert_eq!(request.body.len(), BODY_BYTES),
+        other => panic!("{other:?}"),
+    }
+}
--- a/kernel/src/frontend.rs
+++ b/kernel/src/frontend.rs
@@ -67,6 +67,9 @@
     /// Extends the timeout of a call in flight; the limit is counted from now.
     fn extend_call(&self, _id: u64, _limit: Duration) {}
 
+    /// Applies the limits of a configuration that is now in force.
+    fn apply_limits(&self, _routes: &RouteTable) {}
+
     /// Prepares for shutdown: drains the client connections; no new sessions start.
     fn prepare_shutdown(&self) {}
 
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -232,7 +232,10 @@
                     let _ = history.try_send((version, text));
                 }
             }
-            PublishedState::Configuration(routes) => self.port.routes.store(Arc::new(Some(routes))),
+            PublishedState::Configuration(routes) => {
+                self.host.frontend.apply_limits(&routes);
+                self.port.routes.store(Arc::new(Some(routes)));
+            }
         }
     }
 }
