Connections of clients and calls leave descriptors for everything else

Callers saw: 300 clients that only stay took 325 descriptors of an edge and 512 of a control node where 200 are for sockets; 24 clients that pipeline and do not read made an edge open 400 connections to origins (501 descriptors, 338 MB). With none left, accepts and calls to origins fail for everybody.

Cause: connections were not limited, and each request in flight may open one to an origin.

Requests in flight at an edge up to a quarter, then 503 with Retry-After; above as many connections to origins an idle one is closed before another is opened.

Why it works: each kind of descriptor has a bound, and the bounds add up to less than the descriptors there are.

Unit tests: the last three of limits_of_clients.rs, request_is_rejected_while_no_descriptor_is_left_for_its_call, connections_of_clients_leave_descriptors_for_origins_and_peers.

--- a/data-plane/src/http_frontend/handler.rs
+++ b/data-plane/src/http_frontend/handler.rs
@@ -33,7 +33,7 @@
 /// The retry delay reported to a client that is rejected because the link is full. The
 /// client may retry at any edge.
 const LINK_FULL_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// The retry delay reported to a client for whose request no memory is left.
+/// The retry delay reported to a client for whose request no memory or connection is left.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time before the exit of the process by which all responses must be sent.
 const EXIT_MARGIN: Duration = Duration::from_millis(200);
@@ -140,6 +140,19 @@
         })
     }
 
+    /// Rejects a request if no descriptor is left for its call.
+    fn reject_if_overloaded(&self) -> Option<Rejection> {
+        let requests = self.requests.lock().expect("no holder panics").len();
+        let calls = self.calls.lock().expect("no holder panics").len();
+        if requests.max(calls) < resource_limits::max_calls(&self.port.startup) {
+            return None;
+        }
+        self.event_loop.wait().record_refusal();
+        let text = "too many requests are in flight at this edge";
+        let rejection = Rejection::not_run(503, "overloaded", text);
+        Some(rejection.with_retry_after(OVERLOADED_RETRY_AFTER))
+    }
+
     /// Removes and returns the request of this exchange, if it has no response yet.
     fn take_request(&self, exchange: u64) -> Option<u64> {
         let mut requests = self.requests.lock().expect("no holder panics");
@@ -156,7 +169,10 @@
         let Some(request) = into_client_request(incoming) else {
             return;
         };
-        if let Some(rejection) = self.reject_if_link_is_full(&request) {
+        let rejection = self
+            .reject_if_overloaded()
+            .or_else(|| self.reject_if_link_is_full(&request));
+        if let Some(rejection) = rejection {
             return self.reject(exchange, &request.headers, rejection);
         }
         self.submit(exchange, request);
--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -64,6 +64,8 @@
         let resources = Resources {
             send_rate: port.send_rate.clone(),
             byte_budget: Arc::new(resource_limits::edge_byte_budget(&port.startup)),
+            max_client_connections: resource_limits::max_edge_connections(&port.startup),
+            max_call_connections: resource_limits::max_calls(&port.startup),
         };
         let event_loop =
             EventLoopHandle::open(listeners, DEFAULT_LIMITS, resources, handler.clone())
--- a/data-plane/tests/http_frontend.rs
+++ b/data-plane/tests/http_frontend.rs
@@ -27,13 +27,19 @@
 
     /// Opens a frontend whose link has this bandwidth in megabits per second.
     fn with_link(link_mbps: Option<f64>) -> TestFrontend {
+        TestFrontend::with_startup(Startup {
+            link_mbps,
+            ..Startup::default()
+        })
+    }
+
+    fn with_startup(startup: Startup) -> TestFrontend {
         let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
         let http = listener.local_addr().unwrap();
         drop(listener);
         let startup = Startup {
             http: Some(http),
-            link_mbps,
-            ..Startup::default()
+            ..startup
         };
         let (inputs_sender, inputs) = flume::unbounded();
         let port = Arc::new(Port::new(inputs_sender, startup).unwrap());
@@ -206,3 +212,28 @@
         other => panic!("{other:?}"),
     }
 }
+
+#[test]
+fn request_is_rejected_while_no_descriptor_is_left_for_its_call() {
+    let startup = Startup {
+        descriptors: Some(264),
+        ..Startup::default()
+    };
+    let max_calls = resource_limits::max_calls(&startup);
+    let test_frontend = TestFrontend::with_startup(startup);
+    let (first, first_id, _) = test_frontend.send_request();
+    let others: Vec<_> = (1..max_calls)
+        .map(|_| test_frontend.send_request())
+        .collect();
+    let mut rejected = TcpStream::connect(test_frontend.http).unwrap();
+    rejected
+        .write_all(b"GET /low HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        .unwrap();
+    let mut response = String::new();
+    rejected.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(response.contains("Retry-After"), "{response}");
+    test_frontend.disconnect(first, first_id);
+    test_frontend.send_request();
+    assert_eq!(others.len(), max_calls - 1);
+}
--- a/http-line/src/event_loop.rs
+++ b/http-line/src/event_loop.rs
@@ -14,6 +14,7 @@
 
 use crate::prelude::*;
 use crate::request_id::request_id;
+use admission::ConnectionCounts;
 use mio::event::Event;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
@@ -38,6 +39,8 @@
     limits: Limits,
     pacer: Pacer,
     byte_budget: Arc<ByteBudget>,
+    connection_counts: ConnectionCounts,
+    max_call_connections: usize,
     /// Time before which no stalled bodies are looked for again.
     next_eviction: Instant,
     /// Number of response bytes not written yet, over all connections.
@@ -98,6 +101,7 @@
             unsent_bytes: AtomicUsize::new(0),
             backlog_us: AtomicU64::new(0),
             discarded_bytes: AtomicU64::new(0),
+            refused_connections: AtomicU64::new(0),
             byte_budget: resources.byte_budget.clone(),
             finished: AtomicBool::new(false),
         });
@@ -115,6 +119,8 @@
             handler,
             pacer: Pacer::new(resources.send_rate),
             byte_budget: resources.byte_budget,
+            connection_counts: ConnectionCounts::new(resources.max_client_connections),
+            max_call_connections: resources.max_call_connections,
             next_eviction: now,
             unsent_bytes: 0,
             limits,
@@ -287,6 +293,7 @@
         if connection.busy {
             self.shared.busy.fetch_sub(1, Ordering::SeqCst);
         }
+        self.connection_counts.record_closed(&connection.role);
         match connection.role {
             Role::Server {
                 connection: mut server,
--- a/http-line/src/event_loop/accept.rs
+++ b/http-line/src/event_loop/accept.rs
@@ -1,5 +1,6 @@
 //! Accepting of client connections.
 
+use super::admission::ConnectionAdmission;
 use super::*;
 use crate::server_connection::RECEIVE_BUFFER_BYTES;
 
@@ -73,7 +74,13 @@
     pub(super) fn accept(&mut self, listener: usize) {
         while let Some(open) = self.listeners.get(listener) {
             match open.accept() {
-                Ok((stream, peer)) => self.add_server_connection(listener, stream, peer),
+                Ok((stream, peer)) => match self.admit_connection(listener) {
+                    ConnectionAdmission::Serve => {
+                        self.add_server_connection(listener, stream, peer);
+                    }
+                    ConnectionAdmission::Refuse => self.refuse_connection(listener, stream, peer),
+                    ConnectionAdmission::Drop => {}
+                },
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error)
                     if matches!(
@@ -88,15 +95,38 @@
         }
     }
 
-    fn add_server_connection(&mut self, listener: usize, mut stream: TcpStream, peer: SocketAddr) {
+    /// Responds to the first request of a connection that it is refused, without reading
+    /// the request.
+    fn refuse_connection(&mut self, listener: usize, stream: TcpStream, peer: SocketAddr) {
+        let Some(token) = self.add_server_connection(listener, stream, peer) else {
+            return;
+        };
+        if let Some(connection) = self.connections.get_mut(&token) {
+            // Reset only if the client keeps sending for longer than the connection lingers.
+            connection.readable = true;
+            if let Role::Server { connection, .. } = &mut connection.role {
+                connection.refuse();
+            }
+        }
+        self.drive(token);
+    }
+
+    /// Returns the token of the connection, unless it could not be registered.
+    fn add_server_connection(
+        &mut self,
+        listener: usize,
+        mut stream: TcpStream,
+        peer: SocketAddr,
+    ) -> Option<usize> {
         let token = self.next_token;
         self.next_token += 1;
         self.shared.accepted.fetch_add(1, Ordering::Relaxed);
         let registry = self.poll.registry();
         let registered = registry.register(&mut stream, Token(token), Interest::READABLE);
         if registered.is_err() {
-            return;
+            return None;
         }
+        self.connection_counts.record_accepted();
         let mut connection = ServerConnection::new(peer, self.handler.clone(), self.now)
             .with_byte_budget(&self.byte_budget);
         if self.draining {
@@ -113,6 +143,7 @@
         self.connections
             .insert(token, Connection::new(stream, role));
         self.arm_timer(token);
+        Some(token)
     }
 
     /// Stops new connections and schedules the close of the listeners, after the
--- a/http-line/src/event_loop/calls.rs
+++ b/http-line/src/event_loop/calls.rs
@@ -37,6 +37,11 @@
         if self.pool.open_count(call.address) >= call.max_connections {
             return Err(ExchangeError::NotSent("all connections are busy".into()));
         }
+        if self.pool.total_open_count() >= self.max_call_connections
+            && let Some(token) = self.pool.take_any()
+        {
+            self.close(token);
+        }
         self.begin_on_new(call, started)
     }
 
--- a/http-line/src/event_loop/server_io.rs
+++ b/http-line/src/event_loop/server_io.rs
@@ -166,13 +166,15 @@
             } => server.is_input_exhausted(),
             _ => true,
         };
-        if is_input_exhausted && !connection.readable {
+        let is_done = is_input_exhausted && !connection.readable;
+        if is_done || !self.connection_counts.may_linger() {
             return false;
         }
         let shutdown = connection.stream.shutdown(std::net::Shutdown::Write);
         if shutdown.is_err() {
             return false;
         }
+        self.connection_counts.record_linger();
         connection.role = Role::Linger {
             until: self.now + LINGER_TIME,
             remaining: MAX_LINGER_BYTES,
--- a/http-line/src/event_loop_handle.rs
+++ b/http-line/src/event_loop_handle.rs
@@ -31,6 +31,8 @@
     pub(crate) unsent_bytes: AtomicUsize,
     /// Time that the link needs for the unsent responses, in microseconds.
     pub(crate) backlog_us: AtomicU64,
+    /// Number of client connections that were refused.
+    pub(crate) refused_connections: AtomicU64,
     pub(crate) byte_budget: Arc<ByteBudget>,
     /// Number of input bytes discarded after the sending side was shut down.
     pub(crate) discarded_bytes: AtomicU64,
@@ -201,6 +203,11 @@
         }
     }
 
+    /// Counts a request that the handler refused because too many are in flight.
+    pub fn record_refusal(&self) {
+        self.shared.byte_budget.record_refusal();
+    }
+
     /// Current values of the counters.
     pub fn usage(&self) -> Usage {
         let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
@@ -210,6 +217,7 @@
             reused: read(&self.shared.reused),
             calls: read(&self.shared.calls),
             open: read(&self.shared.open),
+            refused_connections: read(&self.shared.refused_connections),
             refused_requests: self.shared.byte_budget.refusals(),
             held_bytes: self.shared.byte_budget.used() as u64,
         }
--- a/http-line/src/pool.rs
+++ b/http-line/src/pool.rs
@@ -10,6 +10,8 @@
 #[derive(Default)]
 pub(crate) struct Pool {
     addresses: HashMap<SocketAddr, AddressConnections>,
+    /// Number of open connections to all addresses.
+    open: usize,
 }
 
 #[derive(Default)]
@@ -32,6 +34,18 @@
         Some(idle.remove(index))
     }
 
+    /// Takes an idle connection to any address.
+    pub(crate) fn take_any(&mut self) -> Option<usize> {
+        let mut addresses = self.addresses.values_mut();
+        let connections = addresses.find(|connections| !connections.idle.is_empty())?;
+        Some(connections.idle.remove(0))
+    }
+
+    /// Number of open connections to all addresses.
+    pub(crate) fn total_open_count(&self) -> usize {
+        self.open
+    }
+
     /// Adds an idle connection.
     pub(crate) fn put(&mut self, address: SocketAddr, token: usize) {
         self.addresses.entry(address).or_default().idle.push(token);
@@ -47,6 +61,7 @@
     /// Records that a connection was opened.
     pub(crate) fn record_opened(&mut self, address: SocketAddr) {
         self.addresses.entry(address).or_default().open += 1;
+        self.open += 1;
     }
 
     /// Records that a connection was closed.
@@ -54,6 +69,7 @@
         if let Some(connections) = self.addresses.get_mut(&address) {
             connections.idle.retain(|idle| *idle != token);
             connections.open -= 1;
+            self.open -= 1;
             if connections.open == 0 {
                 self.addresses.remove(&address);
             }
--- a/http-line/src/server_connection/held_memory.rs
+++ b/http-line/src/server_connection/held_memory.rs
@@ -109,4 +109,25 @@
             "the request made no progress, and others need its place",
         );
     }
+
+    /// Rejects the first request of a connection for which there is no place.
+    pub fn refuse(&mut self) {
+        self.reject(503, "too many connections are open");
+    }
+
+    /// Time since which the connection has only waited for its client, if its place can be
+    /// given to another: it is idle, or the request that it reads is stalled.
+    pub fn replaceable_since(&self, now: Instant) -> Option<Instant> {
+        if self.closing || !self.pending_requests.is_empty() || !self.output.is_empty() {
+            return None;
+        }
+        if !self.is_busy() {
+            return Some(self.last_progress);
+        }
+        let progress = self
+            .partial
+            .as_ref()
+            .map_or(self.request_started, |partial| partial.progress.at);
+        (now >= progress + STALL_TIME).then_some(progress)
+    }
 }
--- a/http-line/src/usage.rs
+++ b/http-line/src/usage.rs
@@ -15,8 +15,11 @@
     pub calls: u64,
     /// Number of connections currently open, both accepted and opened.
     pub open: u64,
+    /// Number of client connections that were refused or dropped because too many were
+    /// open.
+    pub refused_connections: u64,
     /// Number of requests that were refused, or whose body had to yield, because the
-    /// memory for clients was used up.
+    /// memory or the calls that clients may use were used up.
     pub refused_requests: u64,
     /// Number of bytes held for clients, as counted against the budget of the process.
     pub held_bytes: u64,
--- a/http-line/tests/limits_of_clients.rs
+++ b/http-line/tests/limits_of_clients.rs
@@ -1,4 +1,5 @@
-//! Tests of the memory that an event loop holds for its clients.
+//! Tests of what an event loop holds for its clients: the memory budget, and the number of
+//! connections.
 mod harness;
 use harness::*;
 use http_line::prelude::*;
@@ -20,10 +21,11 @@
     }
 }
 
-fn harness() -> (Harness, Arc<ByteBudget>) {
+fn harness(max_client_connections: usize) -> (Harness, Arc<ByteBudget>) {
     let byte_budget = Arc::new(ByteBudget::new(BUDGET_BYTES, BUDGET_BYTES));
     let resources = Resources {
         byte_budget: byte_budget.clone(),
+        max_client_connections,
         ..Resources::default()
     };
     (Harness::with_resources(limits(), resources), byte_budget)
@@ -47,7 +49,7 @@
 
 #[test]
 fn body_that_does_not_fit_is_refused_while_another_makes_progress() {
-    let (harness, budget) = harness();
+    let (harness, budget) = harness(usize::MAX);
     let mut first = harness.peer();
     send_body(&mut first, MAX_BODY_BYTES, MAX_BODY_BYTES - 1);
     wait_until_held(&budget, MAX_BODY_BYTES - 1);
@@ -64,7 +66,7 @@
 
 #[test]
 fn stalled_body_yields_to_one_that_makes_progress() {
-    let (harness, budget) = harness();
+    let (harness, budget) = harness(usize::MAX);
     let mut stalled = harness.peer();
     send_body(&mut stalled, MAX_BODY_BYTES, MAX_BODY_BYTES - 1);
     wait_until_held(&budget, MAX_BODY_BYTES - 1);
@@ -78,7 +80,7 @@
 
 #[test]
 fn stalled_body_stays_while_there_is_room() {
-    let (harness, budget) = harness();
+    let (harness, budget) = harness(usize::MAX);
     let mut slow = harness.peer();
     send_body(&mut slow, 100, 99);
     wait_until_held(&budget, 99);
@@ -92,7 +94,7 @@
 
 #[test]
 fn small_body_is_read_beside_the_largest_one() {
-    let (harness, budget) = harness();
+    let (harness, budget) = harness(usize::MAX);
     let mut large = harness.peer();
     send_body(&mut large, MAX_BODY_BYTES, MAX_BODY_BYTES - 1);
     wait_until_held(&budget, MAX_BODY_BYTES - 1);
@@ -103,7 +105,7 @@
 
 #[test]
 fn bytes_are_given_back_when_the_client_disconnects() {
-    let (harness, budget) = harness();
+    let (harness, budget) = harness(usize::MAX);
     let mut client = harness.peer();
     send_body(&mut client, MAX_BODY_BYTES, MAX_BODY_BYTES - 1);
     wait_until_held(&budget, MAX_BODY_BYTES - 1);
@@ -115,7 +117,7 @@
 /// there is no room, the requests that were read are still answered.
 #[test]
 fn input_behind_unanswered_requests_is_discarded_if_it_does_not_fit() {
-    let (harness, budget) = harness();
+    let (harness, budget) = harness(usize::MAX);
     let mut holder = Reservation::empty(&budget);
     holder.set(BUDGET_BYTES - KIB);
     let mut client = harness.peer();
@@ -133,3 +135,55 @@
     assert_eq!(answers.matches("HTTP/1.1 200").count(), 2);
     assert!(harness.events.try_recv().is_err());
 }
+
+#[test]
+fn new_connection_takes_the_place_of_the_one_idle_longest() {
+    let (harness, _) = harness(2);
+    let mut oldest = harness.peer();
+    oldest.write_all(b"GET /now HTTP/1.1\r\n\r\n").unwrap();
+    read_head(&mut oldest);
+    let mut newer = harness.peer();
+    newer.write_all(b"GET /wait HTTP/1.1\r\n\r\n").unwrap();
+    let (waiting, _) = harness.request();
+    let mut newest = harness.peer();
+    newest.write_all(b"GET /newest HTTP/1.1\r\n\r\n").unwrap();
+    assert_eq!(harness.request().1.target, "/newest");
+    let rest = read_to_end(&mut oldest);
+    assert!(rest.contains("HTTP/1.1 408"), "{rest}");
+    harness.http.respond(waiting, response("done"));
+    assert!(read_head(&mut newer).starts_with("HTTP/1.1 200"));
+    assert_eq!(harness.http.usage().refused_connections, 0);
+}
+
+#[test]
+fn new_connection_is_refused_while_all_others_are_served() {
+    let (harness, _) = harness(2);
+    let mut busy: Vec<TcpStream> = (0..2).map(|_| harness.peer()).collect();
+    for client in &mut busy {
+        client.write_all(b"GET /wait HTTP/1.1\r\n\r\n").unwrap();
+        harness.request();
+    }
+    let mut refused = harness.peer();
+    refused.write_all(b"GET /refused HTTP/1.1\r\n\r\n").unwrap();
+    let answer = read_to_end(&mut refused);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(harness.events.try_recv().is_err());
+    assert_eq!(harness.http.usage().refused_connections, 1);
+}
+
+#[test]
+fn idle_connections_for_calls_are_closed_above_their_limit() {
+    let caller = Harness::with_resources(
+        Limits::default(),
+        Resources {
+            max_call_connections: 2,
+            ..Resources::default()
+        },
+    );
+    let origins: Vec<Harness> = (0..4).map(|_| Harness::new(Limits::default())).collect();
+    for (id, origin) in origins.iter().enumerate() {
+        caller.call(id as u64, origin.address, "/now");
+        assert_eq!(body(caller.outcome()).1, "/now");
+    }
+    assert_eq!(caller.http.usage().open, 2);
+}
--- a/kernel/src/operator_server.rs
+++ b/kernel/src/operator_server.rs
@@ -59,6 +59,8 @@
         let resources = Resources {
             send_rate: None,
             byte_budget: Arc::new(resource_limits::operator_byte_budget(&port.startup)),
+            max_client_connections: resource_limits::max_operator_connections(&port.startup),
+            max_call_connections: 0,
         };
         let event_loop = EventLoopHandle::open(vec![listener], LIMITS, resources, handler.clone())
             .map_err(|error| FrontendError::Start(error.into()))?;
@@ -121,8 +123,12 @@
             .try_send(WaitingRequest { id, request })
             .is_err()
         {
-            let response = self.rejection_response(503, "too many requests are waiting");
-            self.event_loop.wait().respond(id, response);
+            let event_loop = self.event_loop.wait();
+            event_loop.record_refusal();
+            event_loop.respond(
+                id,
+                self.rejection_response(503, "too many requests are waiting"),
+            );
         }
     }
 
--- a/kernel/tests/resource_limits.rs
+++ b/kernel/tests/resource_limits.rs
@@ -21,3 +21,19 @@
         assert_eq!(operators.fit_body(largest), largest);
     }
 }
+
+#[test]
+fn connections_of_clients_leave_descriptors_for_origins_and_peers() {
+    for descriptors in [400, 790, 3000, 4100, 8192] {
+        let startup = Startup {
+            memory_bytes: Some(160 * MIB),
+            descriptors: Some(descriptors),
+            ..Startup::default()
+        };
+        let usable = (descriptors - 200) as usize;
+        let clients = resource_limits::max_edge_connections(&startup);
+        let calls = resource_limits::max_calls(&startup);
+        assert!(clients + calls <= usable * 2 / 3, "{descriptors}");
+        assert!(resource_limits::max_operator_connections(&startup) <= usable / 4);
+    }
+}
