A body of which nothing comes is timed out after the idle time

Callers saw: a body of 64 MiB that stopped a byte short could stay for 18 hours.

Cause: the time for a body is the idle time plus a millisecond for each byte that has come, counted from its start.

Change: it also ends with 408 once nothing of it has come for the idle time. A body that moves has the time it had.

Evidence: body_that_stops_is_timed_out_after_idle_time; the same due time was the idle time plus 100 s before (by the sum above, not run on the old code).

--- a/http-line/src/limits.rs
+++ b/http-line/src/limits.rs
@@ -12,8 +12,9 @@
     /// Maximum time from the first byte of a request to the end of its head.
     pub head_timeout: Duration,
     /// Maximum time a connection may be without a request. Also the time allowed
-    /// for a request body in addition to one second per KB received, and the
-    /// maximum time without progress while a response is being written.
+    /// for a request body in addition to one second per KB received, the maximum time
+    /// in which nothing of a body arrives, and the maximum time without progress while
+    /// a response is being written.
     pub idle_timeout: Duration,
     /// Maximum number of requests in flight on one connection.
     pub max_pipelined_requests: usize,
--- a/http-line/src/server_connection.rs
+++ b/http-line/src/server_connection.rs
@@ -76,6 +76,8 @@
 struct BodyProgressMark {
     at: Instant,
     body_bytes: usize,
+    /// Time at which the last bytes of the body arrived.
+    received_at: Instant,
 }
 
 /// A request whose response is not written yet.
@@ -327,7 +329,9 @@
         if let Some(partial) = &self.partial {
             // One more millisecond for each byte enforces a minimum rate of 1 KB/s.
             let body_time = Duration::from_millis(partial.body.body.len() as u64);
-            return Some(self.request_started + limits.idle_timeout + body_time);
+            let too_slow = self.request_started + limits.idle_timeout + body_time;
+            let stopped = partial.progress.received_at + limits.idle_timeout;
+            return Some(too_slow.min(stopped));
         }
         if !self.input.is_empty() {
             return Some(self.request_started + limits.head_timeout);
--- a/http-line/src/server_connection/held_memory.rs
+++ b/http-line/src/server_connection/held_memory.rs
@@ -39,11 +39,13 @@
         BodyProgressMark {
             at: now,
             body_bytes: 0,
+            received_at: now,
         }
     }
 
-    /// Moves the mark if enough has arrived.
+    /// Records that bytes have arrived, and moves the mark if they are enough.
     pub(super) fn update(&mut self, body_bytes: usize, now: Instant) {
+        self.received_at = now;
         if body_bytes >= self.body_bytes + MIN_PROGRESS_BYTES {
             self.at = now;
             self.body_bytes = body_bytes;
--- a/http-line/src/server_connection/tests.rs
+++ b/http-line/src/server_connection/tests.rs
@@ -245,6 +245,21 @@
     assert!(TestServer::new().connection.time_out());
 }
 
+/// Guards against bodies that stop and stay for a time that grows with what has arrived.
+#[test]
+fn body_that_stops_is_timed_out_after_idle_time() {
+    let mut server = TestServer::new();
+    server.limits.max_body_bytes = 100_000;
+    server.feed("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+    server.feed(&"x".repeat(99_999));
+    assert_eq!(
+        server.connection.due(&server.limits),
+        Some(server.now + server.limits.idle_timeout)
+    );
+    assert!(!server.connection.time_out());
+    assert!(server.take_written().starts_with("HTTP/1.1 408 "));
+}
+
 /// Four pipelined requests.
 const PIPELINED: &str = "\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\n\r\n\
             PUT /c HTTP/1.1\r\nContent-Length: 4\r\n\r\nGET GET /d HTTP/1.1\r\n\r\n";
