Responses of origins are counted against the budget while they are read

Suspected, not seen: origins that send up to 16 MiB to each call in flight, at 147 calls, would take more than a machine has. It is the same cause as that of clients' bodies, elsewhere.

Change: what is read of a response comes out of the process's budget; one that does not fit ends its call as one that broke off. They stay on the heap, since they are soon taken out as vectors.

--- a/byte-budget/src/held_bytes.rs
+++ b/byte-budget/src/held_bytes.rs
@@ -9,6 +9,8 @@
 pub struct HeldBytes {
     storage: Storage,
     reservation: Option<Reservation>,
+    /// True if large bodies are moved to pages of their own.
+    uses_pages: bool,
 }
 
 /// Memory of a body.
@@ -28,6 +30,16 @@
         HeldBytes {
             storage: Storage::Heap(Vec::new()),
             reservation: Some(Reservation::empty(budget)),
+            uses_pages: true,
+        }
+    }
+
+    /// Creates an empty body that reserves its bytes and stays on the heap, for one that is
+    /// soon taken out as a vector.
+    pub fn on_heap_within(budget: &Arc<ByteBudget>) -> HeldBytes {
+        HeldBytes {
+            uses_pages: false,
+            ..HeldBytes::within(budget)
         }
     }
 
@@ -40,7 +52,7 @@
         let len = self.len() + bytes.len();
         if let Some(reservation) = &mut self.reservation {
             reservation.grow_to(len)?;
-            if len > LARGE_BODY_BYTES {
+            if self.uses_pages && len > LARGE_BODY_BYTES {
                 self.move_to_pages(max_len.max(len))?;
             }
         }
@@ -97,6 +109,7 @@
         HeldBytes {
             storage: Storage::Heap(bytes),
             reservation: None,
+            uses_pages: false,
         }
     }
 }
--- a/http-line/src/client_connection.rs
+++ b/http-line/src/client_connection.rs
@@ -28,6 +28,9 @@
     recent_correlation_hashes: VecDeque<u64>,
     /// Time until which the idle connection may be reused.
     reusable_until: Option<Instant>,
+    /// Budget against which response bodies are counted while they are read; `None`: they
+    /// are not counted.
+    byte_budget: Option<Arc<ByteBudget>>,
 }
 
 /// The call in flight.
@@ -81,9 +84,22 @@
             mismatched_responses: 0,
             recent_correlation_hashes: VecDeque::new(),
             reusable_until: None,
+            byte_budget: None,
         }
     }
 
+    /// Counts response bodies against this budget while they are read.
+    pub fn with_byte_budget(mut self, budget: &Arc<ByteBudget>) -> ClientConnection {
+        self.byte_budget = Some(budget.clone());
+        self
+    }
+
+    fn empty_body(&self) -> HeldBytes {
+        self.byte_budget
+            .as_ref()
+            .map_or_else(HeldBytes::default, HeldBytes::on_heap_within)
+    }
+
     /// Queues the request of a call, whose timeout is counted from `started`.
     pub fn begin(&mut self, call: &Call, started: Instant, now: Instant) {
         self.output.push(encode_head(call).into());
--- a/http-line/src/client_connection/reader.rs
+++ b/http-line/src/client_connection/reader.rs
@@ -63,8 +63,9 @@
                 }
             }
             Err(BodyError::Malformed(reason)) => ControlFlow::Break(self.fail(reason)),
-            Err(BodyError::TooLarge | BodyError::BudgetExceeded) => {
-                ControlFlow::Break(self.fail("the response is too large"))
+            Err(BodyError::TooLarge) => ControlFlow::Break(self.fail("the response is too large")),
+            Err(BodyError::BudgetExceeded) => {
+                ControlFlow::Break(self.fail("no memory is left for the response"))
             }
         }
     }
@@ -97,7 +98,7 @@
             Ok(head) => match BodyReader::new(
                 head.framing,
                 limits.max_response_body_bytes,
-                HeldBytes::default(),
+                self.empty_body(),
             ) {
                 Ok(body) => self.response = Some(PartialResponse { head, body }),
                 Err(_) => return ControlFlow::Break(self.fail("the response is too large")),
--- a/http-line/src/event_loop/calls.rs
+++ b/http-line/src/event_loop/calls.rs
@@ -89,7 +89,7 @@
         let _ = socket.set_tcp_user_timeout(Some(CLIENT_TCP_TIMEOUT));
         let token = self.next_token;
         self.next_token += 1;
-        let mut client = ClientConnection::new(call.address);
+        let mut client = ClientConnection::new(call.address).with_byte_budget(&self.byte_budget);
         client.begin(call, started, self.now);
         let WriteProgress { written, result } = client.output.write(&mut stream);
         let result = match result {
