E343 tells what was refused to clients for lack of memory or descriptors

Refusals were counted by the event loop but not shown. The host logs them, at most once in five seconds: connections, requests, and the bytes held now.

Evidence: refusals_are_reported_once_and_not_too_often.

--- a/data-plane/src/http_frontend/mod.rs
+++ b/data-plane/src/http_frontend/mod.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    fn refusal_counts(&self) -> RefusalCounts {
+        self.event_loop()
+            .map_or(RefusalCounts::default(), refusal_counts)
+    }
+
     fn open_work_probe(&self) -> Option<OpenWorkProbe> {
         let event_loop = self.event_loop()?.clone();
         Some(Arc::new(move || {
--- a/kernel/src/event.rs
+++ b/kernel/src/event.rs
@@ -70,6 +70,7 @@
     ResponseRejected = 340, Warn;
     ClientDisconnected = 341, Debug;
     AbandonedWork = 342, Error;
+    ClientsRefused = 343, Warn;
 }
 
 /// Writes one event to the log.
--- a/kernel/src/frontend.rs
+++ b/kernel/src/frontend.rs
@@ -78,6 +78,11 @@
     /// pending.
     fn finish(&self) {}
 
+    /// Returns what the frontend has refused to its clients.
+    fn refusal_counts(&self) -> RefusalCounts {
+        RefusalCounts::default()
+    }
+
     /// Returns the probe of the open work of a frontend that was opened, if it has one.
     fn open_work_probe(&self) -> Option<OpenWorkProbe> {
         None
--- a/kernel/src/host.rs
+++ b/kernel/src/host.rs
@@ -66,6 +66,7 @@
     /// Number of inputs handled since the last flush.
     unflushed: u32,
     open_work: Option<OpenWorkProbe>,
+    refusal_reports: RefusalReports,
 }
 
 impl NodeHost {
@@ -120,6 +121,7 @@
             store,
             unflushed: 0,
             open_work,
+            refusal_reports: RefusalReports::default(),
         })
     }
 
@@ -142,8 +144,10 @@
                 continue;
             };
             let from_peer = matches!(&input, Input::MessageReceived { from, .. } if *from != self.host.local_peer);
-            if matches!(input, Input::ShutdownRequested) {
-                self.host.frontend.prepare_shutdown();
+            match input {
+                Input::ShutdownRequested => self.host.frontend.prepare_shutdown(),
+                Input::Tick => self.report_refusals(),
+                _ => {}
             }
             for output in state_machine.handle(self.port.now(), input) {
                 self.perform(output);
@@ -155,6 +159,13 @@
         }
     }
 
+    fn report_refusals(&mut self) {
+        let counts = self.host.frontend.refusal_counts();
+        if let Some(text) = self.refusal_reports.next(self.port.now(), counts) {
+            log_event(Event::ClientsRefused, &text);
+        }
+    }
+
     /// Returns a tick if one is due, else the next input that arrives before the
     /// next tick.
     fn next_input(&self, next_tick: &mut Duration) -> Option<Input> {
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod protocol;
 pub mod purge;
 pub mod quorum;
+pub mod refusals;
 pub mod resource_limits;
 pub mod route_table;
 pub mod row;
--- a/kernel/src/operator_server.rs
+++ b/kernel/src/operator_server.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    fn refusal_counts(&self) -> RefusalCounts {
+        self.event_loop
+            .as_ref()
+            .map_or(RefusalCounts::default(), refusal_counts)
+    }
+
     fn is_done(&self) -> bool {
         self.event_loop
             .as_ref()
@@ -85,6 +91,16 @@
     }
 }
 
+/// Returns what an event loop has refused to its clients.
+pub fn refusal_counts(event_loop: &EventLoopHandle) -> RefusalCounts {
+    let usage = event_loop.usage();
+    RefusalCounts {
+        connections: usage.refused_connections,
+        requests: usage.refused_requests,
+        held_bytes: usage.held_bytes,
+    }
+}
+
 /// A request that waits for a thread.
 struct WaitingRequest {
     id: u64,
--- a/kernel/tests/resource_limits.rs
+++ b/kernel/tests/refusals.rs
@@ -1,10 +1,32 @@
-//! Tests of the limits of clients.
+//! Tests of the limits of clients, and of the reports of what was refused.
 use kernel::prelude::*;
 
 const MIB: u64 = 1024 * 1024;
 /// The largest request body that the users' pages allow, in bytes.
 const LARGEST_BODY_BYTES: usize = 64 * MIB as usize;
 
+#[test]
+fn refusals_are_reported_once_and_not_too_often() {
+    let mut reports = RefusalReports::default();
+    let counts = |requests| RefusalCounts {
+        requests,
+        connections: 1,
+        held_bytes: 7,
+    };
+    let at = Duration::from_secs;
+    assert_eq!(reports.next(at(0), RefusalCounts::default()), None);
+    let text = reports.next(at(1), counts(2)).unwrap();
+    assert!(text.contains("1 connections and 2 requests; 7 bytes"));
+    assert_eq!(reports.next(at(3), counts(3)), None);
+    assert!(
+        reports
+            .next(at(6), counts(3))
+            .unwrap()
+            .contains("1 requests")
+    );
+    assert_eq!(reports.next(at(60), counts(3)), None);
+}
+
 #[test]
 fn one_largest_body_fits_on_each_machine_and_leaves_memory_for_the_rest() {
     for memory_mb in [160, 260, 512] {
