An operator's request keeps its reservation while it is served

Cause: a body is held in other forms while it is parsed and replicated, and nothing bounded how many are at work. With the budget they were already refused while they were read (93 MB), but the reservation ended when a thread took the request.

Change: serve_http holds the reservation until the response is there, so that orders of this size are served one after the other.

--- a/byte-budget/src/held_bytes.rs
+++ b/byte-budget/src/held_bytes.rs
@@ -88,10 +88,17 @@
 
     /// Returns the bytes as a vector. They are no longer reserved.
     pub fn into_vec(self) -> Vec<u8> {
-        match self.storage {
+        self.into_parts().0
+    }
+
+    /// Returns the bytes as a vector, and their reservation, for a caller that holds them
+    /// longer.
+    pub fn into_parts(self) -> (Vec<u8>, Option<Reservation>) {
+        let bytes = match self.storage {
             Storage::Heap(heap) => heap,
             Storage::Mapped { pages, len } => pages[..len].to_vec(),
-        }
+        };
+        (bytes, self.reservation)
     }
 }
 
--- a/byte-budget/tests/budget.rs
+++ b/byte-budget/tests/budget.rs
@@ -66,3 +66,14 @@
     assert_eq!(body.grow_to(largest + 1), Err(BudgetExceeded));
     assert_eq!(body.grow_to(largest), Ok(()));
 }
+
+#[test]
+fn reservation_outlives_the_body_for_a_caller_that_holds_it_longer() {
+    let budget = Arc::new(ByteBudget::new(MIB, MIB));
+    let mut body = HeldBytes::within(&budget);
+    body.push(&vec![5; MIB / 2], MIB).unwrap();
+    let (bytes, reservation) = body.into_parts();
+    assert_eq!((bytes.len(), budget.used()), (MIB / 2, MIB / 2));
+    drop(reservation);
+    assert_eq!(budget.used(), 0);
+}
--- a/kernel/src/plug_in.rs
+++ b/kernel/src/plug_in.rs
@@ -93,12 +93,10 @@
     port: &Port,
     request: http_line::Request,
 ) -> http_line::Response {
-    let request = rouille::Request::fake_http(
-        request.method,
-        request.target,
-        request.headers,
-        request.body.into_vec(),
-    );
+    // Reserved until the response is there: the plug-in holds the body in other forms.
+    let (body, _reservation) = request.body.into_parts();
+    let request =
+        rouille::Request::fake_http(request.method, request.target, request.headers, body);
     into_http_response(serve_plug_ins(plug_ins, port, &request))
 }
 
