Responses that are not read yield to requests when the memory is taken

Suspected from the arithmetic, shown by a unit test alone: responses are held already, so they count even if they do not fit. Clients that read nothing of them would keep the budget overdrawn for the idle time, and each request would be refused until then.

Change: when something does not fit, after stalled bodies, connections are closed whose client accepted nothing of a response for 5 s while its socket was full. Responses that wait for the pacer are not among them.

Evidence: response_that_is_not_read_yields_to_a_request fails without the change (no request within 10 s) and passes with it.

--- a/http-line/src/event_loop/admission.rs
+++ b/http-line/src/event_loop/admission.rs
@@ -114,13 +114,18 @@
         }
     }
 
-    /// Ends stalled bodies, the largest first, until this many bytes fit for a body that
-    /// already has `held` bytes.
+    /// Ends stalled bodies, the largest first, and then responses that are not read, until
+    /// this many bytes fit for a body that already has `held` bytes.
     pub(super) fn make_room(&mut self, held: usize, additional: usize) {
         if self.byte_budget.has_room(held, additional) || self.now < self.next_eviction {
             return;
         }
         self.next_eviction = self.now + EVICTION_INTERVAL;
+        self.end_stalled_bodies(held, additional);
+        self.end_stalled_responses(held, additional);
+    }
+
+    fn end_stalled_bodies(&mut self, held: usize, additional: usize) {
         let stalled = self.connections.iter().filter_map(|(token, connection)| {
             let Role::Server { connection, .. } = &connection.role else {
                 return None;
@@ -139,6 +144,29 @@
         }
     }
 
+    /// Closes connections whose clients have read nothing of their responses for a while.
+    fn end_stalled_responses(&mut self, held: usize, additional: usize) {
+        let stalled = self.connections.iter().filter_map(|(token, connection)| {
+            let Role::Server {
+                connection: server, ..
+            } = &connection.role
+            else {
+                return None;
+            };
+            let since = server.stalled_responses_since(self.now)?;
+            connection.write_blocked.then_some((since, *token))
+        });
+        let mut stalled: Vec<(Instant, usize)> = stalled.collect();
+        stalled.sort_unstable();
+        for (_, token) in stalled {
+            if self.byte_budget.has_room(held, additional) {
+                return;
+            }
+            self.byte_budget.record_refusal();
+            self.close(token);
+        }
+    }
+
     fn reject_stalled(&mut self, token: usize) {
         if let Some(connection) = self.connections.get_mut(&token)
             && let Role::Server { connection, .. } = &mut connection.role
--- a/http-line/src/server_connection/held_memory.rs
+++ b/http-line/src/server_connection/held_memory.rs
@@ -10,6 +10,8 @@
 pub(crate) const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Time after which a body is stalled unless `MIN_PROGRESS_BYTES` have arrived.
 const STALL_TIME: Duration = Duration::from_secs(1);
+/// Time after which a response of which the client reads nothing is stalled.
+const RESPONSE_STALL_TIME: Duration = Duration::from_secs(5);
 /// Number of body bytes that are progress.
 const MIN_PROGRESS_BYTES: usize = 16 * 1024;
 
@@ -104,6 +106,14 @@
         is_stalled.then_some(partial.body.body.len())
     }
 
+    /// Time of the last progress of the responses, if the client reads nothing of them and
+    /// they hold memory.
+    pub fn stalled_responses_since(&self, now: Instant) -> Option<Instant> {
+        let is_stalled = now >= self.last_progress + RESPONSE_STALL_TIME;
+        let holds_memory = self.response_bytes() > 0 && !self.output.is_empty();
+        (is_stalled && holds_memory).then_some(self.last_progress)
+    }
+
     /// Rejects the request whose body or head is stalled, so that others can be served.
     pub fn reject_stalled(&mut self) {
         self.reject(
--- a/http-line/tests/limits_of_clients.rs
+++ b/http-line/tests/limits_of_clients.rs
@@ -136,6 +136,27 @@
     assert!(harness.events.try_recv().is_err());
 }
 
+/// Guards against clients that take up the memory with responses that they do not read.
+#[test]
+fn response_that_is_not_read_yields_to_a_request() {
+    const UNREAD_BYTES: usize = 64 * 1024 * KIB;
+    let (harness, budget) = harness(usize::MAX);
+    let mut reader = harness.peer();
+    reader.write_all(b"GET /wait HTTP/1.1\r\n\r\n").unwrap();
+    let large = vec![b'x'; UNREAD_BYTES];
+    let response = Response {
+        body: large.into(),
+        ..response("")
+    };
+    harness.http.respond(harness.request().0, response);
+    std::thread::sleep(Duration::from_secs(6));
+    assert!(budget.used() > BUDGET_BYTES);
+    let mut other = harness.peer();
+    send_body(&mut other, KIB, KIB);
+    assert_eq!(harness.request().1.body.len(), KIB);
+    wait_until_held(&budget, 0);
+}
+
 #[test]
 fn new_connection_takes_the_place_of_the_one_idle_longest() {
     let (harness, _) = harness(2);
