A recovering control node holds one copy of the rows, not one for each reply

An earlier reply of a slot stays merged when a later one comes: it was on a disk, and newer states replace it (before, the later reply took its place).

Evidence: recovery_holds_one_copy_of_the_rows fails with the old replica_recovery.rs and passes. The exhaustive search and the drawn sequences of replication hold.

--- a/control-plane/src/control_node/disk_failure.rs
+++ b/control-plane/src/control_node/disk_failure.rs
@@ -56,11 +56,37 @@
         self.replica.apply(record);
         self.adopt_published_table();
         if self.journal.is_snapshot_due() {
-            let output = self.journal.store_snapshot(&self.replica);
-            self.outputs.push(output);
+            self.store_snapshot();
         }
     }
 
+    /// Stores the record that completes the recovery of this disk. It holds a complete copy
+    /// of the rows, which becomes the replica's own.
+    pub(super) fn store_recovered(&mut self, recovered: RecoveredState) {
+        let record = Record::Recovered {
+            partitions: recovered.partitions,
+            majority_lost: recovered.majority_lost,
+        };
+        let output = self.journal.store(&record);
+        self.outputs.extend(output);
+        if let Record::Recovered {
+            partitions,
+            majority_lost,
+        } = record
+        {
+            self.replica.recover(partitions, majority_lost);
+        }
+        self.adopt_published_table();
+        if self.journal.is_snapshot_due() {
+            self.store_snapshot();
+        }
+    }
+
+    fn store_snapshot(&mut self) {
+        let output = self.journal.store_snapshot(&mut self.replica);
+        self.outputs.push(output);
+    }
+
     /// Sends the messages that waited until the disk synced up to this serial, in their order.
     pub(super) fn handle_stored(&mut self, now: Duration, serial: u64) {
         if self.journal.end_failure(serial) {
@@ -85,7 +111,7 @@
 
     /// Writes the complete replica to a failed disk, if an attempt is due.
     pub(super) fn restore_disk(&mut self, now: Duration) {
-        let output = self.journal.retry_failed_disk(now, &self.replica);
+        let output = self.journal.retry_failed_disk(now, &mut self.replica);
         self.outputs.extend(output);
     }
 }
--- a/control-plane/src/control_node/journal.rs
+++ b/control-plane/src/control_node/journal.rs
@@ -77,8 +77,8 @@
     }
 
     /// Returns the output that writes the complete replica.
-    pub(super) fn store_snapshot(&mut self, replica: &Replica) -> Output {
-        let record = Record::Snapshot(Box::new(replica.clone())).bytes();
+    pub(super) fn store_snapshot(&mut self, replica: &mut Replica) -> Output {
+        let record = replica.encode_as_snapshot();
         self.snapshot_bytes = record.len();
         self.log_bytes = 0;
         self.stored_serial += 1;
@@ -105,7 +105,11 @@
     }
 
     /// Returns the output that writes the complete replica, if the disk has failed and an attempt is due.
-    pub(super) fn retry_failed_disk(&mut self, now: Duration, replica: &Replica) -> Option<Output> {
+    pub(super) fn retry_failed_disk(
+        &mut self,
+        now: Duration,
+        replica: &mut Replica,
+    ) -> Option<Output> {
         if !self.failure.as_ref()?.is_retry_due(now) {
             return None;
         }
--- a/control-plane/src/control_node/recovery.rs
+++ b/control-plane/src/control_node/recovery.rs
@@ -67,10 +67,7 @@
         let majority_lost = recovered.majority_lost;
         self.recovery = None;
         self.sessions.restart(now);
-        self.store(&Record::Recovered {
-            partitions: recovered.partitions,
-            majority_lost,
-        });
+        self.store_recovered(recovered);
         for incarnation in self.retired_incarnations() {
             if !self.replica.retired.contains(&incarnation) {
                 self.store(&Record::Retired { incarnation });
--- a/control-plane/src/replica.rs
+++ b/control-plane/src/replica.rs
@@ -102,7 +102,7 @@
             Record::Recovered {
                 partitions,
                 majority_lost,
-            } => self.recover(partitions, *majority_lost),
+            } => self.recover(partitions.clone(), *majority_lost),
         }
     }
 
@@ -120,7 +120,8 @@
         }
     }
 
-    fn recover(&mut self, partitions: &[PartitionSnapshot], majority_lost: bool) {
+    /// Takes over the rows of other disks, after which this disk is full.
+    pub fn recover(&mut self, partitions: Vec<PartitionSnapshot>, majority_lost: bool) {
         self.full = true;
         for snapshot in partitions {
             self.partition_mut(snapshot.partition).restore(snapshot);
@@ -128,6 +129,16 @@
         self.lost_generation = if majority_lost { self.generation() } else { 0 };
     }
 
+    /// Encodes the record that replaces the log, without a copy of the rows.
+    pub fn encode_as_snapshot(&mut self) -> Vec<u8> {
+        let record = Record::Snapshot(Box::new(std::mem::take(self)));
+        let bytes = record.bytes();
+        if let Record::Snapshot(replica) = record {
+            *self = *replica;
+        }
+        bytes
+    }
+
     /// Returns snapshots of all partitions, for the recovery of another disk.
     pub fn snapshot(&self) -> Vec<PartitionSnapshot> {
         let numbered = (0u8..).zip(&self.partitions);
--- a/control-plane/src/replica/partition.rs
+++ b/control-plane/src/replica/partition.rs
@@ -65,15 +65,15 @@
     }
 
     /// Replaces the state by a snapshot of other disks. A promise made by this disk remains valid.
-    pub(super) fn restore(&mut self, snapshot: &PartitionSnapshot) {
+    pub(super) fn restore(&mut self, snapshot: PartitionSnapshot) {
         self.promised_epoch = self.promised_epoch.max(snapshot.promised_epoch);
-        self.state = snapshot.state.clone();
-        self.published_rows = snapshot.published_rows.clone();
+        self.state = snapshot.state;
+        self.published_rows = snapshot.published_rows;
         self.unpublished.clear();
         if snapshot.partition < PUBLISHED_PARTITIONS {
-            let rows = snapshot.state.rows.iter();
+            let rows = self.state.rows.iter();
             self.unpublished.push_back(UnpublishedRows {
-                version: snapshot.state.version,
+                version: self.state.version,
                 rows: rows.map(|(key, row)| (key.clone(), row.clone())).collect(),
             });
         }
--- a/control-plane/src/replica_recovery.rs
+++ b/control-plane/src/replica_recovery.rs
@@ -28,6 +28,9 @@
     round: u8,
     /// Replies in the current round, by slot.
     replies: BTreeMap<u8, ReceivedSnapshot>,
+    /// The snapshots of the current round, merged as they arrive: each is a complete copy
+    /// of the rows, and memory holds only one.
+    merged: Vec<PartitionSnapshot>,
     /// Last request to each slot.
     last_requests: BTreeMap<u8, LastRequest>,
 }
@@ -38,13 +41,12 @@
     sent_at: Duration,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 struct ReceivedSnapshot {
     /// True if the sender's disk is full, regardless of the sender's membership table.
     full: bool,
     /// True if the disk is full and its edges are shown the table that contains the recovering disk.
     usable: bool,
-    partitions: Vec<PartitionSnapshot>,
 }
 
 /// Contents of a recovered disk.
@@ -65,6 +67,7 @@
             membership_version,
             round: FENCING_ROUND,
             replies: BTreeMap::new(),
+            merged: Vec::new(),
             last_requests: BTreeMap::new(),
         }
     }
@@ -112,22 +115,21 @@
             full,
             // While the sender publishes an older table, its edges may still use that one.
             usable: full && reply.membership_version >= self.membership_version,
-            partitions: reply.partitions,
         };
         self.replies.insert(reply.slot, received);
+        merge_snapshot(&mut self.merged, reply.partitions);
         let is_recoverable = self.count(|reply| reply.usable) >= self.quorum.intersecting();
         let may_become_recoverable = self.count(|reply| reply.full) >= self.quorum.intersecting();
         let all_replied = self.replies.len() + 1 >= self.quorum.slots;
         if !is_recoverable && (may_become_recoverable || !all_replied) {
             return None;
         }
-        let replies = std::mem::take(&mut self.replies);
+        self.replies.clear();
+        let partitions = std::mem::take(&mut self.merged);
         if self.round == FENCING_ROUND {
             self.round = SNAPSHOT_ROUND;
             return None;
         }
-        let snapshots = replies.into_values().map(|reply| reply.partitions);
-        let partitions = merge_snapshots(snapshots);
         let holds_rows = partitions
             .iter()
             .any(|partition| partition.state.version > 0);
@@ -142,21 +144,17 @@
     }
 }
 
-/// Returns the newest state of each partition, and the highest promise.
-fn merge_snapshots(
-    snapshots: impl Iterator<Item = Vec<PartitionSnapshot>>,
-) -> Vec<PartitionSnapshot> {
-    let mut merged: Vec<PartitionSnapshot> = Vec::new();
-    for partitions in snapshots {
-        if merged.is_empty() {
-            merged = partitions;
-            continue;
-        }
-        for (known, other) in merged.iter_mut().zip(partitions) {
-            merge_partition(known, other);
-        }
+/// Merges the newest state of each partition, and the highest promise, into `merged`. An
+/// earlier snapshot of the same disk stays merged: what it holds was on a disk, and newer
+/// states replace it.
+fn merge_snapshot(merged: &mut Vec<PartitionSnapshot>, partitions: Vec<PartitionSnapshot>) {
+    if merged.is_empty() {
+        *merged = partitions;
+        return;
+    }
+    for (known, other) in merged.iter_mut().zip(partitions) {
+        merge_partition(known, other);
     }
-    merged
 }
 
 fn merge_partition(known: &mut PartitionSnapshot, other: PartitionSnapshot) {
