--- a/byte-budget/src/held_bytes.rs
+++ b/byte-budget/src/held_bytes.rs
@@ -9,15 +9,15 @@
 pub struct HeldBytes {
     storage: Storage,
     reservation: Option<Reservation>,
-    /// True if large bodies are moved to pages of their own.
+    /// True if large bodies are moved to mapped pages.
     uses_pages: bool,
 }
 
 /// Memory of a body.
 enum Storage {
     Heap(Vec<u8>),
-    /// Pages of their own, which the system takes back at once when the body is dropped;
-    /// a heap keeps the holes that large bodies leave.
+    /// Mapped pages, which the system takes back at once when the body is dropped; a heap
+    /// keeps the holes that large bodies leave.
     Mapped {
         pages: MmapMut,
         len: usize,
--- a/byte-budget/src/lib.rs
+++ b/byte-budget/src/lib.rs
@@ -14,8 +14,8 @@
 
 /// Size in bytes above which a body is large: it may use only a part of the budget.
 pub const LARGE_BODY_BYTES: usize = 64 * 1024;
-/// One of this many parts of the limit is left to bodies that are not large.
-const SMALL_BODY_PARTS: usize = 8;
+/// The limit divided by this is left to bodies that are not large.
+const SMALL_BODY_DIVISOR: usize = 8;
 
 /// Budget of bytes, shared by all threads of a process.
 #[derive(Debug)]
@@ -41,7 +41,7 @@
     /// budget. Returns the size of the largest body that does, which is smaller if the
     /// ceiling is too low.
     pub fn fit_body(&self, bytes: usize) -> usize {
-        let needed = bytes.saturating_add(bytes.div_ceil(SMALL_BODY_PARTS - 1));
+        let needed = bytes.saturating_add(bytes.div_ceil(SMALL_BODY_DIVISOR - 1));
         self.limit
             .fetch_max(needed.min(self.ceiling), Ordering::Relaxed);
         bytes.min(self.limit_for(bytes))
@@ -76,7 +76,7 @@
     fn limit_for(&self, body_bytes: usize) -> usize {
         let limit = self.limit();
         match body_bytes > LARGE_BODY_BYTES {
-            true => limit - limit / SMALL_BODY_PARTS,
+            true => limit - limit / SMALL_BODY_DIVISOR,
             false => limit,
         }
     }
