--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -18,6 +18,10 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+/// SIGSTOP.
+pub const STOP: i32 = 19;
+/// SIGCONT.
+pub const CONTINUE: i32 = 18;
 /// SIGTERM.
 pub const TERMINATE: i32 = 15;
 
@@ -169,15 +173,6 @@
         }
     }
 
-    /// Kills a process and waits for its end.
-    pub fn kill(&self, machine: usize, role: Role) {
-        let mut processes = self.processes.lock().expect("no holder panics");
-        if let Some(mut child) = processes.remove(&(machine, role)) {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
     /// Returns how a process has ended, if it has.
     pub fn ended(&self, machine: usize, role: Role) -> Option<String> {
         let mut processes = self.processes.lock().expect("no holder panics");
@@ -261,6 +256,19 @@
             .is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// The machine whose edge holds a duty, by the operators' list.
+    pub fn holder(&self, duty: &str, machines: &[usize]) -> Option<usize> {
+        let list = self
+            .operate(machines[0], "GET", "/.otterslip/v1/duties", "")
+            .ok()?;
+        let list = String::from_utf8_lossy(&list.body).into_owned();
+        let (_, behind) = list.split_once(&format!("\"duty\":\"{duty}\""))?;
+        let (_, holder) = behind.split_once("\"holder\":\"")?;
+        let holder: SocketAddr = holder.split('"').next()?.parse().ok()?;
+        let holds = |machine: &&usize| self.machine_address(**machine, 0).ip() == holder.ip();
+        machines.iter().find(holds).copied()
+    }
+
     /// Waits until machines are ready.
     pub fn await_ready(&self, machines: &[usize], limit: Duration) -> bool {
         let until = Instant::now() + limit;
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -1,10 +1,10 @@
 //! Scripts of the second review: each starts the project's own programs as separate processes on
 //! loopback addresses, disturbs them, and judges what clients, origins and operators have seen.
 //!
-//! Usage: review-harness-2 CASE FOLDER (CASE: handover, founding, invalid). `FOLDER/record.txt` is written.
+//! Usage: review-harness-2 CASE FOLDER (CASE: claims, handover, invalid). `FOLDER/record.txt` is written.
 //! Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
+mod claims;
 mod fleet;
-mod founding;
 mod handover;
 mod http;
 mod invalid;
@@ -36,7 +36,7 @@
         let record = record::Record::create(folder)?;
         record.line(&format!("case {case}, trouble: {has_trouble}"));
         let verdict = match case.as_str() {
-            "founding" => founding::run(&record, has_trouble),
+            "claims" => claims::run(&record, has_trouble),
             "handover" => handover::run(&record, has_trouble),
             "invalid" => invalid::run(&record, has_trouble),
             unknown => Err(format!("unknown case {unknown}").into()),
--- a/review/harness-2/src/origin.rs
+++ b/review/harness-2/src/origin.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::io::{BufReader, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -17,6 +18,10 @@
     pub service: String,
     /// The ids of the requests that it has run.
     pub runs: Mutex<HashSet<String>>,
+    /// The operation keys of the requests that it has run, one for each run.
+    pub keys: Mutex<Vec<String>>,
+    /// While set, it turns each request away unrun, as an origin does that is full.
+    pub is_full: AtomicBool,
     work: Duration,
     body_bytes: usize,
 }
@@ -36,6 +41,8 @@
             id: id.into(),
             service: service.into(),
             runs: Mutex::default(),
+            keys: Mutex::default(),
+            is_full: AtomicBool::new(false),
             work,
             body_bytes,
         });
@@ -70,6 +77,13 @@
         {
             return response(421, &[("Request-Id", id)], b"");
         }
+        if self.is_full.load(Ordering::Acquire) {
+            return response(503, &[("Request-Id", id), ("Not-Executed", "full")], b"");
+        }
+        if let Some(key) = request.header("operation-key") {
+            let mut keys = self.keys.lock().expect("no holder panics");
+            keys.push(key.into());
+        }
         self.runs
             .lock()
             .expect("no holder panics")
