Items of a call are judged whichever revision wins, so no invalid call is acknowledged

Cause: references between items, duplicate paths and checks across the fields of one item were made only on the configuration that results from the call. An item without effect is no part of it.

Change: each item is validated by itself (checks of one entry or group moved from the merged configuration to the item) and against the other items of its call. A service is known if the call sets it or if it was set at any time, so a late call stays acknowledged after its service or prefix changed hands. A refused call writes nothing, so its numbers stay free.

--- a/kernel/src/accepted.rs
+++ b/kernel/src/accepted.rs
@@ -20,15 +20,24 @@
     /// Computes the digest of an item's source text, or of its removal.
     pub fn of(item: &Item) -> ContentDigest {
         const SET: [u8; 1] = [0];
-        const REMOVED: [u8; 1] = [1];
-        let hasher = Sha256::new();
-        let hash = match item.text {
-            Some(_) => hasher
-                .chain_update(SET)
-                .chain_update(item.source.as_bytes()),
-            None => hasher.chain_update(REMOVED),
+        match item.text {
+            Some(_) => ContentDigest::finish(
+                Sha256::new()
+                    .chain_update(SET)
+                    .chain_update(item.source.as_bytes()),
+            ),
+            None => ContentDigest::of_removal(),
         }
-        .finalize();
+    }
+
+    /// Computes the digest of a removal, which is the same for all items.
+    pub fn of_removal() -> ContentDigest {
+        const REMOVED: [u8; 1] = [1];
+        ContentDigest::finish(Sha256::new().chain_update(REMOVED))
+    }
+
+    fn finish(hasher: Sha256) -> ContentDigest {
+        let hash = hasher.finalize();
         let mut bytes = [0; DIGEST_BYTES];
         bytes.copy_from_slice(&hash[..DIGEST_BYTES]);
         ContentDigest(bytes)
@@ -117,6 +126,17 @@
         }
     }
 
+    /// Returns true if the item was set under one of these revisions, or may have been
+    /// under one that is not remembered any more.
+    pub fn may_include_set(&self) -> bool {
+        let removal = ContentDigest::of_removal();
+        self.forgotten.is_some()
+            || self
+                .revisions
+                .iter()
+                .any(|accepted| accepted.digest != removal)
+    }
+
     /// Returns the index of the revision, or the index at which to insert it.
     fn position(&self, revision: u64) -> Result<usize, usize> {
         self.revisions
--- a/kernel/src/configuration.rs
+++ b/kernel/src/configuration.rs
@@ -1,8 +1,11 @@
 //! The operators' configuration: groups of origins and the entries that route to them.
+mod checks;
 #[cfg(test)]
 mod tests;
 
 use crate::prelude::*;
+pub(crate) use checks::{MatchedRequests, unknown_services};
+use checks::{check_entries, check_groups};
 
 /// Maximum size of a document in bytes.
 pub const CONFIGURATION_BYTES: usize = 4 * 1024 * 1024;
@@ -218,8 +221,6 @@
     }
 }
 
-const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"];
-
 impl Configuration {
     /// Returns the group of a service.
     pub fn group(&self, service: &str) -> Option<&Group> {
@@ -307,88 +308,6 @@
     }
 }
 
-fn check_groups(groups: &[Option<&Group>], findings: &mut Vec<Finding>) {
-    let mut seen = HashSet::new();
-    for (index, group) in groups.iter().enumerate() {
-        let Some(group) = group else { continue };
-        let place = |field: &str| pointer(&["groups", &index.to_string(), field]);
-        if !seen.insert(&group.service) {
-            findings.push(Finding::new(
-                place("service"),
-                "service has a group already",
-            ));
-        }
-        let key = BASE64.decode(&group.key).unwrap_or_default();
-        if group.proof == Proof::Named {
-            if !group.key.is_empty() {
-                findings.push(Finding::new(place("key"), "goes with proof seal only"));
-            }
-        } else if key.len() != 32 {
-            findings.push(Finding::new(place("key"), "must be 32 bytes in base64"));
-        }
-    }
-}
-
-fn check_entries(
-    entries: &[Option<&Entry>],
-    groups: &[Option<&Group>],
-    findings: &mut Vec<Finding>,
-) {
-    let services: HashSet<&str> = groups
-        .iter()
-        .flatten()
-        .map(|group| group.service.as_str())
-        .collect();
-    let mut names = HashSet::new();
-    let mut matches = HashSet::new();
-    for (index, entry) in entries.iter().enumerate() {
-        let Some(entry) = entry else { continue };
-        let place = |field: &str| pointer(&["entries", &index.to_string(), field]);
-        let mut report = |field: &str, text: &str| findings.push(Finding::new(place(field), text));
-        if !names.insert(&entry.name) {
-            report("name", "name is taken");
-        }
-        if !services.contains(entry.group.as_str()) {
-            report("group", "no such group");
-        }
-        if entry
-            .split
-            .iter()
-            .any(|share| !services.contains(share.group.as_str()))
-        {
-            report("split", "no such group");
-        }
-        if !entry.split.is_empty()
-            && entry.split.iter().map(|share| share.weight).sum::<f64>() <= 0.0
-        {
-            report("split", "some weight must be above 0");
-        }
-        if !entry.path.starts_with('/') {
-            report("path", "must start with /");
-        }
-        if entry.methods.is_empty() && !matches.insert((&entry.host, &entry.path, "")) {
-            report("path", "another entry has this host and path");
-        }
-        for method in &entry.methods {
-            if !METHODS.contains(&method.as_str()) {
-                report("methods", &format!("method {method} is not served"));
-            }
-            if !matches.insert((&entry.host, &entry.path, method.as_str())) {
-                report(
-                    "path",
-                    &format!("another entry has this host, path and method {method}"),
-                );
-            }
-        }
-        if entry.kind == Kind::Cached && !entry.methods.is_empty() && entry.methods != ["GET"] {
-            report("methods", "a cached entry serves GET only");
-        }
-        if (entry.kind == Kind::Cached) != entry.cache_ttl_s.is_some() {
-            report("cache_ttl_s", "goes with kind cached, and only with it");
-        }
-    }
-}
-
 /// Parses each element by itself, so that one invalid element does not hide the findings
 /// of another.
 fn read_list<T: for<'a> Deserialize<'a> + Serialize + Validate>(
--- a/kernel/src/items.rs
+++ b/kernel/src/items.rs
@@ -67,9 +67,13 @@
             return Ok(ItemContent::Removed);
         };
         let content = match item.kind {
-            ItemKind::Group => ItemContent::Group(Arc::new(parse_content(text)?)),
-            ItemKind::Entry => ItemContent::Entry(Arc::new(parse_content(text)?)),
-            ItemKind::Bounds => ItemContent::Bounds(Arc::new(parse_content(text)?)),
+            ItemKind::Group => {
+                ItemContent::Group(Arc::new(parse_content(text, Group::own_findings)?))
+            }
+            ItemKind::Entry => {
+                ItemContent::Entry(Arc::new(parse_content(text, Entry::own_findings)?))
+            }
+            ItemKind::Bounds => ItemContent::Bounds(Arc::new(parse_content(text, |_| Vec::new())?)),
         };
         let own_name = match &content {
             ItemContent::Group(group) => group.service.as_str(),
@@ -151,6 +155,15 @@
         Err(findings.into_iter().map(with_item_key).collect())
     }
 
+    /// Returns true if the document or an item sets the group of this service.
+    pub(crate) fn has_group(&self, service: &str) -> bool {
+        self.contents.values().any(|(_, content)| match content {
+            ItemContent::Document(document) => document.group(service).is_some(),
+            ItemContent::Group(group) => group.service == service,
+            ItemContent::Entry(_) | ItemContent::Bounds(_) | ItemContent::Removed => false,
+        })
+    }
+
     /// Inserts content that is not stored in a row yet, to validate it together with
     /// the others.
     pub(crate) fn insert_unstored(&mut self, key: String, content: ItemContent) {
@@ -159,10 +172,15 @@
 }
 
 /// Parses and validates the content of one item by itself; returns all findings.
-fn parse_content<T: for<'a> Deserialize<'a> + Validate>(text: &str) -> Result<T, Vec<Finding>> {
+/// `own_findings` checks what the ranges of the fields do not cover.
+fn parse_content<T: for<'a> Deserialize<'a> + Validate>(
+    text: &str,
+    own_findings: fn(&T) -> Vec<Finding>,
+) -> Result<T, Vec<Finding>> {
     let content: T =
         serde_json::from_str(text).map_err(|error| vec![Finding::new("", error.to_string())])?;
-    let findings = findings_of(content.validate());
+    let mut findings = findings_of(content.validate());
+    findings.extend(own_findings(&content));
     if findings.is_empty() {
         Ok(content)
     } else {
--- a/kernel/src/items_change.rs
+++ b/kernel/src/items_change.rs
@@ -3,9 +3,12 @@
 
 use crate::prelude::*;
 
+mod call_contents;
 #[cfg(test)]
 mod tests;
 
+use call_contents::{CallContents, placed};
+
 /// The effect of a valid call.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ItemsChange {
@@ -94,6 +97,10 @@
     /// confirmed under it later.
     fn accept(&mut self, index: usize, item: Item) {
         let requested = AcceptedRevision::of(&item);
+        if self.current.is_none() && item.kind == ItemKind::Group && item.text.is_none() {
+            // An empty record tells that the removed group was never set.
+            self.earlier_changed = true;
+        }
         let superseded = match self.current {
             Some(current) if requested.revision < current.revision => Some(requested),
             current => {
@@ -112,7 +119,9 @@
 /// Validates one call, item by item.
 struct CallValidator<'a> {
     rows: &'a BTreeMap<String, Row>,
+    /// The current items with those of the call that take effect.
     merged: Items,
+    call: CallContents,
     item_states: BTreeMap<(ItemKind, String), ItemState>,
     invalid: Vec<Finding>,
     conflicts: Vec<Finding>,
@@ -129,6 +138,7 @@
         CallValidator {
             rows,
             merged,
+            call: CallContents::default(),
             item_states: BTreeMap::new(),
             invalid: Vec::new(),
             conflicts: Vec::new(),
@@ -139,12 +149,7 @@
     fn add(&mut self, index: usize, item: Item) {
         let part = match Items::read(&item) {
             Ok(part) => part,
-            Err(findings) => {
-                let placed = |finding: Finding| {
-                    Finding::new(format!("/{index}{}", finding.place), finding.text)
-                };
-                return self.invalid.extend(findings.into_iter().map(placed));
-            }
+            Err(findings) => return self.invalid.extend(placed(index, findings)),
         };
         let (kind, name, revision) = (item.kind, item.name.clone(), item.revision);
         let key = Items::key(kind, &name);
@@ -154,7 +159,10 @@
             .entry((kind, name))
             .or_insert_with(|| ItemState::of(rows, &item));
         let place = format!("/{index}/revision");
-        match item_state.compare(AcceptedRevision::of(&item)) {
+        let acceptance = item_state.compare(AcceptedRevision::of(&item));
+        let is_accepted = acceptance == Acceptance::Same;
+        self.call.add(index, &item, part.clone(), is_accepted);
+        match acceptance {
             Acceptance::Same => {}
             Acceptance::Never => {
                 item_state.accept(index, item);
@@ -177,7 +185,9 @@
         }
     }
 
-    fn finish(self) -> Result<ItemsChange, ItemsRejection> {
+    fn finish(mut self) -> Result<ItemsChange, ItemsRejection> {
+        let call_findings = self.call.findings(&|service| self.was_set(service));
+        self.invalid.extend(call_findings);
         if !self.invalid.is_empty() {
             return Err(ItemsRejection::Invalid(self.invalid));
         }
@@ -193,6 +203,24 @@
         Ok(self.change())
     }
 
+    /// Returns true if the group of a service was ever set before the call, or if the
+    /// record of it was lost.
+    fn was_set(&self, service: &str) -> bool {
+        if self.merged.has_group(service) {
+            return true;
+        }
+        let value = |key: String| self.rows.get(&key).map(|row| &row.value);
+        let current = value(Items::key(ItemKind::Group, service));
+        let earlier = value(Items::accepted_key(ItemKind::Group, service));
+        match (current, earlier) {
+            (Some(Value::Item(Item { text: Some(_), .. })), _) => true,
+            (_, Some(Value::Accepted(earlier))) => earlier.may_include_set(),
+            // Edges restore removed items without their accepted revisions.
+            (Some(_), _) => true,
+            (None, _) => false,
+        }
+    }
+
     /// Converts the findings of the merged configuration; for an item of the call,
     /// the place starts with its index in the call.
     fn placed_in_call(&self, findings: Vec<(String, Finding)>) -> Vec<Finding> {
--- a/kernel/src/items_change/tests.rs
+++ b/kernel/src/items_change/tests.rs
@@ -80,6 +80,26 @@
     }
 }
 
+/// A group and two entries of revision 9, on `/a/` and `/b/`.
+fn two_entries() -> Partition {
+    let mut partition = Partition::with_group();
+    let entries = vec![entry("a", 9, "/a/", "s"), entry("b", 9, "/b/", "s")];
+    assert_eq!(partition.put(entries), Ok(2));
+    partition
+}
+
+fn group_removal(name: &str, revision: u64) -> Item {
+    item(ItemKind::Group, name, revision, None)
+}
+
+fn split_entry(name: &str, revision: u64, path: &str, to: [&str; 2]) -> Item {
+    let [first, second] = to;
+    let text = format!(
+        r#"{{"name":"{name}","path":"{path}","methods":[],"group":"{first}","rank":1,"kind":"repeatable","split":[{{"group":"{first}","weight":1}},{{"group":"{second}","weight":1}}]}}"#
+    );
+    item(ItemKind::Entry, name, revision, Some(text))
+}
+
 fn joined(findings: &[Finding]) -> String {
     let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
     texts.join("; ")
@@ -252,3 +272,156 @@
     let bytes = bincode::serialized_size(&partition.rows["accepted/item/entry/a"]).unwrap();
     assert!(bytes <= 64 + 24 * ACCEPTED_REVISIONS as u64, "{bytes}");
 }
+
+/// Regression (review/8): a call with an unknown group below the current revision was
+/// acknowledged, and its removal of another entry took effect.
+#[test]
+fn unknown_group_below_current_revision_rejects_whole_call() {
+    let mut partition = two_entries();
+    let before = partition.rows.clone();
+    for invalid in [
+        entry("a", 5, "/a/", "nowhere"),
+        split_entry("a", 5, "/a/", ["s", "nowhere"]),
+    ] {
+        let findings = partition.put_invalid(vec![removal("b", 12), invalid]);
+        assert!(findings.contains("/1/"), "{findings}");
+        assert!(findings.contains("no such group"), "{findings}");
+    }
+    assert_eq!(partition.rows, before);
+}
+
+/// Regression (review/8): the content of a refused call was remembered, and a valid call
+/// with the same revision was refused as a conflict.
+#[test]
+fn revision_of_rejected_call_can_be_used_by_a_valid_call() {
+    let mut partition = two_entries();
+    partition.put_invalid(vec![entry("a", 5, "/a/", "nowhere"), removal("b", 12)]);
+    assert_eq!(
+        partition.put(vec![entry("a", 5, "/x/", "s"), removal("b", 12)]),
+        Ok(1)
+    );
+    assert_eq!(partition.current_revision("b"), Some(12));
+    partition.put_conflicting(vec![entry("a", 5, "/y/", "s")]);
+}
+
+/// Regression: an entry with an unknown group was accepted when the same call or a later
+/// one named the entry with a higher revision, or when the rest of the call conflicted.
+#[test]
+fn unknown_group_is_invalid_wherever_the_item_has_no_effect() {
+    let mut partition = two_entries();
+    let before = partition.rows.clone();
+    let unknown = |revision| entry("a", revision, "/a/", "nowhere");
+    for call in [
+        vec![unknown(11), entry("a", 12, "/a/", "s")],
+        vec![entry("a", 12, "/a/", "s"), unknown(11)],
+        vec![removal("a", 12), unknown(11)],
+        vec![unknown(9)],
+        vec![unknown(5), entry("b", 9, "/other/", "s")],
+    ] {
+        let findings = partition.put_invalid(call);
+        assert!(findings.contains("no such group"), "{findings}");
+    }
+    assert_eq!(partition.rows, before);
+}
+
+/// Regression: the fields of an entry or group were checked only if it took effect.
+#[test]
+fn invalid_content_below_current_revision_rejects_whole_call() {
+    let mut partition = two_entries();
+    let before = partition.rows.clone();
+    let keyless = r#"{"service":"s","rate":9,"concurrency":2,"proof":"seal"}"#;
+    let cached = r#"{"name":"a","path":"/a/","methods":[],"group":"s","rank":1,"kind":"cached"}"#;
+    for invalid in [
+        item(ItemKind::Group, "s", 0, Some(keyless.into())),
+        item(ItemKind::Entry, "a", 5, Some(cached.into())),
+        entry("a", 5, "without-slash", "s"),
+    ] {
+        let findings = partition.put_invalid(vec![removal("b", 12), invalid]);
+        assert!(findings.contains("/1/"), "{findings}");
+    }
+    assert_eq!(partition.rows, before);
+}
+
+/// Regression: two entries of one call with the same path, or a group that the call
+/// removes, were accepted if one of the items was below its current revision.
+#[test]
+fn items_that_contradict_each_other_reject_whole_call() {
+    let mut partition = two_entries();
+    partition.put(vec![group("s", 9)]).unwrap();
+    let before = partition.rows.clone();
+    for call in [
+        vec![entry("a", 5, "/x/", "s"), entry("c", 9, "/x/", "s")],
+        vec![entry("a", 5, "/x/", "s"), entry("b", 5, "/x/", "s")],
+        vec![group_removal("s", 5), entry("c", 9, "/c/", "s")],
+        vec![
+            group("t", 5),
+            group_removal("t", 6),
+            entry("a", 5, "/a/", "t"),
+        ],
+    ] {
+        partition.put_invalid(call);
+    }
+    assert_eq!(partition.rows, before);
+    let moved = vec![
+        entry("a", 10, "/x/", "s"),
+        entry("a", 11, "/y/", "s"),
+        entry("c", 9, "/x/", "s"),
+    ];
+    assert_eq!(partition.put(moved), Ok(2), "only the newer path counts");
+}
+
+/// A call that arrives late was valid when it was sent, although its group was removed
+/// or its path was given to another entry meanwhile.
+#[test]
+fn late_valid_call_is_acknowledged_after_group_and_path_changed() {
+    let mut partition = two_entries();
+    assert_eq!(partition.put(vec![group("old", 3)]), Ok(1));
+    let moved = vec![
+        group_removal("old", 12),
+        entry("a", 12, "/y/", "s"),
+        entry("b", 12, "/a/", "s"),
+    ];
+    assert_eq!(partition.put(moved), Ok(3));
+    for late in [
+        entry("a", 10, "/b/", "old"),
+        entry("a", 8, "/a/", "s"),
+        split_entry("b", 11, "/z/", ["s", "old"]),
+    ] {
+        let call = vec![late];
+        assert_eq!(partition.put(call.clone()), Ok(0));
+        assert_eq!(partition.put(call), Ok(0), "repeated");
+    }
+    let with_group = vec![group("late", 4), entry("a", 7, "/c/", "late")];
+    assert_eq!(partition.put(with_group), Ok(1), "its own call sets it");
+    assert_eq!(partition.put(vec![group_removal("never", 20)]), Ok(1));
+    assert_eq!(
+        partition.put(vec![group("never", 4), entry("b", 4, "/d/", "never")]),
+        Ok(0),
+        "group set by the call, removed by a newer one"
+    );
+    assert_eq!(partition.put(vec![entry("b", 5, "/e/", "never")]), Ok(0));
+}
+
+#[test]
+fn removal_of_a_group_that_was_never_set_does_not_make_it_known() {
+    let mut partition = two_entries();
+    assert_eq!(partition.put(vec![group_removal("nowhere", 12)]), Ok(1));
+    let before = partition.rows.clone();
+    partition.put_invalid(vec![entry("a", 5, "/a/", "nowhere")]);
+    partition.put_invalid(vec![
+        entry("a", 5, "/a/", "nowhere"),
+        group_removal("nowhere", 13),
+    ]);
+    assert_eq!(partition.rows, before);
+}
+
+/// Edges, from which rows are restored after the loss of a majority, keep no accepted
+/// revisions: whether a removed group was ever set is not known then.
+#[test]
+fn late_call_is_acknowledged_after_accepted_revisions_were_lost() {
+    let mut partition = two_entries();
+    partition.put(vec![group("old", 3)]).unwrap();
+    partition.put(vec![group_removal("old", 12)]).unwrap();
+    partition.rows.retain(|_, row| row.value.visible_to_edges());
+    assert_eq!(partition.put(vec![entry("a", 5, "/a/", "old")]), Ok(0));
+}
