A document is validated together with the items in force

What callers saw: a document (PUT configuration) that contradicts the items in force (the same service or path, or without a group that an item refers to) was acknowledged. Edges merge the document and the items, find the result invalid and keep their last routes: what was acknowledged never came into force, nor did any change after it.

Cause: the document was validated by itself only, while an item is validated with the document.

Evidence: document_that_contradicts_items_is_refused failed before (the document that has the path of an item was acknowledged).

Change: DocumentChange validates the merged configuration; such findings, which rest on current rows, are sent like other refusals, once the leader is confirmed.

--- a/control-plane/src/control_node/changes.rs
+++ b/control-plane/src/control_node/changes.rs
@@ -14,8 +14,6 @@
 /// Maximum number of control nodes that forward a change: one that received it by mistake, and one between that node
 /// and the leader.
 const MAX_HOPS: u8 = 2;
-/// Key of the row that holds the configuration, which is replaced as a unit.
-const CONFIGURATION_KEY: &str = "configuration";
 /// Key of the row that holds the list of origins, which is replaced as a unit.
 const ORIGINS_KEY: &str = "origins";
 
@@ -29,6 +27,10 @@
     change: u64,
 }
 
+/// Validates a replacement. Returns the rows to write beside it, or findings.
+type ValidateReplacement<'a> =
+    dyn Fn(&PartitionLeader) -> Result<Vec<(String, Value)>, Vec<Finding>> + 'a;
+
 impl PendingReply {
     /// Writes a row that is replaced as a unit, unless this change was already applied, the current version is not the
     /// expected one, or the value is invalid. Returns the version if the row is written now.
@@ -36,7 +38,7 @@
         &mut self,
         leader: &mut PartitionLeader,
         replacement: Replacement<'_>,
-        validate: &dyn Fn() -> Result<(), Vec<Finding>>,
+        validate: &ValidateReplacement<'_>,
     ) -> Option<u64> {
         let Replacement {
             key,
@@ -57,9 +59,15 @@
             self.refuse(leader, conflict);
             return None;
         }
-        if let Err(findings) = validate() {
-            self.outcome = ChangeOutcome::Findings(findings);
-            return None;
+        let rows_beside = match validate(leader) {
+            Ok(rows) => rows,
+            Err(findings) => {
+                self.refuse(leader, ChangeOutcome::Findings(findings));
+                return None;
+            }
+        };
+        for (key, value) in rows_beside {
+            leader.put(key, value);
         }
         let version = leader.apply_change(key, value, change);
         self.acknowledge(version);
@@ -261,7 +269,9 @@
             expect,
             change,
         };
-        let validate = || Configuration::read(text).map(drop);
+        let validate = |leader: &PartitionLeader| {
+            DocumentChange::validate(&leader.rows, text).map(|change| change.removed_groups)
+        };
         let leader = self.leader_of(reply);
         if let Some(version) = reply.replace_row(leader, replacement, &validate) {
             self.log_event(Event::ConfigurationPut, format!("version {version}"));
@@ -302,7 +312,7 @@
             change,
         };
         let leader = self.leader_of(reply);
-        if let Some(version) = reply.replace_row(leader, replacement, &|| Ok(())) {
+        if let Some(version) = reply.replace_row(leader, replacement, &|_| Ok(Vec::new())) {
             self.log_event(Event::OriginsPut, format!("version {version}"));
         }
         if acknowledge == Acknowledge::Committed {
--- a/control-plane/src/control_node/changes/tests.rs
+++ b/control-plane/src/control_node/changes/tests.rs
@@ -290,6 +290,65 @@
     );
 }
 
+fn entry(name: &str, revision: u64, path: &str, group: &str) -> Item {
+    let text: Arc<str> =
+        format!(r#"{{"name":"{name}","path":"{path}","group":"{group}","rank":1,"kind":"plain"}}"#)
+            .into();
+    Item {
+        kind: ItemKind::Entry,
+        name: name.into(),
+        revision,
+        text: Some(text.clone()),
+        source: text,
+    }
+}
+
+/// Regression: a document that contradicts the items was acknowledged, and no edge could use either of them from then
+/// on.
+#[test]
+fn document_that_contradicts_items_is_refused() {
+    let mut cluster = Cluster::new();
+    let mut put = |change| cluster.outcome(1, CONFIGURATION_PARTITION, change);
+    let items = vec![group("t", 1, 1), entry("f", 1, "/f/", "t")];
+    assert_acknowledged(&put(put_items(items)), "items");
+    for path in ["/f/", "/e/"] {
+        let outcome = put(document(path, None, 5));
+        let is_refused = matches!(outcome, ChangeOutcome::Findings(_));
+        assert_eq!(is_refused, path == "/f/", "{path}: {outcome:?}");
+    }
+    assert_acknowledged(&put(put_items(vec![entry("g", 1, "/g/", "s")])), "item");
+    let without_group = Change::PutConfiguration {
+        text: r#"{"groups":[],"entries":[]}"#.into(),
+        expect: None,
+        change: 7,
+    };
+    let outcome = put(without_group);
+    assert!(
+        matches!(outcome, ChangeOutcome::Findings(_)),
+        "an item refers to the group: {outcome:?}"
+    );
+}
+
+/// A late item was valid when it was sent, although its group was in a document that was replaced meanwhile.
+#[test]
+fn group_of_replaced_document_stays_known() {
+    let mut cluster = Cluster::new();
+    let mut put = |change| cluster.outcome(1, CONFIGURATION_PARTITION, change);
+    assert_acknowledged(&put(document("/e/", None, 5)), "document");
+    let items = vec![group("t", 1, 1), entry("f", 9, "/f/", "t")];
+    assert_acknowledged(&put(put_items(items)), "items");
+    let without_group = Change::PutConfiguration {
+        text: r#"{"groups":[],"entries":[]}"#.into(),
+        expect: None,
+        change: 6,
+    };
+    assert_acknowledged(&put(without_group), "document without the group");
+    let late = put_items(vec![entry("f", 5, "/f/", "s")]);
+    assert_acknowledged(&put(late), "late item");
+    let invalid = put(put_items(vec![entry("f", 4, "/f/", "nowhere")]));
+    assert!(matches!(invalid, ChangeOutcome::Findings(_)), "{invalid:?}");
+}
+
 /// An isolated leader does not know the changes accepted after it was superseded.
 #[test]
 fn isolated_leader_reports_unknown_instead_of_refusal() {
@@ -316,18 +375,7 @@
         CONFIGURATION_PARTITION,
         document("/a/", Some(99), 5),
     );
-    let orphan = Item {
-        kind: ItemKind::Entry,
-        name: "e".into(),
-        ..group("unknown", 1, 1)
-    };
-    let text: Arc<str> =
-        r#"{"name":"e","path":"/e/","group":"none","rank":1,"kind":"plain"}"#.into();
-    let orphan = Item {
-        text: Some(text.clone()),
-        source: text,
-        ..orphan
-    };
+    let orphan = entry("e", 1, "/e/", "none");
     cluster.submit(old, 3, CONFIGURATION_PARTITION, put_items(vec![orphan]));
     cluster.run_for(Duration::from_secs(14));
     for id in [1, 2, 3] {
--- a/kernel/src/accepted.rs
+++ b/kernel/src/accepted.rs
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Records that the item was set without a revision, by a document. Such content counts
+    /// as a forgotten one of revision 0.
+    pub fn remember_unnumbered(&mut self) {
+        self.forgotten = self.forgotten.max(Some(0));
+    }
+
     /// Returns true if the item was set under one of these revisions, or may have been
     /// under one that is not remembered any more.
     pub fn may_include_set(&self) -> bool {
--- a/kernel/src/items.rs
+++ b/kernel/src/items.rs
@@ -164,6 +164,12 @@
         })
     }
 
+    /// Inserts a document that is not stored in a row yet, to validate it together with
+    /// the items.
+    pub(crate) fn insert_document(&mut self, key: &str, document: Arc<Configuration>) {
+        self.insert_unstored(key.to_string(), ItemContent::Document(document));
+    }
+
     /// Inserts content that is not stored in a row yet, to validate it together with
     /// the others.
     pub(crate) fn insert_unstored(&mut self, key: String, content: ItemContent) {
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod client;
 pub mod configuration;
+pub mod document_change;
 pub mod event;
 pub mod finding;
 pub mod frame;
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -23,6 +23,7 @@
 pub use crate::call::*;
 pub use crate::client::*;
 pub use crate::configuration::*;
+pub use crate::document_change::{CONFIGURATION_KEY, DocumentChange};
 pub use crate::event::{Event, log_event};
 pub use crate::finding::{Finding, exit_with_findings};
 pub use crate::frame;
