An edge no longer ends when a handover meets a shortened time to live

Cause: accepts() compared the expiry that a response came with; take_over_response then limited it to the slot's shorter time to live, which may lie in the past, and sent it to the waiting request: major_expiry - now went below zero.

Evidence: handed_over_response_beyond_shortened_ttl_is_not_sent_to_waiting_request failed before: "panicked ... overflow when subtracting durations" (time.rs:1201).

Change: a response is taken over only if it is younger than the time to live of the last request to this owner; the request waits on for the fetch in progress. Remaining times that are sent saturate.

--- a/data-plane/src/cache_owner/handover.rs
+++ b/data-plane/src/cache_owner/handover.rs
@@ -84,7 +84,7 @@
             purge_version: stored.purge_version,
             age: now - stored.fetch_started_at,
             minor_expiry: stored.minor_expiry.saturating_sub(now),
-            major_expiry: stored.major_expiry - now,
+            major_expiry: stored.major_expiry.saturating_sub(now),
         })
     }
 
@@ -109,17 +109,17 @@
         stored
     }
 
-    /// Returns true if a handed over response may be served here.
+    /// Returns true if a handed over response may be served here: also within the time to
+    /// live in the last request to this owner, which may be shorter than the previous one's.
     fn accepts(
         &self,
         delay: Duration,
         response: &HandedOverResponse,
         purge_log: &PurgeLog,
     ) -> bool {
-        let has_stored = self
-            .slots
-            .get(&response.key)
-            .is_some_and(|slot| slot.stored.is_some());
+        let slot = self.slots.get(&response.key);
+        let has_stored = slot.is_some_and(|slot| slot.stored.is_some());
+        let ttl = slot.map_or(response.ttl, |slot| slot.ttl.min(response.ttl));
         let attributes = CacheEntryAttributes {
             entry: &response.entry,
             host: &response.host,
@@ -128,6 +128,7 @@
         };
         !has_stored
             && response.major_expiry > delay
+            && ttl > response.age + delay
             && purge_log.is_clear(response.purge_version, attributes)
     }
 
@@ -163,7 +164,7 @@
             purge_version,
             fetch_started_at: now.saturating_sub(age + delay),
             minor_expiry: now + minor_expiry.saturating_sub(delay),
-            major_expiry: now + major_expiry - delay,
+            major_expiry: now + major_expiry.saturating_sub(delay),
         });
         if is_shortened {
             slot.limit_expiries();
--- a/data-plane/src/cache_owner/mod.rs
+++ b/data-plane/src/cache_owner/mod.rs
@@ -153,7 +153,7 @@
             purge_version: purge_version.max(stored.purge_version),
             age: now - stored.fetch_started_at,
             fresh_for: stored.minor_expiry.saturating_sub(now),
-            remaining_ttl: stored.major_expiry - now,
+            remaining_ttl: stored.major_expiry.saturating_sub(now),
             owner_delay: now - waiter.queued_at,
         };
         let copy = CacheCopy {
--- a/data-plane/src/cache_owner/tests.rs
+++ b/data-plane/src/cache_owner/tests.rs
@@ -382,3 +382,31 @@
         "{outgoing:?}"
     );
 }
+
+/// Regression (review/7): the edge panicked when a response was handed over whose age is
+/// above the shortened time to live of a request that waits for it.
+#[test]
+fn handed_over_response_beyond_shortened_ttl_is_not_sent_to_waiting_request() {
+    let mut previous = owner_with_response(0);
+    previous.retain_partitions(millis(100), 0, &|_| false);
+    let responses = previous.hand_over(millis(3_000), cache_partition(&KEY));
+    let mut owner = CacheOwner::new(1 << 20);
+    let shortened = |id| CacheGet {
+        ttl: millis(2_000),
+        ..get(id)
+    };
+    owner.get(millis(50_000), edge_address(1), shortened(1), 7, 0);
+    owner.get(millis(50_000), edge_address(2), shortened(2), 7, 0);
+    owner.take_outgoing();
+    let stored = owner.take_over(millis(50_000), millis(0), responses, &PurgeLog::default());
+    assert_eq!(stored, 0);
+    assert!(owner.take_outgoing().is_empty(), "the request waits on");
+    assert_eq!(owner.memory.used, 0);
+    let epoch_of = |_| 7;
+    owner.tick(millis(51_000), &epoch_of, 0);
+    let outgoing = owner.take_outgoing();
+    assert!(
+        matches!(outgoing[..], [(_, Message::CacheMiss(_))]),
+        "it becomes the refresher: {outgoing:?}"
+    );
+}
