Responses fetched before the process started keep their age

What callers saw: an edge that had just started stated an age cut to that of its own process for responses that came from other edges, and after an operator shortened cache_ttl_s it served them longer than the route allows.

Cause: the start of a fetch was kept as a time of the process, now - age saturated at zero.

Change: FetchStart keeps a reference time and the age at that time; cache owner and near cache use it for ages, limits and the order of two responses.

--- a/data-plane/src/cache_owner/handover.rs
+++ b/data-plane/src/cache_owner/handover.rs
@@ -82,7 +82,7 @@
             ttl: slot.ttl,
             reply: stored.reply.clone(),
             purge_version: stored.purge_version,
-            age: now - stored.fetch_started_at,
+            age: stored.fetch_start.age(now),
             minor_expiry: stored.minor_expiry.saturating_sub(now),
             major_expiry: stored.major_expiry.saturating_sub(now),
         })
@@ -162,7 +162,7 @@
             // this response.
             serial: 0,
             purge_version,
-            fetch_started_at: now.saturating_sub(age + delay),
+            fetch_start: FetchStart::of_age(now, age + delay),
             minor_expiry: now + minor_expiry.saturating_sub(delay),
             major_expiry: now + major_expiry.saturating_sub(delay),
         });
--- a/data-plane/src/cache_owner/mod.rs
+++ b/data-plane/src/cache_owner/mod.rs
@@ -151,7 +151,7 @@
             reply: stored.reply.clone(),
             // Stored responses have been checked against every known purge.
             purge_version: purge_version.max(stored.purge_version),
-            age: now - stored.fetch_started_at,
+            age: stored.fetch_start.age(now),
             fresh_for: stored.minor_expiry.saturating_sub(now),
             remaining_ttl: stored.major_expiry.saturating_sub(now),
             owner_delay: now - waiter.queued_at,
@@ -195,7 +195,7 @@
             reply,
             serial: token.serial,
             purge_version: purge_log.applied,
-            fetch_started_at,
+            fetch_start: FetchStart::at(fetch_started_at),
             minor_expiry: (now + slot.minor_lifetime()).min(major_expiry),
             major_expiry,
         });
--- a/data-plane/src/cache_owner/slot.rs
+++ b/data-plane/src/cache_owner/slot.rs
@@ -27,7 +27,7 @@
     pub(super) serial: u64,
     /// The version up to which no purge matches the response.
     pub(super) purge_version: u64,
-    pub(super) fetch_started_at: Duration,
+    pub(super) fetch_start: FetchStart,
     /// The time from which one request refreshes the response while others are still
     /// served it.
     pub(super) minor_expiry: Duration,
@@ -140,9 +140,9 @@
     pub(super) fn limit_expiries(&mut self) {
         let (ttl, minor_lifetime) = (self.ttl, self.minor_lifetime());
         if let Some(stored) = &mut self.stored {
-            let started_at = stored.fetch_started_at;
-            stored.minor_expiry = stored.minor_expiry.min(started_at + minor_lifetime);
-            stored.major_expiry = stored.major_expiry.min(started_at + ttl);
+            let fetch_start = stored.fetch_start;
+            stored.minor_expiry = stored.minor_expiry.min(fetch_start.end_of(minor_lifetime));
+            stored.major_expiry = stored.major_expiry.min(fetch_start.end_of(ttl));
         }
     }
 
--- a/data-plane/src/cache_owner/tests.rs
+++ b/data-plane/src/cache_owner/tests.rs
@@ -410,3 +410,37 @@
         "it becomes the refresher: {outgoing:?}"
     );
 }
+
+/// Regression: the age of a response that was handed over to an edge younger than the
+/// response was cut to the age of the edge's process.
+#[test]
+fn handed_over_response_keeps_its_age_at_a_younger_edge() {
+    const UPTIME_MS: u64 = 500;
+    let mut previous = owner_with_response(0);
+    previous.retain_partitions(millis(100), 0, &|_| false);
+    let responses = previous.hand_over(millis(3_000), cache_partition(&KEY));
+    let mut owner = CacheOwner::new(1 << 20);
+    let stored = owner.take_over(
+        millis(UPTIME_MS),
+        millis(100),
+        responses,
+        &PurgeLog::default(),
+    );
+    assert_eq!(stored, 1);
+    owner.get(millis(UPTIME_MS), edge_address(1), get(1), 7, 0);
+    let outgoing = owner.take_outgoing();
+    assert!(
+        matches!(&outgoing[..], [(_, Message::CacheCopy(copy))] if copy.response.age == millis(3_100)),
+        "{outgoing:?}"
+    );
+    let shortened = CacheGet {
+        ttl: millis(2_000),
+        ..get(2)
+    };
+    owner.get(millis(UPTIME_MS + 1), edge_address(2), shortened, 7, 0);
+    let outgoing = owner.take_outgoing();
+    assert!(
+        matches!(outgoing[..], [(_, Message::CacheMiss(_))]),
+        "older than the shortened time to live: {outgoing:?}"
+    );
+}
--- a/data-plane/src/edge_node/cached.rs
+++ b/data-plane/src/edge_node/cached.rs
@@ -213,7 +213,7 @@
         let entry = NearCacheEntry {
             attributes: self.active_requests[&id].cache_entry_attributes(&fetched.reply),
             reply: &fetched.reply,
-            fetch_started_at,
+            fetch_start: FetchStart::at(fetch_started_at),
             minor_expiry: (now + minor_lifetime(fetched.ttl)).min(major_expiry),
             major_expiry,
         };
@@ -280,7 +280,7 @@
         let entry = NearCacheEntry {
             attributes,
             reply: &cached.reply,
-            fetch_started_at: now.saturating_sub(age),
+            fetch_start: FetchStart::of_age(now, age),
             minor_expiry: now
                 + cached
                     .fresh_for
--- a/data-plane/src/lib.rs
+++ b/data-plane/src/lib.rs
@@ -10,6 +10,7 @@
 mod default_protocol;
 mod edge_node;
 mod fallback_quota;
+mod fetch_start;
 mod filter;
 mod http_frontend;
 mod leases;
--- a/data-plane/src/near_cache.rs
+++ b/data-plane/src/near_cache.rs
@@ -1,4 +1,7 @@
 //! The near cache: responses from cache owners and origins that an edge stores itself.
+#[cfg(test)]
+mod tests;
+
 use crate::memory_budget::{MemoryBudget, eviction_order};
 use crate::prelude::*;
 
@@ -23,8 +26,8 @@
     host: String,
     url: String,
     reply: Reply,
-    /// The latest time at which the fetch can have started, on this edge's clock.
-    fetch_started_at: Duration,
+    /// The latest time at which the fetch can have started.
+    fetch_start: FetchStart,
     /// The time from which a newer response is requested from the owner.
     minor_expiry: Duration,
     /// The time from which the response is not served.
@@ -39,7 +42,7 @@
     /// The response.
     pub reply: &'a Reply,
     /// The latest time at which the fetch can have started.
-    pub fetch_started_at: Duration,
+    pub fetch_start: FetchStart,
     /// The time from which the response is stale.
     pub minor_expiry: Duration,
     /// The time from which the response is not served.
@@ -107,13 +110,13 @@
         let Some(stored) = self.responses.get_mut(key) else {
             return NearCacheLookup::Missing;
         };
-        if now >= stored.major_expiry.min(stored.fetch_started_at + ttl) {
+        if now >= stored.major_expiry.min(stored.fetch_start.end_of(ttl)) {
             self.remove(key);
             return NearCacheLookup::Missing;
         }
         stored.last_used = now;
         let reply = stored.reply.clone();
-        let age = now - stored.fetch_started_at;
+        let age = stored.fetch_start.age(now);
         if now < stored.minor_expiry {
             NearCacheLookup::Fresh { reply, age }
         } else {
@@ -128,7 +131,7 @@
             return;
         }
         if let Some(existing) = self.responses.get_mut(&key)
-            && existing.fetch_started_at > entry.fetch_started_at
+            && existing.fetch_start.is_after(entry.fetch_start)
             && now < existing.major_expiry
         {
             existing.minor_expiry = existing
@@ -143,7 +146,7 @@
             host: entry.attributes.host.into(),
             url: entry.attributes.url.into(),
             reply: entry.reply.clone(),
-            fetch_started_at: entry.fetch_started_at,
+            fetch_start: entry.fetch_start,
             minor_expiry: entry.minor_expiry,
             major_expiry: entry.major_expiry,
             last_used: now,
--- a/data-plane/src/prelude.rs
+++ b/data-plane/src/prelude.rs
@@ -8,6 +8,7 @@
 pub use crate::default_protocol::DefaultProtocol;
 pub use crate::edge_node::EdgeNode;
 pub use crate::fallback_quota::{FALLBACK_EPOCH, FallbackQuota};
+pub use crate::fetch_start::FetchStart;
 pub use crate::filter::{Filter, FilterPlugIn, IncomingRequest, run_filters};
 pub use crate::leases::Leases;
 pub use crate::link_delay_estimator::LinkDelayEstimator;
