A claim of any request that released its key is rejected, whenever it arrives

Cause: a release leaves a mark in the key's row, so that a claim still in flight finds it; the row held the mark of one request only. The next request's claim or release replaced it, and a release that arrived beside another claim, or after another release, left none. The late claim then took the key for a request that had ended.

Evidence: late_claim_of_any_released_request_is_rejected and release_beside_another_claim_rejects_late_claim failed before ("left: Claimed, right: Released").

Change: the row keeps up to 16 other requests that released the key (a new kind of value, appended to the stored format and used only where there are any). A claim of one of them is answered with Released in every state of the row.

--- a/control-plane/src/control_node/operation_expiry.rs
+++ b/control-plane/src/control_node/operation_expiry.rs
@@ -42,8 +42,8 @@
         let finished = self.by_partition.entry(leader.partition).or_default();
         let mut expired = Vec::new();
         for (key, row) in &leader.rows {
-            if !matches!(&row.value, Value::Operation(operation) if operation.state != OperationState::Running)
-            {
+            let operation = row.value.operation();
+            if operation.is_none_or(|operation| operation.state == OperationState::Running) {
                 continue;
             }
             let first_found = FinishedOperation {
@@ -77,10 +77,11 @@
             let has_departed = |peer: Peer| self.sessions.has_departed(now, peer, quorum);
             let orphaned = orphaned_operations(leader, &has_departed);
             let expired = self.finished_operations.take_expired(now, leader);
-            for (key, operation) in orphaned {
+            for (key, operation, released) in orphaned {
                 abandoned.push(format!("{key} by {}", operation.claimant));
                 let state = OperationState::Unknown;
-                leader.put(key, Value::Operation(Operation { state, ..operation }));
+                let operation = Operation { state, ..operation };
+                leader.put(key, Value::of_operation(operation, released));
             }
             for key in expired {
                 leader.remove_row(&key);
@@ -92,21 +93,21 @@
     }
 }
 
-/// Returns running operations whose edge has departed.
+/// Returns running operations whose edge has departed, with the other requests that released their keys.
 fn orphaned_operations(
     leader: &PartitionLeader,
     has_departed: &dyn Fn(Peer) -> bool,
-) -> Vec<(String, Operation)> {
-    let operations = leader
-        .rows
-        .iter()
-        .filter_map(|(key, row)| match &row.value {
-            Value::Operation(operation) => Some((key, operation)),
-            _ => None,
-        });
-    operations
-        .filter(|(_, operation)| operation.state == OperationState::Running)
-        .filter(|(_, operation)| has_departed(operation.claimant))
-        .map(|(key, operation)| (key.clone(), operation.clone()))
-        .collect()
+) -> Vec<(String, Operation, ReleasedRequests)> {
+    let is_orphaned = |operation: &&Operation| {
+        operation.state == OperationState::Running && has_departed(operation.claimant)
+    };
+    let orphaned = |(key, row): (&String, &Row)| {
+        let operation = row.value.operation().filter(is_orphaned)?;
+        Some((
+            key.clone(),
+            operation.clone(),
+            row.value.released_requests(),
+        ))
+    };
+    leader.rows.iter().filter_map(orphaned).collect()
 }
--- a/control-plane/src/ledger/tests.rs
+++ b/control-plane/src/ledger/tests.rs
@@ -112,3 +112,78 @@
         already_claimed(true, done())
     );
 }
+
+/// Regression (review/6): the mark of a released request was overwritten by that of the next one. A claim of the first
+/// request that arrived after both was accepted, and the key stayed claimed for a request that had ended.
+#[test]
+fn late_claim_of_any_released_request_is_rejected() {
+    let mut leader = PartitionLeader::new(PUBLISHED_PARTITIONS, 3, 3, 0);
+    let requests = 1..=RELEASED_REQUESTS as u64;
+    for request in requests.clone() {
+        assert_eq!(
+            Ledger::claim(&mut leader, claim(request, 0)).1,
+            ChangeOutcome::Claimed
+        );
+        Ledger::finish(&mut leader, claim(request, 0), OperationState::Released);
+    }
+    for request in requests {
+        assert_eq!(
+            Ledger::claim(&mut leader, claim(request, 0)).1,
+            ChangeOutcome::Released,
+            "request {request}"
+        );
+    }
+    let next = claim(100, 0);
+    assert_eq!(
+        Ledger::claim(&mut leader, next.clone()).1,
+        ChangeOutcome::Claimed
+    );
+    assert_eq!(
+        Ledger::claim(&mut leader, claim(1, 0)).1,
+        ChangeOutcome::Released,
+        "also while another request runs"
+    );
+    Ledger::finish(&mut leader, next, done());
+    assert_eq!(
+        Ledger::claim(&mut leader, claim(101, 0)).1,
+        already_claimed(true, done())
+    );
+}
+
+/// Regression: a release that arrived while another request ran, or after its release, left no mark, so that a later
+/// claim of the released request was accepted.
+#[test]
+fn release_beside_another_claim_rejects_late_claim() {
+    for other_state in [
+        OperationState::Running,
+        OperationState::Released,
+        OperationState::Unknown,
+    ] {
+        let mut leader = PartitionLeader::new(PUBLISHED_PARTITIONS, 3, 3, 0);
+        Ledger::claim(&mut leader, claim(2, 0));
+        Ledger::finish(&mut leader, claim(2, 0), other_state.clone());
+        for _ in 0..2 {
+            assert_eq!(
+                Ledger::finish(&mut leader, claim(1, 0), OperationState::Released).1,
+                ChangeOutcome::Released
+            );
+        }
+        Ledger::finish(&mut leader, claim(2, 0), OperationState::Released);
+        assert_eq!(
+            Ledger::claim(&mut leader, claim(1, 0)).1,
+            ChangeOutcome::Released,
+            "{other_state:?}"
+        );
+    }
+}
+
+#[test]
+fn marks_of_released_requests_are_bounded() {
+    let mut leader = PartitionLeader::new(PUBLISHED_PARTITIONS, 3, 3, 0);
+    for request in 0..4 * RELEASED_REQUESTS as u64 {
+        Ledger::claim(&mut leader, claim(request, 0));
+        Ledger::finish(&mut leader, claim(request, 0), OperationState::Released);
+    }
+    let bytes = bincode::serialized_size(&leader.rows["s/k"]).unwrap();
+    assert!(bytes <= 160 + 64 * RELEASED_REQUESTS as u64, "{bytes}");
+}
--- a/data-plane/src/edge_node/updates.rs
+++ b/data-plane/src/edge_node/updates.rs
@@ -107,6 +107,7 @@
             }
             Value::Purge { .. }
             | Value::Operation(_)
+            | Value::OperationWithReleases { .. }
             | Value::Founded { .. }
             | Value::EdgeRegistry { .. }
             | Value::Enrolled { .. }
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod purge;
 pub mod quorum;
 pub mod refusals;
+pub mod released_requests;
 pub mod resource_limits;
 pub mod route_table;
 pub mod row;
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -44,6 +44,7 @@
 pub use crate::purge::*;
 pub use crate::quorum::Quorum;
 pub use crate::refusals::{RefusalCounts, RefusalReports};
+pub use crate::released_requests::{RELEASED_REQUESTS, ReleasedRequests};
 pub use crate::resource_limits;
 pub use crate::route_table::RouteTable;
 pub use crate::row::*;
--- a/kernel/src/row.rs
+++ b/kernel/src/row.rs
@@ -78,6 +78,13 @@
     Accepted(AcceptedRevisions),
     /// Changes that were applied to a row that is replaced as a whole.
     Applied(AppliedChanges),
+    /// The state of an operation key that other requests have released.
+    OperationWithReleases {
+        /// The last claim and its state.
+        operation: Operation,
+        /// The other requests.
+        released: ReleasedRequests,
+    },
 }
 
 impl Value {
@@ -86,6 +93,36 @@
     pub fn visible_to_edges(&self) -> bool {
         !matches!(self, Value::Accepted(_) | Value::Applied(_))
     }
+
+    /// Returns the value that holds an operation and the other requests that released its
+    /// key.
+    pub fn of_operation(operation: Operation, released: ReleasedRequests) -> Value {
+        if released.is_empty() {
+            return Value::Operation(operation);
+        }
+        Value::OperationWithReleases {
+            operation,
+            released,
+        }
+    }
+
+    /// Returns the operation, if the value holds one.
+    pub fn operation(&self) -> Option<&Operation> {
+        match self {
+            Value::Operation(operation) | Value::OperationWithReleases { operation, .. } => {
+                Some(operation)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the other requests that released the operation's key.
+    pub fn released_requests(&self) -> ReleasedRequests {
+        match self {
+            Value::OperationWithReleases { released, .. } => released.clone(),
+            _ => ReleasedRequests::default(),
+        }
+    }
 }
 
 /// A named item of the configuration, with a revision chosen by its operators.
