Validation of a call stays linear in its items

The services that a call sets or removes are collected once, and only the document is searched for a group of an earlier change, not every item.

--- a/kernel/src/configuration/checks.rs
+++ b/kernel/src/configuration/checks.rs
@@ -126,7 +126,8 @@
 /// Returns a finding for each field of the entry that refers to an unknown service.
 pub(crate) fn unknown_services(entry: &Entry, is_known: &dyn Fn(&str) -> bool) -> Vec<Finding> {
     let unknown = entry.services().filter(|(_, service)| !is_known(service));
-    let fields: BTreeSet<&str> = unknown.map(|(field, _)| field).collect();
+    let mut fields: Vec<&str> = unknown.map(|(field, _)| field).collect();
+    fields.dedup();
     fields
         .into_iter()
         .map(|field| Finding::new(pointer(&[field]), NO_SUCH_GROUP))
--- a/kernel/src/items.rs
+++ b/kernel/src/items.rs
@@ -155,13 +155,12 @@
         Err(findings.into_iter().map(with_item_key).collect())
     }
 
-    /// Returns true if the document or an item sets the group of this service.
-    pub(crate) fn has_group(&self, service: &str) -> bool {
-        self.contents.values().any(|(_, content)| match content {
-            ItemContent::Document(document) => document.group(service).is_some(),
-            ItemContent::Group(group) => group.service == service,
-            ItemContent::Entry(_) | ItemContent::Bounds(_) | ItemContent::Removed => false,
-        })
+    /// Returns true if the document has a group of this service.
+    pub(crate) fn document_has_group(&self, service: &str) -> bool {
+        match self.contents.get(CONFIGURATION_KEY) {
+            Some((_, ItemContent::Document(document))) => document.group(service).is_some(),
+            _ => false,
+        }
     }
 
     /// Inserts a document that is not stored in a row yet, to validate it together with
--- a/kernel/src/items_change.rs
+++ b/kernel/src/items_change.rs
@@ -206,7 +206,7 @@
     /// Returns true if the group of a service was ever set before the call, or if the
     /// record of it was lost.
     fn was_set(&self, service: &str) -> bool {
-        if self.merged.has_group(service) {
+        if self.merged.document_has_group(service) {
             return true;
         }
         let value = |key: String| self.rows.get(&key).map(|row| &row.value);
--- a/kernel/src/items_change/call_contents.rs
+++ b/kernel/src/items_change/call_contents.rs
@@ -51,7 +51,8 @@
     /// Returns findings about references to services that never had a group. Items that
     /// were accepted earlier are left out: their services were known then.
     fn unknown_services(&self, was_set: &dyn Fn(&str) -> bool) -> Vec<Finding> {
-        let is_known = |service: &str| self.sets_group(service) || was_set(service);
+        let set_services = self.set_services();
+        let is_known = |service: &str| set_services.contains(service) || was_set(service);
         let sent_items = self.items.values().flatten();
         let findings_of = |sent: &SentItem| match &sent.content {
             ItemContent::Entry(entry) if !sent.is_accepted => {
@@ -65,14 +66,12 @@
     /// Returns findings about entries that match the same requests, or that refer to a group
     /// which the call removes. Of several revisions of an item, the highest one counts.
     fn contradictions(&self) -> Vec<Finding> {
+        let removed_services = self.removed_services();
+        let is_kept = |service: &str| !removed_services.contains(service);
         let mut matched = MatchedRequests::default();
         let mut findings = Vec::new();
-        for (kind, name) in self.items.keys() {
-            let Some(sent) = self.newest(*kind, name) else {
-                continue;
-            };
+        for sent in self.items.values().filter_map(|sent| newest(sent)) {
             if let ItemContent::Entry(entry) = &sent.content {
-                let is_kept = |service: &str| !self.removes_group(service);
                 findings.extend(placed(sent.index, unknown_services(entry, &is_kept)));
                 findings.extend(placed(sent.index, matched.add(entry)));
             }
@@ -80,29 +79,38 @@
         findings
     }
 
-    /// Returns true if the call sets the group, under any revision.
-    fn sets_group(&self, service: &str) -> bool {
-        let key = (ItemKind::Group, service.to_string());
-        self.items.get(&key).is_some_and(|sent_items| {
-            sent_items
-                .iter()
-                .any(|sent| matches!(sent.content, ItemContent::Group(_)))
-        })
+    /// Returns the services whose groups the call sets, under any revision.
+    fn set_services(&self) -> HashSet<&str> {
+        let is_set = |sent: &SentItem| matches!(sent.content, ItemContent::Group(_));
+        self.groups()
+            .filter(|(_, sent_items)| sent_items.iter().any(is_set))
+            .map(|(service, _)| service)
+            .collect()
     }
 
-    /// Returns true if the call removes the group.
-    fn removes_group(&self, service: &str) -> bool {
-        self.newest(ItemKind::Group, service)
-            .is_some_and(|sent| matches!(sent.content, ItemContent::Removed))
+    /// Returns the services whose groups the call removes.
+    fn removed_services(&self) -> HashSet<&str> {
+        let is_removal = |sent: &SentItem| matches!(sent.content, ItemContent::Removed);
+        self.groups()
+            .filter(|(_, sent_items)| newest(sent_items).is_some_and(is_removal))
+            .map(|(service, _)| service)
+            .collect()
     }
 
-    /// Returns the item of this name with the highest revision in the call.
-    fn newest(&self, kind: ItemKind, name: &str) -> Option<&SentItem> {
-        let sent_items = self.items.get(&(kind, name.to_string()))?;
-        sent_items.iter().max_by_key(|sent| sent.revision)
+    fn groups(&self) -> impl Iterator<Item = (&str, &Vec<SentItem>)> {
+        let is_group = |((kind, _), _): &(&(ItemKind, String), _)| *kind == ItemKind::Group;
+        self.items
+            .iter()
+            .filter(is_group)
+            .map(|((_, name), sent_items)| (name.as_str(), sent_items))
     }
 }
 
+/// Returns the item with the highest revision.
+fn newest(sent_items: &[SentItem]) -> Option<&SentItem> {
+    sent_items.iter().max_by_key(|sent| sent.revision)
+}
+
 /// Prefixes the places of an item's findings with the item's index in the call.
 pub(super) fn placed(index: usize, findings: Vec<Finding>) -> Vec<Finding> {
     let within =
