--- a/kernel/src/items_change/tests.rs
+++ b/kernel/src/items_change/tests.rs
@@ -425,3 +425,15 @@
     partition.rows.retain(|_, row| row.value.visible_to_edges());
     assert_eq!(partition.put(vec![entry("a", 5, "/a/", "old")]), Ok(0));
 }
+
+/// Builds before [`DocumentChange`] kept no record of the groups of replaced documents.
+#[test]
+fn repeated_call_is_acknowledged_without_a_record_of_its_group() {
+    let mut partition = two_entries();
+    partition.put(vec![group("old", 3)]).unwrap();
+    partition.put(vec![entry("a", 10, "/x/", "old")]).unwrap();
+    partition.put(vec![entry("a", 12, "/x/", "s")]).unwrap();
+    partition.rows.retain(|key, _| !key.ends_with("group/old"));
+    assert_eq!(partition.put(vec![entry("a", 10, "/x/", "old")]), Ok(0));
+    partition.put_invalid(vec![entry("a", 11, "/x/", "old")]);
+}
