--- a/data-plane/tests/near_cache.rs
+++ b/data-plane/tests/near_cache.rs
@@ -92,6 +92,24 @@
     outputs
 }
 
+/// Makes the request the refresher of its key at 1010 ms and permits its call at 1020 ms.
+/// Returns the id of the call.
+fn start_fetch(edge: &mut EdgeNode, requested: u64) -> u64 {
+    let token = FillToken {
+        serial: 1,
+        epoch: 1,
+        purge_version: 0,
+    };
+    let miss = CacheMiss {
+        id: requested,
+        key: key(),
+        token,
+    };
+    let outputs = deliver(edge, 1010, OWNER, miss);
+    let permit = permit(last_exchange(&outputs), origin(50), 1015);
+    last_exchange(&deliver(edge, 1020, ADMISSION, permit))
+}
+
 /// Creates a live edge with an origin, an admission controller and a cache owner.
 fn ready_edge() -> EdgeNode {
     let mut edge = live_edge(1000);
@@ -266,24 +284,7 @@
     let mut edge = ready_edge();
     let requested = last_exchange(&start_request(&mut edge, 1000, 1));
     start_request(&mut edge, 1000, 2);
-    let token = FillToken {
-        serial: 1,
-        epoch: 1,
-        purge_version: 0,
-    };
-    let miss = CacheMiss {
-        id: requested,
-        key: key(),
-        token,
-    };
-    let outputs = deliver(&mut edge, 1010, OWNER, miss);
-    let outputs = deliver(
-        &mut edge,
-        1020,
-        ADMISSION,
-        permit(last_exchange(&outputs), origin(50), 1015),
-    );
-    let call = last_exchange(&outputs);
+    let call = start_fetch(&mut edge, requested);
     // The call takes too long: the second request does not wait for it.
     let mut outputs = Vec::new();
     for now in (1050..3100).step_by(50) {
@@ -333,19 +334,7 @@
     for id in 2..10 {
         start_request(&mut edge, 1000, id);
     }
-    let token = FillToken {
-        serial: 1,
-        epoch: 1,
-        purge_version: 0,
-    };
-    let miss = CacheMiss {
-        id: requested,
-        key: key(),
-        token,
-    };
-    let outputs = deliver(&mut edge, 1010, OWNER, miss);
-    let permit = permit(last_exchange(&outputs), origin(50), 1015);
-    let call = last_exchange(&deliver(&mut edge, 1020, ADMISSION, permit));
+    let call = start_fetch(&mut edge, requested);
     let result = CallOutcome::Success(reply("x"));
     let outputs = edge.handle(millis(1100), Input::CallCompleted { id: call, result });
     assert_eq!(served(&outputs).len(), 9);
--- a/simulate-fleet/src/scenarios.rs
+++ b/simulate-fleet/src/scenarios.rs
@@ -138,6 +138,19 @@
     calls.iter().filter(|call| call.status == 200).count() as f64 / calls.len().max(1) as f64
 }
 
+/// Fails unless more than this share of the requests started within a period (in seconds)
+/// succeeded.
+pub(crate) fn assert_served_more_than(
+    min_share: f64,
+    report: &Report,
+    from: f64,
+    to: f64,
+    context: &str,
+) {
+    let share = served_share_within(report, from, to);
+    assert!(share > min_share, "{context}: {share} served");
+}
+
 #[test]
 fn random_schedules_hold_all_rules() {
     let deployment = Deployment::find("small").unwrap();
--- a/simulate-fleet/src/scenarios/losses.rs
+++ b/simulate-fleet/src/scenarios/losses.rs
@@ -59,11 +59,7 @@
     faults.extend([(18_000, Fault::Returned), (20_000, Fault::ReadBack)]);
     let report = run_small(3, 50, faults);
     check_rules(&report, &[1, 6, 7, 12]);
-    assert!(
-        served_share_within(&report, 23.0, 40.0) > 0.999,
-        "{}",
-        served_share_within(&report, 23.0, 40.0)
-    );
+    assert_served_more_than(0.999, &report, 23.0, 40.0, "after the loss");
 }
 
 #[test]
--- a/simulate-fleet/src/scenarios/outages.rs
+++ b/simulate-fleet/src/scenarios/outages.rs
@@ -164,12 +164,8 @@
     ]);
     let report = run_small(3, 45, faults);
     check_rules(&report, &[1, 4, 6]);
-    assert!(
-        served_share_within(&report, 14.0, 25.0) > 0.99,
-        "{}",
-        served_share_within(&report, 14.0, 25.0)
-    );
-    assert!(served_share_within(&report, 27.0, 38.0) > 0.99);
+    assert_served_more_than(0.99, &report, 14.0, 25.0, "from 14 s");
+    assert_served_more_than(0.99, &report, 27.0, 38.0, "from 27 s");
 }
 
 #[test]
--- a/simulate-fleet/src/scenarios/replacement.rs
+++ b/simulate-fleet/src/scenarios/replacement.rs
@@ -41,8 +41,7 @@
                     "{context}: the table grew at all other members"
                 );
                 assert_eq!(count(&report, "configured"), 2, "{context}");
-                let share = served_share_within(&report, 15.0, 30.0);
-                assert!(share > 0.99, "{context}: {share}");
+                assert_served_more_than(0.99, &report, 15.0, 30.0, &context);
             }
         }
     }
@@ -74,11 +73,8 @@
                 Some(&1),
                 "{control} {slot}"
             );
-            assert!(
-                served_share_within(&report, 30.0, 45.0) > 0.98,
-                "{control} {slot}: {}",
-                served_share_within(&report, 30.0, 45.0)
-            );
+            let context = format!("{control} {slot}");
+            assert_served_more_than(0.98, &report, 30.0, 45.0, &context);
         }
     }
 }
--- a/simulate-fleet/src/scenarios_membership.rs
+++ b/simulate-fleet/src/scenarios_membership.rs
@@ -2,7 +2,7 @@
 //! `CATCH_UP_MS` after its own or its successor's start; from then on the next one may be lost.
 
 use crate::prelude::*;
-use crate::scenarios::{check_rules, count, gathering_plan, run, served_share_within};
+use crate::scenarios::{assert_served_more_than, check_rules, count, gathering_plan, run};
 
 /// Value of the setting `catch_up_s`, in milliseconds.
 const CATCH_UP_MS: u64 = 4_000;
@@ -38,8 +38,7 @@
 fn check_after_loss(report: &Report, context: &str, from: f64, to: f64, configured: usize) {
     check_rules(report, &[6]);
     assert_eq!(count(report, "configured"), configured, "{context}");
-    let served_share = served_share_within(report, from, to);
-    assert!(served_share > 0.98, "{context}: {served_share} served");
+    assert_served_more_than(0.98, report, from, to, context);
 }
 
 /// A machine is lost permanently and an empty one starts 1 s later. After the catch-up time the
--- a/stand-ins/src/deployment.rs
+++ b/stand-ins/src/deployment.rs
@@ -69,6 +69,9 @@
     ttl: u64,
 }
 
+/// Maximum concurrent calls to one origin of the known deployments.
+const ORIGIN_CONCURRENCY: u32 = 20;
+
 const fn mix(
     entry: &'static str,
     path: &'static str,
@@ -89,6 +92,15 @@
     }
 }
 
+const fn service(name: &'static str, origins: usize, rate: f64) -> Service {
+    Service {
+        name,
+        origins,
+        rate,
+        concurrency: ORIGIN_CONCURRENCY,
+    }
+}
+
 impl MixSpec {
     fn build(&self) -> Mix {
         Mix {
@@ -128,20 +140,7 @@
         edges: 15,
         zones: &["north-a", "north-b", "south-a", "south-b"],
         rate: 165,
-        services: &[
-            Service {
-                name: "listings",
-                origins: 4,
-                rate: 20.0,
-                concurrency: 20,
-            },
-            Service {
-                name: "booking",
-                origins: 8,
-                rate: 15.0,
-                concurrency: 20,
-            },
-        ],
+        services: &[service("listings", 4, 20.0), service("booking", 8, 15.0)],
         mix: &[
             mix("listing", "/listing/", 60, 40, "GET", 5, 6),
             mix("gallery", "/gallery/", 120, 25, "GET", 2, 10),
@@ -155,20 +154,7 @@
         edges: 14,
         zones: &["zone-1", "zone-2", "zone-3", "zone-4"],
         rate: 370,
-        services: &[
-            Service {
-                name: "notices",
-                origins: 4,
-                rate: 30.0,
-                concurrency: 20,
-            },
-            Service {
-                name: "routing",
-                origins: 8,
-                rate: 20.0,
-                concurrency: 20,
-            },
-        ],
+        services: &[service("notices", 4, 30.0), service("routing", 8, 20.0)],
         mix: &[
             mix("restriction", "/restriction/", 80, 35, "GET", 8, 5),
             mix("tile", "/tile/", 300, 40, "GET", 2, 20),
@@ -181,20 +167,7 @@
         edges: 4,
         zones: &["a", "b", "c"],
         rate: 40,
-        services: &[
-            Service {
-                name: "listings",
-                origins: 2,
-                rate: 30.0,
-                concurrency: 20,
-            },
-            Service {
-                name: "booking",
-                origins: 2,
-                rate: 30.0,
-                concurrency: 20,
-            },
-        ],
+        services: &[service("listings", 2, 30.0), service("booking", 2, 30.0)],
         mix: &[
             mix("listing", "/listing/", 20, 70, "GET", 5, 4),
             mix("availability", "/availability/", 1000, 15, "POST", 5, 0),
